--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decisions and of what they cost."""
--- /dev/null
+++ b/celerytrail/engines/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to model engines: streams, load reports, cache events, orders."""
--- /dev/null
+++ b/celerytrail/httpserver.py
@@ -0,0 +1,339 @@
+"""An HTTP/1.1 server by h11: one task a connection, bounded in every direction."""
+
+from __future__ import annotations
+
+import abc
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import h11
+import msgspec
+from eliot import log_message
+
+from .exceptions import PeerError
+from .http import (
+    JSON_TYPE,
+    MAX_HEAD_BYTES,
+    REQUEST_ID_HEADER,
+    Connection,
+    Request,
+    header_list,
+    header_map,
+)
+from .types import Address
+
+LINGER_SECONDS = 1.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerLimits:
+    """What one connection may use; seconds and bytes.
+
+    Without the time limits a sender of one byte a minute would hold a connection for
+    ever, and a few thousand of them would leave none for others; without the byte
+    limits one sender could fill the memory.
+    """
+
+    max_head_bytes: int = MAX_HEAD_BYTES
+    max_body_bytes: int = 1024 * 1024
+    head_seconds: float = 10.0
+    body_seconds: float = 30.0
+    idle_seconds: float = 75.0
+    write_seconds: float = 30.0
+    max_connections: int = 2_000
+
+
+class Responder:
+    """The answer to one request: whole with `send`, or streamed piece by piece.
+
+    Parameters
+    ----------
+    conn : Connection
+        The connection to answer on.
+    request_id : str or None
+        The caller's id of the exchange, echoed so that it can check the answer.
+    limits : ServerLimits
+        The limits that hold for the connection.
+    """
+
+    def __init__(
+        self, *, conn: Connection, request_id: str | None, limits: ServerLimits
+    ) -> None:
+        self._conn = conn
+        self._request_id = request_id
+        self._limits = limits
+        self.status: int | None = None
+        self.is_closing = False
+
+    @property
+    def lost(self) -> asyncio.Future[None]:
+        """Return a future that is done once the caller has gone."""
+        return self._conn.lost
+
+    @property
+    def is_lost(self) -> bool:
+        """Return whether the caller has gone."""
+        return self._conn.is_lost
+
+    async def send(
+        self, status: int, body: bytes = b"", headers: Mapping[str, str] | None = None
+    ) -> None:
+        """Send a whole answer."""
+        self.start(status, {**(headers or {}), "content-length": str(len(body))})
+        if body:
+            self._conn.send(h11.Data(data=body))
+        self._conn.send(h11.EndOfMessage())
+        await self._drain()
+
+    async def send_json(
+        self, status: int, value: object, headers: Mapping[str, str] | None = None
+    ) -> None:
+        """Send a value as JSON."""
+        whole = {"content-type": JSON_TYPE, **(headers or {})}
+        await self.send(status, msgspec.json.encode(value), whole)
+
+    def start(self, status: int, headers: Mapping[str, str]) -> None:
+        """Send the head; a body without a length is sent in chunks."""
+        whole = dict(headers)
+        if self._request_id is not None:
+            whole[REQUEST_ID_HEADER] = self._request_id
+        if self.is_closing:
+            whole["connection"] = "close"
+        if "content-length" not in whole:
+            whole["transfer-encoding"] = "chunked"
+        self.status = status
+        self._conn.send(h11.Response(status_code=status, headers=header_list(whole)))
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece of a streamed body, waiting while the caller is behind.
+
+        Raises
+        ------
+        PeerError
+            When the caller has gone or took nothing for too long.
+        """
+        self._conn.send(h11.Data(data=data))
+        await self._drain()
+
+    async def finish(self) -> None:
+        """Send the proper end of a streamed body."""
+        self._conn.send(h11.EndOfMessage())
+        await self._drain()
+
+    def abort(self) -> None:
+        """Cut the connection, so that a part of an answer can't pass for the whole."""
+        self._conn.abort()
+
+    async def _drain(self) -> None:
+        deadline = asyncio.get_running_loop().time() + self._limits.write_seconds
+        try:
+            await self._conn.drain(deadline)
+        except TimeoutError as exc:
+            self._conn.abort()
+            raise PeerError("the caller took nothing for too long") from exc
+
+
+class Handler(abc.ABC):
+    """What answers requests."""
+
+    @abc.abstractmethod
+    async def handle(self, req: Request, res: Responder) -> None:
+        """Answer one request through ``res``."""
+
+
+class HttpServer:
+    """Accepts connections and gives each request to a handler.
+
+    Parameters
+    ----------
+    handler : Handler
+        What answers.
+    limits : ServerLimits
+        Bounds for each connection and their number.
+    """
+
+    def __init__(self, *, handler: Handler, limits: ServerLimits | None = None) -> None:
+        self._handler = handler
+        self._limits = limits or ServerLimits()
+        self._server: asyncio.Server | None = None
+        self._tasks: dict[asyncio.Task[None], Connection] = {}
+        self._busy: set[Connection] = set()
+        self._is_draining = False
+
+    async def start(self, address: Address) -> Address:
+        """Listen on an address; port 0 takes a free one. Returns the real address."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._connection, address.host, address.port, backlog=1024
+        )
+        port = self._server.sockets[0].getsockname()[1]
+        return Address(host=address.host, port=port)
+
+    @property
+    def n_busy(self) -> int:
+        """Return how many exchanges are in progress."""
+        return len(self._busy)
+
+    async def drain(self) -> None:
+        """Stop listening, let every exchange in progress end, then close all."""
+        self._is_draining = True
+        if self._server is not None:
+            self._server.close()
+        for conn in list(self._tasks.values()):
+            if conn not in self._busy:
+                conn.close()
+        while self._tasks:
+            await asyncio.wait(list(self._tasks))
+
+    async def close(self) -> None:
+        """Stop at once, cutting what is in progress."""
+        if self._server is not None:
+            self._server.close()
+        for task, conn in list(self._tasks.items()):
+            conn.abort()
+            task.cancel()
+        if self._tasks:
+            await asyncio.wait(list(self._tasks))
+
+    def _connection(self) -> Connection:
+        return _ServerConnection(self, self._limits.max_head_bytes)
+
+    def accept(self, conn: Connection) -> None:
+        """Serve a connection that was just made."""
+        if len(self._tasks) >= self._limits.max_connections or self._is_draining:
+            conn.abort()
+            return
+        task = asyncio.get_running_loop().create_task(self._serve(conn))
+        self._tasks[task] = conn
+        task.add_done_callback(self._tasks.pop)
+
+    async def _serve(self, conn: Connection) -> None:
+        try:
+            while await self._serve_one(conn):
+                conn.h11.start_next_cycle()
+        except (PeerError, TimeoutError, h11.LocalProtocolError) as exc:
+            log_message(
+                "http:server:connection_closed", peer=conn.peer, problem=str(exc)
+            )
+        finally:
+            conn.close()
+
+    async def _serve_one(self, conn: Connection) -> bool:
+        """Serve one exchange; returns whether the connection can serve another."""
+        try:
+            req = await self._read(conn)
+        except (PeerError, TimeoutError) as exc:
+            await self._refuse(conn, exc)
+            return False
+        if req is None:
+            return False
+        self._busy.add(conn)
+        res = Responder(
+            conn=conn,
+            request_id=req.headers.get(REQUEST_ID_HEADER),
+            limits=self._limits,
+        )
+        res.is_closing = self._is_draining
+        try:
+            await self._handler.handle(req, res)
+        except PeerError:
+            raise
+        except Exception as exc:
+            # A fault in a handler must not take the process, nor leave the caller
+            # waiting: it gets a 500, or a cut stream where the head has gone out.
+            log_message("http:server:handler_failed", path=req.path, problem=repr(exc))
+            if res.status is not None:
+                conn.abort()
+                return False
+            await res.send_json(500, {"error": {"type": "internal"}})
+        finally:
+            self._busy.discard(conn)
+        if self._is_draining or conn.is_lost:
+            return False
+        return conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE
+
+    async def _read(self, conn: Connection) -> Request | None:
+        loop = asyncio.get_running_loop()
+        if conn.h11.trailing_data == (b"", False):
+            head_deadline = loop.time() + self._limits.idle_seconds
+        else:
+            head_deadline = loop.time() + self._limits.head_seconds
+        head = await self._read_head(conn, head_deadline)
+        if head is None:
+            return None
+        if conn.h11.they_are_waiting_for_100_continue:
+            conn.send(h11.InformationalResponse(status_code=100, headers=[]))
+        body_deadline = loop.time() + self._limits.body_seconds
+        body = bytearray()
+        while True:
+            event = await conn.next_event(body_deadline)
+            if isinstance(event, h11.EndOfMessage):
+                break
+            assert isinstance(event, h11.Data)
+            body += event.data
+            if len(body) > self._limits.max_body_bytes:
+                raise _TooLargeError(
+                    f"the body is over {self._limits.max_body_bytes} bytes"
+                )
+        target = head.target.decode("ascii", "replace")
+        path, _, query = target.partition("?")
+        return Request(
+            method=head.method.decode("ascii", "replace"),
+            path=path,
+            query=query,
+            headers=header_map(list(head.headers)),
+            body=bytes(body),
+            peer=conn.peer,
+        )
+
+    async def _read_head(
+        self, conn: Connection, idle_deadline: float
+    ) -> h11.Request | None:
+        """Read a head; None when the caller closed between two exchanges."""
+        try:
+            event = await conn.next_event(idle_deadline)
+        except TimeoutError:
+            if conn.h11.trailing_data[0]:
+                raise
+            return None
+        if isinstance(event, h11.ConnectionClosed):
+            return None
+        if not isinstance(event, h11.Request):
+            raise PeerError("a request was expected")
+        return event
+
+    async def _refuse(self, conn: Connection, exc: Exception) -> None:
+        """Answer a request that could not be read, as far as h11 still allows."""
+        if conn.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        if isinstance(exc, TimeoutError):
+            status, kind, problem = 408, "timeout", "the request came too slowly"
+        elif isinstance(exc, _TooLargeError):
+            status, kind, problem = 413, "too_large", str(exc)
+        else:
+            cause = exc.__cause__
+            status = getattr(cause, "error_status_hint", 400) or 400
+            kind, problem = "bad_request", str(exc)
+        res = Responder(conn=conn, request_id=None, limits=self._limits)
+        res.is_closing = True
+        error = {"type": kind, "place": "request", "message": problem}
+        await res.send_json(status, {"error": error})
+        await conn.linger(asyncio.get_running_loop().time() + LINGER_SECONDS)
+
+
+class _TooLargeError(PeerError):
+    """A body was larger than the limit."""
+
+
+class _ServerConnection(Connection):
+    """A connection that announces itself to its server."""
+
+    def __init__(self, server: HttpServer, max_head_bytes: int) -> None:
+        super().__init__(role=h11.SERVER, max_head_bytes=max_head_bytes)
+        self._owner = server
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport and start serving."""
+        super().connection_made(transport)
+        self._owner.accept(self)
--- /dev/null
+++ b/celerytrail/nodes/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to the other nodes: membership, gossip, reservations."""
--- /dev/null
+++ b/celerytrail/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to operators: the console, the document and its validation."""
--- /dev/null
+++ b/celerytrail/services/__init__.py
@@ -0,0 +1,1 @@
+"""Talk to plain services: calls that may not be repeated."""
--- /dev/null
+++ b/celerytrail/types.py
@@ -0,0 +1,93 @@
+"""Types that more than one part of the package uses."""
+
+from __future__ import annotations
+
+import ipaddress
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Finding:
+    """One thing that is wrong, with its place.
+
+    Parameters
+    ----------
+    place : str
+        Where it is: an option's name, a path in a document, a header, a file's line.
+    problem : str
+        What is wrong there and what would be right.
+    """
+
+    place: str
+    problem: str
+
+    def __str__(self) -> str:
+        return f"{self.place}: {self.problem}"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True, order=True)
+class Address:
+    """Where a process listens: an IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        if ":" in self.host:
+            return f"[{self.host}]:{self.port}"
+        return f"{self.host}:{self.port}"
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        """Read ``host:port``.
+
+        Raises
+        ------
+        ValueError
+            When the text is not an IP number and a port.
+        """
+        host, separator, port = text.rpartition(":")
+        if not separator or not port.isdigit() or not 0 < int(port) < 65536:
+            raise ValueError(f"{text!r} is not IP:PORT, such as 127.0.0.1:7100")
+        host = host.removeprefix("[").removesuffix("]")
+        ipaddress.ip_address(host)
+        return cls(host=host, port=int(port))
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NotRun:
+    """The request was certainly not run: never sent, or refused by the endpoint.
+
+    Parameters
+    ----------
+    reason : str
+        A stable word for the cause, such as ``connect_refused`` or ``shed``.
+    detail : str
+        A sentence for a person.
+    retry_after : float or None
+        Seconds from now after which to come back; None where asking again the same
+        way can't help.
+    """
+
+    reason: str
+    detail: str = ""
+    retry_after: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Unknown:
+    """The request may or may not have run; nothing here can tell yet.
+
+    Parameters
+    ----------
+    reason : str
+        A stable word for the cause, such as ``reply_lost``.
+    detail : str
+        A sentence for a person.
+    ask : str or None
+        The path at which to ask for the outcome.
+    """
+
+    reason: str
+    detail: str = ""
+    ask: str | None = None
--- /dev/null
+++ b/chores/__init__.py
@@ -0,0 +1,1 @@
+"""Chores a developer runs through make."""
