--- a/celerytrail/httpclient.py
+++ b/celerytrail/httpclient.py
@@ -13,6 +13,7 @@
 
 from .exceptions import PeerError
 from .http import JSON_TYPE, REQUEST_ID_HEADER, Connection, Response, header_map
+from .network import Network, SystemNetwork
 from .types import Address
 
 MAX_IDLE_PER_ADDRESS = 16
@@ -114,10 +115,15 @@
     ----------
     process : str
         A name for this process, the first part of each exchange's id.
+    network : Network or None
+        What carries the connections; the machine's own by default.
     """
 
-    def __init__(self, *, process: str = "client") -> None:
+    def __init__(
+        self, *, process: str = "client", network: Network | None = None
+    ) -> None:
         self._process = process
+        self._network = network or SystemNetwork()
         self._numbers = itertools.count(1)
         self._idle: dict[Address, list[Connection]] = {}
 
@@ -275,11 +281,10 @@
             if not conn.is_lost and conn.h11.trailing_data == (b"", False):
                 return Ok(conn)
             conn.abort()
-        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout_at(deadline):
-                _, conn = await loop.create_connection(
-                    lambda: Connection(role=h11.CLIENT), address.host, address.port
+                conn = await self._network.connect(
+                    lambda: Connection(role=h11.CLIENT), address
                 )
         except TimeoutError:
             return Err(NotSent(reason="connect_timeout", detail=str(address)))
--- a/celerytrail/httpserver.py
+++ b/celerytrail/httpserver.py
@@ -21,6 +21,7 @@
     header_list,
     header_map,
 )
+from .network import Listener, Network, SystemNetwork
 from .types import Address
 
 LINGER_SECONDS = 1.0
@@ -147,24 +148,29 @@
         What answers.
     limits : ServerLimits
         Bounds for each connection and their number.
+    network : Network or None
+        What carries the connections; the machine's own by default.
     """
 
-    def __init__(self, *, handler: Handler, limits: ServerLimits | None = None) -> None:
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        limits: ServerLimits | None = None,
+        network: Network | None = None,
+    ) -> None:
         self._handler = handler
         self._limits = limits or ServerLimits()
-        self._server: asyncio.Server | None = None
+        self._network = network or SystemNetwork()
+        self._listener: Listener | None = None
         self._tasks: dict[asyncio.Task[None], Connection] = {}
         self._busy: set[Connection] = set()
         self._is_draining = False
 
     async def start(self, address: Address) -> Address:
         """Listen on an address; port 0 takes a free one. Returns the real address."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            self._connection, address.host, address.port, backlog=1024
-        )
-        port = self._server.sockets[0].getsockname()[1]
-        return Address(host=address.host, port=port)
+        self._listener = await self._network.listen(self._connection, address)
+        return self._listener.address
 
     @property
     def n_busy(self) -> int:
@@ -174,8 +180,8 @@
     async def drain(self) -> None:
         """Stop listening, let every exchange in progress end, then close all."""
         self._is_draining = True
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
         for conn in list(self._tasks.values()):
             if conn not in self._busy:
                 conn.close()
@@ -184,8 +190,8 @@
 
     async def close(self) -> None:
         """Stop at once, cutting what is in progress."""
-        if self._server is not None:
-            self._server.close()
+        if self._listener is not None:
+            self._listener.close()
         for task, conn in list(self._tasks.items()):
             conn.abort()
             task.cancel()
--- a/celerytrail/node.py
+++ b/celerytrail/node.py
@@ -16,6 +16,7 @@
 from .httpserver import HttpServer, Responder, ServerLimits
 from .log import start_logging
 from .metrics import Metrics
+from .network import Network, SystemNetwork
 from .routes import Params, Router
 from .settings import NodeSettings
 from .types import Address
@@ -32,6 +33,8 @@
         Where it learns the time; the machine's clocks by default.
     rng : random.Random or None
         Its source of jitter and of ids.
+    network : Network or None
+        What carries its connections; the machine's own by default.
     """
 
     def __init__(
@@ -40,6 +43,7 @@
         cfg: NodeSettings,
         clock: Clock | None = None,
         rng: random.Random | None = None,
+        network: Network | None = None,
     ) -> None:
         self.cfg = cfg
         self.clock = clock or SystemClock()
@@ -47,15 +51,17 @@
         self.node_id = f"{cfg.vm}-{self.rng.getrandbits(32):08x}"
         self.metrics = Metrics(process=cfg.vm)
         self.configuration = Configuration()
-        self.client = HttpClient(process=self.node_id)
+        self.network = network or SystemNetwork()
+        self.client = HttpClient(process=self.node_id, network=self.network)
         self.is_leaving = False
         self._caller_router = Router()
         self._peer_router = Router()
         self._caller_server = HttpServer(
             handler=self._caller_router,
             limits=ServerLimits(max_connections=cfg.max_connections),
+            network=self.network,
         )
-        self._peer_server = HttpServer(handler=self._peer_router)
+        self._peer_server = HttpServer(handler=self._peer_router, network=self.network)
         self._add_routes()
 
     async def start(self) -> None:
--- /dev/null
+++ b/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted failures in a small language, and what runs them."""
