--- a/scenarios/memorynetwork.py
+++ b/scenarios/memorynetwork.py
@@ -157,13 +157,9 @@
             await asyncio.sleep(self._wires.delay)
             raise ConnectionRefusedError(f"nothing accepts at {address}")
         # The kernel of a frozen process accepts for it; a cut link lets nothing pass.
-        arrived = asyncio.get_running_loop().create_future()
-        self._wires.deliver_past_freeze(
-            self._name,
-            listener.owner,
-            lambda: arrived.done() or arrived.set_result(None),
-        )
-        await arrived
+        arrived = asyncio.Event()
+        self._wires.deliver_past_freeze(self._name, listener.owner, arrived.set)
+        await arrived.wait()
         if self._wires.listeners.get(address) is not listener:
             raise ConnectionRefusedError(f"nothing accepts at {address}")
         ours = factory()
