Add the fault switches that the stand-ins share

Cause: platform, engine and service stand-ins need the same failures (outage, refused connections, slowness, lost reply, stall, freeze), told over one route. Ruled out: a fault layer on the sockets, which can't tell before from after the effect. Change: Faults, FaultyHandler and FaultyServer wrap any Handler.

--- /dev/null
+++ b/standins/faults.py
@@ -0,0 +1,342 @@
+"""Fault switches that all stand-ins share, set by ``PUT /faults``.
+
+The body is one fault, ``{"name": ..., "until_at": ..., ...}``, added to those that
+are set; a fault of the same name and path replaces the former; ``{}`` clears all.
+``GET /faults`` lists them. Every fault may carry ``until_at`` (seconds since the
+epoch), ``path`` (only requests whose path starts so) and ``n`` (only the next n
+requests). The names:
+
+``outage``
+    Every request is answered 503 without effect, with ``retry_after`` (seconds) and
+    ``not_run``, or cut without an answer where ``cut`` is true.
+``refuse``
+    Connections are refused; needs ``until_at``, as nothing else can reach it then.
+``slow``
+    Each request waits ``seconds`` before its effect.
+``lose_reply``
+    The effect happens, then the connection is closed without an answer. For a
+    streamed answer, ``after_writes`` pieces of it come first.
+``stall``
+    The request is taken and nothing happens, nor is the connection closed. For a
+    streamed answer, ``after_writes`` pieces of it come first.
+``stall_reply``
+    The effect happens, then silence on an open connection.
+``freeze``
+    Everything stands still and then goes on, as with SIGSTOP and SIGCONT: effects
+    happen late. Streams stand still between two pieces.
+
+A stand-in adds its own names by handing `Faults` its ``more_names`` and asking
+`Faults.find`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+
+import msgspec
+from result import Err, Ok, Result
+
+from celerytrail.clock import Clock, SystemClock
+from celerytrail.exceptions import PeerError
+from celerytrail.http import Request
+from celerytrail.httpserver import Handler, HttpServer, Responder, ServerLimits
+from celerytrail.routes import send_error
+from celerytrail.types import Address, Finding
+
+FAULTS_PATH = "/faults"
+NAMES = ("outage", "refuse", "slow", "lose_reply", "stall", "stall_reply", "freeze")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Fault:
+    """One fault that is switched on; the module's docstring tells the fields.
+
+    Parameters
+    ----------
+    options : Mapping
+        Fields of faults that only one stand-in knows.
+    """
+
+    name: str
+    until_at: float | None = None
+    path: str = ""
+    n: int | None = None
+    seconds: float = 0.0
+    retry_after: float = 1.0
+    cut: bool = False
+    after_writes: int = 0
+    options: Mapping[str, object] = field(default_factory=dict)
+
+
+class Faults:
+    """The faults that are switched on in one stand-in.
+
+    Parameters
+    ----------
+    clock : Clock
+        Whose wall time ends faults.
+    more_names : tuple of str
+        Names of faults that only this stand-in has.
+    """
+
+    def __init__(
+        self, *, clock: Clock | None = None, more_names: tuple[str, ...] = ()
+    ) -> None:
+        self.clock = clock or SystemClock()
+        self._names = (*NAMES, *more_names)
+        self._faults: list[Fault] = []
+        self._changed = asyncio.Event()
+
+    def add(self, fault: Fault) -> None:
+        """Switch a fault on."""
+        same = (fault.name, fault.path)
+        self._faults = [f for f in self._faults if (f.name, f.path) != same]
+        self._faults.append(fault)
+        self._note_change()
+
+    def clear(self) -> None:
+        """Switch all faults off."""
+        self._faults = []
+        self._note_change()
+
+    def active(self) -> list[Fault]:
+        """Return the faults that hold now."""
+        now = self.clock.wall()
+        self._faults = [
+            f
+            for f in self._faults
+            if (f.until_at is None or now < f.until_at) and f.n != 0
+        ]
+        return list(self._faults)
+
+    def find(self, name: str, path: str = "") -> Fault | None:
+        """Return the fault of a name that holds for a path, if any."""
+        for fault in self.active():
+            if fault.name == name and path.startswith(fault.path):
+                return fault
+        return None
+
+    def take(self, name: str, path: str = "") -> Fault | None:
+        """Like `find`, counting down the fault's ``n``."""
+        fault = self.find(name, path)
+        if fault is not None and fault.n is not None:
+            index = self._faults.index(fault)
+            self._faults[index] = replace(fault, n=fault.n - 1)
+        return fault
+
+    async def wait_while(self, name: str, path: str = "") -> None:
+        """Wait for as long as a fault holds."""
+        while (fault := self.find(name, path)) is not None:
+            timeout = None
+            if fault.until_at is not None:
+                timeout = max(fault.until_at - self.clock.wall(), 0.0) + 0.001
+            self._changed.clear()
+            try:
+                async with asyncio.timeout(timeout):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    def put(self, body: bytes) -> Result[Fault | None, Finding]:
+        """Take the body of ``PUT /faults``; None stands for cleared."""
+        try:
+            raw = msgspec.json.decode(body or b"{}", type=dict[str, object])
+            if not raw:
+                self.clear()
+                return Ok(None)
+            known = {f for f in Fault.__dataclass_fields__ if f != "options"}
+            options = {k: v for k, v in raw.items() if k not in known}
+            plain = {k: v for k, v in raw.items() if k in known}
+            fault = msgspec.convert({**plain, "options": options}, Fault)
+        except msgspec.MsgspecError as exc:
+            return Err(Finding(place="body", problem=str(exc)))
+        if fault.name not in self._names:
+            problem = f"{fault.name!r} is none of {', '.join(self._names)}"
+            return Err(Finding(place="body.name", problem=problem))
+        if fault.name == "refuse" and fault.until_at is None:
+            return Err(Finding(place="body.until_at", problem="refuse needs an end"))
+        self.add(fault)
+        return Ok(fault)
+
+    def _note_change(self) -> None:
+        self._changed.set()
+
+
+class FaultyHandler(Handler):
+    """Serves ``/faults`` and puts the faults between callers and a handler.
+
+    Parameters
+    ----------
+    inner : Handler
+        What answers when no fault prevents it.
+    faults : Faults
+        The switches.
+    """
+
+    def __init__(self, *, inner: Handler, faults: Faults) -> None:
+        self._inner = inner
+        self._faults = faults
+
+    async def handle(self, req: Request, res: Responder) -> None:
+        """Answer, or fail as the faults say."""
+        if req.path == FAULTS_PATH:
+            await self._set(req, res)
+            return
+        faults = self._faults
+        await faults.wait_while("freeze", req.path)
+        if (fault := faults.take("outage", req.path)) is not None:
+            await _refuse(fault, res)
+            return
+        stall = faults.take("stall", req.path)
+        if stall is not None and stall.after_writes == 0:
+            await _stand_still(res)
+            return
+        if (fault := faults.take("slow", req.path)) is not None:
+            await asyncio.sleep(fault.seconds)
+        faulty = _FaultyResponder(
+            res=res,
+            faults=faults,
+            path=req.path,
+            stall=stall,
+            mute=faults.take("stall_reply", req.path),
+            cut=faults.take("lose_reply", req.path),
+        )
+        await self._inner.handle(req, faulty)
+
+    async def _set(self, req: Request, res: Responder) -> None:
+        if req.method == "GET":
+            await res.send_json(200, {"faults": self._faults.active()})
+            return
+        match self._faults.put(req.body):
+            case Ok(_):
+                await res.send_json(200, {"faults": self._faults.active()})
+            case Err(finding):
+                await send_error(
+                    res,
+                    400,
+                    "bad_fault",
+                    place=finding.place,
+                    message=finding.problem,
+                )
+
+
+class FaultyServer:
+    """Listens with a `FaultyHandler` and carries out the fault ``refuse``.
+
+    Parameters
+    ----------
+    inner : Handler
+        What answers when no fault prevents it.
+    faults : Faults
+        The switches.
+    limits : ServerLimits
+        Bounds of the server.
+    """
+
+    def __init__(
+        self, *, inner: Handler, faults: Faults, limits: ServerLimits | None = None
+    ) -> None:
+        self._handler = FaultyHandler(inner=inner, faults=faults)
+        self._faults = faults
+        self._limits = limits
+        self._server = HttpServer(handler=self._handler, limits=limits)
+        self._tasks: list[asyncio.Task[None]] = []
+        self.address = Address(host="127.0.0.1", port=1)
+
+    async def start(self, address: Address) -> Address:
+        """Listen; returns the real address."""
+        self.address = await self._server.start(address)
+        loop = asyncio.get_running_loop()
+        self._tasks.append(loop.create_task(self._watch_refuse()))
+        return self.address
+
+    async def close(self) -> None:
+        """Stop at once."""
+        for task in self._tasks:
+            task.cancel()
+        await self._server.close()
+
+    async def _watch_refuse(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(0.01)
+            if self._faults.find("refuse") is None:
+                continue
+            self._tasks.append(loop.create_task(self._server.drain()))
+            await self._faults.wait_while("refuse")
+            self._server = HttpServer(handler=self._handler, limits=self._limits)
+            await self._server.start(self.address)
+
+
+class _FaultyResponder(Responder):
+    """Passes an answer on, or stops as the faults say."""
+
+    def __init__(
+        self,
+        *,
+        res: Responder,
+        faults: Faults,
+        path: str,
+        stall: Fault | None,
+        mute: Fault | None,
+        cut: Fault | None,
+    ) -> None:
+        super().__init__(conn=res._conn, limits=res._limits)
+        self.is_closing = res.is_closing
+        self._res = res
+        self._faults = faults
+        self._path = path
+        self._stall = stall
+        self._mute = mute
+        self._cut = cut
+        self._n_writes = 0
+
+    async def send(
+        self, status: int, body: bytes = b"", headers: Mapping[str, str] | None = None
+    ) -> None:
+        """Send a whole answer, unless a fault takes it."""
+        await self._faults.wait_while("freeze", self._path)
+        if self._cut is not None:
+            self.abort()
+        elif self._mute is not None:
+            await _stand_still(self)
+        else:
+            self._res.status = status
+            await super().send(status, body, headers)
+
+    async def write(self, data: bytes) -> None:
+        """Send a piece, unless a fault takes it."""
+        await self._faults.wait_while("freeze", self._path)
+        await self._stop_after(self._n_writes)
+        self._n_writes += 1
+        await super().write(data)
+
+    async def finish(self) -> None:
+        """Send the end, unless a fault takes it."""
+        await self._stop_after(None)
+        await super().finish()
+
+    async def _stop_after(self, n_writes: int | None) -> None:
+        cut, stall = self._cut, self._stall
+        if cut is not None and (n_writes is None or n_writes >= cut.after_writes):
+            self.abort()
+            raise PeerError("the fault lose_reply cut the answer")
+        if stall is not None and (n_writes is None or n_writes >= stall.after_writes):
+            await _stand_still(self)
+            raise PeerError("the fault stall held the answer until the caller left")
+
+
+async def _refuse(fault: Fault, res: Responder) -> None:
+    if fault.cut:
+        res.abort()
+        return
+    body = {"not_run": True, "reason": "outage", "retry_after": fault.retry_after}
+    await res.send_json(503, body)
+
+
+async def _stand_still(res: Responder) -> None:
+    """Say nothing until the caller has given up."""
+    await res.lost
+    res.abort()
