Add a pool scheduler and its policies, first version

Cause: the home of a pool needs to decide which waiting request of unknown length starts on which engine, and an entry node needs to choose alone without a home.

A life table and not a histogram of ended generations: the latter knows only the short ones at first.

--- /dev/null
+++ b/celerytrail/admission.py
@@ -0,0 +1,178 @@
+"""Admission: whether an engine's memory will hold one more generation to its end.
+
+The memory that runs on an engine will need is forecast over the tokens to come: each
+generation grows by a token a step until it ends, and its end is known as a probability
+only. What counts is the peak of that forecast, with a margin for chance.
+"""
+
+from __future__ import annotations
+
+import abc
+import math
+from dataclasses import dataclass
+
+from .engineview import EngineView, Running
+from .grants import AdmitRequest
+from .lengths import Curve, LengthModel
+
+# Steps ahead at which memory is forecast.
+HORIZON: tuple[int, ...] = (0, 32, 64, 128, 256, 384, 512, 768, 1024, 1536, 2048)
+HORIZON += (3072, 4096, 6144, 8192, 12288, 16384)
+# A forecast older than this is made anew, seconds.
+FORECAST_LIFE = 0.5
+# The margin, in standard deviations of the forecast: where it starts and its bounds.
+MARGIN_START = 1.0
+MARGIN_MIN = 0.0
+MARGIN_MAX = 4.0
+# A preemption raises the margin at once; each grant lets it down a little. At rest
+# that allows one preemption in so many grants.
+MARGIN_UP = 0.25
+GRANTS_PER_PREEMPTION = 400
+# Share of the memory that is never planned for: blocks are never packed to the last.
+SLACK_SHARE = 0.03
+
+
+class AdmissionPolicy(abc.ABC):
+    """Judges whether an engine has room for a request."""
+
+    @abc.abstractmethod
+    def room(self, view: EngineView, req: AdmitRequest, now: float) -> float:
+        """Return the share of memory left at the worst moment; negative for no room."""
+
+    @abc.abstractmethod
+    def granted(self, view: EngineView, req: AdmitRequest, now: float) -> None:
+        """Note that the request was granted there."""
+
+    @abc.abstractmethod
+    def observe(self, view: EngineView) -> None:
+        """Note what the engine's newest report says of preemptions."""
+
+
+class AlwaysAdmit(AdmissionPolicy):
+    """Lets everything in at once; a baseline."""
+
+    def room(self, view: EngineView, req: AdmitRequest, now: float) -> float:
+        """Return the share of memory free now, above 0 in any case."""
+        free = 1.0 - view.n_used_tokens / max(1, view.n_memory_tokens)
+        return max(1e-6, free)
+
+    def granted(self, view: EngineView, req: AdmitRequest, now: float) -> None:
+        """Do nothing: there is no forecast."""
+
+    def observe(self, view: EngineView) -> None:
+        """Do nothing: there is no margin."""
+
+
+@dataclass(kw_only=True, slots=True)
+class Forecast:
+    """An engine's expected memory and its variance at each step of the horizon."""
+
+    mean: list[float]
+    variance: list[float]
+    made_at: float
+    n_changes: int
+
+
+class PredictedPeak(AdmissionPolicy):
+    """Admits where the forecast's peak with a margin stays within memory.
+
+    Parameters
+    ----------
+    lengths : LengthModel
+        Forecasts residual lengths.
+    model : str
+        The model of the pool's engines.
+    """
+
+    def __init__(self, *, lengths: LengthModel, model: str) -> None:
+        self._lengths = lengths
+        self._model = model
+        self._forecasts: dict[str, Forecast] = {}
+        self._margins: dict[str, float] = {}
+
+    def margin(self, engine: str) -> float:
+        """Return the margin learned for an engine, in standard deviations."""
+        return self._margins.get(engine, MARGIN_START)
+
+    def room(self, view: EngineView, req: AdmitRequest, now: float) -> float:
+        """Return the share of memory left at the forecast's peak."""
+        forecast = self._forecast(view, now)
+        n_memory = view.n_memory_tokens * (1.0 - SLACK_SHARE)
+        margin = self.margin(view.name)
+        curve = self._lengths.curve(self._model, req.organisation)
+        peak = 0.0
+        for step, n_tokens, p in self._growth(curve, req.n_prompt_tokens, 0, req):
+            mean = forecast.mean[step] + n_tokens * p
+            variance = forecast.variance[step] + n_tokens * n_tokens * p * (1.0 - p)
+            need = mean + margin * math.sqrt(variance)
+            if need > peak:
+                peak = need
+        return (n_memory - peak) / max(1.0, n_memory)
+
+    def granted(self, view: EngineView, req: AdmitRequest, now: float) -> None:
+        """Add the request to the engine's forecast."""
+        forecast = self._forecast(view, now)
+        curve = self._lengths.curve(self._model, req.organisation)
+        for step, n_tokens, p in self._growth(curve, req.n_prompt_tokens, 0, req):
+            forecast.mean[step] += n_tokens * p
+            forecast.variance[step] += n_tokens * n_tokens * p * (1.0 - p)
+        margin = self.margin(view.name) - MARGIN_UP / GRANTS_PER_PREEMPTION
+        self._margins[view.name] = max(MARGIN_MIN, margin)
+
+    def observe(self, view: EngineView) -> None:
+        """Raise the margin for each preemption that was reported."""
+        if view.n_new_preemptions:
+            margin = self.margin(view.name) + MARGIN_UP * view.n_new_preemptions
+            self._margins[view.name] = min(MARGIN_MAX, margin)
+            view.n_new_preemptions = 0
+
+    def _forecast(self, view: EngineView, now: float) -> Forecast:
+        forecast = self._forecasts.get(view.name)
+        if (
+            forecast is not None
+            and forecast.n_changes == view.n_changes
+            and now - forecast.made_at < FORECAST_LIFE
+        ):
+            return forecast
+        forecast = Forecast(
+            mean=[float(view.n_extra_tokens)] * len(HORIZON),
+            variance=[0.0] * len(HORIZON),
+            made_at=now,
+            n_changes=view.n_changes,
+        )
+        for runs in (view.running.values(), view.foreign.values()):
+            for run in runs:
+                self._add(forecast, view, run, now)
+        self._forecasts[view.name] = forecast
+        return forecast
+
+    def _add(
+        self, forecast: Forecast, view: EngineView, run: Running, now: float
+    ) -> None:
+        curve = self._lengths.curve(self._model, run.organisation)
+        n_so_far = run.n_tokens
+        if n_so_far:
+            # Progress comes in batches; the tokens since the last are there already.
+            n_so_far += int(view.stream_rate * min(2.0, now - run.progress_at))
+        mean, variance = forecast.mean, forecast.variance
+        for step, n_tokens, p in self._growth(
+            curve, run.n_prompt_tokens, n_so_far, run
+        ):
+            mean[step] += n_tokens * p
+            variance[step] += n_tokens * n_tokens * p * (1.0 - p)
+
+    def _growth(
+        self, curve: Curve, n_prompt: int, n_so_far: int, run: Running | AdmitRequest
+    ) -> list[tuple[int, float, float]]:
+        """Return (place in the horizon, memory held then, probability to run then)."""
+        here = curve.log_survival(n_so_far)
+        n_left = run.n_max_tokens - n_so_far
+        growth = []
+        for place, n_steps in enumerate(HORIZON):
+            if n_steps > n_left:
+                break
+            p = math.exp(curve.log_survival(n_so_far + n_steps) - here)
+            if p < 0.002:
+                break
+            growth.append((place, float(n_prompt + n_so_far + n_steps), p))
+        return growth
