Stream tokens from engines to callers, resumable at any node

`Metrics.observe_many` takes counts by bucket, so that no token costs an observation.

An engine numbers its readings (`x-reader`), and a node that lost its caller cancels only while its own reading is the last: ruled out were cancelling at once (kills what was resumed elsewhere) and never cancelling (memory is held for nobody until the engine gives up).

--- /dev/null
+++ b/celerytrail/admitters.py
@@ -0,0 +1,66 @@
+"""Ways to decide when and where a generation starts, by what a node knows alone."""
+
+from __future__ import annotations
+
+import secrets
+from collections import Counter
+
+from result import Err, Ok, Result
+
+from .configuration import Configuration
+from .grants import AdmitRequest, Admitter, GenerationEnd, Grant
+from .types import NotRun
+
+NO_ENGINE_RETRY_SECONDS = 2.0
+
+
+class LocalAdmitter(Admitter):
+    """Grants the engine with the least of this node's own generations, at once.
+
+    It is the plain baseline, and the fall-back that needs nobody else.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        Names the engines.
+    """
+
+    def __init__(self, *, configuration: Configuration) -> None:
+        self._configuration = configuration
+        self._n_outstanding: Counter[str] = Counter()
+        self._grants: dict[str, str] = {}
+
+    async def admit(self, req: AdmitRequest) -> Result[Grant, NotRun]:
+        """Grant an engine that serves the model, or refuse at once."""
+        document = self._configuration.current.document
+        names = [
+            engine.name
+            for engine in document.engines
+            if engine.model == req.model
+            and engine.role == "serve"
+            and engine.name not in req.excluded
+            and (not req.adapter or req.adapter in engine.adapters)
+        ]
+        if not names:
+            detail = f"no engine serves {req.model} just now"
+            return Err(
+                NotRun(
+                    reason="no_engine",
+                    detail=detail,
+                    retry_after=NO_ENGINE_RETRY_SECONDS,
+                )
+            )
+        name = min(names, key=lambda n: self._n_outstanding[n])
+        grant = Grant(grant_id=secrets.token_hex(12), engine=name)
+        self._n_outstanding[name] += 1
+        self._grants[grant.grant_id] = name
+        return Ok(grant)
+
+    def progress(self, grant: Grant, n_tokens: int) -> None:
+        """Take no note: only the number of generations counts here."""
+
+    def finish(self, grant: Grant, n_tokens: int, end: GenerationEnd) -> None:
+        """Free the place, once."""
+        name = self._grants.pop(grant.grant_id, None)
+        if name is not None:
+            self._n_outstanding[name] -= 1
--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
+from aioprometheus.histogram import Histogram as Aggregate
 
 TIME_BUCKETS = (0.005, 0.01, 0.02, 0.03, 0.05, 0.1, 0.2, 0.31, 0.5, 1.0, 3.0, 10.0)
 
@@ -57,6 +58,27 @@
 
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Add to a histogram of seconds, ``celerytrail_NAME_seconds``."""
+        self._histogram(name).observe(labels, seconds)
+
+    def observe_many(
+        self, name: str, n_by_bucket: list[int], seconds: float, **labels: str
+    ) -> None:
+        """Add what was counted by `TIME_BUCKETS`, the last being all above them."""
+        histogram = self._histogram(name)
+        try:
+            series = histogram.get_value(labels)
+        except KeyError:
+            series = Aggregate(*TIME_BUCKETS)
+            histogram.set_value(labels, series)
+        # The library's buckets are cumulative and take no observation with a weight.
+        n_so_far = 0
+        for bound, n in zip(series.buckets, n_by_bucket, strict=True):
+            n_so_far += n
+            series.buckets[bound] += n_so_far
+        series.observations += n_so_far
+        series.sum += seconds
+
+    def _histogram(self, name: str) -> Histogram:
         histogram = self._histograms.get(name)
         if histogram is None:
             histogram = Histogram(
@@ -67,7 +89,7 @@
                 buckets=TIME_BUCKETS,
             )
             self._histograms[name] = histogram
-        histogram.observe(labels, seconds)
+        return histogram
 
     def render(self) -> tuple[bytes, dict[str, str]]:
         """Return the text for ``/metrics`` and its headers."""
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,401 @@
+"""A stand-in for a model engine: ``python -m standins.engine --help``.
+
+It prints ``listening IP:PORT`` once it serves. `docs/DESIGN.md` has its protocol;
+`standins.batch` its inside. Besides the faults of `standins.faults` it knows, for
+``PUT /faults``:
+
+``resend``
+    A stream taken up again starts ``tokens`` before the offset that was asked for.
+``skip``
+    A stream taken up again starts ``tokens`` after it.
+``jump``
+    Any stream leaves out ``tokens`` offsets after the first ``after`` of them.
+``swap``
+    Streams carry another generation's id in their head.
+``crossed``
+    Answers carry another exchange's id in their head.
+``garbage``
+    A stream's line after the first ``after`` is no JSON.
+``leaving``
+    Load reports say that the engine leaves ``in_seconds`` from now, and it refuses
+    new work.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+from collections.abc import Mapping
+from dataclasses import replace
+from pathlib import Path
+from urllib.parse import parse_qs
+
+import msgspec
+import typer
+from eliot import log_message
+
+from celerytrail.clock import SystemClock
+from celerytrail.exceptions import PeerError
+from celerytrail.http import Request
+from celerytrail.httpserver import Responder, ServerLimits
+from celerytrail.log import TASK_HEADER, continue_task, start_logging
+from celerytrail.routes import Params, Router, send_error
+from celerytrail.types import Address
+
+from .batch import Batch, Generation
+from .faults import Faults, FaultyServer
+
+FAULT_NAMES = ("resend", "skip", "jump", "swap", "crossed", "garbage", "leaving")
+MAX_PIECE_TOKENS = 64
+MAX_ORDERS = 1_024
+
+
+class GenerateBody(msgspec.Struct, kw_only=True):
+    """The body of ``POST /generate``."""
+
+    generation_id: str
+    model: str
+    prompt: str
+    n_max_tokens: int
+    adapter: str = ""
+    priority: int = 5
+    organisation: str = ""
+    sampling: dict[str, object] = {}
+
+
+class OrderBody(msgspec.Struct, kw_only=True):
+    """The body of ``POST /orders``."""
+
+    order_id: str
+    kind: str
+    fencing: int
+    expires_at: float
+    model: str = ""
+    version: str = ""
+    adapter: str = ""
+    role: str = ""
+
+
+class Engine:
+    """The engine's routes.
+
+    Parameters
+    ----------
+    batch : Batch
+        The inside.
+    faults : Faults
+        The switches.
+    does_honour_fencing : bool
+        Whether an order with an old fencing number is refused.
+    report_seconds : float
+        How often the load report is renewed; between, an old one is given.
+    event_seconds : float
+        How late cache events are published.
+    load_seconds : float
+        How long loading a model takes.
+    """
+
+    def __init__(
+        self,
+        *,
+        batch: Batch,
+        faults: Faults,
+        does_honour_fencing: bool = True,
+        report_seconds: float = 0.5,
+        event_seconds: float = 1.0,
+        load_seconds: float = 0.2,
+    ) -> None:
+        self.batch = batch
+        self.faults = faults
+        self.orders: list[dict[str, object]] = []
+        self._does_honour_fencing = does_honour_fencing
+        self._report_seconds = report_seconds
+        self._event_seconds = event_seconds
+        self._load_seconds = load_seconds
+        self._loop = asyncio.get_running_loop()
+        self._clock = SystemClock()
+        self._report = batch.report(self._loop.time(), self._clock.wall())
+
+    def add_routes(self, router: Router) -> None:
+        """Serve the engine's protocol."""
+        router.add("POST", "/generate", self._generate)
+        router.add("GET", "/generations/{generation_id}", self._resume)
+        router.add("DELETE", "/generations/{generation_id}", self._cancel)
+        router.add("GET", "/load", self._load)
+        router.add("GET", "/cache-events", self._cache_events)
+        router.add("POST", "/orders", self._order)
+        router.add("GET", "/orders", self._list_orders)
+
+    async def run(self) -> None:
+        """Make tokens for ever."""
+        next_report = 0.0
+        step_at = self._loop.time()
+        while True:
+            now = self._loop.time()
+            self.batch.step(now)
+            if now >= next_report:
+                self._report = self.batch.report(now, self._clock.wall())
+                next_report = now + self._report_seconds
+            step_at = max(step_at + self.batch.step_seconds, now)
+            await asyncio.sleep(step_at - now)
+
+    async def _generate(self, req: Request, res: Responder, params: Params) -> None:
+        try:
+            body = msgspec.json.decode(req.body, type=GenerateBody)
+        except msgspec.MsgspecError as exc:
+            await send_error(res, 400, "bad_body", place="body", message=str(exc))
+            return
+        reason = self._refusal(body)
+        if reason is not None:
+            await res.send_json(
+                503, {"not_run": True, "reason": reason, "retry_after": 1.0}
+            )
+            return
+        action = continue_task(
+            req.headers.get(TASK_HEADER),
+            "engine:generation",
+            generation_id=body.generation_id,
+        )
+        with action:
+            generation = self.batch.start(
+                body.generation_id,
+                body.prompt,
+                body.n_max_tokens,
+                body.priority,
+                self._loop.time(),
+            )
+            await self._stream(res, generation, 0)
+
+    def _refusal(self, body: GenerateBody) -> str | None:
+        if self.faults.find("leaving") is not None:
+            return "leaving"
+        if self.batch.role == "drain":
+            return "draining"
+        if body.model != self.batch.model:
+            return "model_not_loaded"
+        if body.adapter and body.adapter not in self.batch.adapters:
+            return "adapter_not_loaded"
+        return None
+
+    async def _resume(self, req: Request, res: Responder, params: Params) -> None:
+        generation = self.batch.generations.get(params["generation_id"])
+        if generation is None:
+            await self._unknown(res)
+            return
+        start = int(parse_qs(req.query).get("from", ["0"])[0])
+        for name, sign in (("resend", -1), ("skip", 1)):
+            fault = self.faults.take(name, req.path)
+            if fault is not None:
+                start += sign * _option(fault.options, "tokens", 1)
+        log_message("engine:resumed", generation_id=generation.generation_id, at=start)
+        await self._stream(res, generation, max(0, start))
+
+    async def _cancel(self, req: Request, res: Responder, params: Params) -> None:
+        generation = self.batch.generations.get(params["generation_id"])
+        if generation is None:
+            await self._unknown(res)
+            return
+        asked = parse_qs(req.query).get("reader")
+        if asked is not None and int(asked[0]) != generation.reader:
+            # Whoever cancels was paused or slow, and another reader has come since.
+            await res.send_json(409, {"reason": "newer_reader"}, self._headers())
+            return
+        self.batch.cancel(generation, self._loop.time())
+        await res.send(204, b"", self._headers())
+
+    async def _stream(self, res: Responder, generation: Generation, start: int) -> None:
+        generation.reader += 1
+        generation.n_readers += 1
+        # Without this a reader that left would be noticed only at the next token.
+        res.lost.add_done_callback(lambda _: generation.note_change())
+        headers = self._headers()
+        headers["content-type"] = "application/x-ndjson"
+        headers["x-reader"] = str(generation.reader)
+        headers["x-generation-id"] = generation.generation_id
+        if self.faults.find("swap") is not None:
+            headers["x-generation-id"] = f"{generation.generation_id}-other"
+        if self.faults.find("crossed") is not None:
+            res._conn.request_id = "another-exchange"
+        res.start(200, headers)
+        offset = start
+        try:
+            while True:
+                while offset < generation.n_produced:
+                    stop = min(generation.n_produced, offset + MAX_PIECE_TOKENS)
+                    await res.write(self._lines(generation, offset, stop))
+                    offset = stop
+                if generation.end is not None:
+                    break
+                await generation.wait_change()
+                if res.is_lost:
+                    return
+            end = {
+                "end": generation.end,
+                "n_tokens": generation.n_produced,
+                "n_prompt_tokens": generation.n_prompt,
+            }
+            await res.write(msgspec.json.encode(end) + b"\n")
+            await res.finish()
+        except PeerError:
+            log_message("engine:reader_lost", generation_id=generation.generation_id)
+        finally:
+            generation.n_readers -= 1
+            generation.last_read_at = self._loop.time()
+
+    def _lines(self, generation: Generation, start: int, stop: int) -> bytes:
+        jump = self.faults.find("jump")
+        garbage = self.faults.find("garbage")
+        lines = []
+        for offset in range(start, stop):
+            if jump is not None:
+                after = _option(jump.options, "after", 0)
+                if after <= offset < after + _option(jump.options, "tokens", 1):
+                    continue
+            if garbage is not None and offset == _option(garbage.options, "after", 0):
+                lines.append(b"}garbage{\n")
+                self.faults.clear()
+                continue
+            line = {"offset": offset, "token": generation.text(offset)}
+            lines.append(msgspec.json.encode(line) + b"\n")
+        return b"".join(lines)
+
+    async def _load(self, req: Request, res: Responder, params: Params) -> None:
+        leaving = self.faults.find("leaving")
+        if leaving is None:
+            self.batch.leaving_at = None
+        elif self.batch.leaving_at is None:
+            in_seconds = _option(leaving.options, "in_seconds", 30)
+            self.batch.leaving_at = self._clock.wall() + in_seconds
+        report = replace(self._report, leaving_at=self.batch.leaving_at)
+        await res.send_json(200, report, self._headers())
+
+    async def _cache_events(self, req: Request, res: Responder, params: Params) -> None:
+        after = int(parse_qs(req.query).get("after", ["0"])[0])
+        seen_until = self._loop.time() - self._event_seconds
+        offset = self._clock.wall() - self._loop.time()
+        events = []
+        next_after = after
+        for event in self.batch.events:
+            sequence, at = event["sequence"], event["at"]
+            assert isinstance(sequence, int) and isinstance(at, float)
+            if sequence <= after or at > seen_until:
+                continue
+            events.append({**event, "at": at + offset})
+            next_after = max(next_after, sequence)
+        value = {"events": events, "next": next_after}
+        await res.send_json(200, value, self._headers())
+
+    async def _order(self, req: Request, res: Responder, params: Params) -> None:
+        try:
+            order = msgspec.json.decode(req.body, type=OrderBody)
+        except msgspec.MsgspecError as exc:
+            await send_error(res, 400, "bad_body", place="body", message=str(exc))
+            return
+        if order.expires_at < self._clock.wall():
+            await res.send_json(410, {"reason": "expired"}, self._headers())
+            return
+        if self._does_honour_fencing and order.fencing < self.batch.fencing:
+            value = {"reason": "old_fencing", "fencing": self.batch.fencing}
+            await res.send_json(409, value, self._headers())
+            return
+        if all(order.order_id != known["order_id"] for known in self.orders):
+            self.orders.append(msgspec.to_builtins(order))
+            del self.orders[:-MAX_ORDERS]
+            self.batch.fencing = max(self.batch.fencing, order.fencing)
+            await self._carry_out(order)
+        await res.send_json(200, {"order_id": order.order_id}, self._headers())
+
+    async def _carry_out(self, order: OrderBody) -> None:
+        log_message("engine:order", kind=order.kind, fencing=order.fencing)
+        if order.kind == "load_model":
+            await asyncio.sleep(self._load_seconds)
+            self.batch.model = order.model
+            self.batch.version = order.version
+        elif order.kind == "load_adapter":
+            await asyncio.sleep(self._load_seconds)
+            if order.adapter not in self.batch.adapters:
+                self.batch.adapters.append(order.adapter)
+        elif order.kind == "unload_adapter":
+            if order.adapter in self.batch.adapters:
+                self.batch.adapters.remove(order.adapter)
+        elif order.kind == "set_role":
+            self.batch.role = order.role
+
+    async def _list_orders(self, req: Request, res: Responder, params: Params) -> None:
+        await res.send_json(200, {"orders": self.orders}, self._headers())
+
+    async def _unknown(self, res: Responder) -> None:
+        await res.send_json(404, {"reason": "unknown_generation"}, self._headers())
+
+    def _headers(self) -> dict[str, str]:
+        return {"x-engine-incarnation": self.batch.incarnation}
+
+
+def _option(options: Mapping[str, object], name: str, default: int) -> int:
+    value = options.get(name, default)
+    return value if isinstance(value, int) else default
+
+
+async def serve(
+    *, listen: Address, batch: Batch, does_honour_fencing: bool = True
+) -> tuple[FaultyServer, asyncio.Task[None]]:
+    """Start an engine in this loop; returns its server and the task that runs it."""
+    faults = Faults(more_names=FAULT_NAMES)
+    engine = Engine(batch=batch, faults=faults, does_honour_fencing=does_honour_fencing)
+    router = Router()
+    engine.add_routes(router)
+    limits = ServerLimits(idle_seconds=600.0, max_body_bytes=4 * 1024 * 1024)
+    server = FaultyServer(inner=router, faults=faults, limits=limits)
+    await server.start(listen)
+    return server, asyncio.get_running_loop().create_task(engine.run())
+
+
+def _listen_address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return Address(host=host, port=int(port))
+
+
+async def _main(listen: Address, batch: Batch, does_honour_fencing: bool) -> None:
+    server, task = await serve(
+        listen=listen, batch=batch, does_honour_fencing=does_honour_fencing
+    )
+    print(f"listening {server.address}", flush=True)
+    await task
+
+
+def main(
+    listen: str = typer.Option("127.0.0.1:0", help="IP:PORT; port 0 takes a free one."),
+    name: str = typer.Option("engine", help="What it calls itself."),
+    model: str = typer.Option("draft", help="The model it starts with."),
+    version: str = typer.Option("", help="The version of that model."),
+    tokens_per_second: float = typer.Option(30.0, help="Pace of each generation."),
+    memory_tokens: int = typer.Option(20_000, help="Tokens the memory holds."),
+    seed: int = typer.Option(1, help="Seed of the answers' lengths."),
+    keep_seconds: float = typer.Option(
+        120.0, help="Seconds for which an ended generation can be read."
+    ),
+    unread_seconds: float = typer.Option(
+        60.0, help="Seconds without a reader after which a generation is given up."
+    ),
+    fencing: str = typer.Option("honoured", help="honoured or ignored, for orders."),
+    log: Path | None = typer.Option(None, help="File for log lines; none without."),  # noqa: B008
+) -> None:
+    """Stand in for a model engine."""
+    if log is not None:
+        start_logging(name, str(log))
+    batch = Batch(
+        engine=name,
+        incarnation=secrets.token_hex(6),
+        model=model,
+        tokens_per_second=tokens_per_second,
+        n_memory_tokens=memory_tokens,
+        seed=seed,
+        keep_seconds=keep_seconds,
+        unread_seconds=unread_seconds,
+    )
+    batch.version = version
+    asyncio.run(_main(_listen_address(listen), batch, fencing != "ignored"))
+
+
+if __name__ == "__main__":
+    typer.run(main)
