--- a/chores/caller.py
+++ b/chores/caller.py
@@ -7,18 +7,40 @@
 from dataclasses import dataclass, field
 
 import msgspec
-from result import Err
+from result import Err, Ok
 
 from celerytrail.exceptions import CelerytrailError
 from celerytrail.http import Response
 from celerytrail.httpclient import HttpClient, Stream
+from celerytrail.network import Network
 from celerytrail.types import Address
 
 DONE = "[DONE]"
 
 
 class CallerError(CelerytrailError):
-    """The system's answer was not the one that the caller needed."""
+    """The system's answer was not the one that the caller needed.
+
+    Parameters
+    ----------
+    message : str
+        For a person.
+    status : int
+        The answer's status; 0 where there was none.
+    error : Mapping
+        The answer's error object; empty where there was none.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        status: int = 0,
+        error: Mapping[str, object] | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.status = status
+        self.error = error or {}
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -36,10 +58,16 @@
 
     tokens: list[str] = field(default_factory=list)
     last_event_id: str = ""
+    answer_id: str = ""
     is_whole: bool = False
     error: Mapping[str, object] | None = None
     nodes: list[str] = field(default_factory=list)
 
+    @property
+    def generation_id(self) -> str:
+        """Return the one generation that its tokens came from."""
+        return self.answer_id.partition("-")[2]
+
     @property
     def text(self) -> str:
         """Return all tokens as one text."""
@@ -55,12 +83,16 @@
         Its API key.
     known : tuple of Address
         Addresses to begin with; the system is then asked for more.
+    network : Network or None
+        What carries its connections; the machine's own by default.
     """
 
-    def __init__(self, *, key: str, known: tuple[Address, ...]) -> None:
+    def __init__(
+        self, *, key: str, known: tuple[Address, ...], network: Network | None = None
+    ) -> None:
         self._headers = {"authorization": f"Bearer {key}"}
         self._known = known
-        self._client = HttpClient(process="caller")
+        self._client = HttpClient(process="caller", network=network)
 
     async def addresses(self) -> tuple[Address, ...]:
         """Ask any known address which ones to use now."""
@@ -119,11 +151,28 @@
                 return
             if event.id:
                 draft.last_event_id = event.id
+            if draft.answer_id not in ("", value["id"]):
+                raise CallerError("the answer goes on from another generation")
+            draft.answer_id = value["id"]
             token = value["choices"][0].get("text") or ""
             if token:
                 draft.tokens.append(token)
                 yield token
 
+    async def cancel(self, address: Address, draft: Draft) -> int:
+        """Cancel a draft; returns the answer's status."""
+        ticket = draft.last_event_id.rpartition(".")[0]
+        answer = await self._client.request(
+            address,
+            "DELETE",
+            f"/v1/generations/{ticket}",
+            headers=self._headers,
+            deadline=_deadline(30),
+        )
+        if isinstance(answer, Err):
+            raise CallerError(str(answer.err_value))
+        return answer.ok_value.status
+
     async def call(
         self, address: Address, service: str, operation: str, key: str, value: object
     ) -> Response:
@@ -187,8 +236,12 @@
         raise CallerError(str(opened.err_value))
     stream: Stream = opened.ok_value  # type: ignore[attr-defined]
     if stream.status != 200:
-        body = await stream.read(_deadline(5))
-        raise CallerError(f"status {stream.status}: {body}")
+        read = await stream.read(_deadline(5))
+        body = read.ok_value if isinstance(read, Ok) else b"{}"
+        error = msgspec.json.decode(body).get("error", {})
+        raise CallerError(
+            f"status {stream.status}: {error}", status=stream.status, error=error
+        )
     return stream
 
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -34,11 +34,12 @@
 import typer
 from eliot import log_message
 
-from celerytrail.clock import SystemClock
+from celerytrail.clock import Clock, SystemClock
 from celerytrail.exceptions import PeerError
 from celerytrail.http import Request
 from celerytrail.httpserver import Responder, ServerLimits
 from celerytrail.log import TASK_HEADER, continue_task, start_logging
+from celerytrail.network import Network
 from celerytrail.routes import Params, Router, send_error
 from celerytrail.types import Address
 
@@ -93,6 +94,8 @@
         How late cache events are published.
     load_seconds : float
         How long loading a model takes.
+    clock : Clock or None
+        Whose wall time it reports.
     """
 
     def __init__(
@@ -104,6 +107,7 @@
         report_seconds: float = 0.5,
         event_seconds: float = 1.0,
         load_seconds: float = 0.2,
+        clock: Clock | None = None,
     ) -> None:
         self.batch = batch
         self.faults = faults
@@ -113,7 +117,7 @@
         self._event_seconds = event_seconds
         self._load_seconds = load_seconds
         self._loop = asyncio.get_running_loop()
-        self._clock = SystemClock()
+        self._clock = clock or SystemClock()
         self._report = batch.report(self._loop.time(), self._clock.wall())
 
     def add_routes(self, router: Router) -> None:
@@ -337,16 +341,26 @@
 
 
 async def serve(
-    *, listen: Address, batch: Batch, does_honour_fencing: bool = True
+    *,
+    listen: Address,
+    batch: Batch,
+    does_honour_fencing: bool = True,
+    clock: Clock | None = None,
+    network: Network | None = None,
 ) -> tuple[FaultyServer, asyncio.Task[None]]:
     """Start an engine in this loop; returns its server and the task that runs it."""
-    faults = Faults(more_names=FAULT_NAMES)
-    engine = Engine(batch=batch, faults=faults, does_honour_fencing=does_honour_fencing)
+    faults = Faults(clock=clock, more_names=FAULT_NAMES)
+    engine = Engine(
+        batch=batch,
+        faults=faults,
+        does_honour_fencing=does_honour_fencing,
+        clock=clock,
+    )
     router = Router()
     engine.add_routes(router)
     limits = ServerLimits(idle_seconds=600.0, max_body_bytes=4 * 1024 * 1024)
     server = FaultyServer(inner=router, faults=faults, limits=limits)
-    await server.start(listen)
+    await server.start(listen, network)
     return server, asyncio.get_running_loop().create_task(engine.run())
 
 
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -42,6 +42,7 @@
 from celerytrail.exceptions import PeerError
 from celerytrail.http import Request
 from celerytrail.httpserver import Handler, HttpServer, Responder, ServerLimits
+from celerytrail.network import Network
 from celerytrail.routes import send_error
 from celerytrail.types import Address, Finding
 
@@ -241,12 +242,23 @@
         self._handler = FaultyHandler(inner=inner, faults=faults)
         self._faults = faults
         self._limits = limits
+        self._network: Network | None = None
         self._server = HttpServer(handler=self._handler, limits=limits)
         self._tasks: list[asyncio.Task[None]] = []
         self.address = Address(host="127.0.0.1", port=1)
 
-    async def start(self, address: Address) -> Address:
-        """Listen; returns the real address."""
+    async def start(self, address: Address, network: Network | None = None) -> Address:
+        """Listen; returns the real address.
+
+        Parameters
+        ----------
+        address : Address
+            Where; port 0 takes a free one.
+        network : Network or None
+            What carries the connections; the machine's own by default.
+        """
+        self._network = network
+        self._server = self._new_server()
         self.address = await self._server.start(address)
         loop = asyncio.get_running_loop()
         self._tasks.append(loop.create_task(self._watch_refuse()))
@@ -258,6 +270,11 @@
             task.cancel()
         await self._server.close()
 
+    def _new_server(self) -> HttpServer:
+        return HttpServer(
+            handler=self._handler, limits=self._limits, network=self._network
+        )
+
     async def _watch_refuse(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
@@ -266,7 +283,7 @@
                 continue
             self._tasks.append(loop.create_task(self._server.drain()))
             await self._faults.wait_while("refuse")
-            self._server = HttpServer(handler=self._handler, limits=self._limits)
+            self._server = self._new_server()
             await self._server.start(self.address)
 
 
