--- a/scenarios/callers.py
+++ b/scenarios/callers.py
@@ -120,8 +120,7 @@
 
     async def wait_end(self, name: str) -> None:
         """Wait until a draft or call has ended."""
-        item: Drafting | Calling = self.drafts.get(name) or self.calls[name]
-        task = item.task
+        task = self._item(name).task
         if task is not None:
             await asyncio.wait([task])
 
@@ -135,8 +134,7 @@
 
     def outcome(self, name: str) -> Outcome:
         """Return how a draft or call ended."""
-        item: Drafting | Calling = self.drafts.get(name) or self.calls[name]
-        return item.outcome or Outcome(kind="in progress")
+        return self._item(name).outcome or Outcome(kind="in progress")
 
     def wrong_tokens(self, name: str) -> str:
         """Return what is wrong with a draft's tokens so far; empty for nothing.
@@ -166,6 +164,11 @@
         for caller in self._callers.values():
             caller.close()
 
+    def _item(self, name: str) -> Drafting | Calling:
+        if name in self.drafts:
+            return self.drafts[name]
+        return self.calls[name]
+
     async def _draft(self, drafting: Drafting, address: Address) -> None:
         start = drafting.caller.start(
             address, MODEL, drafting.prompt, drafting.n_tokens * 2
