--- a/scenarios/callers.py
+++ b/scenarios/callers.py
@@ -155,7 +155,8 @@
 
     async def close(self) -> None:
         """End all that still goes on."""
-        tasks = [item.task for item in [*self.drafts.values(), *self.calls.values()]]
+        tasks = [drafting.task for drafting in self.drafts.values()]
+        tasks += [calling.task for calling in self.calls.values()]
         running = [task for task in tasks if task is not None and not task.done()]
         for task in running:
             task.cancel()
