Add the platform's client and stand-in, with group commit

Cause: every promise that must outlast a VM needs the platform's table, whose replies get lost and whose writes are few. Ruled out: retrying a write whose reply was lost inside the client (only the caller knows what makes it safe); one transaction a claim (330 nodes share a few hundred writes a second). Change: typed results that tell 'certainly without effect' from 'in doubt', a bounded queue, retry budget, full jitter, a breaker; GroupedTable merges the transactions of one moment and splits them on a conflict; object store, VM list and weight store clients; the stand-in with fault switches; fakes for tests. Conclusion: claims can be built on it.

--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,140 @@
+"""In-memory platform peers whose failures a test chooses exactly."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from result import Err, Ok
+
+from celerytrail.platform.client import InDoubt, Unavailable
+from celerytrail.platform.objects import ObjectStore
+from celerytrail.platform.table import Committed, Conflict, Row, Table
+from celerytrail.platform.vms import VmList
+from celerytrail.platform.weights import RateLimited, WeightStore
+from standins import platform
+
+
+class FakeTable(Table):
+    """A table in memory.
+
+    ``is_down`` refuses everything without effect. ``lose_replies`` counts writes whose
+    effect happens while the caller is told nothing. ``drop_writes`` counts writes that
+    have no effect while the caller is told nothing. ``delayed`` counts writes that
+    wait for `apply_delayed` while the caller is told nothing, as with a platform that
+    was frozen. ``gate``, where set, is waited for before anything.
+    """
+
+    def __init__(self):
+        self.rows = platform.Rows()
+        self.is_down = False
+        self.lose_replies = 0
+        self.drop_writes = 0
+        self.delayed = 0
+        self.gate = None
+        self.n_transactions = 0
+        self.n_reads = 0
+        self._delayed_writes = []
+
+    async def transact(self, transaction, deadline):
+        if self.gate is not None:
+            await self.gate.wait()
+        await asyncio.sleep(0)
+        if self.is_down:
+            return Err(Unavailable(reason="down"))
+        self.n_transactions += 1
+        if self.drop_writes:
+            self.drop_writes -= 1
+            return Err(InDoubt(reason="reply_lost"))
+        if self.delayed:
+            self.delayed -= 1
+            self._delayed_writes.append(transaction)
+            return Err(InDoubt(reason="reply_lost"))
+        result = self._apply(transaction)
+        if self.lose_replies:
+            self.lose_replies -= 1
+            return Err(InDoubt(reason="reply_lost"))
+        return result
+
+    def apply_delayed(self):
+        """Let the writes that stood still take effect, as far as they still can."""
+        for transaction in self._delayed_writes:
+            self._apply(transaction)
+        self._delayed_writes = []
+
+    async def read(self, keys, deadline):
+        if self.gate is not None:
+            await self.gate.wait()
+        await asyncio.sleep(0)
+        if self.is_down:
+            return Err(Unavailable(reason="down"))
+        self.n_reads += 1
+        return Ok({row["key"]: Row(**row) for row in self.rows.read(list(keys))})
+
+    async def scan(self, prefix, *, after="", limit=100, deadline):
+        await asyncio.sleep(0)
+        if self.is_down:
+            return Err(Unavailable(reason="down"))
+        rows = self.rows.scan(prefix, after, limit)
+        return Ok(tuple(Row(**row) for row in rows))
+
+    def _apply(self, transaction):
+        plain = msgspec.json.decode(
+            msgspec.json.encode(transaction), type=platform._Transaction
+        )
+        versions, rows = self.rows.transact(plain.checks, plain.puts, plain.deletes)
+        if rows:
+            return Err(Conflict(rows=tuple(Row(**row) for row in rows)))
+        return Ok(Committed(versions=versions))
+
+
+class FakeObjectStore(ObjectStore):
+    """Objects in memory; ``is_down`` refuses everything."""
+
+    def __init__(self):
+        self.objects = {}
+        self.is_down = False
+
+    async def put(self, name, data, deadline):
+        await asyncio.sleep(0)
+        if self.is_down:
+            return Err(Unavailable(reason="down"))
+        self.objects[name] = data
+        return Ok(None)
+
+    async def get(self, name, deadline):
+        await asyncio.sleep(0)
+        if self.is_down:
+            return Err(Unavailable(reason="down"))
+        return Ok(self.objects.get(name))
+
+
+class FakeVmList(VmList):
+    """A list of VMs that the test sets; ``is_down`` refuses."""
+
+    def __init__(self):
+        self.vms = ()
+        self.is_down = False
+
+    async def fetch(self, deadline):
+        await asyncio.sleep(0)
+        if self.is_down:
+            return Err(Unavailable(reason="down"))
+        return Ok(tuple(self.vms))
+
+
+class FakeWeightStore(WeightStore):
+    """Allows ``n_left`` fetches, then asks to come back after ``retry_after``."""
+
+    def __init__(self, *, n_left=1_000, retry_after=1.0):
+        self.n_left = n_left
+        self.retry_after = retry_after
+        self.fetched = []
+
+    async def fetch(self, model, version, deadline):
+        await asyncio.sleep(0)
+        if self.n_left <= 0:
+            return Err(RateLimited(retry_after=self.retry_after))
+        self.n_left -= 1
+        self.fetched.append((model, version))
+        return Ok(None)
--- /dev/null
+++ b/tests/test_platform_client.py
@@ -0,0 +1,170 @@
+"""The platform client against the stand-in, on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from celerytrail.clock import SystemClock
+from celerytrail.httpclient import HttpClient
+from celerytrail.platform.client import InDoubt, PlatformClient, Unavailable
+from celerytrail.platform.objects import HttpObjectStore
+from celerytrail.platform.table import (
+    Check,
+    Conflict,
+    HttpTable,
+    Put,
+    Transaction,
+)
+from celerytrail.platform.vms import HttpVmList
+from celerytrail.platform.weights import HttpWeightStore, RateLimited
+from celerytrail.types import Address
+from standins.faults import Fault
+from standins.platform import PlatformStandin
+
+LOOPBACK = Address(host="127.0.0.1", port=0)
+
+
+def put_if(key, value, version):
+    return Transaction(
+        checks=(Check(key=key, version=version),), puts=(Put(key=key, value=value),)
+    )
+
+
+def soon(seconds=0.2):
+    return asyncio.get_running_loop().time() + seconds
+
+
+@pytest.fixture
+async def platform():
+    standin = PlatformStandin(weights_per_second=1.0)
+    address = await standin.server.start(LOOPBACK)
+    http = HttpClient()
+    exchanger = PlatformClient(
+        addresses=(address,), http=http, clock=SystemClock(), rng=random.Random(1)
+    )
+    yield standin, exchanger
+    http.close()
+    await standin.server.close()
+
+
+class TestTable:
+    async def test_checks_guard_a_whole_transaction(self, platform):
+        table = HttpTable(exchanger=platform[1])
+        first = await table.transact(put_if("a", {"n": 1}, 0), soon())
+        version = first.ok_value.versions["a"]
+        both = Transaction(
+            checks=(Check(key="a", version=0),),
+            puts=(Put(key="b", value=1), Put(key="a", value=2)),
+        )
+        conflict = (await table.transact(both, soon())).err_value
+        assert isinstance(conflict, Conflict)
+        assert conflict.rows[0].value == {"n": 1}
+        rows = (await table.read(["a", "b"], soon())).ok_value
+        assert {row.key: row.version for row in rows.values()} == {"a": version}
+        assert (await table.transact(put_if("a", 3, version), soon())).is_ok()
+        scanned = (await table.scan("", limit=5, deadline=soon())).ok_value
+        assert [(row.key, row.value) for row in scanned] == [("a", 3)]
+
+    async def test_lost_reply_of_a_write_is_in_doubt(self, platform):
+        """The platform applies a write and its answer is lost on the way. Were this
+        called a failure, a filing that was claimed would pass for unclaimed.
+        """
+        standin, exchanger = platform
+        standin.faults.add(Fault(name="lose_reply", n=1))
+        table = HttpTable(exchanger=exchanger)
+        answer = await table.transact(put_if("a", 1, 0), soon())
+        assert isinstance(answer.err_value, InDoubt)
+        assert "a" in (await table.read(["a"], soon())).ok_value
+
+    async def test_outage_is_certainly_without_effect(self, platform):
+        """The platform refuses. The caller may be told that nothing was done."""
+        standin, exchanger = platform
+        standin.faults.add(Fault(name="outage"))
+        table = HttpTable(exchanger=exchanger)
+        answer = await table.transact(put_if("a", 1, 0), soon())
+        assert isinstance(answer.err_value, Unavailable)
+        assert standin.rows.read(["a"]) == []
+
+    async def test_long_outage_is_refused_at_once_and_ends(self, platform):
+        """The platform stalls without closing connections. After a few calls the
+        others are refused at once instead of each waiting; when the platform is
+        back, a probe finds out and all calls go again.
+        """
+        standin, exchanger = platform
+        standin.faults.add(Fault(name="stall"))
+        table = HttpTable(exchanger=exchanger)
+        for _ in range(5):
+            await table.read(["a"], soon(0.01))
+        refused = await table.read(["a"], soon(60.0))
+        assert refused.err_value.reason == "platform_down"
+        assert refused.err_value.retry_after < 6.0
+        standin.faults.clear()
+        for _ in range(1000):
+            if (await table.read(["a"], soon(1.0))).is_ok():
+                break
+            await asyncio.sleep(0.01)
+        assert not exchanger.is_down
+
+    async def test_garbage_is_no_answer(self, platform):
+        """What answers on the platform's port is not the platform. A write to it is
+        in doubt, never taken for committed.
+        """
+        exchanger = platform[1]
+        made = await exchanger.exchange(
+            "transact", "POST", "/vms", deadline=soon(), is_repeatable=False
+        )
+        assert made.ok_value.status == 405
+        rejected = await HttpTable(exchanger=exchanger).scan(5, deadline=soon())
+        assert rejected.err_value.reason == "status_400"
+
+
+class TestOtherPeers:
+    async def test_objects(self, platform):
+        store = HttpObjectStore(exchanger=platform[1])
+        assert (await store.get("sections/x", soon())).ok_value is None
+        await store.put("sections/x", b"\x00bytes", soon())
+        assert (await store.get("sections/x", soon())).ok_value == b"\x00bytes"
+
+    async def test_bad_vm_is_dropped_alone(self, platform):
+        """One entry of the VM list can't be read. The others are used all the same."""
+        standin, exchanger = platform
+        good = {"vm": "v1", "state": "leaving", "failure_domain": "a", "region": "r"}
+        standin._vm_lists.append((0.0, [{"vm": 7}, {**good, "address": None}]))
+        vms = (await HttpVmList(exchanger=exchanger).fetch(soon())).ok_value
+        assert [(vm.vm, vm.state) for vm in vms] == [("v1", "leaving")]
+
+    async def test_weight_store_names_the_time_to_come_back(self, platform):
+        store = HttpWeightStore(exchanger=platform[1])
+        assert (await store.fetch("m", "1", soon())).is_ok()
+        limited = (await store.fetch("m", "1", soon())).err_value
+        assert isinstance(limited, RateLimited)
+        assert 0.0 < limited.retry_after <= 1.0
+
+
+class TestBounds:
+    async def test_queue_is_bounded(self, platform):
+        """The platform is slow and calls pile up. Past the bound they are refused
+        at once, certainly without effect, so memory stays bounded.
+        """
+        standin, _ = platform
+        standin.faults.add(Fault(name="freeze"))
+        exchanger = PlatformClient(
+            addresses=(standin.server.address,),
+            http=HttpClient(),
+            clock=SystemClock(),
+            rng=random.Random(1),
+            n_in_flight=1,
+            n_waiting=2,
+        )
+        table = HttpTable(exchanger=exchanger)
+        tasks = [
+            asyncio.create_task(table.transact(put_if(str(n), n, 0), soon(0.1)))
+            for n in range(5)
+        ]
+        reasons = [task.err_value.reason for task in await asyncio.gather(*tasks)]
+        assert reasons.count("queue_full") == 2
+        assert reasons.count("queue_deadline") == 2
+        standin.faults.clear()
