Make calls to plain services run at most once for a key

Cause: a filing or deposit hold that runs twice, or that was called 'not run' and ran, harms a person; nodes crash, pause and lose replies anywhere between claim and outcome. Ruled out: failing open when the store is down (the paper's lock; its gateway removes duplicates, our endpoints need not), and a claim that times out (an attempt paused past it would run the call a second time). Conclusion: ready to be wired into the node.

--- a/celerytrail/httpclient.py
+++ b/celerytrail/httpclient.py
@@ -211,6 +211,11 @@
         if isinstance(taken, Err):
             return Err(taken.err_value)
         conn = taken.ok_value
+        if deadline is not None and asyncio.get_running_loop().time() >= deadline:
+            # A process that was paused while it connected wakes up here, perhaps long
+            # after; whoever asked must not find its request run after the deadline.
+            conn.abort()
+            return Err(NotSent(reason="deadline", detail=str(address)))
         request_id = f"{self._process}-{next(self._numbers)}"
         self._write(conn, address, method, path, body, headers or {}, request_id)
         try:
--- a/celerytrail/platform/client.py
+++ b/celerytrail/platform/client.py
@@ -34,11 +34,14 @@
         A sentence for a person.
     retry_after : float
         Seconds from now after which asking again is worth while.
+    is_told : bool
+        Whether the platform itself named that time; it is not asked sooner then.
     """
 
     reason: str
     detail: str = ""
     retry_after: float = DEFAULT_RETRY_AFTER
+    is_told: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -206,7 +209,7 @@
             if not isinstance(tried, Err):
                 return Ok(tried.ok_value)
             failure = tried.err_value
-            if isinstance(failure, InDoubt):
+            if isinstance(failure, InDoubt) or failure.is_told:
                 return Err(failure)
             n_failures += 1
             pause = full_jitter(self._rng, n_failures)
@@ -264,7 +267,9 @@
     except msgspec.MsgspecError:
         refusal = _NotRunBody(not_run=False)
     if refusal.not_run:
-        return Unavailable(reason=refusal.reason, retry_after=refusal.retry_after)
+        return Unavailable(
+            reason=refusal.reason, retry_after=refusal.retry_after, is_told=True
+        )
     reason = f"status_{res.status}"
     if is_repeatable:
         return Unavailable(reason=reason)
--- /dev/null
+++ b/celerytrail/services/endpoints.py
@@ -0,0 +1,236 @@
+"""The endpoints of plain services: what is known of each and which gets a call."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+from eliot import log_message
+from result import Ok
+
+from ..clock import Clock
+from ..configuration import Configuration
+from ..document import EndpointSpec, VersionedDocument
+from ..httpclient import HttpClient
+from ..leaving import LeavingBoard
+from ..metrics import Metrics
+from ..reports import EndpointReport
+from ..types import Address
+
+POLL_SECONDS = 1.0
+POLL_TRY_SECONDS = 1.0
+SUSPECT_SECONDS = 2.0
+SUSPECT_LOAD = 1_000.0
+OTHER_DOMAIN_LOAD = 0.05
+
+
+@dataclass(kw_only=True, slots=True)
+class EndpointView:
+    """What this node knows of one endpoint; it changes as news come.
+
+    Parameters
+    ----------
+    spec : EndpointSpec
+        Its part of the document.
+    report : EndpointReport or None
+        Its newest load report.
+    n_outstanding : int
+        Calls of this node that it has.
+    suspect_until : float
+        Monotonic time until which others are preferred, as it did not answer.
+    """
+
+    spec: EndpointSpec
+    report: EndpointReport | None = None
+    n_outstanding: int = 0
+    suspect_until: float = 0.0
+
+    def load(self, now: float, failure_domain: str) -> float:
+        """Return how busy it is expected to be, as a share of its capacity.
+
+        Reports are late, so this node's own calls are added to them. Counting a call
+        twice for a moment spreads work; missing it would pile all calls of the next
+        second on whichever endpoint last reported least.
+        """
+        n_calls = float(self.n_outstanding)
+        capacity = 1
+        if self.report is not None:
+            n_calls += self.report.n_running + self.report.n_waiting
+            capacity = max(self.report.capacity, 1)
+        load = n_calls / capacity
+        if self.spec.failure_domain != failure_domain:
+            load += OTHER_DOMAIN_LOAD
+        if now < self.suspect_until:
+            load += SUSPECT_LOAD
+        return load
+
+
+def choose(
+    views: Iterable[EndpointView],
+    *,
+    excluded: Collection[str],
+    is_leaving: Callable[[str], bool],
+    now: float,
+    failure_domain: str,
+    rng: random.Random,
+) -> EndpointView | None:
+    """Return the least loaded endpoint that is neither leaving nor excluded."""
+    candidates = [
+        view
+        for view in views
+        if view.spec.name not in excluded and not is_leaving(view.spec.name)
+    ]
+    if not candidates:
+        return None
+    return min(candidates, key=lambda v: (v.load(now, failure_domain), rng.random()))
+
+
+@dataclass(kw_only=True, slots=True)
+class _Service:
+    views: dict[str, EndpointView] = field(default_factory=dict)
+
+
+class EndpointDirectory:
+    """Knows the endpoints of all services, and asks them for their load.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        Names the endpoints.
+    leaving : LeavingBoard
+        Which of them are leaving; the document and their own reports are noted on it.
+    http : HttpClient
+        Makes the exchanges.
+    clock : Clock
+        Its monotonic time must be the loop's.
+    rng : random.Random
+        Breaks ties and spreads the polls.
+    failure_domain : str
+        Where this node is; endpoints near by are preferred a little.
+    metrics : Metrics or None
+        Where bad reports are counted.
+    """
+
+    def __init__(
+        self,
+        *,
+        configuration: Configuration,
+        leaving: LeavingBoard,
+        http: HttpClient,
+        clock: Clock,
+        rng: random.Random,
+        failure_domain: str = "",
+        metrics: Metrics | None = None,
+    ) -> None:
+        self._leaving = leaving
+        self._http = http
+        self._clock = clock
+        self._rng = rng
+        self._failure_domain = failure_domain
+        self._metrics = metrics
+        self._services: dict[str, _Service] = {}
+        self._pollers: dict[EndpointSpec, asyncio.Task[None]] = {}
+        self._is_running = False
+        self._apply(configuration.current)
+        configuration.subscribe(self._apply)
+
+    def start(self) -> None:
+        """Begin to ask all endpoints for their load, again and again."""
+        self._is_running = True
+        self._start_pollers()
+
+    def close(self) -> None:
+        """Stop asking."""
+        self._is_running = False
+        for task in self._pollers.values():
+            task.cancel()
+        self._pollers.clear()
+
+    def choose(self, service: str, excluded: Collection[str]) -> EndpointView | None:
+        """Return where the next call of a service should go, if anywhere."""
+        known = self._services.get(service)
+        if known is None:
+            return None
+        wall = self._clock.wall()
+        return choose(
+            known.views.values(),
+            excluded=excluded,
+            is_leaving=lambda name: self._leaving.is_leaving(name, wall),
+            now=self._clock.monotonic(),
+            failure_domain=self._failure_domain,
+            rng=self._rng,
+        )
+
+    def views(self, service: str) -> list[EndpointView]:
+        """Return what is known of a service's endpoints, for operators."""
+        known = self._services.get(service)
+        return [] if known is None else list(known.views.values())
+
+    def note_failure(self, view: EndpointView) -> None:
+        """Prefer others for a while: this one can't be reached."""
+        view.suspect_until = self._clock.monotonic() + SUSPECT_SECONDS
+
+    def take_report(self, view: EndpointView, body: bytes) -> None:
+        """Take an endpoint's answer to the question for its load."""
+        try:
+            report = msgspec.json.decode(body, type=EndpointReport)
+            if report.endpoint != view.spec.name:
+                raise msgspec.ValidationError(f"a report of {report.endpoint!r}")
+        except msgspec.MsgspecError as exc:
+            log_message("services:bad_report", place=view.spec.name, problem=str(exc))
+            if self._metrics is not None:
+                self._metrics.count("bad_input", peer="service", problem="report")
+            return
+        view.report = report
+        view.suspect_until = 0.0
+        if report.leaving_at is not None:
+            self._leaving.note(view.spec.name, "report", self._clock.wall())
+        else:
+            self._leaving.withdraw(view.spec.name, "report")
+
+    def _apply(self, versioned: VersionedDocument) -> None:
+        """Follow the document, keeping what is known of endpoints that stay."""
+        services: dict[str, _Service] = {}
+        for spec in versioned.document.services:
+            old = self._services.get(spec.name, _Service()).views
+            service = services[spec.name] = _Service()
+            for endpoint in spec.endpoints:
+                view = old.get(endpoint.name)
+                if view is None or view.spec.address != endpoint.address:
+                    view = EndpointView(spec=endpoint)
+                view.spec = endpoint
+                service.views[endpoint.name] = view
+                self._note_role(endpoint)
+        self._services = services
+        if self._is_running:
+            self._start_pollers()
+
+    def _note_role(self, endpoint: EndpointSpec) -> None:
+        if endpoint.role == "drain":
+            self._leaving.note(endpoint.name, "document", self._clock.wall())
+        else:
+            self._leaving.withdraw(endpoint.name, "document")
+
+    def _start_pollers(self) -> None:
+        views = [v for s in self._services.values() for v in s.views.values()]
+        wanted = {view.spec for view in views}
+        for spec in [spec for spec in self._pollers if spec not in wanted]:
+            self._pollers.pop(spec).cancel()
+        loop = asyncio.get_running_loop()
+        for view in views:
+            if view.spec not in self._pollers:
+                self._pollers[view.spec] = loop.create_task(self._poll(view))
+
+    async def _poll(self, view: EndpointView) -> None:
+        address = Address.parse(view.spec.address)
+        while True:
+            deadline = self._clock.monotonic() + POLL_TRY_SECONDS
+            made = await self._http.request(address, "GET", "/load", deadline=deadline)
+            if isinstance(made, Ok) and made.ok_value.status == 200:
+                self.take_report(view, made.ok_value.body)
+            else:
+                self.note_failure(view)
+            await asyncio.sleep(POLL_SECONDS * self._rng.uniform(0.8, 1.2))
--- /dev/null
+++ b/tests/servicefakes.py
@@ -0,0 +1,185 @@
+"""Two nodes before one table and two endpoints, all in one process; for tests."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextvars import ContextVar
+
+import msgspec
+from result import Err, Ok
+
+from celerytrail.claims import KeyReused
+from celerytrail.clock import LoopClock
+from celerytrail.configuration import Configuration
+from celerytrail.document import (
+    Document,
+    EndpointSpec,
+    OperationSpec,
+    ServiceSpec,
+    VersionedDocument,
+)
+from celerytrail.http import Response
+from celerytrail.httpclient import HttpClient, Lost, NotSent
+from celerytrail.leaving import LeavingBoard
+from celerytrail.services.calls import ServiceCalls
+from celerytrail.services.claimstore import ClaimStore
+from celerytrail.services.endpoints import EndpointDirectory
+from celerytrail.services.outcomes import Answered, CallInProgress, ServiceCall
+from celerytrail.services.recorder import ClaimRecorder
+from celerytrail.services.sender import CallSender
+from celerytrail.types import NotRun, Unknown
+from tests.fakes import FakeTable
+
+BOOKINGS = ServiceSpec(
+    name="bookings",
+    operations=(
+        OperationSpec(name="file"),
+        OperationSpec(name="status", idempotent=True),
+    ),
+    endpoints=(
+        EndpointSpec(name="e1", address="127.0.0.1:9001", failure_domain="a"),
+        EndpointSpec(name="e2", address="127.0.0.1:9002", failure_domain="b"),
+    ),
+)
+
+_attempt: ContextVar[str] = ContextVar("attempt", default="")
+
+
+class FakeEndpoints(HttpClient):
+    """Answers calls as its script says, and keeps the ledger of what ran.
+
+    The script's words: ``ok``, ``refused`` (connection), ``not_run`` (endpoint's own
+    refusal), ``lost_before`` and ``lost_after`` the run. Past the script's end all is
+    well. ``gate``, where set, holds the exchange after it has connected, as a paused
+    process would; ``slow`` seconds pass before the run.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.script = []
+        self.ledger = []
+        self.gate = None
+        self.slow = 0.0
+        self.n_bytes = 0
+
+    async def request(self, address, method, path, **kwargs):
+        await asyncio.sleep(0)
+        loop = asyncio.get_running_loop()
+        word = self.script.pop(0) if self.script else "ok"
+        if word == "refused":
+            return Err(NotSent(reason="connect_refused"))
+        if self.gate is not None:
+            await self.gate.wait()
+        deadline = kwargs["deadline"]
+        if loop.time() >= deadline:
+            return Err(NotSent(reason="deadline"))
+        if word == "not_run":
+            return self._answer(503, {"not_run": True, "retry_after": 0.5})
+        if word == "lost_before":
+            return Err(Lost(reason="cut"))
+        self.ledger.append(kwargs["headers"]["x-attempt-id"])
+        if word == "lost_after":
+            return Err(Lost(reason="cut"))
+        if self.slow:
+            await asyncio.sleep(min(self.slow, deadline - loop.time()))
+            if loop.time() >= deadline:
+                return Err(Lost(reason="timeout"))
+        return self._answer(200, {"run": len(self.ledger), "pad": "x" * self.n_bytes})
+
+    def _answer(self, status, value):
+        return Ok(Response(status=status, headers={}, body=msgspec.json.encode(value)))
+
+
+class RecordingCalls(ServiceCalls):
+    """Remembers what each attempt was told."""
+
+    def __init__(self, **kwargs):
+        super().__init__(**kwargs)
+        self.told = []
+
+    def _new_attempt(self):
+        attempt = super()._new_attempt()
+        _attempt.set(attempt)
+        return attempt
+
+    async def _run(self, call):
+        result = await super()._run(call)
+        self.told.append((_attempt.get(), result))
+        return result
+
+
+class FakeNode:
+    """One node's calls over a shared table and shared endpoints."""
+
+    def __init__(self, *, name, table, http, seed=1, spec=BOOKINGS):
+        self.clock = LoopClock()
+        self.rng = random.Random(f"{name}{seed}")
+        self.configuration = Configuration()
+        self.leaving = LeavingBoard()
+        self.directory = EndpointDirectory(
+            configuration=self.configuration,
+            leaving=self.leaving,
+            http=http,
+            clock=self.clock,
+            rng=self.rng,
+            failure_domain="a",
+        )
+        document = Document(services=(spec,))
+        self.configuration.offer(VersionedDocument(version=1, document=document))
+        self.store = ClaimStore(table=table, clock=self.clock, rng=self.rng)
+        self.recorder = ClaimRecorder(store=self.store, clock=self.clock, rng=self.rng)
+        sender = CallSender(directory=self.directory, http=http, clock=self.clock)
+        self.calls = RecordingCalls(
+            node_id=name,
+            claims=self.store,
+            recorder=self.recorder,
+            sender=sender,
+            clock=self.clock,
+            rng=self.rng,
+        )
+
+    async def file(self, key="k", body=b'{"a": 1}', seconds=10.0, operation="file"):
+        now = self.clock.monotonic()
+        call = ServiceCall(
+            organisation="office",
+            service="bookings",
+            operation=operation,
+            body=body,
+            key=key,
+            deadline=now + seconds,
+            deadline_at=self.clock.wall() + seconds,
+        )
+        return await self.calls.call(call)
+
+    async def status(self, key="k"):
+        deadline = self.clock.monotonic() + 1.0
+        return await self.calls.status("office", "bookings", key, deadline)
+
+
+class World:
+    """A table, endpoints and two nodes."""
+
+    def __init__(self, *, seed=1):
+        self.table = FakeTable()
+        self.http = FakeEndpoints()
+        self.a = FakeNode(name="a", table=self.table, http=self.http, seed=seed)
+        self.b = FakeNode(name="b", table=self.table, http=self.http, seed=seed)
+
+    @property
+    def ledger(self):
+        return self.http.ledger
+
+
+def word(result):
+    """Return one word for what a caller was told."""
+    if isinstance(result, Ok):
+        assert isinstance(result.ok_value, Answered)
+        return "replayed" if result.ok_value.is_replayed else "answered"
+    kinds = {
+        NotRun: "not_run",
+        Unknown: "unknown",
+        KeyReused: "reused",
+        CallInProgress: "in_progress",
+    }
+    return kinds[type(result.err_value)]
