--- a/celerytrail/engines/wire.py
+++ b/celerytrail/engines/wire.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Literal
 
 import msgspec
@@ -38,7 +38,7 @@
     adapter: str = ""
     priority: int = 5
     organisation: str = ""
-    sampling: dict[str, object] = msgspec.field(default_factory=dict)
+    sampling: dict[str, object] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/standins/batch.py
+++ b/standins/batch.py
@@ -121,6 +121,8 @@
         How long an ended generation can still be read.
     unread_seconds : float
         After how long without a reader a generation is given up.
+    event_seconds : float
+        How late cache events are published.
     """
 
     def __init__(
@@ -135,6 +137,7 @@
         prefill_tokens_per_second: float = 10_000.0,
         keep_seconds: float = 120.0,
         unread_seconds: float = 60.0,
+        event_seconds: float = 1.0,
     ) -> None:
         self.engine = engine
         self.incarnation = incarnation
@@ -144,6 +147,7 @@
         self.role = "serve"
         self.fencing = 0
         self.leaving_at: float | None = None
+        self.event_seconds = event_seconds
         self.n_memory_tokens = n_memory_tokens
         self.step_seconds = 1.0 / tokens_per_second
         self.generations: dict[str, Generation] = {}
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -89,8 +89,6 @@
         Whether an order with an old fencing number is refused.
     report_seconds : float
         How often the load report is renewed; between, an old one is given.
-    event_seconds : float
-        How late cache events are published.
     load_seconds : float
         How long loading a model takes.
     """
@@ -102,7 +100,6 @@
         faults: Faults,
         does_honour_fencing: bool = True,
         report_seconds: float = 0.5,
-        event_seconds: float = 1.0,
         load_seconds: float = 0.2,
     ) -> None:
         self.batch = batch
@@ -110,7 +107,6 @@
         self.orders: list[dict[str, object]] = []
         self._does_honour_fencing = does_honour_fencing
         self._report_seconds = report_seconds
-        self._event_seconds = event_seconds
         self._load_seconds = load_seconds
         self._loop = asyncio.get_running_loop()
         self._clock = SystemClock()
@@ -253,7 +249,7 @@
                     continue
             if garbage is not None and offset == _option(garbage.options, "after", 0):
                 lines.append(b"}garbage{\n")
-                self.faults.clear()
+                self.faults.take("garbage")
                 continue
             line = {"offset": offset, "token": generation.text(offset)}
             lines.append(msgspec.json.encode(line) + b"\n")
@@ -271,7 +267,7 @@
 
     async def _cache_events(self, req: Request, res: Responder, params: Params) -> None:
         after = int(parse_qs(req.query).get("after", ["0"])[0])
-        seen_until = self._loop.time() - self._event_seconds
+        seen_until = self._loop.time() - self.batch.event_seconds
         offset = self._clock.wall() - self._loop.time()
         events = []
         next_after = after
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,291 @@
+"""Checked token streams from engines that misbehave."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import msgspec
+import pytest
+from callers_rig import POLICY, expected_text, start_engine, until
+
+from celerytrail.clock import SystemClock
+from celerytrail.engines.client import EngineClient
+from celerytrail.engines.counters import StreamCounters
+from celerytrail.engines.streams import EngineStream, StreamLost
+from celerytrail.engines.wire import (
+    BadReply,
+    EngineOrder,
+    Finished,
+    GenerateOrder,
+    NewerReader,
+    OldFencing,
+    OrderExpired,
+    UnknownGeneration,
+)
+from celerytrail.httpclient import HttpClient
+from celerytrail.types import Address
+
+
+def soon(seconds=1.0):
+    return asyncio.get_running_loop().time() + seconds
+
+
+class StreamRig:
+    """One engine and a client of it."""
+
+    def __init__(self, engine):
+        self.engine = engine
+        self.http = HttpClient(process="n1")
+        self.client = EngineClient(http=self.http, clock=SystemClock())
+        self.counters = StreamCounters()
+
+    async def start(self, prompt, generation_id="g1", n_max_tokens=10_000):
+        order = GenerateOrder(
+            generation_id=generation_id,
+            model="draft",
+            prompt=prompt,
+            n_max_tokens=n_max_tokens,
+        )
+        opened = await self.client.generate(self.engine.address, order, deadline=soon())
+        reader = opened.ok_value
+        return self.stream(reader.incarnation, generation_id, reader=reader)
+
+    def stream(self, incarnation, generation_id="g1", reader=None, offset=0):
+        return EngineStream(
+            client=self.client,
+            clock=SystemClock(),
+            rng=random.Random(1),
+            policy=POLICY,
+            counters=self.counters,
+            address=self.engine.address,
+            generation_id=generation_id,
+            incarnation=incarnation,
+            reader=reader,
+            offset=offset,
+        )
+
+    @staticmethod
+    async def read(stream, n_tokens=None):
+        """Read to the end, or to so many tokens; returns the text and the last."""
+        text = ""
+        while True:
+            got = await stream.next()
+            if not got.is_ok():
+                return text, got.err_value
+            if isinstance(got.ok_value, Finished):
+                return text, got.ok_value
+            text += "".join(msgspec.json.decode(t) for t in got.ok_value.tokens)
+            if n_tokens is not None and stream.offset >= n_tokens:
+                return text, got.ok_value
+
+
+@pytest.fixture
+async def rig():
+    rig = StreamRig(await start_engine())
+    yield rig
+    rig.http.close()
+    await rig.engine.close()
+
+
+class TestStream:
+    async def test_whole(self, rig):
+        text, last = await rig.read(await rig.start("a [length=40]"))
+        assert text == expected_text("a [length=40]", "g1", 40)
+        assert last == Finished(end="stop", n_tokens=40, n_prompt_tokens=3)
+        assert rig.counters.n_tokens == 40
+
+    async def test_preempted_generations_stall_and_lose_nothing(self):
+        """The engine's memory fills in the middle of two drafts. One is thrown out
+        and computed again later; its reader sees a pause and every token once.
+        """
+        rig = StreamRig(await start_engine(n_memory_tokens=150))
+        streams = [await rig.start("b [length=100]", f"g{n}") for n in (1, 2)]
+        answers = await asyncio.gather(*(rig.read(s) for s in streams))
+        for number, (text, _) in enumerate(answers, start=1):
+            assert text == expected_text("b [length=100]", f"g{number}", 100)
+        report = (await rig.client.load(rig.engine.address, deadline=soon())).ok_value
+        assert rig.engine.batch.report(0.0, 0.0).n_preemptions > 0
+        assert report.engine == "e1"
+        await rig.engine.close()
+
+    @pytest.mark.parametrize("fault", ["stall", "lose_reply"])
+    async def test_stalled_or_cut_link_is_read_again(self, rig, fault):
+        """The link to the engine goes silent, or breaks, in the middle of a draft
+        while the engine works on. The caller sees a pause and then the rest.
+        """
+        rig.engine.fault(fault, after_writes=5, n=1, path="/generate")
+        text, last = await rig.read(await rig.start("c [length=60]"))
+        assert text == expected_text("c [length=60]", "g1", 60)
+        assert last.n_tokens == 60
+        assert sum(rig.counters.resumes.values()) == 1
+
+    @pytest.mark.parametrize("fault", ["resend", "skip"])
+    async def test_engine_that_resends_or_skips_after_a_resume(self, rig, fault):
+        """After a broken link the engine starts too early or too late. Unchecked, a
+        contract would have a clause twice, or a clause missing without a trace.
+        """
+        rig.engine.fault("lose_reply", after_writes=5, n=1, path="/generate")
+        rig.engine.fault(fault, tokens=3, n=1)
+        text, last = await rig.read(await rig.start("d [length=60]"))
+        assert text == expected_text("d [length=60]", "g1", 60)
+        assert last.n_tokens == 60
+
+    async def test_gap_in_the_middle_is_read_again(self, rig):
+        """The engine leaves out tokens for good. The stream ends with a typed loss
+        after a few tries and never with a hole.
+        """
+        rig.engine.fault("jump", after=10, tokens=2)
+        text, last = await rig.read(await rig.start("e [length=60]"))
+        assert text == expected_text("e [length=60]", "g1", 10)
+        assert last.reason == "engine_broken"
+        assert last.n_tokens == 10
+
+    async def test_garbage_line_loses_nothing_else(self, rig):
+        """One line of a stream is no JSON. The connection is closed and the stream
+        read again from that token.
+        """
+        rig.engine.fault("garbage", after=7, n=1)
+        text, _ = await rig.read(await rig.start("f [length=30]"))
+        assert text == expected_text("f [length=30]", "g1", 30)
+        assert rig.counters.resumes["bad_line"] == 1
+
+    async def test_another_generation_is_never_spliced_in(self, rig):
+        """After a broken link the engine answers with somebody else's generation.
+        Taken, a parent would read another family's answer.
+        """
+        rig.engine.fault("lose_reply", after_writes=5, n=1, path="/generate")
+        stream = await rig.start("g [length=300]")
+        await rig.read(stream, n_tokens=4)
+        rig.engine.fault("swap")
+        text, last = await rig.read(stream)
+        assert isinstance(last, StreamLost)
+        assert last.reason == "engine_unreachable"
+        assert last.can_resume
+
+    async def test_restarted_engine_is_not_taken_for_the_old_one(self, rig):
+        """The engine dies in the middle of a draft and a new process with the same
+        address begins a generation of the same id. The stream ends, typed.
+        """
+        stream = await rig.start("h [length=300]")
+        text, _ = await rig.read(stream, n_tokens=5)
+        address = rig.engine.address
+        await rig.engine.close()
+        rig.engine = await start_engine(listen=address)
+        other = rig.engine.batch.start("g1", "other [length=300]", 500, 5, soon())
+        await until(lambda: other.n_produced > 5)
+        more, last = await rig.read(stream)
+        assert last.reason == "engine_restarted"
+        assert not last.can_resume
+        n_tokens = last.n_tokens
+        assert text + more == expected_text("h [length=300]", "g1", n_tokens)
+
+    async def test_answer_crossing_after_a_cancel(self, rig):
+        """A generation is cancelled while its tokens are on the way, and the next
+        request goes to the same engine at once. It gets its own tokens only.
+        """
+        first = await rig.start("i [length=5000]", "g1")
+        await rig.read(first, n_tokens=3)
+        cancel = asyncio.create_task(first.cancel())
+        second = await rig.start("j [length=20]", "g2")
+        text, _ = await rig.read(second)
+        assert (await cancel).is_ok()
+        assert text == expected_text("j [length=20]", "g2", 20)
+
+    async def test_answer_with_another_exchanges_id_is_dropped(self, rig):
+        """An engine, or something before it, answers with another exchange's id. The
+        tokens after that head may be anybody's.
+        """
+        rig.engine.fault("crossed")
+        order = GenerateOrder(
+            generation_id="g1", model="draft", prompt="k", n_max_tokens=5
+        )
+        opened = await rig.client.generate(rig.engine.address, order, deadline=soon())
+        assert opened.err_value.reason == "crossed"
+
+
+class TestClient:
+    async def test_cancel_of_an_older_reading_is_refused(self, rig):
+        """A node that was frozen wakes and cancels what its caller reads through
+        another node by now. Obeyed, the draft would end in the middle.
+        """
+        first = await rig.start("l [length=5000]")
+        await rig.read(first, n_tokens=2)
+        second = rig.stream(first.incarnation, offset=first.offset)
+        await rig.read(second, n_tokens=first.offset + 2)
+        done = await first.cancel(only_if_last_reader=True)
+        assert isinstance(done.err_value, NewerReader)
+        assert rig.engine.batch.generations["g1"].end is None
+        assert (await second.cancel(only_if_last_reader=True)).is_ok()
+        assert rig.engine.batch.generations["g1"].end == "cancelled"
+
+    async def test_orders_and_their_refusals(self, rig):
+        def order(order_id, fencing, expires_in=60.0):
+            return EngineOrder(
+                order_id=order_id,
+                kind="load_adapter",
+                adapter="legal",
+                fencing=fencing,
+                expires_at=SystemClock().wall() + expires_in,
+            )
+
+        address = rig.engine.address
+        give = rig.client.order
+        assert (await give(address, order("o1", 5), deadline=soon())).is_ok()
+        assert (await give(address, order("o1", 5), deadline=soon())).is_ok()
+        old = await give(address, order("o2", 4), deadline=soon())
+        assert old.err_value == OldFencing(fencing=5)
+        late = await give(address, order("o3", 6, -1.0), deadline=soon())
+        assert late.err_value == OrderExpired()
+        assert rig.engine.batch.adapters == ["legal"]
+
+    async def test_cache_events_come_late_and_with_gaps(self, rig):
+        """The engine publishes what its cache holds late and leaves some out."""
+        rig.engine.batch.event_seconds = 3600.0
+        for number in range(12):
+            stream = await rig.start(f"{number} {'x' * 600} [length=1]", f"g{number}")
+            await rig.read(stream)
+        events = rig.client.cache_events
+        early = await events(rig.engine.address, 0, deadline=soon())
+        assert early.ok_value.events == ()
+        rig.engine.batch.event_seconds = 0.0
+        late = (await events(rig.engine.address, 0, deadline=soon())).ok_value
+        assert [e.sequence for e in late.events] == [1, 2, 3, 4, 5, 6, 8, 9, 10, 11, 12]
+        assert late.next == 12
+
+    async def test_leaving_engine_says_so_and_refuses(self, rig):
+        """The engine has notice that it will be reclaimed."""
+        rig.engine.fault("leaving")
+        report = (await rig.client.load(rig.engine.address, deadline=soon())).ok_value
+        assert report.leaving_at is not None
+        order = GenerateOrder(
+            generation_id="g1", model="draft", prompt="m", n_max_tokens=5
+        )
+        opened = await rig.client.generate(rig.engine.address, order, deadline=soon())
+        assert opened.err_value.reason == "leaving"
+
+    async def test_bad_replies_are_typed(self):
+        """Something that is no engine answers at its address."""
+        server = await asyncio.start_server(_no_engine, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        address = Address(host="127.0.0.1", port=port)
+        client = EngineClient(http=HttpClient(process="n1"), clock=SystemClock())
+        load = await client.load(address, deadline=soon())
+        assert isinstance(load.err_value, BadReply)
+        resumed = await client.resume(address, "g1", 0, deadline=soon())
+        assert isinstance(resumed.err_value, BadReply)
+        server.close()
+
+    async def test_unknown_generation(self, rig):
+        done = await rig.client.cancel(rig.engine.address, "g9", deadline=soon())
+        assert done.err_value == UnknownGeneration()
+
+
+async def _no_engine(reader, writer):
+    head = await reader.readuntil(b"\r\n\r\n")
+    lines = head.decode().lower().splitlines()
+    request_id = next(line for line in lines if line.startswith("x-request-id"))
+    writer.write(f"HTTP/1.1 200 OK\r\n{request_id}\r\n".encode())
+    writer.write(b"content-length: 9\r\nconnection: close\r\n\r\n[not json")
+    await writer.drain()
+    writer.close()
