Let the waiting calls' deadlines pass before the running one's

All five calls had the same deadline, so when the running one gave up its slot, a waiting one could take it in the same moment and time out while connecting. Ruled out: a lost refusal; both answers say that nothing was sent. Change: the running call's deadline is later, all counts stay as strict. Conclusion: the verdict no longer hangs on a race.

--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -161,8 +161,8 @@
         )
         table = HttpTable(exchanger=exchanger)
         tasks = [
-            asyncio.create_task(table.transact(put_if(str(n), n, 0), soon(0.1)))
-            for n in range(5)
+            asyncio.create_task(table.transact(put_if(str(n), n, 0), soon(seconds)))
+            for n, seconds in enumerate((0.5, 0.1, 0.1, 0.1, 0.1))
         ]
         reasons = [task.err_value.reason for task in await asyncio.gather(*tasks)]
         assert reasons.count("queue_full") == 2
