--- /dev/null
+++ b/celerytrail/operators/drafts.py
@@ -0,0 +1,349 @@
+"""Drafts: an operator's edits on top of an accepted version, and their differences.
+
+A draft lives in a hidden field of the operator's page and nowhere else. The console
+can then be killed at any moment, and the next one goes on from the page; nothing of
+a draft can take effect by itself, and two operators' drafts can't mix.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, fields
+from typing import Any, get_args, get_type_hints
+
+import msgspec
+from result import Err, Ok, Result
+
+from ..document import Document
+from ..sections import item_key
+from ..types import Finding
+from .shape import build
+from .validation import Validated, finish
+
+MAX_DRAFT_BYTES = 8 * 1024 * 1024
+MAX_EDITS = 30_000
+
+_HINTS = get_type_hints(Document)
+ITEM_TYPES: dict[str, Any] = {
+    field.name: get_args(_HINTS[field.name])[0] for field in fields(Document)
+}
+KINDS = tuple(ITEM_TYPES)
+
+JsonObject = dict[str, Any]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Edit:
+    """One entry as it should become.
+
+    Parameters
+    ----------
+    kind : str
+        The list it stands in, such as ``organisations``.
+    key : str
+        The key of the entry in the base version, or of the new one.
+    value : dict or None
+        The entry as JSON, as typed, right or wrong; None to remove it.
+    is_new : bool
+        Whether it was not in the base version.
+    """
+
+    kind: str
+    key: str
+    value: JsonObject | None = None
+    is_new: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Draft:
+    """Edits on top of a version."""
+
+    base_version: int
+    edits: tuple[Edit, ...] = ()
+
+    def encode(self) -> str:
+        """Return the text for the hidden field."""
+        return msgspec.json.encode(self).decode()
+
+    def find(self, kind: str, key: str) -> Edit | None:
+        """Return the edit of an entry, where there is one."""
+        for edit in self.edits:
+            if edit.kind == kind and edit.key == key:
+                return edit
+        return None
+
+    def put(self, edit: Edit) -> Draft:
+        """Return the draft with an edit added, in place of one of the same entry."""
+        kept: list[Edit] = []
+        is_placed = False
+        for old in self.edits:
+            if (old.kind, old.key) == (edit.kind, edit.key):
+                kept.append(edit)
+                is_placed = True
+            else:
+                kept.append(old)
+        if not is_placed:
+            kept.append(edit)
+        return Draft(base_version=self.base_version, edits=tuple(kept))
+
+    def drop(self, kind: str, key: str) -> Draft:
+        """Return the draft without the edit of an entry."""
+        kept = tuple(old for old in self.edits if (old.kind, old.key) != (kind, key))
+        return Draft(base_version=self.base_version, edits=kept)
+
+
+def decode_draft(text: str) -> Result[Draft, Finding]:
+    """Read a hidden field; it comes from outside, whatever we wrote into it."""
+    if len(text) > MAX_DRAFT_BYTES:
+        problem = f"is over {MAX_DRAFT_BYTES} bytes; accept it in parts"
+        return Err(Finding(place="draft", problem=problem))
+    try:
+        draft = msgspec.json.decode(text, type=Draft)
+    except (msgspec.DecodeError, RecursionError, UnicodeError) as exc:
+        return Err(Finding(place="draft", problem=f"can't be read: {exc}"))
+    keys = {(edit.kind, edit.key) for edit in draft.edits}
+    if len(draft.edits) > MAX_EDITS or len(keys) < len(draft.edits):
+        return Err(Finding(place="draft", problem="holds too many or doubled edits"))
+    if any(edit.kind not in ITEM_TYPES for edit in draft.edits):
+        return Err(Finding(place="draft", problem="edits a list that does not exist"))
+    return Ok(draft)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Composed:
+    """A draft put together with its base.
+
+    Parameters
+    ----------
+    validated : Result of Document or tuple of Finding
+        The whole document, or all that is wrong with it.
+    places : Mapping
+        The place of each edited entry, such as ``organisations[2]``, to its edit.
+    """
+
+    validated: Validated
+    places: Mapping[str, Edit]
+
+    def findings_of(self, kind: str, key: str) -> dict[str, list[str]]:
+        """Return the problems of one edited entry by the path of the field."""
+        if isinstance(self.validated, Ok):
+            return {}
+        found: dict[str, list[str]] = {}
+        for place, edit in self.places.items():
+            if (edit.kind, edit.key) != (kind, key):
+                continue
+            for finding in self.validated.err_value:
+                if finding.place.startswith((f"{place}.", f"{place}[")):
+                    path = finding.place[len(place) + 1 :]
+                    found.setdefault(path, []).append(finding.problem)
+                elif finding.place == place:
+                    found.setdefault("", []).append(finding.problem)
+        return found
+
+
+def compose(base: Document, draft: Draft) -> Composed:
+    """Apply a draft to its base and check the whole."""
+    findings: list[Finding] = []
+    places: dict[str, Edit] = {}
+    lists: dict[str, tuple[Any, ...]] = {}
+    for kind in KINDS:
+        lists[kind] = _compose_list(base, draft, kind, findings, places)
+    return Composed(validated=finish(Document(**lists), findings), places=places)
+
+
+def _compose_list(
+    base: Document,
+    draft: Draft,
+    kind: str,
+    findings: list[Finding],
+    places: dict[str, Edit],
+) -> tuple[Any, ...]:
+    edits = {edit.key: edit for edit in draft.edits if edit.kind == kind}
+    items: list[Any] = []
+
+    def add(edit: Edit) -> None:
+        if edit.value is None:
+            return
+        place = f"{kind}[{len(items)}]"
+        places[place] = edit
+        items.append(build(ITEM_TYPES[kind], edit.value, place, findings))
+
+    for item in getattr(base, kind):
+        edit = edits.get(item_key(kind, item))
+        if edit is None or edit.is_new:
+            # A new entry under a name that is taken must show as doubled; were it
+            # put in the other's place, it would silently overwrite it.
+            items.append(item)
+        else:
+            del edits[edit.key]
+            add(edit)
+    for edit in edits.values():
+        add(edit)
+    return tuple(items)
+
+
+def to_json(item: object) -> JsonObject:
+    """Return an entry as plain JSON values."""
+    return msgspec.to_builtins(item)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Change:
+    """One field, or one whole entry, that differs between two documents.
+
+    Parameters
+    ----------
+    kind, key : str
+        The entry.
+    field : str
+        The field; empty where the whole entry was added or removed.
+    before, after : str
+        The values as JSON; empty where there is none.
+    """
+
+    kind: str
+    key: str
+    field: str = ""
+    before: str = ""
+    after: str = ""
+
+    @property
+    def place(self) -> str:
+        """Return the entry and field in one text."""
+        whole = f"{self.kind} / {self.key}"
+        return f"{whole} / {self.field}" if self.field else whole
+
+
+def difference(before: Document, after: Document) -> tuple[Change, ...]:
+    """Return what changed from one document to another, by entry and field."""
+    changes: list[Change] = []
+    for kind in KINDS:
+        old = {item_key(kind, item): item for item in getattr(before, kind)}
+        new = {item_key(kind, item): item for item in getattr(after, kind)}
+        for key in sorted(old.keys() | new.keys()):
+            changes.extend(_entry_changes(kind, key, old.get(key), new.get(key)))
+    return tuple(changes)
+
+
+def _entry_changes(kind: str, key: str, old: Any, new: Any) -> Iterable[Change]:
+    if old == new:
+        return
+    if old is None or new is None:
+        yield Change(kind=kind, key=key, before=_text(old), after=_text(new))
+        return
+    for field in fields(old):
+        was, now = getattr(old, field.name), getattr(new, field.name)
+        if was != now:
+            yield Change(
+                kind=kind,
+                key=key,
+                field=field.name,
+                before=_text(was),
+                after=_text(now),
+            )
+
+
+def _text(value: object) -> str:
+    return "" if value is None else msgspec.json.encode(value).decode()
+
+
+def draft_of(before: Document, after: Document, base_version: int) -> Draft:
+    """Return the edits that lead from one document to another."""
+    edits: list[Edit] = []
+    for kind in KINDS:
+        old = {item_key(kind, item): item for item in getattr(before, kind)}
+        new = {item_key(kind, item): item for item in getattr(after, kind)}
+        for key, item in new.items():
+            if old.get(key) != item:
+                edits.append(
+                    Edit(kind=kind, key=key, value=to_json(item), is_new=key not in old)
+                )
+        for key in old.keys() - new.keys():
+            edits.append(Edit(kind=kind, key=key))
+    return Draft(base_version=base_version, edits=tuple(edits))
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Rebased:
+    """A draft moved on to a newer version.
+
+    Parameters
+    ----------
+    draft : Draft
+        The edits; fields that only the other operator changed are as accepted.
+    clashes : tuple of Change
+        Fields that both changed: ``before`` is what the other accepted, ``after``
+        what the draft says.
+    """
+
+    draft: Draft
+    clashes: tuple[Change, ...]
+
+
+def rebase(
+    draft: Draft, base: Document, newer: Document, newer_version: int
+) -> Rebased:
+    """Move a draft on to a newer version, field by field."""
+    edits: list[Edit] = []
+    clashes: list[Change] = []
+    for edit in draft.edits:
+        was = _find(base, edit)
+        now = _find(newer, edit)
+        if was == now or edit.is_new:
+            edits.append(edit)
+            continue
+        if now is None:
+            if edit.value is not None:
+                # The other operator removed it; keeping the typing adds it anew.
+                clashes.append(
+                    Change(kind=edit.kind, key=edit.key, after=_text(edit.value))
+                )
+                edits.append(
+                    Edit(kind=edit.kind, key=edit.key, value=edit.value, is_new=True)
+                )
+            continue
+        if edit.value is None or was is None:
+            clashes.append(
+                Change(
+                    kind=edit.kind,
+                    key=edit.key,
+                    before=_text(now),
+                    after=_text(edit.value),
+                )
+            )
+            edits.append(edit)
+            continue
+        edits.append(_rebase_entry(edit, to_json(was), to_json(now), clashes))
+    moved = Draft(base_version=newer_version, edits=tuple(edits))
+    return Rebased(draft=moved, clashes=tuple(clashes))
+
+
+def _rebase_entry(
+    edit: Edit, was: JsonObject, now: JsonObject, clashes: list[Change]
+) -> Edit:
+    assert edit.value is not None
+    value = dict(edit.value)
+    for name, accepted in now.items():
+        typed = value.get(name, was[name])
+        if accepted == was[name] or typed == accepted:
+            continue
+        if typed == was[name]:
+            value[name] = accepted
+            continue
+        clashes.append(
+            Change(
+                kind=edit.kind,
+                key=edit.key,
+                field=name,
+                before=_text(accepted),
+                after=_text(typed),
+            )
+        )
+    return Edit(kind=edit.kind, key=edit.key, value=value, is_new=edit.is_new)
+
+
+def _find(document: Document, edit: Edit) -> Any:
+    for item in getattr(document, edit.kind):
+        if item_key(edit.kind, item) == edit.key:
+            return item
+    return None
--- a/celerytrail/operators/validation.py
+++ b/celerytrail/operators/validation.py
@@ -47,7 +47,13 @@
     """Check a document given as decoded JSON, after ``findings`` made before."""
     found = list(findings or ())
     document = build(Document, value, "", found)
-    places = [finding.place for finding in found]
+    return finish(document, found)
+
+
+def finish(document: Document, findings: list[Finding]) -> Validated:
+    """Check a document whose entries were built, after ``findings`` made by that."""
+    found = list(findings)
+    places = [finding.place for finding in findings]
     for finding in findings_of(document):
         # What does not fit was replaced by a stand-in, of which nothing is told.
         if not any(_covers(place, finding.place) for place in places):
