Add the operators' console of forms

Cause: operators state the one document through forms; what they type must not be lost, must not take effect before the whole is valid, and must be safe from forged posts. Ruled out: drafts kept in the console's memory (a killed console loses them, and two consoles differ); the whole document in a hidden field (2 MB at 6,400 organisations); so the page carries only the edits on top of a base version. Conclusion: to be looked at in a real browser; none is on this machine.

--- /dev/null
+++ b/celerytrail/operators/actions.py
@@ -0,0 +1,419 @@
+"""What the console's buttons do to a draft, up to having it accepted."""
+
+from __future__ import annotations
+
+import hashlib
+import re
+import secrets
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+from eliot import log_message
+from result import Err, Ok
+
+from ..clock import Clock
+from ..configrecords import MAX_NOTE_CHARS, Head
+from ..document import Document, encode
+from ..platform.client import Unavailable
+from ..types import Finding
+from .drafts import Draft, Edit, difference, draft_of, rebase
+from .forms import FORMS, FormValues, first, read_entry
+from .live import LiveView
+from .pages import Visit, fields_again, item_values, review_values
+from .store import (
+    AcceptError,
+    AcceptInDoubt,
+    Conflict,
+    Damaged,
+    DocumentStore,
+    Invalid,
+    Loaded,
+    LoadError,
+)
+from .validation import validate
+
+ACCEPT_SECONDS = 8.0
+KEY_PREFIX = "ct-"
+_OPERATION_ID = re.compile(r"[0-9a-f]{32}")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """What an action leads to: a page by its target, or a template with its values.
+
+    Parameters
+    ----------
+    status : int
+        The HTTP status.
+    target : str
+        The page to show; empty where ``template`` is given.
+    visit : Visit or None
+        The visit with its new draft; None where it stays.
+    notice : str
+        A sentence on top of the page.
+    template, title, values
+        The template, the page's heading and what else it shows.
+    message, findings, fields, button, is_problem
+        For ``again.html``: what to say, and the fields to post again.
+    """
+
+    status: int = 200
+    target: str = ""
+    visit: Visit | None = None
+    notice: str = ""
+    template: str = ""
+    title: str = ""
+    values: dict[str, Any] = field(default_factory=dict)
+    message: str = ""
+    findings: Sequence[Finding] = ()
+    fields: Sequence[tuple[str, str]] = ()
+    button: str = ""
+    is_problem: bool = False
+
+
+class Actions:
+    """Carries out what a button names.
+
+    Parameters
+    ----------
+    store : DocumentStore
+        Keeps the document.
+    live : LiveView
+        Gets the hint that a version was accepted.
+    clock : Clock
+        Monotonic time for deadlines.
+    """
+
+    def __init__(self, *, store: DocumentStore, live: LiveView, clock: Clock) -> None:
+        self._store = store
+        self._live = live
+        self._clock = clock
+
+    async def act(self, name: str, visit: Visit, values: FormValues) -> Answer:
+        """Do what the button with this name does."""
+        on_entry: dict[str, Callable[[Visit, FormValues], Answer]] = {
+            "save": self._save,
+            "more": self._more,
+            "new-key": self._new_key,
+            "delete": self._delete,
+            "undo": self._undo,
+            "discard": self._discard,
+            "raw": self._raw,
+        }
+        if name in on_entry:
+            return on_entry[name](visit, values)
+        if name == "accept":
+            return await self._accept(visit, values)
+        if name == "rebase":
+            return self._rebase(visit)
+        if name == "revert":
+            return await self._revert(visit, values)
+        return Answer(target="overview", notice="That button is not known.")
+
+    # Entries.
+
+    def _save(self, visit: Visit, values: FormValues) -> Answer:
+        changed = _edited(visit, values)
+        if changed is None:
+            return Answer(target="overview", notice="That entry is not known.")
+        visit, edit = changed
+        if visit.composed.findings_of(edit.kind, edit.key):
+            return Answer(
+                status=422,
+                visit=visit,
+                target=f"item/{edit.kind}/{edit.key}",
+                notice="Kept in your draft, with findings: see beside the fields.",
+            )
+        notice = f"Kept in your draft: {edit.label}. Nothing is in force yet."
+        return Answer(visit=visit, target=f"list/{edit.kind}", notice=notice)
+
+    def _more(self, visit: Visit, values: FormValues) -> Answer:
+        changed = _edited(visit, values)
+        if changed is None:
+            return Answer(target="overview", notice="That entry is not known.")
+        visit, edit = changed
+        return Answer(visit=visit, target=f"item/{edit.kind}/{edit.key}")
+
+    def _new_key(self, visit: Visit, values: FormValues) -> Answer:
+        """Make an API key: shown in this answer only, kept as a digest only."""
+        changed = _edited(visit, values)
+        if changed is None or changed[1].kind != "organisations":
+            return Answer(target="overview", notice="That entry is not known.")
+        visit, edit = changed
+        key = KEY_PREFIX + secrets.token_urlsafe(32)
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        entry = dict(edit.value or {})
+        entry["key_digests"] = [*entry["key_digests"], digest]
+        visit = visit.with_draft(
+            visit.draft.put(Edit(kind=edit.kind, key=edit.key, value=entry))
+        )
+        shown = item_values(visit, FORMS[edit.kind], edit.key)
+        assert shown is not None
+        title = f"Organisation {edit.label}"
+        return Answer(
+            visit=visit,
+            template="item.html",
+            title=title,
+            values={**shown, "new_key": key},
+        )
+
+    def _delete(self, visit: Visit, values: FormValues) -> Answer:
+        kind, key = first(values, "kind"), first(values, "key")
+        if kind not in FORMS:
+            return Answer(target="overview", notice="That entry is not known.")
+        draft = visit.draft.drop(kind, key)
+        edit = Edit(kind=kind, key=key)
+        if not edit.is_new:
+            draft = draft.put(edit)
+        notice = f"Removed in your draft: {key}. It stays in force until you accept."
+        return Answer(
+            visit=visit.with_draft(draft), target=f"list/{kind}", notice=notice
+        )
+
+    def _undo(self, visit: Visit, values: FormValues) -> Answer:
+        kind, key = first(values, "kind"), first(values, "key")
+        if kind not in FORMS:
+            return Answer(target="overview", notice="That entry is not known.")
+        return Answer(
+            visit=visit.with_draft(visit.draft.drop(kind, key)),
+            target=f"list/{kind}",
+            notice="Your change of this entry was taken out of the draft.",
+        )
+
+    def _discard(self, visit: Visit, values: FormValues) -> Answer:
+        newest = visit.newest
+        empty = Draft(base_version=newest.version)
+        fresh = Visit(session=visit.session, newest=newest, base=newest, draft=empty)
+        return Answer(visit=fresh, target="overview", notice="The draft is gone.")
+
+    # Whole documents.
+
+    def raw(
+        self, visit: Visit, text: str | None = None, findings: Sequence[Finding] = ()
+    ) -> Answer:
+        """Return the page with the document as text."""
+        if text is None:
+            data = encode(visit.document)
+            text = msgspec.json.format(data, indent=2).decode()
+        return Answer(
+            status=422 if findings else 200,
+            template="raw.html",
+            title="Raw JSON",
+            values={"text": text, "findings": findings},
+        )
+
+    def _raw(self, visit: Visit, values: FormValues) -> Answer:
+        text = first(values, "text")
+        validated = validate(text)
+        if isinstance(validated, Err):
+            return self.raw(visit, text, validated.err_value)
+        base = visit.base
+        draft = draft_of(base.document, validated.ok_value, visit.draft.base_version)
+        return Answer(
+            visit=visit.with_draft(draft),
+            target="review",
+            notice="The document was checked and is now your draft.",
+        )
+
+    async def version(self, visit: Visit, number: int) -> Answer | None:
+        """Return the page of one accepted version; None where there is none."""
+        found: list[Loaded] = []
+        for wanted in (number, number - 1):
+            loaded = await self._store.load(self._deadline(), wanted)
+            if isinstance(loaded, Err):
+                return self.unavailable(loaded.err_value, {})
+            found.append(loaded.ok_value)
+        this, before = found
+        if this.head is None:
+            return None
+        return Answer(
+            template="version.html",
+            title=f"Version {number}",
+            values={
+                "head": this.head,
+                "changes": difference(before.document, this.document),
+                "back": difference(visit.newest.document, this.document),
+            },
+        )
+
+    async def _revert(self, visit: Visit, values: FormValues) -> Answer:
+        text = first(values, "version")
+        number = int(text) if text.isdecimal() and len(text) < 10 else 0
+        loaded = await self._store.load(self._deadline(), number)
+        if isinstance(loaded, Err):
+            return self.unavailable(loaded.err_value, values)
+        newest = visit.newest
+        draft = draft_of(newest.document, loaded.ok_value.document, newest.version)
+        fresh = Visit(session=visit.session, newest=newest, base=newest, draft=draft)
+        return self.review(fresh, note=f"Return to version {number}")
+
+    # Accepting.
+
+    def review(self, visit: Visit, *, note: str = "", operation_id: str = "") -> Answer:
+        """Return the page with the difference, or with all findings."""
+        # The operation id is made with the page, so that a form sent twice, by an
+        # impatient hand or a browser that repeats it, is known as one operation.
+        shown = review_values(visit, operation_id or secrets.token_hex(16), note)
+        return Answer(
+            status=422 if shown["findings"] else 200,
+            visit=visit,
+            template="review.html",
+            title="Review",
+            values=shown,
+        )
+
+    async def _accept(self, visit: Visit, values: FormValues) -> Answer:
+        note = " ".join(first(values, "note").split())[:MAX_NOTE_CHARS]
+        operation_id = first(values, "operation_id")
+        if not _OPERATION_ID.fullmatch(operation_id) or not visit.draft.edits:
+            return self.review(visit, note=note)
+        validated = visit.composed.validated
+        if isinstance(validated, Err):
+            return self.review(visit, note=note, operation_id=operation_id)
+        made = await self._store.accept(
+            validated.ok_value,
+            base_version=visit.draft.base_version,
+            operation_id=operation_id,
+            author=visit.session.operator,
+            note=note,
+            deadline=self._clock.monotonic() + ACCEPT_SECONDS,
+        )
+        if isinstance(made, Err):
+            return self._not_accepted(visit, made.err_value, values)
+        return await self._accepted(visit, made.ok_value, validated.ok_value)
+
+    async def _accepted(self, visit: Visit, head: Head, document: Document) -> Answer:
+        log_message(
+            "console:accepted",
+            operator=visit.session.operator,
+            version=head.version,
+            operation=head.operation_id,
+        )
+        await self._live.hint(head)
+        newest = Loaded(head=head, document=document)
+        fresh = Visit(
+            session=visit.session,
+            newest=newest,
+            base=newest,
+            draft=Draft(base_version=head.version),
+        )
+        return Answer(
+            visit=fresh,
+            template="accepted.html",
+            title=f"Version {head.version} is accepted",
+            values={"head": head},
+        )
+
+    def _not_accepted(
+        self, visit: Visit, error: AcceptError, values: FormValues
+    ) -> Answer:
+        if isinstance(error, Invalid):
+            return self.review(visit)
+        if isinstance(error, Conflict):
+            return self._conflict(visit, error, values)
+        if isinstance(error, AcceptInDoubt):
+            return Answer(
+                status=503,
+                template="again.html",
+                title="Not yet known whether it was accepted",
+                message="The platform did not answer, so the version may or may not"
+                " have been accepted. Ask again: if it was, you are told so; if not,"
+                " it is tried anew. It can't be accepted twice.",
+                fields=fields_again(values),
+                button="Ask again",
+                is_problem=True,
+            )
+        return self.unavailable(error, values)
+
+    def _conflict(self, visit: Visit, error: Conflict, values: FormValues) -> Answer:
+        if error.document is None:
+            return Answer(
+                status=503,
+                template="again.html",
+                title="Another version came first",
+                message=f"Version {error.head.version} by {error.head.author} came"
+                " first; nothing of yours took effect. It can't be loaded just now.",
+                fields=fields_again(values),
+                button="Try again",
+                is_problem=True,
+            )
+        newest = Loaded(head=error.head, document=error.document)
+        return self._rebase(
+            Visit(
+                session=visit.session,
+                newest=newest,
+                base=visit.base,
+                draft=visit.draft,
+            ),
+            is_refused=True,
+        )
+
+    def _rebase(self, visit: Visit, *, is_refused: bool = False) -> Answer:
+        """Move the draft on to the newest version and show what differs."""
+        head = visit.newest.head
+        if head is None or head.version == visit.draft.base_version:
+            return Answer(target="review")
+        moved = rebase(
+            visit.draft, visit.base.document, visit.newest.document, head.version
+        )
+        fresh = Visit(
+            session=visit.session,
+            newest=visit.newest,
+            base=visit.newest,
+            draft=moved.draft,
+        )
+        mine = None
+        if isinstance(fresh.composed.validated, Ok):
+            mine = difference(fresh.base.document, fresh.composed.validated.ok_value)
+        return Answer(
+            status=409 if is_refused else 200,
+            visit=fresh,
+            template="conflict.html",
+            title="Another version came first",
+            values={
+                "head": head,
+                "old_version": visit.draft.base_version,
+                "theirs": difference(visit.base.document, visit.newest.document),
+                "clashes": moved.clashes,
+                "mine": mine,
+                "is_refused": is_refused,
+            },
+        )
+
+    def unavailable(self, error: LoadError, values: FormValues) -> Answer:
+        """Return the page that says what the platform did not do, with the typing."""
+        findings: Sequence[Finding] = ()
+        if isinstance(error, Damaged):
+            findings = error.findings
+            message = "What the platform returned is damaged, and nothing was done."
+        else:
+            assert isinstance(error, Unavailable)
+            message = (
+                f"The platform does not answer ({error.reason}), and nothing was done."
+                " What is in force stays in force. Try again in a few seconds."
+            )
+        return Answer(
+            status=503,
+            template="again.html",
+            title="Not done",
+            message=message,
+            findings=findings,
+            fields=fields_again(values),
+            button="Try again",
+            is_problem=True,
+        )
+
+    def _deadline(self) -> float:
+        return self._clock.monotonic() + ACCEPT_SECONDS
+
+
+def _edited(visit: Visit, values: FormValues) -> tuple[Visit, Edit] | None:
+    """Return the visit with the typed entry in its draft."""
+    form = FORMS.get(first(values, "kind"))
+    key = first(values, "key")[:200]
+    if form is None or not key:
+        return None
+    edit = Edit(kind=form.kind, key=key, value=read_entry(form, values))
+    return visit.with_draft(visit.draft.put(edit)), edit
--- a/celerytrail/operators/drafts.py
+++ b/celerytrail/operators/drafts.py
@@ -22,6 +22,7 @@
 
 MAX_DRAFT_BYTES = 8 * 1024 * 1024
 MAX_EDITS = 30_000
+NEW_PREFIX = "+"
 
 _HINTS = get_type_hints(Document)
 ITEM_TYPES: dict[str, Any] = {
@@ -41,17 +42,27 @@
     kind : str
         The list it stands in, such as ``organisations``.
     key : str
-        The key of the entry in the base version, or of the new one.
+        The key of the entry in the base version; a new one has a key that begins
+        with `NEW_PREFIX`, which no name does, so it can't meet another entry's.
     value : dict or None
         The entry as JSON, as typed, right or wrong; None to remove it.
-    is_new : bool
-        Whether it was not in the base version.
     """
 
     kind: str
     key: str
     value: JsonObject | None = None
-    is_new: bool = False
+
+    @property
+    def is_new(self) -> bool:
+        """Return whether the entry is not in the base version."""
+        return self.key.startswith(NEW_PREFIX)
+
+    @property
+    def label(self) -> str:
+        """Return what a person calls the entry."""
+        if not self.is_new or self.value is None:
+            return self.key
+        return str(self.value.get("name", ""))[:100] or "(no name)"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -86,6 +97,15 @@
             kept.append(edit)
         return Draft(base_version=self.base_version, edits=tuple(kept))
 
+    def new_key(self) -> str:
+        """Return a key for one more new entry."""
+        numbers = [
+            int(edit.key[1:])
+            for edit in self.edits
+            if edit.is_new and edit.key[1:].isdecimal()
+        ]
+        return f"{NEW_PREFIX}{max(numbers, default=0) + 1}"
+
     def drop(self, kind: str, key: str) -> Draft:
         """Return the draft without the edit of an entry."""
         kept = tuple(old for old in self.edits if (old.kind, old.key) != (kind, key))
@@ -170,21 +190,22 @@
 
     for item in getattr(base, kind):
         edit = edits.get(item_key(kind, item))
-        if edit is None or edit.is_new:
-            # A new entry under a name that is taken must show as doubled; were it
-            # put in the other's place, it would silently overwrite it.
+        if edit is None:
             items.append(item)
         else:
-            del edits[edit.key]
             add(edit)
+    # A new entry under a name that is taken then shows as doubled; were it put in the
+    # other's place, it would silently overwrite it.
     for edit in edits.values():
-        add(edit)
+        if edit.is_new:
+            add(edit)
     return tuple(items)
 
 
 def to_json(item: object) -> JsonObject:
     """Return an entry as plain JSON values."""
-    return msgspec.to_builtins(item)
+    found: JsonObject = msgspec.json.decode(msgspec.json.encode(item))
+    return found
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -255,9 +276,8 @@
         new = {item_key(kind, item): item for item in getattr(after, kind)}
         for key, item in new.items():
             if old.get(key) != item:
-                edits.append(
-                    Edit(kind=kind, key=key, value=to_json(item), is_new=key not in old)
-                )
+                edit_key = key if key in old else NEW_PREFIX + key
+                edits.append(Edit(kind=kind, key=edit_key, value=to_json(item)))
         for key in old.keys() - new.keys():
             edits.append(Edit(kind=kind, key=key))
     return Draft(base_version=base_version, edits=tuple(edits))
@@ -298,9 +318,8 @@
                 clashes.append(
                     Change(kind=edit.kind, key=edit.key, after=_text(edit.value))
                 )
-                edits.append(
-                    Edit(kind=edit.kind, key=edit.key, value=edit.value, is_new=True)
-                )
+                added = NEW_PREFIX + edit.key
+                edits.append(Edit(kind=edit.kind, key=added, value=edit.value))
             continue
         if edit.value is None or was is None:
             clashes.append(
@@ -339,7 +358,7 @@
                 after=_text(typed),
             )
         )
-    return Edit(kind=edit.kind, key=edit.key, value=value, is_new=edit.is_new)
+    return Edit(kind=edit.kind, key=edit.key, value=value)
 
 
 def _find(document: Document, edit: Edit) -> Any:
--- a/celerytrail/operators/sessions.py
+++ b/celerytrail/operators/sessions.py
@@ -190,12 +190,28 @@
 
     def read(self, cookie_header: str) -> Session | None:
         """Return the session in a ``cookie`` header, where it is genuine."""
+        session = self.read_ended(cookie_header)
+        if session is None or session.expires_at <= self._clock.wall():
+            return None
+        return session
+
+    def read_ended(self, cookie_header: str) -> Session | None:
+        """Return the genuine session in a ``cookie`` header, also when it ended."""
         for part in cookie_header.split(";"):
             name, _, value = part.strip().partition("=")
             if name == COOKIE_NAME:
                 return self._read(value)
         return None
 
+    def sign_text(self, text: str) -> str:
+        """Return a text with a signature, to be read by `read_signed`."""
+        return f"{self._sign('text', text)}.{text}"
+
+    def read_signed(self, signed: str) -> str | None:
+        """Return the text that `sign_text` signed, where it is genuine."""
+        signature, _, text = signed.partition(".")
+        return text if self._is_signed("text", text, signature) else None
+
     def form_token(self, session: Session) -> str:
         """Return what each form of a session must carry.
 
@@ -229,8 +245,6 @@
             return None
         if not self._is_signed("session", text, signature):
             return None
-        if int(expires_at) <= self._clock.wall():
-            return None
         return Session(operator=operator, expires_at=float(expires_at), nonce=nonce)
 
     def _sign(self, purpose: str, text: str) -> str:
