Check only what changed, and measure the document at the size to design for

Ruled out: no check in the node (a version written past the console would come into force); a check of the changed sections alone (it misses a key that two organisations share). Change: where only organisations or engines changed, the changed entries are checked against what the others hold; equal lists of names are one object; addresses must be written in one way, so that texts can be compared; lists are sorted by attribute.

--- a/celerytrail/configsync.py
+++ b/celerytrail/configsync.py
@@ -25,7 +25,7 @@
 from .http import Request
 from .httpserver import Responder
 from .metrics import Metrics
-from .operators.checks import findings_in_steps
+from .operators.checks import findings_in_steps, findings_of_changes
 from .platform.backoff import full_jitter
 from .platform.table import Table
 from .routes import Params, Router, send_error
@@ -336,16 +336,31 @@
         if tree.root != target.root:
             problem = "its root names indexes or sections that are not canonical"
             return _refuse(Finding(place=f"object {target.root}", problem=problem))
+        # Each of these steps takes some milliseconds at 6,400 organisations; callers'
+        # tokens go on in between.
+        await asyncio.sleep(0)
         document = tree.document()
+        await asyncio.sleep(0)
+        findings = await self._check(tree, document)
+        await asyncio.sleep(0)
+        if findings:
+            return Err(_Rejected(findings=findings, is_final=True))
+        return Ok(_Loaded(tree=tree, document=document))
+
+    async def _check(self, tree: Tree, document: Document) -> tuple[Finding, ...]:
+        """Check what changed, or the whole where others may refer to what changed."""
+        changed = tree.changed_since(self._tree)
+        if self.version and changed.keys() <= {"organisations", "engines"}:
+            return findings_of_changes(
+                document,
+                organisations=changed.get("organisations", ()),
+                engines=changed.get("engines", ()),
+            )
         findings: list[Finding] = []
         for step in findings_in_steps(document):
             findings.extend(step)
-            # The check of a large document takes tens of milliseconds; callers'
-            # tokens go on in between.
             await asyncio.sleep(0)
-        if findings:
-            return Err(_Rejected(findings=tuple(findings), is_final=True))
-        return Ok(_Loaded(tree=tree, document=document))
+        return tuple(findings)
 
     async def _load_digests(self, target: Target) -> Result[dict[str, str], _Rejected]:
         """Return the digest of each section of a version, by name."""
--- a/celerytrail/operators/checks.py
+++ b/celerytrail/operators/checks.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator, Sized
 from dataclasses import dataclass, field
 
 from ..document import (
@@ -60,7 +60,7 @@
     services: dict[str, str] = field(default_factory=dict)
     organisations: dict[str, str] = field(default_factory=dict)
     workers: dict[str, str] = field(default_factory=dict)
-    addresses: dict[Address, str] = field(default_factory=dict)
+    addresses: dict[str, str] = field(default_factory=dict)
     digests: dict[str, str] = field(default_factory=dict)
 
 
@@ -74,15 +74,7 @@
 
 def findings_in_steps(document: Document) -> Iterator[list[Finding]]:
     """Check a document by `ITEMS_PER_STEP` entries a step; yields a step's findings."""
-    known = _Known()
-    # References point at models, adapters and services, so these are taken first;
-    # an entry may stand before what it refers to in the text.
-    for model in document.models:
-        known.models.setdefault(model.name, "")
-    for adapter in document.adapters:
-        known.adapters.setdefault(adapter_key(adapter.model, adapter.name), "")
-    for service in document.services:
-        known.services.setdefault(service.name, "")
+    known = _references(document)
     parts: list[tuple[str, tuple, Callable]] = [
         ("models", document.models, _check_model),
         ("adapters", document.adapters, _check_adapter),
@@ -91,9 +83,9 @@
         ("organisations", document.organisations, _check_organisation),
     ]
     for kind, items, check in parts:
-        if len(items) > MAX_ITEMS[kind]:
-            problem = f"holds {len(items)} entries; at most {MAX_ITEMS[kind]} are taken"
-            yield [Finding(place=kind, problem=problem)]
+        too_long = list(_check_length(kind, items))
+        if too_long:
+            yield too_long
             continue
         for start in range(0, len(items), ITEMS_PER_STEP):
             found: list[Finding] = []
@@ -102,6 +94,69 @@
             yield found
 
 
+def findings_of_changes(
+    document: Document,
+    organisations: Collection[OrganisationSpec],
+    engines: Collection[EngineSpec],
+) -> tuple[Finding, ...]:
+    """Check a document that differs from a valid one in these entries only.
+
+    Models, adapters and services must be the same as in the valid one, so what the
+    other entries refer to is still there, and only what the changed entries say and
+    repeat is left to check. A whole check takes a tenth of a second of processor time
+    at 6,400 organisations, which 9,200 changes a day would make a hundredth of a core.
+
+    Parameters
+    ----------
+    document : Document
+        The new document, with the changed entries in it.
+    organisations, engines : collection
+        The changed entries.
+    """
+    known = _references(document)
+    changed_names = {organisation.name for organisation in organisations}
+    for organisation in document.organisations:
+        if organisation.name not in changed_names:
+            known.organisations[organisation.name] = "another organisation"
+            for digest in organisation.key_digests:
+                known.digests[digest] = f"organisation {organisation.name}"
+    changed_names = {engine.name for engine in engines}
+    for engine in document.engines:
+        if engine.name not in changed_names:
+            known.workers[engine.name] = "another engine"
+            known.addresses[engine.address] = f"engine {engine.name}"
+    for service in document.services:
+        for endpoint in service.endpoints:
+            known.workers[endpoint.name] = f"service {service.name}"
+            known.addresses[endpoint.address] = f"endpoint {endpoint.name}"
+    findings: list[Finding] = []
+    for kind in ("organisations", "engines"):
+        findings.extend(_check_length(kind, getattr(document, kind)))
+    for engine in engines:
+        findings.extend(_check_engine(engine, f"engines[{engine.name}]", known))
+    for one in organisations:
+        findings.extend(_check_organisation(one, f"organisations[{one.name}]", known))
+    return tuple(findings)
+
+
+def _references(document: Document) -> _Known:
+    """Return what entries may refer to; an entry may stand before what it names."""
+    known = _Known()
+    for model in document.models:
+        known.models.setdefault(model.name, "")
+    for adapter in document.adapters:
+        known.adapters.setdefault(adapter_key(adapter.model, adapter.name), "")
+    for service in document.services:
+        known.services.setdefault(service.name, "")
+    return known
+
+
+def _check_length(kind: str, items: Sized) -> Iterator[Finding]:
+    if len(items) > MAX_ITEMS[kind]:
+        problem = f"holds {len(items)} entries; at most {MAX_ITEMS[kind]} are taken"
+        yield Finding(place=kind, problem=problem)
+
+
 def adapter_key(model: str, name: str) -> str:
     """Return how callers name an adapter: ``model:adapter``."""
     return f"{model}:{name}"
@@ -224,7 +279,12 @@
         problem = f"{_short(worker.address)} is not IP:PORT, such as 127.0.0.1:7100"
         yield Finding(place=f"{place}.address", problem=problem)
         return
-    yield from _once(known.addresses, address, f"{place}.address", "address")
+    if str(address) != worker.address:
+        # Two ways to write one address would hide that it stands twice.
+        problem = f"{_short(worker.address)} should be written {address}"
+        yield Finding(place=f"{place}.address", problem=problem)
+        return
+    yield from _once(known.addresses, worker.address, f"{place}.address", "address")
 
 
 def _name(text: str, place: str) -> Iterator[Finding]:
--- a/celerytrail/operators/shape.py
+++ b/celerytrail/operators/shape.py
@@ -16,6 +16,9 @@
 
 from ..types import Finding
 
+# Longer texts are digests of keys, of which no two are the same.
+MAX_SHARED_CHARS = 64
+
 _MISSING = object()
 
 
@@ -114,10 +117,19 @@
             Finding(place=place, problem=f"must be a list, not {_told(value)}")
         )
         return ()
-    return tuple(
+    items = tuple(
         build(item_kind, item, f"{place}[{number}]", findings)
         for number, item in enumerate(value)
     )
+    if item_kind is str and all(len(item) < MAX_SHARED_CHARS for item in items):
+        return _shared(items)
+    return items
+
+
+@functools.lru_cache(maxsize=1024)
+def _shared(items: tuple[str, ...]) -> tuple[str, ...]:
+    """Return one object for equal lists: thousands of entries name the same models."""
+    return items
 
 
 def _build_plain(
@@ -126,7 +138,7 @@
     # In Python a bool is an int; in JSON true is not a number.
     if kind is str and isinstance(value, str):
         # Regions, failure domains and models repeat in thousands of entries.
-        return sys.intern(value) if len(value) < 64 else value
+        return sys.intern(value) if len(value) < MAX_SHARED_CHARS else value
     if kind is bool and isinstance(value, bool):
         return value
     if kind is int and isinstance(value, int) and not isinstance(value, bool):
--- a/celerytrail/sections.py
+++ b/celerytrail/sections.py
@@ -10,8 +10,9 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, fields
+from operator import attrgetter
 from typing import Any, get_args, get_type_hints
 
 import msgspec
@@ -38,6 +39,13 @@
 }
 
 
+# The order of each list in a document; quicker than by `item_key`.
+_SORT_KEYS: dict[str, Callable[[Any], Any]] = {
+    kind: attrgetter("name") for kind in _ITEM_TYPES
+}
+_SORT_KEYS["adapters"] = attrgetter("model", "name")
+
+
 def digest_of(data: bytes) -> str:
     """Return the name of an object: the SHA-256 of its bytes, in hex."""
     return hashlib.sha256(data).hexdigest()
@@ -149,15 +157,29 @@
         return cls(sections=sections)
 
     def document(self) -> Document:
-        """Put the document together, each list sorted by key."""
+        """Put the document together, each list sorted by name."""
         lists: dict[str, list[Any]] = {kind: [] for kind in _ITEM_TYPES}
         for section in self.sections.values():
             lists[section.kind].extend(section.items)
-        whole = {
-            kind: tuple(sorted(items, key=lambda item: item_key(kind, item)))
-            for kind, items in lists.items()
-        }
-        return Document(**whole)
+        for kind, items in lists.items():
+            items.sort(key=_SORT_KEYS[kind])
+        return Document(**{kind: tuple(items) for kind, items in lists.items()})
+
+    def changed_since(self, older: Tree) -> dict[str, list[Any]]:
+        """Return the entries that are new or differ, by kind.
+
+        A kind that only lost entries is there with an empty list.
+        """
+        changed: dict[str, list[Any]] = {}
+        for name in self.sections.keys() | older.sections.keys():
+            now, was = self.sections.get(name), older.sections.get(name)
+            if now is not None and was is not None and now.digest == was.digest:
+                continue
+            entries = changed.setdefault(name.partition("/")[0], [])
+            if now is not None:
+                known = set(was.items) if was is not None else set()
+                entries.extend(item for item in now.items if item not in known)
+        return changed
 
     def get(self, digest: str) -> bytes | None:
         """Return an object's bytes by its name, or None."""
