Let nodes find and watch one another

Cause: callers must be sent to live nodes only, and small news (configuration versions, leaving endpoints) must be everywhere within seconds, with no service to keep either.

Weighed: random probing as in SWIM leaves a dead node unprobed for k periods with probability e^-k; three hash rings bound the time by one period at the same cost, so rings are taken. Deaths that others tell of count as suspicions, so that a healed cut doesn't kill all. A member that news missed shows in the digest of each datagram; recent news is then said again, and whole states are exchanged over HTTP where that does not help.

--- /dev/null
+++ b/celerytrail/nodes/membership.py
@@ -0,0 +1,402 @@
+"""Membership by SWIM-style probing with piggybacked news; no I/O.
+
+The owner steps it with the time, hands it what arrives, and sends and tells on what it
+leaves in `take_outgoing` and `take_events`.
+
+References
+----------
+A. Das, I. Gupta, A. Motivala, "SWIM: Scalable Weakly-consistent Infection-style
+Process Group Membership Protocol", DSN 2002. A. Dadgar, J. Phillips, J. Currey,
+"Lifeguard: Local Health Awareness for More Accurate Failure Detection", 2017.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import replace
+
+import msgspec
+
+from ..types import Address
+from .events import (
+    Event,
+    ExchangeWanted,
+    Outgoing,
+    Paused,
+)
+from .knowledge import Knowledge
+from .member import Member, State
+from .probes import AskOthers, Failed, Ping, Probes
+from .rings import Rings
+from .timing import Timing
+from .wire import (
+    Datagram,
+    EndpointNews,
+    Item,
+    Kind,
+    VersionNews,
+    decode_item,
+    encode_item,
+    record_of,
+)
+
+# Room for news beside the largest possible head in a datagram of 1,200 bytes.
+NEWS_BYTES = 800
+FANOUT = 2
+N_RELAYS = 3
+# As many items of recent news as surely fit beside the rest in one datagram.
+N_REPEATED = 3
+# A relayed ping that is not answered is forgotten after this, in seconds.
+RELAY_SECONDS = 2.0
+MAX_RELAYED = 1_000
+# Beyond this lateness of its own timer, in seconds, a node takes it that others have
+# begun to suspect it, and says at once that it lives.
+LATE_SECONDS = 0.5
+
+
+class Membership:
+    """What one node knows of all nodes.
+
+    Parameters
+    ----------
+    me : Member
+        This node; its incarnation must be new at each start.
+    timing : Timing
+        Periods and bounds.
+    rng : random.Random
+        For targets and spread.
+    now : float
+        Monotonic time of the start.
+    """
+
+    def __init__(
+        self, *, me: Member, timing: Timing, rng: random.Random, now: float
+    ) -> None:
+        self._timing = timing
+        self._rng = rng
+        self._known = Knowledge(
+            me=me,
+            suspicion_seconds=timing.suspicion_seconds,
+            dead_seconds=timing.dead_seconds,
+            recent_seconds=timing.recent_seconds,
+        )
+        self._table = self._known.table
+        self._rings = Rings(node=me.node)
+        self._probes = Probes(timing=timing, rng=rng)
+        self._outgoing: list[Outgoing] = []
+        self._candidates: frozenset[Address] = frozenset()
+        self._relayed: dict[int, tuple[Address, int, str, float]] = {}
+        self._mismatch: dict[str, tuple[int, int, float]] = {}
+        self._step_at = now
+        self._contact_at = now
+        self._exchange_at = now
+
+    # What the owner reads.
+
+    @property
+    def me(self) -> Member:
+        """Return this node as it states itself."""
+        return replace(self._table.me, version=self._known.in_force.version)
+
+    def members(self) -> tuple[Member, ...]:
+        """Return all members that are not forgotten, this node first."""
+        return (self.me, *self._table.others.values())
+
+    @property
+    def newest(self) -> VersionNews:
+        """Return the newest configuration version heard of."""
+        return self._known.newest
+
+    @property
+    def endpoints(self) -> dict[str, float]:
+        """Return the leaving endpoints and when each leaves, in wall seconds."""
+        return dict(self._table.endpoints)
+
+    def take_outgoing(self) -> list[Outgoing]:
+        """Return the datagrams to send, and forget them."""
+        outgoing, self._outgoing = self._outgoing, []
+        return outgoing
+
+    def take_events(self) -> list[Event]:
+        """Return what happened, and forget it."""
+        events, self._known.events = self._known.events, []
+        return events
+
+    def items(self) -> list[Item]:
+        """Return all that this node knows, for a whole exchange of states."""
+        return self._known.items()
+
+    # What the owner tells.
+
+    def set_candidates(self, addresses: Sequence[Address]) -> None:
+        """Set addresses where nodes may be: seeds and the platform's VM list."""
+        self._candidates = frozenset(addresses)
+
+    def announce_version(self, version: int, root: str) -> None:
+        """Tell all that this node has a configuration version in force."""
+        self._known.announce_version(version, root)
+
+    def announce_leaving(self, endpoint: str, at: float, wall: float) -> None:
+        """Tell all that an endpoint leaves at ``at``, wall seconds."""
+        self._known.apply(EndpointNews(endpoint, at), self._table.me.node, 0.0, wall)
+
+    def leave(self) -> None:
+        """Tell all that this node leaves."""
+        self._known.restate(self._table.me.incarnation + 1, State.LEAVING)
+
+    def depart(self) -> None:
+        """Tell all, as the last thing, that this node is gone."""
+        me = replace(self._table.me, state=State.DEAD)
+        self._table.put(me)
+        self._known.news.put(("member", me.node), record_of(me))
+        for _ in range(N_RELAYS):
+            self._spread()
+
+    # Time.
+
+    def step(self, now: float, wall: float) -> None:
+        """Do what is due at ``now``; to be called every ``tick_seconds``."""
+        late = now - self._step_at - self._timing.tick_seconds
+        self._step_at = now
+        if late > self._timing.tick_seconds:
+            self._forgive(late)
+        self._known.expire(now, wall)
+        self._forget_relayed(now)
+        if self._known.has_changed:
+            self._known.has_changed = False
+            self._mismatch = {
+                node: pair
+                for node, pair in self._mismatch.items()
+                if node in self._table.others
+            }
+            self._probes.watch(self._rings.watched(self._table.others.values()), now)
+        for action in self._probes.step(now):
+            match action:
+                case Ping(target=target, sequence=sequence):
+                    self._ping(target, sequence)
+                case AskOthers(target=target, sequence=sequence):
+                    self._ask_others(target, sequence)
+                case Failed(target=target):
+                    self._known.suspect(target, now)
+        if now >= self._contact_at:
+            self._contact_at = now + self._timing.contact_seconds
+            self._contact()
+        if len(self._known.news):
+            self._spread()
+
+    def _forgive(self, late: float) -> None:
+        """Count time in which this process stood still against nobody else.
+
+        A frozen process finds on its thawing that all its probes have timed out and
+        all its suspicions have run out. Were they believed, it would declare half the
+        nodes dead and tell the others so; one would see it in its log as a burst of
+        suspicions right after a pause.
+        """
+        self._probes.forgive(late)
+        self._known.forgive(late)
+        if late > LATE_SECONDS:
+            self._known.events.append(Paused(seconds=late))
+            self._known.restate(self._table.me.incarnation + 1, self._table.me.state)
+
+    def _forget_relayed(self, now: float) -> None:
+        for sequence, relayed in list(self._relayed.items()):
+            if now >= relayed[3]:
+                del self._relayed[sequence]
+
+    # Sending.
+
+    def _send(
+        self,
+        address: Address,
+        kind: Kind,
+        to: str = "",
+        *,
+        sequence: int = 0,
+        target: str = "",
+        first: Sequence[Item] = (),
+    ) -> None:
+        items = []
+        room = NEWS_BYTES
+        for item in first:
+            raw = encode_item(item)
+            if len(memoryview(raw)) <= room:
+                room -= len(memoryview(raw))
+                items.append(raw)
+        items += self._known.news.take(room, self._table.n_live)
+        known = self._table.others.get(to)
+        datagram = Datagram(
+            kind=kind,
+            sender=self._table.me.node,
+            incarnation=self._table.me.incarnation,
+            sequence=sequence,
+            digest=self._table.digest,
+            in_force=self._known.in_force.version,
+            newest=self._known.newest.version,
+            your_incarnation=known.incarnation if known else 0,
+            your_state=known.state if known else State.ALIVE,
+            target=target,
+            items=items,
+        )
+        self._outgoing.append(Outgoing(address=address, datagram=datagram))
+
+    def _ping(self, target: str, sequence: int) -> None:
+        member = self._table.others.get(target)
+        if member is not None:
+            self._send(member.peer, Kind.PING, target, sequence=sequence)
+
+    def _ask_others(self, target: str, sequence: int) -> None:
+        for relay in self._sample(N_RELAYS, excluded=target):
+            self._send(
+                relay.peer,
+                Kind.PING_REQUEST,
+                relay.node,
+                sequence=sequence,
+                target=target,
+            )
+
+    def _spread(self) -> None:
+        for member in self._sample(FANOUT):
+            if len(self._known.news):
+                self._send(member.peer, Kind.NEWS, member.node)
+
+    def _contact(self) -> None:
+        """Try one node that is dead or not known yet.
+
+        After a cut between regions both sides hold the other dead. Nobody would ever
+        speak to the other side again, and the system would stay in two halves, if the
+        dead were not tried at a low rate. The same way nodes that started with
+        different seeds find one another.
+        """
+        others = self._table.others.values()
+        known = {member.peer for member in others if member.state is not State.DEAD}
+        known.add(self._table.me.peer)
+        choices: list[tuple[Address, str]] = [
+            (member.peer, member.node)
+            for member in others
+            if member.state is State.DEAD
+        ]
+        named = {address for address, _ in choices}
+        for address in sorted(self._candidates - known - named):
+            choices.append((address, ""))
+        if not choices:
+            return
+        address, node = self._rng.choice(choices)
+        sequence = self._probes.new_sequence()
+        me = record_of(self._table.me)
+        self._send(address, Kind.PING, node, sequence=sequence, first=[me])
+
+    def _sample(self, n_members: int, excluded: str = "") -> list[Member]:
+        choices = [
+            member
+            for member in self._table.others.values()
+            if member.state <= State.LEAVING and member.node != excluded
+        ]
+        return self._rng.sample(choices, min(n_members, len(choices)))
+
+    # Receiving.
+
+    def apply(self, item: Item, sender: str, now: float, wall: float) -> None:
+        """Take in one item of a whole exchange."""
+        self._known.apply(item, sender, now, wall)
+
+    def receive(
+        self, datagram: Datagram, source: Address, now: float, wall: float
+    ) -> None:
+        """Take in a datagram that a peer's key signed."""
+        sender = datagram.sender
+        if sender == self._table.me.node:
+            self._known.bad(sender, "own_name", "another process has this node's name")
+            return
+        for raw in datagram.items:
+            try:
+                item = decode_item(raw)
+            except msgspec.DecodeError as exc:
+                self._known.bad(sender, "item", str(exc))
+                continue
+            self._known.apply(item, sender, now, wall)
+        first = self._answers(datagram)
+        first += self._hear(datagram, now)
+        match datagram.kind:
+            case Kind.PING:
+                self._send(
+                    source, Kind.ACK, sender, sequence=datagram.sequence, first=first
+                )
+                return
+            case Kind.PING_REQUEST:
+                self._relay(datagram, source, now)
+            case Kind.ACK:
+                self._acknowledged(datagram, now)
+            case Kind.NEWS:
+                pass
+        if first:
+            self._send(source, Kind.NEWS, sender, first=first)
+
+    def _hear(self, datagram: Datagram, now: float) -> list[Item]:
+        known = self._table.others.get(datagram.sender)
+        if known is None or datagram.incarnation < known.incarnation:
+            return []
+        self._probes.hear(datagram.sender)
+        self._table.set_version(datagram.sender, datagram.in_force)
+        return self._compare(datagram, known, now)
+
+    def _answers(self, datagram: Datagram) -> list[Item]:
+        """Return what the sender has wrong or lacks, as far as its head shows."""
+        answers: list[Item] = []
+        if datagram.kind in (Kind.PING, Kind.ACK) and not datagram.target:
+            is_wrong = datagram.your_state >= State.SUSPECT
+            if is_wrong and datagram.your_incarnation >= self._table.me.incarnation:
+                self._known.restate(datagram.your_incarnation + 1, self._table.me.state)
+            if datagram.your_incarnation < self._table.me.incarnation:
+                answers.append(record_of(self._table.me))
+        if datagram.newest < self._known.newest.version:
+            answers.append(self._known.newest)
+        return answers
+
+    def _relay(self, datagram: Datagram, source: Address, now: float) -> None:
+        target = self._table.others.get(datagram.target)
+        if target is None or len(self._relayed) >= MAX_RELAYED:
+            return
+        sequence = self._probes.new_sequence()
+        self._relayed[sequence] = (
+            source,
+            datagram.sequence,
+            datagram.sender,
+            now + RELAY_SECONDS,
+        )
+        self._send(target.peer, Kind.PING, target.node, sequence=sequence)
+
+    def _acknowledged(self, datagram: Datagram, now: float) -> None:
+        if datagram.target:
+            # A relay heard the target; that counts as if this node had.
+            self._probes.hear(datagram.target)
+            return
+        relayed = self._relayed.pop(datagram.sequence, None)
+        if relayed is not None:
+            address, sequence, node, _ = relayed
+            self._send(
+                address, Kind.ACK, node, sequence=sequence, target=datagram.sender
+            )
+
+    def _compare(self, datagram: Datagram, sender: Member, now: float) -> list[Item]:
+        """Mend what news has left apart, once digests have differed for a while.
+
+        Most often one of the two missed one item, so the recent ones are said again
+        first; where that doesn't help, the two exchange all they know.
+        """
+        if datagram.digest == self._table.digest:
+            self._mismatch.pop(sender.node, None)
+            return []
+        pair = (self._table.digest, datagram.digest)
+        former = self._mismatch.get(sender.node)
+        if former is None or former[:2] != pair:
+            self._mismatch[sender.node] = (*pair, now)
+            return []
+        lasted = now - former[2]
+        if lasted < self._timing.repeat_seconds:
+            return []
+        if lasted >= self._timing.mismatch_seconds and now >= self._exchange_at:
+            self._mismatch.pop(sender.node)
+            self._exchange_at = now + self._timing.exchange_seconds
+            self._known.events.append(ExchangeWanted(peer=sender.peer))
+        return self._known.recent_items(N_REPEATED)
