--- a/celerytrail/cmdline.py
+++ b/celerytrail/cmdline.py
@@ -47,6 +47,13 @@
     run_node(cfg)
 
 
+def _console(cfg: settings.ConsoleSettings) -> None:
+    """Run the operators' console of forms."""
+    from .operators.app import run_console
+
+    run_console(cfg)
+
+
 def _debug(cfg: settings.NodeSettings) -> None:
     """Print what a bug report needs: versions and effective settings."""
     from .debug import versions
@@ -55,6 +62,40 @@
         typer.echo(f"{name}: {value}")
 
 
+@config_app.command("check")
+def config_check(
+    files: Annotated[list[Path], typer.Argument(help="Documents as JSON files.")],
+) -> None:
+    """Check documents; every finding is printed with its place."""
+    from .operators.validation import validate
+
+    findings: list[Finding] = []
+    for path in files:
+        checked = validate(_read_bytes(path))
+        if isinstance(checked, Err):
+            findings += [
+                Finding(place=f"{path}: {found.place}", problem=found.problem)
+                for found in checked.err_value
+            ]
+        else:
+            typer.echo(f"{path}: fine")
+    if findings:
+        _fail(findings)
+
+
+@app.command()
+def account(
+    name: Annotated[str, typer.Argument(help="The operator's name.")],
+    password: Annotated[
+        str, typer.Option(prompt=True, hide_input=True, confirmation_prompt=True)
+    ],
+) -> None:
+    """Print an operator's account for the console's settings."""
+    from .operators.sessions import make_account
+
+    typer.echo(make_account(name, password))
+
+
 @app.command()
 def timeline(
     logs: Annotated[list[Path], typer.Argument(help="Log files of any processes.")],
@@ -143,4 +184,5 @@
 
 
 _settings_command("node", settings.NodeSettings, _node)
+_settings_command("console", settings.ConsoleSettings, _console)
 _settings_command("debug", settings.NodeSettings, _debug)
--- a/celerytrail/node.py
+++ b/celerytrail/node.py
@@ -6,20 +6,25 @@
 import os
 import random
 import signal
+from collections.abc import Coroutine
 
 from eliot import log_message
 
+from . import wiring
 from .clock import Clock, SystemClock
 from .configuration import Configuration
 from .http import Request
 from .httpclient import HttpClient
 from .httpserver import HttpServer, Responder, ServerLimits
+from .leaving import LeavingBoard
 from .log import start_logging
 from .metrics import Metrics
 from .network import Network, SystemNetwork
+from .nodes.signing import PeerKeys
 from .routes import Params, Router
 from .settings import NodeSettings
 from .types import Address
+from .vmwatch import VmWatch
 
 
 class Node:
@@ -45,63 +50,118 @@
         rng: random.Random | None = None,
         network: Network | None = None,
     ) -> None:
+        rng = rng or random.Random()
+        network = network or SystemNetwork()
+        node_id = f"{cfg.vm}-{rng.getrandbits(32):08x}"
         self.cfg = cfg
-        self.clock = clock or SystemClock()
-        self.rng = rng or random.Random()
-        self.node_id = f"{cfg.vm}-{self.rng.getrandbits(32):08x}"
-        self.metrics = Metrics(process=cfg.vm)
-        self.configuration = Configuration()
-        self.network = network or SystemNetwork()
-        self.client = HttpClient(process=self.node_id, network=self.network)
+        self.base = wiring.Base(
+            cfg=cfg,
+            node_id=node_id,
+            clock=clock or SystemClock(),
+            rng=rng,
+            network=network,
+            client=HttpClient(process=node_id, network=network),
+            metrics=Metrics(process=cfg.vm),
+            configuration=Configuration(),
+            leaving=LeavingBoard(),
+            keys=PeerKeys(keys=[key.secret for key in cfg.peer_keys]),
+        )
         self.is_leaving = False
+        self._tasks: list[asyncio.Task[None]] = []
         self._caller_router = Router()
         self._peer_router = Router()
         self._caller_server = HttpServer(
             handler=self._caller_router,
             limits=ServerLimits(max_connections=cfg.max_connections),
-            network=self.network,
+            network=network,
+        )
+        self._peer_server = HttpServer(handler=self._peer_router, network=network)
+        self._platform = wiring.connect_platform(self.base)
+        self.nodes = wiring.make_nodes(self.base)
+        self.sync = wiring.make_sync(self.base, self._platform, self.nodes)
+        self._vms = VmWatch(
+            vms=self._platform.vms,
+            nodes=self.nodes,
+            leaving=self.base.leaving,
+            configuration=self.base.configuration,
+            clock=self.base.clock,
+            rng=rng,
         )
-        self._peer_server = HttpServer(handler=self._peer_router, network=self.network)
+        self.callers = wiring.make_callers(self.base)
+        self.status = wiring.make_status(self.base, self.nodes, self.sync)
         self._add_routes()
 
     async def start(self) -> None:
         """Join the others and serve."""
         await self._peer_server.start(self.cfg.peer_listen)
+        await self.nodes.start()
+        await self.sync.start()
+        self._run(self._vms.run())
         await self._caller_server.start(self.cfg.caller_listen)
-        log_message("node:started", node=self.node_id, callers=str(self.callers))
+        log_message(
+            "node:started", node=self.base.node_id, callers=str(self.caller_address)
+        )
 
     @property
-    def callers(self) -> Address:
+    def caller_address(self) -> Address:
         """Return the address at which callers find this node."""
         return self.cfg.caller_listen
 
     async def leave(self) -> None:
-        """Stop gracefully: cut nothing, however long that takes."""
+        """Stop gracefully: cut nothing, however long that takes.
+
+        First all are told to name this node to callers no more. Callers keep address
+        answers for a while, so it goes on serving new connections until the last
+        answer that named it has expired; were it to close earlier, they would be
+        refused at an address they were told to use. Then what is in progress ends.
+        """
         self.is_leaving = True
-        log_message("node:leaving", node=self.node_id)
+        log_message("node:leaving", node=self.base.node_id)
+        open_until = await self.nodes.leave()
+        await asyncio.sleep(max(0.0, open_until - self.base.clock.monotonic()))
+        log_message("node:draining", n_in_progress=self._caller_server.n_busy)
         await self._caller_server.drain()
+        await self._stop_parts()
         await self._peer_server.drain()
-        self.client.close()
-        log_message("node:left", node=self.node_id)
+        self.base.client.close()
+        log_message("node:left", node=self.base.node_id)
 
     async def close(self) -> None:
         """Stop at once, cutting what is in progress; for tests."""
         await self._caller_server.close()
+        await self._stop_parts()
         await self._peer_server.close()
-        self.client.close()
+        self.base.client.close()
+
+    async def _stop_parts(self) -> None:
+        self.callers.close()
+        for task in self._tasks:
+            task.cancel()
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+        await self.sync.stop()
+        await self.nodes.stop()
+
+    def _run(self, work: Coroutine[object, object, None]) -> None:
+        self._tasks.append(asyncio.get_running_loop().create_task(work))
 
     def _add_routes(self) -> None:
         for router in (self._caller_router, self._peer_router):
             router.add("GET", "/healthz", self._health)
             router.add("GET", "/readyz", self._ready)
+        self.callers.add_routes(self._caller_router)
+        wiring.make_addresses(self.base, self.nodes).add_routes(self._caller_router)
         self._peer_router.add("GET", "/metrics", self._metrics)
+        self.nodes.add_routes(self._peer_router)
+        self.sync.add_routes(self._peer_router)
+        self.status.add_routes(self._peer_router)
 
     async def _health(self, req: Request, res: Responder, params: Params) -> None:
         await res.send_json(200, {"status": "alive"})
 
     async def _ready(self, req: Request, res: Responder, params: Params) -> None:
         """Say whether callers should be sent here: not before there is a document."""
-        version = self.configuration.current.version
+        version = self.sync.version
         is_ready = version > 0 and not self.is_leaving
         await res.send_json(
             200 if is_ready else 503,
@@ -109,10 +169,10 @@
         )
 
     async def _metrics(self, req: Request, res: Responder, params: Params) -> None:
-        self.metrics.set(
-            "configuration_version", float(self.configuration.current.version)
-        )
-        body, headers = self.metrics.render()
+        self.callers.flush_metrics()
+        self.nodes.count_members()
+        self.base.metrics.set("configuration_version", float(self.sync.version))
+        body, headers = self.base.metrics.render()
         await res.send(200, body, headers)
 
 
@@ -129,7 +189,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _stop, told_to_stop, number)
     await node.start()
-    print(f"listening {node.callers} pid {os.getpid()}", flush=True)
+    print(f"listening {node.caller_address} pid {os.getpid()}", flush=True)
     await told_to_stop.wait()
     await node.leave()
 
--- a/celerytrail/platform/vms.py
+++ b/celerytrail/platform/vms.py
@@ -7,8 +7,10 @@
 from typing import Literal
 
 import msgspec
+from eliot import log_message
 from result import Err, Ok, Result
 
+from ..types import Address
 from .client import Exchanger, Unavailable
 
 
@@ -71,3 +73,16 @@
             except msgspec.MsgspecError as exc:
                 self._exchanger.note_bad_answer("vms", str(exc))
         return Ok(tuple(vms))
+
+
+def node_addresses(vms: tuple[Vm, ...]) -> list[Address]:
+    """Return the peer addresses that are listed; one that is wrong is left out."""
+    addresses = []
+    for vm in vms:
+        if vm.address is None:
+            continue
+        try:
+            addresses.append(Address.parse(vm.address))
+        except ValueError as exc:
+            log_message("vms:bad_address", vm=vm.vm, problem=str(exc))
+    return addresses
--- a/celerytrail/settings.py
+++ b/celerytrail/settings.py
@@ -86,6 +86,20 @@
     return tuple(keys)
 
 
+def parse_accounts(text: str) -> str:
+    """Take operators' accounts as they stand, once they can be read.
+
+    The console reads them again with `operators.sessions.parse_accounts`, which is
+    loaded here only when needed, since a node has no use for it.
+    """
+    from .operators.sessions import parse_accounts as read_accounts
+
+    checked = read_accounts(text, "accounts")
+    if isinstance(checked, Err):
+        raise ValueError("; ".join(found.problem for found in checked.err_value))
+    return text
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Option:
     """What is known of one option besides its name and default."""
@@ -178,8 +192,9 @@
         parse_addresses, "IP:PORT of some nodes' peer addresses.", ""
     )
     accounts: str = option(
-        parse_path,
-        "Operators, as NAME:SALT:HASH with commas; `celerytrail account` makes one.",
+        parse_accounts,
+        "Operators, as NAME:SALT:HASH with commas; `celerytrail account NAME` makes "
+        "one.",
         secret=True,
     )
     session_keys: tuple[SigningKey, ...] = option(
--- /dev/null
+++ b/celerytrail/status.py
@@ -0,0 +1,102 @@
+"""What a node says of itself to operators: ``GET /peer/v1/status``."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from .configsync import ConfigSync
+from .http import Request
+from .httpserver import Responder
+from .leaving import LeavingBoard
+from .nodes.nodes import Nodes
+from .nodes.signing import PeerKeys
+from .routes import Params, Router, send_error
+
+STATUS_PATH = "/peer/v1/status"
+
+Part = Callable[[], Mapping[str, object]]
+
+
+class NodeStatus:
+    """Collects the state of a node's parts.
+
+    Parameters
+    ----------
+    nodes : Nodes
+        The members.
+    sync : ConfigSync
+        The version in force.
+    leaving : LeavingBoard
+        Engines and endpoints that leave.
+    keys : PeerKeys
+        Check who asks.
+    wall : callable
+        Returns the wall time, in seconds since the epoch.
+    """
+
+    def __init__(
+        self,
+        *,
+        nodes: Nodes,
+        sync: ConfigSync,
+        leaving: LeavingBoard,
+        keys: PeerKeys,
+        wall: Callable[[], float],
+    ) -> None:
+        self._nodes = nodes
+        self._sync = sync
+        self._leaving = leaving
+        self._keys = keys
+        self._wall = wall
+        self._parts: dict[str, Part] = {}
+
+    def add_part(self, name: str, part: Part) -> None:
+        """Show what ``part`` returns under a name of its own."""
+        self._parts[name] = part
+
+    def add_routes(self, router: Router) -> None:
+        """Add the route."""
+        router.add("GET", STATUS_PATH, self._answer)
+
+    def collect(self) -> dict[str, object]:
+        """Return the whole state."""
+        me = self._nodes.me
+        now = self._wall()
+        members = [
+            {
+                "node": member.node,
+                "state": member.state.name.lower(),
+                "failure_domain": member.failure_domain,
+                "caller_address": str(member.caller),
+                "peer_address": str(member.peer),
+            }
+            for member in self._nodes.members()
+        ]
+        leaving = [
+            {"endpoint": fact.endpoint, "source": fact.source, "since": fact.at}
+            for fact in self._leaving.facts(now)
+        ]
+        status: dict[str, object] = {
+            "node": me.node,
+            "vm": me.vm,
+            "failure_domain": me.failure_domain,
+            "region": me.region,
+            "state": me.state.name.lower(),
+            "at": now,
+            "version": self._sync.version,
+            "root": self._sync.root,
+            "members": members,
+            "leaving": leaving,
+        }
+        for name, part in self._parts.items():
+            status[name] = part()
+        return status
+
+    async def _answer(self, req: Request, res: Responder, params: Params) -> None:
+        if not self._keys.accepts(req):
+            message = "no accepted peer key signed this request"
+            await send_error(
+                res, 403, "bad_signature", place="x-peer-signature", message=message
+            )
+            return
+        await res.send_json(200, self.collect())
--- /dev/null
+++ b/scenarios/__main__.py
@@ -0,0 +1,78 @@
+"""Runs scenario files: ``python -m scenarios [--real] FILE...``."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import time
+from pathlib import Path
+from typing import Annotated
+
+import looptime
+import typer
+from result import Err
+
+from celerytrail.types import Finding
+
+from . import steps
+from .language import parse
+from .memorydriver import MemoryDriver
+from .realdriver import NotOnRealLinksError, RealDriver
+from .runner import Runner
+
+
+def run_in_memory(scenario: steps.Scenario, seed: int = 1) -> tuple[Finding, ...]:
+    """Run a scenario in this process on virtual time."""
+    loop = looptime.new_event_loop()
+    # No real input is ever waited for here, so no cycle is spent on looking for it.
+    loop.setup_looptime(start=0, noop_cycles=0)
+    try:
+        found: tuple[Finding, ...] = loop.run_until_complete(
+            Runner(driver=MemoryDriver(seed=seed)).run(scenario)
+        )
+        return found
+    finally:
+        loop.close()
+
+
+def run_for_real(scenario: steps.Scenario) -> tuple[Finding, ...]:
+    """Run a scenario with real processes and real signals."""
+    with tempfile.TemporaryDirectory(prefix="celerytrail-scenario-") as folder:
+        driver = RealDriver(folder=Path(folder))
+        return asyncio.run(Runner(driver=driver).run(scenario))
+
+
+def main(
+    files: Annotated[list[Path], typer.Argument(help="Scenario files.")],
+    real: Annotated[bool, typer.Option(help="With real processes.")] = False,
+    seed: Annotated[int, typer.Option(help="Of the driver in memory.")] = 1,
+) -> None:
+    """Run scenarios and say, with file and line, what did not hold."""
+    n_failed = 0
+    for path in files:
+        parsed = parse(path.read_text(encoding="utf-8"), path.name)
+        if isinstance(parsed, Err):
+            findings: tuple[Finding, ...] = (parsed.err_value,)
+        else:
+            started_at = time.monotonic()
+            try:
+                scenario = parsed.ok_value
+                if real:
+                    findings = run_for_real(scenario)
+                else:
+                    findings = run_in_memory(scenario, seed)
+            except NotOnRealLinksError as exc:
+                typer.echo(f"passed over  {path.name}: real links can't {exc}")
+                continue
+            seconds = time.monotonic() - started_at
+            word = "FAILED" if findings else "held"
+            typer.echo(f"{word:12} {path.name} ({seconds:.1f} s) {scenario.title}")
+        for finding in findings:
+            typer.echo(f"    {finding}")
+        n_failed += bool(findings)
+    if n_failed:
+        raise typer.Exit(1)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/scenarios/memorydriver.py
@@ -0,0 +1,220 @@
+"""Runs a scenario with the node's own objects in one process, on a clock tests move.
+
+Stand-ins and nodes share one loop and talk over the network in memory. A frozen
+process here is one that nothing reaches and that reaches nobody, while its own timers
+go on; real freezes are for the driver with real processes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from celerytrail.clock import LoopClock
+from celerytrail.node import Node
+from celerytrail.settings import NodeSettings, SigningKey
+from celerytrail.types import Address
+from standins import engine as engines
+from standins.batch import Batch
+from standins.faults import FaultyServer
+from standins.platform import PlatformStandin
+from standins.service import ServiceStandin
+
+from .callers import MODEL, SERVICE
+from .httpdriver import FAILURE_DOMAINS, HttpDriver
+from .memorynetwork import Wires
+
+SECRET = SigningKey(key_id="k1", secret=bytes(range(32)))
+CALLER_PORT = 7100
+PEER_PORT = 7101
+STANDIN_PORT = 7000
+HOSTS = {"node": 1, "engine": 2, SERVICE: 3, "platform": 4}
+TOKENS_PER_SECOND = 50.0
+N_MEMORY_TOKENS = 20_000
+
+
+@dataclass(kw_only=True)
+class _Process:
+    """One process of the scenario."""
+
+    address: Address
+    peer: Address | None = None
+    node: Node | None = None
+    server: FaultyServer | None = None
+    clock: LoopClock = field(default_factory=LoopClock)
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    has_ended: bool = False
+
+
+class MemoryDriver(HttpDriver):
+    """A driver whose processes live in this one.
+
+    Parameters
+    ----------
+    seed : int
+        Of all random choices.
+    """
+
+    def __init__(self, *, seed: int = 1) -> None:
+        self._wires = Wires(rng=random.Random(seed))
+        super().__init__(
+            network=self._wires.process("callers"), clock=LoopClock(), seed=seed
+        )
+        self._processes: dict[str, _Process] = {}
+
+    async def start_all(self, n_nodes: int, n_engines: int, n_endpoints: int) -> None:
+        """Start everything and put a first document in force."""
+        await self.start_one("platform")
+        for number in range(1, n_engines + 1):
+            await self.start_one(f"engine-{number}")
+        for number in range(1, n_endpoints + 1):
+            await self.start_one(f"{SERVICE}-{number}")
+        for number in range(1, n_nodes + 1):
+            await self.start_one(f"node-{number}")
+        await self.put_first_document()
+
+    async def start_one(self, name: str) -> None:
+        """Start one more process, or a dead one anew."""
+        kind, _, number = name.partition("-")
+        host = f"10.0.{HOSTS[kind]}.{number or 1}"
+        if kind == "node":
+            await self._start_node(name, host, int(number))
+        else:
+            await self._start_standin(name, kind, host)
+
+    async def signal(self, name: str, action: str) -> None:
+        """Kill, freeze, thaw or stop a process."""
+        process = self._processes[name]
+        if action == "freeze":
+            self._wires.freeze(name)
+        elif action == "thaw":
+            self._wires.thaw(name)
+        elif action == "kill":
+            process.has_ended = True
+            self._wires.kill(name)
+            await self._end(process)
+        else:
+            assert process.node is not None
+            leaving = asyncio.create_task(self._leave(process))
+            process.tasks.append(leaving)
+
+    async def cut(self, sender: str, receiver: str, *, is_both_ways: bool) -> None:
+        """Hold what goes from one process to another."""
+        self._wires.cut(sender, receiver)
+        if is_both_ways:
+            self._wires.cut(receiver, sender)
+
+    async def heal(self) -> None:
+        """Take all cuts away."""
+        self._wires.heal()
+
+    async def drop_datagrams(self, share: float) -> None:
+        """Drop a share of the nodes' datagrams."""
+        self._wires.dropped_share = share
+
+    async def jump(self, name: str, seconds: float) -> None:
+        """Move a node's wall clock."""
+        self._processes[name].clock.wall_offset += seconds
+
+    def addresses(self, prefix: str) -> Mapping[str, Address]:
+        """Return the processes whose names begin so, with where they listen."""
+        return {
+            name: process.address
+            for name, process in self._processes.items()
+            if name.startswith(prefix)
+        }
+
+    def peer_addresses(self) -> Mapping[str, Address]:
+        """Return where nodes listen for one another."""
+        return {
+            name: process.peer
+            for name, process in self._processes.items()
+            if process.peer is not None
+        }
+
+    def has_ended(self, name: str) -> bool:
+        """Return whether a process has exited."""
+        return self._processes[name].has_ended
+
+    async def close(self) -> None:
+        """End everything that was started."""
+        await self.close_clients()
+        self._wires.heal()
+        for process in self._processes.values():
+            if not process.has_ended:
+                await self._end(process)
+
+    async def _start_node(self, name: str, host: str, number: int) -> None:
+        address = Address(host=host, port=CALLER_PORT)
+        peer = Address(host=host, port=PEER_PORT)
+        process = _Process(address=address, peer=peer)
+        cfg = NodeSettings(
+            vm=name,
+            failure_domain=FAILURE_DOMAINS[(number - 1) % len(FAILURE_DOMAINS)],
+            region="default",
+            caller_listen=address,
+            peer_listen=peer,
+            platform=(self._processes["platform"].address,),
+            seeds=tuple(self.peer_addresses().values())[:3],
+            ticket_keys=(SECRET,),
+            peer_keys=(SECRET,),
+            answer_seconds=5.0,
+            queue_seconds=20.0,
+            generation_seconds=1_800.0,
+            call_seconds=30.0,
+            stall_seconds=5.0,
+            max_connections=2_000,
+            log_file="-",
+        )
+        process.node = Node(
+            cfg=cfg,
+            clock=process.clock,
+            rng=random.Random(self._rng.getrandbits(32)),
+            network=self._wires.process(name),
+        )
+        await process.node.start()
+        self._processes[name] = process
+
+    async def _start_standin(self, name: str, kind: str, host: str) -> None:
+        address = Address(host=host, port=STANDIN_PORT)
+        process = _Process(address=address)
+        network = self._wires.process(name)
+        if kind == "engine":
+            batch = Batch(
+                engine=name,
+                incarnation=f"{self._rng.getrandbits(48):012x}",
+                model=MODEL,
+                tokens_per_second=TOKENS_PER_SECOND,
+                n_memory_tokens=N_MEMORY_TOKENS,
+            )
+            server, task = await engines.serve(
+                listen=address, batch=batch, clock=process.clock, network=network
+            )
+            process.tasks.append(task)
+            process.server = server
+        elif kind == "platform":
+            platform = PlatformStandin(clock=process.clock)
+            await platform.server.start(address, network)
+            process.server = platform.server
+        else:
+            endpoint = ServiceStandin(name=name, clock=process.clock)
+            await endpoint.server.start(address, network)
+            process.server = endpoint.server
+        self._processes[name] = process
+
+    async def _leave(self, process: _Process) -> None:
+        assert process.node is not None
+        await process.node.leave()
+        process.has_ended = True
+
+    async def _end(self, process: _Process) -> None:
+        for task in process.tasks:
+            task.cancel()
+        if process.tasks:
+            await asyncio.wait(process.tasks)
+        if process.node is not None:
+            await process.node.close()
+        if process.server is not None:
+            await process.server.close()
--- /dev/null
+++ b/scenarios/realdriver.py
@@ -0,0 +1,114 @@
+"""Runs a scenario with real processes and real signals on this machine."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Mapping
+from pathlib import Path
+
+from celerytrail.clock import SystemClock
+from celerytrail.network import SystemNetwork
+from celerytrail.types import Address
+from chores.system import SERVICE, Child, Layout, System
+
+from .httpdriver import HttpDriver
+
+SIGNALS = {
+    "kill": signal.SIGKILL,
+    "freeze": signal.SIGSTOP,
+    "thaw": signal.SIGCONT,
+    "stop": signal.SIGTERM,
+}
+
+
+class NotOnRealLinksError(Exception):
+    """The step needs links that a driver with real processes can't disturb."""
+
+
+class RealDriver(HttpDriver):
+    """A driver whose processes are real.
+
+    Parameters
+    ----------
+    folder : Path
+        Where their logs go.
+    """
+
+    def __init__(self, *, folder: Path) -> None:
+        super().__init__(network=SystemNetwork(), clock=SystemClock())
+        self._system = System(folder=folder, layout=Layout(answer_seconds=3.0))
+
+    async def start_all(self, n_nodes: int, n_engines: int, n_endpoints: int) -> None:
+        """Start everything and put a first document in force."""
+        self._system.layout = Layout(
+            n_nodes=n_nodes,
+            n_engines=n_engines,
+            n_endpoints=n_endpoints,
+            answer_seconds=3.0,
+        )
+        await self._system.start(has_console=False)
+        await self.put_first_document()
+
+    async def start_one(self, name: str) -> None:
+        """Start one more process, or a dead one anew."""
+        kind, _, number = name.partition("-")
+        if kind == "node":
+            child = self._system.start_node(int(number))
+        elif kind == "engine":
+            child = self._system.start_engine(name)
+        else:
+            child = self._system.start_standin(
+                name, f"standins.{_MODULES[kind]}", "--name", name
+            )
+        await self._system.wait_listening(child)
+
+    async def signal(self, name: str, action: str) -> None:
+        """Kill, freeze, thaw or stop a process."""
+        self._child(name).signal(SIGNALS[action])
+
+    async def cut(self, sender: str, receiver: str, *, is_both_ways: bool) -> None:
+        """Refuse: real links stay whole."""
+        raise NotOnRealLinksError(f"cut {sender} {receiver}")
+
+    async def heal(self) -> None:
+        """Refuse: real links stay whole."""
+        raise NotOnRealLinksError("heal")
+
+    async def drop_datagrams(self, share: float) -> None:
+        """Refuse: real links stay whole."""
+        raise NotOnRealLinksError("drop")
+
+    async def jump(self, name: str, seconds: float) -> None:
+        """Refuse: the machine's clock is left alone."""
+        raise NotOnRealLinksError("jump")
+
+    def addresses(self, prefix: str) -> Mapping[str, Address]:
+        """Return the processes whose names begin so, with where they listen."""
+        return {
+            name: child.address
+            for name, child in self._system.children.items()
+            if name.startswith(prefix)
+        }
+
+    def peer_addresses(self) -> Mapping[str, Address]:
+        """Return where nodes listen for one another."""
+        return {
+            name: child.peer
+            for name, child in self._system.children.items()
+            if child.peer is not None
+        }
+
+    def has_ended(self, name: str) -> bool:
+        """Return whether a process has exited."""
+        return self._child(name).process.poll() is not None
+
+    async def close(self) -> None:
+        """End everything that was started."""
+        await self.close_clients()
+        self._system.stop()
+
+    def _child(self, name: str) -> Child:
+        return self._system.children[name]
+
+
+_MODULES = {SERVICE: "service", "platform": "platform"}
--- a/standins/batch.py
+++ b/standins/batch.py
@@ -207,6 +207,11 @@
                 generation.note_change()
         self._expire(now)
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether there is nothing to generate."""
+        return not self._running and not self._waiting
+
     @property
     def n_used(self) -> int:
         """Return the tokens that the memory holds now."""
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -109,6 +109,8 @@
         self.batch = batch
         self.faults = faults
         self.orders: list[dict[str, object]] = []
+        self._work = asyncio.Event()
+        self.started: list[dict[str, object]] = []
         self._does_honour_fencing = does_honour_fencing
         self._report_seconds = report_seconds
         self._load_seconds = load_seconds
@@ -125,6 +127,7 @@
         router.add("GET", "/cache-events", self._cache_events)
         router.add("POST", "/orders", self._order)
         router.add("GET", "/orders", self._list_orders)
+        router.add("GET", "/started", self._list_started)
 
     async def run(self) -> None:
         """Make tokens for ever."""
@@ -136,15 +139,29 @@
             if now >= next_report:
                 self._report = self.batch.report(now, self._clock.wall())
                 next_report = now + self._report_seconds
+            if self.batch.is_idle:
+                await self._wait_work(next_report - now)
+                step_at = self._loop.time()
+                continue
             step_at = max(step_at + self.batch.step_seconds, now)
             await asyncio.sleep(step_at - now)
 
+    async def _wait_work(self, seconds: float) -> None:
+        self._work.clear()
+        try:
+            async with asyncio.timeout(seconds):
+                await self._work.wait()
+        except TimeoutError:
+            pass
+
     async def _generate(self, req: Request, res: Responder, params: Params) -> None:
         try:
             body = msgspec.json.decode(req.body, type=GenerateBody)
         except msgspec.MsgspecError as exc:
             await send_error(res, 400, "bad_body", place="body", message=str(exc))
             return
+        asked = {"generation_id": body.generation_id, "at": self._clock.wall()}
+        self.started.append(asked)
         reason = self._refusal(body)
         if reason is not None:
             await res.send_json(
@@ -164,6 +181,7 @@
                 body.priority,
                 self._loop.time(),
             )
+            self._work.set()
             await self._stream(res, generation, 0)
 
     def _refusal(self, body: GenerateBody) -> str | None:
@@ -324,6 +342,10 @@
     async def _list_orders(self, req: Request, res: Responder, params: Params) -> None:
         await res.send_json(200, {"orders": self.orders}, self._headers())
 
+    async def _list_started(self, req: Request, res: Responder, params: Params) -> None:
+        """Give, for tests, every generation that was asked for and when."""
+        await res.send_json(200, {"started": self.started})
+
     async def _unknown(self, res: Responder) -> None:
         await res.send_json(404, {"reason": "unknown_generation"}, self._headers())
 
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -140,6 +140,11 @@
             except TimeoutError:
                 continue
 
+    async def wait_change(self) -> None:
+        """Wait until a fault is switched on or off."""
+        self._changed.clear()
+        await self._changed.wait()
+
     def put(self, body: bytes) -> Result[Fault | None, Finding]:
         """Take the body of ``PUT /faults``; None stands for cleared."""
         try:
@@ -278,8 +283,8 @@
     async def _watch_refuse(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(0.01)
             if self._faults.find("refuse") is None:
+                await self._faults.wait_change()
                 continue
             self._tasks.append(loop.create_task(self._server.drain()))
             await self._faults.wait_while("refuse")
