--- a/standins/engine.py
+++ b/standins/engine.py
@@ -90,8 +90,6 @@
         Whether an order with an old fencing number is refused.
     report_seconds : float
         How often the load report is renewed; between, an old one is given.
-    event_seconds : float
-        How late cache events are published.
     load_seconds : float
         How long loading a model takes.
     clock : Clock or None
@@ -105,16 +103,16 @@
         faults: Faults,
         does_honour_fencing: bool = True,
         report_seconds: float = 0.5,
-        event_seconds: float = 1.0,
         load_seconds: float = 0.2,
         clock: Clock | None = None,
     ) -> None:
         self.batch = batch
         self.faults = faults
         self.orders: list[dict[str, object]] = []
+        self._work = asyncio.Event()
+        self.started: list[dict[str, object]] = []
         self._does_honour_fencing = does_honour_fencing
         self._report_seconds = report_seconds
-        self._event_seconds = event_seconds
         self._load_seconds = load_seconds
         self._loop = asyncio.get_running_loop()
         self._clock = clock or SystemClock()
@@ -129,6 +127,7 @@
         router.add("GET", "/cache-events", self._cache_events)
         router.add("POST", "/orders", self._order)
         router.add("GET", "/orders", self._list_orders)
+        router.add("GET", "/started", self._list_started)
 
     async def run(self) -> None:
         """Make tokens for ever."""
@@ -140,15 +139,29 @@
             if now >= next_report:
                 self._report = self.batch.report(now, self._clock.wall())
                 next_report = now + self._report_seconds
+            if self.batch.is_idle:
+                await self._wait_work(next_report - now)
+                step_at = self._loop.time()
+                continue
             step_at = max(step_at + self.batch.step_seconds, now)
             await asyncio.sleep(step_at - now)
 
+    async def _wait_work(self, seconds: float) -> None:
+        self._work.clear()
+        try:
+            async with asyncio.timeout(seconds):
+                await self._work.wait()
+        except TimeoutError:
+            pass
+
     async def _generate(self, req: Request, res: Responder, params: Params) -> None:
         try:
             body = msgspec.json.decode(req.body, type=GenerateBody)
         except msgspec.MsgspecError as exc:
             await send_error(res, 400, "bad_body", place="body", message=str(exc))
             return
+        asked = {"generation_id": body.generation_id, "at": self._clock.wall()}
+        self.started.append(asked)
         reason = self._refusal(body)
         if reason is not None:
             await res.send_json(
@@ -168,6 +181,7 @@
                 body.priority,
                 self._loop.time(),
             )
+            self._work.set()
             await self._stream(res, generation, 0)
 
     def _refusal(self, body: GenerateBody) -> str | None:
@@ -257,7 +271,7 @@
                     continue
             if garbage is not None and offset == _option(garbage.options, "after", 0):
                 lines.append(b"}garbage{\n")
-                self.faults.clear()
+                self.faults.take("garbage")
                 continue
             line = {"offset": offset, "token": generation.text(offset)}
             lines.append(msgspec.json.encode(line) + b"\n")
@@ -275,7 +289,7 @@
 
     async def _cache_events(self, req: Request, res: Responder, params: Params) -> None:
         after = int(parse_qs(req.query).get("after", ["0"])[0])
-        seen_until = self._loop.time() - self._event_seconds
+        seen_until = self._loop.time() - self.batch.event_seconds
         offset = self._clock.wall() - self._loop.time()
         events = []
         next_after = after
@@ -328,6 +342,10 @@
     async def _list_orders(self, req: Request, res: Responder, params: Params) -> None:
         await res.send_json(200, {"orders": self.orders}, self._headers())
 
+    async def _list_started(self, req: Request, res: Responder, params: Params) -> None:
+        """Give, for tests, every generation that was asked for and when."""
+        await res.send_json(200, {"started": self.started})
+
     async def _unknown(self, res: Responder) -> None:
         await res.send_json(404, {"reason": "unknown_generation"}, self._headers())
 
