Let pool homes admit, and entry nodes survive their loss

Cause: the node that holds a caller must have a place granted by the one node that knows the pool's engines, and must lose nothing when that node dies, freezes, leaves or is cut off.

Weighed: refusing every request that reaches a node not first in its own view leaves nobody home until all views agree, so the second in rank serves too; holding deadlines against the home's wall clock makes one wrong clock refuse all, so the home takes the difference of two times of the entry node's clock.

--- /dev/null
+++ b/celerytrail/nodes/alone.py
@@ -0,0 +1,85 @@
+"""What an entry node decides by when it can reach no home."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+
+from ..clock import Clock
+from ..configuration import Configuration
+from ..document import EngineSpec, VersionedDocument
+from ..engineview import EngineBook
+from ..grants import AdmitRequest, Grant
+from ..reports import EngineReport
+from ..routing import RoutingPolicy
+
+
+class AloneChooser:
+    """Chooses an engine by the last reports this node was given and its own work.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        Names the engines.
+    routing : RoutingPolicy
+        Chooses among the engines.
+    clock : Clock
+        Monotonic time.
+    rng : random.Random
+        For names of grants.
+    """
+
+    def __init__(
+        self,
+        *,
+        configuration: Configuration,
+        routing: RoutingPolicy,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._routing = routing
+        self._clock = clock
+        self._rng = rng
+        self._book = EngineBook()
+        self._take_document(configuration.current)
+        configuration.subscribe(self._take_document)
+
+    def _take_document(self, current: VersionedDocument) -> None:
+        self._book.set_engines(current.document.engines, self._clock.monotonic())
+
+    def take_reports(
+        self, reports: Sequence[EngineReport], ages: Sequence[float]
+    ) -> None:
+        """Take in reports that a home passed on, and how old each is in seconds."""
+        now = self._clock.monotonic()
+        for report, age in zip(reports, ages, strict=False):
+            self._book.report(report, now, age=age)
+
+    def choose(
+        self,
+        engines: Sequence[EngineSpec],
+        req: AdmitRequest,
+        is_leaving: Callable[[str], bool],
+    ) -> Grant | None:
+        """Return a grant of this node's own; None where no engine serves."""
+        now = self._clock.monotonic()
+        names = {engine.name for engine in engines if not is_leaving(engine.name)}
+        # Old reports do not rule an engine out here: without a home all are old.
+        views = [
+            view
+            for name, view in self._book.views.items()
+            if name in names and view.accepts(req, view.heard_at)
+        ]
+        view = self._routing.choose(views, req, now)
+        if view is None:
+            return None
+        grant = Grant(
+            grant_id=f"{req.request_id}.{self._rng.getrandbits(32):08x}",
+            engine=view.name,
+        )
+        self._book.grant(grant.grant_id, view.name, req, now)
+        return grant
+
+    def finish(self, grant: Grant) -> None:
+        """Strike a grant off; one that a home gave is not in these books."""
+        self._book.finish(grant.grant_id, self._clock.monotonic())
--- a/celerytrail/nodes/gossip.py
+++ b/celerytrail/nodes/gossip.py
@@ -11,6 +11,7 @@
 from ..clock import Clock
 from ..exceptions import InternalError
 from ..metrics import Metrics
+from ..network import Network, SystemNetwork
 from ..types import Address
 from .events import Event, Outgoing
 from .membership import Membership
@@ -39,6 +40,8 @@
         Between two steps.
     tell : callable
         Called with each event.
+    network : Network or None
+        Carries the datagrams; the machine's own by default.
     """
 
     def __init__(
@@ -50,7 +53,9 @@
         metrics: Metrics,
         tick_seconds: float,
         tell: Callable[[Event], None],
+        network: Network | None = None,
     ) -> None:
+        self._network = network or SystemNetwork()
         self._membership = membership
         self._keys = keys
         self._clock = clock
@@ -66,10 +71,7 @@
 
     async def start(self, address: Address) -> None:
         """Listen on an address and begin to step."""
-        loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(
-            lambda: self, local_addr=(address.host, address.port)
-        )
+        await self._network.open_datagrams(lambda: self, address)
         self._tick()
 
     def stop(self) -> None:
--- a/celerytrail/nodes/nodes.py
+++ b/celerytrail/nodes/nodes.py
@@ -11,6 +11,7 @@
 from ..clock import Clock
 from ..httpclient import HttpClient
 from ..metrics import Metrics
+from ..network import Network
 from ..routes import Router
 from ..types import Address
 from .events import (
@@ -63,6 +64,8 @@
         Periods and bounds.
     answer_seconds : float
         How long callers may keep an answer that names this node's address.
+    network : Network or None
+        Carries the datagrams; the machine's own by default.
     """
 
     def __init__(
@@ -76,7 +79,8 @@
         rng: random.Random,
         seeds: Sequence[Address] = (),
         timing: Timing | None = None,
-        answer_seconds: float = 10.0,
+        answer_seconds: float = 30.0,
+        network: Network | None = None,
     ) -> None:
         timing = timing or Timing()
         self._clock = clock
@@ -103,6 +107,7 @@
             metrics=metrics,
             tick_seconds=timing.tick_seconds,
             tell=self._tell,
+            network=network,
         )
         self._tasks: set[asyncio.Task[None]] = set()
         self._on_version: list[VersionCallback] = []
--- /dev/null
+++ b/celerytrail/nodes/pools.py
@@ -0,0 +1,72 @@
+"""Pools: the engines that one home decides about."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ..document import Document, EngineSpec
+
+# A home polls each of its engines twice a second and forecasts over all of them for
+# each request; this bounds both for one node.
+MAX_POOL_ENGINES = 32
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Pool:
+    """Engines of one model in one region that one home decides about.
+
+    Parameters
+    ----------
+    key : str
+        Its name among the nodes; the same at all that have the same document.
+    model, region : str
+        What it serves and where it is.
+    engines : tuple of EngineSpec
+        By name.
+    """
+
+    key: str
+    model: str
+    region: str
+    engines: tuple[EngineSpec, ...]
+
+
+def pools_of(document: Document) -> dict[str, Pool]:
+    """Split a document's engines into pools, by key."""
+    groups: dict[tuple[str, str], list[EngineSpec]] = {}
+    for engine in document.engines:
+        groups.setdefault((engine.model, engine.region), []).append(engine)
+    pools = {}
+    for (model, region), engines in groups.items():
+        for number, shard in enumerate(_shards(engines)):
+            key = f"{model}/{region}/{number}"
+            pools[key] = Pool(
+                key=key,
+                model=model,
+                region=region,
+                engines=tuple(sorted(shard, key=lambda engine: engine.name)),
+            )
+    return pools
+
+
+def _shards(engines: list[EngineSpec]) -> Iterable[list[EngineSpec]]:
+    """Split engines by a hash of their names, so that one more moves few others."""
+    n_shards = math.ceil(len(engines) / MAX_POOL_ENGINES)
+    while True:
+        shards: list[list[EngineSpec]] = [[] for _ in range(n_shards)]
+        for engine in engines:
+            shards[_number(engine.name, n_shards)].append(engine)
+        if all(len(shard) <= MAX_POOL_ENGINES for shard in shards):
+            return [shard for shard in shards if shard]
+        n_shards += 1
+
+
+def _number(name: str, n_shards: int) -> int:
+    def weight(number: int) -> bytes:
+        text = f"{number} {name}".encode()
+        return hashlib.blake2b(text, digest_size=8).digest()
+
+    return max(range(n_shards), key=weight)
--- /dev/null
+++ b/tests/test_homes.py
@@ -0,0 +1,509 @@
+"""Pool homes and the admitter that asks them, over a network in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+from result import Err, Ok
+
+from celerytrail.clock import LoopClock
+from celerytrail.configuration import Configuration
+from celerytrail.document import Document, EngineSpec, VersionedDocument
+from celerytrail.engines.wire import CacheEvents, EngineLost
+from celerytrail.grants import AdmitRequest
+from celerytrail.httpclient import HttpClient
+from celerytrail.httpserver import HttpServer
+from celerytrail.lengths import LearnedLengths
+from celerytrail.metrics import Metrics
+from celerytrail.nodes.admitters import HomeAdmitter
+from celerytrail.nodes.alone import AloneChooser
+from celerytrail.nodes.homes import Homes
+from celerytrail.nodes.member import Member
+from celerytrail.nodes.pools import MAX_POOL_ENGINES, pools_of
+from celerytrail.nodes.rendezvous import rank
+from celerytrail.nodes.signing import PeerKeys
+from celerytrail.nodes.view import ranked
+from celerytrail.reports import EngineReport
+from celerytrail.routes import Router
+from celerytrail.routing import PowerOfTwo
+from celerytrail.types import Address
+from scenarios.memorynetwork import Wires
+
+POOL = "llm/r/0"
+N_MEMORY = 8_000
+
+
+def engine_spec(number: int) -> EngineSpec:
+    return EngineSpec(
+        name=f"engine-{number}",
+        address=f"10.0.1.{number}:80",
+        failure_domain="fd-1",
+        region="r",
+        model="llm",
+    )
+
+
+class FakeEngines:
+    """Engines' load reports, in place of the client that fetches them."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.used = {}
+        self.running = {}
+        self.leaving = {}
+        self.silent = set()
+        self.sequence = 0
+
+    async def load(self, address, *, deadline):
+        name = f"engine-{address.host.rsplit('.', 1)[1]}"
+        await asyncio.sleep(0.001)
+        if name in self.silent:
+            return Err(EngineLost(reason="timeout"))
+        self.sequence += 1
+        return Ok(
+            EngineReport(
+                engine=name,
+                incarnation="i",
+                sequence=self.sequence,
+                at=self.clock.wall(),
+                n_memory_tokens=N_MEMORY,
+                n_used_tokens=self.used.get(name, 0),
+                model="llm",
+                running=tuple(self.running.get(name, ())),
+                leaving_at=self.leaving.get(name),
+            )
+        )
+
+    async def cache_events(self, address, after, *, deadline):
+        return Ok(CacheEvents(next=after))
+
+
+class FakeNodes:
+    """One node's view of who lives."""
+
+    def __init__(self, me, members):
+        self.me = me
+        self._members = members
+        self.gone = set()
+        self._callbacks = []
+
+    def live(self, region=None):
+        return tuple(
+            m
+            for m in self._members
+            if m.node not in self.gone and region in (None, m.region)
+        )
+
+    def on_change(self, callback):
+        self._callbacks.append(callback)
+
+    def lose(self, *names):
+        self.gone.update(names)
+        self.tell()
+
+    def tell(self):
+        for callback in self._callbacks:
+            callback()
+
+
+class Peer:
+    """One node with its homes and its admitter."""
+
+    def __init__(self, rig, me):
+        self.name = me.node
+        self.nodes = FakeNodes(me, rig.members)
+        self.leaving = set()
+        self.told = []
+        self.network = rig.wires.process(me.node)
+        self.client = HttpClient(process=me.node, network=self.network)
+        self.metrics = Metrics(process=me.node)
+        rng = random.Random(me.node)
+        shared = {
+            "nodes": self.nodes,
+            "keys": PeerKeys(keys=[b"key"]),
+            "clock": rig.clock,
+            "rng": rng,
+            "metrics": self.metrics,
+            "is_leaving": self.leaving.__contains__,
+        }
+        self.homes = Homes(
+            configuration=rig.configuration,
+            client=rig.engines,
+            tell_leaving=lambda engine, at: self.told.append(engine),
+            **shared,
+        )
+        alone = AloneChooser(
+            configuration=rig.configuration,
+            routing=PowerOfTwo(rng=rng, lengths=LearnedLengths()),
+            clock=rig.clock,
+            rng=rng,
+        )
+        self.admitter = HomeAdmitter(
+            homes=self.homes, client=self.client, alone=alone, **shared
+        )
+        router = Router()
+        self.homes.add_routes(router)
+        self.server = HttpServer(handler=router, network=self.network)
+
+    async def start(self):
+        await self.server.start(self.nodes.me.peer)
+        await self.homes.start()
+        await self.admitter.start()
+
+    async def stop(self):
+        await self.admitter.stop()
+        await self.homes.stop()
+        await self.server.close()
+        self.client.close()
+
+
+class Rig:
+    """Three nodes, two engines."""
+
+    def __init__(self):
+        self.clock = LoopClock()
+        self.wires = Wires(rng=random.Random(1))
+        self.engines = FakeEngines(self.clock)
+        self.configuration = Configuration()
+        document = Document(engines=(engine_spec(1), engine_spec(2)))
+        self.configuration.offer(VersionedDocument(version=1, document=document))
+        self.members = [
+            Member(
+                node=name,
+                incarnation=1,
+                caller=Address(host=f"10.0.0.{number}", port=70),
+                peer=Address(host=f"10.0.0.{number}", port=71),
+                region="r",
+            )
+            for number, name in enumerate(["a", "b", "c"], start=1)
+        ]
+        self.peers = {m.node: Peer(self, m) for m in self.members}
+        order = rank(POOL, self.peers)
+        self.first, self.second, self.entry = (self.peers[name] for name in order)
+
+    def request(self, request_id="q1", seconds=10.0, **changes):
+        fields = {
+            "request_id": request_id,
+            "organisation": "org",
+            "model": "llm",
+            "n_prompt_tokens": 100,
+            "n_max_tokens": 200,
+            "queue_deadline": self.clock.monotonic() + seconds,
+        }
+        return AdmitRequest(**{**fields, **changes})
+
+    def scheduler(self, peer):
+        return peer.homes._homes[POOL].scheduler
+
+    def fill(self):
+        for number in (1, 2):
+            self.engines.used[f"engine-{number}"] = N_MEMORY
+
+
+def with_rig(test):
+    """Give a test a started rig.
+
+    A fixture won't do: under looptime it runs before the virtual time begins, so the
+    timers that it started would never come.
+    """
+
+    async def wrapper(self):
+        rig = Rig()
+        for peer in rig.peers.values():
+            await peer.start()
+        await asyncio.sleep(1.0)
+        try:
+            await test(self, rig)
+        finally:
+            rig.wires.heal()
+            for peer in rig.peers.values():
+                await peer.stop()
+
+    wrapper.__doc__ = test.__doc__
+    return wrapper
+
+
+class TestPools:
+    def test_large_pool_is_split_and_each_engine_is_in_one(self):
+        engines = tuple(engine_spec(number) for number in range(100))
+        pools = pools_of(Document(engines=engines))
+        names = [engine.name for pool in pools.values() for engine in pool.engines]
+        assert sorted(names) == sorted(engine.name for engine in engines)
+        assert all(len(pool.engines) <= MAX_POOL_ENGINES for pool in pools.values())
+
+    def test_lost_node_moves_only_its_own_keys(self):
+        """A node dies. Were other pools moved too, each death would make many homes
+        learn their engines anew at once.
+        """
+        names = [f"n{number}" for number in range(20)]
+        for number in range(200):
+            key = f"pool-{number}"
+            order = rank(key, names)
+            assert rank(key, [name for name in names if name != "n7"]) == [
+                name for name in order if name != "n7"
+            ]
+
+
+@pytest.mark.looptime
+class TestAdmission:
+    @with_rig
+    async def test_grant_comes_from_the_home(self, rig):
+        for peer in rig.peers.values():
+            answer = await peer.admitter.admit(rig.request(f"q-{peer.name}"))
+            assert answer.ok_value.home == rig.first.name
+
+    @with_rig
+    async def test_refused_at_the_queue_deadline(self, rig):
+        """All engines are full. The caller is told so when its time in the queue is
+        over, and when to come back, not later.
+        """
+        rig.fill()
+        await asyncio.sleep(1.0)
+        started_at = rig.clock.monotonic()
+        answer = await rig.entry.admitter.admit(rig.request(seconds=2.0))
+        assert answer.err_value.retry_after is not None
+        assert rig.clock.monotonic() - started_at < 2.3
+
+    @with_rig
+    async def test_clock_of_the_home_is_ahead(self, rig):
+        """One VM's clock is an hour wrong. Were deadlines held against it, its home
+        would refuse every request as late.
+        """
+        peer_clock = LoopClock(wall_offset=rig.clock.wall_offset + 3600.0)
+        rig.first.homes._clock = peer_clock
+        answer = await rig.entry.admitter.admit(rig.request())
+        assert answer.ok_value.home == rig.first.name
+
+
+@pytest.mark.looptime
+class TestLostHome:
+    @with_rig
+    async def test_killed_home(self, rig):
+        """The home dies with the request in its queue. The entry node asks the next
+        in rank under the same id, and the caller only waits a little longer.
+        """
+        rig.fill()
+        await asyncio.sleep(1.0)
+        task = asyncio.create_task(rig.entry.admitter.admit(rig.request()))
+        await asyncio.sleep(0.5)
+        rig.wires.kill(rig.first.name)
+        for peer in (rig.entry, rig.second):
+            peer.nodes.lose(rig.first.name)
+        rig.engines.used.clear()
+        answer = await task
+        assert answer.ok_value.home == rig.second.name
+
+    @with_rig
+    async def test_frozen_home(self, rig):
+        """The home freezes and closes no connection. Were it waited for, the request
+        would be refused at its deadline with engines standing free.
+        """
+        rig.fill()
+        await asyncio.sleep(1.0)
+        started_at = rig.clock.monotonic()
+        task = asyncio.create_task(rig.entry.admitter.admit(rig.request()))
+        await asyncio.sleep(0.5)
+        rig.wires.freeze(rig.first.name)
+        rig.engines.used.clear()
+        rig.entry.nodes.lose(rig.first.name)
+        answer = await task
+        assert answer.ok_value.home == rig.second.name
+        assert rig.clock.monotonic() - started_at < 3.0
+
+    @with_rig
+    async def test_entry_node_notices_before_the_second(self, rig):
+        """The entry node has lost the home, the second in rank still believes in it.
+        Were it to refuse, nobody would be home until all agree.
+        """
+        rig.wires.kill(rig.first.name)
+        rig.entry.nodes.lose(rig.first.name)
+        answer = await rig.entry.admitter.admit(rig.request())
+        assert answer.ok_value.home == rig.second.name
+
+    @with_rig
+    async def test_nobody_reachable(self, rig):
+        """The entry node is cut off from all others but not from the engines. It
+        chooses by itself rather than refuse.
+        """
+        rig.wires.kill(rig.first.name)
+        rig.wires.kill(rig.second.name)
+        own = rig.entry.homes
+        own.admitting = lambda pool: None
+        answer = await rig.entry.admitter.admit(rig.request())
+        assert answer.ok_value.home == ""
+        assert answer.ok_value.engine in ("engine-1", "engine-2")
+
+    @with_rig
+    async def test_new_home_learns_what_runs(self, rig):
+        """The home is replaced while a draft runs. Until the new one knows of it, it
+        would give the draft's memory away a second time.
+        """
+        answer = await rig.entry.admitter.admit(rig.request())
+        grant = answer.ok_value
+        rig.wires.kill(rig.first.name)
+        for peer in (rig.entry, rig.second):
+            peer.nodes.lose(rig.first.name)
+        for n_tokens in range(10, 50, 10):
+            rig.entry.admitter.progress(grant, n_tokens)
+            await asyncio.sleep(0.3)
+        assert rig.scheduler(rig.second).n_live == 1
+        rig.entry.admitter.finish(grant, 50, "answered")
+        await asyncio.sleep(0.3)
+        assert rig.scheduler(rig.second).n_live == 0
+
+    @with_rig
+    async def test_home_that_leaves_sends_its_queue_on(self, rig):
+        """The home is stopped gracefully with requests in its queue. They move to the
+        next home at once and none of them is refused.
+        """
+        rig.fill()
+        await asyncio.sleep(1.0)
+        task = asyncio.create_task(rig.entry.admitter.admit(rig.request()))
+        await asyncio.sleep(0.5)
+        for peer in rig.peers.values():
+            peer.nodes.lose(rig.first.name)
+        await asyncio.sleep(0.1)
+        assert rig.scheduler(rig.first).n_waiting == 0
+        rig.engines.used.clear()
+        assert (await task).ok_value.home == rig.second.name
+
+    @with_rig
+    async def test_two_homes_over_admit_a_little_only(self, rig):
+        """Entry nodes disagree on who is home, so two grant the same engines. Each
+        sees the other's generations in the engines' reports and counts them.
+        """
+        rig.entry.nodes.lose(rig.first.name)
+        n_granted = 0
+        for number in range(400):
+            peer = (rig.entry, rig.first)[number % 2]
+            req = rig.request(
+                f"q{number}", seconds=0.3, n_prompt_tokens=400, n_max_tokens=100
+            )
+            answer = await peer.admitter.admit(req)
+            if isinstance(answer, Ok):
+                n_granted += 1
+                engine = answer.ok_value.engine
+                rig.engines.used[engine] = rig.engines.used.get(engine, 0) + 450
+                running = rig.engines.running.setdefault(engine, [])
+                running.append((answer.ok_value.grant_id, 50))
+            await asyncio.sleep(0.05)
+        assert max(rig.engines.used.values()) <= 1.2 * N_MEMORY
+        assert n_granted >= 20
+
+
+@pytest.mark.looptime
+class TestCancel:
+    @with_rig
+    async def test_caller_leaves_the_queue(self, rig):
+        """A caller gives up while it waits. Its place in the queue goes, or engines
+        would be granted to people who have left.
+        """
+        rig.fill()
+        await asyncio.sleep(1.0)
+        task = asyncio.create_task(rig.entry.admitter.admit(rig.request()))
+        await asyncio.sleep(0.5)
+        assert rig.scheduler(rig.first).n_waiting == 1
+        task.cancel()
+        await asyncio.sleep(0.5)
+        assert rig.scheduler(rig.first).n_waiting == 0
+
+    @with_rig
+    async def test_caller_leaves_behind_a_stalled_link(self, rig):
+        """The caller gives up while the link to the home stalls, so the home sees no
+        close. When the link is back it is told by the next batch.
+        """
+        rig.fill()
+        await asyncio.sleep(1.0)
+        task = asyncio.create_task(rig.entry.admitter.admit(rig.request()))
+        await asyncio.sleep(0.5)
+        rig.wires.cut(rig.entry.name, rig.first.name)
+        task.cancel()
+        await asyncio.sleep(0.1)
+        rig.wires.heal()
+        await asyncio.sleep(1.0)
+        assert rig.scheduler(rig.first).n_waiting == 0
+
+    @with_rig
+    async def test_caller_leaves_as_the_grant_comes(self, rig):
+        """The grant and the caller's leaving cross. Nobody would use the grant, and
+        its memory would stand empty for half a minute.
+        """
+        rig.wires.cut(rig.first.name, rig.entry.name)
+        task = asyncio.create_task(rig.entry.admitter.admit(rig.request()))
+        await asyncio.sleep(0.5)
+        assert rig.scheduler(rig.first).n_live == 1
+        task.cancel()
+        await asyncio.sleep(0.5)
+        rig.wires.heal()
+        await asyncio.sleep(1.0)
+        assert rig.scheduler(rig.first).n_live == 0
+
+
+@pytest.mark.looptime
+class TestLeavingEngine:
+    @with_rig
+    async def test_home_has_not_heard_yet(self, rig):
+        """The entry node knows that an engine leaves, the home doesn't. The entry node
+        gives such a grant back and asks for another.
+        """
+        rig.entry.leaving.add("engine-1")
+        for number in range(6):
+            answer = await rig.entry.admitter.admit(rig.request(f"q{number}"))
+            assert answer.ok_value.engine == "engine-2"
+
+    @with_rig
+    async def test_home_hears_it_from_the_engine(self, rig):
+        rig.engines.leaving["engine-2"] = rig.clock.wall() + 60.0
+        await asyncio.sleep(1.5)
+        assert "engine-2" in rig.first.told
+        for number in range(6):
+            answer = await rig.entry.admitter.admit(rig.request(f"q{number}"))
+            assert answer.ok_value.engine == "engine-1"
+
+    @with_rig
+    async def test_engine_that_reports_no_more(self, rig):
+        rig.engines.silent.add("engine-1")
+        await asyncio.sleep(8.0)
+        answer = await rig.entry.admitter.admit(rig.request())
+        assert answer.ok_value.engine == "engine-2"
+
+
+@pytest.mark.looptime
+class TestBadInput:
+    @with_rig
+    async def test_forged_and_broken_requests(self, rig):
+        """Somebody without the key asks for grants, and a peer of another release
+        sends what can't be read. Both are refused by name and counted.
+        """
+        address = rig.first.nodes.me.peer
+        client = rig.entry.client
+        answer = await client.request(address, "POST", "/peer/v1/admit", body=b"{}")
+        assert answer.ok_value.status == 403
+        keys = PeerKeys(keys=[b"key"])
+        for body in (b"{", b"{}", b'{"pool": 7}'):
+            headers = keys.headers("POST", "/peer/v1/admit", body)
+            answer = await client.request(
+                address, "POST", "/peer/v1/admit", body=body, headers=headers
+            )
+            assert answer.ok_value.status == 400
+        text = rig.first.metrics.render()[0].decode()
+        assert 'problem="signature"' in text
+        assert 'problem="body"' in text
+
+
+class TestRanked:
+    def test_region_without_nodes_falls_to_all(self):
+        """All nodes of a region are down. Its engines go on under a home elsewhere."""
+        rig_members = [
+            Member(
+                node="a",
+                incarnation=1,
+                caller=Address(host="10.0.0.1", port=1),
+                peer=Address(host="10.0.0.1", port=2),
+                region="r",
+            )
+        ]
+        nodes = FakeNodes(rig_members[0], rig_members)
+        assert ranked(nodes, "k", "elsewhere") == rig_members
