--- a/celerytrail/engines/wire.py
+++ b/celerytrail/engines/wire.py
@@ -91,9 +91,8 @@
     n_prompt_tokens: int = -1
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Tokens:
-    """Tokens that are ready together.
+class Tokens(msgspec.Struct, kw_only=True, frozen=True):
+    """Tokens that are ready together; a Struct, as making one is ten times cheaper.
 
     Parameters
     ----------
--- a/celerytrail/http.py
+++ b/celerytrail/http.py
@@ -15,6 +15,14 @@
 JSON_TYPE = "application/json"
 MAX_HEAD_BYTES = 16 * 1024
 READ_AHEAD_BYTES = 64 * 1024
+RECEIVE_BYTES = 64 * 1024
+# What h11 may leave of a chunk that it has handed out: its closing line break.
+CHUNK_TAIL_BYTES = 2
+
+# All connections receive into this one buffer: there is one loop on one thread, and
+# what came is copied out before the next call. Without it asyncio allocates 256 KiB
+# for each read, which costs more than the rest of relaying a token.
+_received = memoryview(bytearray(RECEIVE_BYTES))
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -84,7 +92,7 @@
     ]
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.Protocol, asyncio.BufferedProtocol):
     """One h11 connection on one transport, read by one task at a time.
 
     Reading pauses while more than `READ_AHEAD_BYTES` wait to be taken, so that a fast
@@ -114,6 +122,9 @@
         self._writer: asyncio.Future[None] | None = None
         self._is_write_paused = False
         self._is_discarding = False
+        self._is_after_chunk = False
+        self._deadline: float | None = None
+        self._timer: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
         self.lost: asyncio.Future[None] = self._loop.create_future()
 
@@ -124,6 +135,14 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return where to put bytes."""
+        return _received
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Take the bytes that were put there."""
+        self.data_received(bytes(_received[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         """Hand bytes to h11 and wake the reading task."""
         if self._is_discarding:
@@ -147,6 +166,9 @@
         if not self.is_eof:
             self.is_eof = True
             self.h11.receive_data(b"")
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
         self._note_lost()
         self._wake(self._reader)
         self._wake(self._writer)
@@ -182,10 +204,9 @@
             event = self.h11.next_event()
         except h11.RemoteProtocolError as exc:
             raise PeerError(str(exc)) from exc
-        if event is h11.NEED_DATA and self._n_unread:
-            self._n_unread = 0
-            if self.transport is not None and not self.transport.is_closing():
-                self.transport.resume_reading()
+        if event is h11.NEED_DATA:
+            self._note_all_taken()
+        self._is_after_chunk = isinstance(event, h11.Data) and event.chunk_end
         return event
 
     async def next_event(self, deadline: float | None = None) -> h11.Event:
@@ -199,22 +220,17 @@
             When the deadline passed.
         """
         while True:
-            event = self.peek_event()
-            if event is h11.PAUSED:
-                raise PeerError("the other end sent more than one exchange at once")
-            if event is not h11.NEED_DATA:
-                return event  # type: ignore[return-value]
+            if self._is_empty_after_chunk():
+                self._note_all_taken()
+            else:
+                event = self.peek_event()
+                if event is h11.PAUSED:
+                    raise PeerError("the other end sent more than one exchange at once")
+                if event is not h11.NEED_DATA:
+                    return event  # type: ignore[return-value]
             if self.is_eof:
                 raise PeerError("the connection was closed in the middle")
-            self._reader = self._loop.create_future()
-            try:
-                if deadline is None:
-                    await self._reader
-                else:
-                    async with asyncio.timeout_at(deadline):
-                        await self._reader
-            finally:
-                self._reader = None
+            await self._wait_for_data(deadline)
 
     def send(self, event: h11.Event) -> None:
         """Write one event; bytes for a connection that is gone are dropped."""
@@ -222,10 +238,10 @@
         if data and self.transport is not None and not self.is_lost:
             self.transport.write(data)
 
-    def write(self, data: bytes) -> None:
-        """Write bytes that `frame` made."""
-        if self.transport is not None and not self.is_lost:
-            self.transport.write(data)
+    @property
+    def must_drain(self) -> bool:
+        """Return whether `drain` would wait or raise."""
+        return self._is_write_paused or self.is_lost
 
     async def drain(self, deadline: float | None = None) -> None:
         """Wait until the other end has taken enough for more to be written.
@@ -270,6 +286,50 @@
         if self.transport is not None:
             self.transport.abort()
 
+    async def _wait_for_data(self, deadline: float | None) -> None:
+        """Wait until something came, or raise TimeoutError at the deadline.
+
+        One timer stands for many waits: it is moved only when it fires or an earlier
+        deadline comes. A timer of its own for each token would cost more than the
+        token, as the deadline is hardly ever reached.
+        """
+        self._reader = self._loop.create_future()
+        self._deadline = deadline
+        if deadline is not None:
+            if self._timer is None:
+                self._timer = self._loop.call_at(deadline, self._on_timer, deadline)
+            elif self._timer.when() > deadline:
+                self._timer.cancel()
+                self._timer = self._loop.call_at(deadline, self._on_timer, deadline)
+        try:
+            await self._reader
+        finally:
+            self._reader = None
+            self._deadline = None
+
+    def _on_timer(self, at: float) -> None:
+        self._timer = None
+        reader, deadline = self._reader, self._deadline
+        if reader is None or deadline is None or reader.done():
+            return
+        if deadline > at:
+            self._timer = self._loop.call_at(deadline, self._on_timer, deadline)
+        else:
+            reader.set_exception(TimeoutError())
+
+    def _is_empty_after_chunk(self) -> bool:
+        """Return whether h11 can have no further event, which spares asking it."""
+        if not self._is_after_chunk:
+            return False
+        rest, is_closed = self.h11.trailing_data
+        return len(rest) <= CHUNK_TAIL_BYTES and not is_closed
+
+    def _note_all_taken(self) -> None:
+        if self._n_unread:
+            self._n_unread = 0
+            if self.transport is not None and not self.transport.is_closing():
+                self.transport.resume_reading()
+
     def _note_lost(self) -> None:
         self.is_lost = True
         if not self.lost.done():
--- a/celerytrail/httpserver.py
+++ b/celerytrail/httpserver.py
@@ -111,7 +111,8 @@
             When the caller has gone or took nothing for too long.
         """
         self._conn.send(h11.Data(data=data))
-        await self._drain()
+        if self._conn.must_drain:
+            await self._drain()
 
     async def finish(self) -> None:
         """Send the proper end of a streamed body."""
