--- a/Makefile
+++ b/Makefile
@@ -27,4 +27,7 @@
 	$(PY) -m ruff check .
 	$(PY) -m mypy
 
-.PHONY: help install test format check
+bench-relay: install  ## Measure what a relayed token costs, next to h11's floor.
+	$(PY) -m bench.relay
+
+.PHONY: help install test format check bench-relay
--- a/celerytrail/callers/starting.py
+++ b/celerytrail/callers/starting.py
@@ -103,6 +103,11 @@
 
 
 StartError = NotRun | GenerationFailed
+DEADLINE_PASSED = NotRun(
+    reason="deadline",
+    detail="the deadline passed before an engine was asked",
+    retry_after=RETRY_AFTER_SECONDS,
+)
 
 
 class BackgroundTasks:
@@ -175,6 +180,8 @@
         n_attempts = 0
         while True:
             n_attempts += 1
+            if self._clock.monotonic() >= req.deadline:
+                return Err(_outcome(DEADLINE_PASSED, may_have_run))
             admitted = await self._admit(req, n_attempts, excluded)
             if isinstance(admitted, Err):
                 return Err(_outcome(admitted.err_value, may_have_run))
@@ -257,6 +264,16 @@
                 detail=f"{grant.engine} is not in the document in force here",
                 is_not_run=True,
             )
+        if self._clock.monotonic() >= req.deadline:
+            # It waited for its grant until its caller had given up.
+            self._admitter.finish(grant, 0, "not_run")
+            return _Failed(
+                engine=grant.engine,
+                reason=DEADLINE_PASSED.reason,
+                detail=DEADLINE_PASSED.detail,
+                is_not_run=True,
+                is_final=True,
+            )
         address = Address.parse(engine.address)
         end: GenerationEnd = "cancelled"
         try:
