--- a/Makefile
+++ b/Makefile
@@ -39,4 +39,7 @@
 	$(PY) -m ruff check .
 	$(PY) -m mypy
 
-.PHONY: help install test demo run scenarios fuzz format check
+bench-relay: install  ## Measure what a relayed token costs, next to h11's floor.
+	$(PY) -m bench.relay
+
+.PHONY: help install test demo run scenarios fuzz format check bench-relay
--- a/celerytrail/wiring.py
+++ b/celerytrail/wiring.py
@@ -5,10 +5,10 @@
 import random
 from dataclasses import dataclass
 
-from .admitters import LocalAdmitter
 from .callers.addresses import AddressesApi
 from .callers.api import CallerLimits, CallersApi
 from .callers.auth import Authenticator
+from .callers.service_api import ServiceApi
 from .callers.tickets import TicketSigner
 from .clock import Clock
 from .configfetch import ObjectFetcher
@@ -16,11 +16,16 @@
 from .configuration import Configuration
 from .engines.client import EngineClient
 from .engines.streams import StreamPolicy
+from .grants import Admitter
 from .httpclient import HttpClient
-from .leaving import LeavingBoard
+from .leaving import LeavingBoard, LeavingFact
+from .lengths import LearnedLengths
 from .memberaddresses import NodesSource
 from .metrics import Metrics
 from .network import Network
+from .nodes.admitters import HomeAdmitter
+from .nodes.alone import AloneChooser
+from .nodes.homes import Homes
 from .nodes.member import Member
 from .nodes.nodes import Nodes
 from .nodes.signing import PeerKeys
@@ -31,10 +36,19 @@
 from .platform.vms import HttpVmList, VmList
 from .platform.weights import HttpWeightStore, WeightStore
 from .retries import BudgetedRetry
+from .routing import PowerOfTwo
+from .services.calls import ServiceCalls
+from .services.claimstore import ClaimStore
+from .services.endpoints import EndpointDirectory
+from .services.recorder import ClaimRecorder
+from .services.sender import CallSender
 from .settings import NodeSettings
 from .status import NodeStatus
 
 MILLISECONDS = 1_000
+# How long gossip's word that an endpoint leaves holds beyond its time, in seconds;
+# after that an endpoint of the same name may be a new one.
+GOSSIP_WORD_SECONDS = 120.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -49,6 +63,7 @@
     client: HttpClient
     metrics: Metrics
     configuration: Configuration
+    authenticator: Authenticator
     leaving: LeavingBoard
     keys: PeerKeys
 
@@ -136,7 +151,67 @@
     return sync
 
 
-def make_callers(base: Base) -> CallersApi:
+def share_leaving(base: Base, nodes: Nodes) -> None:
+    """Let what one node knows of leaving engines and endpoints reach all."""
+    leaving = base.leaving
+
+    def tell(fact: LeavingFact) -> None:
+        if fact.source != "gossip":
+            nodes.announce_leaving(fact.endpoint, fact.at)
+
+    def hear(endpoint: str, at: float) -> None:
+        now = base.clock.wall()
+        leaving.note(endpoint, "gossip", now, max(at, now) + GOSSIP_WORD_SECONDS)
+
+    leaving.subscribe(tell)
+    nodes.on_leaving(hear)
+
+
+def make_homes(base: Base, nodes: Nodes, engines: EngineClient) -> Homes:
+    """Make what runs the pools that fall to this node."""
+    leaving = base.leaving
+    clock = base.clock
+
+    def note(engine: str, at: float) -> None:
+        leaving.note(engine, "report", clock.wall())
+
+    homes = Homes(
+        nodes=nodes,
+        keys=base.keys,
+        configuration=base.configuration,
+        client=engines,
+        clock=clock,
+        rng=base.rng,
+        metrics=base.metrics,
+        is_leaving=lambda name: leaving.is_leaving(name, clock.wall()),
+        tell_leaving=note,
+    )
+    leaving.subscribe(lambda fact: homes.refresh())
+    return homes
+
+
+def make_admitter(base: Base, nodes: Nodes, homes: Homes) -> HomeAdmitter:
+    """Make what asks the pools' homes, and decides alone where none answers."""
+    alone = AloneChooser(
+        configuration=base.configuration,
+        routing=PowerOfTwo(rng=base.rng, lengths=LearnedLengths()),
+        clock=base.clock,
+        rng=base.rng,
+    )
+    return HomeAdmitter(
+        nodes=nodes,
+        homes=homes,
+        keys=base.keys,
+        client=base.client,
+        clock=base.clock,
+        rng=base.rng,
+        metrics=base.metrics,
+        alone=alone,
+        is_leaving=lambda name: base.leaving.is_leaving(name, base.clock.wall()),
+    )
+
+
+def make_callers(base: Base, engines: EngineClient, admitter: Admitter) -> CallersApi:
     """Make the callers' API of generations."""
     cfg = base.cfg
     tickets = TicketSigner(
@@ -146,9 +221,9 @@
     )
     return CallersApi(
         configuration=base.configuration,
-        authenticator=Authenticator(configuration=base.configuration),
-        admitter=LocalAdmitter(configuration=base.configuration),
-        engines=EngineClient(http=base.client, clock=base.clock),
+        authenticator=base.authenticator,
+        admitter=admitter,
+        engines=engines,
         retries=BudgetedRetry(rng=base.rng),
         tickets=tickets,
         metrics=base.metrics,
@@ -162,6 +237,48 @@
     )
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Services:
+    """What serves calls to plain services."""
+
+    directory: EndpointDirectory
+    recorder: ClaimRecorder
+    calls: ServiceCalls
+    api: ServiceApi
+
+
+def make_services(base: Base, platform: Platform) -> Services:
+    """Make the callers' API of plain services."""
+    directory = EndpointDirectory(
+        configuration=base.configuration,
+        leaving=base.leaving,
+        http=base.client,
+        clock=base.clock,
+        rng=base.rng,
+        failure_domain=base.cfg.failure_domain,
+        metrics=base.metrics,
+    )
+    claims = ClaimStore(table=platform.table, clock=base.clock, rng=base.rng)
+    recorder = ClaimRecorder(store=claims, clock=base.clock, rng=base.rng)
+    calls = ServiceCalls(
+        node_id=base.node_id,
+        claims=claims,
+        recorder=recorder,
+        sender=CallSender(directory=directory, http=base.client, clock=base.clock),
+        clock=base.clock,
+        rng=base.rng,
+        metrics=base.metrics,
+    )
+    api = ServiceApi(
+        calls=calls,
+        configuration=base.configuration,
+        authenticator=base.authenticator,
+        clock=base.clock,
+        call_seconds=base.cfg.call_seconds,
+    )
+    return Services(directory=directory, recorder=recorder, calls=calls, api=api)
+
+
 def make_addresses(base: Base, nodes: Nodes) -> AddressesApi:
     """Make what tells callers which addresses to use."""
     return AddressesApi(
