--- a/chores/system.py
+++ b/chores/system.py
@@ -95,7 +95,7 @@
             self.start_engine(f"engine-{number}")
         for number in range(1, self.layout.n_endpoints + 1):
             name = f"{SERVICE}-{number}"
-            self.start_standin(name, "standins.service", "--name", name)
+            self.start_endpoint(name)
         for number in range(1, self.layout.n_nodes + 1):
             self.start_node(number)
         if has_console:
@@ -115,8 +115,17 @@
             MODEL,
             "--tokens-per-second",
             str(self.layout.tokens_per_second),
+            *self._log_flag(name),
         )
 
+    def start_endpoint(self, name: str) -> Child:
+        """Start a stand-in endpoint of the plain service."""
+        flags = ["--name", name, *self._log_flag(name)]
+        return self.start_standin(name, "standins.service", *flags)
+
+    def _log_flag(self, name: str) -> list[str]:
+        return ["--log", str(self.folder / f"{name}.log")]
+
     def start_standin(self, name: str, module: str, *flags: str) -> Child:
         """Start a stand-in."""
         address = free_address()
@@ -188,7 +197,8 @@
 
     def logs(self) -> list[Path]:
         """Return the logs of all processes."""
-        return [child.log for child in self.children.values() if child.log is not None]
+        logs = [child.log for child in self.children.values() if child.log is not None]
+        return [log for log in logs if log.exists()]
 
     def stop(self) -> list[str]:
         """End every process that was started; returns those that had to be killed."""
@@ -240,8 +250,7 @@
                 stderr=out,
                 env=environment,
             )
-        is_ours = "celerytrail" in command
-        log = self.folder / f"{name}.log" if is_ours else output
+        log = self.folder / f"{name}.log" if "log" in " ".join(command) else None
         child = Child(name=name, process=process, address=address, peer=peer, log=log)
         self.children[name] = child
         return child
--- a/standins/service.py
+++ b/standins/service.py
@@ -23,6 +23,7 @@
 from celerytrail.clock import Clock, SystemClock
 from celerytrail.http import Request
 from celerytrail.httpserver import Responder
+from celerytrail.log import TASK_HEADER, continue_task, start_logging
 from celerytrail.routes import Params, Router, send_error
 from celerytrail.types import Address
 
@@ -92,16 +93,25 @@
         except msgspec.DecodeError as exc:
             await send_error(res, 400, "bad_request", place="body", message=str(exc))
             return
+        with continue_task(
+            req.headers.get(TASK_HEADER),
+            "endpoint:run",
+            attempt=req.headers.get("x-attempt-id", ""),
+        ):
+            number = await self._run(req, params["operation"], value)
+        result = {"operation": params["operation"], "run": number, "by": self.name}
+        await res.send_json(200, result)
+
+    async def _run(self, req: Request, operation: str, value: object) -> int:
         self._n_waiting += 1
         async with self._slots:
             self._n_waiting -= 1
             self._n_running += 1
             # The entry is made before the run ends: a call cut in its middle has run.
-            number = self._note_run(req, params["operation"], value)
+            number = self._note_run(req, operation, value)
             await asyncio.sleep(self._run_seconds)
             self._n_running -= 1
-        result = {"operation": params["operation"], "run": number, "by": self.name}
-        await res.send_json(200, result)
+        return number
 
     def _refusal(self, req: Request) -> str | None:
         """Return why a call is refused before anything of it runs, or None."""
@@ -158,8 +168,11 @@
     name: Annotated[str, typer.Option(help="The endpoint's name in the document.")],
     capacity: Annotated[int, typer.Option(help="Calls run at one time.")] = 16,
     run_seconds: Annotated[float, typer.Option(help="Seconds a call takes.")] = 0.0,
+    log: Annotated[str, typer.Option(help="File for log lines; none without.")] = "",
 ) -> None:
     """Serve a stand-in for an endpoint of a plain service until it is stopped."""
+    if log:
+        start_logging(name, log)
     asyncio.run(_serve(name, capacity, run_seconds, parse_listen(listen)))
 
 
