--- a/celerytrail/nodes/poolhome.py
+++ b/celerytrail/nodes/poolhome.py
@@ -20,6 +20,7 @@
 from ..types import Address
 from .homewire import AdmitAnswer, ProgressAnswer, ProgressBody
 from .pools import Pool
+from .reportages import ReportAges
 
 POLL_SECONDS = 0.5
 LOAD_SECONDS = 1.0
@@ -75,6 +76,7 @@
         self.scheduler = PoolScheduler(model=pool.model, home=node, rng=rng)
         self._asked: dict[str, asyncio.Future[AdmitAnswer]] = {}
         self._watchers: dict[str, asyncio.Task[None]] = {}
+        self._ages: dict[str, ReportAges] = {}
         self._timer: asyncio.TimerHandle | None = None
         self.used_at = clock.monotonic()
 
@@ -84,6 +86,7 @@
         wanted = {spec.name: spec for spec in specs}
         for name in self._watchers.keys() - wanted.keys():
             self._watchers.pop(name).cancel()
+            self._ages.pop(name, None)
         loop = asyncio.get_running_loop()
         for name, spec in wanted.items():
             if name not in self._watchers:
@@ -227,7 +230,8 @@
         if report.engine != spec.name:
             self._metrics.count("bad_input", peer="engine", problem="other_engine")
             return
-        age = min(max(0.0, self._clock.wall() - report.at), MAX_REPORT_AGE)
+        ages = self._ages.setdefault(spec.name, ReportAges())
+        age = min(ages.note(report, self._clock.wall()), MAX_REPORT_AGE)
         self.scheduler.report(report, self._clock.monotonic(), age=age)
         self._metrics.set(
             "engine_used_tokens", float(report.n_used_tokens), engine=spec.name
