Read times of leaving endpoints by their sender's clock

Cause: the time at which an endpoint leaves travels on the wall clock. A node whose clock is an hour ahead took every leaving endpoint for long gone, and its own word was believed nowhere; and of two leavings under one name the first was kept as the earliest, so nobody heard of the second.

Change: each datagram and exchange carries its sender's wall time; times are moved by the difference where it is over 5 s. How long an endpoint is remembered is reckoned once on the monotonic clock. Times more than 120 s apart are two leavings.

--- a/bench/membership.py
+++ b/bench/membership.py
@@ -373,6 +373,25 @@
     return round(line.slope, 5)
 
 
+def note(name: str, result: object) -> None:
+    """Print one part's figures as soon as they are there."""
+    print(name, json.dumps(result), file=sys.stderr, flush=True)
+
+
+async def measure_failures(bench: Bench, scale: float) -> dict[str, Any]:
+    """Kill, drop, freeze, restart and cut, one kind after another."""
+    results: dict[str, Any] = {}
+    results["kills"] = await bench.kills(round(20 * scale))
+    note("kills", results["kills"])
+    results["drops"] = await bench.drops(60.0 * scale, round(10 * scale))
+    note("drops", results["drops"])
+    results["pauses"] = await bench.pauses(round(12 * scale))
+    note("pauses", results["pauses"])
+    results["versions"] = await bench.versions(round(30 * scale))
+    note("versions", results["versions"])
+    return results
+
+
 async def measure(n_nodes: int, scale: float) -> dict[str, Any]:
     """Run everything; ``scale`` shortens it."""
     results: dict[str, Any] = {"load_average_at_start": os.getloadavg()}
@@ -384,11 +403,9 @@
             await bench.start()
             await asyncio.sleep(10.0 * scale)
             usage.append(await bench.usage(20.0 * scale))
+            note("usage", usage[-1])
             if number == n_nodes:
-                results["kills"] = await bench.kills(round(20 * scale))
-                results["drops"] = await bench.drops(60.0 * scale, round(10 * scale))
-                results["pauses"] = await bench.pauses(round(12 * scale))
-                results["versions"] = await bench.versions(round(30 * scale))
+                results |= await measure_failures(bench, scale)
         finally:
             await bench.stop()
     results["usage"] = usage
--- a/bench/membership_loaded.py
+++ b/bench/membership_loaded.py
@@ -51,10 +51,12 @@
         rng = random.Random(1)
         tracemalloc.start()
         before = tracemalloc.get_traced_memory()[0]
-        self.node = Membership(me=member(0), timing=Timing(), rng=rng, now=0.0)
+        self.node = Membership(
+            me=member(0), timing=Timing(), rng=rng, now=0.0, wall=self.wall
+        )
         for number in range(1, n_nodes):
             record = record_of(member(number))
-            self.node.apply(record, record.node, 0.0, self.wall)
+            self.node.apply(record, record.node, 0.0, self.wall, self.wall)
         self.n_memory_bytes = tracemalloc.get_traced_memory()[0] - before
         tracemalloc.stop()
         self.others = [member(number) for number in range(1, n_nodes)]
@@ -121,6 +123,7 @@
                     sequence=sequence,
                     digest=self.node.digest,
                     newest=newest,
+                    sent_at=self.wall,
                     your_incarnation=self.node.me.incarnation,
                     items=items,
                 )
--- a/celerytrail/nodes/exchange.py
+++ b/celerytrail/nodes/exchange.py
@@ -95,7 +95,11 @@
             msgspec.Raw(msgspec.json.encode(item)) for item in self._membership.items()
         ]
         return msgspec.json.encode(
-            StateExchange(sender=self._membership.me.node, items=items)
+            StateExchange(
+                sender=self._membership.me.node,
+                sent_at=self._clock.wall(),
+                items=items,
+            )
         )
 
     def _take(self, body: bytes, peer: str) -> bool:
@@ -111,7 +115,7 @@
             except msgspec.DecodeError as exc:
                 self._bad(peer, "item", str(exc))
                 continue
-            self._membership.apply(item, exchange.sender, now, wall)
+            self._membership.apply(item, exchange.sender, now, wall, exchange.sent_at)
         return True
 
     def _bad(self, peer: str, problem: str, detail: str) -> None:
--- a/celerytrail/nodes/knowledge.py
+++ b/celerytrail/nodes/knowledge.py
@@ -77,8 +77,8 @@
             items.append(record_of(member))
         if self.newest.version:
             items.append(self.newest)
-        for endpoint, at in self.table.endpoints.items():
-            items.append(EndpointNews(endpoint, at))
+        for endpoint, leaving in self.table.endpoints.items():
+            items.append(EndpointNews(endpoint, leaving.at))
         return items
 
     def announce_version(self, version: int, root: str) -> None:
@@ -95,7 +95,7 @@
         for node in self._suspected_until:
             self._suspected_until[node] += seconds
 
-    def expire(self, now: float, wall: float) -> None:
+    def expire(self, now: float) -> None:
         """End the suspicions that have run out, and forget what is long gone."""
         for node, until in list(self._suspected_until.items()):
             if now >= until:
@@ -104,7 +104,7 @@
             if now >= forget_at:
                 del self._forget_at[node]
                 self.table.remove(node)
-        self.table.forget_endpoints(wall)
+        self.table.forget_endpoints(now)
         self._expired_at = now
         for subject, (at, _) in list(self._recent.items()):
             if now >= at + self._recent_seconds:
@@ -120,7 +120,7 @@
             case VersionNews():
                 self._apply_version(item, sender)
             case EndpointNews():
-                self._apply_endpoint(item, wall)
+                self._apply_endpoint(item, now, wall)
 
     def _apply_member(self, record: MemberRecord, sender: str, now: float) -> None:
         if record.node == self.me.node:
@@ -177,8 +177,8 @@
             VersionHeard(version=news.version, root=news.root, member=member)
         )
 
-    def _apply_endpoint(self, news: EndpointNews, wall: float) -> None:
-        if self.table.put_endpoint(news.endpoint, news.at, wall):
+    def _apply_endpoint(self, news: EndpointNews, now: float, wall: float) -> None:
+        if self.table.put_endpoint(news.endpoint, news.at, now, wall):
             self._pass_on(("endpoint", news.endpoint), news)
             self.events.append(EndpointLeaving(endpoint=news.endpoint, at=news.at))
 
--- a/celerytrail/nodes/membership.py
+++ b/celerytrail/nodes/membership.py
@@ -29,6 +29,7 @@
 from .member import Member, State
 from .probes import AskOthers, Failed, Ping, Probes
 from .rings import Rings
+from .table import ENDPOINT_MEMORY_SECONDS
 from .timing import Timing
 from .wire import (
     Datagram,
@@ -38,6 +39,7 @@
     VersionNews,
     decode_item,
     encode_item,
+    in_own_time,
     record_of,
 )
 
@@ -66,12 +68,18 @@
         Periods and bounds.
     rng : random.Random
         For targets and spread.
-    now : float
-        Monotonic time of the start.
+    now, wall : float
+        Monotonic and wall time of the start.
     """
 
     def __init__(
-        self, *, me: Member, timing: Timing, rng: random.Random, now: float
+        self,
+        *,
+        me: Member,
+        timing: Timing,
+        rng: random.Random,
+        now: float,
+        wall: float,
     ) -> None:
         self._timing = timing
         self._rng = rng
@@ -88,6 +96,7 @@
         self._candidates: frozenset[Address] = frozenset()
         self._relayed: dict[int, tuple[Address, int, str, float]] = {}
         self._mismatch: dict[str, tuple[int, int, float]] = {}
+        self._wall = wall
         self._step_at = now
         self._contact_at = now
         self._exchange_at = now
@@ -116,7 +125,8 @@
     @property
     def endpoints(self) -> dict[str, float]:
         """Return the leaving endpoints and when each leaves, in wall seconds."""
-        return dict(self._table.endpoints)
+        endpoints = self._table.endpoints.items()
+        return {endpoint: leaving.at for endpoint, leaving in endpoints}
 
     def take_outgoing(self) -> list[Outgoing]:
         """Return the datagrams to send, and forget them."""
@@ -142,9 +152,15 @@
         """Tell all that this node has a configuration version in force."""
         self._known.announce_version(version, root)
 
-    def announce_leaving(self, endpoint: str, at: float, wall: float) -> None:
+    def announce_leaving(
+        self, endpoint: str, at: float, now: float, wall: float
+    ) -> None:
         """Tell all that an endpoint leaves at ``at``, wall seconds."""
-        self._known.apply(EndpointNews(endpoint, at), self._table.me.node, 0.0, wall)
+        # What left long ago by its source's word is told as of now, or the others
+        # would take it for news that they have forgotten already.
+        since = at if at > wall - ENDPOINT_MEMORY_SECONDS / 2 else wall
+        news = EndpointNews(endpoint, since)
+        self._known.apply(news, self._table.me.node, now, wall)
 
     def leave(self) -> None:
         """Tell all that this node leaves."""
@@ -162,11 +178,12 @@
 
     def step(self, now: float, wall: float) -> None:
         """Do what is due at ``now``; to be called every ``tick_seconds``."""
+        self._wall = wall
         late = now - self._step_at - self._timing.tick_seconds
         self._step_at = now
         if late > self._timing.tick_seconds:
             self._forgive(late)
-        self._known.expire(now, wall)
+        self._known.expire(now)
         self._forget_relayed(now)
         if self._known.has_changed:
             self._known.has_changed = False
@@ -236,6 +253,7 @@
             incarnation=self._table.me.incarnation,
             sequence=sequence,
             digest=self._table.digest,
+            sent_at=self._wall,
             in_force=self._known.in_force.version,
             newest=self._known.newest.version,
             your_incarnation=known.incarnation if known else 0,
@@ -301,14 +319,17 @@
 
     # Receiving.
 
-    def apply(self, item: Item, sender: str, now: float, wall: float) -> None:
-        """Take in one item of a whole exchange."""
-        self._known.apply(item, sender, now, wall)
+    def apply(
+        self, item: Item, sender: str, now: float, wall: float, sent_at: float
+    ) -> None:
+        """Take in one item that ``sender`` sent at ``sent_at`` on its wall clock."""
+        self._known.apply(in_own_time(item, wall - sent_at), sender, now, wall)
 
     def receive(
         self, datagram: Datagram, source: Address, now: float, wall: float
     ) -> None:
         """Take in a datagram that a peer's key signed."""
+        self._wall = wall
         sender = datagram.sender
         if sender == self._table.me.node:
             self._known.bad(sender, "own_name", "another process has this node's name")
@@ -319,7 +340,7 @@
             except msgspec.DecodeError as exc:
                 self._known.bad(sender, "item", str(exc))
                 continue
-            self._known.apply(item, sender, now, wall)
+            self.apply(item, sender, now, wall, datagram.sent_at)
         first = self._answers(datagram)
         first += self._hear(datagram, now)
         match datagram.kind:
--- a/celerytrail/nodes/nodes.py
+++ b/celerytrail/nodes/nodes.py
@@ -90,7 +90,11 @@
         self._listed: tuple[Address, ...] = ()
         self.answer_seconds = answer_seconds
         self._membership = Membership(
-            me=me, timing=timing, rng=rng, now=clock.monotonic()
+            me=me,
+            timing=timing,
+            rng=rng,
+            now=clock.monotonic(),
+            wall=clock.wall(),
         )
         self._membership.set_candidates(self._seeds)
         self._exchanger = Exchanger(
@@ -188,7 +192,8 @@
 
     def announce_leaving(self, endpoint: str, at: float) -> None:
         """Tell all that an endpoint leaves at ``at``, wall seconds."""
-        self._membership.announce_leaving(endpoint, at, self._clock.wall())
+        now, wall = self._clock.monotonic(), self._clock.wall()
+        self._membership.announce_leaving(endpoint, at, now, wall)
         self.gossip.flush()
 
     def on_version(self, callback: VersionCallback) -> None:
--- a/celerytrail/nodes/table.py
+++ b/celerytrail/nodes/table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from .member import Member, State
 
@@ -12,10 +12,18 @@
 ENDPOINT_MEMORY_SECONDS = 600.0
 # Times further ahead than this are a peer's mistake, in seconds.
 MAX_AHEAD_SECONDS = 7 * 86_400.0
+# Times of one endpoint's leaving that differ by more are two leavings, in seconds.
+SAME_LEAVING_SECONDS = 120.0
 MAX_ENDPOINTS = 10_000
 MAX_MEMBERS = 5_000
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Leaving:
+    at: float
+    forget_at: float
+
+
 class MemberTable:
     """The members, by name, and the endpoints that are leaving.
 
@@ -28,7 +36,7 @@
     def __init__(self, *, me: Member) -> None:
         self.me = me
         self.others: dict[str, Member] = {}
-        self.endpoints: dict[str, float] = {}
+        self.endpoints: dict[str, _Leaving] = {}
         self.digest = _hash_member(me)
 
     @property
@@ -66,8 +74,11 @@
         if member is not None and member.version != version:
             self.others[node] = replace(member, version=version)
 
-    def put_endpoint(self, endpoint: str, at: float, wall: float) -> bool:
-        """Note that an endpoint leaves; the earliest time wins.
+    def put_endpoint(self, endpoint: str, at: float, now: float, wall: float) -> bool:
+        """Note that an endpoint leaves; of one leaving the earliest time wins.
+
+        How long it is remembered is reckoned once, on the monotonic clock: a wall
+        clock that jumps later on must not make this node forget who is leaving.
 
         Returns
         -------
@@ -75,27 +86,35 @@
             Whether it was news.
         """
         known = self.endpoints.get(endpoint)
-        if known is not None and known <= at:
+        if known is not None and not _goes_before(at, known.at):
             return False
         if known is None and len(self.endpoints) >= MAX_ENDPOINTS:
             return False
         if not wall - ENDPOINT_MEMORY_SECONDS < at < wall + MAX_AHEAD_SECONDS:
             return False
-        if known is not None:
-            self.digest ^= _hash_endpoint(endpoint, known)
-        self.digest ^= _hash_endpoint(endpoint, at)
-        self.endpoints[endpoint] = at
+        if known is None:
+            self.digest ^= _hash(f"endpoint {endpoint}")
+        forget_at = now + ENDPOINT_MEMORY_SECONDS + (at - wall)
+        self.endpoints[endpoint] = _Leaving(at=at, forget_at=forget_at)
         return True
 
-    def forget_endpoints(self, wall: float) -> None:
+    def forget_endpoints(self, now: float) -> None:
         """Forget the endpoints that left long ago."""
-        oldest = wall - ENDPOINT_MEMORY_SECONDS
-        for endpoint, at in list(self.endpoints.items()):
-            if at <= oldest:
-                self.digest ^= _hash_endpoint(endpoint, at)
+        for endpoint, leaving in list(self.endpoints.items()):
+            if now >= leaving.forget_at:
+                self.digest ^= _hash(f"endpoint {endpoint}")
                 del self.endpoints[endpoint]
 
 
+def _goes_before(at: float, known: float) -> bool:
+    # Sources tell of one leaving at different times, and the earliest of them counts.
+    # Times far apart are two leavings under one name, as when a VM was replaced and
+    # its successor goes as well; were the first kept, nobody would hear of the second.
+    if abs(at - known) > SAME_LEAVING_SECONDS:
+        return at > known
+    return at < known
+
+
 def _hash_member(member: Member) -> int:
     # Suspects and the dead count as never known: a suspicion turns into death by
     # itself, and nodes come to that at slightly different times.
@@ -104,10 +123,6 @@
     return _hash(f"member {member.node} {member.incarnation}")
 
 
-def _hash_endpoint(endpoint: str, at: float) -> int:
-    return _hash(f"endpoint {endpoint} {at!r}")
-
-
 def _hash(text: str) -> int:
     digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
     return int.from_bytes(digest, "big")
--- a/celerytrail/nodes/wire.py
+++ b/celerytrail/nodes/wire.py
@@ -13,6 +13,8 @@
 
 MAX_DATAGRAM_BYTES = 1_200
 MAX_ITEM_BYTES = 400
+# Clocks that differ by less are taken to agree, in seconds.
+CLOCK_TOLERANCE_SECONDS = 5.0
 
 Name = Annotated[str, msgspec.Meta(max_length=64)]
 AddressText = Annotated[str, msgspec.Meta(max_length=56)]
@@ -84,6 +86,8 @@
         A hash of the members and leaving endpoints that the sender knows.
     in_force, newest : int
         The configuration version the sender has in force, and the newest it heard of.
+    sent_at : float
+        The sender's wall time, by which its times are read.
     your_incarnation : int
         The incarnation in which the sender knows the receiver; 0 for not at all.
     your_state : State
@@ -101,6 +105,7 @@
     digest: Annotated[int, msgspec.Meta(ge=0)] = 0
     in_force: Count = 0
     newest: Count = 0
+    sent_at: float = 0.0
     your_incarnation: Count = 0
     your_state: State = State.ALIVE
     target: Name = ""
@@ -111,6 +116,7 @@
     """All that a node knows, as exchanged over HTTP in JSON."""
 
     sender: Name
+    sent_at: float
     items: list[msgspec.Raw]
 
 
@@ -159,6 +165,29 @@
     return _exchange_decoder.decode(data)
 
 
+def in_own_time(item: Item, offset: float) -> Item:
+    """Turn an item's times on the sender's wall clock into those on our own.
+
+    Parameters
+    ----------
+    item : Item
+        What was received.
+    offset : float
+        Our wall time less the sender's, in seconds. Small ones are let be, so that
+        good clocks hand a time on unchanged.
+
+    Notes
+    -----
+    Were times taken as they stand, a node whose clock is an hour wrong would hold
+    every leaving endpoint for long gone and send it work, and its own word on who
+    leaves would be dropped everywhere.
+    """
+    is_apart = not -CLOCK_TOLERANCE_SECONDS < offset < CLOCK_TOLERANCE_SECONDS
+    if isinstance(item, EndpointNews) and is_apart and math.isfinite(offset):
+        return EndpointNews(item.endpoint, item.at + offset)
+    return item
+
+
 def record_of(member: Member) -> MemberRecord:
     """Return a member's form on the wire."""
     return MemberRecord(
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -61,6 +61,7 @@
         self.events: dict[str, list] = {}
         self.stopped: set[str] = set()
         self.cut: frozenset[str] = frozenset()
+        self.offsets: dict[str, float] = {}
         self.n_bytes = 0
         self.nodes: dict[str, Membership] = {}
         self.by_address: dict[Address, Membership] = {}
@@ -74,6 +75,7 @@
             timing=TIMING,
             rng=random.Random(self.rng.random()),
             now=self.clock.time,
+            wall=self.clock.wall(),
         )
         if first is not None:
             node.set_candidates([first.me.peer])
@@ -83,19 +85,22 @@
         self.events.setdefault(me.node, [])
         return node
 
+    def wall_at(self, name: str) -> float:
+        return self.clock.wall() + self.offsets.get(name, 0.0)
+
     def exchange(self, one: Membership, other: Membership) -> None:
         now, wall = self.clock.monotonic(), self.clock.wall()
         for item in one.items():
-            other.apply(item, one.me.node, now, wall)
+            other.apply(item, one.me.node, now, wall, wall)
         for item in other.items():
-            one.apply(item, other.me.node, now, wall)
+            one.apply(item, other.me.node, now, wall, wall)
 
     def run(self, seconds: float) -> None:
         for _ in range(round(seconds / TIMING.tick_seconds)):
             self.clock.advance(TIMING.tick_seconds)
             for name, node in list(self.nodes.items()):
                 if name not in self.stopped:
-                    node.step(self.clock.monotonic(), self.clock.wall())
+                    node.step(self.clock.monotonic(), self.wall_at(name))
             self._deliver()
 
     def run_until(self, condition, seconds: float) -> float:
@@ -136,7 +141,7 @@
             decode_datagram(data),
             sender.me.peer,
             self.clock.monotonic(),
-            self.clock.wall(),
+            self.wall_at(target.me.node),
         )
 
     def state_at(self, holder: str, node: str) -> State | None:
@@ -348,9 +353,9 @@
         """
         group = Group(12, drop=0.1)
         group.run(2.0)
-        wall = group.clock.wall()
-        group.nodes["node-1"].announce_leaving("engine-1", wall + 60.0, wall)
-        group.nodes["node-9"].announce_leaving("engine-1", wall + 20.0, wall)
+        now, wall = group.clock.monotonic(), group.clock.wall()
+        group.nodes["node-1"].announce_leaving("engine-1", wall + 60.0, now, wall)
+        group.nodes["node-9"].announce_leaving("engine-1", wall + 20.0, now, wall)
         group.run_until(
             lambda: all(
                 node.endpoints == {"engine-1": wall + 20.0}
@@ -360,6 +365,43 @@
         )
         assert group.told(EndpointLeaving)
 
+    def test_clock_of_one_node_is_wrong(self):
+        """One VM's clock is an hour ahead, another's an hour behind. Were times read
+        as they stand, those two would send work to what is leaving, and nobody would
+        believe what they say.
+        """
+        group = Group(12)
+        group.offsets = {"node-1": 3_600.0, "node-2": -3_600.0}
+        group.run(2.0)
+        for name in ("node-1", "node-2", "node-3"):
+            wall = group.wall_at(name)
+            group.nodes[name].announce_leaving(
+                f"engine of {name}", wall, group.clock.monotonic(), wall
+            )
+        group.run_until(
+            lambda: all(len(node.endpoints) == 3 for node in group.nodes.values()), 2.0
+        )
+        group.run(30.0)
+        assert all(len(node.endpoints) == 3 for node in group.nodes.values())
+        assert not group.told(ExchangeWanted)
+
+    def test_successor_under_the_same_name_leaves_too(self):
+        """A VM goes, its successor takes over the name and goes as well. Were the
+        first time kept as the earliest, nobody would hear of the second leaving.
+        """
+        group = Group(6)
+        group.run(2.0)
+        for seconds in (0.0, 300.0):
+            group.run(seconds)
+            now, wall = group.clock.monotonic(), group.clock.wall()
+            group.nodes["node-1"].announce_leaving("engine-1", wall, now, wall)
+            group.run(2.0)
+        heard = [e.at for e in group.events["node-4"] if isinstance(e, EndpointLeaving)]
+        assert len(heard) == 2
+        assert set(group.nodes["node-3"].endpoints) == {"engine-1"}
+        group.run(700.0)
+        assert not any(node.endpoints for node in group.nodes.values())
+
 
 class TestVersions:
     @pytest.mark.parametrize("seed", range(3))
@@ -421,7 +463,11 @@
         ]
         items = [msgspec.Raw(msgspec.msgpack.encode(item)) for item in (*bad, good)]
         datagram = Datagram(
-            kind=Kind.NEWS, sender="node-1", incarnation=1_000_000, items=items
+            kind=Kind.NEWS,
+            sender="node-1",
+            incarnation=1_000_000,
+            sent_at=wall,
+            items=items,
         )
         node.receive(datagram, make_member(1).peer, group.clock.time, wall)
         assert list(node.endpoints) == ["engine-2"]
