Prove that leaving endpoints get no new work, and close gaps in the order tests

Cause: with a mechanism switched off in a scratch copy, five order tests still passed (unguarded taking, the accepted version not asked for, a new id for each sending, ordering by a report from before the take-over, no look at the lease after a slow renewal). Change: a test for each; tests of the leaving board and of the choice of endpoints.

--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -89,8 +89,13 @@
         await sleep_until(pair, first.ask_at)
         assert (await pair.take(pair.b)).is_ok()
 
-    async def test_lost_taking_of_two_at_once(self, pair):
-        """Two nodes ask in the same moment and one reply is lost. One has it."""
+    async def test_two_at_once(self, pair):
+        """Two nodes see a free lease in the same moment and both write. One has it."""
+        results = await asyncio.gather(pair.take(pair.a), pair.take(pair.b))
+        assert sorted(result.is_ok() for result in results) == [False, True]
+
+    async def test_lost_taking_leaves_it_free(self, pair):
+        """A taking never arrives and its reply is lost too. Nobody has the lease."""
         pair.table.drop_writes = 1
         assert (await pair.take(pair.a)).is_err()
         assert (await pair.take(pair.b)).is_ok()
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,144 @@
+"""Leaving endpoints get no new work, from whichever source it is known."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import msgspec
+import pytest
+
+from celerytrail.document import Document, EndpointSpec, VersionedDocument
+from celerytrail.leaving import LeavingBoard
+from celerytrail.reports import EndpointReport
+from celerytrail.services.endpoints import EndpointView, choose
+from tests.servicefakes import BOOKINGS, World, word
+
+
+class TestLeavingBoard:
+    @pytest.mark.parametrize("source", ["vm_list", "report", "document", "gossip"])
+    def test_any_one_source_is_enough(self, source):
+        board = LeavingBoard()
+        assert board.note("e1", source, 10.0)
+        assert not board.note("e1", "report", 12.0)
+        assert board.is_leaving("e1", 10.0)
+        assert board.first_fact("e1", 13.0).source == source
+        assert not board.is_leaving("e2", 10.0)
+
+    def test_a_source_withdraws_only_its_own_word(self):
+        board = LeavingBoard()
+        board.note("e1", "document", 1.0)
+        board.note("e1", "vm_list", 2.0)
+        board.withdraw("e1", "document")
+        assert board.is_leaving("e1", 3.0)
+        board.withdraw("e1", "vm_list")
+        assert not board.is_leaving("e1", 3.0)
+
+    def test_clock_that_jumps_back(self):
+        """The wall clock jumps back after an endpoint became known to leave. It must
+        not get new work until the clock has caught up.
+        """
+        board = LeavingBoard()
+        board.note("e1", "vm_list", 5_000.0)
+        assert board.is_leaving("e1", 10.0)
+
+    def test_hearsay_runs_out_and_what_is_gone_is_forgotten(self):
+        board = LeavingBoard()
+        board.note("e1", "gossip", 1.0, until_at=30.0)
+        board.note("gone", "vm_list", 1.0)
+        assert board.is_leaving("e1", 29.0)
+        assert not board.is_leaving("e1", 31.0)
+        board.forget_stale({"e1"}, 31.0)
+        assert board.facts(2.0) == []
+
+    def test_news_are_told_once(self):
+        board, news = LeavingBoard(), []
+        board.subscribe(news.append)
+        board.note("e1", "vm_list", 1.0)
+        board.note("e1", "report", 2.0)
+        assert [(fact.endpoint, fact.source) for fact in news] == [("e1", "vm_list")]
+
+
+def view(name, **kwargs):
+    spec = EndpointSpec(name=name, address="127.0.0.1:9001", failure_domain="a")
+    return EndpointView(spec=spec, **kwargs)
+
+
+def pick(views, **kwargs):
+    values = {
+        "excluded": (),
+        "is_leaving": lambda name: False,
+        "now": 0.0,
+        "failure_domain": "a",
+        "rng": random.Random(1),
+        **kwargs,
+    }
+    chosen = choose(views, **values)
+    return None if chosen is None else chosen.spec.name
+
+
+class TestChoose:
+    def test_least_loaded_by_report_and_own_calls(self):
+        busy = EndpointReport(endpoint="e1", incarnation="i", n_running=8, capacity=10)
+        idle = EndpointReport(endpoint="e2", incarnation="i", n_running=1, capacity=10)
+        views = [view("e1", report=busy), view("e2", report=idle)]
+        assert pick(views) == "e2"
+        views[1].n_outstanding = 9
+        assert pick(views) == "e1"
+
+    def test_what_failed_lately_comes_last(self):
+        views = [view("e1", suspect_until=5.0), view("e2", n_outstanding=50)]
+        assert pick(views) == "e2"
+        assert pick(views[:1]) == "e1"
+
+    def test_leaving_and_excluded_get_nothing(self):
+        views = [view("e1"), view("e2")]
+        assert pick(views, is_leaving=lambda name: name == "e1") == "e2"
+        assert pick(views, excluded={"e1", "e2"}) is None
+
+
+@pytest.mark.looptime
+class TestNoNewWork:
+    async def test_own_report(self):
+        """An endpoint says in its load report that it is leaving, while list and
+        document are silent. From that moment no call goes to it; when the only other
+        one leaves too, calls are refused as not run.
+        """
+        world = World()
+        node = world.a
+        leaving = EndpointReport(endpoint="e1", incarnation="i", leaving_at=1e12)
+        views = {v.spec.name: v for v in node.directory.views("bookings")}
+        node.directory.take_report(views["e1"], msgspec.json.encode(leaving))
+        for n in range(20):
+            chosen = node.directory.choose("bookings", ())
+            assert chosen.spec.name == "e2", n
+        gone = replace(leaving, endpoint="e2")
+        node.directory.take_report(views["e2"], msgspec.json.encode(gone))
+        result = await node.file()
+        assert (word(result), result.err_value.reason) == ("not_run", "no_endpoint")
+        back = replace(leaving, leaving_at=None)
+        node.directory.take_report(views["e1"], msgspec.json.encode(back))
+        assert word(await node.file()) == "answered"
+
+    async def test_document_role(self):
+        world = World()
+        endpoints = tuple(replace(e, role="drain") for e in BOOKINGS.endpoints)
+        drained = Document(services=(replace(BOOKINGS, endpoints=endpoints),))
+        world.a.configuration.offer(VersionedDocument(version=2, document=drained))
+        assert word(await world.a.file()) == "not_run"
+        served = Document(services=(BOOKINGS,))
+        world.a.configuration.offer(VersionedDocument(version=3, document=served))
+        assert word(await world.a.file()) == "answered"
+
+    async def test_bad_report_is_dropped_alone(self):
+        """An endpoint's report is garbage, or another endpoint's. What was known of
+        it stays, and calls go on.
+        """
+        world = World()
+        directory = world.a.directory
+        one = directory.views("bookings")[0]
+        other = EndpointReport(endpoint="zz", incarnation="i", leaving_at=1.0)
+        for body in (b"{", b'{"endpoint": 5}', msgspec.json.encode(other)):
+            directory.take_report(one, body)
+        assert one.report is None
+        assert word(await world.a.file()) == "answered"
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -74,8 +74,16 @@
         self.accepted = []
         self.words = []
         self.gate = None
+        self.n_sent = 0
+        self.old_reports = None
+
+    def freeze_reports(self):
+        """Give the reports of now from now on."""
+        self.old_reports = self.reports()
 
     def reports(self):
+        if self.old_reports is not None:
+            return self.old_reports
         state = {name: report(**values) for name, values in self.state.items()}
         at = self.clock.wall()
         return {
@@ -84,6 +92,7 @@
         }
 
     async def request(self, address, method, path, **kwargs):
+        self.n_sent += 1
         await asyncio.sleep(0.001)
         word = self.words.pop(0) if self.words else "ok"
         if word == "refused":
@@ -210,6 +219,10 @@
         fleet = Fleet()
         fleet.engines.words = [word]
         fleet.accept(document("2"))
+        fleet.engines.freeze_reports()
+        await fleet.run(4)
+        assert fleet.engines.n_sent > 1
+        fleet.engines.old_reports = None
         await fleet.run(20)
         assert fleet.kinds == ["load_model", "load_adapter"]
 
@@ -232,6 +245,40 @@
         await fleet.run(MARGIN_SECONDS + 10, nodes=(1,))
         assert fleet.engines.state["e1"]["version"] == "2"
 
+    async def test_new_holder_reads_back_first(self):
+        """The former holder's order may have been carried out after the last report
+        came. The new holder orders nothing by that report: it could undo what is
+        right.
+        """
+        fleet = Fleet()
+        fleet.engines.words = ["refused"]
+        fleet.accept(document("2"))
+        await fleet.run(1, nodes=(0,))
+        fleet.engines.freeze_reports()
+        await fleet.run(LEASE_SECONDS + MARGIN_SECONDS + 10, nodes=(1,))
+        assert fleet.engines.n_sent == 1
+        fleet.engines.old_reports = None
+        await fleet.run(10, nodes=(1,))
+        assert fleet.engines.state["e1"]["version"] == "2"
+
+    async def test_lease_that_lapses_while_it_is_renewed(self):
+        """The platform stands still while a node renews its lease, for longer than
+        the lease. The node must notice before it sends, as another may hold it now.
+        """
+        fleet = Fleet()
+        fleet.engines.words = ["refused"] * 100
+        fleet.accept(document("2"))
+        await fleet.run(LEASE_SECONDS // 2, nodes=(0,))
+        fleet.table.gate = asyncio.Event()
+        await asyncio.sleep(1.0)
+        n_sent = fleet.engines.n_sent
+        step = asyncio.create_task(fleet.nodes[0].step())
+        await asyncio.sleep(LEASE_SECONDS)
+        fleet.table.is_down = True
+        fleet.table.gate.set()
+        await step
+        assert fleet.engines.n_sent == n_sent
+
     async def test_thawed_holder_is_refused_by_an_engine_that_checks(self):
         """A node is paused with an order half sent. Meanwhile another took over and a
         newer version was accepted and loaded. The old order arrives after all: an
@@ -280,6 +327,16 @@
         assert fleet.engines.state["e1"]["version"] == "4"
         assert len(fleet.engines.accepted) == n_orders
 
+    async def test_node_with_an_old_document_and_no_order_before(self):
+        """The same for an engine that came up with the newest version by itself, so
+        that no lease tells of it: the node asks for the accepted version first.
+        """
+        fleet = Fleet()
+        fleet.accept(document("2"), nodes=(1,))
+        fleet.engines.state["e1"]["version"] = "2"
+        await fleet.run(10, nodes=(0,))
+        assert fleet.engines.n_sent == 0
+
     async def test_platform_down_orders_nothing_and_catches_up(self):
         fleet = Fleet()
         fleet.table.is_down = True
