--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -281,6 +281,24 @@
         assert len(world.ledger) == n_runs
 
 
+@pytest.mark.looptime
+class TestLateRecord:
+    async def test_late_release_leaves_a_later_attempt_alone(self, world):
+        """A node's release of a key is retried for long, as its replies were lost.
+        Meanwhile the retry at another node has run. The late release must not undo
+        that node's record, or a third try would run again.
+        """
+        world.http.script = ["refused", "refused"]
+        assert word(await world.a.file()) == "not_run"
+        key = row_key("office", "k")
+        deadline = world.a.clock.monotonic() + 1.0
+        old, version = (await world.a.store.read(key, deadline)).ok_value
+        assert word(await world.b.file()) == "answered"
+        assert await world.a.store.finish(key, old, version, deadline)
+        assert word(await world.a.file()) == "replayed"
+        assert len(world.ledger) == 1
+
+
 FAULTS = ("lose_replies", "drop_writes", "delayed")
 WORDS = ("ok", "ok", "refused", "not_run", "lost_before", "lost_after")
 
