--- a/celerytrail/callers/starting.py
+++ b/celerytrail/callers/starting.py
@@ -30,6 +30,8 @@
 
 RETRY_AFTER_SECONDS = 2.0
 
+OWN_ID_BITS = 128
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class GenerationFailed:
@@ -103,6 +105,11 @@
 
 
 StartError = NotRun | GenerationFailed
+DEADLINE_PASSED = NotRun(
+    reason="deadline",
+    detail="the deadline passed before an engine was asked",
+    retry_after=RETRY_AFTER_SECONDS,
+)
 
 
 class BackgroundTasks:
@@ -175,7 +182,9 @@
         n_attempts = 0
         while True:
             n_attempts += 1
-            admitted = await self._admit(req, n_attempts, excluded)
+            if self._clock.monotonic() >= req.deadline:
+                return Err(_outcome(DEADLINE_PASSED, may_have_run))
+            admitted = await self._admit(req, excluded)
             if isinstance(admitted, Err):
                 return Err(_outcome(admitted.err_value, may_have_run))
             tried = await self._try(req, admitted.ok_value)
@@ -226,11 +235,15 @@
         )
 
     async def _admit(
-        self, req: StartRequest, n_attempts: int, excluded: tuple[str, ...]
+        self, req: StartRequest, excluded: tuple[str, ...]
     ) -> Result[Grant, NotRun]:
+        # The caller's own request id must never name anything here: two callers may
+        # use the same one, and then the second would be handed the first one's grant,
+        # and with it another organisation's answer.
+        own_id = f"{self._rng.getrandbits(OWN_ID_BITS):032x}"
         return await self._admitter.admit(
             AdmitRequest(
-                request_id=f"{req.request_id}.{n_attempts}",
+                request_id=own_id,
                 organisation=req.organisation.name,
                 model=req.model,
                 adapter=req.adapter,
@@ -257,6 +270,16 @@
                 detail=f"{grant.engine} is not in the document in force here",
                 is_not_run=True,
             )
+        if self._clock.monotonic() >= req.deadline:
+            # It waited for its grant until its caller had given up.
+            self._admitter.finish(grant, 0, "not_run")
+            return _Failed(
+                engine=grant.engine,
+                reason=DEADLINE_PASSED.reason,
+                detail=DEADLINE_PASSED.detail,
+                is_not_run=True,
+                is_final=True,
+            )
         address = Address.parse(engine.address)
         end: GenerationEnd = "cancelled"
         try:
--- a/scenarios/callers.py
+++ b/scenarios/callers.py
@@ -6,6 +6,7 @@
 import hashlib
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import Any
 
 import msgspec
 
@@ -231,16 +232,16 @@
 
 
 def _call_outcome(answer: Response) -> Outcome:
-    if answer.status < 300 and answer.status != 202:
+    body = msgspec.json.decode(answer.body, type=dict[str, Any])
+    if "state" in body:
+        return Outcome(kind=_KINDS.get(body["state"], body["state"]))
+    if answer.status < 300:
         is_replayed = answer.headers.get(REPLAYED_HEADER) == "true"
         return Outcome(kind="replayed" if is_replayed else "answered")
-    body = msgspec.json.decode(answer.body)
     error = body.get("error", {})
     reason = str(error.get("reason", error.get("type", "")))
-    kinds = {
-        "not_run": "not run",
-        "unknown": "unknown",
-        "in_progress": "in progress",
-    }
-    kind = kinds.get(str(error.get("type")), "refused")
+    kind = _KINDS.get(str(error.get("type")), "refused")
     return Outcome(kind=kind, reason=reason)
+
+
+_KINDS = {"not_run": "not run", "unknown": "unknown", "in_progress": "in progress"}
