--- a/celerytrail/node.py
+++ b/celerytrail/node.py
@@ -11,8 +11,10 @@
 from eliot import log_message
 
 from . import wiring
+from .callers.auth import Authenticator
 from .clock import Clock, SystemClock
 from .configuration import Configuration
+from .engines.client import EngineClient
 from .http import Request
 from .httpclient import HttpClient
 from .httpserver import HttpServer, Responder, ServerLimits
@@ -26,6 +28,10 @@
 from .types import Address
 from .vmwatch import VmWatch
 
+# How long a leaving node tries to write outcomes down, in seconds. While the platform
+# is down longer, the claims stay and are answered as unknown, never run again.
+RECORD_SECONDS = 120.0
+
 
 class Node:
     """One entry VM's part of the system.
@@ -52,6 +58,7 @@
     ) -> None:
         rng = rng or random.Random()
         network = network or SystemNetwork()
+        configuration = Configuration()
         node_id = f"{cfg.vm}-{rng.getrandbits(32):08x}"
         self.cfg = cfg
         self.base = wiring.Base(
@@ -62,7 +69,8 @@
             network=network,
             client=HttpClient(process=node_id, network=network),
             metrics=Metrics(process=cfg.vm),
-            configuration=Configuration(),
+            configuration=configuration,
+            authenticator=Authenticator(configuration=configuration),
             leaving=LeavingBoard(),
             keys=PeerKeys(keys=[key.secret for key in cfg.peer_keys]),
         )
@@ -87,7 +95,12 @@
             clock=self.base.clock,
             rng=rng,
         )
-        self.callers = wiring.make_callers(self.base)
+        wiring.share_leaving(self.base, self.nodes)
+        engines = EngineClient(http=self.base.client, clock=self.base.clock)
+        self.homes = wiring.make_homes(self.base, self.nodes, engines)
+        self.admitter = wiring.make_admitter(self.base, self.nodes, self.homes)
+        self.callers = wiring.make_callers(self.base, engines, self.admitter)
+        self.services = wiring.make_services(self.base, self._platform)
         self.status = wiring.make_status(self.base, self.nodes, self.sync)
         self._add_routes()
 
@@ -96,6 +109,9 @@
         await self._peer_server.start(self.cfg.peer_listen)
         await self.nodes.start()
         await self.sync.start()
+        await self.homes.start()
+        await self.admitter.start()
+        self.services.directory.start()
         self._run(self._vms.run())
         await self._caller_server.start(self.cfg.caller_listen)
         log_message(
@@ -121,6 +137,10 @@
         await asyncio.sleep(max(0.0, open_until - self.base.clock.monotonic()))
         log_message("node:draining", n_in_progress=self._caller_server.n_busy)
         await self._caller_server.drain()
+        # A call's caller may have gone while the call goes on, and its outcome may
+        # still wait to be written; both end before this process does.
+        drained_by = self.base.clock.monotonic() + RECORD_SECONDS
+        await self.services.calls.drain(drained_by)
         await self._stop_parts()
         await self._peer_server.drain()
         self.base.client.close()
@@ -135,6 +155,10 @@
 
     async def _stop_parts(self) -> None:
         self.callers.close()
+        self.services.directory.close()
+        self.services.recorder.close()
+        await self.admitter.stop()
+        await self.homes.stop()
         for task in self._tasks:
             task.cancel()
         if self._tasks:
@@ -150,6 +174,8 @@
             router.add("GET", "/healthz", self._health)
             router.add("GET", "/readyz", self._ready)
         self.callers.add_routes(self._caller_router)
+        self.services.api.add_routes(self._caller_router)
+        self.homes.add_routes(self._peer_router)
         wiring.make_addresses(self.base, self.nodes).add_routes(self._caller_router)
         self._peer_router.add("GET", "/metrics", self._metrics)
         self.nodes.add_routes(self._peer_router)
--- a/celerytrail/nodes/gossip.py
+++ b/celerytrail/nodes/gossip.py
@@ -41,7 +41,7 @@
     tell : callable
         Called with each event.
     network : Network or None
-        What carries the datagrams; the machine's own by default.
+        Carries the datagrams; the machine's own by default.
     """
 
     def __init__(
--- a/celerytrail/nodes/nodes.py
+++ b/celerytrail/nodes/nodes.py
@@ -65,7 +65,7 @@
     answer_seconds : float
         How long callers may keep an answer that names this node's address.
     network : Network or None
-        What carries the datagrams; the machine's own by default.
+        Carries the datagrams; the machine's own by default.
     """
 
     def __init__(
@@ -79,7 +79,7 @@
         rng: random.Random,
         seeds: Sequence[Address] = (),
         timing: Timing | None = None,
-        answer_seconds: float = 10.0,
+        answer_seconds: float = 30.0,
         network: Network | None = None,
     ) -> None:
         timing = timing or Timing()
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -32,6 +32,7 @@
             "Scenario: All is expected wrongly.\n"
             "Start 1 node, 1 engine and 1 endpoint.\n"
             "lone-star asks node-1 for draft d1 of 5 tokens.\n"
+            "lone-star files f1 at node-1 under key k1.\n"
             "Wait until d1 ends.\n"
             "Wait until f1 ends.\n"
             "Expect d1 is cut.\n"
@@ -43,4 +44,4 @@
         )
         findings = run_in_memory(parse(text, "wrong.scn").unwrap())
         lines = [finding.place for finding in findings]
-        assert lines == [f"wrong.scn:{number}" for number in range(5, 9)]
+        assert lines == [f"wrong.scn:{number}" for number in range(7, 13)]
