Run the console as a process

Cause: `celerytrail console` needs its parts put together. Change: ConsoleApp joins store, accounts, sessions and the nodes' status; the nodes it asks are those of its settings and of the platform's VM list, so that neither alone is needed. The node freezes large documents for the collector. Ruled out: asking only the listed VMs (the list lags, and is empty in an outage).

--- a/celerytrail/operators/app.py
+++ b/celerytrail/operators/app.py
@@ -1,4 +1,4 @@
-"""The console as a daemon: its parts put together and run until told to stop."""
+"""The console as a process: its parts put together, started and stopped."""
 
 from __future__ import annotations
 
@@ -11,16 +11,19 @@
 from eliot import log_message
 from result import Err
 
-from ..clock import SystemClock
+from ..clock import Clock, SystemClock
+from ..exceptions import SettingsError
+from ..http import Request
 from ..httpclient import HttpClient
-from ..httpserver import HttpServer, ServerLimits
+from ..httpserver import HttpServer, Responder, ServerLimits
 from ..log import start_logging
+from ..network import Network, SystemNetwork
 from ..nodes.signing import PeerKeys
 from ..platform.client import PlatformClient
 from ..platform.objects import HttpObjectStore
 from ..platform.table import HttpTable
-from ..platform.vms import HttpVmList, VmList, node_addresses
-from ..routes import Router
+from ..platform.vms import HttpVmList, VmList
+from ..routes import Params, Router
 from ..settings import ConsoleSettings
 from ..types import Address
 from .console import Console
@@ -28,74 +31,127 @@
 from .sessions import Accounts, Sessions, parse_accounts
 from .store import DocumentStore
 
-VMS_SECONDS = 2.0
-# A whole document for the size to design for is uploaded as one form.
-MAX_BODY_BYTES = 16 * 1024 * 1024
+# A draft that replaces the whole document at 6,400 organisations is 2 MB, and grows
+# to about three times that when a browser encodes it.
+MAX_FORM_BYTES = 24 * 1024 * 1024
+MAX_CONNECTIONS = 100
+LIST_SECONDS = 2.0
 
 
-def run_console(cfg: ConsoleSettings) -> None:
-    """Run a console until it is told to stop and has answered what it had."""
-    start_logging(cfg.vm, None if cfg.log_file == "-" else cfg.log_file)
-    asyncio.run(_run(cfg))
-
+class ConsoleApp:
+    """The console's process.
 
-def build_console(cfg: ConsoleSettings, client: HttpClient) -> Console:
-    """Put a console's parts together; nothing is sent yet."""
-    clock = SystemClock()
-    rng = random.Random()
-    exchanger = PlatformClient(
-        addresses=cfg.platform, http=client, clock=clock, rng=rng
-    )
-    vms = HttpVmList(exchanger=exchanger)
+    Parameters
+    ----------
+    cfg : ConsoleSettings
+        Its settings.
+    clock : Clock or None
+        Where it learns the time; the machine's clocks by default.
+    rng : random.Random or None
+        Its source of jitter.
+    network : Network or None
+        What carries its connections; the machine's own by default.
+    """
 
-    async def addresses() -> Sequence[Address]:
-        deadline = clock.monotonic() + VMS_SECONDS
-        return [*cfg.nodes, *await _listed_addresses(vms, deadline)]
-
-    return Console(
-        store=DocumentStore(
+    def __init__(
+        self,
+        *,
+        cfg: ConsoleSettings,
+        clock: Clock | None = None,
+        rng: random.Random | None = None,
+        network: Network | None = None,
+    ) -> None:
+        self._cfg = cfg
+        self._clock = clock or SystemClock()
+        self._rng = rng or random.Random()
+        network = network or SystemNetwork()
+        self._client = HttpClient(process=cfg.vm, network=network)
+        exchanger = PlatformClient(
+            addresses=cfg.platform,
+            http=self._client,
+            clock=self._clock,
+            rng=self._rng,
+        )
+        self._vms: VmList = HttpVmList(exchanger=exchanger)
+        store = DocumentStore(
             table=HttpTable(exchanger=exchanger),
             objects=HttpObjectStore(exchanger=exchanger),
-            clock=clock,
-            rng=rng,
-        ),
-        accounts=Accounts(
-            hashes=parse_accounts(cfg.accounts, "accounts").unwrap(), clock=clock
-        ),
-        sessions=Sessions(keys=[key.secret for key in cfg.session_keys], clock=clock),
-        live=LiveView(
-            client=client,
-            auth=PeerKeys(keys=[key.secret for key in cfg.peer_keys]),
-            addresses=addresses,
-            clock=clock,
-            rng=rng,
-        ),
-        clock=clock,
-    )
-
-
-async def _listed_addresses(vms: VmList, deadline: float) -> list[Address]:
-    """Return the nodes' peer addresses that the platform lists; none while down."""
-    fetched = await vms.fetch(deadline)
-    if isinstance(fetched, Err):
-        return []
-    return node_addresses(fetched.ok_value)
+            clock=self._clock,
+            rng=self._rng,
+        )
+        router = Router()
+        router.add("GET", "/healthz", _health)
+        self._make_console(store).add_routes(router)
+        limits = ServerLimits(
+            max_body_bytes=MAX_FORM_BYTES, max_connections=MAX_CONNECTIONS
+        )
+        self._server = HttpServer(handler=router, limits=limits, network=network)
+
+    async def start(self) -> Address:
+        """Listen; returns the real address."""
+        address = await self._server.start(self._cfg.listen)
+        log_message("console:started", address=str(address))
+        return address
+
+    async def leave(self) -> None:
+        """Stop listening, let every exchange in progress end, then close."""
+        await self._server.drain()
+        self._client.close()
+
+    async def addresses(self) -> Sequence[Address]:
+        """Return the nodes' peer addresses: those of the settings and the VM list."""
+        found = list(self._cfg.nodes)
+        listed = await self._vms.fetch(self._clock.monotonic() + LIST_SECONDS)
+        if isinstance(listed, Err):
+            log_message("console:no_vm_list", problem=listed.err_value.reason)
+            return found
+        for vm in listed.ok_value:
+            if vm.address is None:
+                continue
+            try:
+                found.append(Address.parse(vm.address))
+            except ValueError as exc:
+                log_message("console:bad_vm", vm=vm.vm, problem=str(exc))
+        return found
+
+    def _make_console(self, store: DocumentStore) -> Console:
+        hashes = parse_accounts(self._cfg.accounts, "accounts")
+        if isinstance(hashes, Err):
+            raise SettingsError(hashes.err_value)
+        return Console(
+            store=store,
+            accounts=Accounts(hashes=hashes.ok_value, clock=self._clock),
+            sessions=Sessions(
+                keys=[key.secret for key in self._cfg.session_keys], clock=self._clock
+            ),
+            live=LiveView(
+                client=self._client,
+                auth=PeerKeys(keys=[key.secret for key in self._cfg.peer_keys]),
+                addresses=self.addresses,
+                clock=self._clock,
+                rng=self._rng,
+            ),
+            clock=self._clock,
+        )
+
+
+def run_console(cfg: ConsoleSettings) -> None:
+    """Run a console until it is told to stop."""
+    start_logging(cfg.vm, None if cfg.log_file == "-" else cfg.log_file)
+    asyncio.run(_run(cfg))
 
 
 async def _run(cfg: ConsoleSettings) -> None:
-    client = HttpClient(process=cfg.vm)
-    router = Router()
-    build_console(cfg, client).add_routes(router)
-    limits = ServerLimits(max_body_bytes=MAX_BODY_BYTES)
-    server = HttpServer(handler=router, limits=limits)
+    app = ConsoleApp(cfg=cfg)
     told_to_stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told_to_stop.set)
-    address = await server.start(cfg.listen)
-    log_message("console:started", address=str(address))
+    address = await app.start()
     print(f"listening {address} pid {os.getpid()}", flush=True)
     await told_to_stop.wait()
-    await server.drain()
-    client.close()
-    log_message("console:stopped")
+    await app.leave()
+
+
+async def _health(req: Request, res: Responder, params: Params) -> None:
+    await res.send_json(200, {"status": "alive"})
--- a/celerytrail/wiring.py
+++ b/celerytrail/wiring.py
@@ -11,6 +11,7 @@
 from .callers.auth import Authenticator
 from .callers.tickets import TicketSigner
 from .clock import Clock
+from .collector import freeze_documents
 from .configfetch import ObjectFetcher
 from .configsync import ConfigSync
 from .configuration import Configuration
@@ -108,6 +109,7 @@
 
 def make_sync(base: Base, platform: Platform, nodes: Nodes) -> ConfigSync:
     """Make what keeps the configuration at the newest accepted version."""
+    freeze_documents(base.configuration)
     fetcher = ObjectFetcher(
         objects=platform.objects,
         client=base.client,
