--- a/celerytrail/configsync.py
+++ b/celerytrail/configsync.py
@@ -106,6 +106,7 @@
         self._tree = Tree(sections={})
         self._targets = Targets()
         self._refused: tuple[int, str] | None = None
+        self._other_root = ""
         self._old_head_told = 0
         self._news = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -150,7 +151,8 @@
         if version <= self.version:
             # Old news: a frozen node's gossip, a stale read. Only another root under
             # the version in force is worth a word, as it should be impossible.
-            if version == self.version and root != self.root:
+            if version == self.version and root not in (self.root, self._other_root):
+                self._other_root = root
                 self._bad("other_root", f"version {version} also has root {root}")
             return
         if (version, root) == self._refused:
--- a/celerytrail/operators/app.py
+++ b/celerytrail/operators/app.py
@@ -73,11 +73,19 @@
             rng=self._rng,
         )
         self._vms: VmList = HttpVmList(exchanger=exchanger)
+        self._live = LiveView(
+            client=self._client,
+            auth=PeerKeys(keys=[key.secret for key in cfg.peer_keys]),
+            addresses=self.addresses,
+            clock=self._clock,
+            rng=self._rng,
+        )
         store = DocumentStore(
             table=HttpTable(exchanger=exchanger),
             objects=HttpObjectStore(exchanger=exchanger),
             clock=self._clock,
             rng=self._rng,
+            find_spare=self._live.find_object,
         )
         router = Router()
         router.add("GET", "/healthz", _health)
@@ -124,13 +132,7 @@
             sessions=Sessions(
                 keys=[key.secret for key in self._cfg.session_keys], clock=self._clock
             ),
-            live=LiveView(
-                client=self._client,
-                auth=PeerKeys(keys=[key.secret for key in self._cfg.peer_keys]),
-                addresses=self.addresses,
-                clock=self._clock,
-                rng=self._rng,
-            ),
+            live=self._live,
             clock=self._clock,
         )
 
--- a/celerytrail/operators/live.py
+++ b/celerytrail/operators/live.py
@@ -13,7 +13,7 @@
 from result import Ok
 
 from ..clock import Clock
-from ..configfetch import PeerAuth
+from ..configfetch import OBJECT_PATH, PeerAuth
 from ..configrecords import Head
 from ..configsync import HINT_PATH
 from ..httpclient import HttpClient
@@ -24,6 +24,7 @@
 HINT_SECONDS = 1.0
 N_PARALLEL = 32
 N_HINTED = 4
+N_ASKED = 4
 MAX_NODES = 1_000
 
 AddressSource = Callable[[], Awaitable[Sequence[Address]]]
@@ -120,6 +121,20 @@
             )
         )
 
+    async def find_object(self, digest: str) -> bytes | None:
+        """Ask a few nodes for an object of the version they have in force."""
+        addresses = sorted(set(await self._addresses()))
+        path = OBJECT_PATH + digest
+        headers = self._auth.headers("GET", path, b"")
+        for address in self._rng.sample(addresses, min(N_ASKED, len(addresses))):
+            deadline = self._clock.monotonic() + HINT_SECONDS
+            made = await self._client.request(
+                address, "GET", path, headers=headers, deadline=deadline
+            )
+            if isinstance(made, Ok) and made.ok_value.status == 200:
+                return made.ok_value.body
+        return None
+
     async def _ask(self, address: Address) -> NodeStatus:
         headers = self._auth.headers("GET", STATUS_PATH, b"")
         deadline = self._clock.monotonic() + ASK_SECONDS
--- a/celerytrail/operators/store.py
+++ b/celerytrail/operators/store.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections import OrderedDict
-from collections.abc import Awaitable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 
 from eliot import log_message
@@ -25,7 +25,14 @@
 from ..platform.client import InDoubt, Unavailable
 from ..platform.objects import ObjectStore
 from ..platform.table import Check, Committed, Put, Row, Table, Transaction
-from ..sections import ROOT, Section, Tree, read_index, read_section
+from ..sections import (
+    ROOT,
+    Section,
+    Tree,
+    digest_of,
+    read_index,
+    read_section,
+)
 from ..types import Finding
 from .validation import validate
 
@@ -86,6 +93,7 @@
         return self.head.version if self.head is not None else 0
 
 
+FindSpare = Callable[[str], Awaitable[bytes | None]]
 LoadError = Unavailable | Damaged
 AcceptError = Invalid | Conflict | AcceptInDoubt | LoadError
 
@@ -103,11 +111,21 @@
         Gives the time of acceptance and the time left.
     rng : random.Random
         Draws pauses between tries.
+    find_spare : callable or None
+        Asked for an object that the platform lost or damaged; a node that has the
+        version in force can still give it.
     """
 
     def __init__(
-        self, *, table: Table, objects: ObjectStore, clock: Clock, rng: random.Random
+        self,
+        *,
+        table: Table,
+        objects: ObjectStore,
+        clock: Clock,
+        rng: random.Random,
+        find_spare: FindSpare | None = None,
     ) -> None:
+        self._find_spare = find_spare
         self._table = table
         self._objects = objects
         self._clock = clock
@@ -386,12 +404,23 @@
     async def _get(self, digest: str, deadline: float) -> Result[bytes, LoadError]:
         name = object_name(digest)
         got = await self._objects.get(name, deadline)
+        data = got.ok_value if isinstance(got, Ok) else None
+        if data is not None and digest_of(data) == digest:
+            return Ok(data)
+        spare = await self._find_spare(digest) if self._find_spare else None
+        if spare is not None and digest_of(spare) == digest:
+            log_message("configuration:object_from_node", digest=digest)
+            if isinstance(got, Ok):
+                # Written back, or else nothing could be accepted any more once no
+                # node has the version in memory. It may fail; the next load tries.
+                await self._objects.put(name, spare, deadline)
+            return Ok(spare)
         if isinstance(got, Err):
             return Err(got.err_value)
-        if got.ok_value is None:
-            finding = Finding(place=name, problem="the object store does not have it")
-            return Err(Damaged(findings=(finding,)))
-        return Ok(got.ok_value)
+        problem = "the object store does not have it"
+        if data is not None:
+            problem = "its content does not have that digest"
+        return Err(Damaged(findings=(Finding(place=name, problem=problem),)))
 
     def _remember(self, tree: Tree) -> None:
         self._trees[tree.root] = tree
--- a/tests/test_configsync.py
+++ b/tests/test_configsync.py
@@ -250,6 +250,15 @@
         assert node.applied == sorted(node.applied)
         assert node.document == document("d")
 
+    async def test_two_roots_under_one_version_are_told_once(self, world):
+        node = await world.add()
+        await world.accept(document("a"))
+        await asyncio.sleep(3)
+        for _ in range(5):
+            node.sync.hear(1, "f" * 64)
+        assert b'problem="other_root",process="n0"} 1' in node.metrics.render()[0]
+        assert node.document == document("a")
+
     async def test_damaged_head_goes_back_in_time(self, world):
         """The platform loses its newest rows; what is in force stays in force."""
         node = await world.add()
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -9,7 +9,7 @@
 from storefakes import FakeObjects, FakeTable
 
 from celerytrail.clock import LoopClock
-from celerytrail.configrecords import HEAD_KEY, history_key
+from celerytrail.configrecords import HEAD_KEY, history_key, object_name
 from celerytrail.document import Document, ModelSpec, OrganisationSpec
 from celerytrail.operators.store import (
     AcceptInDoubt,
@@ -250,3 +250,27 @@
         fresh = Desk(desk.table, desk.objects)
         refused = (await fresh.store.load(fresh.deadline())).err_value
         assert "digest" in refused.findings[0].problem
+
+    async def test_damaged_object_comes_back_from_a_node(self, desk):
+        """The object store lost a section, and the nodes still serve by it.
+
+        Without them the console could load nothing, and so accept nothing, for good.
+        """
+        await desk.accept(document("a"), 0, "op1")
+        kept = dict(desk.objects.objects)
+        names = list(kept)
+        desk.objects.objects = {names[0]: b"damaged"}
+
+        async def find_spare(digest):
+            return kept[object_name(digest)]
+
+        store = DocumentStore(
+            table=desk.table,
+            objects=desk.objects,
+            clock=LoopClock(),
+            rng=random.Random(1),
+            find_spare=find_spare,
+        )
+        loaded = (await store.load(desk.deadline())).ok_value
+        assert loaded.document == document("a")
+        assert desk.objects.objects == kept
