--- a/tests/test_document_pages.py
+++ b/tests/test_document_pages.py
@@ -21,8 +21,9 @@
 
 
 class TestPages:
-    @pytest.mark.parametrize("path", sorted(ROOT.glob("examples/*.json")))
-    def test_examples_are_valid(self, path):
+    @pytest.mark.parametrize("name", ["office", "ciranda"])
+    def test_examples_are_valid(self, name):
+        path = ROOT / "examples" / f"{name}.json"
         assert validate(path.read_bytes()).is_ok()
 
     def test_page_tells_every_field(self):
