Load trees in one place

Ruled out: one error type for both (the console must tell an outage from damage; the node must tell what a retry can mend). Change: TreeLoader, over the caller's own getter and error type; the store's outcomes in a module of their own.

--- a/celerytrail/configsync.py
+++ b/celerytrail/configsync.py
@@ -29,7 +29,8 @@
 from .platform.backoff import full_jitter
 from .platform.table import Table
 from .routes import Params, Router, send_error
-from .sections import ROOT, Section, Tree, is_digest, read_index, read_section
+from .sections import Tree, is_digest
+from .treeloader import Misfit, TreeLoader
 from .types import Address, Finding
 
 HEAD_PATH = "/peer/v1/config/head"
@@ -43,7 +44,6 @@
 BOOT_SECONDS = 0.5
 RETRY_FIRST_SECONDS = 0.2
 RETRY_MOST_SECONDS = 5.0
-N_PARALLEL = 8
 
 Announce = Callable[[int, str], None]
 
@@ -328,16 +328,17 @@
 
     async def _load(self, target: Target) -> Result[_Loaded, _Rejected]:
         """Fetch what differs from the version in force, and check the whole."""
-        digests = await self._load_digests(target)
-        if isinstance(digests, Err):
-            return digests
-        sections = await self._load_sections(digests.ok_value, target)
-        if isinstance(sections, Err):
-            return sections
-        tree = Tree(sections=sections.ok_value)
-        if tree.root != target.root:
-            problem = "its root names indexes or sections that are not canonical"
-            return _refuse(Finding(place=f"object {target.root}", problem=problem))
+        loader = TreeLoader(
+            get=lambda digest: self._fetcher.get(digest, target.holders),
+            held=(self._tree,),
+        )
+        made = await loader.load(target.root)
+        if isinstance(made, Err):
+            failure = made.err_value
+            if isinstance(failure, Misfit):
+                return Err(_Rejected(findings=failure.findings, is_final=True))
+            return Err(_Rejected(findings=(failure,)))
+        tree = made.ok_value
         # Each of these steps takes some milliseconds at 6,400 organisations; callers'
         # tokens go on in between.
         await asyncio.sleep(0)
@@ -364,70 +365,6 @@
             await asyncio.sleep(0)
         return tuple(findings)
 
-    async def _load_digests(self, target: Target) -> Result[dict[str, str], _Rejected]:
-        """Return the digest of each section of a version, by name."""
-        root = await self._load_index(ROOT, target.root, target)
-        if isinstance(root, Err):
-            return root
-        digests: dict[str, str] = {}
-        for name, digest in root.ok_value.items():
-            index = await self._load_index(name, digest, target)
-            if isinstance(index, Err):
-                return index
-            digests.update(index.ok_value)
-        return Ok(digests)
-
-    async def _load_index(
-        self, name: str, digest: str, target: Target
-    ) -> Result[dict[str, str], _Rejected]:
-        data = await self._get(digest, target)
-        if isinstance(data, Err):
-            return data
-        index = read_index(data.ok_value, name, digest)
-        if isinstance(index, Err):
-            return Err(_Rejected(findings=index.err_value, is_final=True))
-        return Ok(dict(index.ok_value.digests))
-
-    async def _load_sections(
-        self, digests: dict[str, str], target: Target
-    ) -> Result[dict[str, Section], _Rejected]:
-        sections: dict[str, Section] = {}
-        missing: list[tuple[str, str]] = []
-        for name, digest in digests.items():
-            held = self._tree.section(digest)
-            if held is not None and held.name == name:
-                sections[name] = held
-            else:
-                missing.append((name, digest))
-        for start in range(0, len(missing), N_PARALLEL):
-            batch = missing[start : start + N_PARALLEL]
-            loads = [self._load_section(name, digest, target) for name, digest in batch]
-            for made in await asyncio.gather(*loads):
-                if isinstance(made, Err):
-                    return made
-                sections[made.ok_value.name] = made.ok_value
-        return Ok(sections)
-
-    async def _load_section(
-        self, name: str, digest: str, target: Target
-    ) -> Result[Section, _Rejected]:
-        data = await self._get(digest, target)
-        if isinstance(data, Err):
-            return data
-        section = read_section(data.ok_value, name, digest)
-        if isinstance(section, Err):
-            return Err(_Rejected(findings=section.err_value, is_final=True))
-        return Ok(section.ok_value)
-
-    async def _get(self, digest: str, target: Target) -> Result[bytes, _Rejected]:
-        held = self._tree.get(digest)
-        if held is not None:
-            return Ok(held)
-        got = await self._fetcher.get(digest, target.holders)
-        if isinstance(got, Err):
-            return Err(_Rejected(findings=(got.err_value,)))
-        return Ok(got.ok_value)
-
     def _bad(self, problem: str, detail: str, **fields: object) -> None:
         self._metrics.count("bad_input", peer="configuration", problem=problem)
         log_message("configuration:bad_input", problem=problem, detail=detail, **fields)
@@ -443,7 +380,3 @@
 class _Loaded:
     tree: Tree
     document: Document
-
-
-def _refuse(finding: Finding) -> Err[_Rejected]:
-    return Err(_Rejected(findings=(finding,), is_final=True))
--- a/celerytrail/operators/actions.py
+++ b/celerytrail/operators/actions.py
@@ -21,17 +21,17 @@
 from .drafts import Draft, Edit, difference, draft_of, rebase
 from .forms import FORMS, FormValues, first, read_entry
 from .live import LiveView
-from .pages import Visit, fields_again, item_values, review_values
-from .store import (
+from .outcomes import (
     AcceptError,
     AcceptInDoubt,
     Conflict,
     Damaged,
-    DocumentStore,
     Invalid,
     Loaded,
     LoadError,
 )
+from .pages import Visit, fields_again, item_values, review_values
+from .store import DocumentStore
 from .validation import validate
 
 ACCEPT_SECONDS = 8.0
--- a/celerytrail/operators/console.py
+++ b/celerytrail/operators/console.py
@@ -23,6 +23,7 @@
 from .drafts import Draft, decode_draft
 from .forms import FORMS, FormValues, blank_entry, first, parse_form, show_entry
 from .live import LiveView
+from .outcomes import LoadError
 from .pages import (
     TEMPLATES,
     Pages,
@@ -34,7 +35,7 @@
     status_values,
 )
 from .sessions import Accounts, Session, Sessions
-from .store import DocumentStore, LoadError
+from .store import DocumentStore
 from .upload import parse_upload
 
 LOAD_SECONDS = 8.0
--- a/celerytrail/operators/pages.py
+++ b/celerytrail/operators/pages.py
@@ -18,8 +18,8 @@
 from .drafts import KINDS, Composed, Draft, Edit, compose, difference, to_json
 from .forms import FORMS, Form, FormValues, show_entry
 from .live import NodeStatus
+from .outcomes import Loaded
 from .sessions import Session
-from .store import Loaded
 
 TEMPLATES = Path(__file__).parent / "templates"
 MAX_ROWS = 100
--- a/celerytrail/operators/store.py
+++ b/celerytrail/operators/store.py
@@ -25,77 +25,37 @@
 from ..platform.client import InDoubt, Unavailable
 from ..platform.objects import ObjectStore
 from ..platform.table import Check, Committed, Put, Row, Table, Transaction
-from ..sections import (
-    ROOT,
-    Section,
-    Tree,
-    digest_of,
-    read_index,
-    read_section,
-)
+from ..sections import Tree, digest_of
+from ..treeloader import N_PARALLEL, Misfit, TreeLoader
 from ..types import Finding
+from .outcomes import (
+    AcceptError,
+    AcceptInDoubt,
+    Conflict,
+    Damaged,
+    Invalid,
+    Loaded,
+    LoadError,
+)
 from .validation import validate
 
-N_PARALLEL = 8
+__all__ = [
+    "AcceptError",
+    "AcceptInDoubt",
+    "Conflict",
+    "Damaged",
+    "DocumentStore",
+    "Invalid",
+    "LoadError",
+    "Loaded",
+]
+
 PAUSE_SECONDS = 0.2
 N_CACHED = 4
 N_STALE_READS = 3
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Invalid:
-    """The document was not taken; nothing took effect."""
-
-    findings: tuple[Finding, ...]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Conflict:
-    """Somebody else's version came first; nothing of one's own took effect.
-
-    Parameters
-    ----------
-    head : Head
-        The newest version.
-    document : Document or None
-        Its document; None where it could not be loaded just now.
-    """
-
-    head: Head
-    document: Document | None = None
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class AcceptInDoubt:
-    """May or may not take effect; ask again with the same operation id."""
-
-    operation_id: str
-    detail: str = ""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Damaged:
-    """What the platform returned is not what was written there."""
-
-    findings: tuple[Finding, ...]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Loaded:
-    """An accepted version with its document; no head before the first one."""
-
-    head: Head | None
-    document: Document
-
-    @property
-    def version(self) -> int:
-        """Return the version; 0 before the first one."""
-        return self.head.version if self.head is not None else 0
-
-
 FindSpare = Callable[[str], Awaitable[bytes | None]]
-LoadError = Unavailable | Damaged
-AcceptError = Invalid | Conflict | AcceptInDoubt | LoadError
 
 
 class DocumentStore:
@@ -352,55 +312,20 @@
         cached = self._trees.get(root_digest)
         if cached is not None:
             return Ok(cached)
-        found: list[tuple[str, str]] = []
-        parts = await self._load_index(ROOT, root_digest, deadline)
-        if isinstance(parts, Err):
-            return Err(parts.err_value)
-        for name, digest in parts.ok_value:
-            index = await self._load_index(name, digest, deadline)
-            if isinstance(index, Err):
-                return Err(index.err_value)
-            found.extend(index.ok_value)
-        sections: dict[str, Section] = {}
-        for start in range(0, len(found), N_PARALLEL):
-            batch = found[start : start + N_PARALLEL]
-            loads: list[Awaitable[Result[Section, LoadError]]] = [
-                self._load_section(name, digest, deadline) for name, digest in batch
-            ]
-            for made in await asyncio.gather(*loads):
-                if isinstance(made, Err):
-                    return Err(made.err_value)
-                sections[made.ok_value.name] = made.ok_value
-        tree = Tree(sections=sections)
+        loader = TreeLoader(
+            get=lambda digest: self._get(digest, deadline),
+            held=tuple(self._trees.values()),
+        )
+        made = await loader.load(root_digest)
+        if isinstance(made, Err):
+            failure = made.err_value
+            if isinstance(failure, Misfit):
+                return Err(Damaged(findings=failure.findings))
+            return Err(failure)
+        tree = made.ok_value
         self._remember(tree)
         return Ok(tree)
 
-    async def _load_index(
-        self, name: str, digest: str, deadline: float
-    ) -> Result[list[tuple[str, str]], LoadError]:
-        data = await self._get(digest, deadline)
-        if isinstance(data, Err):
-            return Err(data.err_value)
-        index = read_index(data.ok_value, name, digest)
-        if isinstance(index, Err):
-            return Err(Damaged(findings=index.err_value))
-        return Ok(list(index.ok_value.digests.items()))
-
-    async def _load_section(
-        self, name: str, digest: str, deadline: float
-    ) -> Result[Section, LoadError]:
-        for tree in self._trees.values():
-            held = tree.section(digest)
-            if held is not None:
-                return Ok(held)
-        data = await self._get(digest, deadline)
-        if isinstance(data, Err):
-            return Err(data.err_value)
-        section = read_section(data.ok_value, name, digest)
-        if isinstance(section, Err):
-            return Err(Damaged(findings=section.err_value))
-        return Ok(section.ok_value)
-
     async def _get(self, digest: str, deadline: float) -> Result[bytes, LoadError]:
         name = object_name(digest)
         got = await self._objects.get(name, deadline)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -11,13 +11,8 @@
 from celerytrail.clock import LoopClock
 from celerytrail.configrecords import HEAD_KEY, history_key, object_name
 from celerytrail.document import Document, ModelSpec, OrganisationSpec
-from celerytrail.operators.store import (
-    AcceptInDoubt,
-    Conflict,
-    Damaged,
-    DocumentStore,
-    Invalid,
-)
+from celerytrail.operators.outcomes import AcceptInDoubt, Conflict, Damaged, Invalid
+from celerytrail.operators.store import DocumentStore
 from celerytrail.platform.client import Unavailable
 
 pytestmark = pytest.mark.looptime
