Kill the console at every step of accepting, and part fields from forms

Change: a test cancels the acceptance after each turn of the event loop, one turn later each time, and sends the form again: one new version, whole, told as accepted. The fields' words stand in a module of their own.

--- a/celerytrail/operators/actions.py
+++ b/celerytrail/operators/actions.py
@@ -19,7 +19,8 @@
 from ..platform.client import Unavailable
 from ..types import Finding
 from .drafts import Draft, Edit, difference, draft_of, rebase
-from .forms import FORMS, FormValues, first, read_entry
+from .formfields import FORMS
+from .forms import FormValues, first, read_entry
 from .live import LiveView
 from .outcomes import (
     AcceptError,
--- a/celerytrail/operators/console.py
+++ b/celerytrail/operators/console.py
@@ -21,7 +21,8 @@
 from ..routes import Params, Router
 from .actions import Actions, Answer
 from .drafts import Draft, decode_draft
-from .forms import FORMS, FormValues, blank_entry, first, parse_form, show_entry
+from .formfields import FORMS
+from .forms import FormValues, blank_entry, first, parse_form, show_entry
 from .live import LiveView
 from .outcomes import LoadError
 from .pages import (
--- a/celerytrail/operators/pages.py
+++ b/celerytrail/operators/pages.py
@@ -16,7 +16,8 @@
 from ..sections import item_key
 from ..types import Finding
 from .drafts import KINDS, Composed, Draft, Edit, compose, difference, to_json
-from .forms import FORMS, Form, FormValues, show_entry
+from .formfields import FORMS, Form
+from .forms import FormValues, show_entry
 from .live import NodeStatus
 from .outcomes import Loaded
 from .sessions import Session
--- a/tests/storefakes.py
+++ b/tests/storefakes.py
@@ -85,11 +85,13 @@
         self.objects: dict[str, bytes] = {}
         self.is_down = False
         self.n_puts_left: int | None = None
+        self.is_staggered = False
         self.n_calls = Counter()
 
     async def put(self, name, data, deadline):
         self.n_calls["put"] += 1
-        await asyncio.sleep(0)
+        for _ in range(self.n_calls["put"] if self.is_staggered else 1):
+            await asyncio.sleep(0)
         if self.is_down or self.n_puts_left == 0:
             return Err(Unavailable(reason="platform_down"))
         if self.n_puts_left is not None:
--- a/tests/test_document_pages.py
+++ b/tests/test_document_pages.py
@@ -9,7 +9,7 @@
 
 from celerytrail.document import EndpointSpec, OperationSpec
 from celerytrail.operators.drafts import ITEM_TYPES
-from celerytrail.operators.forms import FORMS
+from celerytrail.operators.formfields import FORMS
 from celerytrail.operators.validation import validate
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -181,6 +181,34 @@
         again = Desk(desk.table, desk.objects)
         assert (await again.accept(document("a", "b"), 0, "op1")).ok_value.version == 1
 
+    @pytest.mark.parametrize("base", [0, 1])
+    async def test_killed_at_every_step(self, base):
+        """The console dies at any moment of accepting, and the form is sent again.
+
+        Whatever the moment, there must be one new version, whole, and told as accepted.
+        """
+        n_steps, is_done = 0, False
+        while not is_done:
+            desk = Desk()
+            desk.objects.is_staggered = True
+            if base:
+                await desk.accept(document("z"), 0, "op0")
+            accepting = asyncio.create_task(desk.accept(document("a"), base, "op1"))
+            for _ in range(n_steps):
+                await asyncio.sleep(0)
+            is_done = accepting.done()
+            accepting.cancel()
+            await asyncio.wait([accepting])
+            before = (await desk.newest()).document
+            assert before in (document("z") if base else Document(), document("a"))
+            again = Desk(desk.table, desk.objects)
+            made = await again.accept(document("a"), base, "op1")
+            assert made.ok_value.version == base + 1
+            assert (await desk.newest()).document == document("a")
+            assert len(desk.table.rows) == base + 2
+            n_steps += 1
+        assert n_steps > 10
+
     async def test_killed_after_the_commit(self, desk):
         """The console dies before its page says "accepted"; the browser resends.
 
