--- a/celerytrail/engines/streams.py
+++ b/celerytrail/engines/streams.py
@@ -46,20 +46,27 @@
         answers and the silence lasts, as an engine out of memory is silent too.
     max_stall_seconds : float
         Where that doubling ends.
+    counted_stall_seconds : float
+        Silence between tokens beyond which it counts as a stall in the metrics.
     head_seconds : float
         How long an engine may take to answer the head of a stream.
     recover_seconds : float
         How long an engine that can't be reached is tried again.
-    n_max_breaks : int
-        Breaks without a token between after which the engine counts as broken.
+    n_max_breaks, n_max_first_breaks : int
+        Breaks without a token between after which the engine counts as broken; and
+        the same before the first token, when another engine can still be asked.
+    backoff_seconds, max_backoff_seconds : float
+        Wait before an engine is tried again; doubles each time up to the latter.
     """
 
     first_token_seconds: float = 10.0
     stall_seconds: float = 3.0
     max_stall_seconds: float = 24.0
+    counted_stall_seconds: float = 0.5
     head_seconds: float = 3.0
     recover_seconds: float = 10.0
     n_max_breaks: int = 6
+    n_max_first_breaks: int = 1
     backoff_seconds: float = 0.05
     max_backoff_seconds: float = 1.0
 
@@ -272,9 +279,9 @@
         else:
             gap = now - self._last_at
             self._counters.note_tokens(n_tokens, gap)
-            if gap > policy.stall_seconds:
+            if gap > policy.counted_stall_seconds:
                 self._counters.n_stalls += 1
-                self._counters.stall_seconds += gap
+                self._counters.stall_seconds += gap - policy.counted_stall_seconds
         self._last_at = now
         self._stall_seconds = policy.stall_seconds
         if self._reader is not None:
@@ -311,7 +318,10 @@
             # Before its first token a generation is better begun elsewhere.
             give_up_at += policy.recover_seconds
         backoff = policy.backoff_seconds
-        if self._n_breaks > policy.n_max_breaks:
+        n_max_breaks = policy.n_max_breaks
+        if self.offset == 0:
+            n_max_breaks = policy.n_max_first_breaks
+        if self._n_breaks > n_max_breaks:
             return self._lost("engine_broken", can_resume=False)
         if self._n_breaks > 1:
             await self._back_off(backoff * 2**self._n_breaks)
