--- a/Makefile
+++ b/Makefile
@@ -27,4 +27,10 @@
 	$(PY) -m ruff check .
 	$(PY) -m mypy
 
-.PHONY: help install test format check
+bench: install  ## Measure the decisions under load; writes out/bench.*.
+	$(PY) -m bench
+
+bench-quick: install  ## The same with few runs, in under 45 s.
+	$(PY) -m bench --quick
+
+.PHONY: help install test format check bench bench-quick
--- a/celerytrail/admission.py
+++ b/celerytrail/admission.py
@@ -8,16 +8,19 @@
 from __future__ import annotations
 
 import abc
+import bisect
 import math
 from dataclasses import dataclass
 
 from .engineview import EngineView, Running
 from .grants import AdmitRequest
-from .lengths import Curve, LengthModel
+from .lengths import LengthModel
 
 # Steps ahead at which memory is forecast.
 HORIZON: tuple[int, ...] = (0, 32, 64, 128, 256, 384, 512, 768, 1024, 1536, 2048)
 HORIZON += (3072, 4096, 6144, 8192, 12288, 16384)
+# A generation that is less likely to run by then is left out.
+P_NEGLIGIBLE = 0.002
 # A forecast older than this is made anew, seconds.
 FORECAST_LIFE = 0.5
 # The margin, in standard deviations of the forecast: where it starts and its bounds.
@@ -71,6 +74,8 @@
     variance: list[float]
     made_at: float
     n_changes: int
+    # The peak with the margin, before any candidate.
+    peak: float = 0.0
 
 
 class PredictedPeak(AdmissionPolicy):
@@ -98,26 +103,21 @@
         """Return the share of memory left at the forecast's peak."""
         forecast = self._forecast(view, now)
         n_memory = view.n_memory_tokens * (1.0 - SLACK_SHARE)
-        margin = self.margin(view.name)
-        curve = self._lengths.curve(self._model, req.organisation)
-        peak = 0.0
-        for step, n_tokens, p in self._growth(curve, req.n_prompt_tokens, 0, req):
-            mean = forecast.mean[step] + n_tokens * p
-            variance = forecast.variance[step] + n_tokens * n_tokens * p * (1.0 - p)
-            need = mean + margin * math.sqrt(variance)
-            if need > peak:
-                peak = need
+        peak = forecast.peak
+        if peak + req.n_prompt_tokens <= n_memory:
+            peak = max(peak, self._peak_with(forecast, view, req))
+        else:
+            peak += req.n_prompt_tokens
         return (n_memory - peak) / max(1.0, n_memory)
 
     def granted(self, view: EngineView, req: AdmitRequest, now: float) -> None:
         """Add the request to the engine's forecast."""
         forecast = self._forecast(view, now)
-        curve = self._lengths.curve(self._model, req.organisation)
-        for step, n_tokens, p in self._growth(curve, req.n_prompt_tokens, 0, req):
-            forecast.mean[step] += n_tokens * p
-            forecast.variance[step] += n_tokens * n_tokens * p * (1.0 - p)
+        row = self._row(req.organisation, 0, req.n_max_tokens)
+        _add(forecast, req.n_prompt_tokens, row)
         margin = self.margin(view.name) - MARGIN_UP / GRANTS_PER_PREEMPTION
         self._margins[view.name] = max(MARGIN_MIN, margin)
+        forecast.peak = self._peak(forecast, view)
 
     def observe(self, view: EngineView) -> None:
         """Raise the margin for each preemption that was reported."""
@@ -142,37 +142,58 @@
         )
         for runs in (view.running.values(), view.foreign.values()):
             for run in runs:
-                self._add(forecast, view, run, now)
+                n_so_far = _tokens_now(run, view, now)
+                row = self._row(run.organisation, n_so_far, run.n_max_tokens)
+                _add(forecast, run.n_prompt_tokens + n_so_far, row)
+        forecast.peak = self._peak(forecast, view)
         self._forecasts[view.name] = forecast
         return forecast
 
-    def _add(
-        self, forecast: Forecast, view: EngineView, run: Running, now: float
-    ) -> None:
-        curve = self._lengths.curve(self._model, run.organisation)
-        n_so_far = run.n_tokens
-        if n_so_far:
-            # Progress comes in batches; the tokens since the last are there already.
-            n_so_far += int(view.stream_rate * min(2.0, now - run.progress_at))
-        mean, variance = forecast.mean, forecast.variance
-        for step, n_tokens, p in self._growth(
-            curve, run.n_prompt_tokens, n_so_far, run
+    def _row(self, organisation: str, n_so_far: int, n_max_tokens: int) -> list[float]:
+        curve = self._lengths.curve(self._model, organisation)
+        row = curve.survival_row(n_so_far, HORIZON)
+        n_left = n_max_tokens - n_so_far
+        if n_left >= HORIZON[-1]:
+            return row
+        return row[: bisect.bisect_right(HORIZON, n_left)]
+
+    def _peak(self, forecast: Forecast, view: EngineView) -> float:
+        margin = self.margin(view.name)
+        return max(
+            mean + margin * math.sqrt(variance)
+            for mean, variance in zip(forecast.mean, forecast.variance, strict=True)
+        )
+
+    def _peak_with(
+        self, forecast: Forecast, view: EngineView, req: AdmitRequest
+    ) -> float:
+        margin = self.margin(view.name)
+        row = self._row(req.organisation, 0, req.n_max_tokens)
+        peak = 0.0
+        # Where the row is cut by the caller's limit, the engine's own peak counts.
+        for n_steps, p, mean, variance in zip(
+            HORIZON, row, forecast.mean, forecast.variance, strict=False
         ):
-            mean[step] += n_tokens * p
-            variance[step] += n_tokens * n_tokens * p * (1.0 - p)
-
-    def _growth(
-        self, curve: Curve, n_prompt: int, n_so_far: int, run: Running | AdmitRequest
-    ) -> list[tuple[int, float, float]]:
-        """Return (place in the horizon, memory held then, probability to run then)."""
-        here = curve.log_survival(n_so_far)
-        n_left = run.n_max_tokens - n_so_far
-        growth = []
-        for place, n_steps in enumerate(HORIZON):
-            if n_steps > n_left:
-                break
-            p = math.exp(curve.log_survival(n_so_far + n_steps) - here)
-            if p < 0.002:
-                break
-            growth.append((place, float(n_prompt + n_so_far + n_steps), p))
-        return growth
+            n_tokens = req.n_prompt_tokens + n_steps
+            spread = variance + n_tokens * n_tokens * p * (1.0 - p)
+            need = mean + n_tokens * p + margin * math.sqrt(spread)
+            if need > peak:
+                peak = need
+        return peak
+
+
+def _add(forecast: Forecast, n_held: int, row: list[float]) -> None:
+    mean, variance = forecast.mean, forecast.variance
+    for place, p in enumerate(row):
+        if p < P_NEGLIGIBLE:
+            return
+        n_tokens = n_held + HORIZON[place]
+        mean[place] += n_tokens * p
+        variance[place] += n_tokens * n_tokens * p * (1.0 - p)
+
+
+def _tokens_now(run: Running, view: EngineView, now: float) -> int:
+    if not run.n_tokens:
+        return 0
+    # Progress comes in batches; the tokens since the last are there already.
+    return run.n_tokens + int(view.stream_rate * min(2.0, now - run.progress_at))
--- a/celerytrail/fairness.py
+++ b/celerytrail/fairness.py
@@ -79,8 +79,9 @@
     def __len__(self) -> int:
         return len(self._requests)
 
-    def __iter__(self) -> Iterator[AdmitRequest]:
-        return iter(self._requests.values())
+    def get(self, request_id: str) -> AdmitRequest | None:
+        """Return a waiting request, where it is there."""
+        return self._requests.get(request_id)
 
     def push(self, req: AdmitRequest) -> None:
         """Add a request at the end of its organisation's line."""
--- a/celerytrail/lengths.py
+++ b/celerytrail/lengths.py
@@ -12,6 +12,7 @@
 import math
 from array import array
 from collections import OrderedDict
+from collections.abc import Sequence
 
 BUCKETS_PER_DOUBLING = 2
 N_BUCKETS = 34  # Lengths to 2**17 tokens; the last bucket is open.
@@ -26,8 +27,11 @@
 # Counts are halved after so many ended generations, so that habits may change.
 MODEL_HALF_LIFE = 4000
 ORGANISATION_HALF_LIFE = 1000
-# A curve is worked out anew after this many ended generations.
+# A curve is worked out anew after this many ended generations, or this share of all.
 CURVE_LIFE = 8
+CURVE_LIFE_SHARE = 0.02
+# Rows of survival are kept for so many starting points in each bucket.
+ROWS_PER_BUCKET = 4
 # Drift: the running sum of surprise, in units of one generation's, above which the
 # old counts are discounted.
 DRIFT_THRESHOLD = 12.0
@@ -44,9 +48,10 @@
         For each bucket, the probability to end in it once it is reached.
     """
 
-    __slots__ = ("_area", "_log_survival")
+    __slots__ = ("_area", "_log_survival", "_rows")
 
     def __init__(self, *, hazards: list[float]) -> None:
+        self._rows: dict[int, list[float]] = {}
         logs = [0.0]
         for hazard in hazards:
             logs.append(logs[-1] + math.log1p(-min(hazard, 0.98)))
@@ -67,6 +72,22 @@
             return logs[N_BUCKETS]
         return logs[b] + (place - b) * (logs[b + 1] - logs[b])
 
+    def survival_row(self, n_so_far: int, steps: Sequence[int]) -> list[float]:
+        """Return the probability to go on for each of ``steps`` more tokens.
+
+        Rows are kept for starting points about a tenth apart, as forecasts ask for
+        them by the hundred. ``steps`` must be the same at each call.
+        """
+        place = ROWS_PER_BUCKET * BUCKETS_PER_DOUBLING * math.log2(n_so_far + 1.0)
+        key = int(place)
+        row = self._rows.get(key)
+        if row is None:
+            start = 2.0 ** (key / (ROWS_PER_BUCKET * BUCKETS_PER_DOUBLING)) - 1.0
+            here = self.log_survival(start)
+            row = [math.exp(self.log_survival(start + n) - here) for n in steps]
+            self._rows[key] = row
+        return row
+
     def expected_residual(self, n_so_far: float) -> float:
         """Return the expected number of tokens still to come."""
         place = BUCKETS_PER_DOUBLING * math.log2(n_so_far + 1.0)
@@ -96,7 +117,16 @@
 class LifeTable:
     """Decaying counts of generations that left each bucket, and ended in it."""
 
-    __slots__ = ("_growth", "curve", "ended", "left", "n_new", "n_seen", "surprise")
+    __slots__ = (
+        "_growth",
+        "curve",
+        "ended",
+        "left",
+        "n_ended",
+        "n_new",
+        "n_seen",
+        "surprise",
+    )
 
     def __init__(self, *, half_life: int) -> None:
         # Instead of decaying all counts at each observation, new ones weigh more.
@@ -104,6 +134,7 @@
         self.left = array("f", bytes(4 * N_BUCKETS))
         self.ended = array("f", bytes(4 * N_BUCKETS))
         self.n_new = 0
+        self.n_ended = 0
         self.n_seen = 1.0
         self.surprise = 0.0
         self.curve: Curve | None = None
@@ -116,11 +147,20 @@
     def age(self) -> None:
         """Let what was counted before weigh a little less."""
         self.n_new += 1
+        self.n_ended += 1
         self.n_seen *= self._growth
         if self.n_seen > 1024.0:
             self.scale(1.0 / self.n_seen)
             self.n_seen = 1.0
 
+    @property
+    def is_stale(self) -> bool:
+        """Whether the curve is to be worked out anew."""
+        if self.curve is None:
+            return True
+        n_known = min(self.n_ended, ORGANISATION_HALF_LIFE)
+        return self.n_new >= max(CURVE_LIFE, CURVE_LIFE_SHARE * n_known)
+
     def scale(self, factor: float) -> None:
         """Multiply all counts by ``factor``."""
         for b in range(N_BUCKETS):
@@ -202,7 +242,7 @@
         table = self._tables.get((model, organisation))
         if table is None:
             return self._model_curve(model)
-        if table.curve is None or table.n_new >= CURVE_LIFE:
+        if table.curve is None or table.is_stale:
             prior = self._model_hazards(model)
             table.curve = Curve(hazards=table.hazards(prior, MODEL_WEIGHT))
             table.n_new = 0
@@ -272,7 +312,7 @@
 
     def _model_curve(self, model: str) -> Curve:
         table = self._model(model)
-        if table.curve is None or table.n_new >= CURVE_LIFE:
+        if table.curve is None or table.is_stale:
             table.curve = Curve(hazards=self._model_hazards(model))
             table.n_new = 0
         return table.curve
--- a/celerytrail/scheduler.py
+++ b/celerytrail/scheduler.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import heapq
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -97,6 +98,8 @@
         self._rng = rng
         self._live: dict[str, _Live] = {}
         self._grants: dict[str, Grant] = {}
+        # Queue deadlines, earliest first; entries of requests that left stay until due.
+        self._deadlines: list[tuple[float, str]] = []
         self._first_tried: tuple[str, float] = ("", 0.0)
         self._changed = False
         self._polled_at = float("-inf")
@@ -148,6 +151,7 @@
         if refusal is not None:
             return [Refused(request_id=req.request_id, not_run=refusal)]
         self.queue.push(req)
+        heapq.heappush(self._deadlines, (req.queue_deadline, req.request_id))
         self._changed = True
         return self.poll(now)
 
@@ -206,6 +210,13 @@
         self.queue.charge(organisation, (cost if n_tokens else 0.0) - live.charged)
         self._changed = True
 
+    def cache_event(self, engine: str, kind: str, prefix: str) -> None:
+        """Note an engine's cache event, ``stored`` or ``evicted``; late is fine."""
+        if kind == "stored":
+            self.affinity.stored(engine, (prefix,))
+        elif kind == "evicted":
+            self.affinity.evicted(engine, prefix)
+
     def poll(self, now: float) -> list[Decision]:
         """Return the decisions that can be made now."""
         decisions = self._refuse_late(now)
@@ -226,8 +237,7 @@
         """Return when `poll` is due at the latest; None while nothing waits."""
         if not len(self.queue):
             return None
-        first = min(req.queue_deadline for req in self.queue)
-        return min(first, self._polled_at + POLL_SECONDS)
+        return min(self._deadlines[0][0], self._polled_at + POLL_SECONDS)
 
     def _grant_next(self, now: float) -> Granted | None:
         for n_tried, req in enumerate(self.queue.heads()):
@@ -305,13 +315,17 @@
         return n_waiting * self._expected_tokens(req), share
 
     def _refuse_late(self, now: float) -> list[Decision]:
-        late = [req for req in self.queue if req.queue_deadline <= now]
-        for req in late:
-            self.queue.remove(req.request_id)
-        return [
-            Refused(request_id=req.request_id, not_run=self._late(req, now))
-            for req in late
-        ]
+        refused: list[Decision] = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, request_id = heapq.heappop(self._deadlines)
+            req = self.queue.get(request_id)
+            # Asked again in the meantime, it has a later deadline of its own.
+            if req is None or req.queue_deadline > now:
+                continue
+            self.queue.remove(request_id)
+            not_run = self._late(req, now)
+            refused.append(Refused(request_id=request_id, not_run=not_run))
+        return refused
 
     def _sweep(self, now: float) -> None:
         self._swept_at = now
