Raise the margin once for preemptions reported together

Cause: one full moment on an engine brings a dozen preemptions in a report; each raised the margin, to its bound of 4, and hundreds of grants passed before it was down.

Change: one step up for each report with preemptions; bounds -1 and 2.

Margins still swing between their bounds.

--- a/celerytrail/admission.py
+++ b/celerytrail/admission.py
@@ -24,9 +24,9 @@
 # A forecast older than this is made anew, seconds.
 FORECAST_LIFE = 0.5
 # The margin, in standard deviations of the forecast: where it starts and its bounds.
-MARGIN_START = 0.5
-MARGIN_MIN = -1.5
-MARGIN_MAX = 4.0
+MARGIN_START = 0.3
+MARGIN_MIN = -1.0
+MARGIN_MAX = 2.0
 # A preemption raises the margin at once; each grant lets it down a little. At rest
 # that allows one preemption in so many grants.
 MARGIN_UP = 0.25
@@ -120,9 +120,11 @@
         forecast.peak = self._peak(forecast, view)
 
     def observe(self, view: EngineView) -> None:
-        """Raise the margin for each preemption that was reported."""
+        """Raise the margin where preemptions were reported."""
         if view.n_new_preemptions:
-            margin = self.margin(view.name) + MARGIN_UP * view.n_new_preemptions
+            # Several at once have one cause. Were each counted, one bad moment would
+            # leave the engine half empty for hundreds of grants.
+            margin = self.margin(view.name) + MARGIN_UP
             self._margins[view.name] = min(MARGIN_MAX, margin)
             view.n_new_preemptions = 0
 
