--- a/celerytrail/callers/api.py
+++ b/celerytrail/callers/api.py
@@ -158,6 +158,11 @@
         self._add(router, "GET", ticket, self._generations.resume)
         self._add(router, "DELETE", ticket, self._generations.cancel)
 
+    @property
+    def n_streams(self) -> int:
+        """Return how many requests are being answered."""
+        return self._n_streams
+
     def flush_metrics(self) -> None:
         """Hand over what was counted; to be called before metrics are rendered."""
         self.counters.flush(self._metrics)
--- a/celerytrail/node.py
+++ b/celerytrail/node.py
@@ -99,9 +99,15 @@
         engines = EngineClient(http=self.base.client, clock=self.base.clock)
         self.homes = wiring.make_homes(self.base, self.nodes, engines)
         self.admitter = wiring.make_admitter(self.base, self.nodes, self.homes)
-        self.callers = wiring.make_callers(self.base, engines, self.admitter)
+        self.limits = wiring.make_limits(self.base, self.nodes)
+        self._reconciler = wiring.make_reconciler(self.base, self._platform, self.homes)
+        self.callers = wiring.make_callers(
+            self.base, engines, self.admitter, self.limits
+        )
         self.services = wiring.make_services(self.base, self._platform)
         self.status = wiring.make_status(self.base, self.nodes, self.sync)
+        self.status.add_part("homes", self.homes.describe)
+        self.status.add_part("work", self._describe_work)
         self._add_routes()
 
     async def start(self) -> None:
@@ -111,8 +117,11 @@
         await self.sync.start()
         await self.homes.start()
         await self.admitter.start()
+        await self.limits.start()
         self.services.directory.start()
         self._run(self._vms.run())
+        self._run(self._reconciler.run())
+        self._run(self.services.sweeper.run())
         await self._caller_server.start(self.cfg.caller_listen)
         log_message(
             "node:started", node=self.base.node_id, callers=str(self.caller_address)
@@ -157,6 +166,7 @@
         self.callers.close()
         self.services.directory.close()
         self.services.recorder.close()
+        await self.limits.stop()
         await self.admitter.stop()
         await self.homes.stop()
         for task in self._tasks:
@@ -166,6 +176,13 @@
         await self.sync.stop()
         await self.nodes.stop()
 
+    def _describe_work(self) -> dict[str, object]:
+        return {
+            "n_streams": self.callers.n_streams,
+            "n_calls": self.services.calls.n_in_progress,
+            "n_records_waiting": self.services.recorder.n_pending,
+        }
+
     def _run(self, work: Coroutine[object, object, None]) -> None:
         self._tasks.append(asyncio.get_running_loop().create_task(work))
 
@@ -176,6 +193,7 @@
         self.callers.add_routes(self._caller_router)
         self.services.api.add_routes(self._caller_router)
         self.homes.add_routes(self._peer_router)
+        self.limits.add_routes(self._peer_router)
         wiring.make_addresses(self.base, self.nodes).add_routes(self._caller_router)
         self._peer_router.add("GET", "/metrics", self._metrics)
         self.nodes.add_routes(self._peer_router)
--- a/celerytrail/nodes/homes.py
+++ b/celerytrail/nodes/homes.py
@@ -19,6 +19,7 @@
 from ..http import Request
 from ..httpserver import Responder
 from ..metrics import Metrics
+from ..reports import EngineReport
 from ..routes import Params, Router, send_error
 from .exchange import refuse_signature
 from .homewire import (
@@ -146,6 +147,35 @@
         for key, home in self._homes.items():
             home.set_engines(self._specs(self.pools[key]))
 
+    def reports(self) -> dict[str, EngineReport]:
+        """Return the last report of each engine of the pools that this node leads."""
+        return {
+            name: view.report
+            for key in self._led & self._homes.keys()
+            for name, view in self._homes[key].scheduler.book.views.items()
+            if view.report is not None
+        }
+
+    def describe(self) -> dict[str, object]:
+        """Return the queues and engines of this node's homes, for operators."""
+        pools = {}
+        for key, home in self._homes.items():
+            engines = {
+                name: {
+                    "n_granted": len(view.running),
+                    "n_used_tokens": view.report.n_used_tokens if view.report else None,
+                    "n_preemptions": view.report.n_preemptions if view.report else None,
+                    "role": view.spec.role,
+                }
+                for name, view in home.scheduler.book.views.items()
+            }
+            pools[key] = {
+                "is_led_here": key in self._led,
+                "n_waiting": home.scheduler.n_waiting,
+                "engines": engines,
+            }
+        return {"pools": pools}
+
     def admitting(self, pool: str) -> PoolHome | None:
         """Return the home of a pool where this node may act as it."""
         known = self.pools.get(pool)
--- a/celerytrail/wiring.py
+++ b/celerytrail/wiring.py
@@ -19,23 +19,28 @@
 from .engines.streams import StreamPolicy
 from .grants import Admitter
 from .httpclient import HttpClient
+from .leases import LeaseKeeper
 from .leaving import LeavingBoard, LeavingFact
 from .lengths import LearnedLengths
+from .limitedadmitter import LimitedAdmitter
 from .memberaddresses import NodesSource
 from .metrics import Metrics
 from .network import Network
 from .nodes.admitters import HomeAdmitter
 from .nodes.alone import AloneChooser
 from .nodes.homes import Homes
+from .nodes.limit_homes import LimitHomes
 from .nodes.member import Member
 from .nodes.nodes import Nodes
 from .nodes.signing import PeerKeys
+from .pacing import LoadPacer
 from .platform.client import PlatformClient
 from .platform.grouping import GroupedTable
 from .platform.objects import HttpObjectStore, ObjectStore
 from .platform.table import HttpTable, Table
 from .platform.vms import HttpVmList, VmList
 from .platform.weights import HttpWeightStore, WeightStore
+from .reconciler import EngineReconciler, table_head_version
 from .retries import BudgetedRetry
 from .routing import PowerOfTwo
 from .services.calls import ServiceCalls
@@ -43,6 +48,7 @@
 from .services.endpoints import EndpointDirectory
 from .services.recorder import ClaimRecorder
 from .services.sender import CallSender
+from .services.sweeper import ClaimSweeper
 from .settings import NodeSettings
 from .status import NodeStatus
 
@@ -192,6 +198,39 @@
     return homes
 
 
+def make_limits(base: Base, nodes: Nodes) -> LimitHomes:
+    """Make what keeps organisations within their limits over all nodes."""
+    return LimitHomes(
+        nodes=nodes,
+        configuration=base.configuration,
+        keys=base.keys,
+        client=base.client,
+        clock=base.clock,
+        metrics=base.metrics,
+    )
+
+
+def make_reconciler(base: Base, platform: Platform, homes: Homes) -> EngineReconciler:
+    """Make what orders engines to be as the document says."""
+    return EngineReconciler(
+        configuration=base.configuration,
+        reports=homes.reports,
+        is_mine=lambda name: name in homes.reports(),
+        leases=LeaseKeeper(
+            table=platform.table,
+            holder=base.node_id,
+            clock=base.clock,
+            rng=base.rng,
+        ),
+        pacer=LoadPacer(table=platform.table, clock=base.clock),
+        head_version=table_head_version(platform.table),
+        http=base.client,
+        clock=base.clock,
+        rng=base.rng,
+        metrics=base.metrics,
+    )
+
+
 def make_admitter(base: Base, nodes: Nodes, homes: Homes) -> HomeAdmitter:
     """Make what asks the pools' homes, and decides alone where none answers."""
     alone = AloneChooser(
@@ -213,7 +252,9 @@
     )
 
 
-def make_callers(base: Base, engines: EngineClient, admitter: Admitter) -> CallersApi:
+def make_callers(
+    base: Base, engines: EngineClient, inner: Admitter, limits: LimitHomes
+) -> CallersApi:
     """Make the callers' API of generations."""
     cfg = base.cfg
     tickets = TicketSigner(
@@ -224,7 +265,7 @@
     return CallersApi(
         configuration=base.configuration,
         authenticator=base.authenticator,
-        admitter=admitter,
+        admitter=LimitedAdmitter(inner=inner, limits=limits),
         engines=engines,
         retries=BudgetedRetry(rng=base.rng),
         tickets=tickets,
@@ -244,6 +285,7 @@
     """What serves calls to plain services."""
 
     directory: EndpointDirectory
+    sweeper: ClaimSweeper
     recorder: ClaimRecorder
     calls: ServiceCalls
     api: ServiceApi
@@ -278,7 +320,13 @@
         clock=base.clock,
         call_seconds=base.cfg.call_seconds,
     )
-    return Services(directory=directory, recorder=recorder, calls=calls, api=api)
+    return Services(
+        directory=directory,
+        sweeper=ClaimSweeper(table=platform.table, clock=base.clock, rng=base.rng),
+        recorder=recorder,
+        calls=calls,
+        api=api,
+    )
 
 
 def make_addresses(base: Base, nodes: Nodes) -> AddressesApi:
--- /dev/null
+++ b/tests/test_limitedadmitter.py
@@ -0,0 +1,97 @@
+"""Grants within the limits of organisations."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from result import Err, Ok
+
+from celerytrail.grants import AdmitRequest, Admitter, Grant
+from celerytrail.limitedadmitter import LimitedAdmitter
+from celerytrail.types import NotRun
+
+
+class FakeLimits:
+    """Counts places and tokens, and refuses beyond a number of places."""
+
+    def __init__(self, n_places):
+        self.n_places, self.n_tokens = n_places, 0
+
+    def admit(self, organisation, n_tokens):
+        if self.n_places == 0:
+            return NotRun(reason="concurrency_limit", retry_after=1.0)
+        self.n_places -= 1
+        self.n_tokens += n_tokens
+        return None
+
+    def settle(self, organisation, n_tokens):
+        self.n_tokens += n_tokens
+
+    def release(self, organisation):
+        self.n_places += 1
+
+
+class FakeAdmitter(Admitter):
+    """Answers with what it was told to, or waits for ever."""
+
+    def __init__(self, answer=None):
+        self.answer = answer
+
+    async def admit(self, req):
+        if self.answer is None:
+            await asyncio.Event().wait()
+        return self.answer
+
+    def progress(self, grant, n_tokens):
+        pass
+
+    def finish(self, grant, n_tokens, end):
+        pass
+
+
+def request():
+    return AdmitRequest(
+        request_id="r",
+        organisation="o",
+        model="m",
+        n_prompt_tokens=10,
+        n_max_tokens=1_000,
+        queue_deadline=1.0,
+    )
+
+
+class TestLimits:
+    async def test_over_the_limit_is_refused_at_once(self):
+        limits = FakeLimits(0)
+        admitter = LimitedAdmitter(inner=FakeAdmitter(), limits=limits)
+        refused = await admitter.admit(request())
+        assert refused.err_value.reason == "concurrency_limit"
+
+    @pytest.mark.parametrize("n_tokens", [0, 3, 64, 65, 1_000])
+    async def test_in_the_end_exactly_what_was_produced_is_charged(self, n_tokens):
+        limits = FakeLimits(1)
+        grant = Grant(grant_id="g", engine="e")
+        admitter = LimitedAdmitter(inner=FakeAdmitter(Ok(grant)), limits=limits)
+        await admitter.admit(request())
+        for n in range(1, n_tokens + 1):
+            admitter.progress(grant, n)
+        admitter.finish(grant, n_tokens, "answered")
+        assert limits.n_tokens == 10 + n_tokens
+        assert limits.n_places == 1
+
+    async def test_refused_or_cancelled_keeps_no_place(self):
+        """The pool refuses a request, then a caller leaves while it waits. Were their
+        places kept, the organisation would soon be refused with nothing running.
+        """
+        limits = FakeLimits(1)
+        refusal = Err(NotRun(reason="shed"))
+        await LimitedAdmitter(inner=FakeAdmitter(refusal), limits=limits).admit(
+            request()
+        )
+        admitter = LimitedAdmitter(inner=FakeAdmitter(), limits=limits)
+        task = asyncio.create_task(admitter.admit(request()))
+        await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.wait([task])
+        assert (limits.n_places, limits.n_tokens) == (1, 0)
