Tell homes less of progress, and rank nodes once for each change

Ruled out: leaving progress to the engines' reports alone, since a home that has just taken over could then not tell whose a generation is.

Seen to fail with the mechanism off: a new home told of a draft that stands still, few messages for progress, an end kept until it is heard, ranks forgotten at a change.

--- a/celerytrail/nodes/admitters.py
+++ b/celerytrail/nodes/admitters.py
@@ -23,7 +23,7 @@
 from .pools import Pool
 from .rendezvous import rank
 from .signing import PeerKeys
-from .view import NodesView, ranked
+from .view import NodesView, Ranking
 
 # Homes tried one after another before this node chooses by itself.
 N_HOMES_TRIED = 3
@@ -82,8 +82,10 @@
         self._metrics = metrics
         self._alone = alone
         self._is_leaving = is_leaving
+        self._ranking = Ranking(nodes=nodes)
         self._batches = Batches(
             nodes=nodes,
+            ranking=self._ranking,
             homes=homes,
             keys=keys,
             client=client,
@@ -135,7 +137,7 @@
         pool = self._pool(req)
         if pool is None:
             return Err(_no_engine(req))
-        order = ranked(self._nodes, pool.key, pool.region)
+        order = self._ranking.order(pool.key, pool.region)
         tried: set[str] = set()
         while len(tried) < N_HOMES_TRIED:
             home = next((m for m in order if m.node not in tried), None)
@@ -151,7 +153,7 @@
             if self._clock.monotonic() >= req.queue_deadline:
                 return Err(_late())
             # Who lives may have changed while the answer was waited for.
-            order = ranked(self._nodes, pool.key, pool.region)
+            order = self._ranking.order(pool.key, pool.region)
         return self._choose_alone(pool, req)
 
     def _choose_alone(self, pool: Pool, req: AdmitRequest) -> Result[Grant, NotRun]:
--- a/celerytrail/nodes/batches.py
+++ b/celerytrail/nodes/batches.py
@@ -26,12 +26,17 @@
 )
 from .member import Member
 from .signing import PeerKeys
-from .view import NodesView, ranked
+from .view import NodesView, Ranking
 
 Outcome = AdmitAnswer | None
 
 FLUSH_SECONDS = 0.25
 EXCHANGE_SECONDS = 1.0
+# Progress goes with ends, and by itself this often, in seconds.
+PROGRESS_SECONDS = 1.0
+# A generation's progress is told again once it has grown by this much.
+GROWTH = 1.5
+MIN_GROWTH_TOKENS = 8
 # Reports for deciding alone are asked for this often, in seconds: at each batch they
 # would cost 2 KB for a pool of 32 engines.
 REPORTS_SECONDS = 5.0
@@ -45,7 +50,17 @@
     req: AdmitRequest
     pool: str
     n_tokens: int = 0
-    is_told: bool = False
+    n_told_tokens: int = -1
+
+    @property
+    def is_due(self) -> bool:
+        """Return whether the home should hear how far it is.
+
+        Homes learn the same from the engines' reports, only later. Told at every
+        batch, the progress of a hundred streams alone would take more than a node's
+        whole allowance for control.
+        """
+        return self.n_tokens > GROWTH * self.n_told_tokens + MIN_GROWTH_TOKENS
 
 
 @dataclass(kw_only=True, slots=True)
@@ -54,6 +69,8 @@
     cancelled: list[str] = field(default_factory=list)
     adopted: list[str] = field(default_factory=list)
     reports_at: float = 0.0
+    progress_at: float = 0.0
+    home: str = ""
 
 
 class Batches:
@@ -63,6 +80,8 @@
     ----------
     nodes : NodesView
         The live nodes.
+    ranking : Ranking
+        Their order for each pool.
     homes : Homes
         This node's own homes, told without HTTP, and the pools.
     keys : PeerKeys
@@ -79,6 +98,7 @@
         self,
         *,
         nodes: NodesView,
+        ranking: Ranking,
         homes: Homes,
         keys: PeerKeys,
         client: HttpClient,
@@ -86,6 +106,7 @@
         take_reports: Callable[[Sequence[EngineReport], Sequence[float]], None],
     ) -> None:
         self._nodes = nodes
+        self._ranking = ranking
         self._homes = homes
         self._keys = keys
         self._client = client
@@ -117,7 +138,6 @@
         run = self._runs.get(grant.grant_id)
         if run is not None:
             run.n_tokens = n_tokens
-            run.is_told = False
 
     def finish(self, grant: Grant, n_tokens: int, end: GenerationEnd) -> None:
         """Note that it has ended."""
@@ -136,12 +156,7 @@
     async def flush(self) -> None:
         """Send what has gathered to each pool's home."""
         await self._flush_cancelled()
-        pools = {run.pool for run in self._runs.values() if not run.is_told}
-        pools |= {
-            pool
-            for pool, outbox in self._outboxes.items()
-            if outbox.ended or outbox.adopted
-        }
+        pools = {run.pool for run in self._runs.values()} | self._outboxes.keys()
         if pools:
             await asyncio.gather(*(self._flush_pool(pool) for pool in sorted(pools)))
 
@@ -172,37 +187,51 @@
     async def _flush_pool(self, pool: str) -> None:
         outbox = self._outbox(pool)
         known = self._homes.pools.get(pool)
-        if known is None:
-            # The document no longer has the pool, so nobody counts its places.
+        order = self._ranking.order(pool, known.region) if known is not None else []
+        runs = [run for run in self._runs.values() if run.pool == pool]
+        if known is None or (not runs and not outbox.ended):
+            # Nothing runs there, or the document no longer has the pool and nobody
+            # counts its places.
             del self._outboxes[pool]
-            for run in self._runs.values():
-                run.is_told = run.is_told or run.pool == pool
             return
-        order = ranked(self._nodes, pool, known.region)
         if not order:
             return
-        runs = [run for run in self._runs.values() if run.pool == pool]
+        if order[0].node != outbox.home:
+            # A new home knows nothing, and is told of all that runs.
+            outbox.home = order[0].node
+            outbox.progress_at = 0.0
+            for run in runs:
+                run.n_told_tokens = -1 - MIN_GROWTH_TOKENS
         now = self._clock.monotonic()
+        due = [run for run in runs if run.is_due]
+        is_progress_due = bool(due) and now >= outbox.progress_at
+        if outbox.ended or outbox.adopted or is_progress_due:
+            await self._send_batch(order[0], pool, outbox, due, now)
+
+    async def _send_batch(
+        self, home: Member, pool: str, outbox: _Outbox, due: list[_Run], now: float
+    ) -> None:
+        outbox.progress_at = now + PROGRESS_SECONDS
         wants_reports = now >= outbox.reports_at
         ended, outbox.ended = outbox.ended, []
         adopted, outbox.adopted = outbox.adopted, []
-        for run in runs:
-            run.is_told = True
+        told = [(run, run.n_tokens) for run in due]
         body = self._body(
             pool,
-            progress=tuple((run.grant.grant_id, run.n_tokens) for run in runs),
+            progress=tuple((run.grant.grant_id, n_tokens) for run, n_tokens in told),
             ended=tuple(ended),
             adopted=tuple(self._adopted(adopted)),
             wants_reports=wants_reports,
         )
-        answer = await self._tell(order[0], pool, body)
+        answer = await self._tell(home, pool, body)
         if answer is None or not answer.is_home:
             # Whoever is home by the next batch gets it; progress is a total, so
             # only ends have to be kept.
             outbox.ended = (ended + outbox.ended)[-MAX_KEPT:]
-            for run in runs:
-                run.is_told = False
+            outbox.adopted += adopted
             return
+        for run, n_tokens in told:
+            run.n_told_tokens = n_tokens
         outbox.adopted += answer.unknown
         if wants_reports:
             outbox.reports_at = now + REPORTS_SECONDS
--- a/celerytrail/nodes/homes.py
+++ b/celerytrail/nodes/homes.py
@@ -32,7 +32,7 @@
 from .poolhome import LeavingNews, PoolHome
 from .pools import Pool, pools_of
 from .signing import PeerKeys
-from .view import NodesView, ranked
+from .view import NodesView, Ranking
 
 # A node serves as home where it is first or second in its own view. An entry node that
 # has just lost the first asks the second, which may not have noticed yet; were it
@@ -92,10 +92,13 @@
         self._metrics = metrics
         self._is_leaving = is_leaving
         self._tell_leaving = tell_leaving
+        self._ranking = Ranking(nodes=nodes)
         self._homes: dict[str, PoolHome] = {}
         self._led: set[str] = set()
         self._timer: asyncio.TimerHandle | None = None
         self._is_started = False
+        self._is_refresh_due = False
+        self._version = -1
         self.pools: dict[str, Pool] = {}
 
     def add_routes(self, router: Router) -> None:
@@ -106,8 +109,8 @@
     async def start(self) -> None:
         """Take up the pools that fall to this node, now and with each change."""
         self._is_started = True
-        self._configuration.subscribe(lambda document: self.refresh())
-        self._nodes.on_change(self.refresh)
+        self._configuration.subscribe(lambda document: self._refresh_soon())
+        self._nodes.on_change(self._refresh_soon)
         self._sweep()
 
     async def stop(self) -> None:
@@ -124,13 +127,14 @@
 
         To be called when an engine becomes known to leave; the rest calls it itself.
         """
+        self._is_refresh_due = False
         if not self._is_started:
             return
-        self.pools = pools_of(self._configuration.current.document)
+        self._take_document()
         me = self._nodes.me.node
         led = set()
         for key, pool in self.pools.items():
-            order = ranked(self._nodes, key, pool.region)
+            order = self._ranking.order(key, pool.region)
             if order and order[0].node == me:
                 led.add(key)
                 self._open(pool)
@@ -151,7 +155,7 @@
         known = self.pools.get(pool)
         if known is None or not self._is_started:
             return None
-        order = ranked(self._nodes, pool, known.region)
+        order = self._ranking.order(pool, known.region)
         me = self._nodes.me.node
         if me not in [member.node for member in order[:N_ACCEPTING]]:
             return None
@@ -159,6 +163,22 @@
 
     # Inside.
 
+    def _refresh_soon(self) -> None:
+        """Refresh once for all changes of this moment.
+
+        A lost failure domain comes as dozens of changes in one datagram. At 10 ms for
+        each, tokens would stand still for a second.
+        """
+        if not self._is_refresh_due:
+            self._is_refresh_due = True
+            asyncio.get_running_loop().call_soon(self.refresh)
+
+    def _take_document(self) -> None:
+        current = self._configuration.current
+        if current.version != self._version:
+            self._version = current.version
+            self.pools = pools_of(current.document)
+
     def _open(self, pool: Pool) -> PoolHome:
         home = self._homes.get(pool.key)
         if home is None:
--- a/celerytrail/nodes/limit_homes.py
+++ b/celerytrail/nodes/limit_homes.py
@@ -24,7 +24,7 @@
 from .homes import N_ACCEPTING
 from .member import Member
 from .signing import PeerKeys
-from .view import NodesView, ranked
+from .view import NodesView, Ranking
 
 BORROW_PATH = "/peer/v1/borrow"
 # How often the borrower is asked whether it needs anything, in seconds.
@@ -100,6 +100,7 @@
         self._client = client
         self._clock = clock
         self._metrics = metrics
+        self._ranking = Ranking(nodes=nodes)
         self._lender = LimitLender()
         self._borrower = LimitBorrower(name=nodes.me.node)
         self._limits: dict[str, Limit] = {}
@@ -177,7 +178,7 @@
             self._lender.forget_idle(now)
         by_home: dict[str, tuple[Member, list[LoanRequest]]] = {}
         for req in self._borrower.requests(now):
-            order = ranked(self._nodes, _group(req.organisation), None)
+            order = self._ranking.order(_group(req.organisation), None)
             if order:
                 by_home.setdefault(order[0].node, (order[0], []))[1].append(req)
         for home, requests in by_home.values():
@@ -204,7 +205,7 @@
         return loans
 
     def _is_home(self, organisation: str) -> bool:
-        order = ranked(self._nodes, _group(organisation), None)
+        order = self._ranking.order(_group(organisation), None)
         names = [member.node for member in order[:N_ACCEPTING]]
         return self._nodes.me.node in names
 
--- a/celerytrail/nodes/view.py
+++ b/celerytrail/nodes/view.py
@@ -8,6 +8,9 @@
 from .member import Member
 from .rendezvous import rank
 
+# Keys of pools and groups of organisations that are kept at a time.
+MAX_ORDERS = 2_000
+
 
 class NodesView(Protocol):
     """The live nodes and news of changes."""
@@ -23,6 +26,33 @@
         """Call after any change of `live`."""
 
 
+class Ranking:
+    """Ranks of the live nodes, kept until one comes or goes.
+
+    A rank costs a hash for each live node, and one is needed for every request.
+
+    Parameters
+    ----------
+    nodes : NodesView
+        The live nodes.
+    """
+
+    def __init__(self, *, nodes: NodesView) -> None:
+        self._nodes = nodes
+        self._orders: dict[tuple[str, str | None], list[Member]] = {}
+        nodes.on_change(self._orders.clear)
+
+    def order(self, key: str, region: str | None) -> list[Member]:
+        """Return the live nodes in their order for a key; not to be changed."""
+        if len(self._orders) >= MAX_ORDERS:
+            self._orders.clear()
+        order = self._orders.get((key, region))
+        if order is None:
+            order = ranked(self._nodes, key, region)
+            self._orders[key, region] = order
+        return order
+
+
 def ranked(nodes: NodesView, key: str, region: str | None) -> list[Member]:
     """Return the live nodes in their order for a key, the home first.
 
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -353,6 +353,37 @@
         await asyncio.sleep(0.3)
         assert rig.scheduler(rig.second).n_live == 0
 
+    @with_rig
+    async def test_new_home_learns_of_a_draft_that_stands_still(self, rig):
+        """The home is replaced while a draft waits for memory and produces nothing.
+        Its memory is taken all the same, so the new home has to hear of it.
+        """
+        answer = await rig.entry.admitter.admit(rig.request())
+        rig.entry.admitter.progress(answer.ok_value, 40)
+        await asyncio.sleep(1.5)
+        rig.wires.kill(rig.first.name)
+        for peer in (rig.entry, rig.second):
+            peer.nodes.lose(rig.first.name)
+        await asyncio.sleep(1.5)
+        assert rig.scheduler(rig.second).n_live == 1
+
+    @with_rig
+    async def test_end_that_the_home_did_not_hear(self, rig):
+        """A draft ends while the home refuses connections for a few seconds. The end is
+        told again; were it lost, its memory would stand empty for half a minute.
+        """
+        answer = await rig.entry.admitter.admit(rig.request())
+        rig.wires.kill(rig.first.name)
+        rig.entry.admitter.finish(answer.ok_value, 40, "answered")
+        await asyncio.sleep(3.0)
+        assert rig.scheduler(rig.first).n_live == 1
+        await rig.first.server.close()
+        rig.first.network = rig.wires.process(rig.first.name)
+        rig.first.server._network = rig.first.network
+        await rig.first.server.start(rig.first.nodes.me.peer)
+        await asyncio.sleep(2.0)
+        assert rig.scheduler(rig.first).n_live == 0
+
     @with_rig
     async def test_home_that_leaves_sends_its_queue_on(self, rig):
         """The home is stopped gracefully with requests in its queue. They move to the
@@ -394,6 +425,27 @@
         assert n_granted >= 20
 
 
+@pytest.mark.looptime
+class TestProgress:
+    @with_rig
+    async def test_progress_takes_few_messages(self, rig):
+        """A hundred streams run through a node. Were each told at every batch, their
+        progress alone would take more bytes than the node has for control.
+        """
+        bodies = []
+        home = rig.first.homes._homes[POOL]
+        take = home.take
+        home.take = lambda body: bodies.append(body) or take(body)
+        answer = await rig.entry.admitter.admit(rig.request(n_max_tokens=1_000))
+        for n_tokens in range(1, 440):
+            rig.entry.admitter.progress(answer.ok_value, n_tokens)
+            await asyncio.sleep(0.03)
+        rig.entry.admitter.finish(answer.ok_value, 440, "answered")
+        await asyncio.sleep(0.5)
+        assert sum(len(body.progress) for body in bodies) <= 12
+        assert rig.scheduler(rig.first).n_live == 0
+
+
 @pytest.mark.looptime
 class TestCancel:
     @with_rig
