--- a/tests/servicefakes.py
+++ b/tests/servicefakes.py
@@ -50,9 +50,10 @@
     """Answers calls as its script says, and keeps the ledger of what ran.
 
     The script's words: ``ok``, ``refused`` (connection), ``not_run`` (endpoint's own
-    refusal), ``lost_before`` and ``lost_after`` the run. Past the script's end all is
-    well. ``gate``, where set, holds the exchange after it has connected, as a paused
-    process would; ``slow`` seconds pass before the run.
+    refusal), ``lost_before`` and ``lost_after`` the run, ``failed`` (it ran and its
+    answer is a 503). Past the script's end all is well. ``gate``, where set, holds
+    the exchange after it has connected, as a paused process would; ``slow`` seconds
+    pass before the run's answer.
     """
 
     def __init__(self):
@@ -81,6 +82,8 @@
         self.ledger.append(kwargs["headers"]["x-attempt-id"])
         if word == "lost_after":
             return Err(Lost(reason="cut"))
+        if word == "failed":
+            return self._answer(503, {"error": "after it ran"})
         if self.slow:
             await asyncio.sleep(min(self.slow, deadline - loop.time()))
             if loop.time() >= deadline:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -193,6 +193,16 @@
             assert (await world.b.status()).ok_value.state == "unknown"
         assert len(world.ledger) == n_runs
 
+    async def test_error_that_is_no_refusal(self, world):
+        """The endpoint runs a filing and answers 503. Only its own word "not run"
+        makes that a refusal; else the answer is handed on and nothing is sent again.
+        """
+        world.http.script = ["failed"]
+        result = await world.a.file()
+        assert (word(result), result.ok_value.outcome.status) == ("answered", 503)
+        assert word(await world.b.file()) == "replayed"
+        assert len(world.ledger) == 1
+
     async def test_repeatable_call_is_sent_again(self, world):
         world.http.script = ["lost_after", "ok"]
         result = await world.a.file(key=None, operation="status")
