--- a/celerytrail/httpserver.py
+++ b/celerytrail/httpserver.py
@@ -263,6 +263,13 @@
             return None
         headers = header_map(list(head.headers))
         conn.request_id = headers.get(REQUEST_ID_HEADER)
+        # h11 bounds a head only while it is incomplete; one that comes in a single
+        # read would pass at any size up to that of the read.
+        n_bytes = len(head.target) + sum(len(n) + len(v) for n, v in head.headers)
+        if n_bytes > self._limits.max_head_bytes:
+            raise _HeadTooLargeError(
+                f"the head is over {self._limits.max_head_bytes} bytes"
+            )
         if conn.h11.they_are_waiting_for_100_continue:
             conn.send(h11.InformationalResponse(status_code=100, headers=[]))
         body_deadline = loop.time() + self._limits.body_seconds
@@ -312,10 +319,13 @@
             status, kind, problem = 408, "timeout", "the request came too slowly"
         elif isinstance(exc, _TooLargeError):
             status, kind, problem = 413, "too_large", str(exc)
+        elif isinstance(exc, _HeadTooLargeError):
+            status, kind, problem = 431, "too_large", str(exc)
         else:
             cause = exc.__cause__
             status = getattr(cause, "error_status_hint", 400) or 400
-            kind, problem = "bad_request", str(exc)
+            kind = "too_large" if status == 431 else "bad_request"
+            problem = str(exc)
         res = Responder(conn=conn, limits=self._limits)
         res.is_closing = True
         error = {"type": kind, "place": "request", "message": problem}
@@ -327,6 +337,10 @@
     """A body was larger than the limit."""
 
 
+class _HeadTooLargeError(PeerError):
+    """A head was larger than the limit."""
+
+
 class _ServerConnection(Connection):
     """A connection that announces itself to its server."""
 
--- a/tests/test_callers_input.py
+++ b/tests/test_callers_input.py
@@ -13,6 +13,7 @@
 from celerytrail.callers.addresses import AddressesApi, MemberAddress, MemberSource
 from celerytrail.callers.auth import Authenticator
 from celerytrail.callers.bodies import GenerationBody, read_body
+from celerytrail.callers.context import read_request_id
 from celerytrail.clock import ManualClock
 from celerytrail.configuration import Configuration
 from celerytrail.document import Document, OrganisationSpec, VersionedDocument
@@ -105,6 +106,23 @@
 
 
 class TestHeads:
+    async def test_huge_head_in_one_piece(self, rig):
+        """A caller sends a head of 20 KB in one piece. It is told the limit; taken,
+        each such caller would hold that much memory.
+        """
+        await rig.add_engine()
+        _, _, node = await rig.add_node()
+        answer = await rig.caller.request(
+            node, "GET", "/v1/models", headers={"x-other": "x" * 20_000}
+        )
+        assert answer.status == 431
+        assert answer.json()["error"]["type"] == "too_large"
+
+    @pytest.mark.parametrize("text", ["", "x" * 129, "\xe9"])
+    def test_bad_request_id(self, text):
+        req = Request(method="GET", path="/", headers={"x-request-id": text})
+        assert read_request_id(req).err_value.place == "x-request-id"
+
     @pytest.mark.parametrize(
         ("name", "value"),
         [
