--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 STAMP := $(VENV)/.celerytrail-installed
 SECONDS ?= 60
 SEED ?= 1
+SCALE ?= 1
 
 help:  ## List the chores.
 	@awk -F':.*## ' '/^[a-z-]+:.*## / {printf "  make %-14s %s\n", $$1, $$2}' $(MAKEFILE_LIST)
@@ -39,7 +40,17 @@
 	$(PY) -m ruff check .
 	$(PY) -m mypy
 
+bench: install  ## Measure the decisions under load; writes out/bench.*.
+	$(PY) -m bench
+
+bench-quick: install  ## The same with few runs, in under 45 s.
+	$(PY) -m bench --quick
+
+bench-membership: install  ## Measure how nodes notice and tell (SCALE=0.3 for a short run).
+	$(PY) -m bench.membership --scale $(SCALE)
+
 bench-relay: install  ## Measure what a relayed token costs, next to h11's floor.
 	$(PY) -m bench.relay
 
-.PHONY: help install test demo run scenarios fuzz format check bench-relay
+.PHONY: help install test demo run scenarios fuzz format check
+.PHONY: bench bench-quick bench-membership bench-relay
--- a/scenarios/memorydriver.py
+++ b/scenarios/memorydriver.py
@@ -134,6 +134,14 @@
             if process.peer is not None
         }
 
+    def versions_now(self) -> dict[str, int]:
+        """Return the version in force at each node, without asking over the network."""
+        return {
+            name: process.node.sync.version
+            for name, process in self._processes.items()
+            if process.node is not None and not process.has_ended
+        }
+
     def has_ended(self, name: str) -> bool:
         """Return whether a process has exited."""
         return self._processes[name].has_ended
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -61,6 +61,7 @@
         self.events: dict[str, list] = {}
         self.stopped: set[str] = set()
         self.cut: frozenset[str] = frozenset()
+        self.offsets: dict[str, float] = {}
         self.n_bytes = 0
         self.nodes: dict[str, Membership] = {}
         self.by_address: dict[Address, Membership] = {}
@@ -74,6 +75,7 @@
             timing=TIMING,
             rng=random.Random(self.rng.random()),
             now=self.clock.time,
+            wall=self.clock.wall(),
         )
         if first is not None:
             node.set_candidates([first.me.peer])
@@ -83,19 +85,22 @@
         self.events.setdefault(me.node, [])
         return node
 
+    def wall_at(self, name: str) -> float:
+        return self.clock.wall() + self.offsets.get(name, 0.0)
+
     def exchange(self, one: Membership, other: Membership) -> None:
         now, wall = self.clock.monotonic(), self.clock.wall()
         for item in one.items():
-            other.apply(item, one.me.node, now, wall)
+            other.apply(item, one.me.node, now, wall, wall)
         for item in other.items():
-            one.apply(item, other.me.node, now, wall)
+            one.apply(item, other.me.node, now, wall, wall)
 
     def run(self, seconds: float) -> None:
         for _ in range(round(seconds / TIMING.tick_seconds)):
             self.clock.advance(TIMING.tick_seconds)
             for name, node in list(self.nodes.items()):
                 if name not in self.stopped:
-                    node.step(self.clock.monotonic(), self.clock.wall())
+                    node.step(self.clock.monotonic(), self.wall_at(name))
             self._deliver()
 
     def run_until(self, condition, seconds: float) -> float:
@@ -136,7 +141,7 @@
             decode_datagram(data),
             sender.me.peer,
             self.clock.monotonic(),
-            self.clock.wall(),
+            self.wall_at(target.me.node),
         )
 
     def state_at(self, holder: str, node: str) -> State | None:
@@ -248,13 +253,16 @@
 
 class TestPause:
     def test_thawed_node_blames_nobody(self):
-        """A process is frozen for a minute and thawed. All its probes and suspicions
-        have run out on its own clock; were they believed, it would declare half the
-        nodes dead and say so to all.
+        """A process is frozen for a minute while its pings are under way, and thawed.
+        All its probes have run out on its own clock; were they believed, it would
+        suspect everyone it watches and say so to all.
         """
         group = Group(12)
         group.run(3.0)
+        group.cut = frozenset(["node-4"])
+        group.run(0.7)
         group.stopped.add("node-4")
+        group.cut = frozenset()
         group.run_until(lambda: group.all_hold("node-4", State.DEAD), 10.0)
         group.run(60.0)
         before = len(group.events["node-4"])
@@ -295,6 +303,21 @@
         group.cut = frozenset()
         group.run_until(group.is_whole, 15.0)
 
+    def test_others_word_that_all_are_dead_is_doubted(self):
+        """A cut heals and one node of each side exchanges all it knows. Each side holds
+        the other dead; were that believed, every node would leave its own neighbours
+        out as dead until each had spoken up.
+        """
+        group = Group(12)
+        group.run(3.0)
+        group.cut = frozenset(f"node-{number}" for number in range(4))
+        group.run(20.0)
+        group.cut = frozenset()
+        group.exchange(group.nodes["node-0"], group.nodes["node-5"])
+        for number in (1, 2, 3):
+            assert group.state_at("node-0", f"node-{number}") is State.SUSPECT
+        group.run_until(group.is_whole, 15.0)
+
     def test_missed_news_is_mended_by_an_exchange(self):
         """A node misses a newcomer's news altogether. Nothing repeats it later, so it
         would never send callers there; the digests in its pings show the gap.
@@ -330,9 +353,9 @@
         """
         group = Group(12, drop=0.1)
         group.run(2.0)
-        wall = group.clock.wall()
-        group.nodes["node-1"].announce_leaving("engine-1", wall + 60.0, wall)
-        group.nodes["node-9"].announce_leaving("engine-1", wall + 20.0, wall)
+        now, wall = group.clock.monotonic(), group.clock.wall()
+        group.nodes["node-1"].announce_leaving("engine-1", wall + 60.0, now, wall)
+        group.nodes["node-9"].announce_leaving("engine-1", wall + 20.0, now, wall)
         group.run_until(
             lambda: all(
                 node.endpoints == {"engine-1": wall + 20.0}
@@ -342,6 +365,43 @@
         )
         assert group.told(EndpointLeaving)
 
+    def test_clock_of_one_node_is_wrong(self):
+        """One VM's clock is an hour ahead, another's an hour behind. Were times read
+        as they stand, those two would send work to what is leaving, and nobody would
+        believe what they say.
+        """
+        group = Group(12)
+        group.offsets = {"node-1": 3_600.0, "node-2": -3_600.0}
+        group.run(2.0)
+        for name in ("node-1", "node-2", "node-3"):
+            wall = group.wall_at(name)
+            group.nodes[name].announce_leaving(
+                f"engine of {name}", wall, group.clock.monotonic(), wall
+            )
+        group.run_until(
+            lambda: all(len(node.endpoints) == 3 for node in group.nodes.values()), 2.0
+        )
+        group.run(30.0)
+        assert all(len(node.endpoints) == 3 for node in group.nodes.values())
+        assert not group.told(ExchangeWanted)
+
+    def test_successor_under_the_same_name_leaves_too(self):
+        """A VM goes, its successor takes over the name and goes as well. Were the
+        first time kept as the earliest, nobody would hear of the second leaving.
+        """
+        group = Group(6)
+        group.run(2.0)
+        for seconds in (0.0, 300.0):
+            group.run(seconds)
+            now, wall = group.clock.monotonic(), group.clock.wall()
+            group.nodes["node-1"].announce_leaving("engine-1", wall, now, wall)
+            group.run(2.0)
+        heard = [e.at for e in group.events["node-4"] if isinstance(e, EndpointLeaving)]
+        assert len(heard) == 2
+        assert set(group.nodes["node-3"].endpoints) == {"engine-1"}
+        group.run(700.0)
+        assert not any(node.endpoints for node in group.nodes.values())
+
 
 class TestVersions:
     @pytest.mark.parametrize("seed", range(3))
@@ -362,12 +422,15 @@
         """
         group = Group(6)
         group.run(2.0)
+        group.stopped.add("node-2")
+        group.nodes["node-2"].announce_version(4, "root4")
         group.nodes["node-1"].announce_version(9, "root9")
         group.run(2.0)
-        group.nodes["node-2"].announce_version(4, "root4")
+        group.stopped.clear()
         group.run(3.0)
         assert {node.newest.version for node in group.nodes.values()} == {9}
         assert {event.version for event in group.told(VersionHeard)} == {9}
+        assert group.nodes["node-2"].newest.root == "root9"
 
     def test_thawed_node_hears_of_it(self):
         """The news has long been passed round when a frozen node thaws. The version in
@@ -400,7 +463,11 @@
         ]
         items = [msgspec.Raw(msgspec.msgpack.encode(item)) for item in (*bad, good)]
         datagram = Datagram(
-            kind=Kind.NEWS, sender="node-1", incarnation=1_000_000, items=items
+            kind=Kind.NEWS,
+            sender="node-1",
+            incarnation=1_000_000,
+            sent_at=wall,
+            items=items,
         )
         node.receive(datagram, make_member(1).peer, group.clock.time, wall)
         assert list(node.endpoints) == ["engine-2"]
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -9,15 +9,10 @@
 from storefakes import FakeObjects, FakeTable
 
 from celerytrail.clock import LoopClock
-from celerytrail.configrecords import HEAD_KEY, history_key
+from celerytrail.configrecords import HEAD_KEY, history_key, object_name
 from celerytrail.document import Document, ModelSpec, OrganisationSpec
-from celerytrail.operators.store import (
-    AcceptInDoubt,
-    Conflict,
-    Damaged,
-    DocumentStore,
-    Invalid,
-)
+from celerytrail.operators.outcomes import AcceptInDoubt, Conflict, Damaged, Invalid
+from celerytrail.operators.store import DocumentStore
 from celerytrail.platform.client import Unavailable
 
 pytestmark = pytest.mark.looptime
@@ -186,6 +181,34 @@
         again = Desk(desk.table, desk.objects)
         assert (await again.accept(document("a", "b"), 0, "op1")).ok_value.version == 1
 
+    @pytest.mark.parametrize("base", [0, 1])
+    async def test_killed_at_every_step(self, base):
+        """The console dies at any moment of accepting, and the form is sent again.
+
+        Whatever the moment, there must be one new version, whole, and told as accepted.
+        """
+        n_steps, is_done = 0, False
+        while not is_done:
+            desk = Desk()
+            desk.objects.is_staggered = True
+            if base:
+                await desk.accept(document("z"), 0, "op0")
+            accepting = asyncio.create_task(desk.accept(document("a"), base, "op1"))
+            for _ in range(n_steps):
+                await asyncio.sleep(0)
+            is_done = accepting.done()
+            accepting.cancel()
+            await asyncio.wait([accepting])
+            before = (await desk.newest()).document
+            assert before in (document("z") if base else Document(), document("a"))
+            again = Desk(desk.table, desk.objects)
+            made = await again.accept(document("a"), base, "op1")
+            assert made.ok_value.version == base + 1
+            assert (await desk.newest()).document == document("a")
+            assert len(desk.table.rows) == base + 2
+            n_steps += 1
+        assert n_steps > 10
+
     async def test_killed_after_the_commit(self, desk):
         """The console dies before its page says "accepted"; the browser resends.
 
@@ -250,3 +273,27 @@
         fresh = Desk(desk.table, desk.objects)
         refused = (await fresh.store.load(fresh.deadline())).err_value
         assert "digest" in refused.findings[0].problem
+
+    async def test_damaged_object_comes_back_from_a_node(self, desk):
+        """The object store lost a section, and the nodes still serve by it.
+
+        Without them the console could load nothing, and so accept nothing, for good.
+        """
+        await desk.accept(document("a"), 0, "op1")
+        kept = dict(desk.objects.objects)
+        names = list(kept)
+        desk.objects.objects = {names[0]: b"damaged"}
+
+        async def find_spare(digest):
+            return kept[object_name(digest)]
+
+        store = DocumentStore(
+            table=desk.table,
+            objects=desk.objects,
+            clock=LoopClock(),
+            rng=random.Random(1),
+            find_spare=find_spare,
+        )
+        loaded = (await store.load(desk.deadline())).ok_value
+        assert loaded.document == document("a")
+        assert desk.objects.objects == kept
