Make the fuzz machine ask; add status and claims to the command line

Change: callers ask on the loop; shrinking only on demand, as it takes hundreds of runs; status, claims list and claims settle for operators.

--- a/celerytrail/cmdline.py
+++ b/celerytrail/cmdline.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import inspect
+import json
 import os
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import Annotated, NoReturn, TypeVar
+from typing import Annotated, Literal, NoReturn, TypeVar
 
 import typer
 from result import Err
@@ -27,6 +29,15 @@
 )
 config_app = typer.Typer(no_args_is_help=True, help="Work with documents.")
 app.add_typer(config_app, name="config")
+claims_app = typer.Typer(
+    no_args_is_help=True, help="Settle calls whose outcome nobody knows."
+)
+app.add_typer(claims_app, name="claims")
+
+PlatformFlag = Annotated[
+    str,
+    typer.Option(envvar="CELERYTRAIL_PLATFORM", help="IP:PORT of the platform."),
+]
 
 
 @app.callback()
@@ -83,6 +94,64 @@
         _fail(findings)
 
 
+@app.command()
+def status(
+    nodes: Annotated[list[str], typer.Argument(help="IP:PORT of peer addresses.")],
+    peer_keys: Annotated[
+        str, typer.Option(envvar="CELERYTRAIL_PEER_KEYS", help="ID:HEX keys.")
+    ],
+) -> None:
+    """Print the state of nodes as JSON: members, version, queues, who leaves."""
+    from .tools import fetch_status
+
+    addresses = _parsed("NODES", settings.parse_addresses, ",".join(nodes))
+    keys = _parsed("--peer-keys", settings.parse_keys, peer_keys)
+    found, findings = asyncio.run(fetch_status(addresses, keys))
+    typer.echo(json.dumps(found, indent=2))
+    if findings:
+        _fail(findings)
+
+
+@claims_app.command("list")
+def claims_list(platform: PlatformFlag) -> None:
+    """List the open claims, a line each."""
+    from .tools import ClaimDesk
+
+    desk = ClaimDesk(platform=_parsed("--platform", settings.parse_addresses, platform))
+    listed = asyncio.run(desk.list_open())
+    if isinstance(listed, Err):
+        _fail([listed.err_value])
+    for one in listed.ok_value:
+        claim = one.claim
+        typer.echo(
+            f"{one.row_key} {claim.state} organisation={claim.organisation} "
+            f"service={claim.service} operation={claim.operation} "
+            f"attempt={claim.attempt} node={claim.node}"
+        )
+
+
+@claims_app.command("settle")
+def claims_settle(
+    row: Annotated[str, typer.Argument(help="The row as `claims list` shows it.")],
+    verdict: Annotated[str, typer.Option(help="not_run or answered.")],
+    by: Annotated[str, typer.Option(help="Who found it out.")],
+    platform: PlatformFlag,
+) -> None:
+    """Record what the endpoint's own books say of an open claim."""
+    from .tools import ClaimDesk
+
+    if verdict not in ("not_run", "answered"):
+        _fail([Finding(place="--verdict", problem="should be not_run or answered")])
+    desk = ClaimDesk(platform=_parsed("--platform", settings.parse_addresses, platform))
+    known: Literal["not_run", "answered"] = (
+        "answered" if verdict == "answered" else "not_run"
+    )
+    settled = asyncio.run(desk.settle(row, known, by))
+    if isinstance(settled, Err):
+        _fail([settled.err_value])
+    typer.echo(f"{row}: settled as {verdict}")
+
+
 @app.command()
 def account(
     name: Annotated[str, typer.Argument(help="The operator's name.")],
@@ -169,6 +238,13 @@
     return Annotated[str | None, typer.Option(flag, help=text, show_default=False)]
 
 
+def _parsed(place: str, parse: Callable[[str], T], text: str) -> T:
+    try:
+        return parse(text)
+    except ValueError as exc:
+        _fail([Finding(place=place, problem=str(exc))])
+
+
 def _read_bytes(path: Path) -> bytes:
     try:
         return path.read_bytes()
--- a/scenarios/fuzz.py
+++ b/scenarios/fuzz.py
@@ -17,7 +17,7 @@
 import hypothesis
 import looptime
 import typer
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -71,9 +71,13 @@
     def ask_draft(self, organisation: str, node: str, n_tokens: int) -> None:
         """Ask for a draft."""
         self.n_asked += 1
-        self.driver.callers.ask_draft(
-            organisation, self.driver.address(node), f"d{self.n_asked}", n_tokens
-        )
+        address = self.driver.address(node)
+        name = f"d{self.n_asked}"
+
+        async def ask() -> None:
+            self.driver.callers.ask_draft(organisation, address, name, n_tokens)
+
+        self.run(ask())
 
     @precondition(lambda self: self.driver.callers.drafts)
     @rule(data=st.data(), node=node_names)
@@ -91,7 +95,11 @@
         key = f"{organisation}-{key}"
         self.key_of_call[name] = key
         address = self.driver.address(node)
-        self.driver.callers.file(organisation, address, name, key, "signed")
+
+        async def file() -> None:
+            self.driver.callers.file(organisation, address, name, key, "signed")
+
+        self.run(file())
 
     @rule(priority=st.integers(0, 9))
     def change(self, priority: int) -> None:
@@ -277,8 +285,14 @@
         self.run(asyncio.sleep(seconds))
 
 
-def explore(seed: int, n_examples: int, n_steps: int = N_STEPS) -> None:
-    """Run the machine; raises what the oracle found, shrunk to few steps."""
+def explore(
+    seed: int, n_examples: int, n_steps: int = N_STEPS, *, does_shrink: bool = False
+) -> None:
+    """Run the machine; raises what the oracle found.
+
+    Shrinking to few steps takes hundreds of runs, some minutes, so it is asked for.
+    """
+    phases = [Phase.generate, Phase.shrink] if does_shrink else [Phase.generate]
     run_state_machine_as_test(
         hypothesis.seed(seed)(type("SeededMachine", (Machine,), {})),
         settings=settings(
@@ -288,6 +302,7 @@
             database=None,
             derandomize=False,
             print_blob=False,
+            phases=phases,
             suppress_health_check=list(HealthCheck),
         ),
     )
@@ -297,13 +312,14 @@
     seconds: Annotated[float, typer.Option(help="Begin no new round after so long.")],
     seed: Annotated[int, typer.Option(help="Of the first round; then one more.")] = 1,
     examples: Annotated[int, typer.Option(help="Runs in one round.")] = 20,
+    shrink: Annotated[bool, typer.Option(help="Shrink what is found.")] = False,
 ) -> None:
     """Explore failures at random until the time is over or something is found."""
     stop_at = time.monotonic() + seconds
     n_rounds = 0
     while time.monotonic() < stop_at:
         typer.echo(f"seed {seed + n_rounds}: {examples} runs of up to {N_STEPS} steps")
-        explore(seed + n_rounds, examples)
+        explore(seed + n_rounds, examples, does_shrink=shrink)
         n_rounds += 1
     typer.echo(f"fuzz: {n_rounds} rounds, {n_rounds * examples} runs, nothing found")
 
