Learn lengths per size of prompt; let a candidate answer for its own time only

Cause: office preemptions and goodput pull against each other through the margin, as every waiting request looked alike. A question's prompt is short, a draft's long.

Margin bounds -0.5 and 1, a step of 0.15, one preemption in 20 grants.

--- a/celerytrail/admission.py
+++ b/celerytrail/admission.py
@@ -14,23 +14,25 @@
 
 from .engineview import EngineView, Running
 from .grants import AdmitRequest
-from .lengths import LengthModel
+from .lengths import LengthModel, prompt_class
 
 # Steps ahead at which memory is forecast.
 HORIZON: tuple[int, ...] = (0, 32, 64, 128, 256, 384, 512, 768, 1024, 1536, 2048)
 HORIZON += (3072, 4096, 6144, 8192, 12288, 16384)
 # A generation that is less likely to run by then is left out.
 P_NEGLIGIBLE = 0.002
+# A candidate answers for peaks until it is likelier than this to have ended.
+P_MATTERS = 0.1
 # A forecast older than this is made anew, seconds.
 FORECAST_LIFE = 0.5
 # The margin, in standard deviations of the forecast: where it starts and its bounds.
 MARGIN_START = 0.3
-MARGIN_MIN = -1.0
-MARGIN_MAX = 2.0
+MARGIN_MIN = -0.5
+MARGIN_MAX = 1.0
 # A preemption raises the margin at once; each grant lets it down a little. At rest
 # that allows one preemption in so many grants.
-MARGIN_UP = 0.25
-GRANTS_PER_PREEMPTION = 40
+MARGIN_UP = 0.15
+GRANTS_PER_PREEMPTION = 20
 # Share of the memory that is never planned for: blocks are never packed to the last.
 SLACK_SHARE = 0.03
 
@@ -74,8 +76,6 @@
     variance: list[float]
     made_at: float
     n_changes: int
-    # The peak with the margin, before any candidate.
-    peak: float = 0.0
 
 
 class PredictedPeak(AdmissionPolicy):
@@ -103,21 +103,17 @@
         """Return the share of memory left at the forecast's peak."""
         forecast = self._forecast(view, now)
         n_memory = view.n_memory_tokens * (1.0 - SLACK_SHARE)
-        peak = forecast.peak
-        if peak + req.n_prompt_tokens <= n_memory:
-            peak = max(peak, self._peak_with(forecast, view, req))
-        else:
-            peak += req.n_prompt_tokens
-        return (n_memory - peak) / max(1.0, n_memory)
+        if forecast.mean[0] + req.n_prompt_tokens > n_memory:
+            return -1.0
+        return (n_memory - self._peak_with(forecast, view, req)) / n_memory
 
     def granted(self, view: EngineView, req: AdmitRequest, now: float) -> None:
         """Add the request to the engine's forecast."""
         forecast = self._forecast(view, now)
-        row = self._row(req.organisation, 0, req.n_max_tokens)
+        row = self._row(req, 0)
         _add(forecast, req.n_prompt_tokens, row)
         margin = self.margin(view.name) - MARGIN_UP / GRANTS_PER_PREEMPTION
         self._margins[view.name] = max(MARGIN_MIN, margin)
-        forecast.peak = self._peak(forecast, view)
 
     def observe(self, view: EngineView) -> None:
         """Raise the margin where preemptions were reported."""
@@ -145,37 +141,33 @@
         for runs in (view.running.values(), view.foreign.values()):
             for run in runs:
                 n_so_far = _tokens_now(run, view, now)
-                row = self._row(run.organisation, n_so_far, run.n_max_tokens)
+                row = self._row(run, n_so_far)
                 _add(forecast, run.n_prompt_tokens + n_so_far, row)
-        forecast.peak = self._peak(forecast, view)
         self._forecasts[view.name] = forecast
         return forecast
 
-    def _row(self, organisation: str, n_so_far: int, n_max_tokens: int) -> list[float]:
-        curve = self._lengths.curve(self._model, organisation)
+    def _row(self, run: Running | AdmitRequest, n_so_far: int) -> list[float]:
+        kind = prompt_class(self._model, run.n_prompt_tokens)
+        curve = self._lengths.curve(kind, run.organisation)
         row = curve.survival_row(n_so_far, HORIZON)
-        n_left = n_max_tokens - n_so_far
+        n_left = run.n_max_tokens - n_so_far
         if n_left >= HORIZON[-1]:
             return row
         return row[: bisect.bisect_right(HORIZON, n_left)]
 
-    def _peak(self, forecast: Forecast, view: EngineView) -> float:
-        margin = self.margin(view.name)
-        return max(
-            mean + margin * math.sqrt(variance)
-            for mean, variance in zip(forecast.mean, forecast.variance, strict=True)
-        )
-
     def _peak_with(
         self, forecast: Forecast, view: EngineView, req: AdmitRequest
     ) -> float:
         margin = self.margin(view.name)
-        row = self._row(req.organisation, 0, req.n_max_tokens)
+        row = self._row(req, 0)
         peak = 0.0
-        # Where the row is cut by the caller's limit, the engine's own peak counts.
         for n_steps, p, mean, variance in zip(
             HORIZON, row, forecast.mean, forecast.variance, strict=False
         ):
+            # Past the time that it will hardly see, a peak is not of its making. Were
+            # that counted, a short answer would wait behind two long drafts.
+            if p < P_MATTERS:
+                break
             n_tokens = req.n_prompt_tokens + n_steps
             spread = variance + n_tokens * n_tokens * p * (1.0 - p)
             need = mean + n_tokens * p + margin * math.sqrt(spread)
--- a/celerytrail/lengths.py
+++ b/celerytrail/lengths.py
@@ -25,6 +25,9 @@
 # How many observations the layer above counts for in a bucket.
 COLD_WEIGHT = 4.0
 MODEL_WEIGHT = 24.0
+# Classes of prompts: by the number of bits of their size in tokens, within bounds.
+CLASS_BITS_MIN = 8
+CLASS_BITS_MAX = 11
 # Counts are halved after so many ended generations, so that habits may change.
 MODEL_HALF_LIFE = 4000
 ORGANISATION_HALF_LIFE = 1000
@@ -331,6 +334,16 @@
         return table.curve
 
 
+def prompt_class(model: str, n_prompt_tokens: int) -> str:
+    """Return the name under which lengths for prompts of about this size are learned.
+
+    A short question and a long brief for a draft tell much about the answer's length;
+    a power of two is fine enough, and few classes keep the tables small.
+    """
+    n_bits = n_prompt_tokens.bit_length()
+    return f"{model}/{min(max(n_bits, CLASS_BITS_MIN), CLASS_BITS_MAX)}"
+
+
 def bucket(n_tokens: int) -> int:
     """Return the number of the bucket that a length falls into."""
     return min(int(BUCKETS_PER_DOUBLING * math.log2(n_tokens + 1.0)), N_BUCKETS - 1)
--- a/celerytrail/scheduler.py
+++ b/celerytrail/scheduler.py
@@ -18,7 +18,7 @@
 from .engineview import EngineBook, EngineView
 from .fairness import PROMPT_COST, FairQueue, effective_weight
 from .grants import AdmitRequest, GenerationEnd, Grant
-from .lengths import LearnedLengths, LengthModel
+from .lengths import LearnedLengths, LengthModel, prompt_class
 from .reports import EngineReport
 from .shedding import ShedByWait, SheddingPolicy
 from .types import NotRun
@@ -205,7 +205,8 @@
         if end != "not_run":
             self._learn(live, n_tokens)
             censored = end != "answered" or n_tokens >= live.req.n_max_tokens
-            self.lengths.end(self.model, organisation, n_tokens, censored=censored)
+            kind = prompt_class(self.model, live.req.n_prompt_tokens)
+            self.lengths.end(kind, organisation, n_tokens, censored=censored)
         cost = n_tokens + PROMPT_COST * live.req.n_prompt_tokens
         self.queue.charge(organisation, (cost if n_tokens else 0.0) - live.charged)
         self._changed = True
@@ -286,7 +287,8 @@
         if n_tokens <= live.n_tokens:
             return
         organisation = live.req.organisation
-        self.lengths.advance(self.model, organisation, live.n_tokens, n_tokens)
+        kind = prompt_class(self.model, live.req.n_prompt_tokens)
+        self.lengths.advance(kind, organisation, live.n_tokens, n_tokens)
         live.n_tokens = n_tokens
         over = n_tokens + PROMPT_COST * live.req.n_prompt_tokens - live.charged
         if over > 0:
@@ -294,7 +296,8 @@
             live.charged += over
 
     def _expected_tokens(self, req: AdmitRequest) -> float:
-        expected = self.lengths.expected_residual(self.model, req.organisation, 0)
+        kind = prompt_class(self.model, req.n_prompt_tokens)
+        expected = self.lengths.expected_residual(kind, req.organisation, 0)
         return min(expected, float(req.n_max_tokens))
 
     def _shed(self, req: AdmitRequest, now: float) -> NotRun | None:
