Allow one preemption in 40 grants within narrower bounds; doubt forecasts of the wait

Change: one preemption in 40 grants (was 20), margin within -0.3 and 1.5; refused on arrival only where the forecast wait is thrice the patience (was 1.5 times).

--- a/celerytrail/admission.py
+++ b/celerytrail/admission.py
@@ -27,12 +27,12 @@
 FORECAST_LIFE = 0.5
 # The margin, in standard deviations of the forecast: where it starts and its bounds.
 MARGIN_START = 0.3
-MARGIN_MIN = -0.5
-MARGIN_MAX = 1.0
+MARGIN_MIN = -0.3
+MARGIN_MAX = 1.5
 # A preemption raises the margin at once; each grant lets it down a little. At rest
 # that allows one preemption in so many grants.
 MARGIN_UP = 0.15
-GRANTS_PER_PREEMPTION = 20
+GRANTS_PER_PREEMPTION = 40
 # Share of the memory that is never planned for: blocks are never packed to the last.
 SLACK_SHARE = 0.03
 
--- a/celerytrail/shedding.py
+++ b/celerytrail/shedding.py
@@ -17,7 +17,7 @@
 DRAIN_SECONDS = 30.0
 # A forecast of the wait is wrong by about this factor either way; only a request that
 # would be too late by more than that is refused on arrival.
-DOUBT = 1.5
+DOUBT = 3.0
 # Until so many tokens have been granted, nothing is known about the drain.
 N_COLD_GRANTS = 20
 RETRY_AFTER_MIN = 0.5
