--- a/celerytrail/scheduler.py
+++ b/celerytrail/scheduler.py
@@ -26,9 +26,9 @@
 # Without news from outside, forecasts change only as tokens come; look again so often.
 POLL_SECONDS = 0.25
 # How many organisations' first requests are tried when the first in line doesn't fit.
-N_HEADS_TRIED = 10
+N_HEADS_TRIED = 4
 # The first in line is passed over for so long at most; then room is kept for it.
-PASSED_OVER_SECONDS = 5.0
+PASSED_OVER_SECONDS = 2.0
 SWEEP_SECONDS = 5.0
 
 
