--- a/celerytrail/admission.py
+++ b/celerytrail/admission.py
@@ -32,7 +32,7 @@
 # A preemption raises the margin at once; each grant lets it down a little. At rest
 # that allows one preemption in so many grants.
 MARGIN_UP = 0.15
-GRANTS_PER_PREEMPTION = 40
+GRANTS_PER_PREEMPTION = 55
 # Share of the memory that is never planned for: blocks are never packed to the last.
 SLACK_SHARE = 0.03
 
