--- a/celerytrail/scheduler.py
+++ b/celerytrail/scheduler.py
@@ -260,7 +260,7 @@
             room = self.admission.room(view, req, now)
             if room < 0:
                 continue
-            score = 3.0 - room + self.affinity.bonus(view.name, req.prefixes)
+            score = 1.0 + room + self.affinity.bonus(view.name, req.prefixes)
             if best is None or score > best_score:
                 best, best_score = view, score
         return best
