--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 STAMP := $(VENV)/.celerytrail-installed
 SECONDS ?= 60
 SEED ?= 1
+SCALE ?= 1
 
 help:  ## List the chores.
 	@awk -F':.*## ' '/^[a-z-]+:.*## / {printf "  make %-14s %s\n", $$1, $$2}' $(MAKEFILE_LIST)
@@ -18,6 +19,18 @@
 test: install  ## Run all tests.
 	$(PY) -m pytest
 
+demo: install  ## Run a whole system through failures; ends with "demo: ok".
+	$(PY) -m chores.demo
+
+run: install  ## Leave a system up to play with; Control-C ends it.
+	$(PY) -m chores.run
+
+scenarios: install  ## Run every scenario; REAL=1 with real processes and signals.
+	$(PY) -m scenarios $(if $(REAL),--real) scenarios/*.scn
+
+fuzz: install  ## Explore failures at random: make fuzz SECONDS=600 SEED=7.
+	$(PY) -m scenarios.fuzz --seconds $(SECONDS) --seed $(SEED)
+
 format: install  ## Format the code and sort its imports.
 	$(PY) -m ruff check --fix --exit-zero .
 	$(PY) -m ruff format .
@@ -33,4 +46,11 @@
 bench-quick: install  ## The same with few runs, in under 45 s.
 	$(PY) -m bench --quick
 
-.PHONY: help install test format check bench bench-quick
+bench-membership: install  ## Measure how nodes notice and tell (SCALE=0.3 for a short run).
+	$(PY) -m bench.membership --scale $(SCALE)
+
+bench-relay: install  ## Measure what a relayed token costs, next to h11's floor.
+	$(PY) -m bench.relay
+
+.PHONY: help install test demo run scenarios fuzz format check
+.PHONY: bench bench-quick bench-membership bench-relay
