Wire orders and the sweeper into the node; change engines without cutting drafts

Cause: loading a new version on an engine that is generating would cut drafts, and a roll-out to all engines of a model at once would leave nobody to take new ones. A scenario showed the second: of two engines one was killed while the other drained, and a new draft waited past its queue deadline. Ruled out: loading whichever engine looks idle (it may be given work before the order comes). Change: an engine with a model is drained, waited for and read back before it is loaded or loses an adapter, then serves again; a quarter of a model's engines at one time and never the last one that serves; a different order need not wait for the former's report to settle; homes tell the reconciler their reports; leaving endpoints are told on every 30 s, as hearsay runs out after 120 s; the in-memory scenarios and the demo start engines with the document's version.

--- a/celerytrail/leaving.py
+++ b/celerytrail/leaving.py
@@ -9,6 +9,9 @@
 from eliot import log_message
 
 Source = Literal["vm_list", "report", "document", "gossip"]
+# How often a word that is said again is told on: what others heard of it runs out.
+RETELL_SECONDS = 30.0
+
 News = Callable[["LeavingFact"], None]
 
 
@@ -45,6 +48,7 @@
 
     def __init__(self) -> None:
         self._facts: dict[str, dict[Source, LeavingFact]] = {}
+        self._told_at: dict[str, float] = {}
         self._subscribers: list[News] = []
 
     def note(
@@ -73,10 +77,19 @@
         facts[source] = fact
         if is_new:
             log_message("leaving:known", endpoint=endpoint, source=source, at=at)
+        if is_new or self._is_to_be_told_again(endpoint, source, at):
+            self._told_at[endpoint] = at
             for subscriber in self._subscribers:
                 subscriber(fact)
         return is_new
 
+    def _is_to_be_told_again(self, endpoint: str, source: Source, at: float) -> bool:
+        # Nodes that know it by hearsay alone would forget it when that runs out, and
+        # send work to an endpoint that is still on its way out.
+        if source == "gossip":
+            return False
+        return abs(at - self._told_at.get(endpoint, 0.0)) >= RETELL_SECONDS
+
     def withdraw(self, endpoint: str, source: Source) -> None:
         """Drop a source's own word."""
         facts = self._facts.get(endpoint, {})
@@ -84,6 +97,7 @@
             log_message("leaving:withdrawn", endpoint=endpoint, source=source)
         if not facts:
             self._facts.pop(endpoint, None)
+            self._told_at.pop(endpoint, None)
 
     def is_leaving(self, endpoint: str, now: float) -> bool:
         """Return whether any source says that it leaves; ``now`` is wall time."""
@@ -112,9 +126,14 @@
                 self._facts[endpoint] = kept
             else:
                 del self._facts[endpoint]
+                self._told_at.pop(endpoint, None)
 
     def subscribe(self, subscriber: News) -> None:
-        """Call ``subscriber`` when an endpoint becomes known to leave."""
+        """Call ``subscriber`` when an endpoint becomes known to leave.
+
+        It is called again now and then while a source of this node's own, one that
+        is not hearsay, goes on saying so.
+        """
         self._subscribers.append(subscriber)
 
 
--- a/celerytrail/node.py
+++ b/celerytrail/node.py
@@ -101,6 +101,8 @@
         self.admitter = wiring.make_admitter(self.base, self.nodes, self.homes)
         self.callers = wiring.make_callers(self.base, engines, self.admitter)
         self.services = wiring.make_services(self.base, self._platform)
+        self._sweeper = wiring.make_sweeper(self.base, self._platform)
+        self.reconciler = wiring.make_reconciler(self.base, self._platform, self.homes)
         self.status = wiring.make_status(self.base, self.nodes, self.sync)
         self._add_routes()
 
@@ -113,6 +115,8 @@
         await self.admitter.start()
         self.services.directory.start()
         self._run(self._vms.run())
+        self._run(self._sweeper.run())
+        self._run(self.reconciler.run())
         await self._caller_server.start(self.cfg.caller_listen)
         log_message(
             "node:started", node=self.base.node_id, callers=str(self.caller_address)
--- a/celerytrail/nodes/homes.py
+++ b/celerytrail/nodes/homes.py
@@ -19,6 +19,7 @@
 from ..http import Request
 from ..httpserver import Responder
 from ..metrics import Metrics
+from ..reports import SeenReport
 from ..routes import Params, Router, send_error
 from .exchange import refuse_signature
 from .homewire import (
@@ -157,6 +158,15 @@
             return None
         return self._open(known)
 
+    def led_reports(self) -> dict[str, SeenReport]:
+        """Return the newest report of each engine whose pool this node leads."""
+        found = {}
+        for key in self._led & self._homes.keys():
+            for name, view in self._homes[key].scheduler.book.views.items():
+                if view.report is not None:
+                    found[name] = SeenReport(report=view.report, at=view.reported_at)
+        return found
+
     # Inside.
 
     def _open(self, pool: Pool) -> PoolHome:
--- a/celerytrail/orders.py
+++ b/celerytrail/orders.py
@@ -12,13 +12,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Literal
 
 from .document import Document, EngineSpec
 from .reports import EngineReport
 
+# The most engines of one model, as a share, that drain at one time for a change.
+ROLLING_SHARE = 0.25
+
 OrderKind = Literal["load_model", "load_adapter", "unload_adapter", "set_role"]
 
 
@@ -62,52 +64,110 @@
     expires_at: float
 
 
-def differences(
-    document: Document, spec: EngineSpec, report: EngineReport
-) -> tuple[Wanted, ...]:
-    """Return what to order of one engine, in order; empty where all is as it should.
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Comparison:
+    """What an engine's report says against the document.
+
+    Parameters
+    ----------
+    wanted : tuple of Wanted
+        What to order now, in order.
+    is_waiting : bool
+        Whether something is left to order once the engine's work has ended.
+    """
 
-    An engine that is to drain is told so first, and one whose model changes is asked
-    for its adapters only once it reports the new model, as loading drops the old
-    model's adapters.
+    wanted: tuple[Wanted, ...] = ()
+    is_waiting: bool = False
+
+    @property
+    def is_settled(self) -> bool:
+        """Return whether the engine is as it should be."""
+        return not self.wanted and not self.is_waiting
+
+
+def compare(document: Document, spec: EngineSpec, report: EngineReport) -> Comparison:
+    """Return what to order of one engine.
+
+    Loading another model and unloading an adapter could cut what the engine is
+    generating, so it is told to drain first, waited for however long that takes, and
+    told to serve again at the end. Adapters are asked for only once the engine
+    reports their model, as loading a model drops the old one's adapters.
     """
-    wanted: list[Wanted] = []
-    if report.role != spec.role:
-        wanted.append(Wanted(kind="set_role", role=spec.role))
+    if spec.role == "drain" and report.role != "drain":
+        return Comparison(wanted=(_set_role("drain"),))
+    disruptive = _disruptive(document, spec, report)
+    if disruptive and report.model:
+        # An engine that merely looks idle may be given work before the order comes;
+        # one that reports that it drains and has none left stays without.
+        if report.role != "drain":
+            return Comparison(wanted=(_set_role("drain"),))
+        if report.n_running + report.n_waiting > 0:
+            return Comparison(is_waiting=True)
+    wanted = [*disruptive, *_missing_adapters(document, spec, report)]
+    if not wanted and report.role != spec.role:
+        wanted.append(_set_role(spec.role))
+    return Comparison(wanted=tuple(wanted))
+
+
+def is_rolling(spec: EngineSpec, report: EngineReport) -> bool:
+    """Return whether an engine drains only for a change, to serve again after it."""
+    return spec.role == "serve" and report.role == "drain"
+
+
+def may_begin_roll(*, n_rolling: int, n_serving: int, n_engines: int) -> bool:
+    """Return whether one more engine of a model may drain for a change.
+
+    Were all told to drain at once, nobody would be left to take new generations
+    until the longest of the running ones has ended.
+
+    Parameters
+    ----------
+    n_rolling : int
+        Engines of the model that drain for a change.
+    n_serving : int
+        Engines of the model that report and serve, the one in question included.
+    n_engines : int
+        Engines of the model in the document.
+    """
+    if n_engines > 1 and n_serving < 2:
+        return False
+    return n_rolling < max(1, int(n_engines * ROLLING_SHARE))
+
+
+def _disruptive(
+    document: Document, spec: EngineSpec, report: EngineReport
+) -> list[Wanted]:
     version = _version(document, spec.model)
     if version is None:
-        return tuple(wanted)
+        return []
     if (report.model, report.version) != (spec.model, version):
-        wanted.append(Wanted(kind="load_model", model=spec.model, version=version))
-        return tuple(wanted)
-    for name in spec.adapters:
-        if name not in report.adapters:
-            wanted.append(
-                Wanted(
-                    kind="load_adapter",
-                    model=spec.model,
-                    version=_adapter_version(document, spec.model, name),
-                    adapter=name,
-                )
-            )
-    for name in report.adapters:
-        if name not in spec.adapters:
-            wanted.append(Wanted(kind="unload_adapter", model=spec.model, adapter=name))
-    return tuple(wanted)
-
-
-def all_differences(
-    document: Document, reports: Mapping[str, EngineReport]
-) -> dict[str, tuple[Wanted, ...]]:
-    """Return what to order of each engine that reports and differs."""
-    found = {}
-    for spec in document.engines:
-        report = reports.get(spec.name)
-        if report is None:
-            continue
-        if wanted := differences(document, spec, report):
-            found[spec.name] = wanted
-    return found
+        return [Wanted(kind="load_model", model=spec.model, version=version)]
+    return [
+        Wanted(kind="unload_adapter", model=spec.model, adapter=name)
+        for name in report.adapters
+        if name not in spec.adapters
+    ]
+
+
+def _missing_adapters(
+    document: Document, spec: EngineSpec, report: EngineReport
+) -> list[Wanted]:
+    if (report.model, report.version) != (spec.model, _version(document, spec.model)):
+        return []
+    return [
+        Wanted(
+            kind="load_adapter",
+            model=spec.model,
+            version=_adapter_version(document, spec.model, name),
+            adapter=name,
+        )
+        for name in spec.adapters
+        if name not in report.adapters
+    ]
+
+
+def _set_role(role: str) -> Wanted:
+    return Wanted(kind="set_role", role=role)
 
 
 def _version(document: Document, model: str) -> str | None:
--- a/celerytrail/reconciler.py
+++ b/celerytrail/reconciler.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 
@@ -14,16 +15,16 @@
 from .clock import Clock
 from .configrecords import HEAD_KEY, read_head
 from .configuration import Configuration
-from .document import EngineSpec, VersionedDocument
+from .document import Document, EngineSpec, VersionedDocument
 from .http import Response
 from .httpclient import HttpClient
 from .leases import LEASE_SECONDS, Lease, LeaseKeeper
 from .metrics import Metrics
-from .orders import Order, Wanted, differences
+from .orders import Order, Wanted, compare, is_rolling, may_begin_roll
 from .pacing import LoadPacer
 from .platform.client import Unavailable
 from .platform.table import Table
-from .reports import EngineReport
+from .reports import EngineReport, SeenReport
 from .types import Address
 
 STEP_SECONDS = 1.0
@@ -32,7 +33,11 @@
 SETTLE_SECONDS = 5.0
 RETRY_SECONDS = 1.0
 
-Reports = Callable[[], Mapping[str, EngineReport]]
+# What an engine reported longer ago tells nothing of it now.
+MAX_REPORT_AGE_SECONDS = 30.0
+
+
+Reports = Callable[[], Mapping[str, SeenReport]]
 HeadVersion = Callable[[float], Awaitable[Result[int, Unavailable]]]
 
 
@@ -64,6 +69,7 @@
     report_after: float = 0.0
     slots: dict[Wanted, float] = field(default_factory=dict)
     ids: dict[Wanted, str] = field(default_factory=dict)
+    ordered: Wanted | None = None
     resend_at: float = 0.0
     settled: tuple[int, str] | None = None
 
@@ -80,10 +86,8 @@
     configuration : Configuration
         What should be.
     reports : callable
-        Returns the newest report of each engine, by name.
-    is_mine : callable
-        Whether this node looks after an engine; two nodes that both think so are kept
-        apart by the lease.
+        Returns the newest report of each engine that this node looks after, by name;
+        two nodes that look after the same one are kept apart by the lease.
     leases : LeaseKeeper
         Takes leases, one for each engine, and only when there is something to order.
     pacer : LoadPacer
@@ -106,7 +110,6 @@
         *,
         configuration: Configuration,
         reports: Reports,
-        is_mine: Callable[[str], bool],
         leases: LeaseKeeper,
         pacer: LoadPacer,
         head_version: HeadVersion,
@@ -117,7 +120,6 @@
     ) -> None:
         self._configuration = configuration
         self._reports = reports
-        self._is_mine = is_mine
         self._leases = leases
         self._pacer = pacer
         self._head_version = head_version
@@ -130,31 +132,42 @@
     async def run(self) -> None:
         """Step for ever."""
         while True:
-            await self.step()
+            try:
+                await self.step()
+            except Exception as exc:
+                # A fault met with one engine must not end the orders to all others.
+                log_message("orders:step_failed", problem=repr(exc))
             await asyncio.sleep(STEP_SECONDS * self._rng.uniform(0.8, 1.2))
 
     async def step(self) -> None:
         """Compare once and send what is due."""
         versioned = self._configuration.current
-        reports = self._reports()
+        document = versioned.document
+        reports = {n: r for n, r in self._reports().items() if not self._is_old(r)}
+        self._forget({spec.name for spec in document.engines})
+        rolls = _Rolls(document=document, reports=reports)
         due = []
-        names = {spec.name for spec in versioned.document.engines}
-        for name in [name for name in self._work if name not in names]:
-            del self._work[name]
-        for spec in versioned.document.engines:
-            report = reports.get(spec.name)
-            if report is None or not self._is_mine(spec.name):
+        for spec in document.engines:
+            seen = reports.get(spec.name)
+            if seen is None:
                 continue
-            wanted = differences(versioned.document, spec, report)
-            if wanted:
-                due.append((spec, report, wanted[0]))
-            else:
-                await self._settle(spec.name, versioned, report)
+            found = compare(document, spec, seen.report)
+            if found.is_settled:
+                await self._settle(spec.name, versioned, seen.report)
+            elif found.wanted and rolls.allow(spec, found.wanted[0]):
+                due.append((spec, seen, found.wanted[0]))
         if due and await self._is_current(versioned):
             await asyncio.gather(
-                *(self._order(versioned, spec, rep, want) for spec, rep, want in due)
+                *(self._order(versioned, spec, seen, want) for spec, seen, want in due)
             )
 
+    def _forget(self, names: set[str]) -> None:
+        for name in [name for name in self._work if name not in names]:
+            del self._work[name]
+
+    def _is_old(self, seen: SeenReport) -> bool:
+        return self._clock.monotonic() - seen.at > MAX_REPORT_AGE_SECONDS
+
     async def _is_current(self, versioned: VersionedDocument) -> bool:
         head = await self._head_version(self._clock.monotonic() + TRY_SECONDS)
         if isinstance(head, Err):
@@ -183,21 +196,22 @@
         self,
         versioned: VersionedDocument,
         spec: EngineSpec,
-        report: EngineReport,
+        seen: SeenReport,
         wanted: Wanted,
     ) -> None:
         work = self._work.setdefault(spec.name, _Work())
-        self._note_overridden(work, versioned, spec, report)
-        if self._clock.monotonic() < work.resend_at:
+        self._note_overridden(work, versioned, spec, seen.report)
+        if wanted == work.ordered and self._clock.monotonic() < work.resend_at:
             return
         # The wait for a slot may be long, so it comes before the lease: a lease held
         # for each engine of a large roll-out would cost a write every few seconds.
         if wanted.needs_weights and not await self._may_load(work, wanted):
             return
         lease = await self._hold(work, spec, versioned.version)
-        if lease is None or report.at < work.report_after:
+        if lease is None or seen.at < work.report_after:
             return
         order = self._make_order(work, lease, wanted)
+        work.ordered = wanted
         work.resend_at = self._clock.monotonic() + RETRY_SECONDS
         sent = await self._send(spec, lease, order)
         if isinstance(sent, Ok):
@@ -231,7 +245,7 @@
         if taken.ok_value.is_after_lapse:
             # The former holder's last order may have been carried out since the
             # report was made; ordering by that report could undo what is right.
-            work.report_after = self._clock.wall()
+            work.report_after = self._clock.monotonic()
         return work.lease
 
     async def _may_load(self, work: _Work, wanted: Wanted) -> bool:
@@ -317,6 +331,37 @@
             self._metrics.count("orders", outcome=outcome)
 
 
+class _Rolls:
+    """Counts the engines of each model that drain only for a change."""
+
+    def __init__(
+        self, *, document: Document, reports: Mapping[str, SeenReport]
+    ) -> None:
+        self._n_engines = Counter(spec.model for spec in document.engines)
+        self._n_rolling: Counter[str] = Counter()
+        self._n_serving: Counter[str] = Counter()
+        for spec in document.engines:
+            seen = reports.get(spec.name)
+            if seen is None:
+                continue
+            self._n_rolling[spec.model] += is_rolling(spec, seen.report)
+            self._n_serving[spec.model] += seen.report.role == "serve"
+
+    def allow(self, spec: EngineSpec, wanted: Wanted) -> bool:
+        """Hold back a drain for a change while the model can't spare the engine."""
+        if wanted.role != "drain" or spec.role == "drain":
+            return True
+        if not may_begin_roll(
+            n_rolling=self._n_rolling[spec.model],
+            n_serving=self._n_serving[spec.model],
+            n_engines=self._n_engines[spec.model],
+        ):
+            return False
+        self._n_rolling[spec.model] += 1
+        self._n_serving[spec.model] -= 1
+        return True
+
+
 class _OldFencing(msgspec.Struct):
     fencing: int = 0
 
--- a/celerytrail/reports.py
+++ b/celerytrail/reports.py
@@ -64,3 +64,11 @@
     n_waiting: int = 0
     capacity: int = 1
     leaving_at: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SeenReport:
+    """An engine's report and the monotonic time at which it was true, in seconds."""
+
+    report: EngineReport
+    at: float
--- a/celerytrail/wiring.py
+++ b/celerytrail/wiring.py
@@ -18,6 +18,7 @@
 from .engines.streams import StreamPolicy
 from .grants import Admitter
 from .httpclient import HttpClient
+from .leases import LeaseKeeper
 from .leaving import LeavingBoard, LeavingFact
 from .lengths import LearnedLengths
 from .memberaddresses import NodesSource
@@ -29,12 +30,14 @@
 from .nodes.member import Member
 from .nodes.nodes import Nodes
 from .nodes.signing import PeerKeys
+from .pacing import LoadPacer
 from .platform.client import PlatformClient
 from .platform.grouping import GroupedTable
 from .platform.objects import HttpObjectStore, ObjectStore
 from .platform.table import HttpTable, Table
 from .platform.vms import HttpVmList, VmList
 from .platform.weights import HttpWeightStore, WeightStore
+from .reconciler import EngineReconciler, table_head_version
 from .retries import BudgetedRetry
 from .routing import PowerOfTwo
 from .services.calls import ServiceCalls
@@ -42,6 +45,7 @@
 from .services.endpoints import EndpointDirectory
 from .services.recorder import ClaimRecorder
 from .services.sender import CallSender
+from .services.sweeper import ClaimSweeper
 from .settings import NodeSettings
 from .status import NodeStatus
 
@@ -279,6 +283,28 @@
     return Services(directory=directory, recorder=recorder, calls=calls, api=api)
 
 
+def make_reconciler(base: Base, platform: Platform, homes: Homes) -> EngineReconciler:
+    """Make what orders the engines whose pools this node leads."""
+    return EngineReconciler(
+        configuration=base.configuration,
+        reports=homes.led_reports,
+        leases=LeaseKeeper(
+            table=platform.table, holder=base.node_id, clock=base.clock, rng=base.rng
+        ),
+        pacer=LoadPacer(table=platform.table, clock=base.clock),
+        head_version=table_head_version(platform.table),
+        http=base.client,
+        clock=base.clock,
+        rng=base.rng,
+        metrics=base.metrics,
+    )
+
+
+def make_sweeper(base: Base, platform: Platform) -> ClaimSweeper:
+    """Make what deletes old claims."""
+    return ClaimSweeper(table=platform.table, clock=base.clock, rng=base.rng)
+
+
 def make_addresses(base: Base, nodes: Nodes) -> AddressesApi:
     """Make what tells callers which addresses to use."""
     return AddressesApi(
--- a/chores/system.py
+++ b/chores/system.py
@@ -113,6 +113,8 @@
             name,
             "--model",
             MODEL,
+            "--version",
+            "1",
             "--tokens-per-second",
             str(self.layout.tokens_per_second),
             *self._log_flag(name),
--- a/scenarios/memorydriver.py
+++ b/scenarios/memorydriver.py
@@ -189,6 +189,8 @@
                 tokens_per_second=TOKENS_PER_SECOND,
                 n_memory_tokens=N_MEMORY_TOKENS,
             )
+            # As the document says, so that no engine drains to be loaded anew.
+            batch.version = "1"
             server, task = await engines.serve(
                 listen=address, batch=batch, clock=process.clock, network=network
             )
