--- a/celerytrail/lengths.py
+++ b/celerytrail/lengths.py
@@ -12,29 +12,48 @@
 import math
 from array import array
 from collections import OrderedDict
+from collections.abc import Sequence
 
 BUCKETS_PER_DOUBLING = 2
 N_BUCKETS = 34  # Lengths to 2**17 tokens; the last bucket is open.
 EDGES = tuple(2.0 ** (b / BUCKETS_PER_DOUBLING) - 1.0 for b in range(N_BUCKETS + 1))
 
-# With nothing learned, a generation leaves each bucket by its end with this
-# probability: half of them are over by about 100 tokens, with a heavy tail.
-COLD_HAZARD = 0.05
+# With nothing learned, lengths are taken as lognormal with this median (tokens) and
+# spread: about 600 tokens on average.
+COLD_MEDIAN = 200.0
+COLD_SIGMA = 1.5
 # How many observations the layer above counts for in a bucket.
 COLD_WEIGHT = 4.0
 MODEL_WEIGHT = 24.0
+# Classes of prompts: by the number of bits of their size in tokens, within bounds.
+CLASS_BITS_MIN = 8
+CLASS_BITS_MAX = 11
 # Counts are halved after so many ended generations, so that habits may change.
 MODEL_HALF_LIFE = 4000
 ORGANISATION_HALF_LIFE = 1000
-# A curve is worked out anew after this many ended generations.
+# A curve is worked out anew after this many ended generations, or this share of all.
 CURVE_LIFE = 8
-# Drift: the running sum of surprise, in units of one generation's, above which the
-# old counts are discounted.
-DRIFT_THRESHOLD = 12.0
-DRIFT_SLACK = 0.25
+CURVE_LIFE_SHARE = 0.02
+# Rows of survival are kept for so many starting points in each bucket.
+ROWS_PER_BUCKET = 4
+# Drift: the sum of surprise to one side, in steps of -2 to 2, above which the old
+# counts are discounted, and the part of each step that is put down to chance.
+DRIFT_THRESHOLD = 15.0
+DRIFT_SLACK = 0.5
 DRIFT_KEEP = 0.2
 
 
+def _cold_survival(n_tokens: float) -> float:
+    score = math.log(max(n_tokens, 0.5) / COLD_MEDIAN) / COLD_SIGMA
+    return 0.5 * math.erfc(score / math.sqrt(2.0))
+
+
+COLD_HAZARDS = [
+    1.0 - _cold_survival(EDGES[b + 1]) / _cold_survival(EDGES[b])
+    for b in range(N_BUCKETS)
+]
+
+
 class Curve:
     """The probability that a generation is longer than a number of tokens.
 
@@ -44,9 +63,10 @@
         For each bucket, the probability to end in it once it is reached.
     """
 
-    __slots__ = ("_area", "_log_survival")
+    __slots__ = ("_area", "_log_survival", "_rows")
 
     def __init__(self, *, hazards: list[float]) -> None:
+        self._rows: dict[int, list[float]] = {}
         logs = [0.0]
         for hazard in hazards:
             logs.append(logs[-1] + math.log1p(-min(hazard, 0.98)))
@@ -67,6 +87,22 @@
             return logs[N_BUCKETS]
         return logs[b] + (place - b) * (logs[b + 1] - logs[b])
 
+    def survival_row(self, n_so_far: int, steps: Sequence[int]) -> list[float]:
+        """Return the probability to go on for each of ``steps`` more tokens.
+
+        Rows are kept for starting points about a tenth apart, as forecasts ask for
+        them by the hundred. ``steps`` must be the same at each call.
+        """
+        place = ROWS_PER_BUCKET * BUCKETS_PER_DOUBLING * math.log2(n_so_far + 1.0)
+        key = int(place)
+        row = self._rows.get(key)
+        if row is None:
+            start = 2.0 ** (key / (ROWS_PER_BUCKET * BUCKETS_PER_DOUBLING)) - 1.0
+            here = self.log_survival(start)
+            row = [math.exp(self.log_survival(start + n) - here) for n in steps]
+            self._rows[key] = row
+        return row
+
     def expected_residual(self, n_so_far: float) -> float:
         """Return the expected number of tokens still to come."""
         place = BUCKETS_PER_DOUBLING * math.log2(n_so_far + 1.0)
@@ -96,7 +132,17 @@
 class LifeTable:
     """Decaying counts of generations that left each bucket, and ended in it."""
 
-    __slots__ = ("_growth", "curve", "ended", "left", "n_new", "n_seen", "surprise")
+    __slots__ = (
+        "_growth",
+        "curve",
+        "ended",
+        "left",
+        "n_ended",
+        "n_new",
+        "n_seen",
+        "too_long",
+        "too_short",
+    )
 
     def __init__(self, *, half_life: int) -> None:
         # Instead of decaying all counts at each observation, new ones weigh more.
@@ -104,8 +150,10 @@
         self.left = array("f", bytes(4 * N_BUCKETS))
         self.ended = array("f", bytes(4 * N_BUCKETS))
         self.n_new = 0
+        self.n_ended = 0
         self.n_seen = 1.0
-        self.surprise = 0.0
+        self.too_long = 0.0
+        self.too_short = 0.0
         self.curve: Curve | None = None
 
     def add(self, b: int, *, ended: float, left: float = 1.0) -> None:
@@ -116,11 +164,20 @@
     def age(self) -> None:
         """Let what was counted before weigh a little less."""
         self.n_new += 1
+        self.n_ended += 1
         self.n_seen *= self._growth
         if self.n_seen > 1024.0:
             self.scale(1.0 / self.n_seen)
             self.n_seen = 1.0
 
+    @property
+    def is_stale(self) -> bool:
+        """Whether the curve is to be worked out anew."""
+        if self.curve is None:
+            return True
+        n_known = min(self.n_ended, ORGANISATION_HALF_LIFE)
+        return self.n_new >= max(CURVE_LIFE, CURVE_LIFE_SHARE * n_known)
+
     def scale(self, factor: float) -> None:
         """Multiply all counts by ``factor``."""
         for b in range(N_BUCKETS):
@@ -202,7 +259,7 @@
         table = self._tables.get((model, organisation))
         if table is None:
             return self._model_curve(model)
-        if table.curve is None or table.n_new >= CURVE_LIFE:
+        if table.curve is None or table.is_stale:
             prior = self._model_hazards(model)
             table.curve = Curve(hazards=table.hazards(prior, MODEL_WEIGHT))
             table.n_new = 0
@@ -241,12 +298,11 @@
         # an engine would be overfilled, or left half empty, for thousands of
         # generations. A sum that keeps its sign tells the shift from chance.
         step = 4.0 * (rank - 0.5)
-        if table.surprise * step < 0:
-            table.surprise *= 0.5
-        table.surprise += step - math.copysign(DRIFT_SLACK, step)
-        if abs(table.surprise) > DRIFT_THRESHOLD:
+        table.too_long = max(0.0, table.too_long + step - DRIFT_SLACK)
+        table.too_short = max(0.0, table.too_short - step - DRIFT_SLACK)
+        if max(table.too_long, table.too_short) > DRIFT_THRESHOLD:
             table.scale(DRIFT_KEEP)
-            table.surprise = 0.0
+            table.too_long = table.too_short = 0.0
             table.curve = None
 
     def _both(self, model: str, organisation: str) -> tuple[LifeTable, LifeTable]:
@@ -268,16 +324,26 @@
         return table
 
     def _model_hazards(self, model: str) -> list[float]:
-        return self._model(model).hazards([COLD_HAZARD] * N_BUCKETS, COLD_WEIGHT)
+        return self._model(model).hazards(COLD_HAZARDS, COLD_WEIGHT)
 
     def _model_curve(self, model: str) -> Curve:
         table = self._model(model)
-        if table.curve is None or table.n_new >= CURVE_LIFE:
+        if table.curve is None or table.is_stale:
             table.curve = Curve(hazards=self._model_hazards(model))
             table.n_new = 0
         return table.curve
 
 
+def prompt_class(model: str, n_prompt_tokens: int) -> str:
+    """Return the name under which lengths for prompts of about this size are learned.
+
+    A short question and a long brief for a draft tell much about the answer's length;
+    a power of two is fine enough, and few classes keep the tables small.
+    """
+    n_bits = n_prompt_tokens.bit_length()
+    return f"{model}/{min(max(n_bits, CLASS_BITS_MIN), CLASS_BITS_MAX)}"
+
+
 def bucket(n_tokens: int) -> int:
     """Return the number of the bucket that a length falls into."""
     return min(int(BUCKETS_PER_DOUBLING * math.log2(n_tokens + 1.0)), N_BUCKETS - 1)
--- a/celerytrail/operators/actions.py
+++ b/celerytrail/operators/actions.py
@@ -6,8 +6,6 @@
 import re
 import secrets
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
-from typing import Any
 
 import msgspec
 from eliot import log_message
@@ -18,61 +16,31 @@
 from ..document import Document, encode
 from ..platform.client import Unavailable
 from ..types import Finding
+from .answers import Answer
 from .drafts import Draft, Edit, difference, draft_of, rebase
-from .forms import FORMS, FormValues, first, read_entry
+from .formfields import FORMS
+from .forms import FormValues, first, read_entry
 from .live import LiveView
-from .pages import Visit, fields_again, item_values, review_values
-from .store import (
+from .outcomes import (
     AcceptError,
     AcceptInDoubt,
     Conflict,
     Damaged,
-    DocumentStore,
     Invalid,
     Loaded,
     LoadError,
 )
+from .pages import Visit, fields_again, item_values, review_values
+from .store import DocumentStore
 from .validation import validate
 
 ACCEPT_SECONDS = 8.0
 KEY_PREFIX = "ct-"
+# A larger document is handed in as a file: browsers are slow with such a text field.
+MAX_SHOWN_BYTES = 512 * 1024
 _OPERATION_ID = re.compile(r"[0-9a-f]{32}")
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Answer:
-    """What an action leads to: a page by its target, or a template with its values.
-
-    Parameters
-    ----------
-    status : int
-        The HTTP status.
-    target : str
-        The page to show; empty where ``template`` is given.
-    visit : Visit or None
-        The visit with its new draft; None where it stays.
-    notice : str
-        A sentence on top of the page.
-    template, title, values
-        The template, the page's heading and what else it shows.
-    message, findings, fields, button, is_problem
-        For ``again.html``: what to say, and the fields to post again.
-    """
-
-    status: int = 200
-    target: str = ""
-    visit: Visit | None = None
-    notice: str = ""
-    template: str = ""
-    title: str = ""
-    values: dict[str, Any] = field(default_factory=dict)
-    message: str = ""
-    findings: Sequence[Finding] = ()
-    fields: Sequence[tuple[str, str]] = ()
-    button: str = ""
-    is_problem: bool = False
-
-
 class Actions:
     """Carries out what a button names.
 
@@ -194,14 +162,16 @@
         self, visit: Visit, text: str | None = None, findings: Sequence[Finding] = ()
     ) -> Answer:
         """Return the page with the document as text."""
+        is_large = False
         if text is None:
-            data = encode(visit.document)
-            text = msgspec.json.format(data, indent=2).decode()
+            data = msgspec.json.format(encode(visit.document), indent=2)
+            is_large = len(data) > MAX_SHOWN_BYTES
+            text = "" if is_large else data.decode()
         return Answer(
             status=422 if findings else 200,
             template="raw.html",
             title="Raw JSON",
-            values={"text": text, "findings": findings},
+            values={"text": text, "findings": findings, "is_large": is_large},
         )
 
     def _raw(self, visit: Visit, values: FormValues) -> Answer:
--- a/celerytrail/wiring.py
+++ b/celerytrail/wiring.py
@@ -11,6 +11,7 @@
 from .callers.service_api import ServiceApi
 from .callers.tickets import TicketSigner
 from .clock import Clock
+from .collector import freeze_documents
 from .configfetch import ObjectFetcher
 from .configsync import ConfigSync
 from .configuration import Configuration
@@ -21,12 +22,14 @@
 from .leases import LeaseKeeper
 from .leaving import LeavingBoard, LeavingFact
 from .lengths import LearnedLengths
+from .limitedadmitter import LimitedAdmitter
 from .memberaddresses import NodesSource
 from .metrics import Metrics
 from .network import Network
 from .nodes.admitters import HomeAdmitter
 from .nodes.alone import AloneChooser
 from .nodes.homes import Homes
+from .nodes.limit_homes import LimitHomes
 from .nodes.member import Member
 from .nodes.nodes import Nodes
 from .nodes.signing import PeerKeys
@@ -127,6 +130,7 @@
 
 def make_sync(base: Base, platform: Platform, nodes: Nodes) -> ConfigSync:
     """Make what keeps the configuration at the newest accepted version."""
+    freeze_documents(base.configuration)
     fetcher = ObjectFetcher(
         objects=platform.objects,
         client=base.client,
@@ -194,6 +198,38 @@
     return homes
 
 
+def make_limits(base: Base, nodes: Nodes) -> LimitHomes:
+    """Make what keeps organisations within their limits over all nodes."""
+    return LimitHomes(
+        nodes=nodes,
+        configuration=base.configuration,
+        keys=base.keys,
+        client=base.client,
+        clock=base.clock,
+        metrics=base.metrics,
+    )
+
+
+def make_reconciler(base: Base, platform: Platform, homes: Homes) -> EngineReconciler:
+    """Make what orders engines to be as the document says."""
+    return EngineReconciler(
+        configuration=base.configuration,
+        reports=homes.reports,
+        leases=LeaseKeeper(
+            table=platform.table,
+            holder=base.node_id,
+            clock=base.clock,
+            rng=base.rng,
+        ),
+        pacer=LoadPacer(table=platform.table, clock=base.clock),
+        head_version=table_head_version(platform.table),
+        http=base.client,
+        clock=base.clock,
+        rng=base.rng,
+        metrics=base.metrics,
+    )
+
+
 def make_admitter(base: Base, nodes: Nodes, homes: Homes) -> HomeAdmitter:
     """Make what asks the pools' homes, and decides alone where none answers."""
     alone = AloneChooser(
@@ -215,7 +251,9 @@
     )
 
 
-def make_callers(base: Base, engines: EngineClient, admitter: Admitter) -> CallersApi:
+def make_callers(
+    base: Base, engines: EngineClient, inner: Admitter, limits: LimitHomes
+) -> CallersApi:
     """Make the callers' API of generations."""
     cfg = base.cfg
     tickets = TicketSigner(
@@ -226,7 +264,7 @@
     return CallersApi(
         configuration=base.configuration,
         authenticator=base.authenticator,
-        admitter=admitter,
+        admitter=LimitedAdmitter(inner=inner, limits=limits),
         engines=engines,
         retries=BudgetedRetry(rng=base.rng),
         tickets=tickets,
@@ -246,6 +284,7 @@
     """What serves calls to plain services."""
 
     directory: EndpointDirectory
+    sweeper: ClaimSweeper
     recorder: ClaimRecorder
     calls: ServiceCalls
     api: ServiceApi
@@ -280,31 +319,15 @@
         clock=base.clock,
         call_seconds=base.cfg.call_seconds,
     )
-    return Services(directory=directory, recorder=recorder, calls=calls, api=api)
-
-
-def make_reconciler(base: Base, platform: Platform, homes: Homes) -> EngineReconciler:
-    """Make what orders the engines whose pools this node leads."""
-    return EngineReconciler(
-        configuration=base.configuration,
-        reports=homes.led_reports,
-        leases=LeaseKeeper(
-            table=platform.table, holder=base.node_id, clock=base.clock, rng=base.rng
-        ),
-        pacer=LoadPacer(table=platform.table, clock=base.clock),
-        head_version=table_head_version(platform.table),
-        http=base.client,
-        clock=base.clock,
-        rng=base.rng,
-        metrics=base.metrics,
+    return Services(
+        directory=directory,
+        sweeper=ClaimSweeper(table=platform.table, clock=base.clock, rng=base.rng),
+        recorder=recorder,
+        calls=calls,
+        api=api,
     )
 
 
-def make_sweeper(base: Base, platform: Platform) -> ClaimSweeper:
-    """Make what deletes old claims."""
-    return ClaimSweeper(table=platform.table, clock=base.clock, rng=base.rng)
-
-
 def make_addresses(base: Base, nodes: Nodes) -> AddressesApi:
     """Make what tells callers which addresses to use."""
     return AddressesApi(
