Let no single clock delete claims, and forget leaving words of what is gone

Cause: a node whose clock jumped a month ahead would have deleted every finished claim, after which a retry of any filing would run again; the board of leaving endpoints kept names for ever. Change: a claim goes only when claims made on two VMs are dated past its time; the board follows the document. Ruled out: comparing wall with monotonic time (a node can boot with a wrong clock).

--- a/celerytrail/services/endpoints.py
+++ b/celerytrail/services/endpoints.py
@@ -205,6 +205,9 @@
                 service.views[endpoint.name] = view
                 self._note_role(endpoint)
         self._services = services
+        names = {engine.name for engine in versioned.document.engines}
+        names.update(name for s in services.values() for name in s.views)
+        self._leaving.forget_stale(names, self._clock.wall())
         if self._is_running:
             self._start_pollers()
 
--- a/celerytrail/services/sweeper.py
+++ b/celerytrail/services/sweeper.py
@@ -27,6 +27,9 @@
 
 PAGE_ROWS = 100
 SWEEP_SECONDS = 60.0
+# Clocks of so many other VMs must say that a claim's time is over.
+N_WITNESSES = 2
+MAX_VMS = 2_000
 TRY_SECONDS = 5.0
 
 Verdict = Literal["not_run", "answered"]
@@ -58,6 +61,11 @@
     chosen for it and the loss of a node changes nothing. Without it the table would
     grow by a row for each filing ever made.
 
+    No single clock decides: a node whose clock jumps a month ahead would delete every
+    finished claim, and each filing sent again after that would run again. So a claim
+    goes only when claims made on other VMs are dated past its time as well; in a
+    table that nobody writes to, old claims stay.
+
     Parameters
     ----------
     table : Table
@@ -73,6 +81,7 @@
         self._clock = clock
         self._rng = rng
         self._after = ""
+        self._claimed_at: dict[str, float] = {}
 
     async def run(self) -> None:
         """Sweep for ever."""
@@ -90,6 +99,7 @@
             return 0
         rows = page.ok_value
         self._after = rows[-1].key if len(rows) == PAGE_ROWS else ""
+        self._note_clocks(rows)
         n_deleted = 0
         for row in rows:
             if self._is_over(row):
@@ -173,7 +183,22 @@
         claim = decode(row.value, row.key).ok()
         if claim is None or claim.state not in ("answered", "not_run"):
             return False
-        return self._clock.wall() > claim.expires_at
+        witnesses = sorted(self._claimed_at.values(), reverse=True)
+        if len(witnesses) < N_WITNESSES:
+            return False
+        now = min(self._clock.wall(), witnesses[N_WITNESSES - 1])
+        return now > claim.expires_at
+
+    def _note_clocks(self, rows: tuple[Row, ...]) -> None:
+        """Remember the latest time that each VM is known to have had."""
+        for row in rows:
+            claim = decode(row.value, row.key).ok()
+            if claim is None:
+                continue
+            vm = claim.node.rpartition("-")[0] or claim.node
+            if vm in self._claimed_at or len(self._claimed_at) < MAX_VMS:
+                latest = self._claimed_at.get(vm, 0.0)
+                self._claimed_at[vm] = max(latest, claim.claimed_at)
 
     async def _delete(self, row: Row, deadline: float) -> int:
         transaction = Transaction(
