--- a/celerytrail/nodes/homes.py
+++ b/celerytrail/nodes/homes.py
@@ -19,7 +19,7 @@
 from ..http import Request
 from ..httpserver import Responder
 from ..metrics import Metrics
-from ..reports import EngineReport
+from ..reports import SeenReport
 from ..routes import Params, Router, send_error
 from .exchange import refuse_signature
 from .homewire import (
@@ -151,10 +151,10 @@
         for key, home in self._homes.items():
             home.set_engines(self._specs(self.pools[key]))
 
-    def reports(self) -> dict[str, EngineReport]:
+    def reports(self) -> dict[str, SeenReport]:
         """Return the last report of each engine of the pools that this node leads."""
         return {
-            name: view.report
+            name: SeenReport(report=view.report, at=view.reported_at)
             for key in self._led & self._homes.keys()
             for name, view in self._homes[key].scheduler.book.views.items()
             if view.report is not None
--- a/celerytrail/wiring.py
+++ b/celerytrail/wiring.py
@@ -215,7 +215,6 @@
     return EngineReconciler(
         configuration=base.configuration,
         reports=homes.reports,
-        is_mine=lambda name: name in homes.reports(),
         leases=LeaseKeeper(
             table=platform.table,
             holder=base.node_id,
