--- a/celerytrail/limits.py
+++ b/celerytrail/limits.py
@@ -98,9 +98,32 @@
     def __init__(self) -> None:
         self._buckets: dict[str, _Bucket] = {}
 
-    def lend(self, req: LoanRequest, limit: Limit, *, n_nodes: int, now: float) -> Loan:
-        """Answer an entry node; ``n_nodes`` is the number of entry nodes alive."""
-        bucket = self._bucket(req.organisation, limit, now)
+    def lend(
+        self,
+        req: LoanRequest,
+        limit: Limit,
+        *,
+        n_nodes: int,
+        now: float,
+        home_since: float | None = None,
+    ) -> Loan:
+        """Answer an entry node.
+
+        Parameters
+        ----------
+        req : LoanRequest
+            What it asks.
+        limit : Limit
+            The organisation's limit.
+        n_nodes : int
+            The number of entry nodes alive.
+        now : float
+            Monotonic time.
+        home_since : float or None
+            Since when this is the organisation's home. A home of long standing knows
+            that an organisation it holds no books on has borrowed nothing anywhere.
+        """
+        bucket = self._bucket(req.organisation, limit, now, home_since)
         n_tokens = self._lend_tokens(bucket, req, limit)
         n_places = self._lend_places(bucket, req, limit, n_nodes, now)
         return Loan(organisation=req.organisation, n_tokens=n_tokens, n_places=n_places)
@@ -112,10 +135,13 @@
             if not bucket.leases and now - bucket.filled_at > 2 * LEASE_SECONDS:
                 del self._buckets[name]
 
-    def _bucket(self, organisation: str, limit: Limit, now: float) -> _Bucket:
+    def _bucket(
+        self, organisation: str, limit: Limit, now: float, home_since: float | None
+    ) -> _Bucket:
         bucket = self._buckets.get(organisation)
         if bucket is None:
-            bucket = _Bucket(n_tokens=0.0, filled_at=now, started_at=now)
+            started_at = now if home_since is None else home_since
+            bucket = _Bucket(n_tokens=0.0, filled_at=now, started_at=started_at)
             self._buckets[organisation] = bucket
         rate = limit.n_tokens_per_second or 0
         filled = bucket.n_tokens + rate * (now - bucket.filled_at)
--- a/celerytrail/node.py
+++ b/celerytrail/node.py
@@ -22,6 +22,7 @@
 from .log import start_logging
 from .metrics import Metrics
 from .network import Network, SystemNetwork
+from .nodes.limited import LimitedAdmitter
 from .nodes.signing import PeerKeys
 from .routes import Params, Router
 from .settings import NodeSettings
@@ -99,7 +100,9 @@
         engines = EngineClient(http=self.base.client, clock=self.base.clock)
         self.homes = wiring.make_homes(self.base, self.nodes, engines)
         self.admitter = wiring.make_admitter(self.base, self.nodes, self.homes)
-        self.callers = wiring.make_callers(self.base, engines, self.admitter)
+        self.limits = wiring.make_limits(self.base, self.nodes)
+        limited = LimitedAdmitter(inner=self.admitter, limits=self.limits)
+        self.callers = wiring.make_callers(self.base, engines, limited)
         self.services = wiring.make_services(self.base, self._platform)
         self.status = wiring.make_status(self.base, self.nodes, self.sync)
         self._add_routes()
@@ -111,6 +114,7 @@
         await self.sync.start()
         await self.homes.start()
         await self.admitter.start()
+        await self.limits.start()
         self.services.directory.start()
         self._run(self._vms.run())
         await self._caller_server.start(self.cfg.caller_listen)
@@ -157,6 +161,7 @@
         self.callers.close()
         self.services.directory.close()
         self.services.recorder.close()
+        await self.limits.stop()
         await self.admitter.stop()
         await self.homes.stop()
         for task in self._tasks:
@@ -176,6 +181,7 @@
         self.callers.add_routes(self._caller_router)
         self.services.api.add_routes(self._caller_router)
         self.homes.add_routes(self._peer_router)
+        self.limits.add_routes(self._peer_router)
         wiring.make_addresses(self.base, self.nodes).add_routes(self._caller_router)
         self._peer_router.add("GET", "/metrics", self._metrics)
         self.nodes.add_routes(self._peer_router)
--- a/celerytrail/nodes/limit_homes.py
+++ b/celerytrail/nodes/limit_homes.py
@@ -104,6 +104,9 @@
         self._lender = LimitLender()
         self._borrower = LimitBorrower(name=nodes.me.node)
         self._limits: dict[str, Limit] = {}
+        self._home_since: dict[str, float] = {}
+        self._has_changed = True
+        nodes.on_change(self._note_change)
         self._task: asyncio.Task[None] | None = None
         self._asking: set[asyncio.Task[None]] = set()
         self._forget_at = 0.0
@@ -141,6 +144,10 @@
             now=self._clock.monotonic(),
         )
 
+    def is_over(self, deadline: float) -> bool:
+        """Return whether a deadline has passed."""
+        return self._clock.monotonic() >= deadline
+
     def settle(self, organisation: str, n_tokens: float) -> None:
         """Charge tokens beyond those taken, or give some back when negative."""
         self._borrower.settle(organisation, n_tokens)
@@ -161,6 +168,22 @@
             if spec.n_tokens_per_second is not None or spec.n_concurrent is not None
         }
 
+    def _note_change(self) -> None:
+        self._has_changed = True
+
+    def _note_homes(self) -> None:
+        """Note since when this node is the home of each group."""
+        self._has_changed = False
+        now = self._clock.monotonic()
+        me = self._nodes.me.node
+        for number in range(N_GROUPS):
+            group = _group_name(number)
+            order = self._ranking.order(group, None)
+            if not order or order[0].node != me:
+                self._home_since.pop(group, None)
+            else:
+                self._home_since.setdefault(group, now)
+
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(ROUND_SECONDS)
@@ -173,6 +196,8 @@
 
     def _borrow(self) -> None:
         now = self._clock.monotonic()
+        if self._has_changed:
+            self._note_homes()
         if now >= self._forget_at:
             self._forget_at = now + FORGET_SECONDS
             self._lender.forget_idle(now)
@@ -201,7 +226,14 @@
         for req in requests:
             limit = self._limits.get(req.organisation)
             if limit is not None and self._is_home(req.organisation):
-                loans.append(self._lender.lend(req, limit, n_nodes=n_nodes, now=now))
+                loan = self._lender.lend(
+                    req,
+                    limit,
+                    n_nodes=n_nodes,
+                    now=now,
+                    home_since=self._home_since.get(_group(req.organisation)),
+                )
+                loans.append(loan)
         return loans
 
     def _is_home(self, organisation: str) -> bool:
@@ -276,4 +308,8 @@
 
 def _group(organisation: str) -> str:
     digest = hashlib.blake2b(organisation.encode(), digest_size=8).digest()
-    return f"limit/{int.from_bytes(digest, 'big') % N_GROUPS}"
+    return _group_name(int.from_bytes(digest, "big") % N_GROUPS)
+
+
+def _group_name(number: int) -> str:
+    return f"limit/{number}"
--- a/celerytrail/nodes/membership.py
+++ b/celerytrail/nodes/membership.py
@@ -27,7 +27,9 @@
 )
 from .knowledge import Knowledge
 from .member import Member, State
+from .mismatches import Mismatches
 from .probes import AskOthers, Failed, Ping, Probes
+from .relays import RELAY_SECONDS, Relayed, Relays
 from .rings import Rings
 from .table import ENDPOINT_MEMORY_SECONDS
 from .timing import Timing
@@ -38,7 +40,6 @@
     Kind,
     VersionNews,
     decode_item,
-    encode_item,
     in_own_time,
     record_of,
 )
@@ -49,9 +50,6 @@
 N_RELAYS = 3
 # As many items of recent news as surely fit beside the rest in one datagram.
 N_REPEATED = 3
-# A relayed ping that is not answered is forgotten after this, in seconds.
-RELAY_SECONDS = 2.0
-MAX_RELAYED = 1_000
 # Beyond this lateness of its own timer, in seconds, a node takes it that others have
 # begun to suspect it, and says at once that it lives.
 LATE_SECONDS = 0.5
@@ -94,8 +92,8 @@
         self._probes = Probes(timing=timing, rng=rng)
         self._outgoing: list[Outgoing] = []
         self._candidates: frozenset[Address] = frozenset()
-        self._relayed: dict[int, tuple[Address, int, str, float]] = {}
-        self._mismatch: dict[str, tuple[int, int, float]] = {}
+        self._relays = Relays()
+        self._mismatches = Mismatches()
         self._wall = wall
         self._step_at = now
         self._contact_at = now
@@ -184,14 +182,10 @@
         if late > self._timing.tick_seconds:
             self._forgive(late)
         self._known.expire(now)
-        self._forget_relayed(now)
+        self._relays.forget(now)
         if self._known.has_changed:
             self._known.has_changed = False
-            self._mismatch = {
-                node: pair
-                for node, pair in self._mismatch.items()
-                if node in self._table.others
-            }
+            self._mismatches.keep(self._table.others)
             self._probes.watch(self._rings.watched(self._table.others.values()), now)
         for action in self._probes.step(now):
             match action:
@@ -221,11 +215,6 @@
             self._known.events.append(Paused(seconds=late))
             self._known.restate(self._table.me.incarnation + 1, self._table.me.state)
 
-    def _forget_relayed(self, now: float) -> None:
-        for sequence, relayed in list(self._relayed.items()):
-            if now >= relayed[3]:
-                del self._relayed[sequence]
-
     # Sending.
 
     def _send(
@@ -238,14 +227,7 @@
         target: str = "",
         first: Sequence[Item] = (),
     ) -> None:
-        items = []
-        room = NEWS_BYTES
-        for item in first:
-            raw = encode_item(item)
-            if len(memoryview(raw)) <= room:
-                room -= len(memoryview(raw))
-                items.append(raw)
-        items += self._known.news.take(room, self._table.n_live)
+        items = self._known.news.pack(first, NEWS_BYTES, self._table.n_live)
         known = self._table.others.get(to)
         datagram = Datagram(
             kind=kind,
@@ -291,17 +273,7 @@
         dead were not tried at a low rate. The same way nodes that started with
         different seeds find one another.
         """
-        others = self._table.others.values()
-        known = {member.peer for member in others if member.state is not State.DEAD}
-        known.add(self._table.me.peer)
-        choices: list[tuple[Address, str]] = [
-            (member.peer, member.node)
-            for member in others
-            if member.state is State.DEAD
-        ]
-        named = {address for address, _ in choices}
-        for address in sorted(self._candidates - known - named):
-            choices.append((address, ""))
+        choices = self._table.contacts(self._candidates)
         if not choices:
             return
         address, node = self._rng.choice(choices)
@@ -381,15 +353,16 @@
 
     def _relay(self, datagram: Datagram, source: Address, now: float) -> None:
         target = self._table.others.get(datagram.target)
-        if target is None or len(self._relayed) >= MAX_RELAYED:
+        if target is None or self._relays.is_full:
             return
         sequence = self._probes.new_sequence()
-        self._relayed[sequence] = (
-            source,
-            datagram.sequence,
-            datagram.sender,
-            now + RELAY_SECONDS,
+        relayed = Relayed(
+            address=source,
+            node=datagram.sender,
+            sequence=datagram.sequence,
+            forget_at=now + RELAY_SECONDS,
         )
+        self._relays.put(sequence, relayed)
         self._send(target.peer, Kind.PING, target.node, sequence=sequence)
 
     def _acknowledged(self, datagram: Datagram, now: float) -> None:
@@ -397,11 +370,14 @@
             # A relay heard the target; that counts as if this node had.
             self._probes.hear(datagram.target)
             return
-        relayed = self._relayed.pop(datagram.sequence, None)
+        relayed = self._relays.take(datagram.sequence)
         if relayed is not None:
-            address, sequence, node, _ = relayed
             self._send(
-                address, Kind.ACK, node, sequence=sequence, target=datagram.sender
+                relayed.address,
+                Kind.ACK,
+                relayed.node,
+                sequence=relayed.sequence,
+                target=datagram.sender,
             )
 
     def _compare(self, datagram: Datagram, sender: Member, now: float) -> list[Item]:
@@ -410,19 +386,13 @@
         Most often one of the two missed one item, so the recent ones are said again
         first; where that doesn't help, the two exchange all they know.
         """
-        if datagram.digest == self._table.digest:
-            self._mismatch.pop(sender.node, None)
-            return []
-        pair = (self._table.digest, datagram.digest)
-        former = self._mismatch.get(sender.node)
-        if former is None or former[:2] != pair:
-            self._mismatch[sender.node] = (*pair, now)
-            return []
-        lasted = now - former[2]
+        lasted = self._mismatches.lasted(
+            sender.node, self._table.digest, datagram.digest, now
+        )
         if lasted < self._timing.repeat_seconds:
             return []
         if lasted >= self._timing.mismatch_seconds and now >= self._exchange_at:
-            self._mismatch.pop(sender.node)
+            self._mismatches.forget(sender.node)
             self._exchange_at = now + self._timing.exchange_seconds
             self._known.events.append(ExchangeWanted(peer=sender.peer))
         return self._known.recent_items(N_REPEATED)
--- a/celerytrail/nodes/news.py
+++ b/celerytrail/nodes/news.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -34,6 +35,19 @@
         """Queue an item, in place of what was queued of its subject."""
         self._waiting[subject] = _Waiting(raw=encode_item(item))
 
+    def pack(
+        self, first: Sequence[Item], max_bytes: int, n_members: int
+    ) -> list[msgspec.Raw]:
+        """Return what goes into one datagram: items for its receiver, then news."""
+        packed = []
+        room = max_bytes
+        for item in first:
+            raw = encode_item(item)
+            if len(memoryview(raw)) <= room:
+                room -= len(memoryview(raw))
+                packed.append(raw)
+        return packed + self.take(room, n_members)
+
     def take(self, max_bytes: int, n_members: int) -> list[msgspec.Raw]:
         """Return items for one datagram, the least often sent first.
 
--- a/celerytrail/nodes/nodes.py
+++ b/celerytrail/nodes/nodes.py
@@ -113,6 +113,9 @@
             tell=self._tell,
             network=network,
         )
+        # Asked for at each request; sorting 330 members each time would cost more
+        # than the rest of the decision.
+        self._live: dict[str | None, tuple[Member, ...]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._on_version: list[VersionCallback] = []
         self._on_leaving: list[LeavingCallback] = []
@@ -173,12 +176,20 @@
 
         Suspects, leaving nodes and dead ones are left out.
         """
-        found = [
-            member
-            for member in self._membership.members()
-            if member.is_live and region in (None, member.region)
-        ]
-        return tuple(sorted(found, key=lambda member: member.node))
+        found = self._live.get(region)
+        if found is None:
+            found = tuple(
+                sorted(
+                    (
+                        member
+                        for member in self._membership.members()
+                        if member.is_live and region in (None, member.region)
+                    ),
+                    key=lambda member: member.node,
+                )
+            )
+            self._live[region] = found
+        return found
 
     def leaving_endpoints(self) -> dict[str, float]:
         """Return the leaving endpoints and when each leaves, in wall seconds."""
@@ -213,7 +224,7 @@
     async def _join(self) -> None:
         """Exchange states with any node that answers, and try until one does."""
         wait = JOIN_SECONDS
-        while True:
+        while len(self.live()) == 1:
             candidates = sorted({*self._seeds, *self._listed} - {self.me.peer})
             self._rng.shuffle(candidates)
             for address in candidates:
@@ -260,6 +271,7 @@
                 log_message("nodes:paused", seconds=seconds)
 
     def _changed(self) -> None:
+        self._live.clear()
         for on_change in self._on_change:
             on_change()
 
--- a/celerytrail/nodes/table.py
+++ b/celerytrail/nodes/table.py
@@ -5,6 +5,7 @@
 import hashlib
 from dataclasses import dataclass, replace
 
+from ..types import Address
 from .member import Member, State
 
 # An endpoint is remembered as leaving this long after it left, in seconds: long enough
@@ -68,6 +69,15 @@
             return len(self.others) < MAX_MEMBERS
         return (incarnation, state) > (known.incarnation, known.state)
 
+    def contacts(self, candidates: frozenset[Address]) -> list[tuple[Address, str]]:
+        """Return the dead, and the candidates that are nobody's address, unnamed."""
+        others = self.others.values()
+        dead = [member for member in others if member.state is State.DEAD]
+        choices = [(member.peer, member.node) for member in dead]
+        known = {self.me.peer, *(member.peer for member in others)}
+        choices += [(address, "") for address in sorted(candidates - known)]
+        return choices
+
     def set_version(self, node: str, version: int) -> None:
         """Note the version that a member itself said it has in force."""
         member = self.others.get(node)
--- a/celerytrail/wiring.py
+++ b/celerytrail/wiring.py
@@ -26,6 +26,7 @@
 from .nodes.admitters import HomeAdmitter
 from .nodes.alone import AloneChooser
 from .nodes.homes import Homes
+from .nodes.limit_homes import LimitHomes
 from .nodes.member import Member
 from .nodes.nodes import Nodes
 from .nodes.signing import PeerKeys
@@ -211,6 +212,18 @@
     )
 
 
+def make_limits(base: Base, nodes: Nodes) -> LimitHomes:
+    """Make what holds organisations to their limits over all nodes."""
+    return LimitHomes(
+        nodes=nodes,
+        configuration=base.configuration,
+        keys=base.keys,
+        client=base.client,
+        clock=base.clock,
+        metrics=base.metrics,
+    )
+
+
 def make_callers(base: Base, engines: EngineClient, admitter: Admitter) -> CallersApi:
     """Make the callers' API of generations."""
     cfg = base.cfg
--- a/tests/test_peer_limits.py
+++ b/tests/test_peer_limits.py
@@ -6,19 +6,22 @@
 import random
 
 import pytest
+from result import Err, Ok
 
 from celerytrail.clock import LoopClock
 from celerytrail.configuration import Configuration
 from celerytrail.document import Document, OrganisationSpec, VersionedDocument
+from celerytrail.grants import AdmitRequest, Admitter, Grant
 from celerytrail.httpclient import HttpClient
 from celerytrail.httpserver import HttpServer
 from celerytrail.metrics import Metrics
 from celerytrail.nodes.limit_homes import LimitHomes, _group
+from celerytrail.nodes.limited import LimitedAdmitter
 from celerytrail.nodes.member import Member
 from celerytrail.nodes.rendezvous import rank
 from celerytrail.nodes.signing import PeerKeys
 from celerytrail.routes import Router
-from celerytrail.types import Address
+from celerytrail.types import Address, NotRun
 from scenarios.memorynetwork import Wires
 
 N_TOKENS_PER_SECOND = 900
@@ -32,12 +35,17 @@
         self.me = me
         self._members = members
         self._gone = gone
+        self._callbacks = []
 
     def live(self, region=None):
         return tuple(m for m in self._members if m.node not in self._gone)
 
     def on_change(self, callback):
-        pass
+        self._callbacks.append(callback)
+
+    def tell(self):
+        for callback in self._callbacks:
+            callback()
 
 
 class Rig:
@@ -64,11 +72,12 @@
             )
             for number, name in enumerate("abc", start=1)
         ]
-        self.limits, self.servers = {}, {}
+        self.limits, self.servers, self.views = {}, {}, []
         for me in members:
             network = self.wires.process(me.node)
+            self.views.append(FakeNodes(me, members, self.gone))
             limits = LimitHomes(
-                nodes=FakeNodes(me, members, self.gone),
+                nodes=self.views[-1],
                 configuration=configuration,
                 keys=PeerKeys(keys=[b"key"]),
                 client=HttpClient(process=me.node, network=network),
@@ -91,6 +100,16 @@
             await self.limits[me.node].stop()
             await server.close()
 
+    def hold(self, *names):
+        """Let all nodes hold just these for gone."""
+        self.gone.clear()
+        self.gone.update(names)
+        for view in self.views:
+            view.tell()
+
+    def open_places(self, name):
+        return self.limits[name].admit("org", 1) is None
+
     async def demand(self, names, seconds):
         """Ask for much more than is allowed; returns the tokens let through."""
         n_tokens = 0
@@ -151,15 +170,126 @@
         await rig.demand(others, 5.0)
         n_tokens = await rig.demand(others, 10.0)
         assert 0 < n_tokens <= 1.15 * 10.0 * N_TOKENS_PER_SECOND
-        rig.gone.add(home)
+        rig.hold(home)
         await rig.demand(others, 5.0)
         n_tokens = await rig.demand(others, 20.0)
         assert n_tokens <= 1.15 * 20.0 * N_TOKENS_PER_SECOND
         assert n_tokens > 0.5 * 20.0 * N_TOKENS_PER_SECOND
         await rig.stop()
 
+    async def test_home_that_comes_back(self):
+        """The limit home is suspected for a while, and another one lends in its place.
+        When it is back it holds no books on that; were it to lend as one of long
+        standing, the places would be lent twice.
+        """
+        rig = Rig()
+        await rig.start()
+        home, second, third = rig.order
+        await asyncio.sleep(11.0)
+        rig.hold(home)
+        n_open = 0
+        while n_open < N_CONCURRENT - 2:
+            await asyncio.sleep(0.5)
+            n_open += rig.open_places(second)
+        await asyncio.sleep(4.0)
+        rig.hold()
+        n_more = 0
+        for _ in range(12):
+            await asyncio.sleep(0.1)
+            n_more += rig.open_places(third)
+        assert n_more <= N_CONCURRENT // 3
+        await rig.stop()
+
+    async def test_burst_at_a_node_that_was_idle(self):
+        """An organisation's callers all come to a node that it did not use before. The
+        node has a third of the places and borrows the rest before it refuses anyone.
+        """
+        rig = Rig()
+        await rig.start()
+        inner = FakeAdmitter()
+        inner.answer = Ok(Grant(grant_id="g", engine="e"))
+        admitter = LimitedAdmitter(inner=inner, limits=rig.limits[rig.order[2]])
+        await asyncio.sleep(11.0)
+        answers = await asyncio.gather(
+            *(admitter.admit(make_request(rig)) for _ in range(N_CONCURRENT // 2))
+        )
+        assert all(isinstance(answer, Ok) for answer in answers)
+        await rig.stop()
+
     async def test_organisation_without_limits_is_never_refused(self):
         rig = Rig()
         for _ in range(1_000):
             assert rig.limits["a"].admit("free", 1_000_000) is None
         assert rig.limits["a"].admit("unknown", 1) is None
+
+
+def make_request(rig):
+    return AdmitRequest(
+        request_id="q",
+        organisation="org",
+        model="llm",
+        n_prompt_tokens=10,
+        n_max_tokens=50,
+        queue_deadline=rig.clock.monotonic() + 10.0,
+    )
+
+
+class FakeAdmitter(Admitter):
+    """Grants, refuses or waits for ever, as it is told."""
+
+    def __init__(self):
+        self.answer = None
+
+    async def admit(self, req):
+        if self.answer is None:
+            await asyncio.Event().wait()
+        return self.answer
+
+    def progress(self, grant, n_tokens):
+        pass
+
+    def finish(self, grant, n_tokens, end):
+        pass
+
+
+@pytest.mark.looptime
+class TestLimitedAdmitter:
+    def make(self):
+        rig = Rig()
+        inner = FakeAdmitter()
+        return rig, inner, LimitedAdmitter(inner=inner, limits=rig.limits["a"])
+
+    async def test_every_way_out_gives_the_place_back(self):
+        """Callers leave, requests are refused, drafts end. Were a place kept on any of
+        these ways, the organisation would after a while be refused for ever.
+        """
+        rig, inner, admitter = self.make()
+        for number in range(60):
+            inner.answer = (None, Err(NotRun(reason="shed")), Ok(None))[number % 3]
+            if number % 3 == 2:
+                grant = Grant(grant_id=f"g{number}", engine="e")
+                inner.answer = Ok(grant)
+            task = asyncio.create_task(admitter.admit(make_request(rig)))
+            await asyncio.sleep(0.3)
+            if number % 3 == 0:
+                task.cancel()
+                await asyncio.wait([task])
+            elif number % 3 == 1:
+                assert task.result().err_value.reason == "shed"
+            else:
+                assert task.result() == Ok(grant)
+                admitter.finish(grant, 1, "answered")
+                admitter.finish(grant, 1, "answered")
+
+    async def test_long_drafts_are_charged_as_they_grow(self):
+        """One draft produces far more than is usual. Were it charged at its end only,
+        the organisation could hold the engines far over its limit until then.
+        """
+        rig, inner, admitter = self.make()
+        grant = Grant(grant_id="g", engine="e")
+        inner.answer = Ok(grant)
+        assert await admitter.admit(make_request(rig)) == Ok(grant)
+        admitter.progress(grant, 5_000)
+        refusal = (await admitter.admit(make_request(rig))).err_value
+        assert refusal.reason == "token_limit"
+        assert refusal.retry_after is not None
