--- /dev/null
+++ b/scenarios/fuzz.py
@@ -0,0 +1,328 @@
+"""Failures at random against a simple oracle: ``python -m scenarios.fuzz``.
+
+The machine starts a whole system in memory on virtual time, lets callers ask and file
+while processes die, freeze, thaw and restart, links stall and the platform fails, and
+then lets everything heal. The oracle knows four things only: for each draft the tokens
+it must have; for each key how often it ran and what was said of it; for each node that
+its version only rises; and that a healed system serves.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable
+from typing import Annotated, TypeVar
+
+import hypothesis
+import looptime
+import typer
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from .memorydriver import MemoryDriver
+
+T = TypeVar("T")
+
+NODES = ("node-1", "node-2", "node-3")
+ENGINES = ("engine-1", "engine-2")
+ENDPOINTS = ("bookings-1", "bookings-2")
+ORGANISATIONS = ("lone-star", "ciranda")
+KEYS = ("k1", "k2", "k3")
+HEAL_SECONDS = 30.0
+N_STEPS = 25
+# No request may take longer than this in all, in virtual seconds.
+MOST_SECONDS = 120.0
+
+node_names = st.sampled_from(NODES)
+organisations = st.sampled_from(ORGANISATIONS)
+
+
+class Machine(RuleBasedStateMachine):
+    """One run: rules that do and disturb, invariants that must always hold."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = looptime.new_event_loop()
+        self.loop.setup_looptime(start=0, noop_cycles=0)
+        self.driver = MemoryDriver(seed=1)
+        self.n_asked = 0
+        self.key_of_call: dict[str, str] = {}
+        self.versions: dict[str, int] = {}
+        self.dead: set[str] = set()
+        self.frozen: set[str] = set()
+
+    @initialize()
+    def start(self) -> None:
+        """Start three nodes, two engines and two endpoints."""
+        self.run(self.driver.start_all(len(NODES), len(ENGINES), len(ENDPOINTS)))
+
+    # What callers and operators do.
+
+    @rule(organisation=organisations, node=node_names, n_tokens=st.integers(1, 200))
+    def ask_draft(self, organisation: str, node: str, n_tokens: int) -> None:
+        """Ask for a draft."""
+        self.n_asked += 1
+        address = self.driver.address(node)
+        name = f"d{self.n_asked}"
+
+        async def ask() -> None:
+            self.driver.callers.ask_draft(organisation, address, name, n_tokens)
+
+        self.run(ask())
+
+    @precondition(lambda self: self.driver.callers.drafts)
+    @rule(data=st.data(), node=node_names)
+    def resume(self, data: st.DataObject, node: str) -> None:
+        """Take a draft up again at any node."""
+        name = data.draw(st.sampled_from(sorted(self.driver.callers.drafts)))
+        if self.driver.callers.drafts[name].draft.last_event_id:
+            self.run(self.driver.callers.resume(name, self.driver.address(node)))
+
+    @rule(organisation=organisations, node=node_names, key=st.sampled_from(KEYS))
+    def file(self, organisation: str, node: str, key: str) -> None:
+        """File something under a key."""
+        self.n_asked += 1
+        name = f"f{self.n_asked}"
+        key = f"{organisation}-{key}"
+        self.key_of_call[name] = key
+        address = self.driver.address(node)
+
+        async def file() -> None:
+            self.driver.callers.file(organisation, address, name, key, "signed")
+
+        self.run(file())
+
+    @rule(priority=st.integers(0, 9))
+    def change(self, priority: int) -> None:
+        """Let an operator change the document."""
+        self.n_asked += 1
+        change = f"c{self.n_asked}"
+        self.run(self.driver.change_priority("ana", change, "ciranda", priority, ""))
+
+    @rule(seconds=st.sampled_from([0.01, 0.1, 0.5, 2.0, 10.0]))
+    def wait(self, seconds: float) -> None:
+        """Let time pass."""
+        self.sleep(seconds)
+
+    # What fails.
+
+    @precondition(lambda self: len(self.dead) < len(NODES) - 1)
+    @rule(node=node_names)
+    def kill(self, node: str) -> None:
+        """Kill a node."""
+        if node not in self.dead:
+            self.thaw(node)
+            self.run(self.driver.signal(node, "kill"))
+            self.dead.add(node)
+            self.versions.pop(node, None)
+
+    @precondition(lambda self: self.dead)
+    @rule()
+    def restart(self) -> None:
+        """Start a dead node anew."""
+        self.run(self.driver.start_one(self.dead.pop()))
+
+    @rule(node=node_names)
+    def freeze(self, node: str) -> None:
+        """Freeze a node."""
+        if node not in self.dead:
+            self.run(self.driver.signal(node, "freeze"))
+            self.frozen.add(node)
+
+    @rule(node=node_names)
+    def thaw(self, node: str) -> None:
+        """Thaw a node."""
+        if node in self.frozen:
+            self.run(self.driver.signal(node, "thaw"))
+            self.frozen.discard(node)
+
+    @rule(
+        sender=st.sampled_from((*NODES, *ENGINES, *ENDPOINTS, "platform")),
+        receiver=node_names,
+        is_both_ways=st.booleans(),
+    )
+    def cut(self, sender: str, receiver: str, is_both_ways: bool) -> None:
+        """Cut a link."""
+        if sender != receiver:
+            self.run(self.driver.cut(sender, receiver, is_both_ways=is_both_ways))
+
+    @rule()
+    def heal(self) -> None:
+        """Heal all links."""
+        self.run(self.driver.heal())
+
+    @rule(
+        fault=st.sampled_from(
+            ["outage", "losing-one-reply", "stalling-once", "staleness"]
+        )
+    )
+    def platform_fault(self, fault: str) -> None:
+        """Let the platform fail."""
+        self.run(self.driver.fault("platform", fault, None))
+
+    @rule()
+    def platform_heals(self) -> None:
+        """Let the platform be well again."""
+        self.run(self.driver.clear_faults("platform"))
+
+    @rule(
+        endpoint=st.sampled_from(ENDPOINTS),
+        fault=st.sampled_from(
+            [
+                ("losing-a-filing", None),
+                ("refusing-work", None),
+                ("slowness", 1.0),
+                ("stalling-once", None),
+            ]
+        ),
+    )
+    def endpoint_fault(self, endpoint: str, fault: tuple[str, float | None]) -> None:
+        """Let an endpoint fail."""
+        self.run(self.driver.fault(endpoint, *fault))
+
+    @rule(
+        engine=st.sampled_from(ENGINES),
+        fault=st.sampled_from(
+            [
+                ("cutting-a-stream", 3.0),
+                ("stalling-a-stream", 3.0),
+                ("resending", 4.0),
+                ("skipping", 4.0),
+                ("crossing", None),
+                ("swapping", None),
+            ]
+        ),
+    )
+    def engine_fault(self, engine: str, fault: tuple[str, float | None]) -> None:
+        """Let an engine fail."""
+        self.run(self.driver.fault(engine, *fault))
+
+    # What must hold.
+
+    @invariant()
+    def tokens_are_right(self) -> None:
+        """Check every draft's tokens so far."""
+        for name in self.driver.callers.drafts:
+            wrong = self.driver.callers.wrong_tokens(name)
+            assert not wrong, f"{name}: {wrong}"
+
+    @invariant()
+    def versions_only_rise(self) -> None:
+        """Check that no node goes back."""
+        for node, version in self.driver.versions_now().items():
+            assert version >= self.versions.get(node, 0), f"{node} went back"
+            self.versions[node] = version
+
+    def teardown(self) -> None:
+        """Heal everything, then check what was said and that the system serves."""
+        try:
+            self.run(self._heal_all())
+            self.sleep(HEAL_SECONDS)
+            self.run(self._check_keys())
+            self.run(self._check_service())
+        finally:
+            self.run(self.driver.close())
+            self.loop.close()
+
+    async def _heal_all(self) -> None:
+        await self.driver.heal()
+        for name in sorted(self.frozen):
+            await self.driver.signal(name, "thaw")
+        for name in (*ENGINES, *ENDPOINTS, "platform"):
+            await self.driver.clear_faults(name)
+        for name in sorted(self.dead):
+            await self.driver.start_one(name)
+
+    async def _check_keys(self) -> None:
+        callers = self.driver.callers
+        for name in self.key_of_call:
+            await callers.wait_end(name)
+        for key in set(self.key_of_call.values()):
+            calls = [name for name, one in self.key_of_call.items() if one == key]
+            kinds = {callers.outcome(name).kind for name in calls}
+            n_runs = await self.driver.n_runs(calls[0])
+            assert n_runs <= 1, f"{key} ran {n_runs} times"
+            if kinds <= {"not run", "refused"}:
+                assert n_runs == 0, f"{key} ran, and all were told that it was not"
+            if kinds & {"answered", "replayed"}:
+                assert n_runs == 1, f"{key} was answered and did not run"
+
+    async def _check_service(self) -> None:
+        callers = self.driver.callers
+        versions = await self.driver.versions()
+        newest = self.driver.newest_version
+        assert set(versions.values()) == {newest}, f"{versions}, not {newest}"
+        for node in NODES:
+            address = self.driver.address(node)
+            callers.ask_draft("smallest", address, f"last-{node}", 20)
+            callers.file("smallest", address, f"last-f-{node}", f"last-{node}", "x")
+        for node in NODES:
+            for name in (f"last-{node}", f"last-f-{node}"):
+                await callers.wait_end(name)
+                outcome = callers.outcome(name)
+                assert outcome.kind in ("whole", "answered"), f"{name}: {outcome}"
+
+    def run(self, work: Awaitable[T]) -> T:
+        """Run something on the virtual loop."""
+
+        async def bounded() -> T:
+            async with asyncio.timeout(MOST_SECONDS):
+                return await work
+
+        return self.loop.run_until_complete(bounded())
+
+    def sleep(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        self.run(asyncio.sleep(seconds))
+
+
+def explore(
+    seed: int, n_examples: int, n_steps: int = N_STEPS, *, does_shrink: bool = False
+) -> None:
+    """Run the machine; raises what the oracle found.
+
+    Shrinking to few steps takes hundreds of runs, some minutes, so it is asked for.
+    """
+    phases = [Phase.generate, Phase.shrink] if does_shrink else [Phase.generate]
+    run_state_machine_as_test(
+        hypothesis.seed(seed)(type("SeededMachine", (Machine,), {})),
+        settings=settings(
+            max_examples=n_examples,
+            stateful_step_count=n_steps,
+            deadline=None,
+            database=None,
+            derandomize=False,
+            print_blob=False,
+            phases=phases,
+            suppress_health_check=list(HealthCheck),
+        ),
+    )
+
+
+def main(
+    seconds: Annotated[float, typer.Option(help="Begin no new round after so long.")],
+    seed: Annotated[int, typer.Option(help="Of the first round; then one more.")] = 1,
+    examples: Annotated[int, typer.Option(help="Runs in one round.")] = 20,
+    shrink: Annotated[bool, typer.Option(help="Shrink what is found.")] = False,
+) -> None:
+    """Explore failures at random until the time is over or something is found."""
+    stop_at = time.monotonic() + seconds
+    n_rounds = 0
+    while time.monotonic() < stop_at:
+        typer.echo(f"seed {seed + n_rounds}: {examples} runs of up to {N_STEPS} steps")
+        explore(seed + n_rounds, examples, does_shrink=shrink)
+        n_rounds += 1
+    typer.echo(f"fuzz: {n_rounds} rounds, {n_rounds * examples} runs, nothing found")
+
+
+if __name__ == "__main__":
+    typer.run(main)
