Fuzz streams with faults in any order; carry deadlines into the engine

Cause: faults had been tried one at a time; a deadline reached the engine's head and went no further; replies that break the protocol were logged and not counted.

--- a/celerytrail/callers/starting.py
+++ b/celerytrail/callers/starting.py
@@ -22,7 +22,7 @@
 from ..engines.prefixes import estimate_tokens, prefix_hashes
 from ..engines.reader import TokenReader
 from ..engines.streams import EngineStream, StreamLost, StreamPolicy
-from ..engines.wire import EngineRefused, Finished, GenerateOrder, Tokens
+from ..engines.wire import BadReply, EngineRefused, Finished, GenerateOrder, Tokens
 from ..grants import AdmitRequest, Admitter, GenerationEnd, Grant
 from ..retries import RetryPolicy
 from ..types import Address, NotRun
@@ -332,6 +332,8 @@
 
     def _failed_open(self, engine: EngineSpec, problem: OpenError) -> _Failed:
         is_not_run = isinstance(problem, EngineRefused)
+        if isinstance(problem, BadReply):
+            self._counters.bad_replies[problem.reason] += 1
         log_message(
             "callers:engine_failed",
             engine=engine.name,
--- a/celerytrail/engines/counters.py
+++ b/celerytrail/engines/counters.py
@@ -21,6 +21,7 @@
         self.n_stalls = 0
         self.stall_seconds = 0.0
         self.resumes: Counter[str] = Counter()
+        self.bad_replies: Counter[str] = Counter()
         self.n_gaps = [0] * (len(TIME_BUCKETS) + 1)
         self.gap_seconds = 0.0
 
@@ -41,6 +42,8 @@
             metrics.count("stall_seconds", self.stall_seconds)
         for cause, n in self.resumes.items():
             metrics.count("resumes", n, cause=cause)
+        for problem, n in self.bad_replies.items():
+            metrics.count("bad_input", n, peer="engine", problem=problem)
         if self.n_repeats:
             metrics.count("bad_input", self.n_repeats, peer="engine", problem="repeat")
         if any(self.n_gaps):
--- a/celerytrail/engines/streams.py
+++ b/celerytrail/engines/streams.py
@@ -300,6 +300,8 @@
             self._stall_seconds = min(doubled, self._policy.max_stall_seconds)
         else:
             self._n_breaks += 1
+        if isinstance(problem, BadReply):
+            self._counters.bad_replies[problem.reason] += 1
         self._counters.resumes[problem.reason] += 1
         log_message(
             "engines:stream_broken",
@@ -345,11 +347,21 @@
                 return self._accept(opened.ok_value)
             if isinstance(opened.err_value, UnknownGeneration):
                 return self._lost("generation_unknown", can_resume=False)
+            self._note_failed_open(opened.err_value)
             if self._clock.monotonic() >= give_up_at:
                 return self._lost("engine_unreachable", can_resume=True)
             await self._back_off(backoff)
             backoff = min(backoff * 2, policy.max_backoff_seconds)
 
+    def _note_failed_open(self, problem: OpenError) -> None:
+        if isinstance(problem, BadReply):
+            self._counters.bad_replies[problem.reason] += 1
+        log_message(
+            "engines:open_failed",
+            generation_id=self.generation_id,
+            reason=problem.reason,
+        )
+
     def _accept(self, reader: TokenReader) -> StreamLost | None:
         if self._is_abandoned:
             reader.close()
--- a/standins/batch.py
+++ b/standins/batch.py
@@ -78,6 +78,7 @@
         self.ready_at = 0.0
         self.thrown_out_at: float | None = None
         self.last_read_at = 0.0
+        self.deadline: float | None = None
         self.ended_at = 0.0
         self.n_readers = 0
         self.reader = 0
@@ -286,6 +287,7 @@
         for generation in list(self.generations.values()):
             if generation.n_readers:
                 generation.last_read_at = now
+            deadline = generation.deadline
             if generation.end is not None:
                 if now - generation.ended_at > self._keep_seconds:
                     del self.generations[generation.generation_id]
@@ -293,6 +295,8 @@
                 # Whoever asked for it is gone, and so is the node that relayed it;
                 # without this it would take memory until it ends by itself.
                 self._finish(generation, "cancelled", now)
+            elif deadline is not None and now >= deadline:
+                self._finish(generation, "cancelled", now)
 
     def _use_cache(self, prompt: str, now: float) -> int:
         """Return how many prompt tokens are cached, and cache the prompt."""
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -182,8 +182,16 @@
                 self._loop.time(),
             )
             self._work.set()
+            generation.deadline = self._deadline(req)
             await self._stream(res, generation, 0)
 
+    def _deadline(self, req: Request) -> float | None:
+        """Return the loop time at which the caller gives up, where it says."""
+        text = req.headers.get("x-deadline-at")
+        if text is None:
+            return None
+        return self._loop.time() + (float(text) - self._clock.wall())
+
     def _refusal(self, body: GenerateBody) -> str | None:
         if self.faults.find("leaving") is not None:
             return "leaving"
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -149,6 +149,7 @@
         text, _ = await rig.read(await rig.start("f [length=30]"))
         assert text == expected_text("f [length=30]", "g1", 30)
         assert rig.counters.resumes["bad_line"] == 1
+        assert rig.counters.bad_replies["bad_line"] == 1
 
     async def test_another_generation_is_never_spliced_in(self, rig):
         """After a broken link the engine answers with somebody else's generation.
@@ -204,6 +205,28 @@
         assert opened.err_value.reason == "crossed"
 
 
+class TestRandomFaults:
+    @pytest.mark.parametrize("seed", range(10))
+    async def test_text_is_right_whatever_comes_together(self, rig, seed):
+        """Links stall and break, and the engine resends, skips and sends garbage, in
+        any order and twice. The caller's text is always the beginning of the one
+        right text, and whole where the stream says so.
+        """
+        rng = random.Random(seed)
+        stream = await rig.start("z [length=150]")
+        text, last = await rig.read(stream, 3)
+        while not isinstance(last, Finished | StreamLost):
+            name = rng.choice(["stall", "lose_reply", "resend", "skip", "garbage"])
+            after = stream.offset + rng.randrange(20)
+            rig.engine.fault(name, n=1, tokens=rng.randrange(1, 5), after=after)
+            if stream._reader is not None and rng.random() < 0.5:
+                stream._reader.close()
+            more, last = await rig.read(stream, stream.offset + rng.randrange(1, 25))
+            text += more
+        assert text == expected_text("z [length=150]", "g1", stream.offset)
+        assert isinstance(last, StreamLost) or stream.offset == 150
+
+
 class TestClient:
     async def test_cancel_of_an_older_reading_is_refused(self, rig):
         """A node that was frozen wakes and cancels what its caller reads through
@@ -253,6 +276,20 @@
         assert [e.sequence for e in late.events] == [1, 2, 3, 4, 5, 6, 8, 9, 10, 11, 12]
         assert late.next == 12
 
+    async def test_engine_ends_what_is_past_its_deadline(self, rig):
+        """The node dies, and its caller's deadline passes. The engine knows it too."""
+        order = GenerateOrder(
+            generation_id="g1",
+            model="draft",
+            prompt="n [length=9000]",
+            n_max_tokens=9000,
+        )
+        opened = await rig.client.generate(
+            rig.engine.address, order, deadline=soon(), request_deadline=soon(0.1)
+        )
+        opened.ok_value.close()
+        await until(lambda: rig.engine.batch.generations["g1"].end == "cancelled")
+
     async def test_leaving_engine_says_so_and_refuses(self, rig):
         """The engine has notice that it will be reclaimed."""
         rig.engine.fault("leaving")
