Don't keep a caller waiting for the engine connection's proper end

Cause: a whole answer was sent only after the engine's HTTP end had been read, up to 2 s later where the link stalls just there; a streamed caller's next request on its connection waited likewise.

Change: the connection is returned to the pool by a task of its own.

--- a/celerytrail/callers/completions.py
+++ b/celerytrail/callers/completions.py
@@ -212,7 +212,7 @@
         except BaseException:
             self._ends.give_up(started.stream, started.grant)
             raise
-        await self._ends.note(started.stream, started.grant, last)
+        self._ends.note(started.stream, started.grant, last)
 
     async def _whole(
         self, ctx: Context, res: Responder, req: StartRequest, started: Started
@@ -251,13 +251,13 @@
             raise
         if isinstance(gathered, Ok):
             tokens, finished = gathered.ok_value
-            await self._ends.note(started.stream, started.grant, finished)
+            self._ends.note(started.stream, started.grant, finished)
             head = self._head(req, started)
             return Ok(SHAPES[req.body.shape].whole(head, tokens, finished))
         if gathered.err_value.reason == "abandoned":
             self._leavers.note(started.stream, started.grant, can_return=False)
             return None
-        await self._ends.note(started.stream, started.grant, gathered.err_value)
+        self._ends.note(started.stream, started.grant, gathered.err_value)
         return Err(gathered.err_value)
 
     def _delivery(self, started: Started, ticket: str) -> Delivery:
--- a/celerytrail/callers/endings.py
+++ b/celerytrail/callers/endings.py
@@ -29,7 +29,7 @@
         self._admitter = admitter
         self._tasks = tasks
 
-    async def note(
+    def note(
         self, stream: EngineStream, grant: Grant, last: Finished | StreamLost
     ) -> None:
         """Note how a generation ended."""
@@ -40,7 +40,9 @@
                 self._tasks.spawn(stream.cancel())
                 end = "cancelled"
         self._admitter.finish(grant, stream.offset, end)
-        await stream.release()
+        # The answer is whole; its caller needn't wait until the connection to the
+        # engine is known to be fit for another exchange.
+        self._tasks.spawn(stream.release())
 
     def give_up(self, stream: EngineStream, grant: Grant) -> None:
         """Note that this node can't go on with a generation that may still run."""
--- a/celerytrail/callers/generations.py
+++ b/celerytrail/callers/generations.py
@@ -127,7 +127,7 @@
                 return
             self._metrics.count("refusals", reason=lost.reason)
             event_id = f"{self._renew(req.ticket)}.{req.offset}"
-            await self._ends.note(stream, grant, lost)
+            self._ends.note(stream, grant, lost)
             await send_lost(res, lost, event_id, ctx.headers)
             return
         self._metrics.count("resumes", cause="caller")
@@ -192,7 +192,7 @@
             is_new=False,
             does_include_usage=req.does_include_usage,
         )
-        await self._ends.note(delivery.stream, grant, last)
+        self._ends.note(delivery.stream, grant, last)
 
     async def _whole(
         self,
@@ -205,7 +205,7 @@
         gathered = await gather(delivery)
         if isinstance(gathered, Ok):
             tokens, finished = gathered.ok_value
-            await self._ends.note(delivery.stream, grant, finished)
+            self._ends.note(delivery.stream, grant, finished)
             shape = SHAPES[req.ticket.shape]
             answer = shape.whole(self._head(req.ticket), tokens, finished)
             await res.send_json(200, {**answer, "from": req.offset}, ctx.headers)
@@ -213,7 +213,7 @@
         lost = gathered.err_value
         if lost.reason == "abandoned":
             raise PeerError("the caller left before the rest was there")
-        await self._ends.note(delivery.stream, grant, lost)
+        self._ends.note(delivery.stream, grant, lost)
         # None of the rest has reached the caller: it goes on from where it was.
         event_id = f"{delivery.ticket}.{req.offset}"
         await send_lost(res, lost, event_id, ctx.headers)
