--- a/celerytrail/lengths.py
+++ b/celerytrail/lengths.py
@@ -34,6 +34,8 @@
 # A curve is worked out anew after this many ended generations, or this share of all.
 CURVE_LIFE = 8
 CURVE_LIFE_SHARE = 0.02
+# Curves kept at one time, oldest dropped first.
+N_CURVES = 512
 # Rows of survival are kept for so many starting points in each bucket.
 ROWS_PER_BUCKET = 4
 # Drift: the sum of surprise to one side, in steps of -2 to 2, above which the old
@@ -134,8 +136,8 @@
 
     __slots__ = (
         "_growth",
-        "curve",
         "ended",
+        "is_new",
         "left",
         "n_ended",
         "n_new",
@@ -154,7 +156,7 @@
         self.n_seen = 1.0
         self.too_long = 0.0
         self.too_short = 0.0
-        self.curve: Curve | None = None
+        self.is_new = True
 
     def add(self, b: int, *, ended: float, left: float = 1.0) -> None:
         """Count a generation that left bucket ``b``."""
@@ -172,12 +174,17 @@
 
     @property
     def is_stale(self) -> bool:
-        """Whether the curve is to be worked out anew."""
-        if self.curve is None:
+        """Whether its curve is to be worked out anew."""
+        if self.is_new:
             return True
         n_known = min(self.n_ended, ORGANISATION_HALF_LIFE)
         return self.n_new >= max(CURVE_LIFE, CURVE_LIFE_SHARE * n_known)
 
+    def settle(self) -> None:
+        """Note that its curve was worked out."""
+        self.is_new = False
+        self.n_new = 0
+
     def scale(self, factor: float) -> None:
         """Multiply all counts by ``factor``."""
         for b in range(N_BUCKETS):
@@ -246,8 +253,9 @@
         falls back to its model's. This bounds the memory.
     """
 
-    def __init__(self, *, n_tables: int = 8192) -> None:
+    def __init__(self, *, n_tables: int = 4096) -> None:
         self._n_tables = n_tables
+        self._curves: OrderedDict[tuple[str, str], Curve] = OrderedDict()
         self._models: dict[str, LifeTable] = {}
         self._tables: OrderedDict[tuple[str, str], LifeTable] = OrderedDict()
 
@@ -256,14 +264,19 @@
 
     def curve(self, model: str, organisation: str) -> Curve:
         """Return the organisation's curve, or its model's where it has none."""
-        table = self._tables.get((model, organisation))
+        key = (model, organisation)
+        table = self._tables.get(key)
         if table is None:
-            return self._model_curve(model)
-        if table.curve is None or table.is_stale:
-            prior = self._model_hazards(model)
-            table.curve = Curve(hazards=table.hazards(prior, MODEL_WEIGHT))
-            table.n_new = 0
-        return table.curve
+            key, table = (model, ""), self._model(model)
+        curve = self._curves.get(key)
+        if curve is None or table.is_stale:
+            curve = self._curves[key] = Curve(hazards=self._hazards(key, table))
+            table.settle()
+            # Curves with their rows are larger than tables and quickly made again;
+            # kept for each of thousands of organisations they would fill the node.
+            if len(self._curves) > N_CURVES:
+                self._curves.popitem(last=False)
+        return curve
 
     def advance(
         self, model: str, organisation: str, n_before: int, n_after: int
@@ -303,7 +316,7 @@
         if max(table.too_long, table.too_short) > DRIFT_THRESHOLD:
             table.scale(DRIFT_KEEP)
             table.too_long = table.too_short = 0.0
-            table.curve = None
+            table.is_new = True
 
     def _both(self, model: str, organisation: str) -> tuple[LifeTable, LifeTable]:
         key = (model, organisation)
@@ -323,15 +336,11 @@
             table = self._models[model] = LifeTable(half_life=MODEL_HALF_LIFE)
         return table
 
-    def _model_hazards(self, model: str) -> list[float]:
-        return self._model(model).hazards(COLD_HAZARDS, COLD_WEIGHT)
-
-    def _model_curve(self, model: str) -> Curve:
-        table = self._model(model)
-        if table.curve is None or table.is_stale:
-            table.curve = Curve(hazards=self._model_hazards(model))
-            table.n_new = 0
-        return table.curve
+    def _hazards(self, key: tuple[str, str], table: LifeTable) -> list[float]:
+        if not key[1]:
+            return table.hazards(COLD_HAZARDS, COLD_WEIGHT)
+        prior = self._model(key[0]).hazards(COLD_HAZARDS, COLD_WEIGHT)
+        return table.hazards(prior, MODEL_WEIGHT)
 
 
 def prompt_class(model: str, n_prompt_tokens: int) -> str:
