--- a/Makefile
+++ b/Makefile
@@ -46,6 +46,9 @@
 bench-quick: install  ## The same with few runs, in under 45 s.
 	$(PY) -m bench --quick
 
+bench-capacity: install  ## Measure what control costs a real node.
+	$(PY) -m bench.capacity
+
 bench-membership: install  ## Measure how nodes notice and tell (SCALE=0.3 for a short run).
 	$(PY) -m bench.membership --scale $(SCALE)
 
@@ -53,4 +56,4 @@
 	$(PY) -m bench.relay
 
 .PHONY: help install test demo run scenarios fuzz format check
-.PHONY: bench bench-quick bench-membership bench-relay
+.PHONY: bench bench-quick bench-capacity bench-membership bench-relay
