--- a/celerytrail/node.py
+++ b/celerytrail/node.py
@@ -22,6 +22,7 @@
 from .log import start_logging
 from .metrics import Metrics
 from .network import Network, SystemNetwork
+from .nodes.limited import LimitedAdmitter
 from .nodes.signing import PeerKeys
 from .routes import Params, Router
 from .settings import NodeSettings
@@ -101,9 +102,8 @@
         self.admitter = wiring.make_admitter(self.base, self.nodes, self.homes)
         self.limits = wiring.make_limits(self.base, self.nodes)
         self._reconciler = wiring.make_reconciler(self.base, self._platform, self.homes)
-        self.callers = wiring.make_callers(
-            self.base, engines, self.admitter, self.limits
-        )
+        limited = LimitedAdmitter(inner=self.admitter, limits=self.limits)
+        self.callers = wiring.make_callers(self.base, engines, limited)
         self.services = wiring.make_services(self.base, self._platform)
         self.status = wiring.make_status(self.base, self.nodes, self.sync)
         self.status.add_part("homes", self.homes.describe)
--- a/celerytrail/wiring.py
+++ b/celerytrail/wiring.py
@@ -22,7 +22,6 @@
 from .leases import LeaseKeeper
 from .leaving import LeavingBoard, LeavingFact
 from .lengths import LearnedLengths
-from .limitedadmitter import LimitedAdmitter
 from .memberaddresses import NodesSource
 from .metrics import Metrics
 from .network import Network
@@ -215,7 +214,6 @@
     return EngineReconciler(
         configuration=base.configuration,
         reports=homes.reports,
-        is_mine=lambda name: name in homes.reports(),
         leases=LeaseKeeper(
             table=platform.table,
             holder=base.node_id,
@@ -252,9 +250,7 @@
     )
 
 
-def make_callers(
-    base: Base, engines: EngineClient, inner: Admitter, limits: LimitHomes
-) -> CallersApi:
+def make_callers(base: Base, engines: EngineClient, admitter: Admitter) -> CallersApi:
     """Make the callers' API of generations."""
     cfg = base.cfg
     tickets = TicketSigner(
@@ -265,7 +261,7 @@
     return CallersApi(
         configuration=base.configuration,
         authenticator=base.authenticator,
-        admitter=LimitedAdmitter(inner=inner, limits=limits),
+        admitter=admitter,
         engines=engines,
         retries=BudgetedRetry(rng=base.rng),
         tickets=tickets,
