--- a/celerytrail/engineview.py
+++ b/celerytrail/engineview.py
@@ -278,6 +278,4 @@
     seconds = now - run.progress_at
     if run.n_tokens and seconds > 0:
         rate = (n_tokens - run.n_tokens) / seconds
-        if not view.stream_rate:
-            view.stream_rate = rate
         view.stream_rate += RATE_GAIN * (rate - view.stream_rate)
--- a/celerytrail/scheduler.py
+++ b/celerytrail/scheduler.py
@@ -30,10 +30,6 @@
 # The first in line is passed over for so long at most; then room is kept for it.
 PASSED_OVER_SECONDS = 2.0
 SWEEP_SECONDS = 5.0
-# A batch slows down its streams by up to this share of the fastest engine's rate;
-# what goes beyond costs as much as so much room.
-SLOWNESS_USUAL = 0.3
-SLOWNESS_COST = 2.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -260,17 +256,11 @@
 
     def _best_engine(self, req: AdmitRequest, now: float) -> EngineView | None:
         best, best_score = None, 0.0
-        views = self.book.candidates(req, now)
-        fastest = max((view.stream_rate for view in views), default=0.0)
-        for view in views:
+        for view in self.book.candidates(req, now):
             room = self.admission.room(view, req, now)
             if room < 0:
                 continue
-            # An engine that has turned slow has room for long, since little ends on
-            # it. By room alone it would get most, and its streams crawl.
-            slowness = 1.0 - view.stream_rate / fastest if view.stream_rate else 0.0
-            score = 2.0 + room - SLOWNESS_COST * max(0.0, slowness - SLOWNESS_USUAL)
-            score += self.affinity.bonus(view.name, req.prefixes)
+            score = 1.0 + room + self.affinity.bonus(view.name, req.prefixes)
             if best is None or score > best_score:
                 best, best_score = view, score
         return best
