--- a/celerytrail/fairness.py
+++ b/celerytrail/fairness.py
@@ -21,8 +21,6 @@
 # served sooner and a lower one is never starved.
 PRIORITY_FACTOR = 1.5
 PRIORITY_NORMAL = 5
-# The credit that the scheduler's queue leaves: some seconds of an even share.
-REJOIN_CREDIT = 4000.0
 # Idle organisations beyond this number are forgotten, least recently active first.
 N_IDLE_KEPT = 8192
 
@@ -69,16 +67,9 @@
 
 
 class FairQueue(WaitingQueue):
-    """The organisation with the least service by weight goes first.
+    """The organisation with the least service by weight goes first."""
 
-    Parameters
-    ----------
-    credit : float
-        Virtual tokens that an organisation may be behind the level when it rejoins.
-    """
-
-    def __init__(self, *, credit: float = 0.0) -> None:
-        self._credit = credit
+    def __init__(self) -> None:
         self._accounts: dict[str, Account] = {}
         self._requests: dict[str, AdmitRequest] = {}
         self._busy: set[str] = set()
@@ -103,10 +94,7 @@
             # Whoever was idle joins at the level of those that wait. Were the credit
             # of the idle time kept, the organisation could lock all others out for
             # just as long with one burst.
-            # A small credit is left to whoever asks for less than its share in fits
-            # and starts, or it would wait each time behind one that always asks.
-            floor = self._floor() - self._credit
-            account.served = max(account.served, floor)
+            account.served = max(account.served, self._floor())
             self._busy.add(req.organisation)
         account.waiting.append(req)
         self._requests[req.request_id] = req
--- a/celerytrail/scheduler.py
+++ b/celerytrail/scheduler.py
@@ -16,7 +16,7 @@
 from .affinity import AffinityPolicy, BoundedAffinity
 from .document import EngineSpec
 from .engineview import EngineBook, EngineView
-from .fairness import PROMPT_COST, REJOIN_CREDIT, FairQueue, effective_weight
+from .fairness import PROMPT_COST, FairQueue, effective_weight
 from .grants import AdmitRequest, GenerationEnd, Grant
 from .lengths import LearnedLengths, LengthModel, prompt_class
 from .reports import EngineReport
@@ -92,7 +92,7 @@
         self.book = EngineBook()
         self.lengths = lengths or LearnedLengths()
         self.admission = admission or PredictedPeak(lengths=self.lengths, model=model)
-        self.queue = queue or FairQueue(credit=REJOIN_CREDIT)
+        self.queue = queue or FairQueue()
         self.shedding = shedding or ShedByWait(rng=rng)
         self.affinity = affinity or BoundedAffinity()
         self._rng = rng
