--- a/celerytrail/node.py
+++ b/celerytrail/node.py
@@ -22,7 +22,6 @@
 from .log import start_logging
 from .metrics import Metrics
 from .network import Network, SystemNetwork
-from .nodes.limited import LimitedAdmitter
 from .nodes.signing import PeerKeys
 from .routes import Params, Router
 from .settings import NodeSettings
@@ -101,10 +100,14 @@
         self.homes = wiring.make_homes(self.base, self.nodes, engines)
         self.admitter = wiring.make_admitter(self.base, self.nodes, self.homes)
         self.limits = wiring.make_limits(self.base, self.nodes)
-        limited = LimitedAdmitter(inner=self.admitter, limits=self.limits)
-        self.callers = wiring.make_callers(self.base, engines, limited)
+        self._reconciler = wiring.make_reconciler(self.base, self._platform, self.homes)
+        self.callers = wiring.make_callers(
+            self.base, engines, self.admitter, self.limits
+        )
         self.services = wiring.make_services(self.base, self._platform)
         self.status = wiring.make_status(self.base, self.nodes, self.sync)
+        self.status.add_part("homes", self.homes.describe)
+        self.status.add_part("work", self._describe_work)
         self._add_routes()
 
     async def start(self) -> None:
@@ -117,6 +120,8 @@
         await self.limits.start()
         self.services.directory.start()
         self._run(self._vms.run())
+        self._run(self._reconciler.run())
+        self._run(self.services.sweeper.run())
         await self._caller_server.start(self.cfg.caller_listen)
         log_message(
             "node:started", node=self.base.node_id, callers=str(self.caller_address)
@@ -171,6 +176,13 @@
         await self.sync.stop()
         await self.nodes.stop()
 
+    def _describe_work(self) -> dict[str, object]:
+        return {
+            "n_streams": self.callers.n_streams,
+            "n_calls": self.services.calls.n_in_progress,
+            "n_records_waiting": self.services.recorder.n_pending,
+        }
+
     def _run(self, work: Coroutine[object, object, None]) -> None:
         self._tasks.append(asyncio.get_running_loop().create_task(work))
 
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import base64
 import hashlib
 import random
 import re
+import zlib
 
 import msgspec
 import pytest
@@ -70,6 +72,7 @@
         self.node = NodeStub()
         self.servers = []
         self.n_consoles = 0
+        self.accounts = ACCOUNTS
 
     async def start(self):
         server = HttpServer(handler=self.node, network=self.wires.process("node"))
@@ -89,7 +92,8 @@
         self.console = Console(
             store=self.store(),
             accounts=Accounts(
-                hashes=parse_accounts(ACCOUNTS, "accounts").ok_value, clock=self.clock
+                hashes=parse_accounts(self.accounts, "accounts").ok_value,
+                clock=self.clock,
             ),
             sessions=Sessions(keys=(b"k" * 16,), clock=self.clock),
             live=LiveView(
@@ -315,6 +319,23 @@
         )
         assert b"What your draft changes: 4" in made.ok_value.body
 
+    async def test_large_documents_go_through(self, office, ana):
+        """A whole document for 6,400 organisations is handed in.
+
+        Its draft would make pages of many megabytes, which a browser takes long for.
+        """
+        names = ",".join(f'{{"name": "o{number}"}}' for number in range(6_400))
+        await ana.press("Raw JSON")
+        text = f'{{"organisations": [{names}]}}'
+        page = await ana.press("Check, and make it my draft", text=text)
+        assert len(page.html) < 500_000
+        await ana.press("Accept")
+        assert len((await office.newest()).document.organisations) == 6_400
+        page = await ana.press("Raw JSON")
+        assert "too large" in page.text
+        page = await ana.press("Organisations")
+        assert "100 of 6400 shown" in page.text
+
     async def test_status_shows_versions_and_live_state(self, office, ana):
         page = await ana.press("Status")
         assert "version 1 at 1" in page.text
@@ -499,6 +520,25 @@
         ana.cookie = f"{name}={text.encode().hex()}"
         assert "Logged in" not in (await ana.get("/")).text
 
+    async def test_removed_account_loses_its_session(self, office, ana):
+        """An operator leaves; the consoles are started again without the account."""
+        cookie = ana.cookie
+        office.accounts = ACCOUNTS.partition(",")[2]
+        await office.start_console()
+        browser = office.browser()
+        browser.cookie = cookie
+        assert "Logged in" not in (await browser.get("/")).text
+
+    async def test_draft_with_findings_can_not_be_accepted(self, office, ana):
+        """Somebody posts an acceptance without the review having allowed it."""
+        token = dict(ana.page.forms[0].fields)["token"]
+        draft = '{"base_version":1,"edits":[{"kind":"models","key":"contracts"}]}'
+        fields = [("token", token), ("draft", draft), ("operation_id", "0" * 32)]
+        page = await ana.post("/draft", [*fields, ("do", "accept")])
+        assert page.status == 422
+        assert "engines / e1 / model" in page.text
+        assert (await office.newest()).version == 1
+
     async def test_cookie_attributes(self, office):
         browser = await office.login()
         header = (
@@ -528,7 +568,8 @@
     @pytest.mark.parametrize(
         "draft",
         ["x", "[]", "null", '{"base_version":1,"edits":[{"kind":"x","key":"a"}]}']
-        + ['{"base_version":"1"}', "[" * 10_000]
+        + ['{"base_version":"1"}', "[" * 10_000, "z:", "z:!", "z:AAAA"]
+        + ["z:" + base64.b64encode(zlib.compress(b" " * 9_000_000)).decode()]
         + ['{"base_version":1,"edits":[{"kind":"models","key":"a","value":3}]}'],
     )
     async def test_bad_drafts(self, office, ana, draft):
