--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -166,10 +166,14 @@
             f"{one.requests_per_second:10}  {one.core_share:15.2%}  "
             f"{one.resident_megabytes:11}"
         )
+    _write(readings)
+
+
+def _write(readings: list[Reading]) -> None:
     OUT.mkdir(exist_ok=True)
     found = {
         "load_average": psutil.getloadavg(),
-        "readings": list(map(asdict, readings)),
+        "readings": [asdict(one) for one in readings],
     }
     (OUT / "capacity.json").write_text(json.dumps(found, indent=2))
 
--- a/celerytrail/node.py
+++ b/celerytrail/node.py
@@ -22,7 +22,6 @@
 from .log import start_logging
 from .metrics import Metrics
 from .network import Network, SystemNetwork
-from .nodes.limited import LimitedAdmitter
 from .nodes.signing import PeerKeys
 from .routes import Params, Router
 from .settings import NodeSettings
@@ -102,8 +101,9 @@
         self.admitter = wiring.make_admitter(self.base, self.nodes, self.homes)
         self.limits = wiring.make_limits(self.base, self.nodes)
         self._reconciler = wiring.make_reconciler(self.base, self._platform, self.homes)
-        limited = LimitedAdmitter(inner=self.admitter, limits=self.limits)
-        self.callers = wiring.make_callers(self.base, engines, limited)
+        self.callers = wiring.make_callers(
+            self.base, engines, self.admitter, self.limits
+        )
         self.services = wiring.make_services(self.base, self._platform)
         self.status = wiring.make_status(self.base, self.nodes, self.sync)
         self.status.add_part("homes", self.homes.describe)
@@ -120,6 +120,7 @@
         await self.limits.start()
         self.services.directory.start()
         self._run(self._vms.run())
+        self._run(wiring.keep_telling(self.base, self.nodes))
         self._run(self._reconciler.run())
         self._run(self.services.sweeper.run())
         await self._caller_server.start(self.cfg.caller_listen)
--- a/celerytrail/wiring.py
+++ b/celerytrail/wiring.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from dataclasses import dataclass
 
@@ -22,6 +23,7 @@
 from .leases import LeaseKeeper
 from .leaving import LeavingBoard, LeavingFact
 from .lengths import LearnedLengths
+from .limitedadmitter import LimitedAdmitter
 from .memberaddresses import NodesSource
 from .metrics import Metrics
 from .network import Network
@@ -54,7 +56,11 @@
 MILLISECONDS = 1_000
 # How long gossip's word that an endpoint leaves holds beyond its time, in seconds;
 # after that an endpoint of the same name may be a new one.
-GOSSIP_WORD_SECONDS = 120.0
+GOSSIP_WORD_SECONDS = 300.0
+# How often a node says again what it knows by itself of who leaves, in seconds: more
+# than `SAME_LEAVING_SECONDS` apart, so that it is news, and twice before the word of
+# the last time runs out.
+RETELL_SECONDS = 140.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -174,6 +180,21 @@
     nodes.on_leaving(hear)
 
 
+async def keep_telling(base: Base, nodes: Nodes) -> None:
+    """Say again and again who leaves, for as long as this node knows it by itself.
+
+    One node alone may be able to read the VM list, and an endpoint may take longer to
+    leave than gossip's word holds. Were it told once, all other nodes would after some
+    minutes send new work there again.
+    """
+    while True:
+        await asyncio.sleep(RETELL_SECONDS)
+        now = base.clock.wall()
+        for fact in base.leaving.facts(now):
+            if fact.source != "gossip":
+                nodes.announce_leaving(fact.endpoint, now)
+
+
 def make_homes(base: Base, nodes: Nodes, engines: EngineClient) -> Homes:
     """Make what runs the pools that fall to this node."""
     leaving = base.leaving
@@ -250,7 +271,9 @@
     )
 
 
-def make_callers(base: Base, engines: EngineClient, admitter: Admitter) -> CallersApi:
+def make_callers(
+    base: Base, engines: EngineClient, inner: Admitter, limits: LimitHomes
+) -> CallersApi:
     """Make the callers' API of generations."""
     cfg = base.cfg
     tickets = TicketSigner(
@@ -261,7 +284,7 @@
     return CallersApi(
         configuration=base.configuration,
         authenticator=base.authenticator,
-        admitter=admitter,
+        admitter=LimitedAdmitter(inner=inner, limits=limits),
         engines=engines,
         retries=BudgetedRetry(rng=base.rng),
         tickets=tickets,
