Say again who leaves for as long as one node knows it

Cause: gossip's word on a leaving endpoint held for 120 s and was said once. Where only one node could read the VM list, all others would send new work there again after two minutes, though it was still leaving.

Ruled out: a word without an end, which would shut out a successor of the same name.

Change: a node says again every 140 s what it knows by itself; the word holds 300 s, and runs out after the source has taken its own back.

Seen to fail with the repetition off, and with hearsay repeated too.

--- a/celerytrail/node.py
+++ b/celerytrail/node.py
@@ -120,6 +120,7 @@
         await self.limits.start()
         self.services.directory.start()
         self._run(self._vms.run())
+        self._run(wiring.keep_telling(self.base, self.nodes))
         self._run(self._reconciler.run())
         self._run(self.services.sweeper.run())
         await self._caller_server.start(self.cfg.caller_listen)
--- a/celerytrail/wiring.py
+++ b/celerytrail/wiring.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from dataclasses import dataclass
 
@@ -55,7 +56,11 @@
 MILLISECONDS = 1_000
 # How long gossip's word that an endpoint leaves holds beyond its time, in seconds;
 # after that an endpoint of the same name may be a new one.
-GOSSIP_WORD_SECONDS = 120.0
+GOSSIP_WORD_SECONDS = 300.0
+# How often a node says again what it knows by itself of who leaves, in seconds: more
+# than `SAME_LEAVING_SECONDS` apart, so that it is news, and twice before the word of
+# the last time runs out.
+RETELL_SECONDS = 140.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -175,6 +180,21 @@
     nodes.on_leaving(hear)
 
 
+async def keep_telling(base: Base, nodes: Nodes) -> None:
+    """Say again and again who leaves, for as long as this node knows it by itself.
+
+    One node alone may be able to read the VM list, and an endpoint may take longer to
+    leave than gossip's word holds. Were it told once, all other nodes would after some
+    minutes send new work there again.
+    """
+    while True:
+        await asyncio.sleep(RETELL_SECONDS)
+        now = base.clock.wall()
+        for fact in base.leaving.facts(now):
+            if fact.source != "gossip":
+                nodes.announce_leaving(fact.endpoint, now)
+
+
 def make_homes(base: Base, nodes: Nodes, engines: EngineClient) -> Homes:
     """Make what runs the pools that fall to this node."""
     leaving = base.leaving
