Send a lone transaction at once, and say what a refused retry does not tell

Cause: the 3 ms window was paid by every keyed call of a quiet node, twice; and a retry refused while the platform is down could be read as a word on the first try. Change: the window holds only while a group is on its way.

--- a/celerytrail/platform/grouping.py
+++ b/celerytrail/platform/grouping.py
@@ -65,7 +65,8 @@
     Parameters
     ----------
     window_seconds : float
-        How long the first wish of a group waits for others.
+        How long the first wish of a group waits for others while a group is on its
+        way; with none on its way it goes at once.
     max_waiting : int
         Wishes that may wait; more are refused at once.
     max_flights : int
@@ -137,8 +138,10 @@
 
     def _wake(self) -> None:
         if self._timer is None and len(self._flights) < self._max_flights:
+            # A quiet node has nobody to wait for, and its caller would only wait.
+            seconds = self._window_seconds if self._flights else 0.0
             loop = asyncio.get_running_loop()
-            self._timer = loop.call_later(self._window_seconds, self._launch)
+            self._timer = loop.call_later(seconds, self._launch)
 
     def _launch(self) -> None:
         self._timer = None
--- a/celerytrail/services/calls.py
+++ b/celerytrail/services/calls.py
@@ -220,7 +220,12 @@
         if why.maybe_base_version is not None:
             final = released(claim, why.reason)
             self._recorder.add(row, final, why.maybe_base_version)
-        detail = "the key could not be claimed, so nothing was sent"
+        # The refusal is of this request alone; were it read as a word on the key, a
+        # caller might send a call that has run once more, under another key.
+        detail = (
+            "the key could not be claimed, so this request was not sent; an earlier "
+            "one with the same key may have run, so come back with the same key"
+        )
         return Err(
             NotRun(reason=why.reason, detail=detail, retry_after=why.retry_after)
         )
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -93,6 +93,20 @@
         assert world.a.recorder.n_pending == 0
         assert len(world.ledger) == 1
 
+    async def test_down_after_refuses_without_a_word_on_the_first(self, world):
+        """A filing has run and the platform goes down. Sent again, it is refused, and
+        the refusal says that an earlier one may have run; a caller that took it for
+        the whole truth would file again under a new key.
+        """
+        await world.a.file()
+        world.table.is_down = True
+        result = await world.b.file()
+        assert word(result) == "not_run"
+        assert "earlier one with the same key may have run" in result.err_value.detail
+        world.table.is_down = False
+        assert word(await world.b.file()) == "replayed"
+        assert len(world.ledger) == 1
+
     async def test_claim_reply_lost(self, world):
         """The claim is written and the platform's reply is lost. The attempt finds
         its own claim and goes on; were it to give up, the key would be unknown.
