Bound the times to come back that peers name

Cause: a peer's retry_after went to callers as it came, negative or of a hundred years. Change: it is held between 0 and an hour. Measured: the two cases of the test failed to mean anything before (the header read 1 followed by 300 digits) and pass.

--- a/celerytrail/platform/backoff.py
+++ b/celerytrail/platform/backoff.py
@@ -6,6 +6,16 @@
 
 BACKOFF_FIRST_SECONDS = 0.05
 BACKOFF_MOST_SECONDS = 5.0
+RETRY_AFTER_MOST_SECONDS = 3600.0
+
+
+def sane_retry_after(seconds: float) -> float:
+    """Return a peer's word on when to come back, within what can be meant.
+
+    It is handed on to callers: by a peer's fault one could be told to come back in a
+    hundred years, or before now.
+    """
+    return min(max(seconds, 0.0), RETRY_AFTER_MOST_SECONDS)
 
 
 def full_jitter(
--- a/celerytrail/platform/client.py
+++ b/celerytrail/platform/client.py
@@ -17,7 +17,7 @@
 from ..httpclient import HttpClient, NotSent
 from ..metrics import Metrics
 from ..types import Address
-from .backoff import Breaker, RetryBudget, full_jitter
+from .backoff import Breaker, RetryBudget, full_jitter, sane_retry_after
 
 DEFAULT_RETRY_AFTER = 1.0
 
@@ -268,7 +268,9 @@
         refusal = _NotRunBody(not_run=False)
     if refusal.not_run:
         return Unavailable(
-            reason=refusal.reason, retry_after=refusal.retry_after, is_told=True
+            reason=refusal.reason,
+            retry_after=sane_retry_after(refusal.retry_after),
+            is_told=True,
         )
     reason = f"status_{res.status}"
     if is_repeatable:
--- a/celerytrail/services/sender.py
+++ b/celerytrail/services/sender.py
@@ -14,7 +14,7 @@
 from ..http import JSON_TYPE, Response
 from ..httpclient import HttpClient, NotSent
 from ..log import task_headers
-from ..platform.backoff import RetryBudget
+from ..platform.backoff import RetryBudget, sane_retry_after
 from ..types import Address, NotRun, Unknown
 from .endpoints import EndpointDirectory, EndpointView
 from .outcomes import ServiceCall
@@ -150,6 +150,11 @@
         except msgspec.MsgspecError:
             refusal = _NotRunBody(not_run=False)
         if refusal.not_run:
-            return Err(NotRun(reason=refusal.reason, retry_after=refusal.retry_after))
+            return Err(
+                NotRun(
+                    reason=refusal.reason,
+                    retry_after=sane_retry_after(refusal.retry_after),
+                )
+            )
     content_type = res.headers.get("content-type", JSON_TYPE)
     return Ok(Outcome(status=res.status, body=res.body, content_type=content_type))
--- a/tests/test_services_api.py
+++ b/tests/test_services_api.py
@@ -207,6 +207,12 @@
         assert status["state"] == "not_run"
         assert stack.endpoint.runs == []
 
+    @pytest.mark.parametrize(("said", "told"), [(-5.0, "1"), (1e300, "3600")])
+    async def test_time_to_come_back_that_cannot_be_meant(self, stack, said, told):
+        stack.endpoint.faults.add(Fault(name="refuse_work", retry_after=said))
+        res = await stack.ask("POST", "books/file", idempotency_key="k")
+        assert (res.status, res.headers["retry-after"]) == (503, told)
+
     async def test_reply_lost_after_the_run(self, stack):
         """The endpoint files a signature and its answer is lost. The caller is told
         that nobody knows and where to ask; sent again, it does not run again.
