--- a/standins/engine.py
+++ b/standins/engine.py
@@ -45,10 +45,10 @@
 
 from .batch import Batch, Generation
 from .faults import Faults, FaultyServer
+from .orders import Orders
 
 FAULT_NAMES = ("resend", "skip", "jump", "swap", "crossed", "garbage", "leaving")
 MAX_PIECE_TOKENS = 64
-MAX_ORDERS = 1_024
 
 
 class GenerateBody(msgspec.Struct, kw_only=True):
@@ -64,19 +64,6 @@
     sampling: dict[str, object] = {}
 
 
-class OrderBody(msgspec.Struct, kw_only=True):
-    """The body of ``POST /orders``."""
-
-    order_id: str
-    kind: str
-    fencing: int
-    expires_at: float
-    model: str = ""
-    version: str = ""
-    adapter: str = ""
-    role: str = ""
-
-
 class Engine:
     """The engine's routes.
 
@@ -108,14 +95,17 @@
     ) -> None:
         self.batch = batch
         self.faults = faults
-        self.orders: list[dict[str, object]] = []
         self._work = asyncio.Event()
         self.started: list[dict[str, object]] = []
-        self._does_honour_fencing = does_honour_fencing
         self._report_seconds = report_seconds
-        self._load_seconds = load_seconds
         self._loop = asyncio.get_running_loop()
         self._clock = clock or SystemClock()
+        self._orders = Orders(
+            batch=batch,
+            clock=self._clock,
+            does_honour_fencing=does_honour_fencing,
+            load_seconds=load_seconds,
+        )
         self._report = batch.report(self._loop.time(), self._clock.wall())
 
     def add_routes(self, router: Router) -> None:
@@ -125,8 +115,7 @@
         router.add("DELETE", "/generations/{generation_id}", self._cancel)
         router.add("GET", "/load", self._load)
         router.add("GET", "/cache-events", self._cache_events)
-        router.add("POST", "/orders", self._order)
-        router.add("GET", "/orders", self._list_orders)
+        self._orders.add_routes(router)
         router.add("GET", "/started", self._list_started)
 
     async def run(self) -> None:
@@ -311,45 +300,6 @@
         value = {"events": events, "next": next_after}
         await res.send_json(200, value, self._headers())
 
-    async def _order(self, req: Request, res: Responder, params: Params) -> None:
-        try:
-            order = msgspec.json.decode(req.body, type=OrderBody)
-        except msgspec.MsgspecError as exc:
-            await send_error(res, 400, "bad_body", place="body", message=str(exc))
-            return
-        if order.expires_at < self._clock.wall():
-            await res.send_json(410, {"reason": "expired"}, self._headers())
-            return
-        if self._does_honour_fencing and order.fencing < self.batch.fencing:
-            value = {"reason": "old_fencing", "fencing": self.batch.fencing}
-            await res.send_json(409, value, self._headers())
-            return
-        if all(order.order_id != known["order_id"] for known in self.orders):
-            self.orders.append(msgspec.to_builtins(order))
-            del self.orders[:-MAX_ORDERS]
-            self.batch.fencing = max(self.batch.fencing, order.fencing)
-            await self._carry_out(order)
-        await res.send_json(200, {"order_id": order.order_id}, self._headers())
-
-    async def _carry_out(self, order: OrderBody) -> None:
-        log_message("engine:order", kind=order.kind, fencing=order.fencing)
-        if order.kind == "load_model":
-            await asyncio.sleep(self._load_seconds)
-            self.batch.model = order.model
-            self.batch.version = order.version
-        elif order.kind == "load_adapter":
-            await asyncio.sleep(self._load_seconds)
-            if order.adapter not in self.batch.adapters:
-                self.batch.adapters.append(order.adapter)
-        elif order.kind == "unload_adapter":
-            if order.adapter in self.batch.adapters:
-                self.batch.adapters.remove(order.adapter)
-        elif order.kind == "set_role":
-            self.batch.role = order.role
-
-    async def _list_orders(self, req: Request, res: Responder, params: Params) -> None:
-        await res.send_json(200, {"orders": self.orders}, self._headers())
-
     async def _list_started(self, req: Request, res: Responder, params: Params) -> None:
         """Give, for tests, every generation that was asked for and when."""
         await res.send_json(200, {"started": self.started})
