Tell a deadline as one when the engine sees it first; free ports below the kernel's

Engines carry the deadline now and end a generation as cancelled when it passes; seen a moment before the node's own clock, the caller was told that somebody had cancelled. Ruled out: a slow machine alone; both sides are on time. Change: an engine's cancelled end within 0.25 s of the deadline is the deadline; chores choose ports below the range of connections, free for TCP and UDP.

--- a/celerytrail/engines/streams.py
+++ b/celerytrail/engines/streams.py
@@ -31,6 +31,8 @@
 )
 
 CANCEL_SECONDS = 2.0
+# How much earlier than ours an engine's clock may see a deadline pass.
+DEADLINE_MARGIN_SECONDS = 0.25
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -178,8 +180,23 @@
                 return Err(self._lost("offset_beyond_end", can_resume=False))
             if tokens:
                 return Ok(Tokens(offset=self.offset - len(tokens), tokens=tokens))
+        if self._is_ended_by_deadline():
+            return Err(self._lost("deadline", can_resume=False))
         return Ok(self._finished)
 
+    def _is_ended_by_deadline(self) -> bool:
+        """Tell whether the engine gave up at the deadline that it was sent.
+
+        Both sides watch it, and by clocks that differ a little the engine may be first.
+        Its end then says only "cancelled", and the caller would be told that somebody
+        had cancelled the draft.
+        """
+        if self._finished is None or self._finished.end != "cancelled":
+            return False
+        if self._deadline is None:
+            return False
+        return self._clock.monotonic() >= self._deadline - DEADLINE_MARGIN_SECONDS
+
     def abandon(self) -> None:
         """Stop reading, as the caller has gone; a waiting `next` returns soon."""
         self._is_abandoned = True
--- a/chores/system.py
+++ b/chores/system.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import os
+import random
 import secrets
 import signal
 import socket
@@ -27,6 +28,9 @@
 STOP_SECONDS = 20.0
 POLL_SECONDS = 0.05
 
+PORTS = range(15_000, 30_000)
+_given: set[int] = set()
+
 FAILURE_DOMAINS = ("a", "b", "c")
 MODEL = "contracts"
 SERVICE = "bookings"
@@ -162,7 +166,8 @@
         client = HttpClient()
         while asyncio.get_running_loop().time() < deadline:
             if child.process.poll() is not None:
-                raise ProcessError(f"{child.name} ended, see {child.log}")
+                output = (self.folder / f"{child.name}.out").read_text()
+                raise ProcessError(f"{child.name} ended: {output[-2_000:]}")
             asked = await client.request(child.address, "GET", "/healthz")
             if not isinstance(asked, Err):
                 client.close()
@@ -259,7 +264,24 @@
 
 
 def free_address() -> Address:
-    """Return a loopback address whose port was free just now, for TCP and UDP."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Address(host="127.0.0.1", port=probe.getsockname()[1])
+    """Return a loopback address whose port is free for TCP and UDP.
+
+    The kernel gives connections their ports from a range above these. Were a port of
+    that range chosen, somebody's connection could take it before the process that it
+    was chosen for binds it; that ended a node at its start now and then.
+    """
+    while True:
+        port = random.SystemRandom().choice(PORTS)
+        if port not in _given and _is_free(port):
+            _given.add(port)
+            return Address(host="127.0.0.1", port=port)
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -51,7 +51,9 @@
         reader = opened.ok_value
         return self.stream(reader.incarnation, generation_id, reader=reader)
 
-    def stream(self, incarnation, generation_id="g1", reader=None, offset=0):
+    def stream(
+        self, incarnation, generation_id="g1", reader=None, offset=0, deadline=None
+    ):
         return EngineStream(
             client=self.client,
             clock=SystemClock(),
@@ -63,6 +65,7 @@
             incarnation=incarnation,
             reader=reader,
             offset=offset,
+            deadline=deadline,
         )
 
     @staticmethod
@@ -181,6 +184,25 @@
         n_tokens = last.n_tokens
         assert text + more == expected_text("h [length=300]", "g1", n_tokens)
 
+    @pytest.mark.parametrize(("seconds", "reason"), [(0.2, "deadline"), (60.0, None)])
+    async def test_engine_that_sees_the_deadline_first(self, rig, seconds, reason):
+        """An engine's clock is a little ahead, so it gives up a draft just before the
+        node does. The caller was told that somebody had cancelled it, which nobody did;
+        a cancel long before the deadline is still told as one.
+        """
+        first = await rig.start("k [length=5000]")
+        await rig.read(first, n_tokens=2)
+        stream = rig.stream(
+            first.incarnation, offset=first.offset, deadline=soon(seconds)
+        )
+        await rig.client.cancel(rig.engine.address, "g1", deadline=soon())
+        _, last = await rig.read(stream)
+        if reason is None:
+            assert isinstance(last, Finished)
+            assert last.end == "cancelled"
+        else:
+            assert last.reason == reason
+
     async def test_answer_crossing_after_a_cancel(self, rig):
         """A generation is cancelled while its tokens are on the way, and the next
         request goes to the same engine at once. It gets its own tokens only.
