--- a/celerytrail/nodes/limit_homes.py
+++ b/celerytrail/nodes/limit_homes.py
@@ -144,6 +144,10 @@
             now=self._clock.monotonic(),
         )
 
+    def is_over(self, deadline: float) -> bool:
+        """Return whether a deadline has passed."""
+        return self._clock.monotonic() >= deadline
+
     def settle(self, organisation: str, n_tokens: float) -> None:
         """Charge tokens beyond those taken, or give some back when negative."""
         self._borrower.settle(organisation, n_tokens)
