--- a/celerytrail/limits.py
+++ b/celerytrail/limits.py
@@ -19,6 +19,9 @@
 # Places that are borrowed and not renewed fall back to the lender after this.
 LEASE_SECONDS = 10.0
 RENEW_SECONDS = 3.0
+# Whoever found no place comes back after this: places are borrowed for the refused at
+# once, and kept for them for RENEW_SECONDS.
+PLACE_RETRY_SECONDS = RENEW_SECONDS / 2
 # Without an answer from the lender for so long, the even share is taken.
 LENDER_LOST_SECONDS = 3.0
 RETRY_AFTER_MIN = 0.2
@@ -192,6 +195,8 @@
     n_places: int = 0
     n_places_used: int = 0
     n_refused: int = 0
+    n_spare: int = 1
+    spare_until: float = float("-inf")
     rate: float = 0.0
     updated_at: float = 0.0
     asked_at: float = float("-inf")
@@ -230,7 +235,7 @@
         purse = self._purse(organisation, limit, n_nodes, now)
         if limit.n_concurrent is not None and purse.n_places_used >= purse.n_places:
             purse.n_refused += 1
-            return _refusal("concurrency_limit", RENEW_SECONDS)
+            return _refusal("concurrency_limit", PLACE_RETRY_SECONDS)
         if limit.n_tokens_per_second is not None:
             if purse.n_tokens <= 0:
                 purse.n_refused += 1
@@ -261,6 +266,7 @@
                 purse.asked_at = now
                 if purse.waits_since is None:
                     purse.waits_since = now
+                _plan_spare(purse, now)
                 due.append(self._request(organisation, purse))
                 purse.n_refused = 0
             elif purse.n_places_used == 0 and now - purse.updated_at > LEASE_SECONDS:
@@ -311,8 +317,7 @@
     def _request(self, organisation: str, purse: _Purse) -> LoanRequest:
         rate = purse.limit.n_tokens_per_second or 0
         wanted = max(purse.rate * 2 * PORTION_SECONDS, rate * PORTION_SECONDS / 16)
-        # One spare place more than are in use, and one for each that was refused.
-        n_places = purse.n_places_used + 1 + purse.n_refused
+        n_places = purse.n_places_used + purse.n_spare
         return LoanRequest(
             organisation=organisation,
             borrower=self._name,
@@ -322,6 +327,17 @@
         )
 
 
+def _plan_spare(purse: _Purse, now: float) -> None:
+    # One spare place, and one for each that was refused. These are kept until the
+    # refused had the time to come back; were they given back with the next message,
+    # a burst would be let in one by one.
+    if purse.n_refused:
+        purse.n_spare = 1 + purse.n_refused
+        purse.spare_until = now + RENEW_SECONDS
+    elif now >= purse.spare_until:
+        purse.n_spare = 1
+
+
 def _lender_is_lost(purse: _Purse, now: float) -> bool:
     if purse.waits_since is None:
         return False
