--- a/celerytrail/nodes/poolhome.py
+++ b/celerytrail/nodes/poolhome.py
@@ -79,6 +79,7 @@
         self._watchers: dict[str, asyncio.Task[None]] = {}
         self._ages: dict[str, ReportAges] = {}
         self._leaving: set[str] = set()
+        self._n_preemptions: dict[str, tuple[str, int]] = {}
         self._timer: asyncio.TimerHandle | None = None
         self.used_at = clock.monotonic()
 
@@ -89,6 +90,7 @@
         for name in self._watchers.keys() - wanted.keys():
             self._watchers.pop(name).cancel()
             self._ages.pop(name, None)
+            self._n_preemptions.pop(name, None)
         loop = asyncio.get_running_loop()
         for name, spec in wanted.items():
             if name not in self._watchers:
@@ -238,9 +240,24 @@
         self._metrics.set(
             "engine_used_tokens", float(report.n_used_tokens), engine=spec.name
         )
+        self._count_preemptions(report)
         self._note_leaving(spec.name, report.leaving_at)
         self._poll()
 
+    def _count_preemptions(self, report: EngineReport) -> None:
+        """Count what was preempted since the engine's last report of this life."""
+        known = self._n_preemptions.get(report.engine)
+        self._n_preemptions[report.engine] = (
+            report.incarnation,
+            report.n_preemptions,
+        )
+        if known is None or known[0] != report.incarnation:
+            # A new home has not seen the earlier ones happen; they were counted.
+            return
+        n_new = report.n_preemptions - known[1]
+        if n_new > 0:
+            self._metrics.count("preemptions", n_new, engine=report.engine)
+
     def _note_leaving(self, engine: str, at: float | None) -> None:
         if at is not None:
             self._leaving.add(engine)
--- a/celerytrail/services/sweeper.py
+++ b/celerytrail/services/sweeper.py
@@ -54,6 +54,22 @@
     version: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OpenPage:
+    """The open claims among one page of rows.
+
+    Parameters
+    ----------
+    claims : tuple of OpenClaim
+        Those that a person has to settle.
+    next_after : str or None
+        Where the next page begins; None after the last.
+    """
+
+    claims: tuple[OpenClaim, ...]
+    next_after: str | None
+
+
 class ClaimSweeper:
     """Reads through all claims, a page now and then.
 
@@ -108,7 +124,7 @@
 
     async def open_claims(
         self, deadline: float, *, after: str = "", limit: int = PAGE_ROWS
-    ) -> Result[tuple[OpenClaim, ...], Unavailable]:
+    ) -> Result[OpenPage, Unavailable]:
         """Return the claims of one page that a person has to settle."""
         page = await self._table.scan(
             CLAIM_PREFIX, after=after, limit=limit, deadline=deadline
@@ -122,7 +138,9 @@
                 found.append(
                     OpenClaim(row_key=row.key, claim=claim, version=row.version)
                 )
-        return Ok(tuple(found))
+        rows = page.ok_value
+        next_after = rows[-1].key if len(rows) == limit else None
+        return Ok(OpenPage(claims=tuple(found), next_after=next_after))
 
     async def settle(
         self, opened: OpenClaim, verdict: Verdict, *, by: str, deadline: float
--- a/celerytrail/tools.py
+++ b/celerytrail/tools.py
@@ -73,13 +73,22 @@
         )
 
     async def list_open(self) -> Result[list[OpenClaim], Finding]:
-        """Return all open claims."""
+        """Return all open claims, reading page after page of all claims.
+
+        Finished claims stand between them for days; one page alone would hide most
+        open ones from whoever has to settle them.
+        """
         found: list[OpenClaim] = []
-        listed = await self._sweeper.open_claims(self._deadline(), limit=1_000)
-        if isinstance(listed, Err):
-            return Err(Finding(place="platform", problem=listed.err_value.reason))
-        found.extend(listed.ok_value)
-        return Ok(found)
+        after = ""
+        while True:
+            listed = await self._sweeper.open_claims(self._deadline(), after=after)
+            if isinstance(listed, Err):
+                return Err(Finding(place="platform", problem=listed.err_value.reason))
+            page = listed.ok_value
+            found.extend(page.claims)
+            if page.next_after is None:
+                return Ok(found)
+            after = page.next_after
 
     async def settle(
         self, row_key: str, verdict: Verdict, by: str
--- a/scenarios/memorydriver.py
+++ b/scenarios/memorydriver.py
@@ -45,6 +45,7 @@
     server: FaultyServer | None = None
     clock: LoopClock = field(default_factory=LoopClock)
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    is_stopping: bool = False
     has_ended: bool = False
 
 
@@ -97,6 +98,10 @@
             await self._end(process)
         else:
             assert process.node is not None
+            if process.is_stopping:
+                # The daemon takes no note of a second signal; real ones tell whether.
+                return
+            process.is_stopping = True
             leaving = asyncio.create_task(self._leave(process))
             process.tasks.append(leaving)
 
--- a/tests/test_services_sweeper.py
+++ b/tests/test_services_sweeper.py
@@ -66,7 +66,7 @@
         world, sweeper = swept
         await self.lose_one(world)
         await asyncio.sleep(60.0)
-        (opened,) = (await sweeper.open_claims(soon(world))).ok_value
+        (opened,) = (await sweeper.open_claims(soon(world))).ok_value.claims
         settled = await sweeper.settle(
             opened, "not_run", by="ana", deadline=soon(world)
         )
@@ -78,7 +78,7 @@
         world, sweeper = swept
         await self.lose_one(world)
         await asyncio.sleep(60.0)
-        (opened,) = (await sweeper.open_claims(soon(world))).ok_value
+        (opened,) = (await sweeper.open_claims(soon(world))).ok_value.claims
         await sweeper.settle(opened, "answered", by="ana", deadline=soon(world))
         assert word(await world.b.file()) == "replayed"
         assert world.ledger == []
@@ -92,7 +92,7 @@
         world.http.gate = asyncio.Event()
         call = asyncio.create_task(world.a.file(seconds=30.0))
         await asyncio.sleep(20.0)
-        assert (await sweeper.open_claims(soon(world))).ok_value == ()
+        assert (await sweeper.open_claims(soon(world))).ok_value.claims == ()
         world.http.gate.set()
         assert word(await call) == "answered"
 
@@ -100,7 +100,7 @@
         world, sweeper = swept
         await self.lose_one(world)
         await asyncio.sleep(60.0)
-        (opened,) = (await sweeper.open_claims(soon(world))).ok_value
+        (opened,) = (await sweeper.open_claims(soon(world))).ok_value.claims
         first = await sweeper.settle(opened, "answered", by="a", deadline=soon(world))
         second = await sweeper.settle(opened, "not_run", by="b", deadline=soon(world))
         assert (first.is_ok(), second.is_ok()) == (True, False)
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -24,7 +24,7 @@
     await standin.server.close()
 
 
-def put_claim(standin, name, *, seconds_late):
+def put_claim(standin, name, *, seconds_late, state="unknown"):
     now = time.time()
     claim = Claim(
         organisation="o",
@@ -33,7 +33,7 @@
         body_hash="h",
         attempt="a1",
         node="n1",
-        state="unknown",
+        state=state,
         claimed_at=now - 100,
         deadline_at=now - seconds_late,
         expires_at=now + 1000,
@@ -58,6 +58,20 @@
         assert again.err_value.place == row
         desk.close()
 
+    async def test_open_claim_behind_many_finished_ones(self, standin):
+        """Finished claims are kept for days. The one open claim stands behind pages of
+        them, and the person who has to settle it must still find it.
+        """
+        for number in range(250):
+            row = f"{CLAIM_PREFIX}a/{number:03}"
+            put_claim(standin, row, seconds_late=4_000, state="not_run")
+        last = f"{CLAIM_PREFIX}o/k"
+        put_claim(standin, last, seconds_late=4_000)
+        desk = ClaimDesk(platform=(standin.server.address,))
+        listed = await desk.list_open()
+        assert [one.row_key for one in listed.ok_value] == [last]
+        desk.close()
+
     async def test_call_that_may_still_run_is_not_settled(self, standin):
         """Its deadline is not over: were it settled as not run now, a retry and the
         slow first attempt could both file.
