--- a/celerytrail/nodes/admitters.py
+++ b/celerytrail/nodes/admitters.py
@@ -108,6 +108,8 @@
         started_at = self._clock.monotonic()
         answer = await self._ask_until_sound(req)
         self._metrics.observe("admission", self._clock.monotonic() - started_at)
+        if not isinstance(answer, Err):
+            self._alone.note(answer.ok_value, req)
         return answer
 
     def progress(self, grant: Grant, n_tokens: int) -> None:
@@ -116,7 +118,7 @@
 
     def finish(self, grant: Grant, n_tokens: int, end: GenerationEnd) -> None:
         """Note that a granted generation has ended, which frees its place."""
-        self._alone.finish(grant)
+        self._alone.finish(grant, n_tokens, end)
         self._batches.finish(grant, n_tokens, end)
 
     # Inside.
--- a/celerytrail/nodes/alone.py
+++ b/celerytrail/nodes/alone.py
@@ -9,7 +9,8 @@
 from ..configuration import Configuration
 from ..document import EngineSpec, VersionedDocument
 from ..engineview import EngineBook
-from ..grants import AdmitRequest, Grant
+from ..grants import AdmitRequest, GenerationEnd, Grant
+from ..lengths import LengthModel
 from ..reports import EngineReport
 from ..routing import RoutingPolicy
 
@@ -27,6 +28,10 @@
         Monotonic time.
     rng : random.Random
         For names of grants.
+    lengths : LengthModel
+        What the routing forecasts by; it learns from every generation of this node,
+        whoever granted it. Were it fed only while no home can be reached, it would
+        know nothing in just the moment it is needed.
     """
 
     def __init__(
@@ -36,7 +41,10 @@
         routing: RoutingPolicy,
         clock: Clock,
         rng: random.Random,
+        lengths: LengthModel,
     ) -> None:
+        self._lengths = lengths
+        self._asked: dict[str, AdmitRequest] = {}
         self._routing = routing
         self._clock = clock
         self._rng = rng
@@ -80,6 +88,16 @@
         self._book.grant(grant.grant_id, view.name, req, now)
         return grant
 
-    def finish(self, grant: Grant) -> None:
-        """Strike a grant off; one that a home gave is not in these books."""
+    def note(self, grant: Grant, req: AdmitRequest) -> None:
+        """Note what a grant is for, to learn from its end."""
+        self._asked[grant.grant_id] = req
+
+    def finish(self, grant: Grant, n_tokens: int, end: GenerationEnd) -> None:
+        """Strike a grant off and learn from its length."""
         self._book.finish(grant.grant_id, self._clock.monotonic())
+        req = self._asked.pop(grant.grant_id, None)
+        if req is None or end == "not_run":
+            return
+        is_cut = end != "answered" or n_tokens >= req.n_max_tokens
+        self._lengths.advance(req.model, req.organisation, 0, n_tokens)
+        self._lengths.end(req.model, req.organisation, n_tokens, censored=is_cut)
--- a/celerytrail/wiring.py
+++ b/celerytrail/wiring.py
@@ -255,11 +255,13 @@
 
 def make_admitter(base: Base, nodes: Nodes, homes: Homes) -> HomeAdmitter:
     """Make what asks the pools' homes, and decides alone where none answers."""
+    lengths = LearnedLengths()
     alone = AloneChooser(
         configuration=base.configuration,
-        routing=PowerOfTwo(rng=base.rng, lengths=LearnedLengths()),
+        routing=PowerOfTwo(rng=base.rng, lengths=lengths),
         clock=base.clock,
         rng=base.rng,
+        lengths=lengths,
     )
     return HomeAdmitter(
         nodes=nodes,
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -134,11 +134,13 @@
             tell_leaving=lambda engine, at: self.told.append(engine),
             **shared,
         )
+        self.lengths = LearnedLengths()
         alone = AloneChooser(
             configuration=rig.configuration,
-            routing=PowerOfTwo(rng=rng, lengths=LearnedLengths()),
+            routing=PowerOfTwo(rng=rng, lengths=self.lengths),
             clock=rig.clock,
             rng=rng,
+            lengths=self.lengths,
         )
         self.admitter = HomeAdmitter(
             homes=self.homes, client=self.client, alone=alone, **shared
@@ -254,6 +256,18 @@
             answer = await peer.admitter.admit(rig.request(f"q-{peer.name}"))
             assert answer.ok_value.home == rig.first.name
 
+    @with_rig
+    async def test_entry_node_learns_lengths_from_what_homes_granted(self, rig):
+        """All homes are lost and an entry node chooses alone. Without lengths learned
+        while homes granted, it would take every draft for one of usual length.
+        """
+        before = rig.entry.lengths.expected_residual("llm", "org", 0)
+        for number in range(400):
+            req = rig.request(f"q-{number}")
+            grant = (await rig.entry.admitter.admit(req)).ok_value
+            rig.entry.admitter.finish(grant, 3, "answered")
+        assert rig.entry.lengths.expected_residual("llm", "org", 0) < before / 4
+
     @with_rig
     async def test_refused_at_the_queue_deadline(self, rig):
         """All engines are full. The caller is told so when its time in the queue is
