Let virtual time go on from the fixtures' clock; part rigs from long tests

Cause: test_session_ends_while_typing turned red at 00:26 without a change to it: fixtures run on the machine's clock and the test's virtual time began at 0, so its clock jumped back by the machine's uptime, and nine hours less 61 minutes are less than a session's eight. Conclusion: no verdict hangs on uptime.

--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -3,228 +3,25 @@
 from __future__ import annotations
 
 import asyncio
-import random
 
 import pytest
-from result import Err, Ok
+from homesrig import (
+    N_MEMORY,
+    POOL,
+    FakeNodes,
+    engine_spec,
+    with_rig,
+)
+from result import Ok
 
 from celerytrail.clock import LoopClock
-from celerytrail.configuration import Configuration
-from celerytrail.document import Document, EngineSpec, VersionedDocument
-from celerytrail.engines.wire import CacheEvents, EngineLost
-from celerytrail.grants import AdmitRequest
-from celerytrail.httpclient import HttpClient
-from celerytrail.httpserver import HttpServer
-from celerytrail.lengths import LearnedLengths
-from celerytrail.metrics import Metrics
-from celerytrail.nodes.admitters import HomeAdmitter
-from celerytrail.nodes.alone import AloneChooser
-from celerytrail.nodes.homes import Homes
+from celerytrail.document import Document
 from celerytrail.nodes.member import Member
 from celerytrail.nodes.pools import MAX_POOL_ENGINES, pools_of
 from celerytrail.nodes.rendezvous import rank
 from celerytrail.nodes.signing import PeerKeys
 from celerytrail.nodes.view import ranked
-from celerytrail.reports import EngineReport
-from celerytrail.routes import Router
-from celerytrail.routing import PowerOfTwo
 from celerytrail.types import Address
-from scenarios.memorynetwork import Wires
-
-POOL = "llm/r/0"
-N_MEMORY = 8_000
-
-
-def engine_spec(number: int) -> EngineSpec:
-    return EngineSpec(
-        name=f"engine-{number}",
-        address=f"10.0.1.{number}:80",
-        failure_domain="fd-1",
-        region="r",
-        model="llm",
-    )
-
-
-class FakeEngines:
-    """Engines' load reports, in place of the client that fetches them."""
-
-    def __init__(self, clock):
-        self.clock = clock
-        self.used = {}
-        self.running = {}
-        self.leaving = {}
-        self.silent = set()
-        self.sequence = 0
-
-    async def load(self, address, *, deadline):
-        name = f"engine-{address.host.rsplit('.', 1)[1]}"
-        await asyncio.sleep(0.001)
-        if name in self.silent:
-            return Err(EngineLost(reason="timeout"))
-        self.sequence += 1
-        return Ok(
-            EngineReport(
-                engine=name,
-                incarnation="i",
-                sequence=self.sequence,
-                at=self.clock.wall(),
-                n_memory_tokens=N_MEMORY,
-                n_used_tokens=self.used.get(name, 0),
-                model="llm",
-                running=tuple(self.running.get(name, ())),
-                leaving_at=self.leaving.get(name),
-            )
-        )
-
-    async def cache_events(self, address, after, *, deadline):
-        return Ok(CacheEvents(next=after))
-
-
-class FakeNodes:
-    """One node's view of who lives."""
-
-    def __init__(self, me, members):
-        self.me = me
-        self._members = members
-        self.gone = set()
-        self._callbacks = []
-
-    def live(self, region=None):
-        return tuple(
-            m
-            for m in self._members
-            if m.node not in self.gone and region in (None, m.region)
-        )
-
-    def on_change(self, callback):
-        self._callbacks.append(callback)
-
-    def lose(self, *names):
-        self.gone.update(names)
-        self.tell()
-
-    def tell(self):
-        for callback in self._callbacks:
-            callback()
-
-
-class Peer:
-    """One node with its homes and its admitter."""
-
-    def __init__(self, rig, me):
-        self.name = me.node
-        self.nodes = FakeNodes(me, rig.members)
-        self.leaving = set()
-        self.told = []
-        self.network = rig.wires.process(me.node)
-        self.client = HttpClient(process=me.node, network=self.network)
-        self.metrics = Metrics(process=me.node)
-        rng = random.Random(me.node)
-        shared = {
-            "nodes": self.nodes,
-            "keys": PeerKeys(keys=[b"key"]),
-            "clock": rig.clock,
-            "rng": rng,
-            "metrics": self.metrics,
-            "is_leaving": self.leaving.__contains__,
-        }
-        self.homes = Homes(
-            configuration=rig.configuration,
-            client=rig.engines,
-            tell_leaving=lambda engine, at: self.told.append(engine),
-            **shared,
-        )
-        self.lengths = LearnedLengths()
-        alone = AloneChooser(
-            configuration=rig.configuration,
-            routing=PowerOfTwo(rng=rng, lengths=self.lengths),
-            clock=rig.clock,
-            rng=rng,
-            lengths=self.lengths,
-        )
-        self.admitter = HomeAdmitter(
-            homes=self.homes, client=self.client, alone=alone, **shared
-        )
-        router = Router()
-        self.homes.add_routes(router)
-        self.server = HttpServer(handler=router, network=self.network)
-
-    async def start(self):
-        await self.server.start(self.nodes.me.peer)
-        await self.homes.start()
-        await self.admitter.start()
-
-    async def stop(self):
-        await self.admitter.stop()
-        await self.homes.stop()
-        await self.server.close()
-        self.client.close()
-
-
-class Rig:
-    """Three nodes, two engines."""
-
-    def __init__(self):
-        self.clock = LoopClock()
-        self.wires = Wires(rng=random.Random(1))
-        self.engines = FakeEngines(self.clock)
-        self.configuration = Configuration()
-        document = Document(engines=(engine_spec(1), engine_spec(2)))
-        self.configuration.offer(VersionedDocument(version=1, document=document))
-        self.members = [
-            Member(
-                node=name,
-                incarnation=1,
-                caller=Address(host=f"10.0.0.{number}", port=70),
-                peer=Address(host=f"10.0.0.{number}", port=71),
-                region="r",
-            )
-            for number, name in enumerate(["a", "b", "c"], start=1)
-        ]
-        self.peers = {m.node: Peer(self, m) for m in self.members}
-        order = rank(POOL, self.peers)
-        self.first, self.second, self.entry = (self.peers[name] for name in order)
-
-    def request(self, request_id="q1", seconds=10.0, **changes):
-        fields = {
-            "request_id": request_id,
-            "organisation": "org",
-            "model": "llm",
-            "n_prompt_tokens": 100,
-            "n_max_tokens": 200,
-            "queue_deadline": self.clock.monotonic() + seconds,
-        }
-        return AdmitRequest(**{**fields, **changes})
-
-    def scheduler(self, peer):
-        return peer.homes._homes[POOL].scheduler
-
-    def fill(self):
-        for number in (1, 2):
-            self.engines.used[f"engine-{number}"] = N_MEMORY
-
-
-def with_rig(test):
-    """Give a test a started rig.
-
-    A fixture won't do: under looptime it runs before the virtual time begins, so the
-    timers that it started would never come.
-    """
-
-    async def wrapper(self):
-        rig = Rig()
-        for peer in rig.peers.values():
-            await peer.start()
-        await asyncio.sleep(1.0)
-        try:
-            await test(self, rig)
-        finally:
-            rig.wires.heal()
-            for peer in rig.peers.values():
-                await peer.stop()
-
-    wrapper.__doc__ = test.__doc__
-    return wrapper
 
 
 class TestPools:
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -74,7 +74,8 @@
     return platform, failures, waits
 
 
-@pytest.mark.looptime
+# Arrivals are counted by the second from 0, and no fixture has read a clock before.
+@pytest.mark.looptime(start=0)
 class TestOutage:
     @pytest.mark.parametrize("how", ["stall", "refuse"])
     async def test_no_storm_and_a_bounded_recovery(self, how):
