Give deadlines in tests on real sockets room for a busy machine

Cause: three tests gave a whole request 0.2 s; on a loaded machine the claim or the first token can take that long, and the answer is then another, right one. Change: 1 and 2 s; what is expected stays. Conclusion: fewer verdicts hang on speed.

--- a/tests/test_callers_failures.py
+++ b/tests/test_callers_failures.py
@@ -178,7 +178,7 @@
         """The caller said when it would give up, and the draft is longer."""
         engine = await rig.add_engine()
         _, _, node = await rig.add_node()
-        stream = await rig.caller.complete(node, "m [length=9000]", timeout=0.2)
+        stream = await rig.caller.complete(node, "m [length=9000]", timeout=1.0)
         answer = await rig.caller.read(stream)
         assert answer.error["type"] == "deadline_passed"
         await until(lambda: only(engine).end == "cancelled")
@@ -189,7 +189,7 @@
         """
         await rig.add_engine(prefill_tokens_per_second=0.01)
         _, _, node = await rig.add_node()
-        body = {"model": "draft", "prompt": "n [length=5]", "timeout": 0.2}
+        body = {"model": "draft", "prompt": "n [length=5]", "timeout": 1.0}
         answer = await rig.caller.request(node, "POST", "/v1/completions", body)
         assert answer.status == 504
         assert answer.json()["error"]["not_run"] is False
--- a/tests/test_services_api.py
+++ b/tests/test_services_api.py
@@ -237,7 +237,7 @@
 
     async def test_stalled_endpoint_is_given_up_at_the_deadline(self, stack):
         stack.endpoint.faults.add(Fault(name="stall", path="/call"))
-        at = f"{SystemClock().wall() + 0.2:.3f}"
+        at = f"{SystemClock().wall() + 2.0:.3f}"
         res = await stack.ask(
             "POST", "books/file", idempotency_key="k", x_deadline_at=at
         )
