--- a/celerytrail/nodes/batches.py
+++ b/celerytrail/nodes/batches.py
@@ -38,7 +38,7 @@
 GROWTH = 1.5
 MIN_GROWTH_TOKENS = 8
 # Reports for deciding alone are asked for this often, in seconds: at each batch they
-# would cost 2 KB for a pool of 32 engines.
+# would cost 1 KB for a pool of 16 engines.
 REPORTS_SECONDS = 5.0
 # Ends that no home took are kept up to so many; homes drop silent grants themselves.
 MAX_KEPT = 2_000
