--- a/scenarios/__main__.py
+++ b/scenarios/__main__.py
@@ -8,7 +8,6 @@
 from pathlib import Path
 from typing import Annotated
 
-import looptime
 import typer
 from result import Err
 
@@ -19,20 +18,19 @@
 from .memorydriver import MemoryDriver
 from .realdriver import NotOnRealLinksError, RealDriver
 from .runner import Runner
+from .virtualtime import close_loop, new_loop
 
 
 def run_in_memory(scenario: steps.Scenario, seed: int = 1) -> tuple[Finding, ...]:
     """Run a scenario in this process on virtual time."""
-    loop = looptime.new_event_loop()
-    # No real input is ever waited for here, so no cycle is spent on looking for it.
-    loop.setup_looptime(start=0, noop_cycles=0)
+    loop = new_loop()
     try:
         found: tuple[Finding, ...] = loop.run_until_complete(
             Runner(driver=MemoryDriver(seed=seed)).run(scenario)
         )
         return found
     finally:
-        loop.close()
+        close_loop(loop)
 
 
 def run_for_real(scenario: steps.Scenario) -> tuple[Finding, ...]:
--- a/scenarios/fuzz.py
+++ b/scenarios/fuzz.py
@@ -15,7 +15,6 @@
 from typing import Annotated, TypeVar
 
 import hypothesis
-import looptime
 import typer
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
@@ -29,6 +28,7 @@
 )
 
 from .memorydriver import MemoryDriver
+from .virtualtime import close_loop, new_loop
 
 T = TypeVar("T")
 
@@ -53,8 +53,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.loop = looptime.new_event_loop()
-        self.loop.setup_looptime(start=0, noop_cycles=0)
+        self.loop = new_loop()
         self.driver = MemoryDriver(seed=1)
         self.n_asked = 0
         self.key_of_call: dict[str, str] = {}
@@ -249,7 +248,7 @@
             self.run(self._check_service())
         finally:
             self.run(self.driver.close())
-            self.loop.close()
+            close_loop(self.loop)
 
     async def _heal_all(self) -> None:
         await self.driver.heal()
