--- a/celerytrail/cmdline.py
+++ b/celerytrail/cmdline.py
@@ -51,6 +51,18 @@
     typer.echo(__version__)
 
 
+@app.command()
+def relay() -> None:
+    """Run a node on a platform, by the file that CELERYTRAIL_SETTINGS names."""
+    from .platform.nodefile import SETTINGS_VARIABLE
+    from .relay.node import run_relay_node
+
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if path is None:
+        _fail([Finding(place=SETTINGS_VARIABLE, problem="should name a file")])
+    raise typer.Exit(run_relay_node(path))
+
+
 def _node(cfg: settings.NodeSettings) -> None:
     """Run a node: the one daemon of an entry VM."""
     from .node import run_node
--- a/celerytrail/http.py
+++ b/celerytrail/http.py
@@ -45,6 +45,8 @@
         The whole body.
     peer : str
         The other end's IP number and port, for the log.
+    raw_headers : Headers
+        The headers as they came, in order, for whoever passes them on.
     """
 
     method: str
@@ -53,6 +55,7 @@
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b""
     peer: str = ""
+    raw_headers: Headers = field(default_factory=list)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -165,7 +168,10 @@
         """Note that the connection is gone and wake whoever waits on it."""
         if not self.is_eof:
             self.is_eof = True
-            self.h11.receive_data(b"")
+            # A body without a length ends with its connection. Were a reset taken for
+            # that end, a torn answer would look whole to its caller.
+            if exc is None:
+                self.h11.receive_data(b"")
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -238,6 +244,11 @@
         if data and self.transport is not None and not self.is_lost:
             self.transport.write(data)
 
+    @property
+    def is_untouched(self) -> bool:
+        """Return whether no byte of a next message has come yet."""
+        return self.h11.their_state is h11.IDLE and not self.h11.trailing_data[0]
+
     @property
     def must_drain(self) -> bool:
         """Return whether `drain` would wait or raise."""
--- a/celerytrail/httpclient.py
+++ b/celerytrail/httpclient.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import itertools
-from collections.abc import Mapping
+import re
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 import h11
@@ -18,6 +19,13 @@
 
 MAX_IDLE_PER_ADDRESS = 16
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+# How long an idle connection is kept where the peer names no time, in seconds.
+IDLE_SECONDS = 30.0
+# A peer that closes idle connections after N seconds may be a little early; ours are
+# dropped at this share of it, so that no request crosses the close.
+IDLE_SHARE = 0.7
+
+Pairs = Iterable[tuple[str, str]]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -39,6 +47,14 @@
 ClientError = NotSent | Lost
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Idle:
+    """A connection that waits for its next exchange until loop time ``drop_at``."""
+
+    conn: Connection
+    drop_at: float
+
+
 class Stream:
     """An answer being read; its connection is pooled only after its proper end."""
 
@@ -55,6 +71,7 @@
         self._address = address
         self._conn = conn
         self._is_ended = False
+        self._is_abandoned = False
         self.status = status
         self.headers = headers
 
@@ -68,6 +85,10 @@
         deadline : float or None
             Loop time until which to wait for it.
         """
+        if self._is_abandoned:
+            # Whoever reads on after another task has closed the answer must not take
+            # that for its proper end.
+            return Err(Lost(reason="abandoned"))
         if self._is_ended:
             return Ok(None)
         try:
@@ -75,6 +96,9 @@
         except TimeoutError:
             self.close()
             return Err(Lost(reason="stalled"))
+        except asyncio.CancelledError:
+            self.close()
+            raise
         except PeerError as exc:
             # An answer without its proper end is an error, never a short answer.
             self.close()
@@ -82,7 +106,7 @@
         if isinstance(event, h11.Data):
             return Ok(bytes(event.data))
         self._is_ended = True
-        self._client.release(self._address, self._conn)
+        self._client.release(self._address, self._conn, self.headers)
         return Ok(None)
 
     async def read(self, deadline: float | None = None) -> Result[bytes, Lost]:
@@ -105,6 +129,7 @@
         """Abandon the answer: the connection is closed, so nothing can cross over."""
         if not self._is_ended:
             self._is_ended = True
+            self._is_abandoned = True
             self._conn.abort()
 
 
@@ -117,15 +142,28 @@
         A name for this process, the first part of each exchange's id.
     network : Network or None
         What carries the connections; the machine's own by default.
+    id_header : str or None
+        The header by which a peer echoes the exchange's id, in lower case; None for
+        peers that echo nothing.
+    allows_unframed : bool
+        Whether an answer may have no length and end with its connection.
     """
 
     def __init__(
-        self, *, process: str = "client", network: Network | None = None
+        self,
+        *,
+        process: str = "client",
+        network: Network | None = None,
+        id_header: str | None = REQUEST_ID_HEADER,
+        allows_unframed: bool = False,
     ) -> None:
         self._process = process
         self._network = network or SystemNetwork()
+        self._id_header = id_header
+        self._allows_unframed = allows_unframed
         self._numbers = itertools.count(1)
-        self._idle: dict[Address, list[Connection]] = {}
+        self._idle: dict[Address, list[_Idle]] = {}
+        self.n_connected = 0
 
     async def request(
         self,
@@ -188,9 +226,12 @@
         path: str,
         *,
         body: bytes = b"",
-        headers: Mapping[str, str] | None = None,
+        headers: Mapping[str, str] | Pairs | None = None,
         deadline: float | None = None,
         fresh: bool = False,
+        request_id: str | None = None,
+        may_send: Callable[[], bool] | None = None,
+        connect_seconds: float | None = None,
     ) -> Result[Stream, ClientError]:
         """Send a request and read the answer's head.
 
@@ -206,8 +247,20 @@
             Whether to refuse a pooled connection. A peer may be closing an idle one
             just as we write to it, which leaves a call that may not be repeated in
             doubt; a new connection has no such moment.
+        request_id : str or None
+            The exchange's id; a new one by default.
+        may_send : callable or None
+            Asked right before the first byte goes out; nothing is sent where it
+            returns False.
+        connect_seconds : float or None
+            How long a new connection may take to be made; until the deadline by
+            default.
         """
-        taken = await self._take(address, deadline, fresh)
+        connect_by = deadline
+        if connect_seconds is not None:
+            connect_by = asyncio.get_running_loop().time() + connect_seconds
+            connect_by = connect_by if deadline is None else min(connect_by, deadline)
+        taken = await self._take(address, connect_by, fresh)
         if isinstance(taken, Err):
             return Err(taken.err_value)
         conn = taken.ok_value
@@ -216,13 +269,14 @@
             # after; whoever asked must not find its request run after the deadline.
             conn.abort()
             return Err(NotSent(reason="deadline", detail=str(address)))
-        request_id = f"{self._process}-{next(self._numbers)}"
+        if may_send is not None and not may_send():
+            self._keep(address, conn)
+            return Err(NotSent(reason="withdrawn", detail=str(address)))
+        request_id = request_id or f"{self._process}-{next(self._numbers)}"
         self._write(conn, address, method, path, body, headers or {}, request_id)
         try:
             await conn.drain(deadline)
-            event = await conn.next_event(deadline)
-            while isinstance(event, h11.InformationalResponse):
-                event = await conn.next_event(deadline)
+            event = await _answer_head(conn, deadline)
         except TimeoutError:
             conn.abort()
             return Err(Lost(reason="timeout"))
@@ -239,32 +293,49 @@
             return Err(Lost(reason="cut", detail="closed before its answer"))
         return self._check(conn, address, event, request_id)
 
-    def release(self, address: Address, conn: Connection) -> None:
+    def release(
+        self, address: Address, conn: Connection, headers: Mapping[str, str]
+    ) -> None:
         """Keep a connection whose exchange ended properly, where it can be reused."""
         is_done = conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE
+        # Bytes behind a whole answer belong to no exchange; the next one on this
+        # connection would be given them.
+        is_clean = conn.h11.trailing_data == (b"", False)
         idle = self._idle.setdefault(address, [])
-        if conn.is_lost or not is_done or len(idle) >= MAX_IDLE_PER_ADDRESS:
+        is_full = len(idle) >= MAX_IDLE_PER_ADDRESS
+        if conn.is_lost or not is_done or not is_clean or is_full:
             conn.close()
             return
         conn.h11.start_next_cycle()
-        idle.append(conn)
+        self._keep(address, conn, _idle_seconds(headers))
+
+    def _keep(
+        self, address: Address, conn: Connection, seconds: float = IDLE_SECONDS
+    ) -> None:
+        drop_at = asyncio.get_running_loop().time() + seconds
+        idle = self._idle.setdefault(address, [])
+        idle.append(_Idle(conn=conn, drop_at=drop_at))
+
+    def forget(self, address: Address) -> None:
+        """Close the idle connections to a peer that is gone."""
+        for waiting in self._idle.pop(address, []):
+            waiting.conn.close()
 
     def close(self) -> None:
         """Close all idle connections."""
-        for conns in self._idle.values():
-            for conn in conns:
-                conn.close()
-        self._idle.clear()
+        for address in list(self._idle):
+            self.forget(address)
 
     def _check(
         self, conn: Connection, address: Address, head: h11.Response, request_id: str
     ) -> Result[Stream, ClientError]:
         """Refuse an answer to another exchange and one whose end can't be known."""
         headers = header_map(list(head.headers))
-        if headers.get(REQUEST_ID_HEADER) != request_id:
+        if self._id_header and headers.get(self._id_header) != request_id:
             conn.abort()
             return Err(Lost(reason="crossed", detail="the answer has another id"))
-        if "content-length" not in headers and "transfer-encoding" not in headers:
+        is_framed = "content-length" in headers or "transfer-encoding" in headers
+        if not is_framed and not self._allows_unframed:
             conn.abort()
             return Err(Lost(reason="unframed", detail="the answer has no length"))
         return Ok(
@@ -281,9 +352,12 @@
         self, address: Address, deadline: float | None, fresh: bool
     ) -> Result[Connection, NotSent]:
         idle = self._idle.get(address, [])
+        now = asyncio.get_running_loop().time()
         while idle and not fresh:
-            conn = idle.pop()
-            if not conn.is_lost and conn.h11.trailing_data == (b"", False):
+            waiting = idle.pop()
+            conn = waiting.conn
+            is_clean = conn.h11.trailing_data == (b"", False)
+            if not conn.is_lost and is_clean and now < waiting.drop_at:
                 return Ok(conn)
             conn.abort()
         try:
@@ -295,25 +369,41 @@
             return Err(NotSent(reason="connect_timeout", detail=str(address)))
         except OSError as exc:
             return Err(NotSent(reason="connect_refused", detail=f"{address}: {exc}"))
+        self.n_connected += 1
         return Ok(conn)
 
-    @staticmethod
     def _write(
+        self,
         conn: Connection,
         address: Address,
         method: str,
         path: str,
         body: bytes,
-        headers: Mapping[str, str],
+        headers: Mapping[str, str] | Pairs,
         request_id: str,
     ) -> None:
-        whole = [
-            ("host", str(address)),
-            (REQUEST_ID_HEADER, request_id),
-            ("content-length", str(len(body))),
-            *headers.items(),
-        ]
+        pairs = headers.items() if isinstance(headers, Mapping) else headers
+        whole = [("content-length", str(len(body))), *pairs]
+        names = {name.lower() for name, _ in whole}
+        if "host" not in names:
+            whole.insert(0, ("host", str(address)))
+        if self._id_header and self._id_header not in names:
+            whole.append((self._id_header, request_id))
         conn.send(h11.Request(method=method, target=path, headers=whole))
         if body:
             conn.send(h11.Data(data=body))
         conn.send(h11.EndOfMessage())
+
+
+async def _answer_head(conn: Connection, deadline: float | None) -> h11.Event:
+    """Return the final answer's head, past all informational ones."""
+    event = await conn.next_event(deadline)
+    while isinstance(event, h11.InformationalResponse):
+        event = await conn.next_event(deadline)
+    return event
+
+
+def _idle_seconds(headers: Mapping[str, str]) -> float:
+    """Return how long a connection may wait for its next exchange."""
+    named = re.search(r"timeout=(\d+)", headers.get("keep-alive", ""))
+    return IDLE_SHARE * int(named[1]) if named else IDLE_SECONDS
--- a/celerytrail/httpserver.py
+++ b/celerytrail/httpserver.py
@@ -43,6 +43,7 @@
     idle_seconds: float = 75.0
     write_seconds: float = 30.0
     max_connections: int = 2_000
+    advertised_idle_seconds: int | None = None
 
 
 class Responder:
@@ -97,6 +98,8 @@
             whole[REQUEST_ID_HEADER] = self._conn.request_id
         if self.is_closing:
             whole["connection"] = "close"
+        elif self._limits.advertised_idle_seconds is not None:
+            whole["keep-alive"] = f"timeout={self._limits.advertised_idle_seconds}"
         if "content-length" not in whole:
             whole["transfer-encoding"] = "chunked"
         self.status = status
@@ -167,6 +170,7 @@
         self._tasks: dict[asyncio.Task[None], Connection] = {}
         self._busy: set[Connection] = set()
         self._is_draining = False
+        self.is_retiring = False
 
     async def start(self, address: Address) -> Address:
         """Listen on an address; port 0 takes a free one. Returns the real address."""
@@ -178,6 +182,20 @@
         """Return how many exchanges are in progress."""
         return len(self._busy)
 
+    def set_limits(self, limits: ServerLimits) -> None:
+        """Set the limits for requests from now on."""
+        self._limits = limits
+
+    def retire(self) -> None:
+        """Close idle connections and announce the close on all others' answers.
+
+        New connections are still taken: callers keep an address answer for a while.
+        """
+        self.is_retiring = True
+        for conn in list(self._tasks.values()):
+            if conn not in self._busy and conn.is_untouched:
+                conn.close()
+
     async def drain(self) -> None:
         """Stop listening, let every exchange in progress end, then close all."""
         self._is_draining = True
@@ -233,7 +251,7 @@
             return False
         self._busy.add(conn)
         res = Responder(conn=conn, limits=self._limits)
-        res.is_closing = self._is_draining
+        res.is_closing = self._is_draining or self.is_retiring
         try:
             await self._handler.handle(req, res)
         except PeerError:
@@ -248,7 +266,7 @@
             await res.send_json(500, {"error": {"type": "internal"}})
         finally:
             self._busy.discard(conn)
-        if self._is_draining or conn.is_lost:
+        if self._is_draining or self.is_retiring or conn.is_lost:
             return False
         return conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE
 
@@ -263,6 +281,10 @@
             return None
         headers = header_map(list(head.headers))
         conn.request_id = headers.get(REQUEST_ID_HEADER)
+        if "transfer-encoding" in headers and "content-length" in headers:
+            # Two ends for one body: whoever takes the other one than we do reads the
+            # rest as a request that its sender never made.
+            raise PeerError("a body with both a length and a transfer encoding")
         # h11 bounds a head only while it is incomplete; one that comes in a single
         # read would pass at any size up to that of the read.
         n_bytes = len(head.target) + sum(len(n) + len(v) for n, v in head.headers)
@@ -293,6 +315,7 @@
             headers=headers,
             body=bytes(body),
             peer=conn.peer,
+            raw_headers=list(head.headers),
         )
 
     async def _read_head(
--- a/celerytrail/nodes/membership.py
+++ b/celerytrail/nodes/membership.py
@@ -164,6 +164,12 @@
         """Tell all that this node leaves."""
         self._known.restate(self._table.me.incarnation + 1, State.LEAVING)
 
+    def set_serving(self, is_serving: bool) -> None:
+        """Tell all whether work may be sent to this node at this time."""
+        state = State.ALIVE if is_serving else State.LEAVING
+        if self._table.me.state is not state:
+            self._known.restate(self._table.me.incarnation + 1, state)
+
     def depart(self) -> None:
         """Tell all, as the last thing, that this node is gone."""
         me = replace(self._table.me, state=State.DEAD)
--- a/celerytrail/nodes/nodes.py
+++ b/celerytrail/nodes/nodes.py
@@ -146,6 +146,12 @@
         self._changed()
         return self._clock.monotonic() + SPREAD_SECONDS + self.answer_seconds
 
+    def set_serving(self, is_serving: bool) -> None:
+        """Tell all whether callers may be sent here at this time."""
+        self._membership.set_serving(is_serving)
+        self.gossip.flush()
+        self._changed()
+
     async def stop(self) -> None:
         """Say that this node is gone, and stop."""
         for task in list(self._tasks):
--- /dev/null
+++ b/celerytrail/platform/nodefile.py
@@ -0,0 +1,186 @@
+"""The platform's settings file: decoded once into a node's settings.
+
+Unknown fields are ignored. All that is wrong is reported together, with its place.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from ..types import Address, Finding
+
+SETTINGS_VARIABLE = "CELERYTRAIL_SETTINGS"
+
+MS = 0.001
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RelaySettings:
+    """What a node on the platform is told at its start.
+
+    Parameters
+    ----------
+    node : str
+        The VM's name.
+    failure_domain, region : str
+        Where it runs.
+    callers, readiness, peers, directory : Address or None
+        Where it takes callers, readiness checks, other nodes, and address questions.
+    peer_ports : tuple of int
+        First and last port that are free for traffic between nodes.
+    seeds : tuple of Address
+        Peer addresses of a few nodes; may be stale.
+    store : Address or None
+        The platform's metadata store.
+    revoke_seconds : float
+        After so long a key that was taken away lets nothing through.
+    is_revocation_strict : bool
+        Whether that holds also for a node that is out of touch.
+    drain_seconds : float
+        How long an endpoint serves after it said that it leaves.
+    grace_seconds : float
+        How long a node has from SIGTERM until it is killed.
+    retry_ratio, retry_window_seconds, retry_slack : float
+        The retry budget of all nodes together.
+    max_address_seconds : float
+        How long callers may keep an address answer.
+    memory_bytes : int
+        The process is killed beyond that.
+    """
+
+    node: str
+    failure_domain: str
+    region: str
+    callers: Address | None
+    readiness: Address | None
+    peers: Address | None
+    directory: Address | None
+    peer_ports: tuple[int, int]
+    seeds: tuple[Address, ...]
+    store: Address | None
+    revoke_seconds: float = 5.0
+    is_revocation_strict: bool = True
+    drain_seconds: float = 2.0
+    grace_seconds: float = 8.0
+    retry_ratio: float = 0.2
+    retry_window_seconds: float = 10.0
+    retry_slack: float = 0.0
+    max_address_seconds: float = 5.0
+    memory_bytes: int = 0
+
+
+def read_settings(data: bytes) -> Result[RelaySettings, list[Finding]]:
+    """Decode the settings file."""
+    try:
+        raw = msgspec.json.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return Err([Finding(place="settings", problem=f"should be JSON: {exc}")])
+    if not isinstance(raw, dict):
+        return Err([Finding(place="settings", problem="should be an object")])
+    reader = _Reader(raw)
+    bounds = _Reader(reader.table("bounds"), "bounds.", reader.findings)
+    listen = _Reader(reader.table("listen"), "listen.", reader.findings)
+    store = _Reader(reader.table("infrastructure"), "infrastructure.", reader.findings)
+    limits = _Reader(reader.table("limits"), "limits.", reader.findings)
+    cfg = RelaySettings(
+        node=reader.text("node"),
+        failure_domain=reader.text("zone"),
+        region=reader.text("region"),
+        callers=listen.address("front"),
+        readiness=listen.address("ready"),
+        peers=listen.address("control"),
+        directory=listen.address("directory"),
+        peer_ports=reader.ports("port-range"),
+        seeds=reader.addresses("seeds"),
+        store=store.address("address"),
+        revoke_seconds=bounds.number("revoke-ms", 5_000) * MS,
+        is_revocation_strict=bool(bounds.raw.get("strict-revocation", True)),
+        drain_seconds=bounds.number("drain-ms", 2_000) * MS,
+        grace_seconds=bounds.number("grace-s", 8),
+        retry_ratio=bounds.number("budget-ratio", 0.2),
+        retry_window_seconds=bounds.number("budget-window-s", 10),
+        retry_slack=bounds.number("retry-slack", 0),
+        max_address_seconds=bounds.number("ttl_max_s", 5),
+        memory_bytes=int(limits.number("memory-mb", 0) * 1024 * 1024),
+    )
+    if reader.findings:
+        return Err(reader.findings)
+    return Ok(cfg)
+
+
+class _Reader:
+    """Reads typed fields of one table and collects what is wrong with them."""
+
+    def __init__(
+        self,
+        raw: dict[str, Any],
+        place: str = "",
+        findings: list[Finding] | None = None,
+    ) -> None:
+        self.raw = raw
+        self.findings: list[Finding] = [] if findings is None else findings
+        self._place = place
+
+    def _bad(self, name: str, problem: str) -> None:
+        self.findings.append(Finding(place=f"{self._place}{name}", problem=problem))
+
+    def table(self, name: str) -> dict[str, Any]:
+        value = self.raw.get(name)
+        if value is None:
+            return {}
+        if isinstance(value, dict):
+            return value
+        self._bad(name, "should be an object")
+        return {}
+
+    def text(self, name: str) -> str:
+        value = self.raw.get(name)
+        if isinstance(value, str) and value:
+            return value
+        self._bad(name, "should be a text that is not empty")
+        return ""
+
+    def number(self, name: str, default: float) -> float:
+        value = self.raw.get(name, default)
+        if isinstance(value, int | float) and not isinstance(value, bool):
+            return float(value)
+        self._bad(name, f"should be a number, is {value!r}")
+        return default
+
+    def address(self, name: str) -> Address | None:
+        value = self.raw.get(name)
+        if value is None:
+            return None
+        try:
+            return Address.parse(value)
+        except (ValueError, AttributeError, TypeError):
+            self._bad(name, f"should be IP:PORT, is {value!r}")
+            return None
+
+    def addresses(self, name: str) -> tuple[Address, ...]:
+        value = self.raw.get(name) or []
+        if not isinstance(value, list):
+            self._bad(name, "should be a list of IP:PORT")
+            return ()
+        found = []
+        for number, text in enumerate(value):
+            try:
+                found.append(Address.parse(text))
+            except (ValueError, AttributeError, TypeError):
+                self._bad(f"{name}.{number}", f"should be IP:PORT, is {text!r}")
+        return tuple(found)
+
+    def ports(self, name: str) -> tuple[int, int]:
+        value = self.raw.get(name)
+        if (
+            isinstance(value, list)
+            and len(value) == 2
+            and all(isinstance(port, int) for port in value)
+        ):
+            return value[0], value[1]
+        self._bad(name, "should be two port numbers")
+        return 0, 0
--- /dev/null
+++ b/celerytrail/platform/registrations.py
@@ -0,0 +1,49 @@
+"""Endpoints' own rows in the platform's table."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+from result import Err, Ok, Result
+
+from ..relay.model import EndpointState, Registration
+from ..types import Address
+
+MS = 0.001
+
+Text = Annotated[str, msgspec.Meta(min_length=1)]
+
+
+class _Row(msgspec.Struct, rename="kebab"):
+    service: Text
+    address: Text
+    zone: Text
+    slots: Annotated[int, msgspec.Meta(ge=0)]
+    state: Literal["ready", "draining"]
+    # How much longer it is slow after its start.
+    cold_remaining_ms: float = 0.0
+    # Unix milliseconds of the start; another value means that nothing is left of before.
+    born: int = 0
+
+
+def decode_registration(endpoint: str, value: bytes) -> Result[Registration, str]:
+    """Decode one row; one that can't be read names no endpoint."""
+    try:
+        raw = msgspec.json.decode(value, type=_Row)
+        address = Address.parse(raw.address)
+    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
+        return Err(str(exc))
+    is_ready = raw.state == "ready"
+    return Ok(
+        Registration(
+            endpoint=endpoint,
+            service=raw.service,
+            address=address,
+            failure_domain=raw.zone,
+            n_slots=raw.slots,
+            state=EndpointState.READY if is_ready else EndpointState.LEAVING,
+            cold_seconds=raw.cold_remaining_ms * MS,
+            started_at=raw.born,
+        )
+    )
--- /dev/null
+++ b/celerytrail/platform/wire.py
@@ -0,0 +1,286 @@
+"""Headers, paths and bodies that callers and endpoints speak; nothing is decided."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from urllib.parse import parse_qs, quote
+
+import msgspec
+from result import Err, Ok, Result
+
+from ..http import Request
+from ..relay.model import CallerFacts, EngineReport
+from ..types import Address
+
+MS = 0.001
+
+# The echoed id of an attempt, in lower case.
+ATTEMPT_HEADER = "x-attempt-id"
+# The endpoint's proof that the answer is its own.
+SEAL_HEADER = "x-response-seal"
+
+_BUDGET = "x-time-budget-ms"
+_TARGET = "x-target-instance"
+_ORGANISATION = "x-tenant-id"
+_PRIORITY = "x-request-priority"
+_BACKUP = "x-kv-backup"
+_RESUME_FROM = "kv-from"
+_LAST_EVENT = "last-event-id"
+_NOT_RUN = "x-not-executed"
+_LOAD = "x-worker-load"
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    }
+)
+# Headers that only the system may set; what a caller sent in them is dropped.
+_OURS = frozenset(
+    {
+        "authorization",
+        _BUDGET,
+        _TARGET,
+        _ORGANISATION,
+        _PRIORITY,
+        _BACKUP,
+        _RESUME_FROM,
+        _LAST_EVENT,
+        "kv-fetch",
+        "x-kv-hold",
+        "x-pin-ms",
+    }
+)
+
+READINESS_PATH = "/api/readiness"
+ADDRESSES_PATH = "/api/resolve"
+REPORT_PATH = "/api/report"
+MOVE_PATH = "/api/kv-move"
+
+_PART = re.compile(r"([0-9a-fA-F]+):(\d+)")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ForwardFacts:
+    """What the system adds to a request that it passes on.
+
+    Parameters
+    ----------
+    endpoint : str
+        The id of the endpoint that is meant; any other one refuses.
+    budget_seconds : float
+        What is left of the caller's time.
+    organisation : str or None
+        Who holds the caller's key.
+    priority : int or None
+        How urgent an engine takes it, 0 first.
+    backup : Address or None
+        The engine that is to get a copy of the run as it grows.
+    resume_from : str or None
+        The name of a copy that the run goes on from.
+    last_event_id : str or None
+        The last event that the caller has.
+    """
+
+    endpoint: str
+    budget_seconds: float
+    organisation: str | None = None
+    priority: int | None = None
+    backup: Address | None = None
+    resume_from: str | None = None
+    last_event_id: str | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoadFacts:
+    """What an endpoint says of its load beside an answer."""
+
+    n_running: int
+    n_waiting: int
+    n_slots: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Moved:
+    """A finished copy of a run: its name and the events made so far."""
+
+    handle: str
+    n_events: int
+
+
+def caller_facts(req: Request) -> CallerFacts:
+    """Decode what a request's head says; what can't be read counts as not stated."""
+    headers = req.headers
+    scheme, _, key = headers.get("authorization", "").partition(" ")
+    prompt, _, output = headers.get("x-token-count", "").partition(",")
+    hint = headers.get("x-length-hint", "")
+    return CallerFacts(
+        attempt_id=headers.get(ATTEMPT_HEADER, ""),
+        budget_seconds=_milliseconds(headers.get(_BUDGET)),
+        key=key.strip() if scheme.lower() == "bearer" and key.strip() else None,
+        last_event_id=headers.get(_LAST_EVENT),
+        n_prompt_tokens=_count(prompt),
+        n_max_tokens=_count(output),
+        n_hinted_tokens=_count(hint) if hint else None,
+        parts=tuple(
+            (part, int(n_tokens))
+            for part, n_tokens in _PART.findall(headers.get("x-prompt-prefix", ""))
+        ),
+    )
+
+
+def forward_headers(req: Request, facts: ForwardFacts) -> list[tuple[str, str]]:
+    """Return the headers for an endpoint: the caller's own, and the system's."""
+    named = {
+        name.strip().lower()
+        for name in req.headers.get("connection", "").split(",")
+        if name.strip()
+    }
+    dropped = _HOP_BY_HOP | _OURS | named - {ATTEMPT_HEADER, "host"}
+    pairs = [
+        (name.decode("ascii"), value.decode("latin-1"))
+        for name, value in req.raw_headers
+        if name.decode("ascii").lower() not in dropped
+    ]
+    pairs.append((_BUDGET, str(max(1, int(facts.budget_seconds / MS)))))
+    pairs.append((_TARGET, facts.endpoint))
+    optional = (
+        (_ORGANISATION, facts.organisation),
+        (_PRIORITY, facts.priority),
+        (_BACKUP, facts.backup),
+        (_RESUME_FROM, facts.resume_from),
+        (_LAST_EVENT, facts.last_event_id),
+    )
+    pairs += [(name, str(value)) for name, value in optional if value is not None]
+    return pairs
+
+
+def copy_name(address: Address, handle: str) -> str:
+    """Return the name by which a run goes on from a copy."""
+    return f"{address}/{handle}"
+
+
+def answer_headers(headers: Mapping[str, str]) -> dict[str, str]:
+    """Return an endpoint's headers as the caller gets them."""
+    named = {name.strip().lower() for name in headers.get("connection", "").split(",")}
+    dropped = _HOP_BY_HOP | named
+    return {name: value for name, value in headers.items() if name not in dropped}
+
+
+def is_not_run(status: int, headers: Mapping[str, str]) -> bool:
+    """Return whether an endpoint says that it did not run the request."""
+    return _NOT_RUN in headers or status == 421
+
+
+def is_misdirected(status: int) -> bool:
+    """Return whether another endpoint than the one meant has the address."""
+    return status == 421
+
+
+def is_own_answer(headers: Mapping[str, str]) -> bool:
+    """Return whether an endpoint vouches for the answer, and it can be passed on."""
+    return SEAL_HEADER in headers and "content-encoding" not in headers
+
+
+def load_facts(headers: Mapping[str, str]) -> LoadFacts | None:
+    """Decode what an endpoint says of its load beside an answer."""
+    parts = headers.get(_LOAD, "").split(",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return LoadFacts(n_running=running, n_waiting=waiting, n_slots=slots)
+
+
+class _Report(msgspec.Struct, rename="kebab"):
+    queued: int = 0
+    in_flight: int = 0
+    # Memory that can't yield, and all of it, in tokens.
+    kv_used: int = 0
+    kv_total: int = 0
+    state: str = "ready"
+    # The page spells this one with an underscore.
+    leaves_in_ms: float | None = msgspec.field(default=None, name="leaves_ms")
+
+
+def decode_report(body: bytes) -> Result[EngineReport, str]:
+    """Decode an engine's report of its load."""
+    try:
+        raw = msgspec.json.decode(body, type=_Report)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return Err(str(exc))
+    leaves = raw.leaves_in_ms
+    return Ok(
+        EngineReport(
+            n_queued=raw.queued,
+            n_running=raw.in_flight,
+            n_used_tokens=raw.kv_used,
+            n_memory_tokens=raw.kv_total,
+            is_leaving=raw.state == "draining" or leaves is not None,
+            leaves_in_seconds=None if leaves is None else leaves * MS,
+        )
+    )
+
+
+def encode_move(attempt_id: str, target: Address, is_last: bool) -> bytes:
+    """Encode the order to copy a run to another engine, and to stop it at last."""
+    return msgspec.json.encode(
+        {"id": attempt_id, "to": str(target), "last": is_last}
+    )
+
+
+def decode_moved(body: bytes) -> Result[Moved, str]:
+    """Decode the answer to a finished move."""
+    try:
+        raw = msgspec.json.decode(body)
+        return Ok(Moved(handle=str(raw["handle"]), n_events=int(raw.get("created", 0))))
+    except (
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        KeyError,
+        TypeError,
+        ValueError,
+        AttributeError,
+    ) as exc:
+        return Err(repr(exc))
+
+
+def free_copy_path(handle: str) -> str:
+    """Return the path that frees a copy at both ends, called at the source."""
+    return f"/api/kv-handle/{quote(handle, safe='')}"
+
+
+def asked_domain(req: Request) -> str:
+    """Return the failure domain that a caller who asks for addresses is in."""
+    return parse_qs(req.query).get("zone", [""])[0]
+
+
+def encode_addresses(addresses: list[Address], seconds: float) -> bytes:
+    """Encode the answer to a caller who asks for addresses."""
+    return msgspec.json.encode(
+        {"addresses": [str(address) for address in addresses], "ttl-s": seconds}
+    )
+
+
+
+
+def _milliseconds(text: str | None) -> float | None:
+    try:
+        value = float(text) if text is not None else None
+    except ValueError:
+        return None
+    return value * MS if value is not None and 0 <= value < 1e12 else None
+
+
+def _count(text: str) -> int:
+    text = text.strip()
+    return int(text) if text.isdigit() and len(text) < 10 else 0
--- /dev/null
+++ b/celerytrail/relay/endpointchoice.py
@@ -0,0 +1,87 @@
+"""Which endpoint of a plain service takes a request.
+
+The load that this answers: endpoints of one service differ in speed, some fail part
+of their requests while their health answers are good, and many nodes choose at once.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass
+
+from .model import Registration
+
+# How much one outcome counts in an endpoint's failure rate: about the last ten count.
+OUTCOME_WEIGHT = 0.15
+# What a failure rate of one costs, in shares of an endpoint's slots.
+FAILURE_COST = 3.0
+# What another failure domain costs, in the same unit; only breaks ties.
+FAR_COST = 0.05
+# A failure is forgotten by half after so many seconds, so that an endpoint that was
+# left out gets a request now and then and can show that it works again.
+HALF_LIFE_SECONDS = 3.0
+
+
+@dataclass(kw_only=True, slots=True)
+class _Record:
+    n_open: int = 0
+    failure_rate: float = 0.0
+    noted_at: float = 0.0
+
+
+class EndpointChoice:
+    """Chooses by work in progress and by how the last requests ended.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Where this node runs.
+    rng : random.Random
+        Breaks ties, so that nodes that decide alike don't choose alike.
+    """
+
+    def __init__(self, *, failure_domain: str, rng: random.Random) -> None:
+        self._failure_domain = failure_domain
+        self._rng = rng
+        self._records: dict[str, _Record] = {}
+
+    def choose(
+        self, regs: Sequence[Registration], excluded: Collection[str], now: float
+    ) -> Registration | None:
+        """Return the best endpoint that is not excluded."""
+        choices = [reg for reg in regs if reg.endpoint not in excluded]
+        if not choices:
+            return None
+        return min(choices, key=lambda reg: self._cost(reg, now))
+
+    def begin(self, endpoint: str) -> None:
+        """Note that a request goes to an endpoint."""
+        self._record(endpoint).n_open += 1
+
+    def end(self, endpoint: str, *, is_failed: bool, now: float) -> None:
+        """Note how a request ended at an endpoint."""
+        record = self._record(endpoint)
+        record.n_open -= 1
+        rate = self._rate(record, now)
+        outcome = 1.0 if is_failed else 0.0
+        record.failure_rate = rate + OUTCOME_WEIGHT * (outcome - rate)
+        record.noted_at = now
+
+    def _cost(self, reg: Registration, now: float) -> float:
+        record = self._record(reg.endpoint)
+        is_far = reg.failure_domain != self._failure_domain
+        return (
+            record.n_open / max(1, reg.n_slots)
+            + FAILURE_COST * self._rate(record, now)
+            + (FAR_COST if is_far else 0.0)
+            + 0.04 * self._rng.random()
+        )
+
+    @staticmethod
+    def _rate(record: _Record, now: float) -> float:
+        age = max(0.0, now - record.noted_at)
+        return float(record.failure_rate * 0.5 ** (age / HALF_LIFE_SECONDS))
+
+    def _record(self, endpoint: str) -> _Record:
+        return self._records.setdefault(endpoint, _Record())
--- /dev/null
+++ b/celerytrail/relay/engineapi.py
@@ -0,0 +1,82 @@
+"""Calls to engines beside requests: reports of their load, and moves of runs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from ..httpclient import HttpClient
+from ..platform import wire
+from ..types import Address
+from .model import EngineReport, Registration
+
+REPORT_SECONDS = 0.5
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MoveFailed:
+    """A copy was not made; the run goes on at its engine unless it was stopped."""
+
+    reason: str
+    status: int | None = None
+
+
+class EngineApi:
+    """Speaks with engines about their load and their runs.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Makes the exchanges; engines echo no id on these.
+    """
+
+    def __init__(self, *, client: HttpClient) -> None:
+        self._client = client
+        self.n_reports = 0
+
+    async def report(
+        self, reg: Registration, deadline: float
+    ) -> Result[EngineReport, str]:
+        """Ask an engine for its load."""
+        self.n_reports += 1
+        answered = await self._client.request(
+            reg.address, "GET", wire.REPORT_PATH, deadline=deadline
+        )
+        if isinstance(answered, Err):
+            return Err(answered.err_value.reason)
+        if answered.ok_value.status != 200:
+            return Err(f"status {answered.ok_value.status}")
+        return wire.decode_report(answered.ok_value.body)
+
+    async def copy(
+        self,
+        source: Address,
+        attempt_id: str,
+        target: Address,
+        *,
+        is_last: bool,
+        deadline: float,
+    ) -> Result[wire.Moved, MoveFailed]:
+        """Copy a run's memory to another engine; the last copy stops the run."""
+        answered = await self._client.request(
+            source,
+            "POST",
+            wire.MOVE_PATH,
+            body=wire.encode_move(attempt_id, target, is_last),
+            headers={"content-type": "application/json"},
+            deadline=deadline,
+        )
+        if isinstance(answered, Err):
+            return Err(MoveFailed(reason=answered.err_value.reason))
+        res = answered.ok_value
+        moved = wire.decode_moved(res.body)
+        if res.status != 200 or isinstance(moved, Err):
+            return Err(MoveFailed(reason="refused", status=res.status))
+        return Ok(moved.ok_value)
+
+    async def free(self, source: Address, handle: str, deadline: float) -> None:
+        """Free a copy that will not be used, at both ends."""
+        await self._client.request(
+            source, "DELETE", wire.free_copy_path(handle), deadline=deadline
+        )
--- /dev/null
+++ b/celerytrail/relay/engineloads.py
@@ -0,0 +1,152 @@
+"""What runs on each engine, put together from what all nodes say they sent there."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from .model import EngineReport, Registration
+
+# Runs of a node that was not heard of for so long are forgotten, in seconds.
+SILENT_SECONDS = 4.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Run:
+    """A generation that some node has placed.
+
+    Parameters
+    ----------
+    run_id : str
+        Its name, unique among all nodes' runs.
+    endpoint : str
+        The engine that works on it.
+    n_prompt_tokens, n_expected_tokens : int
+        Size of its prompt, and of the output to reckon with.
+    backup : str
+        The engine that holds a copy of it; may be empty.
+    is_reading : bool
+        Whether its prompt is still being read.
+    """
+
+    run_id: str
+    endpoint: str
+    n_prompt_tokens: int
+    n_expected_tokens: int
+    backup: str = ""
+    is_reading: bool = True
+
+    @property
+    def n_peak_tokens(self) -> int:
+        """Return the memory that it is expected to take at its end, in tokens."""
+        return self.n_prompt_tokens + self.n_expected_tokens
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineLoad:
+    """An engine as a placing decision sees it.
+
+    Parameters
+    ----------
+    reg : Registration
+        The engine.
+    n_slots, n_memory_tokens : int
+        What it has.
+    n_running : int
+        Runs placed there and not ended, as far as is known.
+    n_reading_tokens : int
+        Prompt tokens that it has yet to read.
+    n_peak_tokens : int
+        Memory that its runs are expected to take at their ends.
+    n_backup_tokens : int
+        Memory that copies of runs elsewhere are expected to take.
+    """
+
+    reg: Registration
+    n_slots: int
+    n_memory_tokens: int
+    n_running: int = 0
+    n_reading_tokens: int = 0
+    n_peak_tokens: int = 0
+    n_backup_tokens: int = 0
+
+
+@dataclass(kw_only=True, slots=True)
+class _NodeRuns:
+    heard_at: float
+    runs: dict[str, Run]
+
+
+class EngineLoads:
+    """The runs of all nodes, by engine.
+
+    Each node tells the others at once what it places and what ends, and all of its
+    runs again each second; what is lost on the way is mended by the next such list.
+    Engines' own reports are half a second old, too old to keep nodes that decide at
+    the same time from choosing the same engine.
+    """
+
+    def __init__(self) -> None:
+        self._nodes: dict[str, _NodeRuns] = {}
+        self._reports: dict[str, EngineReport] = {}
+
+    def put(self, node: str, run: Run, now: float) -> None:
+        """Note a run, or what changed of it."""
+        known = self._nodes.setdefault(node, _NodeRuns(heard_at=now, runs={}))
+        known.heard_at = now
+        known.runs[run.run_id] = run
+
+    def end(self, node: str, run_id: str, now: float) -> None:
+        """Note that a run ended."""
+        known = self._nodes.get(node)
+        if known is not None:
+            known.heard_at = now
+            known.runs.pop(run_id, None)
+
+    def replace(self, node: str, runs: list[Run], now: float) -> None:
+        """Note all runs of a node."""
+        by_id = {run.run_id: run for run in runs}
+        self._nodes[node] = _NodeRuns(heard_at=now, runs=by_id)
+
+    def of_node(self, node: str) -> list[Run]:
+        """Return all runs of a node."""
+        known = self._nodes.get(node)
+        return list(known.runs.values()) if known else []
+
+    def expire(self, now: float, own: str) -> None:
+        """Forget the runs of nodes that fell silent; never those of ``own``."""
+        for node, known in list(self._nodes.items()):
+            if node != own and now - known.heard_at > SILENT_SECONDS:
+                del self._nodes[node]
+
+    def note_report(self, endpoint: str, report: EngineReport) -> None:
+        """Note what an engine said of itself."""
+        self._reports[endpoint] = report
+
+    def report(self, endpoint: str) -> EngineReport | None:
+        """Return what an engine said of itself last."""
+        return self._reports.get(endpoint)
+
+    def loads(self, empty: list[EngineLoad]) -> list[EngineLoad]:
+        """Return engines with what all nodes placed there."""
+        found = {load.reg.endpoint: load for load in empty}
+        for known in self._nodes.values():
+            for run in known.runs.values():
+                load = found.get(run.endpoint)
+                if load is not None:
+                    found[run.endpoint] = _with_run(load, run)
+                copy = found.get(run.backup)
+                if copy is not None:
+                    found[run.backup] = replace(
+                        copy, n_backup_tokens=copy.n_backup_tokens + run.n_peak_tokens
+                    )
+        return list(found.values())
+
+
+def _with_run(load: EngineLoad, run: Run) -> EngineLoad:
+    n_reading = run.n_prompt_tokens if run.is_reading else 0
+    return replace(
+        load,
+        n_running=load.n_running + 1,
+        n_reading_tokens=load.n_reading_tokens + n_reading,
+        n_peak_tokens=load.n_peak_tokens + run.n_peak_tokens,
+    )
--- /dev/null
+++ b/celerytrail/relay/freshness.py
@@ -0,0 +1,66 @@
+"""How old a node's knowledge of keys is, and when that is too old."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from .boottime import boottime
+
+# Share of the bound on revocation within which a request is still passed on. What is
+# left covers the way to the endpoint and a feed that was silent for a second.
+USABLE_SHARE = 0.62
+
+
+class Freshness:
+    """Tells whether what is known of keys may still be acted on.
+
+    A key that was taken away must let nothing through after a bound, also at a node
+    that can't hear of it. The age counts from when the confirming read was *sent*, as
+    the answer may have waited anywhere on its way back.
+
+    Parameters
+    ----------
+    bound_seconds : float
+        After so long a key that was taken away lets nothing through.
+    is_strict : bool
+        Whether that holds also for a node that is out of touch.
+    clock : callable
+        A steady clock that goes on during suspension.
+    """
+
+    def __init__(
+        self,
+        *,
+        bound_seconds: float,
+        is_strict: bool,
+        clock: Callable[[], float] = boottime,
+    ) -> None:
+        self._usable_seconds = USABLE_SHARE * bound_seconds
+        self._is_strict = is_strict
+        self._clock = clock
+        self._confirmed_at: float | None = None
+
+    def confirm(self, sent_at: float) -> None:
+        """Note that a read sent at ``sent_at`` showed all that was in force then."""
+        if self._confirmed_at is None or sent_at > self._confirmed_at:
+            self._confirmed_at = sent_at
+
+    @property
+    def age_seconds(self) -> float | None:
+        """Return how old the knowledge is, None before the first."""
+        if self._confirmed_at is None:
+            return None
+        return self._clock() - self._confirmed_at
+
+    @property
+    def confirmed_at(self) -> float | None:
+        """Return when the last confirming read was sent."""
+        return self._confirmed_at
+
+    @property
+    def is_usable(self) -> bool:
+        """Return whether a request with a key may be passed on now."""
+        age = self.age_seconds
+        if age is None:
+            return False
+        return not self._is_strict or age < self._usable_seconds
--- /dev/null
+++ b/celerytrail/relay/generations.py
@@ -0,0 +1,505 @@
+"""Requests to model engines: one stream each, carried from engine to engine."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from result import Err, Ok, Result
+
+from ..exceptions import PeerError
+from ..httpclient import HttpClient, NotSent, Stream
+from ..platform import wire
+from . import placing
+from .engineapi import EngineApi
+from .engineloads import EngineLoad, EngineLoads, Run
+from .events import EventSplitter, StreamEvent
+from .exchange import CallerGoneError, Exchange, refuse
+from .model import EngineFacts, Registration
+from .registry import Registry
+from .retrybudget import RetryBudget
+from .sharing import Sharing
+
+CONNECT_SECONDS = 0.25
+# Share of the target for which a generation waits here for an engine with room; the
+# rest is for reading its prompt.
+WAIT_SHARE = 0.5
+# Between two looks for room, in seconds.
+LOOK_SECONDS = 0.02
+# How many engines are asked that refuse before the caller is told to come back.
+MAX_REFUSED = 3
+# When to come back after engines were full, in seconds: about as long as a short
+# answer takes to free its place.
+FULL_RETRY_SECONDS = 0.7
+# Copies that take longer than this are not worth waiting for, in seconds.
+COPY_SECONDS = 4.0
+# A stream with a copy elsewhere goes on there after so long without an event, in
+# seconds; engines under load pause for a few tenths at most.
+SILENT_SECONDS = 0.9
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Copied:
+    """A run's memory lies ready: where to go on, and by which name."""
+
+    reg: Registration
+    name: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Refused:
+    """No engine has run it, and none will."""
+
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Failed:
+    """An engine may have run it, and it can't go on."""
+
+    reason: str
+
+
+class LiveRun:
+    """A generation on its way, with what is needed to carry it elsewhere."""
+
+    def __init__(self, *, ex: Exchange, engine: EngineFacts, run: Run) -> None:
+        self.ex = ex
+        self.engine = engine
+        self.run = run
+        self.reg: Registration | None = None
+        self.backup: Registration | None = None
+        self.stream: Stream | None = None
+        self.last_event_id: str | None = ex.facts.last_event_id
+        self.last_number: int | None = None
+        self.n_events = 0
+        self.n_runs = 0
+        self.move: asyncio.Task[Copied | None] | None = None
+        self.is_switching = False
+
+
+class Generations:
+    """Places generations, relays their events, and moves them off leaving engines.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Speaks with engines.
+    api : EngineApi
+        Orders copies.
+    registry : Registry
+        Knows the engines.
+    loads : EngineLoads
+        What all nodes have placed.
+    sharing : Sharing
+        Tells the other nodes.
+    budget : RetryBudget
+        Bounds what is sent again.
+    engine_of : callable
+        Returns the facts of a service's engines.
+    failure_domain : str
+        Where this node runs.
+    rng : random.Random
+        Breaks ties.
+    """
+
+    def __init__(
+        self,
+        *,
+        client: HttpClient,
+        api: EngineApi,
+        registry: Registry,
+        loads: EngineLoads,
+        sharing: Sharing,
+        budget: RetryBudget,
+        engine_of: Callable[[str], EngineFacts | None],
+        failure_domain: str,
+        rng: random.Random,
+    ) -> None:
+        self._client = client
+        self._api = api
+        self._registry = registry
+        self._loads = loads
+        self._sharing = sharing
+        self._budget = budget
+        self._engine_of = engine_of
+        self._failure_domain = failure_domain
+        self._rng = rng
+        self._live: set[LiveRun] = set()
+
+    @property
+    def n_live(self) -> int:
+        """Return how many generations are on their way."""
+        return len(self._live)
+
+    async def relay(self, ex: Exchange, engine: EngineFacts) -> None:
+        """Answer a request by one generation."""
+        now = asyncio.get_running_loop().time()
+        self._budget.note_request(ex.service, now)
+        facts = ex.facts
+        n_prompt = max(1, facts.n_prompt_tokens)
+        run = Run(
+            run_id=f"{facts.attempt_id}/{self._rng.getrandbits(24):x}",
+            endpoint="",
+            n_prompt_tokens=n_prompt,
+            n_expected_tokens=max(1, facts.n_expected_tokens),
+        )
+        live = LiveRun(ex=ex, engine=engine, run=run)
+        self._live.add(live)
+        try:
+            await ex.unless_gone(self._carry(live))
+        except CallerGoneError:
+            ex.log("caller_gone", n_events=live.n_events)
+        except PeerError as exc:
+            ex.log("caller_lost", problem=str(exc), n_events=live.n_events)
+        finally:
+            self._live.discard(live)
+            if live.stream is not None:
+                live.stream.close()
+            if live.move is not None:
+                live.move.cancel()
+            if live.run.endpoint:
+                self._sharing.ended(live.run.run_id)
+
+    def on_leaving(self, reg: Registration) -> None:
+        """Carry what runs on an engine that leaves to others, most advanced first."""
+        leaving = [live for live in self._live if live.reg == reg]
+        leaving.sort(key=lambda live: live.n_events, reverse=True)
+        for live in leaving:
+            self._leave_engine(live)
+
+    # Placing.
+
+    def _engine_loads(self, live: LiveRun, excluded: set[str]) -> list[EngineLoad]:
+        engine = live.engine
+        empty = [
+            EngineLoad(
+                reg=reg,
+                n_slots=engine.n_slots,
+                n_memory_tokens=engine.n_memory_tokens,
+            )
+            for reg in self._registry.usable(live.ex.service)
+            if reg.endpoint not in excluded
+        ]
+        return self._loads.loads(empty)
+
+    def _demand(self, live: LiveRun) -> placing.Demand:
+        return placing.Demand(
+            n_prompt_tokens=live.run.n_prompt_tokens,
+            n_expected_tokens=live.run.n_expected_tokens,
+            failure_domain=self._failure_domain,
+        )
+
+    async def _place(self, live: LiveRun, excluded: set[str]) -> Registration | None:
+        """Wait for an engine with room; None where none has any in time."""
+        ex = live.ex
+        loop = asyncio.get_running_loop()
+        until = loop.time() + WAIT_SHARE * ex.route.target_seconds
+        until = min(until, ex.loop_deadline)
+        demand = self._demand(live)
+        while True:
+            loads = self._engine_loads(live, excluded)
+            load = placing.choose_engine(loads, demand, self._rng)
+            if load is not None:
+                self._note_place(live, load.reg, loads, demand)
+                return load.reg
+            if loop.time() >= until:
+                ex.log("no_room", n_engines=len(loads))
+                return None
+            await asyncio.sleep(LOOK_SECONDS)
+
+    def _note_place(
+        self,
+        live: LiveRun,
+        reg: Registration,
+        loads: list[EngineLoad],
+        demand: placing.Demand,
+    ) -> None:
+        live.backup = None
+        if live.engine.can_back_up and not live.ex.route.is_resumable:
+            copy = placing.choose_backup(loads, demand, reg.endpoint, self._rng)
+            live.backup = copy.reg if copy is not None else None
+        live.reg = reg
+        self._share(live, is_reading=True)
+
+    def _share(self, live: LiveRun, *, is_reading: bool) -> None:
+        assert live.reg is not None
+        live.run = replace(
+            live.run,
+            endpoint=live.reg.endpoint,
+            backup=live.backup.endpoint if live.backup else "",
+            is_reading=is_reading,
+        )
+        self._sharing.placed(live.run)
+
+    # Carrying.
+
+    async def _carry(self, live: LiveRun) -> None:
+        started = await self._start(live)
+        if isinstance(started, Err):
+            await self._end_unstarted(live, started.err_value)
+            return
+        live.stream = started.ok_value
+        if not wire.is_own_answer(live.stream.headers):
+            live.ex.log("failed", reason="unsealed")
+            await refuse(
+                live.ex.res, 502, "unsealed", attempt_id=live.ex.facts.attempt_id
+            )
+            return
+        if live.stream.status != 200:
+            await self._pass_whole(live, live.stream)
+            return
+        await self._pass_events(live)
+
+    async def _end_unstarted(self, live: LiveRun, end: Refused | Failed) -> None:
+        ex = live.ex
+        attempt = ex.facts.attempt_id
+        if isinstance(end, Refused):
+            ex.log("refused", reason=end.reason)
+            await refuse(
+                ex.res,
+                503,
+                end.reason,
+                attempt_id=attempt,
+                retry_after=FULL_RETRY_SECONDS,
+            )
+            return
+        status = 504 if end.reason in ("timeout", "stalled") else 502
+        ex.log("failed", reason=end.reason, status=status)
+        await refuse(ex.res, status, end.reason, attempt_id=attempt)
+
+    async def _start(self, live: LiveRun) -> Result[Stream, Refused | Failed]:
+        """Find an engine that takes the generation."""
+        ex = live.ex
+        excluded: set[str] = set()
+        for number in range(MAX_REFUSED):
+            reg = await self._place(live, excluded)
+            if reg is None:
+                return Err(Refused(reason="no_room"))
+            now = asyncio.get_running_loop().time()
+            if number and not self._budget.take(ex.service, now):
+                return Err(Refused(reason="retry_denied"))
+            opened = await self._open(live, reg)
+            if isinstance(opened, Ok):
+                return opened
+            if isinstance(opened.err_value, Failed):
+                return await self._start_again(live, opened.err_value)
+            excluded.add(reg.endpoint)
+        return Err(Refused(reason="engines_refused"))
+
+    async def _start_again(
+        self, live: LiveRun, failed: Failed
+    ) -> Result[Stream, Refused | Failed]:
+        """Go on after an engine was lost before its answer began."""
+        resumed = await self._resume(live, failed.reason)
+        if resumed is None:
+            return Err(failed)
+        return Ok(resumed)
+
+    async def _open(
+        self, live: LiveRun, reg: Registration, copy_name: str | None = None
+    ) -> Result[Stream, Refused | Failed]:
+        """Send the generation to one engine, new or from a copy."""
+        ex = live.ex
+        if ex.seconds_left <= 0:
+            return Err(Failed(reason="timeout"))
+        facts = wire.ForwardFacts(
+            endpoint=reg.endpoint,
+            budget_seconds=ex.seconds_left,
+            organisation=ex.organisation,
+            priority=ex.priority,
+            backup=live.backup.address if live.backup else None,
+            resume_from=copy_name,
+            last_event_id=live.last_event_id,
+        )
+        opened = await self._client.open(
+            reg.address,
+            ex.req.method,
+            ex.target,
+            body=ex.req.body,
+            headers=wire.forward_headers(ex.req, facts),
+            deadline=ex.loop_deadline,
+            connect_seconds=CONNECT_SECONDS,
+            request_id=ex.facts.attempt_id,
+            may_send=ex.may_send,
+        )
+        if isinstance(opened, Err):
+            exc = opened.err_value
+            ex.log("attempt_failed", endpoint=reg.endpoint, reason=exc.reason)
+            if isinstance(exc, NotSent):
+                return Err(Refused(reason=exc.reason))
+            return Err(Failed(reason=exc.reason))
+        stream = opened.ok_value
+        if wire.is_not_run(stream.status, stream.headers):
+            ex.log("attempt_refused", endpoint=reg.endpoint, status=stream.status)
+            await stream.read(ex.loop_deadline)
+            return Err(Refused(reason="engine_refused"))
+        live.n_runs += 1
+        ex.log(
+            "placed",
+            endpoint=reg.endpoint,
+            backup=live.run.backup,
+            copy=copy_name,
+            status=stream.status,
+        )
+        return Ok(stream)
+
+    async def _pass_whole(self, live: LiveRun, stream: Stream) -> None:
+        """Pass on an answer that is no stream of events."""
+        ex = live.ex
+        body = await stream.read(ex.loop_deadline)
+        attempt = ex.facts.attempt_id
+        if isinstance(body, Err):
+            ex.log("failed", reason=body.err_value.reason)
+            await refuse(ex.res, 502, body.err_value.reason, attempt_id=attempt)
+            return
+        ex.log("answered", status=stream.status)
+        headers = wire.answer_headers(stream.headers)
+        await ex.res.send(stream.status, body.ok_value, headers)
+
+    async def _pass_events(self, live: LiveRun) -> None:
+        """Pass events on as they come, over as many engines as it takes."""
+        ex = live.ex
+        assert live.stream is not None
+        ex.res.start(live.stream.status, wire.answer_headers(live.stream.headers))
+        splitter = EventSplitter()
+        while True:
+            piece = await live.stream.next_chunk(self._next_deadline(live))
+            if isinstance(piece, Ok):
+                if piece.ok_value is None:
+                    break
+                for event in splitter.feed(piece.ok_value):
+                    await self._pass_event(live, event)
+                continue
+            splitter.clear()
+            resumed = await self._resume(live, piece.err_value.reason)
+            if resumed is None or resumed.status != 200:
+                ex.log("cut", reason=piece.err_value.reason, n_events=live.n_events)
+                ex.res.abort()
+                return
+            live.stream = resumed
+        if not splitter.is_empty:
+            ex.log("cut", reason="torn_event", n_events=live.n_events)
+            ex.res.abort()
+            return
+        await ex.res.finish()
+        ex.log("answered", status=200, n_events=live.n_events, n_runs=live.n_runs)
+
+    def _next_deadline(self, live: LiveRun) -> float:
+        deadline = live.ex.loop_deadline
+        if live.backup is not None and live.n_events:
+            now = asyncio.get_running_loop().time()
+            return min(deadline, now + SILENT_SECONDS)
+        return deadline
+
+    async def _pass_event(self, live: LiveRun, event: StreamEvent) -> None:
+        number = event.number
+        if number is not None:
+            if live.last_number is not None and number <= live.last_number:
+                # A run that goes on from a copy may say again what the caller has.
+                return
+            live.last_number = number
+        if event.event_id is not None:
+            live.last_event_id = event.event_id
+        if live.run.is_reading:
+            self._share(live, is_reading=False)
+        live.n_events += 1
+        await live.ex.res.write(event.data)
+
+    # Going on elsewhere.
+
+    async def _resume(self, live: LiveRun, reason: str) -> Stream | None:
+        """Take a run up again after its stream broke or was moved."""
+        ex = live.ex
+        former = live.reg
+        copied = await self._finished_move(live)
+        if copied is None and live.backup is not None:
+            backup = live.backup
+            name = wire.copy_name(backup.address, ex.facts.attempt_id)
+            copied = Copied(reg=backup, name=name)
+        if copied is not None:
+            live.is_switching = False
+            self._note_move(live, copied.reg)
+            opened = await self._open(live, copied.reg, copied.name)
+            if isinstance(opened, Ok):
+                ex.log("resumed", reason=reason, endpoint=copied.reg.endpoint)
+                return opened.ok_value
+            ex.log("copy_unusable", reason=reason, endpoint=copied.reg.endpoint)
+        if not ex.route.is_resumable or live.n_runs >= ex.route.max_attempts:
+            return None
+        now = asyncio.get_running_loop().time()
+        if not self._budget.take(ex.service, now):
+            return None
+        reg = await self._place(live, {former.endpoint} if former else set())
+        if reg is None:
+            return None
+        opened = await self._open(live, reg)
+        if isinstance(opened, Err):
+            return None
+        ex.log("run_again", reason=reason, endpoint=reg.endpoint)
+        return opened.ok_value
+
+    async def _finished_move(self, live: LiveRun) -> Copied | None:
+        if live.move is None:
+            return None
+        move, live.move = live.move, None
+        return await move
+
+    def _note_move(self, live: LiveRun, reg: Registration) -> None:
+        """Note that a run goes on at another engine, with a new copy elsewhere."""
+        loads = self._engine_loads(live, set())
+        demand = self._demand(live)
+        live.backup = None
+        if live.engine.can_back_up:
+            copy = placing.choose_backup(loads, demand, reg.endpoint, self._rng)
+            live.backup = copy.reg if copy is not None else None
+        live.reg = reg
+        self._share(live, is_reading=False)
+
+    def _leave_engine(self, live: LiveRun) -> None:
+        """Begin to carry a run off its engine."""
+        if live.move is not None or live.is_switching:
+            return
+        if live.backup is not None and live.n_events:
+            # The copy lacks a few tenths of a second of tokens, which are read again.
+            live.is_switching = True
+            if live.stream is not None:
+                live.ex.log("switching", endpoint=live.backup.endpoint)
+                live.stream.close()
+            return
+        if live.engine.can_move:
+            live.move = asyncio.ensure_future(self._move(live))
+
+    async def _move(self, live: LiveRun) -> Copied | None:
+        """Copy a run to another engine while it goes on, then stop it and the rest."""
+        ex = live.ex
+        source = live.reg
+        assert source is not None
+        loads = self._engine_loads(live, {source.endpoint})
+        target = placing.choose_engine(loads, self._demand(live), self._rng)
+        if target is None:
+            ex.log("move_no_room", endpoint=source.endpoint)
+            return None
+        deadline = asyncio.get_running_loop().time() + COPY_SECONDS
+        for is_last in (False, True):
+            copied = await self._api.copy(
+                source.address,
+                ex.facts.attempt_id,
+                target.reg.address,
+                is_last=is_last,
+                deadline=deadline,
+            )
+            if isinstance(copied, Err):
+                ex.log(
+                    "move_failed",
+                    endpoint=source.endpoint,
+                    target=target.reg.endpoint,
+                    reason=copied.err_value.reason,
+                    status=copied.err_value.status,
+                    is_last=is_last,
+                )
+                return None
+        name = wire.copy_name(source.address, copied.ok_value.handle)
+        return Copied(reg=target.reg, name=name)
--- /dev/null
+++ b/celerytrail/relay/handler.py
@@ -0,0 +1,156 @@
+"""Answers callers: finds the route, checks the key, and hands on to whoever serves it."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from eliot import log_message
+
+from ..http import Request
+from ..httpserver import Handler, Responder
+from ..platform import wire
+from .boottime import boottime
+from .calls import PlainCalls
+from .exchange import Exchange, refuse
+from .freshness import Freshness
+from .generations import Generations
+from .model import CallerFacts, OrganisationKey, RelayConfig, Route
+
+# When to come back to the system where only this node can't serve, in seconds: another
+# address is worth trying at once.
+ELSEWHERE_SECONDS = 0.1
+# What engines take as the least urgent.
+MAX_PRIORITY = 9
+# How long a caller is reckoned to wait where it states nothing, in seconds.
+DEFAULT_BUDGET_SECONDS = 60.0
+
+
+class RelayHandler(Handler):
+    """Takes callers' requests.
+
+    Parameters
+    ----------
+    config : callable
+        Returns the configuration in force, None before the first.
+    freshness : Freshness
+        Tells whether keys may be acted on.
+    calls : PlainCalls
+        Serves plain services.
+    generations : Generations
+        Serves model engines.
+    is_stopping : callable
+        Whether this node is going to exit soon.
+    rng : random.Random
+        Splits traffic between services.
+    """
+
+    def __init__(
+        self,
+        *,
+        config: Callable[[], RelayConfig | None],
+        freshness: Freshness,
+        calls: PlainCalls,
+        generations: Generations,
+        is_stopping: Callable[[], bool],
+        rng: random.Random,
+    ) -> None:
+        self._config = config
+        self._freshness = freshness
+        self._calls = calls
+        self._generations = generations
+        self._is_stopping = is_stopping
+        self._rng = rng
+
+    async def handle(self, req: Request, res: Responder) -> None:
+        """Answer one request."""
+        arrived_at = boottime()
+        cfg = self._config()
+        facts = wire.caller_facts(req)
+        if cfg is None:
+            await self._refuse(res, facts, 503, "no_configuration", is_elsewhere=True)
+            return
+        route = cfg.find_route(req.headers.get("host", ""), req.path)
+        if route is None:
+            await self._refuse(res, facts, 404, "no_route")
+            return
+        holder: OrganisationKey | None = None
+        if cfg.keys is not None and not route.is_public:
+            if not self._freshness.is_usable:
+                await self._refuse(res, facts, 503, "keys_unknown", is_elsewhere=True)
+                return
+            holder = cfg.keys.get(facts.key or "")
+            if holder is None:
+                await self._refuse(res, facts, 401, "unknown_key")
+                return
+        budget = facts.budget_seconds
+        if budget is None:
+            budget = DEFAULT_BUDGET_SECONDS
+        ex = Exchange(
+            req=req,
+            res=res,
+            facts=facts,
+            route=route,
+            service=self._service(route),
+            organisation=holder.organisation if holder else None,
+            priority=_priority(route, holder),
+            arrived_at=arrived_at,
+            deadline=arrived_at + min(budget, route.timeout_seconds),
+            may_pass=self._guard(route, facts),
+        )
+        service = cfg.services.get(ex.service)
+        if service is not None and service.engine is not None:
+            await self._generations.relay(ex, service.engine)
+        else:
+            await self._calls.relay(ex)
+
+    def _guard(self, route: Route, facts: CallerFacts) -> Callable[[], bool]:
+        """Return whether a request may still be passed on, asked at that moment."""
+
+        def may_pass() -> bool:
+            cfg = self._config()
+            if cfg is None:
+                return False
+            if cfg.keys is None or route.is_public:
+                return True
+            return self._freshness.is_usable and (facts.key or "") in cfg.keys
+
+        return may_pass
+
+    def _service(self, route: Route) -> str:
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        names = [share.service for share in route.shares]
+        weights = [share.weight for share in route.shares]
+        if sum(weights) <= 0:
+            return names[0]
+        return self._rng.choices(names, weights)[0]
+
+    @staticmethod
+    async def _refuse(
+        res: Responder,
+        facts: CallerFacts,
+        status: int,
+        reason: str,
+        *,
+        is_elsewhere: bool = False,
+    ) -> None:
+        log_message(
+            "relay:refused", request=facts.attempt_id, reason=reason, status=status
+        )
+        await refuse(
+            res,
+            status,
+            reason,
+            attempt_id=facts.attempt_id,
+            retry_after=ELSEWHERE_SECONDS if is_elsewhere else None,
+            close=is_elsewhere,
+        )
+
+
+def _priority(route: Route, holder: OrganisationKey | None) -> int:
+    """Return how urgent a request is: an organisation's rank goes before its route's."""
+    priority = route.priority
+    if holder is not None and holder.priority is not None:
+        priority = holder.priority
+    return max(0, min(MAX_PRIORITY, priority))
--- /dev/null
+++ b/celerytrail/relay/node.py
@@ -0,0 +1,421 @@
+"""The node on a platform: puts the relay's parts together and runs them."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import random
+import signal
+import sys
+from collections.abc import Coroutine
+from pathlib import Path
+
+from eliot import log_message
+from result import Err
+
+from ..clock import SystemClock
+from ..httpclient import HttpClient
+from ..httpserver import HttpServer, ServerLimits
+from ..log import log_to_output
+from ..metrics import Metrics
+from ..network import Network, SystemNetwork
+from ..nodes.member import Member, State
+from ..nodes.nodes import Nodes
+from ..nodes.signing import PeerKeys
+from ..platform import nodefile, rows, wire
+from ..platform.nodefile import RelaySettings
+from ..platform.operatorconfig import decode_config
+from ..platform.registrations import decode_registration
+from ..routes import Router
+from ..types import Address, Finding
+from .addresses import DirectoryHandler, ReadinessHandler
+from .calls import PlainCalls
+from .endpointchoice import EndpointChoice
+from .engineapi import EngineApi
+from .engineloads import EngineLoads
+from .enginewatch import EngineWatch
+from .freshness import Freshness
+from .generations import Generations
+from .handler import RelayHandler
+from .knowledge import ConfigSink, RegistrationSink
+from .model import EngineFacts, Registration, RelayConfig
+from .registry import Registry
+from .retrybudget import RetryBudget
+from .sharing import Sharing
+from .watch import TableWatch
+
+MILLISECONDS = 1_000
+# The nodes' own rows, by which a starting node finds the others.
+NODES_TABLE = "nodes"
+STORE_SECONDS = 1.0
+STORE_RETRY_SECONDS = 1.0
+# How long one question for a new configuration waits, in seconds. A confirmed absence
+# of news is what keeps keys usable, so it must come well within the bound on revoking.
+CONFIG_WAIT_SECONDS = 0.7
+# Between two questions for endpoints' rows, in seconds; they change many times a second
+# with every heartbeat, and each question is a priced call.
+REGISTRATION_WAIT_SECONDS = 0.7
+REGISTRATION_PAUSE_SECONDS = 0.3
+HOUSEKEEPING_SECONDS = 0.25
+# How long a stopping node still takes new connections, in seconds: callers keep an
+# address answer up to three times its life.
+STOP_ACCEPT_SECONDS = 6.0
+# Between two looks at whether a stopping node is idle, in seconds.
+STOP_LOOK_SECONDS = 0.1
+
+
+class RelayNode:
+    """One VM's part of the system on a platform.
+
+    Parameters
+    ----------
+    cfg : RelaySettings
+        Its settings.
+    network : Network or None
+        What carries its connections; the machine's own by default.
+    rng : random.Random or None
+        Its source of jitter and of ids.
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: RelaySettings,
+        network: Network | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.cfg = cfg
+        self._network = network or SystemNetwork()
+        self._rng = rng or random.Random()
+        self._clock = SystemClock()
+        self._metrics = Metrics(process=cfg.node)
+        self._tasks: list[asyncio.Task[None]] = []
+        self.is_stopping = False
+        self._was_ready = False
+        self.node_id = f"{cfg.node}-{self._rng.getrandbits(32):08x}"
+        self._freshness = Freshness(
+            bound_seconds=cfg.revoke_seconds, is_strict=cfg.is_revocation_strict
+        )
+        self._make_knowledge()
+        self._make_peers()
+        self._make_serving()
+
+    def _make_knowledge(self) -> None:
+        assert self.cfg.store is not None
+        self.rows = rows.PlatformRows(address=self.cfg.store, network=self._network)
+        self.registry = Registry(on_leaving=self._on_leaving)
+        self.loads = EngineLoads()
+        self.configs = ConfigSink(
+            key=rows.CONFIG_KEY, decode=decode_config, on_change=self._on_config
+        )
+        self._watches = [
+            TableWatch(
+                source=self.rows,
+                table=rows.CONFIG_TABLE,
+                sink=self.configs,
+                wait_seconds=CONFIG_WAIT_SECONDS,
+                pause_seconds=0.0,
+                on_confirmed=self._freshness.confirm,
+                rng=self._rng,
+            ),
+            TableWatch(
+                source=self.rows,
+                table=rows.REGISTRATION_TABLE,
+                sink=RegistrationSink(
+                    registry=self.registry, decode=decode_registration
+                ),
+                wait_seconds=REGISTRATION_WAIT_SECONDS,
+                pause_seconds=REGISTRATION_PAUSE_SECONDS,
+                on_confirmed=lambda sent_at: None,
+                rng=self._rng,
+            ),
+        ]
+
+    def _make_peers(self) -> None:
+        cfg = self.cfg
+        assert cfg.callers is not None and cfg.peers is not None
+        # All nodes of a deployment share its store; a datagram of another deployment
+        # that reaches a reused address is told apart by that.
+        keys = PeerKeys(keys=[f"nodes of {cfg.store}".encode()])
+        me = Member(
+            node=self.node_id,
+            incarnation=int(self._clock.wall() * MILLISECONDS),
+            caller=cfg.callers,
+            peer=cfg.peers,
+            state=State.LEAVING,
+            vm=cfg.node,
+            failure_domain=cfg.failure_domain,
+            region=cfg.region,
+        )
+        self.nodes = Nodes(
+            me=me,
+            keys=keys,
+            client=HttpClient(process=self.node_id, network=self._network),
+            clock=self._clock,
+            metrics=self._metrics,
+            rng=self._rng,
+            seeds=cfg.seeds,
+            answer_seconds=cfg.max_address_seconds,
+            network=self._network,
+        )
+        self.sharing = Sharing(
+            node=self.node_id,
+            loads=self.loads,
+            peers=self._news_addresses,
+            on_leaving=self.registry.note_leaving,
+        )
+
+    def _make_serving(self) -> None:
+        cfg = self.cfg
+        budget = RetryBudget(
+            ratio=cfg.retry_ratio,
+            allowance=cfg.retry_slack,
+            window_seconds=cfg.retry_window_seconds,
+            n_nodes=lambda: len(self.nodes.live()),
+        )
+        self.endpoints = HttpClient(
+            process=self.node_id,
+            network=self._network,
+            id_header=wire.ATTEMPT_HEADER,
+            allows_unframed=True,
+        )
+        self._engine_api = EngineApi(
+            client=HttpClient(network=self._network, id_header=None)
+        )
+        self.generations = Generations(
+            client=self.endpoints,
+            api=self._engine_api,
+            registry=self.registry,
+            loads=self.loads,
+            sharing=self.sharing,
+            budget=budget,
+            engine_of=self._engine_of,
+            failure_domain=cfg.failure_domain,
+            rng=self._rng,
+        )
+        self.calls = PlainCalls(
+            client=self.endpoints,
+            registry=self.registry,
+            choice=EndpointChoice(failure_domain=cfg.failure_domain, rng=self._rng),
+            budget=budget,
+        )
+        self._engine_watch = EngineWatch(
+            api=self._engine_api,
+            registry=self.registry,
+            loads=self.loads,
+            nodes=self.nodes,
+            is_engine_service=lambda service: self._engine_of(service) is not None,
+            on_leaving=self._hear_leaving,
+        )
+        handler = RelayHandler(
+            config=lambda: self.configs.cfg,
+            freshness=self._freshness,
+            calls=self.calls,
+            generations=self.generations,
+            is_stopping=lambda: self.is_stopping,
+            rng=self._rng,
+        )
+        self._front = HttpServer(handler=handler, network=self._network)
+        directory = DirectoryHandler(
+            nodes=self.nodes, max_seconds=cfg.max_address_seconds, rng=self._rng
+        )
+        self._directory = HttpServer(handler=directory, network=self._network)
+        readiness = ReadinessHandler(is_ready=lambda: self.is_ready)
+        self._readiness = HttpServer(handler=readiness, network=self._network)
+        router = Router()
+        self.nodes.add_routes(router)
+        self._peers = HttpServer(handler=router, network=self._network)
+
+    # Running.
+
+    async def start(self) -> None:
+        """Listen, join the others, and serve as soon as there is a configuration."""
+        cfg = self.cfg
+        listeners = (
+            (self._peers, cfg.peers),
+            (self._front, cfg.callers),
+            (self._readiness, cfg.readiness),
+            (self._directory, cfg.directory),
+        )
+        for server, address in listeners:
+            if address is not None:
+                await server.start(address)
+        await self.nodes.start()
+        assert cfg.callers is not None
+        await self.sharing.start(
+            self._network, Address(host=cfg.callers.host, port=cfg.peer_ports[0])
+        )
+        for watch in self._watches:
+            self._run(watch.run())
+        self._run(self.sharing.run())
+        self._run(self._engine_watch.run())
+        self._run(self._keep_house())
+        self._run(self._find_others())
+        log_message("relay:node:started", node=self.node_id, callers=str(cfg.callers))
+
+    async def stop(self) -> None:
+        """Leave without cutting an answer: the callers' connections end by themselves."""
+        loop = asyncio.get_running_loop()
+        self.is_stopping = True
+        log_message(
+            "relay:node:stopping", node=self.node_id, n_busy=self._front.n_busy
+        )
+        self.nodes.set_serving(False)
+        self._front.retire()
+        accept_until = loop.time() + STOP_ACCEPT_SECONDS
+        while loop.time() < accept_until:
+            await asyncio.sleep(STOP_LOOK_SECONDS)
+            self._front.retire()
+        await self._front.drain()
+        assert self.cfg.callers is not None
+        await self.rows.drop(
+            NODES_TABLE, str(self.cfg.callers), loop.time() + STORE_SECONDS
+        )
+        for task in self._tasks:
+            task.cancel()
+        await self.nodes.stop()
+        self.sharing.close()
+        log_message("relay:node:stopped", node=self.node_id)
+
+    def apply_settings(self, cfg: RelaySettings) -> None:
+        """Take in settings that changed while the node runs."""
+        self.cfg = cfg
+        log_message("relay:node:reloaded", node=self.node_id)
+
+    @property
+    def is_ready(self) -> bool:
+        """Return whether callers should be sent here."""
+        has_config = self.configs.cfg is not None
+        return has_config and self._freshness.is_usable and not self.is_stopping
+
+    # Inside.
+
+    def _run(self, work: Coroutine[object, object, None]) -> None:
+        self._tasks.append(asyncio.get_running_loop().create_task(work))
+
+    def _engine_of(self, service: str) -> EngineFacts | None:
+        cfg = self.configs.cfg
+        known = cfg.services.get(service) if cfg else None
+        return known.engine if known else None
+
+    def _on_config(self, cfg: RelayConfig) -> None:
+        bounds = cfg.bounds
+        self._front.set_limits(
+            ServerLimits(
+                max_head_bytes=bounds.max_head_bytes,
+                max_body_bytes=bounds.max_body_bytes,
+                head_seconds=bounds.head_seconds,
+                idle_seconds=bounds.idle_seconds,
+            )
+        )
+
+    def _hear_leaving(self, reg: Registration) -> None:
+        """Note that an engine said that it leaves, and tell the other nodes."""
+        self.registry.note_leaving(reg.endpoint)
+        self.sharing.leaving(reg.endpoint)
+
+    def _on_leaving(self, reg: Registration) -> None:
+        log_message("relay:endpoint:leaving", endpoint=reg.endpoint)
+        self.generations.on_leaving(reg)
+
+    def _news_addresses(self) -> list[Address]:
+        port = self.cfg.peer_ports[0]
+        return [
+            Address(host=member.peer.host, port=port)
+            for member in self.nodes.members()
+            if member.state is not State.DEAD and member.node != self.node_id
+        ]
+
+    async def _keep_house(self) -> None:
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_SECONDS)
+            now = asyncio.get_running_loop().time()
+            self.registry.expire(now)
+            self.loads.expire(now, self.node_id)
+            if self.is_ready != self._was_ready and not self.is_stopping:
+                self._was_ready = self.is_ready
+                log_message("relay:node:ready", is_ready=self.is_ready)
+                self.nodes.set_serving(self.is_ready)
+
+    async def _find_others(self) -> None:
+        """Enter this node in the store, and learn from there where others may be."""
+        loop = asyncio.get_running_loop()
+        cfg = self.cfg
+        key = str(cfg.callers)
+        while True:
+            put = await self.rows.put(
+                NODES_TABLE, key, str(cfg.peers).encode(), loop.time() + STORE_SECONDS
+            )
+            read = await self.rows.read(NODES_TABLE, loop.time() + STORE_SECONDS)
+            if not isinstance(read, Err):
+                self.nodes.set_listed(_addresses(read.ok_value.rows))
+            if not isinstance(put, Err) and not isinstance(read, Err):
+                return
+            await asyncio.sleep(STORE_RETRY_SECONDS * self._rng.uniform(0.5, 1.5))
+
+
+def _addresses(found: tuple[rows.Row, ...]) -> list[Address]:
+    addresses = []
+    for row in found:
+        try:
+            addresses.append(Address.parse((row.value or b"").decode("ascii")))
+        except (ValueError, UnicodeDecodeError) as exc:
+            log_message("relay:nodes:unreadable", row=row.key, problem=str(exc))
+    return addresses
+
+
+def load_settings(path: str) -> RelaySettings | list[Finding]:
+    """Read and check the settings file."""
+    try:
+        data = Path(path).read_bytes()
+    except OSError as exc:
+        return [Finding(place=path, problem=str(exc))]
+    read = nodefile.read_settings(data)
+    if isinstance(read, Err):
+        return read.err_value
+    cfg = read.ok_value
+    needed = {
+        "callers": cfg.callers,
+        "peers": cfg.peers,
+        "store": cfg.store,
+    }
+    missing = [name for name, address in needed.items() if address is None]
+    if missing:
+        return [Finding(place=name, problem="no address is set") for name in missing]
+    return cfg
+
+
+def run_relay_node(path: str) -> int:
+    """Run a node by the platform's settings file until it is told to stop."""
+    cfg = load_settings(path)
+    if isinstance(cfg, list):
+        for finding in cfg:
+            print(f"error: {finding}", file=sys.stderr)
+        return 2
+    log_to_output(cfg.node)
+    gc.freeze()
+    asyncio.run(_run(cfg, path))
+    return 0
+
+
+async def _run(cfg: RelaySettings, path: str) -> None:
+    node = RelayNode(cfg=cfg)
+    told_to_stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told_to_stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
+    await node.start()
+    await told_to_stop.wait()
+    await node.stop()
+    # Whatever still hangs on a silent peer must not keep the process.
+    os._exit(0)
+
+
+def _reload(node: RelayNode, path: str) -> None:
+    cfg = load_settings(path)
+    if isinstance(cfg, list):
+        log_message("relay:node:settings_bad", findings=[str(one) for one in cfg])
+        return
+    node.apply_settings(cfg)
--- /dev/null
+++ b/celerytrail/relay/sharing.py
@@ -0,0 +1,169 @@
+"""Tells the other nodes what this one sends to engines, by datagrams."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+import msgspec
+from eliot import log_message
+
+from ..network import Network
+from ..types import Address
+from .engineloads import EngineLoads, Run
+
+# Between two whole lists of this node's runs, in seconds.
+REFRESH_SECONDS = 1.0
+# Runs in one datagram, so that it stays below 1,200 bytes.
+MAX_RUNS = 12
+
+
+class RunNews(msgspec.Struct, array_like=True, frozen=True):
+    """One run on the wire."""
+
+    run_id: str
+    endpoint: str
+    n_prompt_tokens: int
+    n_expected_tokens: int
+    backup: str
+    is_reading: bool
+
+
+class News(msgspec.Struct, array_like=True, frozen=True):
+    """What one node says of its runs.
+
+    ``is_whole`` says that there are no others than these; ``ended`` are run ids, and
+    ``leaving`` engines that the sender learned will go.
+    """
+
+    node: str
+    is_whole: bool = False
+    runs: list[RunNews] = []
+    ended: list[str] = []
+    leaving: list[str] = []
+
+
+class Sharing(asyncio.DatagramProtocol):
+    """Sends and receives news of runs.
+
+    Parameters
+    ----------
+    node : str
+        This node's name, new at each start.
+    loads : EngineLoads
+        Takes in what the others say.
+    peers : callable
+        Returns where the other nodes take news.
+    on_leaving : callable
+        Called with an engine that another node learned will go.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        loads: EngineLoads,
+        peers: Callable[[], Iterable[Address]],
+        on_leaving: Callable[[str], None],
+    ) -> None:
+        self._node = node
+        self._loads = loads
+        self._peers = peers
+        self._on_leaving = on_leaving
+        self._transport: asyncio.DatagramTransport | None = None
+        self._decoder = msgspec.msgpack.Decoder(News)
+        self.n_sent = 0
+
+    async def start(self, network: Network, address: Address) -> None:
+        """Listen for news."""
+        self._transport = await network.open_datagrams(lambda: self, address)
+
+    async def run(self) -> None:
+        """Repeat all runs each second until cancelled."""
+        while True:
+            await asyncio.sleep(REFRESH_SECONDS)
+            self._refresh()
+
+    def close(self) -> None:
+        """Stop."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def placed(self, run: Run) -> None:
+        """Tell that this node placed a run, or what changed of it."""
+        self._loads.put(self._node, run, self._now())
+        self._send(News(node=self._node, runs=[_news(run)]))
+
+    def ended(self, run_id: str) -> None:
+        """Tell that a run ended."""
+        self._loads.end(self._node, run_id, self._now())
+        self._send(News(node=self._node, ended=[run_id]))
+
+    def leaving(self, endpoint: str) -> None:
+        """Tell that an engine will go."""
+        self._send(News(node=self._node, leaving=[endpoint]))
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Take in another node's news."""
+        try:
+            news = self._decoder.decode(data)
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+            log_message("relay:sharing:unreadable", peer=addr[0], problem=str(exc))
+            return
+        if news.node == self._node:
+            return
+        now = self._now()
+        runs = [_run(one) for one in news.runs]
+        if news.is_whole:
+            self._loads.replace(news.node, runs, now)
+        else:
+            for run in runs:
+                self._loads.put(news.node, run, now)
+        for run_id in news.ended:
+            self._loads.end(news.node, run_id, now)
+        for endpoint in news.leaving:
+            self._on_leaving(endpoint)
+
+    def _refresh(self) -> None:
+        runs = self._loads.of_node(self._node)
+        if len(runs) <= MAX_RUNS:
+            whole = [_news(run) for run in runs]
+            self._send(News(node=self._node, is_whole=True, runs=whole))
+            return
+        for start in range(0, len(runs), MAX_RUNS):
+            part = [_news(run) for run in runs[start : start + MAX_RUNS]]
+            self._send(News(node=self._node, runs=part))
+
+    def _send(self, news: News) -> None:
+        if self._transport is None or self._transport.is_closing():
+            return
+        data = msgspec.msgpack.encode(news)
+        for address in self._peers():
+            self._transport.sendto(data, (address.host, address.port))
+            self.n_sent += 1
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+
+def _news(run: Run) -> RunNews:
+    return RunNews(
+        run_id=run.run_id,
+        endpoint=run.endpoint,
+        n_prompt_tokens=run.n_prompt_tokens,
+        n_expected_tokens=run.n_expected_tokens,
+        backup=run.backup,
+        is_reading=run.is_reading,
+    )
+
+
+def _run(news: RunNews) -> Run:
+    return Run(
+        run_id=news.run_id,
+        endpoint=news.endpoint,
+        n_prompt_tokens=news.n_prompt_tokens,
+        n_expected_tokens=news.n_expected_tokens,
+        backup=news.backup,
+        is_reading=news.is_reading,
+    )
