--- a/celerytrail/platform/registrations.py
+++ b/celerytrail/platform/registrations.py
@@ -23,7 +23,7 @@
     state: Literal["ready", "draining"]
     # How much longer it is slow after its start.
     cold_remaining_ms: float = 0.0
-    # Unix milliseconds of the start; another value means that nothing is left of before.
+    # Unix milliseconds of the start; another value is another process.
     born: int = 0
 
 
--- a/celerytrail/platform/wire.py
+++ b/celerytrail/platform/wire.py
@@ -233,9 +233,7 @@
 
 def encode_move(attempt_id: str, target: Address, is_last: bool) -> bytes:
     """Encode the order to copy a run to another engine, and to stop it at last."""
-    return msgspec.json.encode(
-        {"id": attempt_id, "to": str(target), "last": is_last}
-    )
+    return msgspec.json.encode({"id": attempt_id, "to": str(target), "last": is_last})
 
 
 def decode_moved(body: bytes) -> Result[Moved, str]:
@@ -271,8 +269,6 @@
     )
 
 
-
-
 def _milliseconds(text: str | None) -> float | None:
     try:
         value = float(text) if text is not None else None
--- a/celerytrail/relay/addresses.py
+++ b/celerytrail/relay/addresses.py
@@ -47,9 +47,7 @@
         Shuffles equals.
     """
 
-    def __init__(
-        self, *, nodes: Nodes, max_seconds: float, rng: random.Random
-    ) -> None:
+    def __init__(self, *, nodes: Nodes, max_seconds: float, rng: random.Random) -> None:
         self._nodes = nodes
         self._seconds = min(ADDRESS_SECONDS, max_seconds)
         self._rng = rng
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -234,9 +234,7 @@
         if not wire.is_own_answer(stream.headers):
             ex.log("attempt_failed", endpoint=reg.endpoint, reason="unsealed")
             return Broken(reason="unsealed")
-        res = Response(
-            status=stream.status, headers=stream.headers, body=body.ok_value
-        )
+        res = Response(status=stream.status, headers=stream.headers, body=body.ok_value)
         return Answered(res=res)
 
 
--- a/celerytrail/relay/engineloads.py
+++ b/celerytrail/relay/engineloads.py
@@ -26,6 +26,8 @@
         The engine that holds a copy of it; may be empty.
     is_reading : bool
         Whether its prompt is still being read.
+    n_made_tokens : int
+        Output made so far, as of the last list of runs.
     """
 
     run_id: str
@@ -34,11 +36,17 @@
     n_expected_tokens: int
     backup: str = ""
     is_reading: bool = True
+    n_made_tokens: int = 0
 
     @property
     def n_peak_tokens(self) -> int:
         """Return the memory that it is expected to take at its end, in tokens."""
-        return self.n_prompt_tokens + self.n_expected_tokens
+        return self.n_prompt_tokens + max(self.n_expected_tokens, self.n_made_tokens)
+
+    @property
+    def n_tokens(self) -> int:
+        """Return the memory that it takes now, in tokens."""
+        return self.n_prompt_tokens + self.n_made_tokens
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -58,7 +66,7 @@
     n_peak_tokens : int
         Memory that its runs are expected to take at their ends.
     n_backup_tokens : int
-        Memory that copies of runs elsewhere are expected to take.
+        Memory that copies of runs elsewhere take now.
     """
 
     reg: Registration
@@ -112,6 +120,15 @@
         known = self._nodes.get(node)
         return list(known.runs.values()) if known else []
 
+    def on_engine(self, endpoint: str) -> list[Run]:
+        """Return all nodes' runs on an engine."""
+        return [
+            run
+            for known in self._nodes.values()
+            for run in known.runs.values()
+            if run.endpoint == endpoint
+        ]
+
     def expire(self, now: float, own: str) -> None:
         """Forget the runs of nodes that fell silent; never those of ``own``."""
         for node, known in list(self._nodes.items()):
@@ -137,7 +154,7 @@
                 copy = found.get(run.backup)
                 if copy is not None:
                     found[run.backup] = replace(
-                        copy, n_backup_tokens=copy.n_backup_tokens + run.n_peak_tokens
+                        copy, n_backup_tokens=copy.n_backup_tokens + run.n_tokens
                     )
         return list(found.values())
 
--- a/celerytrail/relay/enginewatch.py
+++ b/celerytrail/relay/enginewatch.py
@@ -21,10 +21,11 @@
 
 
 class EngineWatch:
-    """Reads the reports of the engines whose home this node is.
+    """Reads the reports of the engines whose home this node is, while it is needed.
 
-    An engine that is taken away within two seconds says so first in its report. One
-    node asks each engine, so that the questions don't grow with the nodes.
+    An engine that is taken away within two seconds says so in the store and in its
+    report. While the store is away only the report is left. One node asks each engine,
+    so that the questions don't grow with the nodes.
 
     Parameters
     ----------
@@ -36,6 +37,8 @@
         Keeps their reports.
     nodes : Nodes
         Ranks the homes.
+    is_needed : callable
+        Whether engines should be asked at this time.
     is_engine_service : callable
         Whether a service's endpoints are engines.
     on_leaving : callable
@@ -49,6 +52,7 @@
         registry: Registry,
         loads: EngineLoads,
         nodes: Nodes,
+        is_needed: Callable[[], bool],
         is_engine_service: Callable[[str], bool],
         on_leaving: Callable[[Registration], None],
     ) -> None:
@@ -56,6 +60,7 @@
         self._registry = registry
         self._loads = loads
         self._nodes = nodes
+        self._is_needed = is_needed
         self._is_engine_service = is_engine_service
         self._on_leaving = on_leaving
         self._asking: set[str] = set()
@@ -63,7 +68,7 @@
     async def run(self) -> None:
         """Ask until cancelled."""
         while True:
-            for reg in self._own():
+            for reg in self._own() if self._is_needed() else ():
                 if reg.endpoint not in self._asking:
                     self._asking.add(reg.endpoint)
                     asyncio.ensure_future(self._ask(reg))
--- a/celerytrail/relay/events.py
+++ b/celerytrail/relay/events.py
@@ -39,7 +39,7 @@
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Take bytes and return the events that they complete."""
         self._rest += data
-        events = []
+        events: list[StreamEvent] = []
         while True:
             end = _END.search(self._rest)
             if end is None:
--- a/celerytrail/relay/exchange.py
+++ b/celerytrail/relay/exchange.py
@@ -90,10 +90,9 @@
             When the caller left first.
         """
         task = asyncio.ensure_future(work)
+        waiting: list[asyncio.Future[Any]] = [task, self.res.lost]
         try:
-            await asyncio.wait(
-                {task, self.res.lost}, return_when=asyncio.FIRST_COMPLETED
-            )
+            await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
         except asyncio.CancelledError:
             task.cancel()
             raise
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -12,8 +12,8 @@
 from ..exceptions import PeerError
 from ..httpclient import HttpClient, NotSent, Stream
 from ..platform import wire
-from . import placing
-from .engineapi import EngineApi
+from . import moving, placing
+from .engineapi import EngineApi, MoveFailed
 from .engineloads import EngineLoad, EngineLoads, Run
 from .events import EventSplitter, StreamEvent
 from .exchange import CallerGoneError, Exchange, refuse
@@ -35,6 +35,9 @@
 FULL_RETRY_SECONDS = 0.7
 # Copies that take longer than this are not worth waiting for, in seconds.
 COPY_SECONDS = 4.0
+# A copy that is made as the run grows is taken to stand after so long, in seconds: it
+# is sent several times a second, and 4,000 tokens take 0.2 s to 0.5 s over a link.
+COPY_AGE_SECONDS = 0.6
 # A stream with a copy elsewhere goes on there after so long without an event, in
 # seconds; engines under load pause for a few tenths at most.
 SILENT_SECONDS = 0.9
@@ -77,7 +80,24 @@
         self.n_events = 0
         self.n_runs = 0
         self.move: asyncio.Task[Copied | None] | None = None
-        self.is_switching = False
+        self.started = asyncio.Event()
+        self._first_event_at = 0.0
+
+    def note_event(self) -> None:
+        """Note that an event came."""
+        if not self.started.is_set():
+            self._first_event_at = asyncio.get_running_loop().time()
+            self.started.set()
+        self.n_events += 1
+
+    @property
+    def age_seconds(self) -> float:
+        """Return how long ago the engine's first event came."""
+        return asyncio.get_running_loop().time() - self._first_event_at
+
+    def begin_engine(self) -> None:
+        """Note that another engine works on it, which has sent nothing yet."""
+        self.started.clear()
 
 
 class Generations:
@@ -165,11 +185,23 @@
 
     def on_leaving(self, reg: Registration) -> None:
         """Carry what runs on an engine that leaves to others, most advanced first."""
-        leaving = [live for live in self._live if live.reg == reg]
+        leaving = [
+            live
+            for live in self._live
+            if live.reg is not None and live.reg.endpoint == reg.endpoint
+        ]
         leaving.sort(key=lambda live: live.n_events, reverse=True)
         for live in leaving:
             self._leave_engine(live)
 
+    def note_progress(self) -> None:
+        """Note how far the runs are, for the next list that the other nodes get."""
+        for live in self._live:
+            if live.run.endpoint:
+                n_made = live.n_events * live.engine.n_event_tokens
+                live.run = replace(live.run, n_made_tokens=n_made)
+                self._sharing.progressed(live.run)
+
     # Placing.
 
     def _engine_loads(self, live: LiveRun, excluded: set[str]) -> list[EngineLoad]:
@@ -405,7 +437,7 @@
             live.last_event_id = event.event_id
         if live.run.is_reading:
             self._share(live, is_reading=False)
-        live.n_events += 1
+        live.note_event()
         await live.ex.res.write(event.data)
 
     # Going on elsewhere.
@@ -415,12 +447,13 @@
         ex = live.ex
         former = live.reg
         copied = await self._finished_move(live)
-        if copied is None and live.backup is not None:
+        has_backup = live.backup is not None and live.backup != live.reg
+        if copied is None and has_backup:
+            assert live.backup is not None
             backup = live.backup
             name = wire.copy_name(backup.address, ex.facts.attempt_id)
             copied = Copied(reg=backup, name=name)
         if copied is not None:
-            live.is_switching = False
             self._note_move(live, copied.reg)
             opened = await self._open(live, copied.reg, copied.name)
             if isinstance(opened, Ok):
@@ -456,50 +489,106 @@
             copy = placing.choose_backup(loads, demand, reg.endpoint, self._rng)
             live.backup = copy.reg if copy is not None else None
         live.reg = reg
+        live.begin_engine()
         self._share(live, is_reading=False)
 
     def _leave_engine(self, live: LiveRun) -> None:
         """Begin to carry a run off its engine."""
-        if live.move is not None or live.is_switching:
-            return
-        if live.backup is not None and live.n_events:
+        if live.move is None:
+            live.move = asyncio.ensure_future(self._carry_off(live))
+
+    async def _carry_off(self, live: LiveRun) -> Copied | None:
+        """Get a run off an engine that leaves; returns the copy to go on from."""
+        source = live.reg
+        await live.started.wait()
+        if live.backup is not None:
+            # A copy is made as the run grows; right after the first event there is
+            # none.
+            await asyncio.sleep(COPY_AGE_SECONDS - live.age_seconds)
+        if live.reg != source:
+            return None
+        if live.backup is not None and self._registry.is_usable(live.backup):
             # The copy lacks a few tenths of a second of tokens, which are read again.
-            live.is_switching = True
+            backup = live.backup
+            live.ex.log("switching", endpoint=backup.endpoint, n_events=live.n_events)
             if live.stream is not None:
-                live.ex.log("switching", endpoint=live.backup.endpoint)
                 live.stream.close()
-            return
-        if live.engine.can_move:
-            live.move = asyncio.ensure_future(self._move(live))
-
-    async def _move(self, live: LiveRun) -> Copied | None:
-        """Copy a run to another engine while it goes on, then stop it and the rest."""
-        ex = live.ex
-        source = live.reg
-        assert source is not None
-        loads = self._engine_loads(live, {source.endpoint})
-        target = placing.choose_engine(loads, self._demand(live), self._rng)
-        if target is None:
-            ex.log("move_no_room", endpoint=source.endpoint)
+            name = wire.copy_name(backup.address, live.ex.facts.attempt_id)
+            return Copied(reg=backup, name=name)
+        if live.engine.can_move and source is not None:
+            return await self._move_in_turn(live, source)
+        return None
+
+    async def _move_in_turn(self, live: LiveRun, source: Registration) -> Copied | None:
+        """Move a run when those before it have left the engine's link."""
+        runs = self._loads.on_engine(source.endpoint)
+        start = moving.start_seconds(live.run.run_id, runs, live.engine)
+        await asyncio.sleep(start)
+        if live.reg != source:
             return None
+        return await self._move(live, source)
+
+    async def _move(self, live: LiveRun, source: Registration) -> Copied | None:
+        """Copy a run to an engine with room; one that refuses is not asked again."""
+        excluded = {source.endpoint}
         deadline = asyncio.get_running_loop().time() + COPY_SECONDS
+        for _ in range(MAX_REFUSED):
+            target = self._move_target(live, source, excluded)
+            if target is None:
+                live.ex.log("move_no_room", endpoint=source.endpoint)
+                return None
+            # The other nodes see the room taken before the run is there.
+            live.backup = target
+            self._share(live, is_reading=live.run.is_reading)
+            copied = await self._copy_and_stop(live, source, target, deadline)
+            if isinstance(copied, Ok):
+                return copied.ok_value
+            live.backup = None
+            if copied.err_value.status != 503:
+                return None
+            excluded.add(target.endpoint)
+        return None
+
+    def _move_target(
+        self, live: LiveRun, source: Registration, excluded: set[str]
+    ) -> Registration | None:
+        demand = replace(
+            self._demand(live),
+            failure_domain=source.failure_domain,
+            far_cost=placing.FAR_MOVE_COST,
+        )
+        loads = self._engine_loads(live, excluded)
+        target = placing.choose_engine(loads, demand, self._rng)
+        return target.reg if target is not None else None
+
+    async def _copy_and_stop(
+        self,
+        live: LiveRun,
+        source: Registration,
+        target: Registration,
+        deadline: float,
+    ) -> Result[Copied, MoveFailed]:
+        """Copy a run while it goes on, then stop it and copy what is new."""
+        moved: wire.Moved | None = None
         for is_last in (False, True):
             copied = await self._api.copy(
                 source.address,
-                ex.facts.attempt_id,
-                target.reg.address,
+                live.ex.facts.attempt_id,
+                target.address,
                 is_last=is_last,
                 deadline=deadline,
             )
             if isinstance(copied, Err):
-                ex.log(
+                live.ex.log(
                     "move_failed",
                     endpoint=source.endpoint,
-                    target=target.reg.endpoint,
+                    target=target.endpoint,
                     reason=copied.err_value.reason,
                     status=copied.err_value.status,
                     is_last=is_last,
                 )
-                return None
-        name = wire.copy_name(source.address, copied.ok_value.handle)
-        return Copied(reg=target.reg, name=name)
+                return Err(copied.err_value)
+            moved = copied.ok_value
+        assert moved is not None
+        name = wire.copy_name(source.address, moved.handle)
+        return Ok(Copied(reg=target, name=name))
--- a/celerytrail/relay/handler.py
+++ b/celerytrail/relay/handler.py
@@ -1,4 +1,4 @@
-"""Answers callers: finds the route, checks the key, and hands on to whoever serves it."""
+"""Answers callers: finds the route, checks the key, hands on to whoever serves it."""
 
 from __future__ import annotations
 
@@ -149,7 +149,7 @@
 
 
 def _priority(route: Route, holder: OrganisationKey | None) -> int:
-    """Return how urgent a request is: an organisation's rank goes before its route's."""
+    """Return how urgent a request is; an organisation's rank goes first."""
     priority = route.priority
     if holder is not None and holder.priority is not None:
         priority = holder.priority
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -8,7 +8,8 @@
 import random
 import signal
 import sys
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from pathlib import Path
 
 from eliot import log_message
@@ -30,6 +31,7 @@
 from ..routes import Router
 from ..types import Address, Finding
 from .addresses import DirectoryHandler, ReadinessHandler
+from .boottime import boottime
 from .calls import PlainCalls
 from .endpointchoice import EndpointChoice
 from .engineapi import EngineApi
@@ -39,9 +41,12 @@
 from .generations import Generations
 from .handler import RelayHandler
 from .knowledge import ConfigSink, RegistrationSink
+from .mirror import TableMirror
 from .model import EngineFacts, Registration, RelayConfig
 from .registry import Registry
 from .retrybudget import RetryBudget
+from .rowsource import Row
+from .sharedrows import SharedRows
 from .sharing import Sharing
 from .watch import TableWatch
 
@@ -50,13 +55,20 @@
 NODES_TABLE = "nodes"
 STORE_SECONDS = 1.0
 STORE_RETRY_SECONDS = 1.0
-# How long one question for a new configuration waits, in seconds. A confirmed absence
-# of news is what keeps keys usable, so it must come well within the bound on revoking.
-CONFIG_WAIT_SECONDS = 0.7
+# How long one question for changes waits, in seconds. A confirmed absence of news is
+# what keeps keys usable, so it must come well within the bound on revoking.
+WAIT_SECONDS = 0.7
+# The same for a node that follows the store for others: half of it, as theirs comes on
+# top of it.
+READER_WAIT_SECONDS = 0.35
+CONFIG_PAUSE_SECONDS = 0.0
 # Between two questions for endpoints' rows, in seconds; they change many times a second
-# with every heartbeat, and each question is a priced call.
-REGISTRATION_WAIT_SECONDS = 0.7
-REGISTRATION_PAUSE_SECONDS = 0.3
+# with every heartbeat, and each question is a priced call. An engine that is taken
+# away says so in its row, two seconds ahead.
+REGISTRATION_PAUSE_SECONDS = 0.1
+# Engines are asked themselves whether they leave while what the store says of them is
+# older than this, in seconds.
+UNSURE_SECONDS = 1.5
 HOUSEKEEPING_SECONDS = 0.25
 # How long a stopping node still takes new connections, in seconds: callers keep an
 # address answer up to three times its life.
@@ -97,41 +109,63 @@
         self._freshness = Freshness(
             bound_seconds=cfg.revoke_seconds, is_strict=cfg.is_revocation_strict
         )
-        self._make_knowledge()
+        self._registrations_at: float | None = None
         self._make_peers()
+        self._make_knowledge()
         self._make_serving()
 
     def _make_knowledge(self) -> None:
-        assert self.cfg.store is not None
-        self.rows = rows.PlatformRows(address=self.cfg.store, network=self._network)
         self.registry = Registry(on_leaving=self._on_leaving)
         self.loads = EngineLoads()
         self.configs = ConfigSink(
             key=rows.CONFIG_KEY, decode=decode_config, on_change=self._on_config
         )
+        registrations = RegistrationSink(
+            registry=self.registry, decode=decode_registration
+        )
         self._watches = [
-            TableWatch(
-                source=self.rows,
-                table=rows.CONFIG_TABLE,
-                sink=self.configs,
-                wait_seconds=CONFIG_WAIT_SECONDS,
-                pause_seconds=0.0,
-                on_confirmed=self._freshness.confirm,
-                rng=self._rng,
+            self._watch(
+                rows.CONFIG_TABLE,
+                TableMirror(inner=self.configs, meaning=lambda key, value: value),
+                lambda confirmed_at: self._freshness.confirm(confirmed_at),
+                CONFIG_PAUSE_SECONDS,
             ),
-            TableWatch(
-                source=self.rows,
-                table=rows.REGISTRATION_TABLE,
-                sink=RegistrationSink(
-                    registry=self.registry, decode=decode_registration
-                ),
-                wait_seconds=REGISTRATION_WAIT_SECONDS,
-                pause_seconds=REGISTRATION_PAUSE_SECONDS,
-                on_confirmed=lambda sent_at: None,
-                rng=self._rng,
+            self._watch(
+                rows.REGISTRATION_TABLE,
+                TableMirror(inner=registrations, meaning=_lasting_facts),
+                self._note_registrations,
+                REGISTRATION_PAUSE_SECONDS,
             ),
         ]
 
+    def _watch(
+        self,
+        table: str,
+        mirror: TableMirror,
+        on_confirmed: Callable[[float], None],
+        pause_seconds: float,
+    ) -> TableWatch:
+        def confirm(version: int, confirmed_at: float) -> None:
+            mirror.confirm(version, confirmed_at)
+            on_confirmed(confirmed_at)
+
+        self.shared.serve(table, mirror)
+        return TableWatch(
+            source=self.shared,
+            table=table,
+            sink=mirror,
+            wait=self._wait_seconds,
+            pause=lambda: pause_seconds,
+            on_confirmed=confirm,
+            rng=self._rng,
+        )
+
+    def _wait_seconds(self) -> float:
+        return READER_WAIT_SECONDS if self.shared.is_reader else WAIT_SECONDS
+
+    def _note_registrations(self, confirmed_at: float) -> None:
+        self._registrations_at = confirmed_at
+
     def _make_peers(self) -> None:
         cfg = self.cfg
         assert cfg.callers is not None and cfg.peers is not None
@@ -159,20 +193,31 @@
             answer_seconds=cfg.max_address_seconds,
             network=self._network,
         )
+        assert cfg.store is not None
+        self.rows = rows.PlatformRows(address=cfg.store, network=self._network)
+        self.shared = SharedRows(
+            store=self.rows,
+            nodes=self.nodes,
+            client=HttpClient(process=self.node_id, network=self._network),
+            keys=keys,
+            metrics=self._metrics,
+        )
+
+    def _make_serving(self) -> None:
+        cfg = self.cfg
         self.sharing = Sharing(
             node=self.node_id,
             loads=self.loads,
             peers=self._news_addresses,
             on_leaving=self.registry.note_leaving,
+            on_retried=self._note_retried,
         )
-
-    def _make_serving(self) -> None:
-        cfg = self.cfg
-        budget = RetryBudget(
+        self._budget = budget = RetryBudget(
             ratio=cfg.retry_ratio,
             allowance=cfg.retry_slack,
             window_seconds=cfg.retry_window_seconds,
-            n_nodes=lambda: len(self.nodes.live()),
+            heard_share=self._heard_share,
+            tell=self.sharing.retried,
         )
         self.endpoints = HttpClient(
             process=self.node_id,
@@ -205,6 +250,7 @@
             registry=self.registry,
             loads=self.loads,
             nodes=self.nodes,
+            is_needed=self._is_unsure_of_engines,
             is_engine_service=lambda service: self._engine_of(service) is not None,
             on_leaving=self._hear_leaving,
         )
@@ -225,6 +271,7 @@
         self._readiness = HttpServer(handler=readiness, network=self._network)
         router = Router()
         self.nodes.add_routes(router)
+        self.shared.add_routes(router)
         self._peers = HttpServer(handler=router, network=self._network)
 
     # Running.
@@ -255,12 +302,10 @@
         log_message("relay:node:started", node=self.node_id, callers=str(cfg.callers))
 
     async def stop(self) -> None:
-        """Leave without cutting an answer: the callers' connections end by themselves."""
+        """Leave without cutting an answer; callers' connections end by themselves."""
         loop = asyncio.get_running_loop()
         self.is_stopping = True
-        log_message(
-            "relay:node:stopping", node=self.node_id, n_busy=self._front.n_busy
-        )
+        log_message("relay:node:stopping", node=self.node_id, n_busy=self._front.n_busy)
         self.nodes.set_serving(False)
         self._front.retire()
         accept_until = loop.time() + STOP_ACCEPT_SECONDS
@@ -319,6 +364,19 @@
         log_message("relay:endpoint:leaving", endpoint=reg.endpoint)
         self.generations.on_leaving(reg)
 
+    def _is_unsure_of_engines(self) -> bool:
+        known_at = self._registrations_at
+        return known_at is not None and boottime() - known_at > UNSURE_SECONDS
+
+    def _heard_share(self) -> float:
+        """Return the share of all VMs whose nodes this one hears of."""
+        known = {member.vm for member in self.nodes.members()}
+        live = {member.vm for member in self.nodes.live()} | {self.cfg.node}
+        return len(live) / max(1, len(known))
+
+    def _note_retried(self, service: str) -> None:
+        self._budget.note_other(service, asyncio.get_running_loop().time())
+
     def _news_addresses(self) -> list[Address]:
         port = self.cfg.peer_ports[0]
         return [
@@ -333,6 +391,7 @@
             now = asyncio.get_running_loop().time()
             self.registry.expire(now)
             self.loads.expire(now, self.node_id)
+            self.generations.note_progress()
             if self.is_ready != self._was_ready and not self.is_stopping:
                 self._was_ready = self.is_ready
                 log_message("relay:node:ready", is_ready=self.is_ready)
@@ -355,7 +414,15 @@
             await asyncio.sleep(STORE_RETRY_SECONDS * self._rng.uniform(0.5, 1.5))
 
 
-def _addresses(found: tuple[rows.Row, ...]) -> list[Address]:
+def _lasting_facts(key: str, value: bytes) -> object:
+    """Return what an endpoint's row says beyond its heartbeat."""
+    decoded = decode_registration(key, value)
+    if isinstance(decoded, Err):
+        return None
+    return replace(decoded.ok_value, cold_seconds=0.0)
+
+
+def _addresses(found: tuple[Row, ...]) -> list[Address]:
     addresses = []
     for row in found:
         try:
--- a/celerytrail/relay/rowsource.py
+++ b/celerytrail/relay/rowsource.py
@@ -19,10 +19,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Changes:
-    """Rows, and the version of the table as of which they were read."""
+    """Rows, and the version of the table as of which they were read.
+
+    ``age_seconds`` is how old that was when the question was answered; 0 from the store
+    itself.
+    """
 
     rows: tuple[Row, ...]
     version: int
+    age_seconds: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/celerytrail/relay/sharing.py
+++ b/celerytrail/relay/sharing.py
@@ -27,13 +27,15 @@
     n_expected_tokens: int
     backup: str
     is_reading: bool
+    n_made_tokens: int = 0
 
 
 class News(msgspec.Struct, array_like=True, frozen=True):
     """What one node says of its runs.
 
     ``is_whole`` says that there are no others than these; ``ended`` are run ids, and
-    ``leaving`` engines that the sender learned will go.
+    ``leaving`` engines that the sender learned will go, ``retried`` services at which
+    it made a retry.
     """
 
     node: str
@@ -41,6 +43,7 @@
     runs: list[RunNews] = []
     ended: list[str] = []
     leaving: list[str] = []
+    retried: list[str] = []
 
 
 class Sharing(asyncio.DatagramProtocol):
@@ -56,6 +59,8 @@
         Returns where the other nodes take news.
     on_leaving : callable
         Called with an engine that another node learned will go.
+    on_retried : callable
+        Called with a service at which another node made a retry.
     """
 
     def __init__(
@@ -65,11 +70,13 @@
         loads: EngineLoads,
         peers: Callable[[], Iterable[Address]],
         on_leaving: Callable[[str], None],
+        on_retried: Callable[[str], None],
     ) -> None:
         self._node = node
         self._loads = loads
         self._peers = peers
         self._on_leaving = on_leaving
+        self._on_retried = on_retried
         self._transport: asyncio.DatagramTransport | None = None
         self._decoder = msgspec.msgpack.Decoder(News)
         self.n_sent = 0
@@ -94,6 +101,10 @@
         self._loads.put(self._node, run, self._now())
         self._send(News(node=self._node, runs=[_news(run)]))
 
+    def progressed(self, run: Run) -> None:
+        """Note how far a run is; the others hear of it with the next list."""
+        self._loads.put(self._node, run, self._now())
+
     def ended(self, run_id: str) -> None:
         """Tell that a run ended."""
         self._loads.end(self._node, run_id, self._now())
@@ -103,6 +114,10 @@
         """Tell that an engine will go."""
         self._send(News(node=self._node, leaving=[endpoint]))
 
+    def retried(self, service: str) -> None:
+        """Tell that this node made a retry at a service."""
+        self._send(News(node=self._node, retried=[service]))
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Take in another node's news."""
         try:
@@ -123,6 +138,8 @@
             self._loads.end(news.node, run_id, now)
         for endpoint in news.leaving:
             self._on_leaving(endpoint)
+        for service in news.retried:
+            self._on_retried(service)
 
     def _refresh(self) -> None:
         runs = self._loads.of_node(self._node)
@@ -155,6 +172,7 @@
         n_expected_tokens=run.n_expected_tokens,
         backup=run.backup,
         is_reading=run.is_reading,
+        n_made_tokens=run.n_made_tokens,
     )
 
 
@@ -166,4 +184,5 @@
         n_expected_tokens=news.n_expected_tokens,
         backup=news.backup,
         is_reading=news.is_reading,
+        n_made_tokens=news.n_made_tokens,
     )
--- a/celerytrail/relay/watch.py
+++ b/celerytrail/relay/watch.py
@@ -47,12 +47,13 @@
         Its name.
     sink : TableSink
         Takes in the rows.
-    wait_seconds : float
-        How long one question waits for a change.
-    pause_seconds : float
-        Between two questions, so that a busy table costs a bounded rate of calls.
+    wait : callable
+        Returns the seconds that one question waits for a change.
+    pause : callable
+        Returns the seconds between two questions, so that a busy table costs a
+        bounded rate of calls.
     on_confirmed : callable
-        Called with the boot time at which a read was sent that showed all until then.
+        Called with a version, and the boot time as of which its rows were whole.
     rng : random.Random
         For jitter.
     """
@@ -63,16 +64,16 @@
         source: RowSource,
         table: str,
         sink: TableSink,
-        wait_seconds: float,
-        pause_seconds: float,
-        on_confirmed: Callable[[float], None],
+        wait: Callable[[], float],
+        pause: Callable[[], float],
+        on_confirmed: Callable[[int, float], None],
         rng: random.Random,
     ) -> None:
         self._source = source
         self._table = table
         self._sink = sink
-        self._wait_seconds = wait_seconds
-        self._pause_seconds = pause_seconds
+        self._wait = wait
+        self._pause = pause
         self._on_confirmed = on_confirmed
         self._rng = rng
         self._version: int | None = None
@@ -84,7 +85,7 @@
         while True:
             is_heard = await self._step()
             if is_heard:
-                await asyncio.sleep(self._pause_seconds)
+                await asyncio.sleep(self._pause())
             else:
                 await asyncio.sleep(RETRY_SECONDS * self._rng.uniform(0.5, 1.5))
 
@@ -101,11 +102,12 @@
             self._sink.replace(answered.ok_value.rows, was_away=was_away)
             self._note_version(answered.ok_value, sent_at)
             return True
+        wait_seconds = self._wait()
         followed = await self._source.follow(
             self._table,
             self._version,
-            self._wait_seconds,
-            now + self._wait_seconds + ANSWER_SECONDS,
+            wait_seconds,
+            now + wait_seconds + ANSWER_SECONDS,
         )
         if isinstance(followed, Err):
             exc = followed.err_value
@@ -123,8 +125,9 @@
         return True
 
     def _note_version(self, changes: Changes, sent_at: float) -> None:
-        self._version = changes.version
-        self._on_confirmed(sent_at)
+        # Another node may know less than this one did already.
+        self._version = max(changes.version, self._version or 0)
+        self._on_confirmed(changes.version, sent_at - changes.age_seconds)
 
     def _note_away(self, reason: str) -> None:
         if not self._is_away:
@@ -141,4 +144,4 @@
             log_message(
                 "relay:store:regained", table=self._table, silent=silent_seconds
             )
-        return silent_seconds > self._wait_seconds + OUTAGE_SECONDS
+        return silent_seconds > self._wait() + OUTAGE_SECONDS
