Carry runs off leaving engines: copy first, in turn, nearest room first

Ruled out: a late notice (all nodes know within 30 ms). Found: a run's reserved target counted as a copy, so all moves began at once and the last copies queued behind the first ones of others; copies stood at engines that had gone; memory was reckoned as the sum of all ends, so all went to the newest engine and queued.

--- a/celerytrail/relay/engineloads.py
+++ b/celerytrail/relay/engineloads.py
@@ -28,6 +28,8 @@
         Whether its prompt is still being read.
     n_made_tokens : int
         Output made so far, as of the last list of runs.
+    is_moving : bool
+        Whether ``backup`` is where it is being moved to.
     """
 
     run_id: str
@@ -37,11 +39,17 @@
     backup: str = ""
     is_reading: bool = True
     n_made_tokens: int = 0
+    is_moving: bool = False
 
     @property
-    def n_peak_tokens(self) -> int:
-        """Return the memory that it is expected to take at its end, in tokens."""
-        return self.n_prompt_tokens + max(self.n_expected_tokens, self.n_made_tokens)
+    def n_remaining_tokens(self) -> int:
+        """Return the output that is still to be expected, in tokens."""
+        return max(0, self.n_expected_tokens - self.n_made_tokens)
+
+    @property
+    def has_copy(self) -> bool:
+        """Return whether a copy of it grows elsewhere."""
+        return bool(self.backup) and not self.is_moving
 
     @property
     def n_tokens(self) -> int:
@@ -59,23 +67,27 @@
         The engine.
     n_slots, n_memory_tokens : int
         What it has.
-    n_running : int
-        Runs placed there and not ended, as far as is known.
-    n_reading_tokens : int
-        Prompt tokens that it has yet to read.
-    n_peak_tokens : int
-        Memory that its runs are expected to take at their ends.
-    n_backup_tokens : int
-        Memory that copies of runs elsewhere take now.
+    runs : tuple of Run
+        What was placed there and has not ended, as far as is known.
+    copies : tuple of Run
+        Runs elsewhere that it holds copies of.
     """
 
     reg: Registration
     n_slots: int
     n_memory_tokens: int
-    n_running: int = 0
-    n_reading_tokens: int = 0
-    n_peak_tokens: int = 0
-    n_backup_tokens: int = 0
+    runs: tuple[Run, ...] = ()
+    copies: tuple[Run, ...] = ()
+
+    @property
+    def n_reading_tokens(self) -> int:
+        """Return the prompt tokens that it has yet to read."""
+        return sum(run.n_prompt_tokens for run in self.runs if run.is_reading)
+
+    @property
+    def n_tokens(self) -> int:
+        """Return the memory that is taken now, in tokens."""
+        return sum(run.n_tokens for run in (*self.runs, *self.copies))
 
 
 @dataclass(kw_only=True, slots=True)
@@ -145,25 +157,18 @@
 
     def loads(self, empty: list[EngineLoad]) -> list[EngineLoad]:
         """Return engines with what all nodes placed there."""
-        found = {load.reg.endpoint: load for load in empty}
+        runs: dict[str, list[Run]] = {}
+        copies: dict[str, list[Run]] = {}
         for known in self._nodes.values():
             for run in known.runs.values():
-                load = found.get(run.endpoint)
-                if load is not None:
-                    found[run.endpoint] = _with_run(load, run)
-                copy = found.get(run.backup)
-                if copy is not None:
-                    found[run.backup] = replace(
-                        copy, n_backup_tokens=copy.n_backup_tokens + run.n_tokens
-                    )
-        return list(found.values())
-
-
-def _with_run(load: EngineLoad, run: Run) -> EngineLoad:
-    n_reading = run.n_prompt_tokens if run.is_reading else 0
-    return replace(
-        load,
-        n_running=load.n_running + 1,
-        n_reading_tokens=load.n_reading_tokens + n_reading,
-        n_peak_tokens=load.n_peak_tokens + run.n_peak_tokens,
-    )
+                runs.setdefault(run.endpoint, []).append(run)
+                if run.backup:
+                    copies.setdefault(run.backup, []).append(run)
+        return [
+            replace(
+                load,
+                runs=tuple(runs.get(load.reg.endpoint, ())),
+                copies=tuple(copies.get(load.reg.endpoint, ())),
+            )
+            for load in empty
+        ]
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -35,9 +35,14 @@
 FULL_RETRY_SECONDS = 0.7
 # Copies that take longer than this are not worth waiting for, in seconds.
 COPY_SECONDS = 4.0
+# Between two looks whether it is a run's turn to be moved, in seconds.
+TURN_SECONDS = 0.005
 # A copy that is made as the run grows is taken to stand after so long, in seconds: it
 # is sent several times a second, and 4,000 tokens take 0.2 s to 0.5 s over a link.
-COPY_AGE_SECONDS = 0.6
+COPY_AGE_SECONDS = 0.3
+# How often a copy is tried that does not stand yet, and the pause between, in seconds.
+SWITCH_TRIES = 3
+SWITCH_PAUSE_SECONDS = 0.2
 # A stream with a copy elsewhere goes on there after so long without an event, in
 # seconds; engines under load pause for a few tenths at most.
 SILENT_SECONDS = 0.9
@@ -51,6 +56,15 @@
     name: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Switched:
+    """A run already goes on elsewhere."""
+
+    reg: Registration
+    backup: Registration | None
+    stream: Stream
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Refused:
     """No engine has run it, and none will."""
@@ -79,17 +93,26 @@
         self.last_number: int | None = None
         self.n_events = 0
         self.n_runs = 0
-        self.move: asyncio.Task[Copied | None] | None = None
+        self.move: asyncio.Task[Copied | Switched | None] | None = None
         self.started = asyncio.Event()
         self._first_event_at = 0.0
+        self._last_event_at = 0.0
 
     def note_event(self) -> None:
         """Note that an event came."""
         if not self.started.is_set():
             self._first_event_at = asyncio.get_running_loop().time()
             self.started.set()
+        self._last_event_at = asyncio.get_running_loop().time()
         self.n_events += 1
 
+    @property
+    def silent_seconds(self) -> float:
+        """Return how long no event came since one did; 0 before the first."""
+        if not self.started.is_set():
+            return 0.0
+        return asyncio.get_running_loop().time() - self._last_event_at
+
     @property
     def age_seconds(self) -> float:
         """Return how long ago the engine's first event came."""
@@ -179,12 +202,25 @@
             if live.stream is not None:
                 live.stream.close()
             if live.move is not None:
-                live.move.cancel()
+                self._drop_move(live.move)
             if live.run.endpoint:
                 self._sharing.ended(live.run.run_id)
 
+    @staticmethod
+    def _drop_move(move: asyncio.Task[Copied | Switched | None]) -> None:
+        """Let go of a move that is no longer needed."""
+        if not move.done():
+            move.cancel()
+        elif not move.cancelled() and isinstance(move.result(), Switched):
+            switched = move.result()
+            assert isinstance(switched, Switched)
+            switched.stream.close()
+
     def on_leaving(self, reg: Registration) -> None:
         """Carry what runs on an engine that leaves to others, most advanced first."""
+        for live in self._live:
+            if live.backup is not None and live.backup.endpoint == reg.endpoint:
+                self._forget_backup(live)
         leaving = [
             live
             for live in self._live
@@ -194,9 +230,18 @@
         for live in leaving:
             self._leave_engine(live)
 
+    def _forget_backup(self, live: LiveRun) -> None:
+        """Note that the engine that had a copy of a run goes."""
+        live.backup = None
+        if live.reg is not None:
+            self._share(live, is_reading=live.run.is_reading)
+
     def note_progress(self) -> None:
         """Note how far the runs are, for the next list that the other nodes get."""
         for live in self._live:
+            is_idle = live.move is None and live.backup is not None
+            if is_idle and live.silent_seconds > SILENT_SECONDS:
+                live.move = asyncio.ensure_future(self._leave_silent(live))
             if live.run.endpoint:
                 n_made = live.n_events * live.engine.n_event_tokens
                 live.run = replace(live.run, n_made_tokens=n_made)
@@ -218,9 +263,11 @@
         return self._loads.loads(empty)
 
     def _demand(self, live: LiveRun) -> placing.Demand:
+        run = live.run
         return placing.Demand(
-            n_prompt_tokens=live.run.n_prompt_tokens,
-            n_expected_tokens=live.run.n_expected_tokens,
+            n_tokens=run.n_tokens,
+            n_reading_tokens=run.n_prompt_tokens,
+            n_remaining_tokens=run.n_remaining_tokens,
             failure_domain=self._failure_domain,
         )
 
@@ -249,20 +296,41 @@
         loads: list[EngineLoad],
         demand: placing.Demand,
     ) -> None:
-        live.backup = None
-        if live.engine.can_back_up and not live.ex.route.is_resumable:
-            copy = placing.choose_backup(loads, demand, reg.endpoint, self._rng)
-            live.backup = copy.reg if copy is not None else None
         live.reg = reg
+        live.backup = self._choose_backup(live, reg, loads, demand)
         self._share(live, is_reading=True)
 
-    def _share(self, live: LiveRun, *, is_reading: bool) -> None:
+    def _choose_backup(
+        self,
+        live: LiveRun,
+        reg: Registration,
+        loads: list[EngineLoad],
+        demand: placing.Demand,
+    ) -> Registration | None:
+        """Return the engine that gets a copy of a run as it grows, if any."""
+        if not live.engine.can_back_up or live.ex.route.is_resumable:
+            return None
+        others = [
+            run
+            for run in self._loads.on_engine(reg.endpoint)
+            if run.run_id != live.run.run_id
+        ]
+        is_needed = moving.needs_backup(live.run, others, live.engine)
+        copy = placing.choose_backup(
+            loads, demand, reg.endpoint, self._rng, is_needed=is_needed
+        )
+        return copy.reg if copy is not None else None
+
+    def _share(
+        self, live: LiveRun, *, is_reading: bool, is_moving: bool = False
+    ) -> None:
         assert live.reg is not None
         live.run = replace(
             live.run,
             endpoint=live.reg.endpoint,
             backup=live.backup.endpoint if live.backup else "",
             is_reading=is_reading,
+            is_moving=is_moving,
         )
         self._sharing.placed(live.run)
 
@@ -313,7 +381,7 @@
             now = asyncio.get_running_loop().time()
             if number and not self._budget.take(ex.service, now):
                 return Err(Refused(reason="retry_denied"))
-            opened = await self._open(live, reg)
+            opened = await self._open(live, reg, live.backup)
             if isinstance(opened, Ok):
                 return opened
             if isinstance(opened.err_value, Failed):
@@ -331,7 +399,11 @@
         return Ok(resumed)
 
     async def _open(
-        self, live: LiveRun, reg: Registration, copy_name: str | None = None
+        self,
+        live: LiveRun,
+        reg: Registration,
+        backup: Registration | None,
+        copy_name: str | None = None,
     ) -> Result[Stream, Refused | Failed]:
         """Send the generation to one engine, new or from a copy."""
         ex = live.ex
@@ -342,7 +414,7 @@
             budget_seconds=ex.seconds_left,
             organisation=ex.organisation,
             priority=ex.priority,
-            backup=live.backup.address if live.backup else None,
+            backup=backup.address if backup else None,
             resume_from=copy_name,
             last_event_id=live.last_event_id,
         )
@@ -372,7 +444,7 @@
         ex.log(
             "placed",
             endpoint=reg.endpoint,
-            backup=live.run.backup,
+            backup=backup.endpoint if backup else "",
             copy=copy_name,
             status=stream.status,
         )
@@ -398,7 +470,7 @@
         ex.res.start(live.stream.status, wire.answer_headers(live.stream.headers))
         splitter = EventSplitter()
         while True:
-            piece = await live.stream.next_chunk(self._next_deadline(live))
+            piece = await live.stream.next_chunk(ex.loop_deadline)
             if isinstance(piece, Ok):
                 if piece.ok_value is None:
                     break
@@ -419,13 +491,6 @@
         await ex.res.finish()
         ex.log("answered", status=200, n_events=live.n_events, n_runs=live.n_runs)
 
-    def _next_deadline(self, live: LiveRun) -> float:
-        deadline = live.ex.loop_deadline
-        if live.backup is not None and live.n_events:
-            now = asyncio.get_running_loop().time()
-            return min(deadline, now + SILENT_SECONDS)
-        return deadline
-
     async def _pass_event(self, live: LiveRun, event: StreamEvent) -> None:
         number = event.number
         if number is not None:
@@ -446,7 +511,11 @@
         """Take a run up again after its stream broke or was moved."""
         ex = live.ex
         former = live.reg
-        copied = await self._finished_move(live)
+        moved = await self._finished_move(live)
+        if isinstance(moved, Switched):
+            self._note_move(live, moved.reg, moved.backup)
+            return moved.stream
+        copied = moved
         has_backup = live.backup is not None and live.backup != live.reg
         if copied is None and has_backup:
             assert live.backup is not None
@@ -454,8 +523,8 @@
             name = wire.copy_name(backup.address, ex.facts.attempt_id)
             copied = Copied(reg=backup, name=name)
         if copied is not None:
-            self._note_move(live, copied.reg)
-            opened = await self._open(live, copied.reg, copied.name)
+            self._note_move(live, copied.reg, self._next_backup(live, copied.reg))
+            opened = await self._open(live, copied.reg, live.backup, copied.name)
             if isinstance(opened, Ok):
                 ex.log("resumed", reason=reason, endpoint=copied.reg.endpoint)
                 return opened.ok_value
@@ -468,62 +537,89 @@
         reg = await self._place(live, {former.endpoint} if former else set())
         if reg is None:
             return None
-        opened = await self._open(live, reg)
+        opened = await self._open(live, reg, live.backup)
         if isinstance(opened, Err):
             return None
         ex.log("run_again", reason=reason, endpoint=reg.endpoint)
         return opened.ok_value
 
-    async def _finished_move(self, live: LiveRun) -> Copied | None:
+    async def _finished_move(self, live: LiveRun) -> Copied | Switched | None:
         if live.move is None:
             return None
         move, live.move = live.move, None
         return await move
 
-    def _note_move(self, live: LiveRun, reg: Registration) -> None:
-        """Note that a run goes on at another engine, with a new copy elsewhere."""
+    def _next_backup(self, live: LiveRun, reg: Registration) -> Registration | None:
+        """Return which engine gets a copy of a run that goes on at another one."""
         loads = self._engine_loads(live, set())
-        demand = self._demand(live)
-        live.backup = None
-        if live.engine.can_back_up:
-            copy = placing.choose_backup(loads, demand, reg.endpoint, self._rng)
-            live.backup = copy.reg if copy is not None else None
+        return self._choose_backup(live, reg, loads, self._demand(live))
+
+    def _note_move(
+        self, live: LiveRun, reg: Registration, backup: Registration | None
+    ) -> None:
+        """Note that a run goes on at another engine, with a new copy elsewhere."""
+        live.backup = backup
         live.reg = reg
         live.begin_engine()
         self._share(live, is_reading=False)
 
     def _leave_engine(self, live: LiveRun) -> None:
         """Begin to carry a run off its engine."""
-        if live.move is None:
+        if live.move is None or (live.move.done() and live.move.result() is None):
             live.move = asyncio.ensure_future(self._carry_off(live))
 
-    async def _carry_off(self, live: LiveRun) -> Copied | None:
-        """Get a run off an engine that leaves; returns the copy to go on from."""
+    async def _carry_off(self, live: LiveRun) -> Copied | Switched | None:
+        """Get a run off an engine that leaves."""
         source = live.reg
         await live.started.wait()
-        if live.backup is not None:
+        for _ in range(SWITCH_TRIES):
+            if live.backup is None or not self._registry.is_usable(live.backup):
+                break
             # A copy is made as the run grows; right after the first event there is
             # none.
             await asyncio.sleep(COPY_AGE_SECONDS - live.age_seconds)
-        if live.reg != source:
+            switched = await self._switch(live, live.backup)
+            if switched is not None:
+                return switched
+            await asyncio.sleep(SWITCH_PAUSE_SECONDS)
+        if live.reg != source or source is None or not live.engine.can_move:
             return None
-        if live.backup is not None and self._registry.is_usable(live.backup):
-            # The copy lacks a few tenths of a second of tokens, which are read again.
-            backup = live.backup
-            live.ex.log("switching", endpoint=backup.endpoint, n_events=live.n_events)
-            if live.stream is not None:
-                live.stream.close()
-            name = wire.copy_name(backup.address, live.ex.facts.attempt_id)
-            return Copied(reg=backup, name=name)
-        if live.engine.can_move and source is not None:
-            return await self._move_in_turn(live, source)
-        return None
+        return await self._move_in_turn(live, source)
+
+    async def _leave_silent(self, live: LiveRun) -> Copied | Switched | None:
+        """Go on from a copy, where there is one, as the engine sends nothing more."""
+        if live.backup is None:
+            return None
+        live.ex.log("silent", endpoint=live.run.endpoint)
+        return await self._switch(live, live.backup)
+
+    async def _switch(self, live: LiveRun, backup: Registration) -> Switched | None:
+        """Go on from a copy that grew elsewhere, and only then leave the engine.
+
+        The copy may be missing. Were the engine left first, the run would be lost; as
+        it is, both work on it for the few milliseconds until the answer's head comes.
+        """
+        following = self._next_backup(live, backup)
+        name = wire.copy_name(backup.address, live.ex.facts.attempt_id)
+        opened = await self._open(live, backup, following, name)
+        if isinstance(opened, Err):
+            return None
+        if live.stream is not None:
+            live.stream.close()
+        live.ex.log("switched", endpoint=backup.endpoint, n_events=live.n_events)
+        return Switched(reg=backup, backup=following, stream=opened.ok_value)
 
     async def _move_in_turn(self, live: LiveRun, source: Registration) -> Copied | None:
         """Move a run when those before it have left the engine's link."""
+        loop = asyncio.get_running_loop()
+        run_id = live.run.run_id
         runs = self._loads.on_engine(source.endpoint)
-        start = moving.start_seconds(live.run.run_id, runs, live.engine)
-        await asyncio.sleep(start)
+        latest = moving.latest_seconds(run_id, runs, live.engine)
+        start_by = loop.time() + latest
+        while not moving.is_turn(run_id, self._loads.on_engine(source.endpoint)):
+            if loop.time() >= start_by:
+                break
+            await asyncio.sleep(TURN_SECONDS)
         if live.reg != source:
             return None
         return await self._move(live, source)
@@ -539,7 +635,7 @@
                 return None
             # The other nodes see the room taken before the run is there.
             live.backup = target
-            self._share(live, is_reading=live.run.is_reading)
+            self._share(live, is_reading=False, is_moving=True)
             copied = await self._copy_and_stop(live, source, target, deadline)
             if isinstance(copied, Ok):
                 return copied.ok_value
@@ -555,6 +651,8 @@
         demand = replace(
             self._demand(live),
             failure_domain=source.failure_domain,
+            n_reading_tokens=0,
+            memory_share=placing.MOVE_SHARE,
             far_cost=placing.FAR_MOVE_COST,
         )
         loads = self._engine_loads(live, excluded)
@@ -570,7 +668,9 @@
     ) -> Result[Copied, MoveFailed]:
         """Copy a run while it goes on, then stop it and copy what is new."""
         moved: wire.Moved | None = None
+        loop = asyncio.get_running_loop()
         for is_last in (False, True):
+            began_at = loop.time()
             copied = await self._api.copy(
                 source.address,
                 live.ex.facts.attempt_id,
@@ -579,6 +679,11 @@
                 deadline=deadline,
             )
             if isinstance(copied, Err):
+                if moved is not None:
+                    # The first copy would take memory there for seconds.
+                    asyncio.ensure_future(
+                        self._api.free(target.address, moved.handle, deadline)
+                    )
                 live.ex.log(
                     "move_failed",
                     endpoint=source.endpoint,
@@ -589,6 +694,14 @@
                 )
                 return Err(copied.err_value)
             moved = copied.ok_value
+            live.ex.log(
+                "copied",
+                endpoint=source.endpoint,
+                target=target.endpoint,
+                seconds=round(loop.time() - began_at, 4),
+                n_tokens=live.run.n_tokens,
+                is_last=is_last,
+            )
         assert moved is not None
         name = wire.copy_name(source.address, moved.handle)
         return Ok(Copied(reg=target, name=name))
--- a/celerytrail/relay/moving.py
+++ b/celerytrail/relay/moving.py
@@ -13,9 +13,14 @@
 from .engineloads import Run
 from .model import EngineFacts
 
-# How much longer than within a failure domain a copy takes: a few go to another one,
+# How much longer than within a failure domain a copy takes: most go to another one,
 # which takes twice as long.
-DOMAIN_FACTOR = 1.3
+DOMAIN_FACTOR = 1.8
+# How much later than reckoned a move begins that was not told that it is its turn.
+LATE_FACTOR = 1.5
+# What an engine's link can move after a notice, in seconds: it is gone 1.5 s to 2.1 s
+# after it, and the first tenths pass until all know.
+MOVABLE_SECONDS = 1.0
 # A run with no more than this to be expected ends by itself in about a second.
 N_LAST_TOKENS = 60
 
@@ -28,21 +33,36 @@
     return DOMAIN_FACTOR * n_bytes / engine.link_bytes_per_second
 
 
-def start_seconds(run_id: str, runs: Iterable[Run], engine: EngineFacts) -> float:
-    """Return after how long a run's move begins.
+def is_turn(run_id: str, runs: Iterable[Run]) -> bool:
+    """Return whether a run is the next to be moved off its engine.
 
     Every node reckons the same order from the same list, so no message is needed: runs
     without a copy elsewhere, the most advanced first, as most would be lost with them;
-    last those that may well end before their engine does.
+    last those that may well end before their engine does. A run that has gone is on
+    another engine's list, which lets the next one begin.
     """
-    moved = [run for run in runs if not run.backup]
-    moved.sort(key=_rank)
+    moved = [run for run in runs if not run.has_copy or run.run_id == run_id]
+    return bool(moved) and min(moved, key=_rank).run_id == run_id
+
+
+def latest_seconds(run_id: str, runs: Iterable[Run], engine: EngineFacts) -> float:
+    """Return after how long a run's move begins also where it was not its turn.
+
+    The node before may have died, or its news got lost.
+    """
+    moved = sorted((run for run in runs if not run.has_copy), key=_rank)
     seconds = 0.0
     for run in moved:
         if run.run_id == run_id:
-            return seconds
+            break
         seconds += copy_seconds(run, engine)
-    return 0.0
+    return LATE_FACTOR * seconds
+
+
+def needs_backup(run: Run, runs: Iterable[Run], engine: EngineFacts) -> bool:
+    """Return whether an engine has more without copies than its link can move."""
+    seconds = sum(copy_seconds(other, engine) for other in runs if not other.has_copy)
+    return seconds + copy_seconds(run, engine) > MOVABLE_SECONDS
 
 
 def _rank(run: Run) -> tuple[bool, int, str]:
--- a/celerytrail/relay/placing.py
+++ b/celerytrail/relay/placing.py
@@ -8,20 +8,25 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from .engineloads import EngineLoad
 
-# Share of an engine's memory that runs may be expected to take at their ends. Ends
-# don't fall together, so the rest is only for lengths that were hinted too short.
-MEMORY_SHARE = 0.92
-# Share of the memory that runs at their ends and copies together may be expected to
-# take before no more copies are made there: what is left is for new generations.
-COPY_SHARE = 0.75
-# Prompt tokens read ahead of a new one that cost as much as a full memory: about a
-# quarter of a second of reading beside the tokens of others.
-READING_TOKENS = 3_000.0
+# Share of an engine's memory that is expected to be taken at any time to come; the
+# rest is for outputs that are longer than hinted.
+MEMORY_SHARE = 0.93
+# The same for copies: what is left is for new generations.
+COPY_SHARE = 0.7
+# The same for copies of runs whose engine has more than its link can move in time.
+NEEDED_COPY_SHARE = 0.9
+# The same for a run that is moved off an engine that leaves, and would be lost.
+MOVE_SHARE = 0.98
+# Prompt tokens that an engine reads a second beside the tokens of others: a chunk of
+# 112 tokens takes 8 ms, and the step that it joins 7 ms and more.
+READ_RATE = 7_500.0
+# What a full memory costs, in seconds of waiting for the first token.
+MEMORY_COST = 0.4
 # What an engine that is still slow after its start costs, in the same unit, for each
 # second that is left of it.
 COLD_COST = 0.5
@@ -29,7 +34,7 @@
 FAR_COST = 0.02
 # What it costs one that is moved: the copy takes twice as long, and the engine that it
 # leaves is gone within two seconds.
-FAR_MOVE_COST = 0.35
+FAR_MOVE_COST = 2.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -38,40 +43,73 @@
 
     Parameters
     ----------
-    n_prompt_tokens, n_expected_tokens : int
-        Size of its prompt, and of the output to reckon with.
+    n_tokens : int
+        Memory that it takes from the start: its prompt, and what was made of it.
+    n_reading_tokens : int
+        What of it must be read.
+    n_remaining_tokens : int
+        Output to reckon with.
     failure_domain : str
         Where its caller's node runs, or the engine that it leaves.
+    memory_share : float
+        The share of an engine's memory that may be expected to be taken with it.
     far_cost : float
         What another failure domain costs.
     """
 
-    n_prompt_tokens: int
-    n_expected_tokens: int
+    n_tokens: int
+    n_reading_tokens: int
+    n_remaining_tokens: int
     failure_domain: str = ""
+    memory_share: float = MEMORY_SHARE
     far_cost: float = FAR_COST
 
-    @property
-    def n_peak_tokens(self) -> int:
-        """Return the memory that it is expected to take at its end, in tokens."""
-        return self.n_prompt_tokens + self.n_expected_tokens
+
+def peak_tokens(sizes: Iterable[tuple[int, int]]) -> int:
+    """Return the most memory that runs will take together at any time to come.
+
+    Each grows by a token a step until its end, and then gives all back. Ends don't
+    fall together, so this is less than the sum of what each takes at its end.
+
+    Parameters
+    ----------
+    sizes : iterable of (int, int)
+        Tokens that a run takes now, and that are still to be expected of it.
+    """
+    ordered = sorted(sizes, key=lambda size: size[1])
+    total = sum(n_tokens for n_tokens, _ in ordered)
+    n_left = len(ordered)
+    peak = total
+    for n_tokens, n_remaining in ordered:
+        peak = max(peak, total + n_left * n_remaining)
+        total -= n_tokens
+        n_left -= 1
+    return peak
+
+
+def expected_share(load: EngineLoad, demand: Demand) -> float:
+    """Return the largest share of an engine's memory that is to be expected."""
+    sizes = [
+        (run.n_tokens, run.n_remaining_tokens) for run in (*load.runs, *load.copies)
+    ]
+    sizes.append((demand.n_tokens, demand.n_remaining_tokens))
+    return peak_tokens(sizes) / load.n_memory_tokens
 
 
 def fits(load: EngineLoad, demand: Demand) -> bool:
     """Return whether an engine is expected to hold a generation to its end."""
-    if load.n_running >= load.n_slots:
+    if len(load.runs) >= load.n_slots:
         return False
-    n_tokens = load.n_peak_tokens + load.n_backup_tokens + demand.n_peak_tokens
-    return n_tokens <= MEMORY_SHARE * load.n_memory_tokens
+    return expected_share(load, demand) <= demand.memory_share
 
 
 def cost(load: EngineLoad, demand: Demand) -> float:
-    """Return how bad an engine is for a generation; 1 is about a full memory."""
-    n_tokens = load.n_peak_tokens + load.n_backup_tokens
+    """Return how bad an engine is, in seconds of waiting for the first token."""
+    n_reading = load.n_reading_tokens + demand.n_reading_tokens
     is_far = load.reg.failure_domain != demand.failure_domain
     return (
-        n_tokens / load.n_memory_tokens
-        + load.n_reading_tokens / READING_TOKENS
+        n_reading / READ_RATE
+        + MEMORY_COST * expected_share(load, demand)
         + COLD_COST * load.reg.cold_seconds
         + (demand.far_cost if is_far else 0.0)
     )
@@ -90,16 +128,20 @@
 
 
 def choose_backup(
-    loads: Sequence[EngineLoad], demand: Demand, placed: str, rng: random.Random
+    loads: Sequence[EngineLoad],
+    demand: Demand,
+    placed: str,
+    rng: random.Random,
+    *,
+    is_needed: bool,
 ) -> EngineLoad | None:
     """Return the engine with the most room for a copy, None where none has enough."""
     best: EngineLoad | None = None
-    best_share = COPY_SHARE
+    best_share = NEEDED_COPY_SHARE if is_needed else COPY_SHARE
     for load in loads:
         if load.reg.endpoint == placed:
             continue
-        n_tokens = load.n_peak_tokens + load.n_backup_tokens + demand.n_peak_tokens
-        share = n_tokens / load.n_memory_tokens + 0.001 * rng.random()
+        share = expected_share(load, demand) + 0.001 * rng.random()
         if share < best_share:
             best, best_share = load, share
     return best
--- a/celerytrail/relay/sharing.py
+++ b/celerytrail/relay/sharing.py
@@ -13,7 +13,7 @@
 from .engineloads import EngineLoads, Run
 
 # Between two whole lists of this node's runs, in seconds.
-REFRESH_SECONDS = 1.0
+REFRESH_SECONDS = 0.5
 # Runs in one datagram, so that it stays below 1,200 bytes.
 MAX_RUNS = 12
 
@@ -28,6 +28,7 @@
     backup: str
     is_reading: bool
     n_made_tokens: int = 0
+    is_moving: bool = False
 
 
 class News(msgspec.Struct, array_like=True, frozen=True):
@@ -173,6 +174,7 @@
         backup=run.backup,
         is_reading=run.is_reading,
         n_made_tokens=run.n_made_tokens,
+        is_moving=run.is_moving,
     )
 
 
@@ -185,4 +187,5 @@
         backup=news.backup,
         is_reading=news.is_reading,
         n_made_tokens=news.n_made_tokens,
+        is_moving=news.is_moving,
     )
