--- a/celerytrail/relay/engineapi.py
+++ b/celerytrail/relay/engineapi.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from eliot import log_message
 from result import Err, Ok, Result
 
 from ..httpclient import HttpClient
@@ -77,6 +78,10 @@
 
     async def free(self, source: Address, handle: str, deadline: float) -> None:
         """Free a copy that will not be used, at both ends."""
-        await self._client.request(
+        answered = await self._client.request(
             source, "DELETE", wire.free_copy_path(handle), deadline=deadline
         )
+        status = None if isinstance(answered, Err) else answered.ok_value.status
+        log_message(
+            "relay:copy:freed", engine=str(source), handle=handle, status=status
+        )
--- a/celerytrail/relay/exchange.py
+++ b/celerytrail/relay/exchange.py
@@ -81,6 +81,14 @@
         """
         return self.may_pass() and self.seconds_left > 0
 
+    def may_go_on(self) -> bool:
+        """Return whether a run that an engine has begun may go on at another one.
+
+        A key that was taken away lets no new request through; what runs already is
+        finished, as no change cuts work in progress.
+        """
+        return self.seconds_left > 0
+
     async def unless_gone(self, work: Coroutine[Any, Any, T]) -> T:
         """Await some work, and cancel it as soon as the caller leaves.
 
--- a/celerytrail/relay/moving.py
+++ b/celerytrail/relay/moving.py
@@ -13,9 +13,10 @@
 from .engineloads import Run
 from .model import EngineFacts
 
-# How much longer than within a failure domain a copy takes: most go to another one,
-# which takes twice as long.
-DOMAIN_FACTOR = 1.8
+# How much longer than within a failure domain a copy to another one takes, and how
+# much longer where it is not known yet which one it will be.
+FAR_FACTOR = 2.0
+USUAL_FACTOR = 1.7
 # How much later than reckoned a move begins that was not told that it is its turn.
 LATE_FACTOR = 1.5
 # What an engine's link can move after a notice, in seconds: it is gone 1.5 s to 2.1 s
@@ -25,12 +26,16 @@
 N_LAST_TOKENS = 60
 
 
-def copy_seconds(run: Run, engine: EngineFacts) -> float:
-    """Return how long the copy of a run keeps its engine's link busy."""
+def copy_seconds(run: Run, engine: EngineFacts, *, is_far: bool | None = None) -> float:
+    """Return how long the copy of a run keeps its engine's link busy.
+
+    ``is_far`` says whether it goes to another failure domain, where that is known.
+    """
     if engine.link_bytes_per_second <= 0:
         return 0.0
     n_bytes = run.n_tokens * engine.token_bytes
-    return DOMAIN_FACTOR * n_bytes / engine.link_bytes_per_second
+    factor = {None: USUAL_FACTOR, True: FAR_FACTOR, False: 1.0}[is_far]
+    return factor * n_bytes / engine.link_bytes_per_second
 
 
 def is_turn(run_id: str, runs: Iterable[Run]) -> bool:
@@ -59,6 +64,17 @@
     return LATE_FACTOR * seconds
 
 
+def is_movable(run: Run, runs: Iterable[Run], engine: EngineFacts) -> bool:
+    """Return whether a run would be moved in time, in its turn."""
+    moved = sorted((other for other in runs if not other.has_copy), key=_rank)
+    seconds = 0.0
+    for other in moved:
+        seconds += copy_seconds(other, engine)
+        if other.run_id == run.run_id:
+            break
+    return seconds <= MOVABLE_SECONDS
+
+
 def needs_backup(run: Run, runs: Iterable[Run], engine: EngineFacts) -> bool:
     """Return whether an engine has more without copies than its link can move."""
     seconds = sum(copy_seconds(other, engine) for other in runs if not other.has_copy)
--- a/celerytrail/relay/placing.py
+++ b/celerytrail/relay/placing.py
@@ -15,18 +15,21 @@
 
 # Share of an engine's memory that is expected to be taken at any time to come; the
 # rest is for outputs that are longer than hinted.
-MEMORY_SHARE = 0.93
+MEMORY_SHARE = 0.85
 # The same for copies: what is left is for new generations.
-COPY_SHARE = 0.7
+COPY_SHARE = 0.6
 # The same for copies of runs whose engine has more than its link can move in time.
-NEEDED_COPY_SHARE = 0.9
+NEEDED_COPY_SHARE = 0.72
 # The same for a run that is moved off an engine that leaves, and would be lost.
-MOVE_SHARE = 0.98
+MOVE_SHARE = 0.9
 # Prompt tokens that an engine reads a second beside the tokens of others: a chunk of
 # 112 tokens takes 8 ms, and the step that it joins 7 ms and more.
 READ_RATE = 7_500.0
-# What a full memory costs, in seconds of waiting for the first token.
+# What a full memory costs, in seconds of waiting for the first token, and what each
+# further share of it costs beyond the share at which engines begin to crowd.
 MEMORY_COST = 0.4
+CROWDED_SHARE = 0.7
+CROWDED_COST = 3.0
 # What an engine that is still slow after its start costs, in the same unit, for each
 # second that is left of it.
 COLD_COST = 0.5
@@ -34,7 +37,7 @@
 FAR_COST = 0.02
 # What it costs one that is moved: the copy takes twice as long, and the engine that it
 # leaves is gone within two seconds.
-FAR_MOVE_COST = 2.0
+FAR_MOVE_COST = 0.5
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -106,10 +109,12 @@
 def cost(load: EngineLoad, demand: Demand) -> float:
     """Return how bad an engine is, in seconds of waiting for the first token."""
     n_reading = load.n_reading_tokens + demand.n_reading_tokens
+    share = expected_share(load, demand)
     is_far = load.reg.failure_domain != demand.failure_domain
     return (
         n_reading / READ_RATE
-        + MEMORY_COST * expected_share(load, demand)
+        + MEMORY_COST * share
+        + CROWDED_COST * max(0.0, share - CROWDED_SHARE)
         + COLD_COST * load.reg.cold_seconds
         + (demand.far_cost if is_far else 0.0)
     )
--- a/celerytrail/relay/sharedrows.py
+++ b/celerytrail/relay/sharedrows.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import msgspec
 from eliot import log_message
@@ -44,9 +44,14 @@
 # question to the store waits 0.35 s, and the bound on configuration is two.
 MAX_AGE_SECONDS = 1.2
 # How long a source that failed is passed over, in seconds.
-AVOID_SECONDS = 2.0
+AVOID_SECONDS = 4.0
 # How many readers are tried besides the store.
 MAX_READERS = 3
+# How many sources one question goes to, within its deadline.
+MAX_TRIES = 3
+
+
+Answer = Result[Changes, StoreUnavailable | HistoryGone]
 
 
 class _Question(msgspec.Struct, forbid_unknown_fields=True):
@@ -183,32 +188,31 @@
 
     async def _ask_each(
         self,
-        ask: Callable[[Address], object],
-        ask_store: Callable[[], object],
+        ask: Callable[[Address], Awaitable[Answer]],
+        ask_store: Callable[[], Awaitable[Answer]],
     ) -> Result[Changes, StoreUnavailable | HistoryGone]:
-        """Ask the best source that has not failed of late."""
+        """Ask the best source that has not failed of late, then the next ones."""
         now = asyncio.get_running_loop().time()
         sources = self._sources()
         good = [name for name in sources if self._avoid_until.get(name, 0.0) <= now]
-        name = (good or sources or [""])[0]
-        address = self._address(name)
         answered: Result[Changes, StoreUnavailable | HistoryGone]
-        if address is None:
-            answered = await ask_store()  # type: ignore[misc]
-        else:
-            answered = await ask(address)  # type: ignore[misc]
-        if isinstance(answered, Err) and isinstance(
-            answered.err_value, StoreUnavailable
-        ):
-            now = asyncio.get_running_loop().time()
-            self._avoid_until[name] = now + AVOID_SECONDS
-            log_message(
-                "relay:rows:source_failed",
-                source=name or "store",
-                reason=answered.err_value.reason,
-            )
+        answered = Err(StoreUnavailable(reason="no source"))
+        for name in (good or sources or [""])[:MAX_TRIES]:
+            address = self._address(name)
+            if address is None:
+                answered = await ask_store()
+            else:
+                answered = await ask(address)
+            if isinstance(answered, Ok) or isinstance(answered.err_value, HistoryGone):
+                return answered
+            self._note_failed(name, answered.err_value.reason)
         return answered
 
+    def _note_failed(self, name: str, reason: str) -> None:
+        now = asyncio.get_running_loop().time()
+        self._avoid_until[name] = now + AVOID_SECONDS
+        log_message("relay:rows:source_failed", source=name or "store", reason=reason)
+
     def _address(self, name: str) -> Address | None:
         for member in self._nodes.live():
             if member.node == name:
