--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -78,6 +78,7 @@
         self._registry = registry
         self._choice = choice
         self._budget = budget
+        self.n_open = 0
 
     async def relay(self, ex: Exchange) -> None:
         """Answer a request from an endpoint of its service."""
@@ -186,11 +187,13 @@
 
     async def _attempt(self, ex: Exchange, reg: Registration) -> Outcome:
         self._choice.begin(reg.endpoint)
+        self.n_open += 1
         outcome: Outcome | None = None
         try:
             outcome = await self._send(ex, reg)
             return outcome
         finally:
+            self.n_open -= 1
             is_failed = outcome is not None and not (
                 isinstance(outcome, Answered) and outcome.res.status < 500
             )
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -45,7 +45,7 @@
 from .model import EngineFacts, Registration, RelayConfig
 from .registry import Registry
 from .retrybudget import RetryBudget
-from .rowsource import Row
+from .rowsource import Row, RowSource
 from .sharedrows import SharedRows
 from .sharing import Sharing
 from .watch import TableWatch
@@ -88,6 +88,8 @@
         What carries its connections; the machine's own by default.
     rng : random.Random or None
         Its source of jitter and of ids.
+    store : RowSource or None
+        The platform's tables; the store that the settings name by default.
     """
 
     def __init__(
@@ -96,8 +98,10 @@
         cfg: RelaySettings,
         network: Network | None = None,
         rng: random.Random | None = None,
+        store: RowSource | None = None,
     ) -> None:
         self.cfg = cfg
+        self._store = store
         self._network = network or SystemNetwork()
         self._rng = rng or random.Random()
         self._clock = SystemClock()
@@ -194,7 +198,9 @@
             network=self._network,
         )
         assert cfg.store is not None
-        self.rows = rows.PlatformRows(address=cfg.store, network=self._network)
+        self.rows = self._store or rows.PlatformRows(
+            address=cfg.store, network=self._network
+        )
         self.shared = SharedRows(
             store=self.rows,
             nodes=self.nodes,
@@ -323,6 +329,22 @@
         self.sharing.close()
         log_message("relay:node:stopped", node=self.node_id)
 
+    async def close(self) -> None:
+        """Stop at once, cutting what is in progress; for tests."""
+        for server in (self._front, self._readiness, self._directory, self._peers):
+            await server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.wait(self._tasks)
+        await self.nodes.stop()
+        self.sharing.close()
+        self.endpoints.close()
+
+    @property
+    def endpoints_in_use(self) -> int:
+        """Return how many requests are on their way to endpoints."""
+        return self.generations.n_live + self.calls.n_open
+
     def apply_settings(self, cfg: RelaySettings) -> None:
         """Take in settings that changed while the node runs."""
         self.cfg = cfg
--- /dev/null
+++ b/tests/relayrig.py
@@ -0,0 +1,203 @@
+"""A node on the platform's published protocol, with stand-ins around it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from dataclasses import dataclass, field
+
+import msgspec
+
+from celerytrail.http import Response
+from celerytrail.httpclient import HttpClient
+from celerytrail.platform.nodefile import RelaySettings
+from celerytrail.relay.node import RelayNode
+from celerytrail.relay.rowsource import RowSource
+from celerytrail.types import Address
+from standins.rowstore import RowStore
+from standins.worker import EngineWorker, PlainWorker, Worker
+
+HOST = "desk.example"
+KEY = "key-of-org"
+# Far beyond what any step takes, in seconds; a test that hangs fails by it.
+PATIENCE_SECONDS = 8.0
+
+
+def free_port(host: str = "127.0.0.1") -> int:
+    """Return a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind((host, 0))
+        return int(sock.getsockname()[1])
+
+
+def local(port: int) -> Address:
+    return Address(host="127.0.0.1", port=port)
+
+
+def route(name: str, kind: str, service: str, **more: object) -> dict[str, object]:
+    return {
+        "name": name,
+        "hostname": HOST,
+        "prefix": f"/{name}/",
+        "route-type": kind,
+        "timeout-ms": 15_000,
+        "target-latency-ms": 5_000,
+        "service": service,
+        "max-attempts": 1,
+        **more,
+    }
+
+
+def config(version: int = 1, **more: object) -> dict[str, object]:
+    engine = {
+        "slots": 8,
+        "kv-capacity-tokens": 30_000,
+        "kv-token-bytes": 1_000,
+        "link-mbps": 10_000.0,
+        "moves": True,
+        "backups": True,
+        "stride": 1,
+        "handle-s": 5.0,
+    }
+    return {
+        "version": version,
+        "routes": [
+            route("draft", "streaming", "models"),
+            route("check", "streaming", "models", **{"max-attempts": 2})
+            | {"resumable": True},
+            route("file", "unsafe", "desk"),
+            route("look", "safe", "desk", **{"max-attempts": 2}),
+        ],
+        "services": [{"name": "models", "engine": engine}, {"name": "desk"}],
+        "tenants": [{"name": "org", "api-keys": [KEY]}],
+        **more,
+    }
+
+
+@dataclass(kw_only=True)
+class Rig:
+    """A store, workers and nodes; closed all together."""
+
+    store: RowStore = field(default_factory=RowStore)
+    nodes: list[RelayNode] = field(default_factory=list)
+    workers: list[Worker] = field(default_factory=list)
+    client: HttpClient = field(default_factory=lambda: HttpClient(id_header=None))
+    store_address: Address = local(1)
+    news_port: int = field(default_factory=lambda: free_port())
+    _n_asked: int = 0
+
+    async def start(self) -> None:
+        self.store_address = await self.store.start()
+        self.store.put("op", "config", config())
+
+    async def close(self) -> None:
+        self.client.close()
+        for node in self.nodes:
+            await node.close()
+        for worker in self.workers:
+            await worker.close()
+        await self.store.close()
+
+    async def add_engine(self, name: str, n_events: int = 6) -> EngineWorker:
+        engine = EngineWorker(worker_id=name, n_events=n_events)
+        await engine.start()
+        for other in self.workers:
+            if isinstance(other, EngineWorker):
+                other.knows(engine)
+                engine.knows(other)
+        self.workers.append(engine)
+        self.store.put("servers", name, engine.row("models"))
+        return engine
+
+    async def add_desk(self, name: str) -> PlainWorker:
+        desk = PlainWorker(worker_id=name)
+        await desk.start()
+        self.workers.append(desk)
+        self.store.put("servers", name, desk.row("desk"))
+        return desk
+
+    async def add_node(
+        self, name: str = "vm-1", store: RowSource | None = None, **more: object
+    ) -> RelayNode:
+        # Nodes find one another's news by one port on different addresses.
+        host = f"127.0.0.{10 + len(self.nodes)}"
+        seeds = tuple(node.cfg.peers for node in self.nodes if node.cfg.peers)
+        fields: dict[str, object] = {
+            "node": name,
+            "failure_domain": "a",
+            "region": "r",
+            "callers": Address(host=host, port=free_port(host)),
+            "readiness": Address(host=host, port=free_port(host)),
+            "peers": Address(host=host, port=free_port(host)),
+            "directory": Address(host=host, port=free_port(host)),
+            "peer_ports": (self.news_port, 0),
+            "seeds": seeds,
+            "store": self.store_address,
+            "retry_slack": 100.0,
+            **more,
+        }
+        cfg = RelaySettings(**fields)  # type: ignore[arg-type]
+        node = RelayNode(cfg=cfg, rng=random.Random(len(self.nodes)), store=store)
+        await node.start()
+        self.nodes.append(node)
+        await until(lambda: node.is_ready)
+        return node
+
+    def headers(self, key: str | None = KEY, **more: str) -> dict[str, str]:
+        self._n_asked += 1
+        headers = {
+            "host": HOST,
+            "x-attempt-id": f"attempt-{self._n_asked}",
+            "x-time-budget-ms": "15000",
+            "x-token-count": "1000,100",
+            **more,
+        }
+        if key is not None:
+            headers["authorization"] = f"Bearer {key}"
+        return headers
+
+    async def ask(
+        self,
+        path: str,
+        method: str = "POST",
+        body: bytes = b"",
+        *,
+        node: RelayNode | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Response:
+        """Ask a node as a caller does, and return its whole answer."""
+        headers = headers or self.headers()
+        address = (node or self.nodes[0]).cfg.callers
+        assert address is not None
+        answered = await self.client.request(
+            address,
+            method,
+            path,
+            body=body,
+            headers=headers,
+            deadline=asyncio.get_running_loop().time() + PATIENCE_SECONDS,
+        )
+        res = answered.unwrap()
+        assert res.headers.get("x-attempt-id") == headers["x-attempt-id"]
+        return res
+
+
+async def until(is_so, *, seconds: float = PATIENCE_SECONDS) -> None:
+    """Wait until something is so."""
+    async with asyncio.timeout(seconds):
+        while not is_so():
+            await asyncio.sleep(0.01)
+
+
+def events_of(body: bytes) -> list[bytes]:
+    """Return the events of a stream."""
+    return [event for event in body.split(b"\n\n") if event]
+
+
+def whole_stream(n_events: int) -> list[bytes]:
+    return [f"id: {n}\ndata: word {n}".encode() for n in range(n_events)]
+
+
+def error_type(res: Response) -> str:
+    return str(msgspec.json.decode(res.body)["error"]["type"])
--- /dev/null
+++ b/tests/test_relay_decisions.py
@@ -0,0 +1,405 @@
+"""The relay's decisions, each by itself: no sockets, a clock that the test holds."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from celerytrail.relay import moving, placing
+from celerytrail.relay.endpointchoice import EndpointChoice
+from celerytrail.relay.engineloads import EngineLoad, EngineLoads, Run
+from celerytrail.relay.events import EventSplitter
+from celerytrail.relay.freshness import Freshness
+from celerytrail.relay.model import EndpointState, EngineFacts, Registration
+from celerytrail.relay.registry import LAPSE_SECONDS, Registry
+from celerytrail.relay.retrybudget import USED_SHARE, RetryBudget
+from celerytrail.types import Address
+
+ENGINE = EngineFacts(
+    n_slots=24,
+    n_memory_tokens=34_359,
+    token_bytes=18_432,
+    link_bytes_per_second=2_700 * 125_000,
+    can_move=True,
+    can_back_up=True,
+)
+
+
+def registration(endpoint: str, **more: object) -> Registration:
+    fields: dict[str, object] = {
+        "endpoint": endpoint,
+        "service": "models",
+        "address": Address(host="10.0.0.1", port=1),
+        "failure_domain": "a",
+        "n_slots": 24,
+        "state": EndpointState.READY,
+        **more,
+    }
+    return Registration(**fields)  # type: ignore[arg-type]
+
+
+def draft(name: str, endpoint: str = "e1", **more: object) -> Run:
+    fields: dict[str, object] = {
+        "run_id": name,
+        "endpoint": endpoint,
+        "n_prompt_tokens": 3_000,
+        "n_expected_tokens": 900,
+        "is_reading": False,
+        **more,
+    }
+    return Run(**fields)  # type: ignore[arg-type]
+
+
+def load(endpoint: str, *runs: Run, **more: object) -> EngineLoad:
+    return EngineLoad(
+        reg=registration(endpoint, **more),
+        n_slots=ENGINE.n_slots,
+        n_memory_tokens=ENGINE.n_memory_tokens,
+        runs=runs,
+    )
+
+
+DEMAND = placing.Demand(
+    n_tokens=3_000, n_reading_tokens=3_000, n_remaining_tokens=900, failure_domain="a"
+)
+
+
+class TestPeakOverTime:
+    def test_one_run_peaks_at_its_end(self):
+        assert placing.peak_tokens([(3_000, 900)]) == 3_900
+
+    def test_ends_that_fall_apart_take_less_than_their_sum(self):
+        # One run gives back its memory long before the other needs more.
+        assert placing.peak_tokens([(3_000, 100), (3_000, 900)]) == 6_200
+
+    def test_no_runs_take_nothing(self):
+        assert placing.peak_tokens([]) == 0
+
+
+class TestPlacing:
+    def test_a_burst_of_drafts_is_spread_over_the_engines(self):
+        # Twelve drafts arrive within a second at several nodes, and each is placed with
+        # what was placed before in view. Read side by side on one engine, the last one
+        # would wait for its first token until its caller has given up.
+        rng = random.Random(1)
+        placed: dict[str, list[Run]] = {f"e{n}": [] for n in range(6)}
+        for number in range(12):
+            loads = [load(name, *runs) for name, runs in placed.items()]
+            chosen = placing.choose_engine(loads, DEMAND, rng)
+            assert chosen is not None
+            name = chosen.reg.endpoint
+            placed[name].append(draft(f"r{number}", name, is_reading=True))
+        assert [len(runs) for runs in placed.values()] == [2] * 6
+
+    def test_a_new_empty_engine_does_not_draw_all(self):
+        # An engine that replaces one that was taken away comes up empty beside four
+        # that are half full. All that arrived went there, and its queue of prompts
+        # made callers wait three seconds for a first token.
+        rng = random.Random(1)
+        placed = {f"e{n}": [draft(f"x{n}{k}") for k in range(4)] for n in range(4)}
+        placed["new"] = []
+        for number in range(6):
+            loads = [load(name, *runs) for name, runs in placed.items()]
+            chosen = placing.choose_engine(loads, DEMAND, rng)
+            assert chosen is not None
+            name = chosen.reg.endpoint
+            placed[name].append(draft(f"r{number}", name, is_reading=True))
+        assert len(placed["new"]) <= 2
+
+    def test_none_is_chosen_where_memory_would_run_out(self):
+        # Placed all the same, the newest run would be preempted in the middle of its
+        # stream, and its caller would see it stand still while its prompt is read anew.
+        full = load("e1", *(draft(f"r{n}") for n in range(8)))
+        assert placing.choose_engine([full], DEMAND, random.Random(1)) is None
+
+    def test_a_run_off_a_leaving_engine_may_fill_what_new_ones_may_not(self):
+        nearly = load("e1", *(draft(f"r{n}", n_made_tokens=400) for n in range(7)))
+        moved = replace(DEMAND, memory_share=placing.MOVE_SHARE, n_remaining_tokens=350)
+        assert not placing.fits(nearly, replace(DEMAND, n_remaining_tokens=350))
+        assert placing.fits(nearly, moved)
+
+    def test_copies_take_memory_too(self):
+        copies = tuple(draft(f"c{n}", "e2", backup="e1") for n in range(8))
+        crowded = replace(load("e1"), copies=copies)
+        assert not placing.fits(crowded, DEMAND)
+
+    def test_a_copy_goes_where_most_room_is_and_never_to_the_engine_itself(self):
+        loads = [load("e1"), load("e2", draft("r1", "e2")), load("e3")]
+        chosen = placing.choose_backup(
+            loads, DEMAND, "e1", random.Random(1), is_needed=False
+        )
+        assert chosen is not None and chosen.reg.endpoint == "e3"
+
+    def test_no_copy_where_it_would_take_the_room_of_new_generations(self):
+        runs = [draft(f"r{n}", "e2") for n in range(5)]
+        loads = [load("e1"), load("e2", *runs)]
+        chosen = placing.choose_backup(
+            loads, DEMAND, "e1", random.Random(1), is_needed=False
+        )
+        assert chosen is None
+
+
+class TestMoving:
+    RUNS = [draft(f"r{n}", n_made_tokens=n * 100) for n in range(4)]
+
+    def test_one_run_is_moved_at_a_time_most_advanced_first(self):
+        # An engine with four drafts is gone 1.6 s after its notice. Begun at once, the
+        # last copy of each, for which it stands still, waited behind the first copies
+        # of the others, and the engine was gone before any had left.
+        left = list(self.RUNS)
+        order = []
+        while left:
+            due = [run.run_id for run in left if moving.is_turn(run.run_id, left)]
+            assert len(due) == 1
+            order += due
+            left = [run for run in left if run.run_id != due[0]]
+        assert order == ["r3", "r2", "r1", "r0"]
+
+    def test_a_run_on_its_way_keeps_its_turn(self):
+        # The target that a move reserves looks like a copy elsewhere; taken for one,
+        # it let the next move begin before the first was done.
+        moving_run = replace(self.RUNS[3], backup="e2", is_moving=True)
+        runs = [*self.RUNS[:3], moving_run]
+        assert moving.is_turn("r3", runs)
+        assert not moving.is_turn("r2", runs)
+
+    def test_runs_with_a_copy_elsewhere_don_t_wait_for_the_link(self):
+        copied = replace(self.RUNS[3], backup="e2")
+        assert moving.is_turn("r2", [*self.RUNS[:3], copied])
+
+    def test_one_that_is_about_to_end_goes_last(self):
+        ending = draft("ending", n_made_tokens=870)
+        assert moving.is_turn("r3", [ending, *self.RUNS])
+
+    def test_a_lost_node_does_not_hold_up_the_others_for_ever(self):
+        seconds = moving.latest_seconds("r0", self.RUNS, ENGINE)
+        assert 0 < seconds < 3.0
+
+    def test_a_copy_takes_as_long_as_the_link_needs(self):
+        run = draft("r", n_made_tokens=1_000)
+        near = moving.copy_seconds(run, ENGINE, is_far=False)
+        assert near == pytest.approx(4_000 * 18_432 / (2_700 * 125_000))
+        assert moving.copy_seconds(run, ENGINE, is_far=True) == 2 * near
+
+    def test_more_than_the_link_can_move_needs_copies(self):
+        assert not moving.needs_backup(draft("new"), self.RUNS[:1], ENGINE)
+        assert moving.needs_backup(draft("new"), self.RUNS, ENGINE)
+
+
+class TestEngineLoads:
+    def test_what_all_nodes_placed_is_summed_by_engine(self):
+        loads = EngineLoads()
+        loads.put("n1", draft("r1", "e1"), 0.0)
+        loads.put("n2", draft("r2", "e1", backup="e2"), 0.0)
+        found = {one.reg.endpoint: one for one in loads.loads([load("e1"), load("e2")])}
+        assert len(found["e1"].runs) == 2
+        assert [run.run_id for run in found["e2"].copies] == ["r2"]
+
+    def test_a_lost_end_is_mended_by_the_next_whole_list(self):
+        # The datagram that says that a run ended is dropped. Its memory would count as
+        # taken for good, and callers would be refused with engines free.
+        loads = EngineLoads()
+        loads.put("n1", draft("r1", "e1"), 0.0)
+        loads.replace("n1", [], 1.0)
+        assert loads.on_engine("e1") == []
+
+    def test_the_runs_of_a_silent_node_are_forgotten_but_never_one_s_own(self):
+        loads = EngineLoads()
+        loads.put("gone", draft("r1", "e1"), 0.0)
+        loads.put("me", draft("r2", "e1"), 0.0)
+        loads.expire(60.0, "me")
+        assert [run.run_id for run in loads.on_engine("e1")] == ["r2"]
+
+
+class TestFreshness:
+    def make(self, **more: object) -> tuple[Freshness, list[float]]:
+        now = [100.0]
+        fields: dict[str, object] = {"bound_seconds": 5.0, "is_strict": True, **more}
+        made = Freshness(clock=lambda: now[0], **fields)  # type: ignore[arg-type]
+        return made, now
+
+    def test_nothing_is_usable_before_the_first_read(self):
+        freshness, _ = self.make()
+        assert not freshness.is_usable
+
+    def test_a_node_that_hears_nothing_stops_before_the_bound(self):
+        # A node is cut off from the store and from all others. A key is taken away;
+        # the node would let its holder through until the cut heals.
+        freshness, now = self.make()
+        freshness.confirm(100.0)
+        now[0] = 102.0
+        assert freshness.is_usable
+        now[0] = 104.0
+        assert not freshness.is_usable
+
+    def test_an_answer_that_comes_late_counts_from_its_question(self):
+        freshness, now = self.make()
+        now[0] = 104.0
+        freshness.confirm(100.0)
+        assert not freshness.is_usable
+
+    def test_an_older_confirmation_takes_nothing_back(self):
+        freshness, now = self.make()
+        freshness.confirm(100.0)
+        freshness.confirm(95.0)
+        now[0] = 102.0
+        assert freshness.is_usable
+
+    def test_where_revocation_is_not_strict_old_knowledge_serves(self):
+        freshness, now = self.make(is_strict=False)
+        freshness.confirm(100.0)
+        now[0] = 1_000.0
+        assert freshness.is_usable
+
+
+class TestRegistry:
+    def make(self) -> tuple[Registry, list[str]]:
+        left: list[str] = []
+        return Registry(on_leaving=lambda reg: left.append(reg.endpoint)), left
+
+    def test_one_that_leaves_gets_no_new_work_and_is_told_once(self):
+        registry, left = self.make()
+        registry.put(registration("e1"))
+        registry.put(registration("e1", state=EndpointState.LEAVING))
+        registry.put(registration("e1", state=EndpointState.LEAVING))
+        assert registry.usable("models") == []
+        assert left == ["e1"]
+
+    def test_one_whose_row_vanishes_is_gone(self):
+        registry, left = self.make()
+        registry.put(registration("e1"))
+        registry.remove("e1", 0.0, may_be_lapse=False)
+        assert registry.usable("models") == []
+        assert left == ["e1"]
+
+    def test_rows_that_lapsed_with_the_store_serve_where_nothing_else_does(self):
+        # The store was away, and the rows of all endpoints lapsed meanwhile; they are
+        # back two seconds after its return. Callers would be refused until then though
+        # every endpoint is well.
+        registry, left = self.make()
+        registry.put(registration("e1"))
+        registry.remove("e1", 10.0, may_be_lapse=True)
+        assert [reg.endpoint for reg in registry.usable("models")] == ["e1"]
+        registry.expire(10.0 + LAPSE_SECONDS)
+        assert registry.usable("models") == []
+        assert left == ["e1"]
+
+    def test_the_same_id_born_again_is_another_process(self):
+        # An engine crashes and comes back under its id. What ran there is lost, and
+        # whoever carries its runs must hear of it.
+        registry, left = self.make()
+        former = registration("e1", started_at=1)
+        registry.put(former)
+        registry.put(registration("e1", started_at=2))
+        assert left == ["e1"]
+        assert not registry.is_usable(former)
+        assert len(registry.usable("models")) == 1
+
+    def test_word_of_an_older_life_changes_nothing(self):
+        registry, left = self.make()
+        registry.put(registration("e1", started_at=2))
+        registry.put(registration("e1", started_at=1, state=EndpointState.LEAVING))
+        assert len(registry.usable("models")) == 1
+        assert left == []
+
+
+class TestRetryBudget:
+    def make(self, share: float = 1.0) -> tuple[RetryBudget, list[str]]:
+        told: list[str] = []
+        budget = RetryBudget(
+            ratio=0.2,
+            allowance=10.0,
+            window_seconds=10.0,
+            heard_share=lambda: share,
+            tell=told.append,
+        )
+        return budget, told
+
+    def test_the_allowance_is_one_for_all_nodes(self):
+        # A service fails, and every node tries again what it has. Each alone would
+        # keep to its bound, and all together would bury the service.
+        budget, told = self.make()
+        n_allowed = int(USED_SHARE * 10)
+        for _ in range(n_allowed - 1):
+            budget.note_other("desk", 0.0)
+        assert budget.take("desk", 0.0)
+        assert not budget.take("desk", 0.0)
+        assert told == ["desk"]
+
+    def test_a_node_that_hears_few_others_takes_its_share_only(self):
+        budget, _ = self.make(share=0.1)
+        assert not budget.take("desk", 0.0)
+
+    def test_own_requests_allow_retries_besides(self):
+        budget, _ = self.make(share=0.0)
+        for _ in range(100):
+            budget.note_request("desk", 0.0)
+        n_taken = sum(budget.take("desk", 0.0) for _ in range(100))
+        assert n_taken == int(USED_SHARE * 0.2 * 100)
+
+    def test_the_window_slides(self):
+        budget, _ = self.make()
+        while budget.take("desk", 0.0):
+            pass
+        assert not budget.take("desk", 9.0)
+        assert budget.take("desk", 10.1)
+
+
+class TestEndpointChoice:
+    REGS = [registration(f"e{n}") for n in range(3)]
+
+    def make(self) -> EndpointChoice:
+        return EndpointChoice(failure_domain="a", rng=random.Random(3))
+
+    def test_one_that_fails_with_good_health_gets_less(self):
+        # An endpoint fails half of its requests while its health answers are good.
+        # Callers would see every sixth request fail as long as that lasts.
+        choice = self.make()
+        for number in range(20):
+            choice.begin("e1")
+            choice.end("e1", is_failed=number % 2 == 0, now=0.0)
+        chosen = [choice.choose(self.REGS, (), 0.0) for _ in range(50)]
+        assert all(reg is not None and reg.endpoint != "e1" for reg in chosen)
+
+    def test_it_is_tried_again_after_a_while(self):
+        choice = self.make()
+        for _ in range(20):
+            choice.begin("e1")
+            choice.end("e1", is_failed=True, now=0.0)
+        chosen = {choice.choose(self.REGS, (), 60.0).endpoint for _ in range(50)}  # type: ignore[union-attr]
+        assert "e1" in chosen
+
+    def test_work_in_progress_is_spread(self):
+        choice = self.make()
+        counts = {reg.endpoint: 0 for reg in self.REGS}
+        for _ in range(30):
+            reg = choice.choose(self.REGS, (), 0.0)
+            assert reg is not None
+            choice.begin(reg.endpoint)
+            counts[reg.endpoint] += 1
+        assert max(counts.values()) - min(counts.values()) <= 3
+
+    def test_none_is_left_once_all_were_tried(self):
+        assert self.make().choose(self.REGS, {"e0", "e1", "e2"}, 0.0) is None
+
+
+class TestEventSplitter:
+    def test_only_whole_events_come_out(self):
+        # An engine dies in the middle of an event. Were the first half passed on, the
+        # caller would get the event broken, and again when the stream goes on.
+        splitter = EventSplitter()
+        assert splitter.feed(b"id: 1\ndata: a") == []
+        (event,) = splitter.feed(b"b\n\nid: 2\nda")
+        assert event.data == b"id: 1\ndata: ab\n\n"
+        assert (event.event_id, event.number) == ("1", 1)
+        assert not splitter.is_empty
+        splitter.clear()
+        assert splitter.is_empty
+
+    def test_line_ends_of_either_kind_end_an_event(self):
+        splitter = EventSplitter()
+        events = splitter.feed(b"id:7\r\ndata: x\r\n\r\ndata: y\n\n")
+        assert [event.event_id for event in events] == ["7", None]
+        assert events[1].number is None
--- /dev/null
+++ b/tests/test_relay_node.py
@@ -0,0 +1,436 @@
+"""A node between callers, stand-ins for workers, and a stand-in for the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+import pytest_asyncio
+from result import Err
+
+from celerytrail.httpclient import HttpClient
+from celerytrail.relay.rowsource import RowSource, StoreUnavailable
+from standins.worker import WorkerFaults
+from tests.relayrig import (
+    HOST,
+    KEY,
+    Rig,
+    config,
+    error_type,
+    events_of,
+    route,
+    until,
+    whole_stream,
+)
+
+
+@pytest_asyncio.fixture
+async def rig() -> AsyncIterator[Rig]:
+    made = Rig()
+    await made.start()
+    yield made
+    await made.close()
+
+
+class TestPlainCalls:
+    async def test_an_answer_comes_back_whole_with_its_seal(self, rig):
+        desk = await rig.add_desk("d1")
+        await rig.add_node()
+        res = await rig.ask("/file/1?x=2", body=b"deposit")
+        assert res.status == 200
+        assert res.body == b"d1 deposit"
+        assert res.headers["x-response-seal"] == "seal of d1"
+        (seen,) = desk.seen
+        assert (seen.req.path, seen.req.query) == ("/file/1", "x=2")
+        assert seen.req.headers["x-tenant-id"] == "org"
+        assert seen.req.headers["x-target-instance"] == "d1"
+        assert "authorization" not in seen.req.headers
+
+    async def test_a_filing_is_not_sent_again_once_it_may_have_run(self, rig):
+        # The endpoint takes the filing and resets the connection. Sent again, the
+        # deposit could be charged twice; said not to have run, the caller would.
+        one, two = await rig.add_desk("d1"), await rig.add_desk("d2")
+        one.faults = two.faults = WorkerFaults(resets=True)
+        await rig.add_node()
+        res = await rig.ask("/file/1")
+        assert res.status == 502
+        assert len(one.seen) + len(two.seen) == 1
+
+    async def test_a_filing_that_no_endpoint_ran_goes_to_another(self, rig):
+        one, two = await rig.add_desk("d1"), await rig.add_desk("d2")
+        one.faults = WorkerFaults(refuses=True)
+        await rig.add_node()
+        for _ in range(6):
+            assert (await rig.ask("/file/1")).status == 200
+        assert len(two.ran) == 6
+        assert one.ran == []
+
+    async def test_refused_by_all_it_says_not_run_and_when_to_come_back(self, rig):
+        desk = await rig.add_desk("d1")
+        desk.faults = WorkerFaults(refuses=True)
+        await rig.add_node()
+        res = await rig.ask("/file/1")
+        assert res.status == 503
+        assert float(res.headers["retry-after"]) > 0
+        assert desk.ran == []
+
+    async def test_a_failed_look_up_is_tried_elsewhere(self, rig):
+        one, two = await rig.add_desk("d1"), await rig.add_desk("d2")
+        one.faults = WorkerFaults(status=500)
+        two.faults = WorkerFaults(status=500)
+        await rig.add_node()
+        assert (await rig.ask("/look/1", "GET")).status == 500
+        assert len(one.seen) == len(two.seen) == 1
+        two.faults = WorkerFaults()
+        assert (await rig.ask("/look/1", "GET")).status == 200
+
+    @pytest.mark.parametrize(
+        "faults",
+        [
+            WorkerFaults(cuts_after_bytes=1),
+            WorkerFaults(is_unsealed=True),
+            WorkerFaults(echoes_other_id=True),
+        ],
+    )
+    async def test_what_is_not_this_requests_whole_answer_never_arrives(
+        self, rig, faults
+    ):
+        # The endpoint breaks off, sends bytes that are not its answer, or answers
+        # another request. The caller would take somebody else's deposit for its own.
+        desk = await rig.add_desk("d1")
+        desk.faults = faults
+        await rig.add_node()
+        res = await rig.ask("/file/1")
+        assert res.status == 502
+        assert b"d1" not in res.body
+
+    async def test_an_extra_answer_reaches_nobody(self, rig):
+        # A faulty endpoint sends a second answer behind the first. The next request on
+        # the kept connection would be given it.
+        desk = await rig.add_desk("d1")
+        desk.faults = WorkerFaults(has_extra=True)
+        await rig.add_node()
+        for number in range(5):
+            body = f"n{number}".encode()
+            res = await rig.ask("/file/1", body=body)
+            assert res.status in (200, 502)
+            assert res.status == 502 or res.body == b"d1 " + body
+
+    async def test_an_address_that_another_endpoint_has_now_is_left(self, rig):
+        # An endpoint went and its address was given to another service. The request
+        # would be run by a service that no route names.
+        stranger = await rig.add_desk("stranger")
+        good = await rig.add_desk("d2")
+        rig.store.drop("servers", "stranger")
+        rig.store.put("servers", "d1", stranger.row("desk"))
+        await rig.add_node()
+        for _ in range(6):
+            assert (await rig.ask("/file/1")).status == 200
+        assert stranger.ran == []
+        assert len(good.ran) == 6
+
+    async def test_work_stops_when_the_caller_leaves(self, rig):
+        desk = await rig.add_desk("d1")
+        desk.faults = WorkerFaults(is_mute=True)
+        node = await rig.add_node()
+        asked = asyncio.ensure_future(rig.ask("/file/1"))
+        await until(lambda: desk.ran)
+        asked.cancel()
+        await until(lambda: node.endpoints_in_use == 0)
+
+    async def test_a_silent_endpoint_is_given_up_at_the_timeout(self, rig):
+        desk = await rig.add_desk("d1")
+        desk.faults = WorkerFaults(is_mute=True)
+        changed = config(2)
+        changed["routes"] = [
+            route("file", "unsafe", "desk") | {"timeout-ms": 200},
+        ]
+        rig.store.put("op", "config", changed)
+        await rig.add_node()
+        res = await rig.ask("/file/1")
+        assert res.status == 504
+
+
+class TestRoutesAndKeys:
+    async def test_unknown_routes_and_keys(self, rig):
+        await rig.add_desk("d1")
+        await rig.add_node()
+        assert (await rig.ask("/nowhere/")).status == 404
+        assert (await rig.ask("/file/1", headers=rig.headers("bad"))).status == 401
+        assert (await rig.ask("/file/1", headers=rig.headers(None))).status == 401
+
+    async def test_a_public_route_needs_no_key(self, rig):
+        await rig.add_desk("d1")
+        changed = config(2)
+        changed["routes"] = [route("open", "safe", "desk") | {"public": True}]
+        rig.store.put("op", "config", changed)
+        await rig.add_node()
+        res = await rig.ask("/open/1", "GET", headers=rig.headers(None))
+        assert res.status == 200
+
+    async def test_a_change_comes_into_force_and_is_never_undone(self, rig):
+        # The operator takes a key away. Late answers and rows of before must not bring
+        # it back.
+        await rig.add_desk("d1")
+        node = await rig.add_node()
+        assert (await rig.ask("/file/1")).status == 200
+        rig.store.put("op", "config", config(5, tenants=[]))
+        await until(lambda: node.configs.cfg.version == 5)
+        assert (await rig.ask("/file/1")).status == 401
+        rig.store.put("op", "config", config(4))
+        rig.store.put("op", "config", config(6, tenants=[]))
+        await until(lambda: node.configs.cfg.version == 6)
+        assert (await rig.ask("/file/1")).status == 401
+
+    async def test_an_unreadable_configuration_leaves_the_former_in_force(self, rig):
+        await rig.add_desk("d1")
+        node = await rig.add_node()
+        rig.store.put("op", "config", b"{torn")
+        rig.store.put("servers", "d9", b"\xff")
+        rig.store.put("op", "config", config(3))
+        await until(lambda: node.configs.cfg.version == 3)
+        assert (await rig.ask("/file/1")).status == 200
+
+    async def test_out_of_touch_a_key_lets_nothing_through(self, rig):
+        # The store falls silent for good. Keys that are taken away meanwhile are not
+        # heard of, so the node refuses at once, as not run, and says it is not ready.
+        desk = await rig.add_desk("d1")
+        node = await rig.add_node(revoke_seconds=1.0)
+        rig.store.faults.is_silent = True
+        await until(lambda: not node.is_ready)
+        res = await rig.ask("/file/1")
+        assert res.status == 503
+        assert error_type(res) == "keys_unknown"
+        assert desk.seen == []
+        rig.store.faults.is_silent = False
+        await until(lambda: node.is_ready)
+        assert (await rig.ask("/file/1")).status == 200
+
+    async def test_before_the_first_configuration_it_refuses_as_not_run(self, rig):
+        rig.store.drop("op", "config")
+        add = asyncio.ensure_future(rig.add_node())
+        await until(lambda: rig.store.n_calls > 2)
+        while not rig.nodes:
+            await asyncio.sleep(0.01)
+        res = await rig.ask("/file/1")
+        assert res.status == 503
+        rig.store.put("op", "config", config())
+        await add
+
+    async def test_forgotten_history_is_read_whole(self, rig):
+        await rig.add_desk("d1")
+        node = await rig.add_node()
+        rig.store.faults.has_forgotten = True
+        rig.store.put("op", "config", config(9))
+        await until(lambda: node.configs.cfg.version == 9)
+
+
+class TestGenerations:
+    async def test_events_arrive_whole_and_in_order(self, rig):
+        engine = await rig.add_engine("e1")
+        await rig.add_node()
+        asked = asyncio.ensure_future(rig.ask("/draft/1"))
+        await until(lambda: engine.running)
+        await engine.tick(6)
+        res = await asked
+        assert events_of(res.body) == whole_stream(6)
+
+    async def test_a_run_is_moved_off_an_engine_that_leaves(self, rig):
+        # The engine says that it will be taken away while a draft is half done. Left
+        # there, the draft is lost, as it must not run a second time from the start.
+        first = await rig.add_engine("e1")
+        node = await rig.add_node()
+        asked = asyncio.ensure_future(rig.ask("/draft/1"))
+        await until(lambda: first.running)
+        await first.tick(3)
+        second = await rig.add_engine("e2")
+        await until(lambda: len(node.registry.usable("models")) == 2)
+        rig.store.put("servers", "e1", first.row("models", "draining"))
+        await until(lambda: second.running)
+        await second.tick(6)
+        res = await asked
+        assert events_of(res.body) == whole_stream(6)
+        assert not first.running
+
+    async def test_a_run_goes_on_at_its_copy_when_its_engine_dies(self, rig):
+        # The engine dies without notice. The copy that grew at another engine carries
+        # the draft on where the caller has it.
+        one, two = await rig.add_engine("e1"), await rig.add_engine("e2")
+        await rig.add_node()
+        asked = asyncio.ensure_future(rig.ask("/draft/1"))
+        await until(lambda: one.running or two.running)
+        first, second = (one, two) if one.running else (two, one)
+        await first.tick(3)
+        await until(lambda: second.backups)
+        await first.close()
+        await until(lambda: second.running)
+        await second.tick(6)
+        res = await asked
+        assert events_of(res.body) == whole_stream(6)
+
+    async def test_an_engine_that_stays_silent_is_left_for_the_copy(self, rig):
+        # The engine's connections stay open and nothing comes any more. The caller
+        # gives up after a few seconds of that.
+        one, two = await rig.add_engine("e1"), await rig.add_engine("e2")
+        await rig.add_node()
+        asked = asyncio.ensure_future(rig.ask("/draft/1"))
+        await until(lambda: one.running or two.running)
+        first, second = (one, two) if one.running else (two, one)
+        await first.tick(2)
+        await until(lambda: second.running)
+        await second.tick(6)
+        assert events_of((await asked).body) == whole_stream(6)
+
+    async def test_a_lost_draft_is_cut_and_not_made_to_look_whole(self, rig):
+        engine = await rig.add_engine("e1")
+        node = await rig.add_node()
+        address = node.cfg.callers
+        opened = await HttpClient(id_header=None).open(
+            address, "POST", "/draft/1", headers=rig.headers()
+        )
+        stream = opened.unwrap()
+        await until(lambda: engine.running)
+        await engine.tick(2)
+        await engine.close()
+        assert isinstance(await stream.read(), Err)
+        assert engine.ran == [engine.seen[0].attempt_id]
+
+    async def test_a_torn_event_is_not_passed_on(self, rig):
+        engine = await rig.add_engine("e1")
+        engine.faults = WorkerFaults(cuts_after_bytes=7)
+        node = await rig.add_node()
+        opened = await HttpClient(id_header=None).open(
+            node.cfg.callers, "POST", "/draft/1", headers=rig.headers()
+        )
+        stream = opened.unwrap()
+        await until(lambda: engine.running)
+        await engine.tick()
+        read = await stream.next_chunk()
+        assert isinstance(read, Err)
+
+    async def test_a_stream_that_may_be_resumed_runs_on_elsewhere(self, rig):
+        one, two = await rig.add_engine("e1"), await rig.add_engine("e2")
+        await rig.add_node()
+        asked = asyncio.ensure_future(rig.ask("/check/1"))
+        await until(lambda: one.running or two.running)
+        first, second = (one, two) if one.running else (two, one)
+        await first.tick(2)
+        await first.close()
+        await until(lambda: second.running)
+        await second.tick(6)
+        res = await asked
+        assert events_of(res.body) == whole_stream(6)
+
+    async def test_a_draft_goes_on_though_its_key_was_taken_away(self, rig):
+        # No change cuts work in progress: the key lets no new request through, but
+        # what runs already is carried on, also to another engine.
+        first = await rig.add_engine("e1")
+        node = await rig.add_node()
+        asked = asyncio.ensure_future(rig.ask("/draft/1"))
+        await until(lambda: first.running)
+        await first.tick(2)
+        second = await rig.add_engine("e2")
+        rig.store.put("op", "config", config(2, tenants=[]))
+        await until(lambda: node.configs.cfg.version == 2)
+        await until(lambda: len(node.registry.usable("models")) == 2)
+        rig.store.put("servers", "e1", first.row("models", "draining"))
+        await until(lambda: second.running)
+        await second.tick(6)
+        assert events_of((await asked).body) == whole_stream(6)
+
+    async def test_full_engines_refuse_at_once_with_a_time_to_come_back(self, rig):
+        engine = await rig.add_engine("e1")
+        engine.faults = WorkerFaults(refuses=True)
+        await rig.add_node()
+        changed = config(2)
+        changed["routes"] = [
+            route("draft", "streaming", "models") | {"target-latency-ms": 100}
+        ]
+        rig.store.put("op", "config", changed)
+        res = await rig.ask("/draft/1")
+        assert res.status == 503
+        assert float(res.headers["retry-after"]) > 0
+        assert engine.ran == []
+
+    async def test_the_engine_stops_when_the_caller_leaves(self, rig):
+        engine = await rig.add_engine("e1")
+        await rig.add_node()
+        asked = asyncio.ensure_future(rig.ask("/draft/1"))
+        await until(lambda: engine.running)
+        asked.cancel()
+        await until(lambda: not engine.running)
+
+
+class TestSeveralNodes:
+    async def test_all_are_named_to_callers_until_one_stops(self, rig):
+        await rig.add_desk("d1")
+        one, two = await rig.add_node("vm-1"), await rig.add_node("vm-2")
+        await until(lambda: len(one.nodes.live()) == 2)
+        named = await self.ask_addresses(rig, one)
+        assert sorted(named) == sorted([str(one.cfg.callers), str(two.cfg.callers)])
+        stopping = asyncio.ensure_future(two.stop())
+        await until(lambda: len(one.nodes.live()) == 1)
+        assert await self.ask_addresses(rig, one) == [str(one.cfg.callers)]
+        # It still answers whoever has its address, and asks them to go elsewhere.
+        res = await rig.ask("/file/1", node=two)
+        assert res.status == 200
+        assert res.headers["connection"] == "close"
+        stopping.cancel()
+
+    @staticmethod
+    async def ask_addresses(rig, node) -> list[str]:
+        answered = await HttpClient(id_header=None).request(
+            node.cfg.directory, "GET", f"/api/resolve?name={HOST}&zone=a"
+        )
+        return list(answered.unwrap().json()["addresses"])
+
+    async def test_one_node_follows_the_store_for_all(self, rig):
+        nodes = [await rig.add_node(f"vm-{number}") for number in range(3)]
+        await until(lambda: all(len(node.nodes.live()) == 3 for node in nodes))
+        assert sum(node.shared.is_reader for node in nodes) == 1
+        rig.store.put("op", "config", config(8))
+        await until(lambda: all(node.configs.cfg.version == 8 for node in nodes))
+
+    async def test_a_node_that_can_not_reach_the_store_hears_from_others(self, rig):
+        # The store turns one node away and serves the others. Its callers would be
+        # refused though the next node knows all that is in force.
+        await rig.add_desk("d1")
+        good = await rig.add_node("vm-1")
+        cut = await rig.add_node("vm-2", store=TurnedAway())
+        await until(lambda: len(good.nodes.live()) == 2)
+        rig.store.put("op", "config", config(4))
+        await until(lambda: cut.configs.cfg.version == 4)
+        assert (await rig.ask("/file/1", node=cut)).status == 200
+
+    async def test_what_a_node_places_is_seen_by_the_others(self, rig):
+        engine = await rig.add_engine("e1")
+        one, two = await rig.add_node("vm-1"), await rig.add_node("vm-2")
+        await until(lambda: len(one.nodes.live()) == len(two.nodes.live()) == 2)
+        asked = asyncio.ensure_future(rig.ask("/draft/1", node=one))
+        await until(lambda: len(two.loads.on_engine("e1")) == 1)
+        await until(lambda: engine.running)
+        await engine.tick(6)
+        await asked
+        await until(lambda: two.loads.on_engine("e1") == [])
+
+
+class TurnedAway(RowSource):
+    """A store that refuses this node."""
+
+    async def read(self, table, deadline):
+        return Err(StoreUnavailable(reason="status 503", status=503))
+
+    async def follow(self, table, after, wait_seconds, deadline):
+        return Err(StoreUnavailable(reason="status 503", status=503))
+
+    async def put(self, table, key, value, deadline):
+        return Err(StoreUnavailable(reason="status 503", status=503))
+
+    async def drop(self, table, key, deadline):
+        return Err(StoreUnavailable(reason="status 503", status=503))
+
+
+def test_the_keys_of_the_rig_are_those_of_its_configuration():
+    tenants = config()["tenants"]
+    assert tenants == [{"name": "org", "api-keys": [KEY]}]
--- /dev/null
+++ b/tests/test_relay_platform.py
@@ -0,0 +1,294 @@
+"""The platform's names and formats, as the adapter decodes and encodes them."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from result import Err, Ok
+
+from celerytrail.http import Request
+from celerytrail.platform import wire
+from celerytrail.platform.nodefile import read_settings
+from celerytrail.platform.operatorconfig import decode_config
+from celerytrail.platform.registrations import decode_registration
+from celerytrail.relay.model import EndpointState, RouteKind
+from celerytrail.types import Address
+
+SETTINGS = {
+    "node": "edge-a-1",
+    "zone": "a",
+    "region": "r",
+    "listen": {"front": "10.1.0.1:80", "control": "10.1.0.1:81"},
+    "port-range": [7200, 7215],
+    "seeds": ["10.1.0.1:81"],
+    "bounds": {"revoke-ms": 5000, "grace-s": 8, "retry-slack": 113},
+    "infrastructure": {"address": "10.9.0.1:82"},
+    "a-field-of-tomorrow": {"x": 1},
+}
+
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "draft",
+            "hostname": "Desk.example",
+            "prefix": "/d/",
+            "route-type": "streaming",
+            "timeout-ms": 39000,
+            "target-latency-ms": 1800,
+            "gap-target-ms": 180,
+            "service": "models",
+            "priority": 1,
+            "max-attempts": 1,
+        },
+        {
+            "name": "file",
+            "hostname": "desk.example",
+            "prefix": "/d/file/",
+            "route-type": "unsafe",
+            "timeout-ms": 1500,
+            "target-latency-ms": 400,
+            "traffic-split": [
+                {"service": "desk", "weight": 90},
+                {"service": "desk2", "weight": 10},
+            ],
+        },
+    ],
+    "services": [
+        {
+            "name": "models",
+            "engine": {
+                "slots": 24,
+                "kv-capacity-tokens": 34359,
+                "kv-token-bytes": 18432,
+                "link-mbps": 2700.0,
+                "moves": True,
+                "backups": True,
+                "stride": 4,
+                "handle-s": 5.0,
+            },
+        },
+        {"name": "desk"},
+    ],
+    "tenants": [{"name": "org", "api-keys": ["k1", "k2"], "priority": 0}],
+}
+
+
+def request(headers: dict[str, str], path: str = "/d/x", query: str = "") -> Request:
+    pairs = [(name.encode(), value.encode()) for name, value in headers.items()]
+    return Request(
+        method="POST", path=path, query=query, headers=headers, raw_headers=pairs
+    )
+
+
+class TestSettingsFile:
+    def test_reads_what_it_knows_and_ignores_the_rest(self):
+        cfg = read_settings(msgspec.json.encode(SETTINGS)).ok_value
+        assert cfg.node == "edge-a-1"
+        assert cfg.callers == Address(host="10.1.0.1", port=80)
+        assert cfg.store == Address(host="10.9.0.1", port=82)
+        assert cfg.revoke_seconds == 5.0
+        assert cfg.peer_ports == (7200, 7215)
+
+    def test_all_findings_come_together_with_their_places(self):
+        # Whoever writes the file should not have to start a node once for each
+        # mistake in it.
+        bad = {
+            **SETTINGS,
+            "node": 3,
+            "port-range": "7200",
+            "bounds": {"revoke-ms": "soon"},
+            "listen": {"front": "here"},
+        }
+        read = read_settings(msgspec.json.encode(bad))
+        assert isinstance(read, Err)
+        places = {finding.place for finding in read.err_value}
+        assert places == {"node", "port-range", "bounds.revoke-ms", "listen.front"}
+
+    def test_what_is_no_json_is_a_finding(self):
+        assert isinstance(read_settings(b"{"), Err)
+
+
+class TestOperatorConfig:
+    def test_decodes_units_kinds_and_shares(self):
+        cfg = decode_config(msgspec.json.encode(CONFIG)).ok_value
+        draft, file = cfg.routes
+        assert draft.kind is RouteKind.STREAM
+        assert draft.timeout_seconds == 39.0
+        assert draft.pause_seconds == pytest.approx(0.18)
+        assert [share.weight for share in file.shares] == [90, 10]
+        engine = cfg.services["models"].engine
+        assert engine is not None
+        assert engine.link_bytes_per_second == 2700 * 125_000
+        assert cfg.keys is not None
+        assert cfg.keys["k2"].organisation == "org"
+
+    def test_the_longest_prefix_of_the_host_wins(self):
+        cfg = decode_config(msgspec.json.encode(CONFIG)).ok_value
+        found = cfg.find_route("desk.example:80", "/d/file/1")
+        assert found is not None and found.name == "file"
+        found = cfg.find_route("DESK.example", "/d/other")
+        assert found is not None and found.name == "draft"
+        assert cfg.find_route("desk.example", "/elsewhere/") is None
+        assert cfg.find_route("other.example", "/d/x") is None
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"routes": [{"hostname": "x", "prefix": "/", "route-type": "odd"}]},
+            {"routes": [{"hostname": "x", "prefix": "/", "route-type": "safe"}]},
+            {"version": "seven"},
+        ],
+    )
+    def test_what_can_not_be_read_is_an_error_with_a_reason(self, change):
+        decoded = decode_config(msgspec.json.encode({**CONFIG, **change}))
+        assert isinstance(decoded, Err)
+        assert decoded.err_value
+
+
+class TestRegistrations:
+    ROW = {
+        "service": "desk",
+        "address": "10.1.0.9:80",
+        "zone": "a",
+        "slots": 6,
+        "state": "ready",
+        "cold-remaining-ms": 1500,
+        "born": 42,
+    }
+
+    def test_decodes_a_row(self):
+        reg = decode_registration("i-1", msgspec.json.encode(self.ROW)).ok_value
+        assert reg.endpoint == "i-1"
+        assert reg.state is EndpointState.READY
+        assert reg.cold_seconds == 1.5
+        assert reg.started_at == 42
+
+    @pytest.mark.parametrize(
+        "change",
+        [
+            {"address": "nowhere"},
+            {"address": None},
+            {"state": "dancing"},
+            {"slots": "six"},
+            {"service": 7},
+            {"born": "once"},
+        ],
+    )
+    def test_a_torn_or_forged_row_names_no_endpoint(self, change):
+        # Another writer may have put the row there, with fields of other types or
+        # words that nobody knows. Callers would be sent to an address that is none.
+        raw = msgspec.json.encode({**self.ROW, **change})
+        assert isinstance(decode_registration("i-1", raw), Err)
+
+    def test_bytes_that_are_no_json_name_no_endpoint(self):
+        assert isinstance(decode_registration("i-1", b"\xff\x00{"), Err)
+
+
+class TestForwardedHeaders:
+    FACTS = wire.ForwardFacts(
+        endpoint="i-1", budget_seconds=1.5, organisation="org", priority=0
+    )
+
+    def test_the_callers_own_headers_go_on_and_ours_are_added(self):
+        req = request(
+            {
+                "host": "desk.example",
+                "x-attempt-id": "a1",
+                "x-model-name": "m",
+                "accept": "text/event-stream",
+            }
+        )
+        sent = dict(wire.forward_headers(req, self.FACTS))
+        assert sent["host"] == "desk.example"
+        assert sent["x-attempt-id"] == "a1"
+        assert sent["x-model-name"] == "m"
+        assert sent["x-target-instance"] == "i-1"
+        assert sent["x-time-budget-ms"] == "1500"
+        assert sent["x-tenant-id"] == "org"
+
+    def test_what_only_the_system_may_set_is_dropped(self):
+        # A caller that names another organisation, or a copy in an engine's memory,
+        # would be given what belongs to others.
+        req = request(
+            {
+                "x-tenant-id": "victim",
+                "authorization": "Bearer k1",
+                "kv-from": "10.0.0.1:1/other",
+                "x-kv-backup": "10.0.0.1:1",
+                "x-kv-hold": "h",
+                "x-pin-ms": "9",
+                "x-target-instance": "i-2",
+                "x-request-priority": "0",
+            }
+        )
+        facts = wire.ForwardFacts(endpoint="i-1", budget_seconds=1.0)
+        sent = dict(wire.forward_headers(req, facts))
+        assert sent == {"x-time-budget-ms": "1000", "x-target-instance": "i-1"}
+
+    def test_headers_of_one_connection_stay_there(self):
+        req = request(
+            {
+                "connection": "close, x-private",
+                "x-private": "1",
+                "transfer-encoding": "chunked",
+                "te": "trailers",
+            }
+        )
+        sent = dict(wire.forward_headers(req, self.FACTS))
+        assert not {"connection", "x-private", "transfer-encoding", "te"} & set(sent)
+
+    def test_a_connection_header_can_not_drop_the_attempts_id(self):
+        # A caller that names the id as a header of the connection would get its
+        # request to an endpoint without one, and an answer that can't be checked.
+        req = request({"connection": "x-attempt-id", "x-attempt-id": "a1"})
+        assert dict(wire.forward_headers(req, self.FACTS))["x-attempt-id"] == "a1"
+
+
+class TestCallerFacts:
+    def test_reads_sizes_key_and_budget(self):
+        facts = wire.caller_facts(
+            request(
+                {
+                    "x-attempt-id": "a1",
+                    "authorization": "Bearer k1",
+                    "x-time-budget-ms": "2500",
+                    "x-token-count": "1460,80",
+                    "x-length-hint": "60",
+                    "x-prompt-prefix": "5c1e07a2:800,91bd3f06:410",
+                }
+            )
+        )
+        assert facts.key == "k1"
+        assert facts.budget_seconds == 2.5
+        assert (facts.n_prompt_tokens, facts.n_max_tokens) == (1460, 80)
+        assert facts.n_expected_tokens == 60
+        assert facts.parts == (("5c1e07a2", 800), ("91bd3f06", 410))
+
+    @pytest.mark.parametrize("text", ["", "x", "-5", "1e400", "nan"])
+    def test_a_budget_that_can_not_be_read_counts_as_not_stated(self, text):
+        facts = wire.caller_facts(request({"x-time-budget-ms": text}))
+        assert facts.budget_seconds is None
+
+
+class TestAnswers:
+    def test_only_a_sealed_answer_without_encoding_is_the_endpoints(self):
+        assert wire.is_own_answer({"x-response-seal": "s"})
+        assert not wire.is_own_answer({})
+        assert not wire.is_own_answer(
+            {"x-response-seal": "s", "content-encoding": "gzip"}
+        )
+
+    def test_not_run_is_what_the_endpoint_says(self):
+        assert wire.is_not_run(503, {"x-not-executed": "1"})
+        assert wire.is_not_run(421, {})
+        assert not wire.is_not_run(503, {})
+
+    def test_reports(self):
+        body = b'{"queued":1,"in-flight":2,"kv-used":3,"kv-total":4,"leaves_ms":500}'
+        report = wire.decode_report(body).ok_value
+        assert report.is_leaving and report.leaves_in_seconds == 0.5
+        assert report.n_used_tokens == 3
+        assert isinstance(wire.decode_report(b"[]"), Err)
+        assert isinstance(wire.decode_moved(b'{"created":1}'), Err)
+        assert isinstance(wire.decode_moved(b'{"handle":"h","created":1}'), Ok)
