--- /dev/null
+++ b/tests/test_relay_http.py
@@ -0,0 +1,143 @@
+"""What the HTTP plumbing promises to whoever relays."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+import pytest
+from result import Err
+
+from celerytrail.httpclient import HttpClient
+from celerytrail.httpserver import Handler, HttpServer
+from celerytrail.types import Address
+from standins.worker import unframed_answer
+
+LOCAL = Address(host="127.0.0.1", port=0)
+
+
+async def raw_server(answer: bytes, *, is_reset: bool = False):
+    """Answer each connection's first request by bytes, and end the connection."""
+
+    async def serve(reader, writer):
+        await reader.read(65_536)
+        writer.write(answer)
+        await writer.drain()
+        if is_reset:
+            await asyncio.sleep(0.05)
+            # With no time to linger, closing sends a reset and no proper end.
+            sock = writer.get_extra_info("socket")
+            no_time = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_time)
+            writer.transport.abort()
+        else:
+            writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    return server, Address(host="127.0.0.1", port=server.sockets[0].getsockname()[1])
+
+
+def worker_client() -> HttpClient:
+    return HttpClient(id_header="x-attempt-id", allows_unframed=True)
+
+
+class Echo(Handler):
+    """Answers with the request's body and counts."""
+
+    def __init__(self) -> None:
+        self.n_handled = 0
+
+    async def handle(self, req, res):
+        self.n_handled += 1
+        await res.send(200, req.body)
+
+
+class TestUnframedAnswers:
+    async def test_one_that_ends_with_its_connection_is_whole(self):
+        server, address = await raw_server(unframed_answer("a1", b"whole"))
+        opened = await worker_client().open(
+            address, "GET", "/", headers={"x-attempt-id": "a1"}, request_id="a1"
+        )
+        assert (await opened.unwrap().read()).unwrap() == b"whole"
+        server.close()
+
+    async def test_one_whose_connection_is_reset_is_not(self):
+        # The endpoint dies while it sends an answer without a length. Taken for its
+        # end, the reset would make half an answer look whole.
+        server, address = await raw_server(unframed_answer("a1", b"ha"), is_reset=True)
+        opened = await worker_client().open(
+            address, "GET", "/", headers={"x-attempt-id": "a1"}, request_id="a1"
+        )
+        assert isinstance(await opened.unwrap().read(), Err)
+        server.close()
+
+
+class TestAbandonedAnswers:
+    async def test_one_that_another_task_closed_has_not_ended(self):
+        # A run is carried to another engine while its reader is busy with its caller.
+        # Taken for the proper end, the half-made draft would be finished as whole.
+        head = b"HTTP/1.1 200 OK\r\nx-attempt-id: a1\r\ncontent-length: 10\r\n\r\nhalf"
+        server, address = await raw_server(head)
+        opened = await worker_client().open(
+            address, "GET", "/", headers={"x-attempt-id": "a1"}, request_id="a1"
+        )
+        stream = opened.unwrap()
+        stream.close()
+        assert isinstance(await stream.next_chunk(), Err)
+        server.close()
+
+
+class TestWithdrawnRequests:
+    async def test_nothing_is_sent_once_it_may_not_be(self):
+        # While the connection was made the process stood still, and the key was taken
+        # away meanwhile.
+        handler = Echo()
+        server = HttpServer(handler=handler)
+        address = await server.start(LOCAL)
+        client = HttpClient(id_header=None)
+        opened = await client.open(address, "GET", "/", may_send=lambda: False)
+        assert isinstance(opened, Err)
+        assert opened.err_value.reason == "withdrawn"
+        assert (await client.request(address, "GET", "/")).unwrap().status == 200
+        assert handler.n_handled == 1
+        await server.close()
+
+
+class TestSmuggling:
+    @pytest.mark.parametrize(
+        "head",
+        [
+            b"content-length: 4\r\ntransfer-encoding: chunked\r\n",
+            b"transfer-encoding: chunked\r\ncontent-length: 4\r\n",
+        ],
+    )
+    async def test_a_body_with_two_ends_is_refused(self, head):
+        # A second request hides in what one reader takes for the body and another for
+        # the next request. It would run under somebody else's name.
+        handler = Echo()
+        server = HttpServer(handler=handler)
+        address = await server.start(LOCAL)
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        hidden = b"0\r\n\r\nGET /hidden HTTP/1.1\r\nhost: x\r\n\r\n"
+        writer.write(b"POST / HTTP/1.1\r\nhost: x\r\n" + head + b"\r\n" + hidden)
+        answer = await reader.read()
+        assert answer.startswith(b"HTTP/1.1 400")
+        assert answer.count(b"HTTP/1.1") == 1
+        assert handler.n_handled == 0
+        writer.close()
+        await server.close()
+
+
+class TestRetiring:
+    async def test_idle_connections_close_and_new_ones_are_told_to(self):
+        server = HttpServer(handler=Echo())
+        address = await server.start(LOCAL)
+        client = HttpClient(id_header=None)
+        assert (await client.request(address, "GET", "/")).unwrap().status == 200
+        server.retire()
+        await asyncio.sleep(0.05)
+        res = (await client.request(address, "GET", "/")).unwrap()
+        assert res.headers["connection"] == "close"
+        assert client.n_connected == 2
+        await server.close()
