--- a/celerytrail/httpserver.py
+++ b/celerytrail/httpserver.py
@@ -43,7 +43,6 @@
     idle_seconds: float = 75.0
     write_seconds: float = 30.0
     max_connections: int = 2_000
-    advertised_idle_seconds: int | None = None
 
 
 class Responder:
@@ -98,8 +97,6 @@
             whole[REQUEST_ID_HEADER] = self._conn.request_id
         if self.is_closing:
             whole["connection"] = "close"
-        elif self._limits.advertised_idle_seconds is not None:
-            whole["keep-alive"] = f"timeout={self._limits.advertised_idle_seconds}"
         if "content-length" not in whole:
             whole["transfer-encoding"] = "chunked"
         self.status = status
--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -113,6 +113,7 @@
     "gossip_bytes": "Bytes of gossip, by direction.",
     "membership_changes": "Changes of other nodes' states, by state.",
     "orders": "Orders sent to engines, by outcome.",
+    "relay_events": "Turning points of relayed requests, by event and cause.",
 }
 GAUGES = {
     "configuration_version": "The version of the document in force.",
@@ -120,9 +121,12 @@
     "streams": "Streams being relayed.",
     "queued": "Requests waiting for a grant, by model.",
     "engine_used_tokens": "Tokens in an engine's memory as last reported, by engine.",
+    "knowledge_age_seconds": "Age of what is known of keys and configuration.",
 }
 HISTOGRAMS = {
     "first_token": "Time from request to first token.",
     "between_tokens": "Time between two tokens of a stream.",
+    "relay_first_event": "Time from a request's arrival to its first event.",
+    "relay_answer": "Time from a request's arrival to the end of its answer.",
     "admission": "Time from asking for a grant to the answer.",
 }
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -99,6 +99,7 @@
         match outcome:
             case Answered(res=res):
                 ex.log("answered", status=res.status)
+                ex.observe("relay_answer")
                 headers = wire.answer_headers(res.headers)
                 await ex.res.send(res.status, res.body, headers)
             case NotRunThere(reason=reason):
--- a/celerytrail/relay/exchange.py
+++ b/celerytrail/relay/exchange.py
@@ -11,6 +11,7 @@
 
 from ..http import Request
 from ..httpserver import Responder
+from ..metrics import Metrics
 from ..platform import wire
 from .boottime import boottime
 from .model import CallerFacts, Route
@@ -44,6 +45,8 @@
         Boot time of its arrival, and until which it must be answered.
     may_pass : callable
         Whether it may be passed on at this moment.
+    metrics : Metrics
+        Counts its turning points.
     """
 
     req: Request
@@ -56,6 +59,7 @@
     arrived_at: float
     deadline: float
     may_pass: Callable[[], bool]
+    metrics: Metrics
 
     @property
     def seconds_left(self) -> float:
@@ -110,8 +114,15 @@
         await asyncio.wait({task})
         raise CallerGoneError
 
+    def observe(self, name: str) -> None:
+        """Add the time since its arrival to a histogram."""
+        seconds = boottime() - self.arrived_at
+        self.metrics.observe(name, seconds, route=self.route.name)
+
     def log(self, event: str, **fields: object) -> None:
-        """Write a line about this request."""
+        """Write a line about this request, and count it by its cause."""
+        cause = fields.get("reason", fields.get("status", ""))
+        self.metrics.count("relay_events", event=event, cause=str(cause))
         log_message(
             f"relay:{event}",
             request=self.facts.attempt_id,
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -522,6 +522,7 @@
             return
         live.is_whole = True
         await ex.res.finish()
+        ex.observe("relay_answer")
         ex.log("answered", status=200, n_events=live.n_events, n_runs=live.n_runs)
 
     async def _pass_event(self, live: LiveRun, event: StreamEvent) -> None:
@@ -535,6 +536,7 @@
             live.last_event_id = event.event_id
         if live.run.is_reading:
             self._share(live, is_reading=False)
+            live.ex.observe("relay_first_event")
         live.note_event()
         await live.ex.res.write(event.data)
 
--- a/celerytrail/relay/handler.py
+++ b/celerytrail/relay/handler.py
@@ -9,6 +9,7 @@
 
 from ..http import Request
 from ..httpserver import Handler, Responder
+from ..metrics import Metrics
 from ..platform import wire
 from .boottime import boottime
 from .calls import PlainCalls
@@ -39,10 +40,10 @@
         Serves plain services.
     generations : Generations
         Serves model engines.
-    is_stopping : callable
-        Whether this node is going to exit soon.
     rng : random.Random
         Splits traffic between services.
+    metrics : Metrics
+        Counts what becomes of requests.
     """
 
     def __init__(
@@ -52,15 +53,15 @@
         freshness: Freshness,
         calls: PlainCalls,
         generations: Generations,
-        is_stopping: Callable[[], bool],
         rng: random.Random,
+        metrics: Metrics,
     ) -> None:
         self._config = config
         self._freshness = freshness
         self._calls = calls
         self._generations = generations
-        self._is_stopping = is_stopping
         self._rng = rng
+        self._metrics = metrics
 
     async def handle(self, req: Request, res: Responder) -> None:
         """Answer one request."""
@@ -97,6 +98,7 @@
             arrived_at=arrived_at,
             deadline=arrived_at + min(budget, route.timeout_seconds),
             may_pass=self._guard(route, facts),
+            metrics=self._metrics,
         )
         service = cfg.services.get(ex.service)
         if service is not None and service.engine is not None:
@@ -126,8 +128,8 @@
             return names[0]
         return self._rng.choices(names, weights)[0]
 
-    @staticmethod
     async def _refuse(
+        self,
         res: Responder,
         facts: CallerFacts,
         status: int,
@@ -135,6 +137,7 @@
         *,
         is_elsewhere: bool = False,
     ) -> None:
+        self._metrics.count("relay_events", event="refused", cause=reason)
         log_message(
             "relay:refused", request=facts.attempt_id, reason=reason, status=status
         )
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -16,8 +16,9 @@
 from result import Err
 
 from ..clock import SystemClock
+from ..http import Request
 from ..httpclient import HttpClient
-from ..httpserver import HttpServer, ServerLimits
+from ..httpserver import HttpServer, Responder, ServerLimits
 from ..log import log_to_output
 from ..metrics import Metrics
 from ..network import Network, SystemNetwork
@@ -28,7 +29,7 @@
 from ..platform.nodefile import RelaySettings
 from ..platform.operatorconfig import decode_config
 from ..platform.registrations import decode_registration
-from ..routes import Router
+from ..routes import Params, Router
 from ..types import Address, Finding
 from .addresses import DirectoryHandler, ReadinessHandler
 from .boottime import boottime
@@ -265,8 +266,8 @@
             freshness=self._freshness,
             calls=self.calls,
             generations=self.generations,
-            is_stopping=lambda: self.is_stopping,
             rng=self._rng,
+            metrics=self._metrics,
         )
         self._front = HttpServer(handler=handler, network=self._network)
         directory = DirectoryHandler(
@@ -278,6 +279,7 @@
         router = Router()
         self.nodes.add_routes(router)
         self.shared.add_routes(router)
+        router.add("GET", "/metrics", self._answer_metrics)
         self._peers = HttpServer(handler=router, network=self._network)
 
     # Running.
@@ -361,6 +363,17 @@
     def _run(self, work: Coroutine[object, object, None]) -> None:
         self._tasks.append(asyncio.get_running_loop().create_task(work))
 
+    async def _answer_metrics(
+        self, req: Request, res: Responder, params: Params
+    ) -> None:
+        self.nodes.count_members()
+        cfg = self.configs.cfg
+        self._metrics.set("configuration_version", float(cfg.version if cfg else 0))
+        self._metrics.set("knowledge_age_seconds", self._freshness.age_seconds or 0.0)
+        self._metrics.set("streams", float(self.generations.n_live))
+        body, headers = self._metrics.render()
+        await res.send(200, body, headers)
+
     def _engine_of(self, service: str) -> EngineFacts | None:
         cfg = self.configs.cfg
         known = cfg.services.get(service) if cfg else None
--- a/tests/test_relay_node.py
+++ b/tests/test_relay_node.py
@@ -362,6 +362,22 @@
         await until(lambda: not engine.running)
 
 
+class TestMetrics:
+    async def test_requests_are_counted_by_what_became_of_them(self, rig):
+        await rig.add_desk("d1")
+        node = await rig.add_node()
+        await rig.ask("/file/1")
+        await rig.ask("/file/1", headers=rig.headers("bad"))
+        answered = await HttpClient(id_header=None).request(
+            node.cfg.peers, "GET", "/metrics"
+        )
+        text = answered.unwrap().body.decode()
+        assert 'cause="200",event="answered"' in text
+        assert 'cause="unknown_key",event="refused"' in text
+        assert "celerytrail_relay_answer_seconds" in text
+        assert "celerytrail_configuration_version" in text
+
+
 class TestSeveralNodes:
     async def test_all_are_named_to_callers_until_one_stops(self, rig):
         await rig.add_desk("d1")
