--- a/celerytrail/relay/engineloads.py
+++ b/celerytrail/relay/engineloads.py
@@ -30,9 +30,6 @@
         Output made so far, as of the last list of runs.
     is_moving : bool
         Whether ``backup`` is where it is being moved to.
-    is_ahead : bool
-        Whether the copy at ``backup`` was made by a move's first step, so that only its
-        last one is left.
     """
 
     run_id: str
@@ -43,7 +40,6 @@
     is_reading: bool = True
     n_made_tokens: int = 0
     is_moving: bool = False
-    is_ahead: bool = False
 
     @property
     def n_remaining_tokens(self) -> int:
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -14,7 +14,6 @@
 from ..exceptions import PeerError
 from ..httpclient import HttpClient, NotSent, Stream
 from ..platform import wire
-from ..types import Address
 from . import moving, placing
 from .engineapi import EngineApi, MoveFailed
 from .engineloads import EngineLoad, EngineLoads, Run
@@ -50,8 +49,6 @@
 REPORT_SECONDS = 0.3
 # How long the order to free a copy may take, in seconds.
 FREE_SECONDS = 0.5
-# A copy that was asked for is renewed after this share of the time that it is kept.
-RENEW_SHARE = 0.6
 # How often a copy is tried that does not stand yet, and the pause between, in seconds.
 SWITCH_TRIES = 3
 SWITCH_PAUSE_SECONDS = 0.2
@@ -108,12 +105,6 @@
         self.is_whole = False
         self.move: asyncio.Task[Copied | Switched | None] | None = None
         self.started = asyncio.Event()
-        # Whether the copy at `backup` was asked for by a move, and not by the request.
-        self.is_backup_asked = False
-        self.copy_again_at = 0.0
-        # Where that copy is freed, and its name there.
-        self.handle: tuple[Address, str] | None = None
-        self.copying: asyncio.Task[None] | None = None
         self._first_event_at = 0.0
         self._last_event_at = 0.0
         self.longest_pause = 0.0
@@ -233,9 +224,6 @@
                 live.stream.close()
             if live.move is not None:
                 self._drop_move(live.move)
-            if live.copying is not None:
-                live.copying.cancel()
-            self._free_copy(live)
             if not live.is_whole and live.reg is not None:
                 self._drop_backup(live, live.reg)
             if live.run.endpoint:
@@ -270,8 +258,6 @@
     def _forget_backup(self, live: LiveRun) -> None:
         """Note that the engine that had a copy of a run goes."""
         live.backup = None
-        live.is_backup_asked = False
-        self._free_copy(live)
         if live.reg is not None:
             self._share(live, is_reading=live.run.is_reading)
 
@@ -279,10 +265,8 @@
         """Note how far the runs are, for the next list that the other nodes get."""
         for live in self._live:
             is_idle = live.move is None and live.backup is not None
-            is_idle = is_idle and not live.is_backup_asked
             if is_idle and live.silent_seconds > SILENT_SECONDS:
                 live.move = asyncio.ensure_future(self._leave_silent(live))
-            self._keep_copied(live)
             if live.run.endpoint:
                 n_made = live.n_events * live.engine.n_event_tokens
                 live.run = replace(live.run, n_made_tokens=n_made)
@@ -375,7 +359,6 @@
             backup=live.backup.endpoint if live.backup else "",
             is_reading=is_reading,
             is_moving=is_moving,
-            is_ahead=live.is_backup_asked,
         )
         self._sharing.placed(live.run)
 
@@ -571,7 +554,6 @@
             return moved.stream
         copied = moved
         has_backup = live.backup is not None and live.backup != live.reg
-        has_backup = has_backup and not live.is_backup_asked
         if copied is None and has_backup:
             assert live.backup is not None
             backup = live.backup
@@ -612,7 +594,7 @@
     def _drop_backup(self, live: LiveRun, reg: Registration) -> None:
         """Free the copy that a run leaves behind when it goes on at ``reg``."""
         backup = live.backup
-        if backup is None or live.is_backup_asked or backup.endpoint == reg.endpoint:
+        if backup is None or backup.endpoint == reg.endpoint:
             return
         deadline = asyncio.get_running_loop().time() + FREE_SECONDS
         attempt = live.ex.facts.attempt_id
@@ -624,89 +606,16 @@
         """Note that a run goes on at another engine, with a new copy elsewhere."""
         self._drop_backup(live, reg)
         live.backup = backup
-        live.is_backup_asked = False
         live.reg = reg
         live.begin_engine()
         self._share(live, is_reading=False)
 
-    # Copies that are asked for while a run goes on.
-
-    def _keep_copied(self, live: LiveRun) -> None:
-        """Copy a run ahead where its engine has more than its link can move in time.
-
-        The engine that held a run's copy may have gone, and a run that began beside few
-        others may now be one of many. Such a copy is asked for again before it lapses.
-        """
-        source = live.reg
-        is_busy = live.move is not None or live.copying is not None
-        if source is None or is_busy or not live.started.is_set():
-            return
-        if not self._registry.is_usable(source) or not live.engine.can_move:
-            return
-        loop = asyncio.get_running_loop()
-        if live.is_backup_asked and live.backup is not None:
-            if loop.time() < live.copy_again_at:
-                return
-        elif live.backup is not None:
-            return
-        else:
-            runs = self._loads.on_engine(source.endpoint)
-            if moving.is_movable(live.run, runs, live.engine):
-                return
-        live.copying = asyncio.ensure_future(self._copy_ahead(live, source))
-
-    async def _copy_ahead(self, live: LiveRun, source: Registration) -> None:
-        """Make or renew a copy while the run goes on."""
-        loop = asyncio.get_running_loop()
-        try:
-            target = live.backup or self._copy_target(live, source)
-            if target is None:
-                return
-            live.backup, live.is_backup_asked = target, True
-            self._share(live, is_reading=False)
-            copied = await self._api.copy(
-                source.address,
-                live.ex.facts.attempt_id,
-                target.address,
-                is_last=False,
-                deadline=loop.time() + COPY_SECONDS,
-            )
-            if isinstance(copied, Err):
-                live.ex.log(
-                    "copy_failed",
-                    target=target.endpoint,
-                    status=copied.err_value.status,
-                )
-                if live.reg == source and live.backup == target:
-                    self._forget_backup(live)
-                return
-            live.handle = (source.address, copied.ok_value.handle)
-            live.copy_again_at = loop.time() + RENEW_SHARE * live.engine.handle_seconds
-        finally:
-            live.copying = None
-
-    def _free_copy(self, live: LiveRun) -> None:
-        """Free a copy that was asked for and will not be used."""
-        if live.handle is None:
-            return
-        address, handle = live.handle
-        live.handle = None
-        deadline = asyncio.get_running_loop().time() + FREE_SECONDS
-        self._run(self._api.free(address, handle, deadline))
-
     def _run(self, work: Coroutine[Any, Any, None]) -> None:
         """Run something beside the requests, and keep it from being collected."""
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _copy_target(self, live: LiveRun, source: Registration) -> Registration | None:
-        loads = self._engine_loads(live, {source.endpoint})
-        copy = placing.choose_backup(
-            loads, self._demand(live), source.endpoint, self._rng, is_needed=True
-        )
-        return copy.reg if copy is not None else None
-
     def _leave_engine(self, live: LiveRun) -> None:
         """Begin to carry a run off its engine."""
         if live.move is None or (live.move.done() and live.move.result() is None):
@@ -716,18 +625,6 @@
         """Get a run off an engine that leaves."""
         source = live.reg
         await live.started.wait()
-        if live.copying is not None:
-            await asyncio.wait([live.copying])
-        if live.is_backup_asked and live.backup is not None and source is not None:
-            await self._await_turn(live, source)
-            deadline = asyncio.get_running_loop().time() + COPY_SECONDS
-            done = await self._copy_and_stop(
-                live, source, live.backup, deadline, phases=(True,)
-            )
-            if isinstance(done, Ok):
-                live.handle = None
-                return done.ok_value
-            self._forget_backup(live)
         for _ in range(SWITCH_TRIES):
             if live.backup is None or not self._registry.is_usable(live.backup):
                 break
@@ -856,12 +753,11 @@
         source: Registration,
         target: Registration,
         deadline: float,
-        phases: tuple[bool, ...] = (False, True),
     ) -> Result[Copied, MoveFailed]:
         """Copy a run while it goes on, then stop it and copy what is new."""
         moved: wire.Moved | None = None
         loop = asyncio.get_running_loop()
-        for is_last in phases:
+        for is_last in (False, True):
             began_at = loop.time()
             copied = await self._api.copy(
                 source.address,
--- a/celerytrail/relay/moving.py
+++ b/celerytrail/relay/moving.py
@@ -19,9 +19,6 @@
 USUAL_FACTOR = 1.7
 # How much later than reckoned a move begins that was not told that it is its turn.
 LATE_FACTOR = 1.5
-# What the last step of a run that was copied ahead takes at most with its messages, in
-# seconds; a few hundredths were measured.
-AHEAD_SECONDS = 0.15
 # What an engine's link can move after a notice, in seconds: it is gone 1.5 s to 2.1 s
 # after it, and the first tenths pass until all know.
 MOVABLE_SECONDS = 1.0
@@ -46,15 +43,10 @@
 
     Every node reckons the same order from the same list, so no message is needed: runs
     without a copy elsewhere, the most advanced first, as most would be lost with them;
-    last those that may well end before their engine does. Runs that were copied ahead
-    go before all: they stand still for their last step, which takes a hundredth of a
-    second on a free link and more than one behind the first steps of others.
-
-    A run that has gone is on another engine's list, which lets the next one begin.
+    last those that may well end before their engine does. A run that has gone is on
+    another engine's list, which lets the next one begin.
     """
-    moved = [
-        run for run in runs if not run.has_copy or run.is_ahead or run.run_id == run_id
-    ]
+    moved = [run for run in runs if not run.has_copy or run.run_id == run_id]
     return bool(moved) and min(moved, key=_rank).run_id == run_id
 
 
@@ -63,32 +55,21 @@
 
     The node before may have died, or its news got lost.
     """
-    moved = sorted((run for run in runs if not run.has_copy or run.is_ahead), key=_rank)
+    moved = sorted((run for run in runs if not run.has_copy), key=_rank)
     seconds = 0.0
     for run in moved:
         if run.run_id == run_id:
             break
-        seconds += AHEAD_SECONDS if run.is_ahead else copy_seconds(run, engine)
+        seconds += copy_seconds(run, engine)
     return LATE_FACTOR * seconds
 
 
-def is_movable(run: Run, runs: Iterable[Run], engine: EngineFacts) -> bool:
-    """Return whether a run would be moved in time, in its turn."""
-    moved = sorted((other for other in runs if not other.has_copy), key=_rank)
-    seconds = 0.0
-    for other in moved:
-        seconds += copy_seconds(other, engine)
-        if other.run_id == run.run_id:
-            break
-    return seconds <= MOVABLE_SECONDS
-
-
 def needs_backup(run: Run, runs: Iterable[Run], engine: EngineFacts) -> bool:
     """Return whether an engine has more without copies than its link can move."""
     seconds = sum(copy_seconds(other, engine) for other in runs if not other.has_copy)
     return seconds + copy_seconds(run, engine) > MOVABLE_SECONDS
 
 
-def _rank(run: Run) -> tuple[bool, bool, int, str]:
+def _rank(run: Run) -> tuple[bool, int, str]:
     is_ending = 0 <= run.n_expected_tokens - run.n_made_tokens < N_LAST_TOKENS
-    return not run.is_ahead, is_ending, -run.n_made_tokens, run.run_id
+    return is_ending, -run.n_made_tokens, run.run_id
--- a/celerytrail/relay/sharing.py
+++ b/celerytrail/relay/sharing.py
@@ -31,7 +31,6 @@
     is_reading: bool
     n_made_tokens: int = 0
     is_moving: bool = False
-    is_ahead: bool = False
 
 
 class ReportNews(msgspec.Struct, array_like=True, frozen=True):
@@ -212,7 +211,6 @@
         is_reading=run.is_reading,
         n_made_tokens=run.n_made_tokens,
         is_moving=run.is_moving,
-        is_ahead=run.is_ahead,
     )
 
 
@@ -235,5 +233,4 @@
         is_reading=news.is_reading,
         n_made_tokens=news.n_made_tokens,
         is_moving=news.is_moving,
-        is_ahead=news.is_ahead,
     )
