Split generations into placing, opening, carrying off and relaying; a stopped run goes on at home

A run whose last copy found no room was stopped at its engine and given up, though the engine keeps it; events missing after a run went on elsewhere would have been passed over. Change: modules for each job; the engine's own copy is used then; a gap cuts the answer. Ports of tests come from the range that no connection takes (a test failed once with a port in use; traced to that).

--- a/celerytrail/cmdline.py
+++ b/celerytrail/cmdline.py
@@ -55,7 +55,7 @@
 def relay() -> None:
     """Run a node on a platform, by the file that CELERYTRAIL_SETTINGS names."""
     from .platform.nodefile import SETTINGS_VARIABLE
-    from .relay.node import run_relay_node
+    from .relay.daemon import run_relay_node
 
     path = os.environ.get(SETTINGS_VARIABLE)
     if path is None:
--- a/celerytrail/relay/engineapi.py
+++ b/celerytrail/relay/engineapi.py
@@ -17,10 +17,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class MoveFailed:
-    """A copy was not made; the run goes on at its engine unless it was stopped."""
+    """A copy was not made.
+
+    Where ``handle`` is set the run was stopped all the same, and can go on at its own
+    engine by that name.
+    """
 
     reason: str
     status: int | None = None
+    handle: str | None = None
 
 
 class EngineApi:
@@ -73,7 +78,8 @@
         res = answered.ok_value
         moved = wire.decode_moved(res.body)
         if res.status != 200 or isinstance(moved, Err):
-            return Err(MoveFailed(reason="refused", status=res.status))
+            handle = None if isinstance(moved, Err) else moved.ok_value.handle
+            return Err(MoveFailed(reason="refused", status=res.status, handle=handle))
         return Ok(moved.ok_value)
 
     async def free(self, source: Address, handle: str, deadline: float) -> None:
--- /dev/null
+++ b/celerytrail/relay/engineopener.py
@@ -0,0 +1,78 @@
+"""Sends a generation to one engine."""
+
+from __future__ import annotations
+
+from result import Err, Ok, Result
+
+from ..httpclient import HttpClient, NotSent, Stream
+from ..platform import wire
+from .liverun import Failed, LiveRun, Refused
+from .model import Registration
+
+# How long to connect, in seconds, before another engine is tried.
+CONNECT_SECONDS = 0.25
+
+
+class EngineOpener:
+    """Opens the streams of runs.
+
+    Parameters
+    ----------
+    client : HttpClient
+        Speaks with engines.
+    """
+
+    def __init__(self, *, client: HttpClient) -> None:
+        self._client = client
+
+    async def open(
+        self,
+        live: LiveRun,
+        reg: Registration,
+        backup: Registration | None,
+        copy_name: str | None = None,
+    ) -> Result[Stream, Refused | Failed]:
+        """Send the generation to one engine, new or from a copy."""
+        ex = live.ex
+        if ex.seconds_left <= 0:
+            return Err(Failed(reason="timeout"))
+        facts = wire.ForwardFacts(
+            endpoint=reg.endpoint,
+            budget_seconds=ex.seconds_left,
+            organisation=ex.organisation,
+            priority=ex.priority,
+            backup=backup.address if backup else None,
+            resume_from=copy_name,
+            last_event_id=live.last_event_id,
+        )
+        opened = await self._client.open(
+            reg.address,
+            ex.req.method,
+            ex.target,
+            body=ex.req.body,
+            headers=wire.forward_headers(ex.req, facts),
+            deadline=ex.loop_deadline,
+            connect_seconds=CONNECT_SECONDS,
+            request_id=ex.facts.attempt_id,
+            may_send=ex.may_go_on if copy_name else ex.may_send,
+        )
+        if isinstance(opened, Err):
+            exc = opened.err_value
+            ex.log("attempt_failed", endpoint=reg.endpoint, reason=exc.reason)
+            if isinstance(exc, NotSent):
+                return Err(Refused(reason=exc.reason))
+            return Err(Failed(reason=exc.reason))
+        stream = opened.ok_value
+        if wire.is_not_run(stream.status, stream.headers):
+            ex.log("attempt_refused", endpoint=reg.endpoint, status=stream.status)
+            await stream.read(ex.loop_deadline)
+            return Err(Refused(reason="engine_refused"))
+        live.n_runs += 1
+        ex.log(
+            "placed",
+            endpoint=reg.endpoint,
+            backup=backup.endpoint if backup else "",
+            copy=copy_name,
+            status=stream.status,
+        )
+        return Ok(stream)
--- /dev/null
+++ b/celerytrail/relay/engineplacer.py
@@ -0,0 +1,173 @@
+"""Places generations on engines by the view that all nodes share, and tells of it."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import replace
+
+from . import moving, placing
+from .engineloads import EngineLoad, EngineLoads
+from .liverun import LiveRun
+from .model import Registration
+from .paces import Paces
+from .registry import Registry
+from .sharing import Sharing
+
+# Share of the target for which a generation waits here for an engine with room; the
+# rest is for reading its prompt.
+WAIT_SHARE = 0.5
+# Between two looks for room, in seconds.
+LOOK_SECONDS = 0.02
+
+
+class EnginePlacer:
+    """Chooses engines for runs, and tells the other nodes of each choice.
+
+    Parameters
+    ----------
+    registry : Registry
+        Knows the engines.
+    loads : EngineLoads
+        What all nodes have placed.
+    sharing : Sharing
+        Tells the other nodes.
+    paces : Paces
+        How fast each engine is.
+    failure_domain : str
+        Where this node runs.
+    rng : random.Random
+        Breaks ties.
+    """
+
+    def __init__(
+        self,
+        *,
+        registry: Registry,
+        loads: EngineLoads,
+        sharing: Sharing,
+        paces: Paces,
+        failure_domain: str,
+        rng: random.Random,
+    ) -> None:
+        self._registry = registry
+        self._loads = loads
+        self._sharing = sharing
+        self._paces = paces
+        self._failure_domain = failure_domain
+        self._rng = rng
+
+    def _engine_loads(self, live: LiveRun, excluded: set[str]) -> list[EngineLoad]:
+        engine = live.engine
+        empty = [
+            EngineLoad(
+                reg=reg,
+                n_slots=engine.n_slots,
+                n_memory_tokens=engine.n_memory_tokens,
+            )
+            for reg in self._registry.usable(live.ex.service)
+            if reg.endpoint not in excluded
+        ]
+        return [
+            replace(load, token_seconds=self._paces.token_seconds(load.reg.endpoint))
+            for load in self._loads.loads(empty)
+        ]
+
+    def _demand(self, live: LiveRun) -> placing.Demand:
+        run = live.run
+        return placing.Demand(
+            n_tokens=run.n_tokens,
+            n_reading_tokens=run.n_prompt_tokens,
+            n_remaining_tokens=run.n_remaining_tokens,
+            failure_domain=self._failure_domain,
+        )
+
+    async def place(self, live: LiveRun, excluded: set[str]) -> Registration | None:
+        """Wait for an engine with room; None where none has any in time."""
+        ex = live.ex
+        loop = asyncio.get_running_loop()
+        until = loop.time() + WAIT_SHARE * ex.route.target_seconds
+        until = min(until, ex.loop_deadline)
+        demand = self._demand(live)
+        while True:
+            loads = self._engine_loads(live, excluded)
+            load = placing.choose_engine(loads, demand, self._rng)
+            if load is not None:
+                self._note_place(live, load.reg, loads, demand)
+                return load.reg
+            if loop.time() >= until:
+                ex.log("no_room", n_engines=len(loads))
+                return None
+            await asyncio.sleep(LOOK_SECONDS)
+
+    def _note_place(
+        self,
+        live: LiveRun,
+        reg: Registration,
+        loads: list[EngineLoad],
+        demand: placing.Demand,
+    ) -> None:
+        live.reg = reg
+        live.backup = self._choose_backup(live, reg, loads, demand)
+        self.share(live, is_reading=True)
+
+    def _choose_backup(
+        self,
+        live: LiveRun,
+        reg: Registration,
+        loads: list[EngineLoad],
+        demand: placing.Demand,
+    ) -> Registration | None:
+        """Return the engine that gets a copy of a run as it grows, if any."""
+        if not live.engine.can_back_up or live.ex.route.is_resumable:
+            return None
+        others = [
+            run
+            for run in self._loads.on_engine(reg.endpoint)
+            if run.run_id != live.run.run_id
+        ]
+        is_needed = moving.needs_backup(live.run, others, live.engine)
+        copy = placing.choose_backup(
+            loads, demand, reg.endpoint, self._rng, is_needed=is_needed
+        )
+        return copy.reg if copy is not None else None
+
+    def share(
+        self, live: LiveRun, *, is_reading: bool, is_moving: bool = False
+    ) -> None:
+        """Tell the other nodes where a run is."""
+        assert live.reg is not None
+        live.run = replace(
+            live.run,
+            endpoint=live.reg.endpoint,
+            backup=live.backup.endpoint if live.backup else "",
+            is_reading=is_reading,
+            is_moving=is_moving,
+        )
+        self._sharing.placed(live.run)
+
+    def next_backup(self, live: LiveRun, reg: Registration) -> Registration | None:
+        """Return which engine gets a copy of a run that goes on at another one."""
+        loads = self._engine_loads(live, set())
+        return self._choose_backup(live, reg, loads, self._demand(live))
+
+    def forget_backup(self, live: LiveRun) -> None:
+        """Note that the engine that had a copy of a run goes."""
+        live.backup = None
+        if live.reg is not None:
+            self.share(live, is_reading=live.run.is_reading)
+
+    def move_target(
+        self, live: LiveRun, source: Registration, excluded: set[str]
+    ) -> Registration | None:
+        """Return the best engine for a run that leaves another one."""
+        demand = replace(
+            self._demand(live),
+            failure_domain=source.failure_domain,
+            n_reading_tokens=0,
+            memory_share=placing.MOVE_SHARE,
+            far_cost=placing.FAR_MOVE_COST,
+        )
+        loads = self._engine_loads(live, excluded)
+        target = placing.choose_engine(loads, demand, self._rng)
+        return target.reg if target is not None else None
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -3,14 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import gc
-import os
 import random
-import signal
-import sys
 from collections.abc import Callable, Coroutine
 from dataclasses import replace
-from pathlib import Path
 
 from eliot import log_message
 from result import Err
@@ -19,24 +14,26 @@
 from ..http import Request
 from ..httpclient import HttpClient
 from ..httpserver import HttpServer, Responder, ServerLimits
-from ..log import log_to_output
 from ..metrics import Metrics
 from ..network import Network, SystemNetwork
 from ..nodes.member import Member, State
 from ..nodes.nodes import Nodes
 from ..nodes.signing import PeerKeys
-from ..platform import nodefile, rows, wire
+from ..platform import rows, wire
 from ..platform.nodefile import RelaySettings
 from ..platform.operatorconfig import decode_config
 from ..platform.registrations import decode_registration
 from ..routes import Params, Router
-from ..types import Address, Finding
+from ..types import Address
 from .addresses import DirectoryHandler, ReadinessHandler
 from .boottime import boottime
 from .calls import PlainCalls
+from .departures import Departures
 from .endpointchoice import EndpointChoice
 from .engineapi import EngineApi
 from .engineloads import EngineLoads
+from .engineopener import EngineOpener
+from .engineplacer import EnginePlacer
 from .enginewatch import EngineWatch
 from .freshness import Freshness
 from .generations import Generations
@@ -238,18 +235,30 @@
         self._engine_api = EngineApi(
             client=HttpClient(network=self._network, id_header=None)
         )
-        self.generations = Generations(
-            client=self.endpoints,
-            api=self._engine_api,
+        placer = EnginePlacer(
             registry=self.registry,
             loads=self.loads,
             sharing=self.sharing,
             paces=self._paces,
-            budget=budget,
-            engine_of=self._engine_of,
             failure_domain=cfg.failure_domain,
             rng=self._rng,
         )
+        opener = EngineOpener(client=self.endpoints)
+        departures = Departures(
+            api=self._engine_api,
+            registry=self.registry,
+            loads=self.loads,
+            placer=placer,
+            opener=opener,
+        )
+        self.generations = Generations(
+            placer=placer,
+            opener=opener,
+            departures=departures,
+            sharing=self.sharing,
+            budget=budget,
+            rng=self._rng,
+        )
         self.calls = PlainCalls(
             client=self.endpoints,
             registry=self.registry,
@@ -470,59 +479,3 @@
         except (ValueError, UnicodeDecodeError) as exc:
             log_message("relay:nodes:unreadable", row=row.key, problem=str(exc))
     return addresses
-
-
-def load_settings(path: str) -> RelaySettings | list[Finding]:
-    """Read and check the settings file."""
-    try:
-        data = Path(path).read_bytes()
-    except OSError as exc:
-        return [Finding(place=path, problem=str(exc))]
-    read = nodefile.read_settings(data)
-    if isinstance(read, Err):
-        return read.err_value
-    cfg = read.ok_value
-    needed = {
-        "callers": cfg.callers,
-        "peers": cfg.peers,
-        "store": cfg.store,
-    }
-    missing = [name for name, address in needed.items() if address is None]
-    if missing:
-        return [Finding(place=name, problem="no address is set") for name in missing]
-    return cfg
-
-
-def run_relay_node(path: str) -> int:
-    """Run a node by the platform's settings file until it is told to stop."""
-    cfg = load_settings(path)
-    if isinstance(cfg, list):
-        for finding in cfg:
-            print(f"error: {finding}", file=sys.stderr)
-        return 2
-    log_to_output(cfg.node)
-    gc.freeze()
-    asyncio.run(_run(cfg, path))
-    return 0
-
-
-async def _run(cfg: RelaySettings, path: str) -> None:
-    node = RelayNode(cfg=cfg)
-    told_to_stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, told_to_stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
-    await node.start()
-    await told_to_stop.wait()
-    await node.stop()
-    # Whatever still hangs on a silent peer must not keep the process.
-    os._exit(0)
-
-
-def _reload(node: RelayNode, path: str) -> None:
-    cfg = load_settings(path)
-    if isinstance(cfg, list):
-        log_message("relay:node:settings_bad", findings=[str(one) for one in cfg])
-        return
-    node.apply_settings(cfg)
--- a/tests/relayrig.py
+++ b/tests/relayrig.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import socket
 from dataclasses import dataclass, field
 
 import msgspec
@@ -15,6 +14,7 @@
 from celerytrail.relay.node import RelayNode
 from celerytrail.relay.rowsource import RowSource
 from celerytrail.types import Address
+from chores.system import free_address
 from standins.rowstore import RowStore
 from standins.worker import EngineWorker, PlainWorker, Worker
 
@@ -24,13 +24,6 @@
 PATIENCE_SECONDS = 8.0
 
 
-def free_port(host: str = "127.0.0.1") -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return int(sock.getsockname()[1])
-
-
 def local(port: int) -> Address:
     return Address(host="127.0.0.1", port=port)
 
@@ -84,7 +77,7 @@
     workers: list[Worker] = field(default_factory=list)
     client: HttpClient = field(default_factory=lambda: HttpClient(id_header=None))
     store_address: Address = local(1)
-    news_port: int = field(default_factory=lambda: free_port())
+    news_port: int = field(default_factory=lambda: free_address().port)
     _n_asked: int = 0
 
     async def start(self) -> None:
@@ -127,10 +120,10 @@
             "node": name,
             "failure_domain": "a",
             "region": "r",
-            "callers": Address(host=host, port=free_port(host)),
-            "readiness": Address(host=host, port=free_port(host)),
-            "peers": Address(host=host, port=free_port(host)),
-            "directory": Address(host=host, port=free_port(host)),
+            "callers": Address(host=host, port=free_address().port),
+            "readiness": Address(host=host, port=free_address().port),
+            "peers": Address(host=host, port=free_address().port),
+            "directory": Address(host=host, port=free_address().port),
             "peer_ports": (self.news_port, 0),
             "seeds": seeds,
             "store": self.store_address,
