--- a/celerytrail/nodes/nodes.py
+++ b/celerytrail/nodes/nodes.py
@@ -161,6 +161,11 @@
         self._membership.depart()
         self.gossip.stop()
 
+    def set_seeds(self, seeds: Sequence[Address]) -> None:
+        """Set the peer addresses from settings that changed."""
+        self._seeds = tuple(seeds)
+        self._membership.set_candidates(self._seeds + self._listed)
+
     def set_listed(self, addresses: Sequence[Address]) -> None:
         """Set the peer addresses from the platform's VM list; may lag or be empty."""
         self._listed = tuple(addresses)
--- a/celerytrail/relay/daemon.py
+++ b/celerytrail/relay/daemon.py
@@ -19,6 +19,9 @@
 from .node import RelayNode
 
 EXIT_FINDINGS = 2
+# Between two looks whether the settings file has changed, in seconds: it may change
+# without a signal.
+FILE_SECONDS = 2.0
 
 
 def load_settings(path: str) -> RelaySettings | list[Finding]:
@@ -63,12 +66,33 @@
         loop.add_signal_handler(number, told_to_stop.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
     await node.start()
+    watching = loop.create_task(_watch_file(node, path))
     await told_to_stop.wait()
+    watching.cancel()
     await node.stop()
     # Whatever still hangs on a silent peer must not keep the process.
     os._exit(0)
 
 
+async def _watch_file(node: RelayNode, path: str) -> None:
+    known = _stamp(path)
+    while True:
+        await asyncio.sleep(FILE_SECONDS)
+        found = _stamp(path)
+        if found != known:
+            known = found
+            _reload(node, path)
+
+
+def _stamp(path: str) -> tuple[int, int] | None:
+    try:
+        found = os.stat(path)
+    except OSError:
+        # It is being replaced; the next look finds the new one.
+        return None
+    return found.st_mtime_ns, found.st_size
+
+
 def _reload(node: RelayNode, path: str) -> None:
     cfg = load_settings(path)
     if isinstance(cfg, list):
--- a/celerytrail/relay/endpointchoice.py
+++ b/celerytrail/relay/endpointchoice.py
@@ -21,6 +21,7 @@
 # A failure is forgotten by half after so many seconds, so that an endpoint that was
 # left out gets a request now and then and can show that it works again.
 HALF_LIFE_SECONDS = 3.0
+MAX_RECORDS = 5_000
 
 
 @dataclass(kw_only=True, slots=True)
@@ -84,4 +85,9 @@
         return float(record.failure_rate * 0.5 ** (age / HALF_LIFE_SECONDS))
 
     def _record(self, endpoint: str) -> _Record:
+        if len(self._records) >= MAX_RECORDS:
+            # Endpoints are replaced under new ids; only those in use are kept.
+            self._records = {
+                name: record for name, record in self._records.items() if record.n_open
+            }
         return self._records.setdefault(endpoint, _Record())
--- a/celerytrail/relay/freshness.py
+++ b/celerytrail/relay/freshness.py
@@ -40,6 +40,11 @@
         self._clock = clock
         self._confirmed_at: float | None = None
 
+    def set_bound(self, bound_seconds: float, *, is_strict: bool) -> None:
+        """Take in settings that changed."""
+        self._usable_seconds = USABLE_SHARE * bound_seconds
+        self._is_strict = is_strict
+
     def confirm(self, sent_at: float) -> None:
         """Note that a read sent at ``sent_at`` showed all that was in force then."""
         if self._confirmed_at is None or sent_at > self._confirmed_at:
--- a/celerytrail/relay/handler.py
+++ b/celerytrail/relay/handler.py
@@ -138,8 +138,14 @@
         is_elsewhere: bool = False,
     ) -> None:
         self._metrics.count("relay_events", event="refused", cause=reason)
+        cfg = self._config()
         log_message(
-            "relay:refused", request=facts.attempt_id, reason=reason, status=status
+            "relay:refused",
+            request=facts.attempt_id,
+            reason=reason,
+            status=status,
+            version=cfg.version if cfg else None,
+            knowledge_age=self._freshness.age_seconds,
         )
         await refuse(
             res,
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -361,8 +361,15 @@
         return self.generations.n_live + self.calls.n_open
 
     def apply_settings(self, cfg: RelaySettings) -> None:
-        """Take in settings that changed while the node runs."""
+        """Take in settings that changed while the node runs.
+
+        Addresses to listen on are taken at the start only.
+        """
         self.cfg = cfg
+        self._freshness.set_bound(
+            cfg.revoke_seconds, is_strict=cfg.is_revocation_strict
+        )
+        self.nodes.set_seeds(cfg.seeds)
         log_message("relay:node:reloaded", node=self.node_id)
 
     @property
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -301,6 +301,13 @@
         now[0] = 102.0
         assert freshness.is_usable
 
+    def test_a_bound_that_changed_holds_at_once(self):
+        freshness, now = self.make()
+        freshness.confirm(100.0)
+        now[0] = 102.0
+        freshness.set_bound(1.0, is_strict=True)
+        assert not freshness.is_usable
+
     def test_where_revocation_is_not_strict_old_knowledge_serves(self):
         freshness, now = self.make(is_strict=False)
         freshness.confirm(100.0)
