--- a/chores/demo.py
+++ b/chores/demo.py
@@ -20,6 +20,7 @@
 from .caller import Caller, Draft
 from .documents import first_document
 from .operator import Operator
+from .platformdemo import PlatformDemo
 from .system import MODEL, SERVICE, Child, Layout, System
 
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples" / "bookings"
@@ -238,6 +239,7 @@
         if killed:
             print(f"demo: failed, had to be killed: {killed}")
             return 1
+        print(await PlatformDemo(folder=Path(folder)).run(), flush=True)
     print(f"\nin {time.monotonic() - started_at:.1f} s: " + "; ".join(figures))
     print("demo: ok")
     return 0
