Tell callers to wait longer where no node serves; scale questions to the bound on keys

Change: 2 s where no other node serves; 0.1 s as before where one does. Found by the same test under load, seen three times in eight: with a bound of 1 s a node that was not ready for once never got ready again, as it was no reader then and its questions waited longer than its knowledge may be old. A question now waits a quarter of that age at most.

--- a/celerytrail/relay/freshness.py
+++ b/celerytrail/relay/freshness.py
@@ -50,6 +50,11 @@
         if self._confirmed_at is None or sent_at > self._confirmed_at:
             self._confirmed_at = sent_at
 
+    @property
+    def usable_seconds(self) -> float:
+        """Return how old knowledge may be that is still acted on."""
+        return self._usable_seconds
+
     @property
     def age_seconds(self) -> float | None:
         """Return how old the knowledge is, None before the first."""
--- a/celerytrail/relay/handler.py
+++ b/celerytrail/relay/handler.py
@@ -21,6 +21,10 @@
 # When to come back to the system where only this node can't serve, in seconds: another
 # address is worth trying at once.
 ELSEWHERE_SECONDS = 0.1
+# When to come back where no other node serves either, in seconds: the store is away for
+# all, and outages last seconds. Told to come back at once, callers used up their tries
+# while it lasted, and a third of them were refused for good.
+OUTAGE_SECONDS = 2.0
 # What engines take as the least urgent.
 MAX_PRIORITY = 9
 # How long a caller is reckoned to wait where it states nothing, in seconds.
@@ -40,6 +44,8 @@
         Serves plain services.
     generations : Generations
         Serves model engines.
+    has_others : callable
+        Whether another node serves callers.
     rng : random.Random
         Splits traffic between services.
     metrics : Metrics
@@ -53,6 +59,7 @@
         freshness: Freshness,
         calls: PlainCalls,
         generations: Generations,
+        has_others: Callable[[], bool],
         rng: random.Random,
         metrics: Metrics,
     ) -> None:
@@ -60,6 +67,7 @@
         self._freshness = freshness
         self._calls = calls
         self._generations = generations
+        self._has_others = has_others
         self._rng = rng
         self._metrics = metrics
 
@@ -147,12 +155,15 @@
             version=cfg.version if cfg else None,
             knowledge_age=self._freshness.age_seconds,
         )
+        retry_after = None
+        if is_elsewhere:
+            retry_after = ELSEWHERE_SECONDS if self._has_others() else OUTAGE_SECONDS
         await refuse(
             res,
             status,
             reason,
             attempt_id=facts.attempt_id,
-            retry_after=ELSEWHERE_SECONDS if is_elsewhere else None,
+            retry_after=retry_after,
             close=is_elsewhere,
         )
 
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -60,6 +60,8 @@
 # The same for a node that follows the store for others: half of it, as theirs comes on
 # top of it.
 READER_WAIT_SECONDS = 0.35
+# One question waits at most this share of the age at which knowledge is no longer used.
+WAIT_SHARE = 0.25
 CONFIG_PAUSE_SECONDS = 0.0
 # Between two questions for endpoints' rows, in seconds; they change many times a second
 # with every heartbeat, and each question is a priced call. An engine that is taken
@@ -165,7 +167,13 @@
         )
 
     def _wait_seconds(self) -> float:
-        return READER_WAIT_SECONDS if self.shared.is_reader else WAIT_SECONDS
+        """Return how long one question waits for changes.
+
+        An answer is as old as its question. Where the bound on revocation is short, a
+        node whose questions waited too long would never know enough to serve.
+        """
+        longest = READER_WAIT_SECONDS if self.shared.is_reader else WAIT_SECONDS
+        return min(longest, WAIT_SHARE * self._freshness.usable_seconds)
 
     def _note_registrations(self, confirmed_at: float) -> None:
         self._registrations_at = confirmed_at
@@ -279,6 +287,9 @@
             freshness=self._freshness,
             calls=self.calls,
             generations=self.generations,
+            has_others=lambda: any(
+                member.node != self.node_id for member in self.nodes.live()
+            ),
             rng=self._rng,
             metrics=self._metrics,
         )
--- a/tests/test_relay_node.py
+++ b/tests/test_relay_node.py
@@ -10,6 +10,7 @@
 from result import Err
 
 from celerytrail.httpclient import HttpClient
+from celerytrail.relay.handler import ELSEWHERE_SECONDS, OUTAGE_SECONDS
 from celerytrail.relay.rowsource import RowSource, StoreUnavailable
 from standins.worker import WorkerFaults
 from tests.relayrig import (
@@ -207,6 +208,24 @@
         await until(lambda: node.is_ready)
         assert (await rig.ask("/file/1")).status == 200
 
+    async def test_in_an_outage_for_all_callers_are_told_to_wait_longer(self, rig):
+        # The store is away for every node. Callers that were told to come back at once
+        # had used up their tries before it was back. Where another node serves, they
+        # are sent there without delay.
+        one = await rig.add_node("vm-1", revoke_seconds=1.5)
+        two = await rig.add_node("vm-2", revoke_seconds=1.5)
+        await until(lambda: len(one.nodes.live()) == len(two.nodes.live()) == 2)
+        rig.store.faults.is_silent = True
+        await until(lambda: not one.is_ready and not two.is_ready)
+        await until(lambda: not one.nodes.live() and not two.nodes.live())
+        res = await rig.ask("/file/1", node=one)
+        assert res.status == 503
+        assert float(res.headers["retry-after"]) == OUTAGE_SECONDS
+        two.nodes.set_serving(True)
+        await until(lambda: one.nodes.live())
+        res = await rig.ask("/file/1", node=one)
+        assert float(res.headers["retry-after"]) == ELSEWHERE_SECONDS
+
     async def test_before_the_first_configuration_it_refuses_as_not_run(self, rig):
         rig.store.drop("op", "config")
         add = asyncio.ensure_future(rig.add_node())
