Remove what nothing uses from the relay

Load headers of plain workers, a 421 test, a clock's getter and a look-up by id were written for uses that did not come.

--- a/celerytrail/platform/wire.py
+++ b/celerytrail/platform/wire.py
@@ -29,7 +29,6 @@
 _RESUME_FROM = "kv-from"
 _LAST_EVENT = "last-event-id"
 _NOT_RUN = "x-not-executed"
-_LOAD = "x-worker-load"
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1).
 _HOP_BY_HOP = frozenset(
@@ -101,15 +100,6 @@
     last_event_id: str | None = None
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class LoadFacts:
-    """What an endpoint says of its load beside an answer."""
-
-    n_running: int
-    n_waiting: int
-    n_slots: int
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Moved:
     """A finished copy of a run: its name and the events made so far."""
@@ -182,25 +172,11 @@
     return _NOT_RUN in headers or status == 421
 
 
-def is_misdirected(status: int) -> bool:
-    """Return whether another endpoint than the one meant has the address."""
-    return status == 421
-
-
 def is_own_answer(headers: Mapping[str, str]) -> bool:
     """Return whether an endpoint vouches for the answer, and it can be passed on."""
     return SEAL_HEADER in headers and "content-encoding" not in headers
 
 
-def load_facts(headers: Mapping[str, str]) -> LoadFacts | None:
-    """Decode what an endpoint says of its load beside an answer."""
-    parts = headers.get(_LOAD, "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    running, waiting, slots = (int(part) for part in parts)
-    return LoadFacts(n_running=running, n_waiting=waiting, n_slots=slots)
-
-
 class _Report(msgspec.Struct, rename="kebab"):
     queued: int = 0
     in_flight: int = 0
--- a/celerytrail/relay/freshness.py
+++ b/celerytrail/relay/freshness.py
@@ -62,11 +62,6 @@
             return None
         return self._clock() - self._confirmed_at
 
-    @property
-    def confirmed_at(self) -> float | None:
-        """Return when the last confirming read was sent."""
-        return self._confirmed_at
-
     @property
     def is_usable(self) -> bool:
         """Return whether a request with a key may be passed on now."""
--- a/celerytrail/relay/registry.py
+++ b/celerytrail/relay/registry.py
@@ -86,10 +86,6 @@
             return False
         return not self._is_leaving(known)
 
-    def get(self, endpoint: str) -> Registration | None:
-        """Return an endpoint's registration, also while it leaves."""
-        return self._known.get(endpoint)
-
     def usable(self, service: str) -> list[Registration]:
         """Return a service's endpoints that take new work.
 
