Copy runs within their failure domain only, and not again when they go on elsewhere

The link that it waited for was busy with whole copies: of runs that had just gone on at their copy and got a new one, all at the same moment, and of new drafts, to another failure domain as often as not, which takes both links 0.44 s in place of 0.22 s.

Ruled out: other moves alone; with one move at work and 0.3 s until the next one began, the last step still waited 0.5 s.

Change: copies stay in the failure domain of the run, and a run that goes on elsewhere gets none. Placing such copies anew is taken out.

Both tests fail without the change.

--- a/celerytrail/relay/departures.py
+++ b/celerytrail/relay/departures.py
@@ -162,15 +162,14 @@
         The copy may be missing. Were the engine left first, the run would be lost; as
         it is, both work on it for the few milliseconds until the answer's head comes.
         """
-        following = self._placer.next_backup(live, backup)
         name = wire.copy_name(backup.address, live.ex.facts.attempt_id)
-        opened = await self._opener.open(live, backup, following, name)
+        opened = await self._opener.open(live, backup, None, name)
         if isinstance(opened, Err):
             return None
         if live.stream is not None:
             live.stream.close()
         live.ex.log("switched", endpoint=backup.endpoint, n_events=live.n_events)
-        return Switched(reg=backup, backup=following, stream=opened.ok_value)
+        return Switched(reg=backup, stream=opened.ok_value)
 
     async def _move_in_turn(self, live: LiveRun, source: Registration) -> Copied | None:
         """Move a run when those before it have left the engine's link."""
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -127,9 +127,7 @@
             if run.run_id != live.run.run_id
         ]
         is_needed = moving.needs_backup(live.run, others, live.engine)
-        copy = placing.choose_backup(
-            loads, demand, reg.endpoint, self._rng, is_needed=is_needed
-        )
+        copy = placing.choose_backup(loads, demand, reg, self._rng, is_needed=is_needed)
         return copy.reg if copy is not None else None
 
     def share(
@@ -146,11 +144,6 @@
         )
         self._sharing.placed(live.run)
 
-    def next_backup(self, live: LiveRun, reg: Registration) -> Registration | None:
-        """Return which engine gets a copy of a run that goes on at another one."""
-        loads = self._engine_loads(live, set())
-        return self._choose_backup(live, reg, loads, self._demand(live))
-
     def forget_backup(self, live: LiveRun) -> None:
         """Note that the engine that had a copy of a run goes."""
         live.backup = None
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -254,7 +254,7 @@
         former = live.reg
         moved = await self._finished_move(live)
         if isinstance(moved, Switched):
-            self._note_move(live, moved.reg, moved.backup)
+            self._note_move(live, moved.reg)
             return moved.stream
         copied = moved
         has_backup = live.backup is not None and live.backup != live.reg
@@ -263,10 +263,8 @@
             name = wire.copy_name(live.backup.address, ex.facts.attempt_id)
             copied = Copied(reg=live.backup, name=name)
         if copied is not None:
-            self._note_move(
-                live, copied.reg, self._placer.next_backup(live, copied.reg)
-            )
-            opened = await self._opener.open(live, copied.reg, live.backup, copied.name)
+            self._note_move(live, copied.reg)
+            opened = await self._opener.open(live, copied.reg, None, copied.name)
             if isinstance(opened, Ok):
                 ex.log("resumed", reason=reason, endpoint=copied.reg.endpoint)
                 return opened.ok_value
@@ -291,12 +289,15 @@
         move, live.move = live.move, None
         return await move
 
-    def _note_move(
-        self, live: LiveRun, reg: Registration, backup: Registration | None
-    ) -> None:
-        """Note that a run goes on at another engine, with a new copy elsewhere."""
+    def _note_move(self, live: LiveRun, reg: Registration) -> None:
+        """Note that a run goes on at another engine.
+
+        It gets no new copy elsewhere. Several runs go on at the same moment, when an
+        engine leaves; were all of them copied whole once more, those that still have to
+        be moved would wait for the links until their engine is gone.
+        """
         self._departures.drop_backup(live, reg)
-        live.backup = backup
+        live.backup = None
         live.reg = reg
         live.begin_engine()
         self._placer.share(live, is_reading=False)
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -24,7 +24,6 @@
     """A run already goes on elsewhere."""
 
     reg: Registration
-    backup: Registration | None
     stream: Stream
 
 
--- a/celerytrail/relay/placing.py
+++ b/celerytrail/relay/placing.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from .engineloads import EngineLoad
+from .model import Registration
 
 # Share of an engine's memory that is expected to be taken at any time to come; the
 # rest is for outputs that are longer than hinted.
@@ -153,16 +154,23 @@
 def choose_backup(
     loads: Sequence[EngineLoad],
     demand: Demand,
-    placed: str,
+    placed: Registration,
     rng: random.Random,
     *,
     is_needed: bool,
 ) -> EngineLoad | None:
-    """Return the engine with the most room for a copy, None where none has enough."""
+    """Return the engine with the most room for a copy, None where none has enough.
+
+    Only engines of the same failure domain as ``placed``: a copy to another one keeps
+    both links busy for twice as long, and the last step of a run that is moved, for
+    which its caller sees it stand still, then waits behind it for up to a second.
+    """
     best: EngineLoad | None = None
     best_share = NEEDED_COPY_SHARE if is_needed else COPY_SHARE
     for load in loads:
-        if load.reg.endpoint == placed:
+        if load.reg.endpoint == placed.endpoint:
+            continue
+        if load.reg.failure_domain != placed.failure_domain:
             continue
         share = expected_share(load, demand) + 0.001 * rng.random()
         if share < best_share:
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -142,15 +142,25 @@
     def test_a_copy_goes_where_most_room_is_and_never_to_the_engine_itself(self):
         loads = [load("e1"), load("e2", draft("r1", "e2")), load("e3")]
         chosen = placing.choose_backup(
-            loads, DEMAND, "e1", random.Random(1), is_needed=False
+            loads, DEMAND, registration("e1"), random.Random(1), is_needed=False
         )
         assert chosen is not None and chosen.reg.endpoint == "e3"
 
+    def test_a_copy_stays_in_the_failure_domain_of_its_run(self):
+        # Each draft that starts is copied whole to another engine. To another failure
+        # domain that takes 0.34 s of both links; drafts that leave an engine with 1.6 s
+        # left waited behind such copies, and were lost or stood still for a second.
+        loads = [load("e1"), load("e2", failure_domain="b")]
+        chosen = placing.choose_backup(
+            loads, DEMAND, registration("e1"), random.Random(1), is_needed=True
+        )
+        assert chosen is None
+
     def test_no_copy_where_it_would_take_the_room_of_new_generations(self):
         runs = [draft(f"r{n}", "e2") for n in range(5)]
         loads = [load("e1"), load("e2", *runs)]
         chosen = placing.choose_backup(
-            loads, DEMAND, "e1", random.Random(1), is_needed=False
+            loads, DEMAND, registration("e1"), random.Random(1), is_needed=False
         )
         assert chosen is None
 
--- a/tests/test_relay_node.py
+++ b/tests/test_relay_node.py
@@ -288,6 +288,25 @@
         res = await asked
         assert events_of(res.body) == whole_stream(6)
 
+    async def test_a_run_that_goes_on_elsewhere_is_not_copied_once_more(self, rig):
+        # An engine leaves, and its runs go on where copies of them grew. Each of them
+        # copied whole again at that moment, the links were busy for seconds, and runs
+        # without a copy could not be moved before the engine was gone.
+        engines = [await rig.add_engine(f"e{n}") for n in (1, 2, 3)]
+        await rig.add_node()
+        asked = asyncio.ensure_future(rig.ask("/draft/1"))
+        await until(lambda: any(engine.running for engine in engines))
+        first = next(engine for engine in engines if engine.running)
+        await first.tick(3)
+        await until(lambda: any(engine.backups for engine in engines))
+        second = next(engine for engine in engines if engine.backups)
+        await first.close()
+        await until(lambda: second.running)
+        await second.tick(6)
+        assert events_of((await asked).body) == whole_stream(6)
+        third = next(engine for engine in engines if engine not in (first, second))
+        assert not third.backups
+
     async def test_an_engine_that_stays_silent_is_left_for_the_copy(self, rig):
         # The engine's connections stay open and nothing comes any more. The caller
         # gives up after a few seconds of that.
