Move runs off a leaving engine in an order that all nodes reckon alike

Cause: runs were ranked by how far they are. A move that was slower than 0.55 s was overtaken by the next one, also where it went to another failure domain and could be no faster; the last copy of the first then waited behind the first copy of the second (0.98 s, until the engine was gone). A run whose copy proved useless kept its mark as copied and took no turn on others' lists. A prompt of 6,600 tokens took the link 0.73 s that two drafts could have used.

Ruled out: late notice (all nodes know within 30 ms).

Change: the order rests on prompt and expected output only, what would be lost for the link's time first. The run whose turn it is has 0.2 s to begin and 1.5 times its reckoned copy to end, then it is passed over. Prompts still read hold up nobody. Targets in another failure domain cost three times as much as before.

The tests of the order are replaced: the first by the same order for the costliest loss first (its runs now also differ in expected output), the lost node's by one that waits through the whole time and also asks for the pause before; five are new.

--- a/celerytrail/relay/departures.py
+++ b/celerytrail/relay/departures.py
@@ -147,6 +147,9 @@
             await asyncio.sleep(SWITCH_PAUSE_SECONDS)
         if live.reg != source or source is None or not live.engine.can_move:
             return None
+        if live.backup is not None:
+            # The others must know that it takes its turn on the link.
+            self._placer.forget_backup(live)
         return await self._move_in_turn(live, source)
 
     async def _leave_silent(self, live: LiveRun) -> Copied | Switched | None:
@@ -179,14 +182,11 @@
         return await self._move(live, source)
 
     async def _await_turn(self, live: LiveRun, source: Registration) -> None:
-        """Wait until the moves before this one are done, or should be."""
+        """Wait until the moves before this one are done, or given up."""
         loop = asyncio.get_running_loop()
-        run_id = live.run.run_id
-        runs = self._loads.on_engine(source.endpoint)
-        latest = moving.latest_seconds(run_id, runs, live.engine)
-        start_by = loop.time() + latest
-        while not moving.is_turn(run_id, self._loads.on_engine(source.endpoint)):
-            if loop.time() >= start_by:
+        turns = moving.Turns(run_id=live.run.run_id, engine=live.engine)
+        while live.reg == source:
+            if turns.may_begin(self._loads.on_engine(source.endpoint), loop.time()):
                 break
             await asyncio.sleep(TURN_SECONDS)
 
--- a/celerytrail/relay/placing.py
+++ b/celerytrail/relay/placing.py
@@ -47,9 +47,9 @@
 COLD_COST = 0.5
 # What another failure domain costs a new generation, in the same unit; breaks ties.
 FAR_COST = 0.02
-# What it costs one that is moved: the copy takes twice as long, and the engine that it
-# leaves is gone within two seconds.
-FAR_MOVE_COST = 0.5
+# What it costs one that is moved: the copy takes twice as long, 0.2 s more, in which
+# the next one could have left an engine that is gone within two seconds.
+FAR_MOVE_COST = 1.5
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -221,40 +221,95 @@
 
 
 class TestMoving:
-    RUNS = [draft(f"r{n}", n_made_tokens=n * 100) for n in range(4)]
+    # Longer outputs, from which more was made already.
+    RUNS = [
+        draft(f"r{n}", n_expected_tokens=600 + n * 300, n_made_tokens=n * 100)
+        for n in range(4)
+    ]
 
-    def test_one_run_is_moved_at_a_time_most_advanced_first(self):
+    @staticmethod
+    def may_begin(run_id: str, runs: list[Run]) -> bool:
+        return moving.Turns(run_id=run_id, engine=ENGINE).may_begin(runs, 0.0)
+
+    def test_one_run_is_moved_at_a_time_the_costliest_loss_first(self):
         # An engine with four drafts is gone 1.6 s after its notice. Begun at once, the
         # last copy of each, for which it stands still, waited behind the first copies
         # of the others, and the engine was gone before any had left.
         left = list(self.RUNS)
         order = []
         while left:
-            due = [run.run_id for run in left if moving.is_turn(run.run_id, left)]
+            due = [run.run_id for run in left if self.may_begin(run.run_id, left)]
             assert len(due) == 1
             order += due
             left = [run for run in left if run.run_id != due[0]]
         assert order == ["r3", "r2", "r1", "r0"]
 
+    def test_what_little_a_long_prompt_is_worth_waits(self):
+        # A prompt of 6,600 tokens keeps the link busy for 0.7 s, in which two drafts of
+        # as many tokens of output could have left.
+        bulky = draft("bulky", n_prompt_tokens=6_600)
+        assert self.may_begin("r0", [bulky, *self.RUNS[:1]])
+        assert not self.may_begin("bulky", [bulky, *self.RUNS[:1]])
+
+    def test_nodes_that_know_their_own_runs_better_agree_on_the_order(self):
+        # Each node knows how far its own run is now, and the others' as of half a
+        # second ago. By how far they were, both of two runs that are alike began, and
+        # the first one's last copy waited behind the second one's first.
+        own = draft("r1", n_made_tokens=440)
+        stale = draft("r1", n_made_tokens=400)
+        other = draft("r2", n_made_tokens=440)
+        other_stale = draft("r2", n_made_tokens=400)
+        may_one = self.may_begin("r1", [own, other_stale])
+        may_other = self.may_begin("r2", [stale, other])
+        assert may_one != may_other
+
     def test_a_run_on_its_way_keeps_its_turn(self):
         # The target that a move reserves looks like a copy elsewhere; taken for one,
         # it let the next move begin before the first was done.
         moving_run = replace(self.RUNS[3], backup="e2", is_moving=True)
         runs = [*self.RUNS[:3], moving_run]
-        assert moving.is_turn("r3", runs)
-        assert not moving.is_turn("r2", runs)
+        assert self.may_begin("r3", runs)
+        assert not self.may_begin("r2", runs)
+
+    def test_a_copy_that_takes_its_usual_time_is_not_overtaken(self):
+        # A copy to another failure domain takes twice as long as within one. The next
+        # one began beside it, and both were cut when their engine was gone.
+        moving_run = replace(self.RUNS[3], backup="e2", is_moving=True)
+        runs = [*self.RUNS[:3], moving_run]
+        turns = moving.Turns(run_id="r2", engine=ENGINE)
+        far = moving.copy_seconds(moving_run, ENGINE, is_far=True)
+        looks = [turns.may_begin(runs, at) for at in (0.0, 0.5 * far, far)]
+        assert looks == [False, False, False]
 
     def test_runs_with_a_copy_elsewhere_don_t_wait_for_the_link(self):
         copied = replace(self.RUNS[3], backup="e2")
-        assert moving.is_turn("r2", [*self.RUNS[:3], copied])
+        assert self.may_begin("r2", [*self.RUNS[:3], copied])
+
+    def test_a_prompt_that_is_still_read_holds_up_nobody(self):
+        # It can't be moved before its first token, which may be a second away.
+        reading = replace(self.RUNS[3], is_reading=True)
+        assert self.may_begin("r2", [*self.RUNS[:3], reading])
 
     def test_one_that_is_about_to_end_goes_last(self):
         ending = draft("ending", n_made_tokens=870)
-        assert moving.is_turn("r3", [ending, *self.RUNS])
+        assert self.may_begin("r3", [ending, *self.RUNS])
 
     def test_a_lost_node_does_not_hold_up_the_others_for_ever(self):
-        seconds = moving.latest_seconds("r0", self.RUNS, ENGINE)
-        assert 0 < seconds < 3.0
+        # Its runs stay on the list for seconds, and nobody moves them.
+        turns = moving.Turns(run_id="r0", engine=ENGINE)
+        at = 0.0
+        while not turns.may_begin(self.RUNS, at):
+            at += 0.005
+            assert at < 3.0
+        assert at >= moving.BEGIN_SECONDS
+
+    def test_a_lost_node_with_a_copy_under_way_does_not_either(self):
+        stuck = replace(self.RUNS[1], backup="e2", is_moving=True)
+        turns = moving.Turns(run_id="r0", engine=ENGINE)
+        at = 0.0
+        while not turns.may_begin([self.RUNS[0], stuck], at):
+            at += 0.005
+            assert at < 3.0
 
     def test_a_copy_takes_as_long_as_the_link_needs(self):
         run = draft("r", n_made_tokens=1_000)
