Forget runs whose end was not heard, also of nodes with many runs

Cause: a node with more than twelve runs tells them in several datagrams, none of which says that there are no others. If the datagram with a run's end is lost, the others counted its memory as taken until that node fell silent.

Ruled out: one larger datagram (it would pass 1,200 bytes and be cut in two on the way).

Change: a run that its node did not name for 1.6 s, while it spoke of others, is forgotten. Before: the new test holds the ended run; after: it is gone, and the runs of a node that pauses are kept as before.

--- a/celerytrail/relay/engineloads.py
+++ b/celerytrail/relay/engineloads.py
@@ -8,6 +8,9 @@
 
 # Runs of a node that was not heard of for so long are forgotten, in seconds.
 SILENT_SECONDS = 4.0
+# A run that its node has not named for so long, though it spoke of others, is
+# forgotten, in seconds: three lists of all runs, of which one or two may be lost.
+UNNAMED_SECONDS = 1.6
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -96,10 +99,32 @@
         return sum(run.n_tokens for run in (*self.runs, *self.copies))
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Named:
+    run: Run
+    at: float
+
+
 @dataclass(kw_only=True, slots=True)
 class _NodeRuns:
     heard_at: float
-    runs: dict[str, Run]
+    named: dict[str, _Named]
+
+    @property
+    def runs(self) -> list[Run]:
+        return [named.run for named in self.named.values()]
+
+    def forget_unnamed(self) -> None:
+        """Forget runs whose end was not heard.
+
+        A list of many runs goes out in parts, none of which says that there are no
+        others. The datagram with a run's end may be lost; the run's memory would count
+        as taken until the node falls silent, and callers be refused with engines free.
+        """
+        oldest = self.heard_at - UNNAMED_SECONDS
+        ended = [run_id for run_id, named in self.named.items() if named.at < oldest]
+        for run_id in ended:
+            del self.named[run_id]
 
 
 class EngineLoads:
@@ -117,40 +142,46 @@
 
     def put(self, node: str, run: Run, now: float) -> None:
         """Note a run, or what changed of it."""
-        known = self._nodes.setdefault(node, _NodeRuns(heard_at=now, runs={}))
+        known = self._nodes.setdefault(node, _NodeRuns(heard_at=now, named={}))
         known.heard_at = now
-        known.runs[run.run_id] = run
+        known.named[run.run_id] = _Named(run=run, at=now)
 
     def end(self, node: str, run_id: str, now: float) -> None:
         """Note that a run ended."""
         known = self._nodes.get(node)
         if known is not None:
             known.heard_at = now
-            known.runs.pop(run_id, None)
+            known.named.pop(run_id, None)
 
     def replace(self, node: str, runs: list[Run], now: float) -> None:
         """Note all runs of a node."""
-        by_id = {run.run_id: run for run in runs}
-        self._nodes[node] = _NodeRuns(heard_at=now, runs=by_id)
+        named = {run.run_id: _Named(run=run, at=now) for run in runs}
+        self._nodes[node] = _NodeRuns(heard_at=now, named=named)
 
     def of_node(self, node: str) -> list[Run]:
         """Return all runs of a node."""
         known = self._nodes.get(node)
-        return list(known.runs.values()) if known else []
+        return known.runs if known else []
 
     def on_engine(self, endpoint: str) -> list[Run]:
         """Return all nodes' runs on an engine."""
         return [
             run
             for known in self._nodes.values()
-            for run in known.runs.values()
+            for run in known.runs
             if run.endpoint == endpoint
         ]
 
     def expire(self, now: float, own: str) -> None:
-        """Forget the runs of nodes that fell silent; never those of ``own``."""
+        """Forget the runs of nodes that fell silent, and those that ended unheard.
+
+        Never those of ``own``.
+        """
         for node, known in list(self._nodes.items()):
-            if node != own and now - known.heard_at > SILENT_SECONDS:
+            if node == own:
+                continue
+            known.forget_unnamed()
+            if now - known.heard_at > SILENT_SECONDS:
                 del self._nodes[node]
 
     def note_report(self, endpoint: str, report: EngineReport) -> None:
@@ -166,7 +197,7 @@
         runs: dict[str, list[Run]] = {}
         copies: dict[str, list[Run]] = {}
         for known in self._nodes.values():
-            for run in known.runs.values():
+            for run in known.runs:
                 runs.setdefault(run.endpoint, []).append(run)
                 if run.backup:
                     copies.setdefault(run.backup, []).append(run)
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -339,6 +339,24 @@
         loads.replace("n1", [], 1.0)
         assert loads.on_engine("e1") == []
 
+    def test_a_lost_end_among_many_runs_is_mended_too(self):
+        # A node has more runs than fit in one datagram, so no part of its list says
+        # that there are no others. The end of one is lost on the way: its engine looked
+        # fuller than it was, and callers were refused, until the node fell silent.
+        loads = EngineLoads()
+        loads.put("n1", draft("ended", "e1"), 0.0)
+        for at in (0.0, 0.5, 1.0, 1.5, 2.0):
+            loads.put("n1", draft("goes on", "e1"), at)
+        loads.expire(2.0, "me")
+        assert [run.run_id for run in loads.on_engine("e1")] == ["goes on"]
+
+    def test_runs_of_a_node_that_pauses_are_kept_for_a_while(self):
+        # It may stand still for a second or two; its runs go on at their engines.
+        loads = EngineLoads()
+        loads.put("n1", draft("r1", "e1"), 0.0)
+        loads.expire(3.0, "me")
+        assert [run.run_id for run in loads.on_engine("e1")] == ["r1"]
+
     def test_the_runs_of_a_silent_node_are_forgotten_but_never_one_s_own(self):
         loads = EngineLoads()
         loads.put("gone", draft("r1", "e1"), 0.0)
