Speak with the platform's store through one client, by the published protocol

Cause: two clients of the platform stood side by side. The product's own node spoke a protocol of ours (/table/transact, /objects) that no platform has, with a stand-in of its own; the relay had another client without breaker, bound or metrics.

Ruled out: giving the relay the node's retries (a watch asks again by itself, and of another node; a retry only holds that up) and its breaker's pause of 5 s (keys and configuration must be known within 2 s of the store's return).

Change: platform/storewire.py holds the published calls; table, objects and the relay's rows use them through PlatformClient. 429 and 503 mean that nothing was done, any other 5xx of a write is in doubt. A 412 holds all checked rows; only those that differ are a conflict. RowStore is the one stand-in of the store, with conditions, ranges and objects; PlatformStandin adds rates, staleness, VM list and weights to it. The table's model of the tests moved to tests/tablemodel.py.

Tests: test_garbage_is_no_answer asked the stand-in with a wrong type; it now has a web server answer every call, and asks for the writes as well. The recovery test's fake answers as the published store does; its bounds stand. Four are new.

--- a/celerytrail/platform/backoff.py
+++ b/celerytrail/platform/backoff.py
@@ -80,11 +80,20 @@
         Draws the pauses.
     n_failures : int
         Failures in a row that open it.
+    most_seconds : float
+        The longest pause between two probes.
     """
 
-    def __init__(self, *, rng: random.Random, n_failures: int = 5) -> None:
+    def __init__(
+        self,
+        *,
+        rng: random.Random,
+        n_failures: int = 5,
+        most_seconds: float = BACKOFF_MOST_SECONDS,
+    ) -> None:
         self._rng = rng
         self._n_allowed = n_failures
+        self._most_seconds = most_seconds
         self._n_failures = 0
         self._closed_until_probe_at = 0.0
         self._is_probing = False
@@ -118,7 +127,7 @@
         if n_past > 0:
             # Half of the pause is certain, so that a run of small draws can't turn
             # the probes into a stream of calls.
-            most = min(BACKOFF_MOST_SECONDS, 0.25 * 2.0 ** min(n_past, 30))
+            most = min(self._most_seconds, 0.25 * 2.0 ** min(n_past, 30))
             self._closed_until_probe_at = now + self._rng.uniform(most / 2, most)
 
     def note_abandoned(self) -> None:
--- a/celerytrail/platform/client.py
+++ b/celerytrail/platform/client.py
@@ -8,7 +8,6 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-import msgspec
 from eliot import log_message
 from result import Err, Ok, Result
 
@@ -17,6 +16,7 @@
 from ..httpclient import HttpClient, NotSent
 from ..metrics import Metrics
 from ..types import Address
+from . import storewire
 from .backoff import Breaker, RetryBudget, full_jitter, sane_retry_after
 
 DEFAULT_RETRY_AFTER = 1.0
@@ -122,6 +122,10 @@
         platform can't fill this process's memory.
     try_seconds : float
         The longest that one try may take, in seconds.
+    budget : RetryBudget or None
+        Bounds retries; a share of the first tries by default.
+    breaker : Breaker or None
+        Keeps calls off a platform that fails; the usual one by default.
     """
 
     def __init__(
@@ -135,6 +139,8 @@
         n_in_flight: int = 16,
         n_waiting: int = 512,
         try_seconds: float = 2.0,
+        budget: RetryBudget | None = None,
+        breaker: Breaker | None = None,
     ) -> None:
         self._addresses = addresses
         self._n_moves = 0
@@ -146,8 +152,8 @@
         self._n_waiting = 0
         self._most_waiting = n_waiting
         self._try_seconds = try_seconds
-        self._budget = RetryBudget()
-        self._breaker = Breaker(rng=rng)
+        self._budget = budget or RetryBudget()
+        self._breaker = breaker or Breaker(rng=rng)
 
     @property
     def address(self) -> Address:
@@ -253,27 +259,23 @@
         return made
 
 
-class _NotRunBody(msgspec.Struct):
-    """A refusal that the platform promises to have had no effect."""
-
-    not_run: bool
-    reason: str = "refused"
-    retry_after: float = DEFAULT_RETRY_AFTER
-
-
 def _failure_of_answer(res: Response, is_repeatable: bool) -> Unavailable | InDoubt:
-    try:
-        refusal = msgspec.json.decode(res.body, type=_NotRunBody)
-    except msgspec.MsgspecError:
-        refusal = _NotRunBody(not_run=False)
-    if refusal.not_run:
+    reason = f"status_{res.status}"
+    if res.status in storewire.NOT_DONE:
+        retry_after = _retry_after(res)
+        if retry_after is None:
+            return Unavailable(reason=reason)
         return Unavailable(
-            reason=refusal.reason,
-            retry_after=sane_retry_after(refusal.retry_after),
-            is_told=True,
+            reason=reason, retry_after=sane_retry_after(retry_after), is_told=True
         )
-    reason = f"status_{res.status}"
     if is_repeatable:
         return Unavailable(reason=reason)
-    # A bare 5xx may come from something in between, after the write went through.
+    # Any other 5xx may come from something in between, after the write went through.
     return InDoubt(reason=reason)
+
+
+def _retry_after(res: Response) -> float | None:
+    try:
+        return float(res.headers.get("retry-after", ""))
+    except ValueError:
+        return None
--- a/celerytrail/platform/objects.py
+++ b/celerytrail/platform/objects.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import abc
-from urllib.parse import quote
 
 from result import Err, Ok, Result
 
+from . import storewire
 from .client import Exchanger, Unavailable
 
 
@@ -43,7 +43,7 @@
         made = await self._exchanger.fetch(
             "put_object",
             "PUT",
-            f"/objects/{quote(name)}",
+            storewire.put_object_path(name),
             body=data,
             deadline=deadline,
             allowed=(200, 204),
@@ -57,7 +57,7 @@
         made = await self._exchanger.fetch(
             "get_object",
             "GET",
-            f"/objects/{quote(name)}",
+            storewire.get_object_path(name),
             deadline=deadline,
             allowed=(200, 404),
         )
--- a/celerytrail/platform/rows.py
+++ b/celerytrail/platform/rows.py
@@ -1,18 +1,10 @@
-"""The platform's metadata store: typed calls, each with a deadline and one outcome."""
+"""The rows that the relay reads, follows and writes in the platform's store."""
 
 from __future__ import annotations
 
-import base64
-import binascii
-from typing import Any
-from urllib.parse import urlencode
-
-import msgspec
 from result import Err, Ok, Result
 
 from ..http import Response
-from ..httpclient import HttpClient, NotSent
-from ..network import Network
 from ..relay.rowsource import (
     Changes,
     HistoryGone,
@@ -21,32 +13,21 @@
     StoreInDoubt,
     StoreUnavailable,
 )
-from ..types import Address
-
-OK = 200
-GONE = 410
-
-# The tables that others write.
-CONFIG_TABLE = "op"
-CONFIG_KEY = "config"
-REGISTRATION_TABLE = "servers"
+from . import storewire
+from .client import Exchanger, InDoubt
 
 
 class PlatformRows(RowSource):
-    """Speaks with the platform's store over kept connections.
+    """Rows of the platform's store.
 
     Parameters
     ----------
-    address : Address
-        The store.
-    network : Network or None
-        What carries the connections.
+    exchanger : Exchanger
+        Makes the exchanges.
     """
 
-    def __init__(self, *, address: Address, network: Network | None = None) -> None:
-        self._address = address
-        self._http = HttpClient(network=network, id_header=None)
-        self.n_calls = 0
+    def __init__(self, *, exchanger: Exchanger) -> None:
+        self._exchanger = exchanger
 
     async def read(
         self, table: str, deadline: float
@@ -56,11 +37,11 @@
         version: int | None = None
         start = ""
         while True:
-            query = urlencode({"table": table, "part": "", "from": start})
-            answered = await self._get(f"/api/rows-get?{query}", deadline)
+            path = storewire.range_path(table, start=start)
+            answered = await self._get("read", path, deadline)
             if isinstance(answered, Err):
                 return Err(answered.err_value)
-            page = _page(answered.ok_value)
+            page = self._page("read", answered.ok_value)
             if isinstance(page, Err):
                 return Err(page.err_value)
             found, has_more = page.ok_value
@@ -75,15 +56,13 @@
         self, table: str, after: int, wait_seconds: float, deadline: float
     ) -> Result[Changes, StoreUnavailable | HistoryGone]:
         """Return what changed after a version, waiting a while for something."""
-        query = urlencode(
-            {"table": table, "after": after, "wait-ms": int(wait_seconds * 1_000)}
-        )
-        answered = await self._get(f"/api/rows-feed?{query}", deadline)
+        path = storewire.changes_path(table, after, wait_seconds)
+        answered = await self._get("follow", path, deadline)
         if isinstance(answered, Err):
-            if answered.err_value.status == GONE:
+            if answered.err_value.status == storewire.GONE:
                 return Err(HistoryGone())
             return Err(answered.err_value)
-        page = _page(answered.ok_value)
+        page = self._page("follow", answered.ok_value)
         if isinstance(page, Err):
             return Err(page.err_value)
         return Ok(page.ok_value[0])
@@ -92,77 +71,56 @@
         self, table: str, key: str, value: bytes, deadline: float
     ) -> Result[None, StoreUnavailable | StoreInDoubt]:
         """Write one row without a condition."""
-        encoded = base64.b64encode(value).decode("ascii")
-        row = {"table": table, "part": "", "key": key, "value": encoded}
-        return await self._write({"writes": [row]}, deadline)
+        body = storewire.transaction_body(table, writes={key: value})
+        return await self._write(body, deadline)
 
     async def drop(
         self, table: str, key: str, deadline: float
     ) -> Result[None, StoreUnavailable | StoreInDoubt]:
         """Remove one row without a condition."""
-        row = {"table": table, "part": "", "key": key}
-        return await self._write({"remove": [row]}, deadline)
+        body = storewire.transaction_body(table, removed=[key])
+        return await self._write(body, deadline)
 
     async def _write(
-        self, entries: dict[str, Any], deadline: float
+        self, body: bytes, deadline: float
     ) -> Result[None, StoreUnavailable | StoreInDoubt]:
-        self.n_calls += 1
-        body = {"expected-revision": [], "writes": [], "remove": [], **entries}
-        answered = await self._http.request_json(
-            self._address, "POST", "/api/rows-tx", body, deadline=deadline
+        made = await self._exchanger.exchange(
+            "transact",
+            "POST",
+            storewire.TRANSACT_PATH,
+            body=body,
+            deadline=deadline,
+            is_repeatable=False,
         )
-        if isinstance(answered, Err):
-            exc = answered.err_value
-            if isinstance(exc, NotSent):
-                return Err(StoreUnavailable(reason=exc.reason))
-            return Err(StoreInDoubt(reason=exc.reason))
-        status = answered.ok_value.status
-        if status != OK:
-            return Err(StoreUnavailable(reason=f"status {status}", status=status))
-        return Ok(None)
+        if isinstance(made, Err):
+            exc = made.err_value
+            if isinstance(exc, InDoubt):
+                return Err(StoreInDoubt(reason=exc.reason))
+            return Err(StoreUnavailable(reason=exc.reason))
+        return _expect_ok(made.ok_value).map(lambda _: None)
 
     async def _get(
-        self, path: str, deadline: float
+        self, kind: str, path: str, deadline: float
     ) -> Result[Response, StoreUnavailable]:
-        self.n_calls += 1
-        answered = await self._http.request(
-            self._address, "GET", path, deadline=deadline
+        made = await self._exchanger.exchange(
+            kind, "GET", path, deadline=deadline, is_repeatable=True
         )
-        if isinstance(answered, Err):
-            exc = answered.err_value
+        if isinstance(made, Err):
+            exc = made.err_value
             return Err(StoreUnavailable(reason=f"{exc.reason} {exc.detail}".strip()))
-        res = answered.ok_value
-        if res.status != OK:
-            return Err(
-                StoreUnavailable(reason=f"status {res.status}", status=res.status)
-            )
-        return Ok(res)
+        return _expect_ok(made.ok_value)
 
+    def _page(
+        self, kind: str, res: Response
+    ) -> Result[tuple[Changes, bool], StoreUnavailable]:
+        decoded = storewire.decode_page(res)
+        if isinstance(decoded, Err):
+            self._exchanger.note_bad_answer(kind, decoded.err_value)
+            return Err(StoreUnavailable(reason=decoded.err_value))
+        return Ok(decoded.ok_value)
 
-def _page(res: Response) -> Result[tuple[Changes, bool], StoreUnavailable]:
-    """Decode an answer that holds rows."""
-    try:
-        raw = msgspec.json.decode(res.body)
-        rows = tuple(_row(row) for row in raw["rows"])
-        changes = Changes(rows=rows, version=int(raw["ver"]))
-        return Ok((changes, bool(raw.get("has-more"))))
-    except (
-        msgspec.DecodeError,
-        UnicodeDecodeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-    ) as exc:
-        return Err(StoreUnavailable(reason=f"the answer can't be read: {exc!r}"))
-
-
-def _row(raw: dict[str, Any]) -> Row:
-    if raw.get("tombstone"):
-        return Row(key=raw["key"], value=None, version=int(raw.get("ver", 0)))
-    try:
-        value = base64.b64decode(raw.get("value") or "", validate=True)
-    except (binascii.Error, ValueError, TypeError):
-        # Bytes that can't be read are the row's own fault; its reader says so.
-        value = b""
-    return Row(key=raw["key"], value=value, version=int(raw.get("ver", 0)))
+
+def _expect_ok(res: Response) -> Result[Response, StoreUnavailable]:
+    if res.status == storewire.OK:
+        return Ok(res)
+    return Err(StoreUnavailable(reason=f"status {res.status}", status=res.status))
--- a/celerytrail/platform/table.py
+++ b/celerytrail/platform/table.py
@@ -3,15 +3,24 @@
 from __future__ import annotations
 
 import abc
+import asyncio
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 import msgspec
 from result import Err, Ok, Result
 
+from ..http import Response
+from ..relay import rowsource
+from . import storewire
 from .client import Exchanger, InDoubt, Unavailable
 
 ABSENT = 0
+# The table that holds all rows of the product, in one part, as a transaction over
+# several parts takes twice as long and is not allowed everywhere.
+PRODUCT_TABLE = "celerytrail"
+# Behind every key that a prefix begins: keys are text in byte order.
+LAST_CHARACTER = "\U0010ffff"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -99,13 +108,8 @@
         """Return rows in the order of their keys, from beyond ``after``."""
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _RowsAnswer:
-    rows: tuple[Row, ...]
-
-
 class HttpTable(Table):
-    """The table over HTTP.
+    """The table over HTTP; values are kept as JSON.
 
     Parameters
     ----------
@@ -120,53 +124,108 @@
         self, transaction: Transaction, deadline: float
     ) -> TransactResult:
         """Apply a transaction."""
+        body = storewire.transaction_body(
+            PRODUCT_TABLE,
+            versions={check.key: check.version for check in transaction.checks},
+            writes={
+                put.key: msgspec.json.encode(put.value) for put in transaction.puts
+            },
+            removed=transaction.deletes,
+        )
         made = await self._exchanger.exchange(
             "transact",
             "POST",
-            "/table/transact",
-            body=msgspec.json.encode(transaction),
+            storewire.TRANSACT_PATH,
+            body=body,
             deadline=deadline,
             is_repeatable=False,
         )
         if isinstance(made, Err):
             return Err(made.err_value)
         res = made.ok_value
-        try:
-            if res.status == 200:
-                return Ok(msgspec.json.decode(res.body, type=Committed))
-            if res.status == 409:
-                return Err(msgspec.json.decode(res.body, type=Conflict))
-        except msgspec.MsgspecError as exc:
-            self._exchanger.note_bad_answer("transact", str(exc))
-            return Err(InDoubt(reason="bad_answer", detail=str(exc)))
-        if 400 <= res.status < 500:
-            return Err(Unavailable(reason="rejected", detail=f"status {res.status}"))
+        match res.status:
+            case storewire.OK:
+                return self._committed(transaction, res)
+            case storewire.CONFLICT:
+                return self._conflict(transaction, res)
+            case status if status in storewire.NOT_DONE:
+                return Err(Unavailable(reason="overload"))
+            case status if 400 <= status < 500:
+                return Err(Unavailable(reason="rejected", detail=f"status {status}"))
         return Err(InDoubt(reason="bad_answer", detail=f"status {res.status}"))
 
+    def _committed(self, transaction: Transaction, res: Response) -> TransactResult:
+        decoded = storewire.decode_version(res)
+        if isinstance(decoded, Err):
+            return self._unreadable(decoded.err_value)
+        versions = {put.key: decoded.ok_value for put in transaction.puts}
+        return Ok(Committed(versions=versions))
+
+    def _conflict(self, transaction: Transaction, res: Response) -> TransactResult:
+        """Return which rows stood in the way; the answer holds all checked ones."""
+        decoded = storewire.decode_conflict(res)
+        if isinstance(decoded, Err):
+            return self._unreadable(decoded.err_value)
+        try:
+            rows = {row.key: _row(row) for row in decoded.ok_value}
+        except msgspec.DecodeError as exc:
+            return self._unreadable(str(exc))
+        found = [
+            rows.get(check.key, Row(key=check.key))
+            for check in transaction.checks
+            if rows.get(check.key, Row(key=check.key)).version != check.version
+        ]
+        return Err(Conflict(rows=tuple(found)))
+
+    def _unreadable(self, problem: str) -> TransactResult:
+        self._exchanger.note_bad_answer("transact", problem)
+        return Err(InDoubt(reason="bad_answer", detail=problem))
+
     async def read(
         self, keys: Sequence[str], deadline: float
     ) -> Result[Rows, Unavailable]:
-        """Return the rows that exist, by key."""
-        answer = await self._rows("read", "/table/read", {"keys": list(keys)}, deadline)
-        return answer.map(lambda rows: {row.key: row for row in rows})
+        """Return the rows that exist, by key; each as of a moment of its own."""
+        found: dict[str, Row] = {}
+        reads = [self._range("read", key, key + "\0", 1, deadline) for key in keys]
+        for read in await asyncio.gather(*reads):
+            if isinstance(read, Err):
+                return Err(read.err_value)
+            found.update((row.key, row) for row in read.ok_value)
+        return Ok(found)
 
     async def scan(
         self, prefix: str, *, after: str = "", limit: int = 100, deadline: float
     ) -> Result[tuple[Row, ...], Unavailable]:
         """Return rows in the order of their keys."""
-        asked = {"prefix": prefix, "after": after, "limit": limit}
-        return await self._rows("scan", "/table/scan", asked, deadline)
+        start = max(prefix, after + "\0" if after else "")
+        return await self._range(
+            "scan",
+            start,
+            prefix + LAST_CHARACTER,
+            min(limit, storewire.MAX_ROWS),
+            deadline,
+        )
 
-    async def _rows(
-        self, kind: str, path: str, asked: object, deadline: float
+    async def _range(
+        self, kind: str, start: str, end: str, limit: int, deadline: float
     ) -> Result[tuple[Row, ...], Unavailable]:
-        made = await self._exchanger.fetch(
-            kind, "POST", path, body=msgspec.json.encode(asked), deadline=deadline
-        )
+        path = storewire.range_path(PRODUCT_TABLE, start=start, end=end, limit=limit)
+        made = await self._exchanger.fetch(kind, "GET", path, deadline=deadline)
         if isinstance(made, Err):
             return Err(made.err_value)
+        page = storewire.decode_page(made.ok_value)
         try:
-            return Ok(msgspec.json.decode(made.ok_value.body, type=_RowsAnswer).rows)
-        except msgspec.MsgspecError as exc:
-            self._exchanger.note_bad_answer(kind, str(exc))
-            return Err(Unavailable(reason="bad_answer", detail=str(exc)))
+            if isinstance(page, Ok):
+                return Ok(tuple(map(_row, page.ok_value[0].rows)))
+            problem = page.err_value
+        except msgspec.DecodeError as exc:
+            problem = str(exc)
+        self._exchanger.note_bad_answer(kind, problem)
+        return Err(Unavailable(reason="bad_answer", detail=problem))
+
+
+def _row(row: rowsource.Row) -> Row:
+    """Return a row with its value decoded; raises `msgspec.DecodeError`."""
+    if row.value is None:
+        return Row(key=row.key)
+    return Row(key=row.key, value=msgspec.json.decode(row.value), version=row.version)
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -19,7 +19,7 @@
 from ..nodes.member import Member, State
 from ..nodes.nodes import Nodes
 from ..nodes.signing import PeerKeys
-from ..platform import rows, wire
+from ..platform import storewire, wire
 from ..platform.nodefile import RelaySettings
 from ..platform.operatorconfig import decode_config
 from ..platform.registrations import decode_registration
@@ -47,6 +47,7 @@
 from .rowsource import Row, RowSource
 from .sharedrows import SharedRows
 from .sharing import Sharing
+from .storeclient import make_rows
 from .watch import TableWatch
 
 MILLISECONDS = 1_000
@@ -124,20 +125,20 @@
         self.loads = EngineLoads()
         self._paces = Paces()
         self.configs = ConfigSink(
-            key=rows.CONFIG_KEY, decode=decode_config, on_change=self._on_config
+            key=storewire.CONFIG_KEY, decode=decode_config, on_change=self._on_config
         )
         registrations = RegistrationSink(
             registry=self.registry, decode=decode_registration
         )
         self._watches = [
             self._watch(
-                rows.CONFIG_TABLE,
+                storewire.CONFIG_TABLE,
                 TableMirror(inner=self.configs, meaning=lambda key, value: value),
                 lambda confirmed_at: self._freshness.confirm(confirmed_at),
                 CONFIG_PAUSE_SECONDS,
             ),
             self._watch(
-                rows.REGISTRATION_TABLE,
+                storewire.REGISTRATION_TABLE,
                 TableMirror(inner=registrations, meaning=_lasting_facts),
                 self._note_registrations,
                 REGISTRATION_PAUSE_SECONDS,
@@ -206,8 +207,12 @@
             network=self._network,
         )
         assert cfg.store is not None
-        self.rows = self._store or rows.PlatformRows(
-            address=cfg.store, network=self._network
+        self.rows = self._store or make_rows(
+            cfg.store,
+            network=self._network,
+            clock=self._clock,
+            rng=self._rng,
+            metrics=self._metrics,
         )
         self.shared = SharedRows(
             store=self.rows,
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -355,7 +355,7 @@
         res.abort()
         return
     body = {"not_run": True, "reason": "outage", "retry_after": fault.retry_after}
-    await res.send_json(503, body)
+    await res.send_json(503, body, {"retry-after": str(fault.retry_after)})
 
 
 async def _stand_still(res: Responder) -> None:
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -1,7 +1,7 @@
 """A stand-in for the platform's metadata store, by its published protocol.
 
-Rows in tables with one version counter, a feed of changes, and the faults that its
-users must bear: silence, refusals, forgotten history.
+Rows with one version counter, transactions with conditions, a feed of changes, objects,
+and the faults that its users must bear: silence, refusals, forgotten history.
 """
 
 from __future__ import annotations
@@ -9,7 +9,8 @@
 import asyncio
 import base64
 from dataclasses import dataclass
-from urllib.parse import parse_qs
+from typing import Any
+from urllib.parse import parse_qs, unquote
 
 import msgspec
 
@@ -17,6 +18,11 @@
 from celerytrail.httpserver import Handler, HttpServer, Responder
 from celerytrail.types import Address
 
+from .rowtable import Place, RowTable, StoredRow
+
+MAX_ROWS = 500
+OBJECT_PATHS = ("/api/blob-put/", "/api/blob-get/")
+
 
 @dataclass(kw_only=True)
 class StoreFaults:
@@ -27,35 +33,14 @@
     has_forgotten: bool = False
 
 
-@dataclass(frozen=True, kw_only=True)
-class _StoredRow:
-    table: str
-    key: str
-    value: str | None
-    version: int
-
-    def on_wire(self) -> dict[str, object]:
-        row: dict[str, object] = {
-            "table": self.table,
-            "part": "",
-            "key": self.key,
-            "ver": self.version,
-        }
-        if self.value is None:
-            row["tombstone"] = True
-        else:
-            row["value"] = self.value
-        return row
-
-
 class RowStore(Handler):
-    """Holds rows in memory and answers the calls of the published protocol."""
+    """Holds rows and objects in memory and answers the calls of the protocol."""
 
     def __init__(self) -> None:
         self.faults = StoreFaults()
         self.n_calls = 0
-        self.version = 0
-        self._rows: dict[tuple[str, str], _StoredRow] = {}
+        self.rows = RowTable()
+        self.objects: dict[str, bytes] = {}
         self._changed = asyncio.Event()
         self._server = HttpServer(handler=self)
 
@@ -70,24 +55,20 @@
     def put(self, table: str, key: str, value: object) -> None:
         """Write a row as the operator or an endpoint does; text is taken as bytes."""
         data = value if isinstance(value, bytes) else msgspec.json.encode(value)
-        self._store(table, key, base64.b64encode(data).decode("ascii"))
+        encoded = base64.b64encode(data).decode("ascii")
+        self.rows.commit({}, {(table, key): encoded}, [])
+        self._tell()
 
     def drop(self, table: str, key: str) -> None:
         """Remove a row."""
-        self._store(table, key, None)
+        self.rows.commit({}, {}, [(table, key)])
+        self._tell()
 
     def keys(self, table: str) -> list[str]:
         """Return the keys of a table's rows."""
-        return [key for name, key in self._live() if name == table]
-
-    def _live(self) -> list[tuple[str, str]]:
-        return [place for place, row in self._rows.items() if row.value is not None]
+        return [row.key for row in self.rows.find(table, "", None, MAX_ROWS)]
 
-    def _store(self, table: str, key: str, value: str | None) -> None:
-        self.version += 1
-        self._rows[table, key] = _StoredRow(
-            table=table, key=key, value=value, version=self.version
-        )
+    def _tell(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -100,15 +81,32 @@
         if self.faults.status is not None:
             await res.send(self.faults.status)
             return
+        await self.answer(req, res, self.rows)
+
+    async def answer(self, req: Request, res: Responder, visible: RowTable) -> None:
+        """Answer one call; ``visible`` are the rows that reads are served from."""
         asked = {name: values[0] for name, values in parse_qs(req.query).items()}
-        if req.path == "/api/rows-get":
-            await self._answer_rows(res, asked.get("table", ""), 0, has_more=False)
-        elif req.path == "/api/rows-feed":
-            await self._answer_feed(res, asked)
-        elif req.path == "/api/rows-tx":
-            await self._answer_write(req, res)
-        else:
-            await res.send(404)
+        match req.method, req.path:
+            case "POST", "/api/rows-tx":
+                await self._answer_transaction(req, res)
+            case "GET", "/api/rows-get":
+                await self._answer_range(res, asked, visible)
+            case "GET", "/api/rows-feed":
+                await self._answer_feed(res, asked)
+            case method, path if path.startswith(OBJECT_PATHS):
+                await self._answer_object(req, res, method)
+            case _:
+                await res.send(404)
+
+    async def _answer_range(
+        self, res: Responder, asked: dict[str, str], visible: RowTable
+    ) -> None:
+        limit = min(int(asked.get("limit", MAX_ROWS)), MAX_ROWS)
+        rows = visible.find(
+            asked.get("table", ""), asked.get("from", ""), asked.get("to"), limit
+        )
+        answer = self._page(rows[:limit], visible.version)
+        await res.send_json(200, {**answer, "has-more": len(rows) > limit})
 
     async def _answer_feed(self, res: Responder, asked: dict[str, str]) -> None:
         table, after = asked["table"], int(asked["after"])
@@ -117,41 +115,61 @@
             await res.send(410)
             return
         until = asyncio.get_running_loop().time() + int(asked["wait-ms"]) / 1_000
-        while not self._since(table, after):
+        while not self.rows.since(table, after):
             try:
                 async with asyncio.timeout_at(until):
                     await self._changed.wait()
             except TimeoutError:
                 break
-        await self._answer_rows(res, table, after, has_more=None)
-
-    async def _answer_write(self, req: Request, res: Responder) -> None:
-        entries = msgspec.json.decode(req.body)
-        for row in entries["writes"]:
-            self._store(row["table"], row["key"], row["value"])
-        for row in entries["remove"]:
-            self._store(row["table"], row["key"], None)
-        await res.send_json(200, {"ver": self.version, "now-ms": 0})
-
-    async def _answer_rows(
-        self, res: Responder, table: str, after: int, *, has_more: bool | None
-    ) -> None:
-        rows = self._since(table, after)
-        if after == 0:
-            rows = [row for row in rows if row.value is not None]
-        answer: dict[str, object] = {
-            "rows": [row.on_wire() for row in rows],
-            "ver": self.version,
-            "now-ms": 0,
-        }
-        if has_more is not None:
-            answer["has-more"] = has_more
-        await res.send_json(200, answer)
-
-    def _since(self, table: str, after: int) -> list[_StoredRow]:
-        found = [
-            row
-            for row in self._rows.values()
-            if row.table == table and row.version > after
-        ]
-        return sorted(found, key=lambda row: row.version)
+        rows = self.rows.since(table, after)
+        await res.send_json(200, self._page(rows, self.rows.version))
+
+    async def _answer_transaction(self, req: Request, res: Responder) -> None:
+        try:
+            entries = msgspec.json.decode(req.body)
+            expected = {_place(row): row["ver"] for row in entries["expected-revision"]}
+            writes = {_place(row): row["value"] for row in entries["writes"]}
+            removed = [_place(row) for row in entries["remove"]]
+        except (msgspec.DecodeError, KeyError, TypeError):
+            await res.send(400)
+            return
+        in_the_way = self.rows.commit(expected, writes, removed)
+        if in_the_way:
+            await res.send_json(412, self._page(in_the_way, self.rows.version))
+            return
+        self._tell()
+        await res.send_json(200, {"ver": self.rows.version, "now-ms": 0})
+
+    async def _answer_object(self, req: Request, res: Responder, method: str) -> None:
+        name = unquote(req.path.split("/", 3)[3])
+        if method == "PUT":
+            self.objects[name] = req.body
+            await res.send(200)
+            return
+        data = self.objects.get(name)
+        if data is None:
+            await res.send(404)
+            return
+        await res.send(200, data, {"content-type": "application/octet-stream"})
+
+    @staticmethod
+    def _page(rows: list[StoredRow], version: int) -> dict[str, object]:
+        return {"rows": [_on_wire(row) for row in rows], "ver": version, "now-ms": 0}
+
+
+def _place(row: dict[str, Any]) -> Place:
+    return row["table"], row["key"]
+
+
+def _on_wire(row: StoredRow) -> dict[str, object]:
+    raw: dict[str, object] = {
+        "table": row.table,
+        "part": "",
+        "key": row.key,
+        "ver": row.version,
+    }
+    if row.value is not None:
+        raw["value"] = row.value
+    elif row.version:
+        raw["tombstone"] = True
+    return raw
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,15 +4,14 @@
 
 import asyncio
 
-import msgspec
 from result import Err, Ok
+from tablemodel import Rows
 
 from celerytrail.platform.client import InDoubt, Unavailable
 from celerytrail.platform.objects import ObjectStore
 from celerytrail.platform.table import Committed, Conflict, Row, Table
 from celerytrail.platform.vms import VmList
 from celerytrail.platform.weights import RateLimited, WeightStore
-from standins import platform
 
 
 class FakeTable(Table):
@@ -26,7 +25,7 @@
     """
 
     def __init__(self):
-        self.rows = platform.Rows()
+        self.rows = Rows()
         self.is_down = False
         self.lose_replies = 0
         self.drop_writes = 0
@@ -79,10 +78,9 @@
         return Ok(tuple(Row(**row) for row in rows))
 
     def _apply(self, transaction):
-        plain = msgspec.json.decode(
-            msgspec.json.encode(transaction), type=platform._Transaction
+        versions, rows = self.rows.transact(
+            transaction.checks, transaction.puts, transaction.deletes
         )
-        versions, rows = self.rows.transact(plain.checks, plain.puts, plain.deletes)
         if rows:
             return Err(Conflict(rows=tuple(Row(**row) for row in rows)))
         return Ok(Committed(versions=versions))
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -9,9 +9,12 @@
 
 from celerytrail.clock import SystemClock
 from celerytrail.httpclient import HttpClient
+from celerytrail.httpserver import Handler, HttpServer
+from celerytrail.platform import storewire
 from celerytrail.platform.client import InDoubt, PlatformClient, Unavailable
 from celerytrail.platform.objects import HttpObjectStore
 from celerytrail.platform.table import (
+    PRODUCT_TABLE,
     Check,
     Conflict,
     HttpTable,
@@ -27,6 +30,13 @@
 LOOPBACK = Address(host="127.0.0.1", port=0)
 
 
+class Garbage(Handler):
+    """Answers every call as some web server would."""
+
+    async def handle(self, req, res):
+        await res.send(200, b"<html>It works!</html>")
+
+
 def put_if(key, value, version):
     return Transaction(
         checks=(Check(key=key, version=version),), puts=(Put(key=key, value=value),)
@@ -86,7 +96,7 @@
         table = HttpTable(exchanger=exchanger)
         answer = await table.transact(put_if("a", 1, 0), soon())
         assert isinstance(answer.err_value, Unavailable)
-        assert standin.rows.read(["a"]) == []
+        assert standin.store.keys(PRODUCT_TABLE) == []
 
     async def test_long_outage_is_refused_at_once_and_ends(self, platform):
         """The platform stalls without closing connections. After a few calls the
@@ -108,17 +118,79 @@
             await asyncio.sleep(0.01)
         assert not exchanger.is_down
 
-    async def test_garbage_is_no_answer(self, platform):
+    async def test_only_the_rows_in_the_way_are_a_conflict(self, platform):
+        """The store's answer to a refused transaction holds every row that it checked.
+        Were all of them taken to stand in the way, a transaction that was sent along
+        with the refused one would be given up for nothing.
+        """
+        table = HttpTable(exchanger=platform[1])
+        await table.transact(put_if("a", 1, 0), soon())
+        both = Transaction(
+            checks=(Check(key="a", version=0), Check(key="b", version=0)),
+            puts=(Put(key="b", value=1),),
+        )
+        conflict = (await table.transact(both, soon())).err_value
+        assert [row.key for row in conflict.rows] == ["a"]
+
+    async def test_a_prefix_is_read_in_pages(self, platform):
+        table = HttpTable(exchanger=platform[1])
+        keys = ["p/1", "p/2", "p/3", "q/1"]
+        puts = tuple(Put(key=key, value=key) for key in keys)
+        await table.transact(Transaction(puts=puts), soon())
+        first = (await table.scan("p/", limit=2, deadline=soon())).ok_value
+        rest = await table.scan("p/", after=first[-1].key, limit=2, deadline=soon())
+        assert [row.key for row in (*first, *rest.ok_value)] == keys[:3]
+
+    async def test_too_many_calls_are_certainly_without_effect(self):
+        """All nodes share the store's rate. A write beyond it is refused, and the
+        caller may be told that nothing was done.
+        """
+        standin = PlatformStandin(writes_per_second=1.0)
+        address = await standin.server.start(LOOPBACK)
+        exchanger = PlatformClient(
+            addresses=(address,),
+            http=HttpClient(),
+            clock=SystemClock(),
+            rng=random.Random(1),
+        )
+        table = HttpTable(exchanger=exchanger)
+        assert (await table.transact(put_if("a", 1, 0), soon())).is_ok()
+        refused = (await table.transact(put_if("b", 1, 0), soon())).err_value
+        assert isinstance(refused, Unavailable)
+        assert standin.store.keys(PRODUCT_TABLE) == ["a"]
+        await standin.server.close()
+
+    async def test_garbage_is_no_answer(self):
         """What answers on the platform's port is not the platform. A write to it is
         in doubt, never taken for committed.
         """
+        server = HttpServer(handler=Garbage())
+        address = await server.start(LOOPBACK)
+        exchanger = PlatformClient(
+            addresses=(address,),
+            http=HttpClient(),
+            clock=SystemClock(),
+            rng=random.Random(1),
+        )
+        table = HttpTable(exchanger=exchanger)
+        written = (await table.transact(put_if("a", 1, 0), soon())).err_value
+        assert isinstance(written, InDoubt)
+        assert written.reason == "bad_answer"
+        read = (await table.read(["a"], soon())).err_value
+        assert read.reason == "bad_answer"
+        await server.close()
+
+    async def test_a_call_that_the_store_rejects_has_no_effect(self, platform):
         exchanger = platform[1]
         made = await exchanger.exchange(
-            "transact", "POST", "/vms", deadline=soon(), is_repeatable=False
+            "transact",
+            "POST",
+            storewire.TRANSACT_PATH,
+            body=b"{}",
+            deadline=soon(),
+            is_repeatable=False,
         )
-        assert made.ok_value.status == 405
-        rejected = await HttpTable(exchanger=exchanger).scan(5, deadline=soon())
-        assert rejected.err_value.reason == "status_400"
+        assert made.ok_value.status == 400
 
 
 class TestOtherPeers:
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -38,7 +38,8 @@
         self.arrivals[int(now)] += 1
         if not OUTAGE[0] <= now < OUTAGE[1]:
             await asyncio.sleep(0.003)
-            return Ok(Response(status=200, headers={}, body=b'{"rows":[]}'))
+            page = b'{"rows":[],"has-more":false,"ver":1,"now-ms":0}'
+            return Ok(Response(status=200, headers={}, body=page))
         if self.how == "refuse":
             return Err(NotSent(reason="connect_refused"))
         self.n_waiting += 1
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -10,7 +10,7 @@
 
 from celerytrail.claims import CLAIM_PREFIX, Claim
 from celerytrail.cmdline import app
-from celerytrail.platform.table import Put
+from celerytrail.platform.table import PRODUCT_TABLE
 from celerytrail.tools import ClaimDesk
 from celerytrail.types import Address
 from standins.platform import PlatformStandin
@@ -38,8 +38,7 @@
         deadline_at=now - seconds_late,
         expires_at=now + 1000,
     )
-    put = Put(key=name, value=msgspec.to_builtins(claim))
-    standin.rows.transact([], [put], [])
+    standin.store.put(PRODUCT_TABLE, name, msgspec.to_builtins(claim))
 
 
 class TestClaimDesk:
