Fuzz the relay: random troubles in any order, and recovery from the store alone

The rig gave a node that joined after another had left the address of a living one; it counts the nodes that were started now.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 SECONDS ?= 60
 SEED ?= 1
 SCALE ?= 1
+SEEDS ?= 1-40
 
 help:  ## List the chores.
 	@awk -F':.*## ' '/^[a-z-]+:.*## / {printf "  make %-14s %s\n", $$1, $$2}' $(MAKEFILE_LIST)
@@ -31,6 +32,9 @@
 fuzz: install  ## Explore failures at random: make fuzz SECONDS=600 SEED=7.
 	$(PY) -m scenarios.fuzz --seconds $(SECONDS) --seed $(SEED)
 
+fuzz-relay: install  ## Random troubles around the relay: make fuzz-relay SEEDS=100-160.
+	CELERYTRAIL_FUZZ_SEEDS=$(SEEDS) $(PY) -m pytest -q tests/test_relay_fuzz.py
+
 format: install  ## Format the code and sort its imports.
 	$(PY) -m ruff check --fix --exit-zero .
 	$(PY) -m ruff format .
@@ -55,5 +59,5 @@
 bench-relay: install  ## Measure what a relayed token costs, next to h11's floor.
 	$(PY) -m bench.relay
 
-.PHONY: help install test demo run scenarios fuzz format check
+.PHONY: help install test demo run scenarios fuzz fuzz-relay format check
 .PHONY: bench bench-quick bench-capacity bench-membership bench-relay
--- a/tests/relayrig.py
+++ b/tests/relayrig.py
@@ -79,6 +79,7 @@
     store_address: Address = local(1)
     news_port: int = field(default_factory=lambda: free_address().port)
     _n_asked: int = 0
+    _n_started: int = 0
 
     async def start(self) -> None:
         self.store_address = await self.store.start()
@@ -114,7 +115,8 @@
         self, name: str = "vm-1", store: RowSource | None = None, **more: object
     ) -> RelayNode:
         # Nodes find one another's news by one port on different addresses.
-        host = f"127.0.0.{10 + len(self.nodes)}"
+        host = f"127.0.0.{10 + self._n_started}"
+        self._n_started += 1
         seeds = tuple(node.cfg.peers for node in self.nodes if node.cfg.peers)
         fields: dict[str, object] = {
             "node": name,
@@ -131,7 +133,7 @@
             **more,
         }
         cfg = RelaySettings(**fields)  # type: ignore[arg-type]
-        node = RelayNode(cfg=cfg, rng=random.Random(len(self.nodes)), store=store)
+        node = RelayNode(cfg=cfg, rng=random.Random(self._n_started - 1), store=store)
         await node.start()
         self.nodes.append(node)
         await until(lambda: node.is_ready)
