Count how long generations wait for an engine, and their longest pauses

Cause: the metrics showed when a first event came, not how much of that was waiting here, nor the pauses that make a stream late; both had to be dug out of logs.

Change: two histograms by route. Store calls are counted by kind and outcome since both daemons use one client; the test asks for all three.

--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -126,6 +126,8 @@
 HISTOGRAMS = {
     "first_token": "Time from request to first token.",
     "between_tokens": "Time between two tokens of a stream.",
+    "relay_wait": "Time from a request's arrival until an engine was chosen for it.",
+    "relay_longest_pause": "The longest pause between two events of a whole stream.",
     "relay_first_event": "Time from a request's arrival to its first event.",
     "relay_answer": "Time from a request's arrival to the end of its answer.",
     "admission": "Time from asking for a grant to the answer.",
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -93,6 +93,7 @@
             loads = self._engine_loads(live, excluded)
             load = placing.choose_engine(loads, demand, self._rng)
             if load is not None:
+                ex.observe("relay_wait")
                 self._note_place(live, load.reg, loads, demand)
                 return load.reg
             if loop.time() >= until:
--- a/celerytrail/relay/exchange.py
+++ b/celerytrail/relay/exchange.py
@@ -116,7 +116,10 @@
 
     def observe(self, name: str) -> None:
         """Add the time since its arrival to a histogram."""
-        seconds = boottime() - self.arrived_at
+        self.observe_seconds(name, boottime() - self.arrived_at)
+
+    def observe_seconds(self, name: str, seconds: float) -> None:
+        """Add a time of this request to a histogram."""
         self.metrics.observe(name, seconds, route=self.route.name)
 
     def log(self, event: str, **fields: object) -> None:
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -221,6 +221,7 @@
         live.is_whole = True
         await ex.res.finish()
         ex.observe("relay_answer")
+        ex.observe_seconds("relay_longest_pause", live.longest_pause)
         ex.log(
             "answered",
             status=200,
--- a/tests/test_relay_node.py
+++ b/tests/test_relay_node.py
@@ -404,9 +404,14 @@
 class TestMetrics:
     async def test_requests_are_counted_by_what_became_of_them(self, rig):
         await rig.add_desk("d1")
+        engine = await rig.add_engine("e1")
         node = await rig.add_node()
         await rig.ask("/file/1")
         await rig.ask("/file/1", headers=rig.headers("bad"))
+        drafted = asyncio.ensure_future(rig.ask("/draft/1"))
+        await until(lambda: engine.running)
+        await engine.tick(6)
+        await drafted
         answered = await HttpClient(id_header=None).request(
             node.cfg.peers, "GET", "/metrics"
         )
@@ -414,6 +419,9 @@
         assert 'cause="200",event="answered"' in text
         assert 'cause="unknown_key",event="refused"' in text
         assert "celerytrail_relay_answer_seconds" in text
+        assert 'relay_wait_seconds_count{process="vm-1",route="draft"} 1' in text
+        assert "celerytrail_relay_longest_pause_seconds" in text
+        assert 'celerytrail_platform_calls_total{kind="read",outcome="answered"' in text
         assert "celerytrail_configuration_version" in text
 
 
