--- a/celerytrail/relay/moving.py
+++ b/celerytrail/relay/moving.py
@@ -29,8 +29,8 @@
 # What an engine's link can move after a notice, in seconds: it is gone 1.5 s to 2.1 s
 # after it, and the first tenths pass until all know.
 MOVABLE_SECONDS = 1.0
-# A run with fewer tokens than this to be expected ends by itself in about a second, at 8
-# to 13 ms a token.
+# A run with fewer tokens than this to be expected ends by itself in about a second, at
+# 8 ms to 13 ms a token.
 N_LAST_TOKENS = 100
 
 
