Refuse generations that a stopping node can't bring to their end

Ruled out: refusing all generations from SIGTERM on; short ones end in time.

Change: from SIGTERM on a generation is refused as not run, to be asked elsewhere in 0.1 s, unless its bounded output surely ends before the kill. A test of the refusal (and that another node serves it) and one that a short answer is still given.

--- a/celerytrail/relay/handler.py
+++ b/celerytrail/relay/handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -17,6 +18,7 @@
 from .freshness import Freshness
 from .generations import Generations
 from .model import CallerFacts, OrganisationKey, RelayConfig, Route
+from .stopping import can_finish
 
 # When to come back to the system where only this node can't serve, in seconds: another
 # address is worth trying at once.
@@ -46,6 +48,9 @@
         Serves model engines.
     has_others : callable
         Whether another node serves callers.
+    killed_at : callable
+        Returns when this node will be killed, in loop time; None while it isn't asked
+        to stop.
     rng : random.Random
         Splits traffic between services.
     metrics : Metrics
@@ -60,6 +65,7 @@
         calls: PlainCalls,
         generations: Generations,
         has_others: Callable[[], bool],
+        killed_at: Callable[[], float | None],
         rng: random.Random,
         metrics: Metrics,
     ) -> None:
@@ -68,6 +74,7 @@
         self._calls = calls
         self._generations = generations
         self._has_others = has_others
+        self._killed_at = killed_at
         self._rng = rng
         self._metrics = metrics
 
@@ -110,10 +117,19 @@
         )
         service = cfg.services.get(ex.service)
         if service is not None and service.engine is not None:
+            if self._is_too_late_for(facts):
+                await self._refuse(res, facts, 503, "stopping", is_elsewhere=True)
+                return
             await self._generations.relay(ex, service.engine)
         else:
             await self._calls.relay(ex)
 
+    def _is_too_late_for(self, facts: CallerFacts) -> bool:
+        killed_at = self._killed_at()
+        if killed_at is None:
+            return False
+        return not can_finish(facts, asyncio.get_running_loop().time(), killed_at)
+
     def _guard(self, route: Route, facts: CallerFacts) -> Callable[[], bool]:
         """Return whether a request may still be passed on, asked at that moment."""
 
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -110,6 +110,8 @@
         self._metrics = Metrics(process=cfg.node)
         self._tasks: list[asyncio.Task[None]] = []
         self.is_stopping = False
+        # When the process will be killed, in loop time, once it is asked to stop.
+        self._killed_at: float | None = None
         self._was_ready = False
         self.node_id = f"{cfg.node}-{self._rng.getrandbits(32):08x}"
         self._freshness = Freshness(
@@ -301,6 +303,7 @@
             has_others=lambda: any(
                 member.node != self.node_id for member in self.nodes.live()
             ),
+            killed_at=lambda: self._killed_at,
             rng=self._rng,
             metrics=self._metrics,
         )
@@ -348,6 +351,7 @@
         """Leave without cutting an answer; callers' connections end by themselves."""
         loop = asyncio.get_running_loop()
         self.is_stopping = True
+        self._killed_at = loop.time() + self.cfg.grace_seconds
         log_message("relay:node:stopping", node=self.node_id, n_busy=self._front.n_busy)
         self.nodes.set_serving(False)
         self._front.retire()
--- a/tests/test_relay_node.py
+++ b/tests/test_relay_node.py
@@ -401,6 +401,41 @@
         await until(lambda: not engine.running)
 
 
+class TestStopping:
+    async def test_a_draft_that_would_be_cut_by_the_kill_is_refused_as_not_run(
+        self, rig
+    ):
+        # Callers go on using connections to a node that was told to stop. A draft that
+        # came four seconds later was cut in the middle when the process was killed, and
+        # as it had run, its caller could not ask again.
+        engine = await rig.add_engine("e1")
+        node = await rig.add_node()
+        other = await rig.add_node("vm-2")
+        await until(lambda: len(node.nodes.live()) == 2)
+        node._killed_at = asyncio.get_running_loop().time() + 4.0
+        headers = rig.headers(**{"x-token-count": "3000,900"})
+        refused = await rig.ask("/draft/1", node=node, headers=headers)
+        assert refused.status == 503
+        assert float(refused.headers["retry-after"]) == ELSEWHERE_SECONDS
+        assert not engine.seen
+        again = rig.headers(**{"x-token-count": "3000,900"})
+        asked = asyncio.ensure_future(rig.ask("/draft/1", node=other, headers=again))
+        await until(lambda: engine.running)
+        await engine.tick(6)
+        assert events_of((await asked).body) == whole_stream(6)
+
+    async def test_a_short_answer_is_still_given_by_a_node_that_stops(self, rig):
+        # Refused, its caller would lose a try for nothing.
+        engine = await rig.add_engine("e1")
+        node = await rig.add_node()
+        node._killed_at = asyncio.get_running_loop().time() + 6.0
+        headers = rig.headers(**{"x-token-count": "2200,16"})
+        asked = asyncio.ensure_future(rig.ask("/draft/1", headers=headers))
+        await until(lambda: engine.running)
+        await engine.tick(6)
+        assert events_of((await asked).body) == whole_stream(6)
+
+
 class TestMetrics:
     async def test_requests_are_counted_by_what_became_of_them(self, rig):
         await rig.add_desk("d1")
