--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -19,8 +19,8 @@
 from result import Err
 
 from celerytrail.clock import SystemClock
-from celerytrail.document import Document, OrganisationSpec
-from celerytrail.httpclient import HttpClient
+from celerytrail.configuration.document import Document, OrganisationSpec
+from celerytrail.http.client import HttpClient
 from celerytrail.operators.store import DocumentStore
 from celerytrail.platform.client import PlatformClient
 from celerytrail.platform.objects import HttpObjectStore
--- a/bench/configspread.py
+++ b/bench/configspread.py
@@ -18,20 +18,20 @@
 from result import Ok, Result
 
 from celerytrail.clock import LoopClock
-from celerytrail.configfetch import ObjectFetcher
-from celerytrail.configrecords import HEAD_KEY, OBJECT_PREFIX, Head
-from celerytrail.configsync import ConfigSync
-from celerytrail.configuration import Configuration
-from celerytrail.document import Document, OrganisationSpec
-from celerytrail.http import Request
-from celerytrail.httpclient import HttpClient
-from celerytrail.httpserver import HttpServer
+from celerytrail.configuration.current import Configuration
+from celerytrail.configuration.document import Document, OrganisationSpec
+from celerytrail.configuration.fetch import ObjectFetcher
+from celerytrail.configuration.records import HEAD_KEY, OBJECT_PREFIX, Head
+from celerytrail.configuration.sections import Tree
+from celerytrail.configuration.sync import ConfigSync
+from celerytrail.http.client import HttpClient
+from celerytrail.http.messages import Request
+from celerytrail.http.routes import Router
+from celerytrail.http.server import HttpServer
 from celerytrail.metrics import Metrics
 from celerytrail.platform.client import Unavailable
 from celerytrail.platform.objects import ObjectStore
 from celerytrail.platform.table import Row, Rows, Table, Transaction, TransactResult
-from celerytrail.routes import Router
-from celerytrail.sections import Tree
 from celerytrail.types import Address
 from scenarios.memorynetwork import Wires
 
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -25,12 +25,9 @@
 from result import Ok, Result
 
 from celerytrail.clock import SystemClock
-from celerytrail.collector import freeze_documents
-from celerytrail.configfetch import ObjectFetcher
-from celerytrail.configrecords import HEAD_KEY, OBJECT_PREFIX, Head
-from celerytrail.configsync import ConfigSync
-from celerytrail.configuration import Configuration
-from celerytrail.document import (
+from celerytrail.configuration.collector import freeze_documents
+from celerytrail.configuration.current import Configuration
+from celerytrail.configuration.document import (
     AdapterSpec,
     Document,
     EngineSpec,
@@ -40,14 +37,17 @@
     ServiceSpec,
     encode,
 )
-from celerytrail.http import Request
-from celerytrail.httpclient import HttpClient
+from celerytrail.configuration.fetch import ObjectFetcher
+from celerytrail.configuration.records import HEAD_KEY, OBJECT_PREFIX, Head
+from celerytrail.configuration.sections import Tree
+from celerytrail.configuration.sync import ConfigSync
+from celerytrail.http.client import HttpClient
+from celerytrail.http.messages import Request
 from celerytrail.metrics import Metrics
 from celerytrail.operators.checks import findings_in_steps
 from celerytrail.platform.client import Unavailable
 from celerytrail.platform.objects import ObjectStore
 from celerytrail.platform.table import Row, Rows, Table, Transaction, TransactResult
-from celerytrail.sections import Tree
 
 N_ORGANISATIONS = 6_400
 N_ENGINES = 2_000
--- a/bench/cost.py
+++ b/bench/cost.py
@@ -17,12 +17,12 @@
 from pathlib import Path
 from typing import Any
 
-from celerytrail.document import EngineSpec
-from celerytrail.fairness import FairQueue
-from celerytrail.grants import AdmitRequest, Grant
-from celerytrail.lengths import LearnedLengths
-from celerytrail.reports import EngineReport
-from celerytrail.scheduler import Decision, Granted, PoolScheduler
+from celerytrail.configuration.document import EngineSpec
+from celerytrail.policies.fairness import FairQueue
+from celerytrail.policies.grants import AdmitRequest, Grant
+from celerytrail.policies.lengths import LearnedLengths
+from celerytrail.policies.reports import EngineReport
+from celerytrail.policies.scheduler import Decision, Granted, PoolScheduler
 
 SIZES = (6, 333, 2000)
 SHARD = 32
--- a/bench/membership_process.py
+++ b/bench/membership_process.py
@@ -16,14 +16,14 @@
 from typing import Any
 
 from celerytrail.clock import SystemClock
-from celerytrail.httpclient import HttpClient
-from celerytrail.httpserver import HttpServer
+from celerytrail.http.client import HttpClient
+from celerytrail.http.network import P, SystemNetwork
+from celerytrail.http.routes import Router
+from celerytrail.http.server import HttpServer
 from celerytrail.metrics import Metrics
-from celerytrail.network import P, SystemNetwork
 from celerytrail.nodes.member import Member, State
 from celerytrail.nodes.nodes import Nodes
 from celerytrail.nodes.signing import PeerKeys
-from celerytrail.routes import Router
 from celerytrail.types import Address
 
 
--- a/bench/relayprocess.py
+++ b/bench/relayprocess.py
@@ -13,13 +13,12 @@
 
 import typer
 
-from celerytrail.admitters import LocalAdmitter
 from celerytrail.callers.api import CallerLimits, CallersApi
 from celerytrail.callers.auth import Authenticator
 from celerytrail.callers.tickets import TicketSigner
 from celerytrail.clock import SystemClock
-from celerytrail.configuration import Configuration
-from celerytrail.document import (
+from celerytrail.configuration.current import Configuration
+from celerytrail.configuration.document import (
     Document,
     EngineSpec,
     ModelSpec,
@@ -27,12 +26,13 @@
     VersionedDocument,
 )
 from celerytrail.engines.client import EngineClient
-from celerytrail.httpclient import HttpClient
-from celerytrail.httpserver import HttpServer, ServerLimits
+from celerytrail.http.client import HttpClient
+from celerytrail.http.routes import Router
+from celerytrail.http.server import HttpServer, ServerLimits
 from celerytrail.log import start_logging
 from celerytrail.metrics import Metrics
-from celerytrail.retries import BudgetedRetry
-from celerytrail.routes import Router
+from celerytrail.policies.admitters import LocalAdmitter
+from celerytrail.policies.retries import BudgetedRetry
 from celerytrail.types import Address
 
 KEY = "bench-key"
--- a/bench/simulation.py
+++ b/bench/simulation.py
@@ -16,7 +16,7 @@
 from bench.engine import Engine, Job
 from bench.strategies import Strategy, Stream
 from bench.workloads import Call, Deployment, calls
-from celerytrail.document import EngineSpec
+from celerytrail.configuration.document import EngineSpec
 
 # A gap between tokens beyond this is a stall, seconds.
 STALL_LIMIT = 0.25
--- a/bench/strategies.py
+++ b/bench/strategies.py
@@ -15,13 +15,18 @@
 from typing import TYPE_CHECKING, Any
 
 from bench.workloads import N_NODES, Call
-from celerytrail.admission import AdmissionPolicy
-from celerytrail.engineview import EngineBook, EngineView
-from celerytrail.grants import AdmitRequest, Grant
-from celerytrail.lengths import LearnedLengths
-from celerytrail.reports import EngineReport
-from celerytrail.routing import LeastReported, PowerOfTwo, RoundRobin, RoutingPolicy
-from celerytrail.scheduler import Decision, Granted, PoolScheduler
+from celerytrail.policies.admission import AdmissionPolicy
+from celerytrail.policies.engineview import EngineBook, EngineView
+from celerytrail.policies.grants import AdmitRequest, Grant
+from celerytrail.policies.lengths import LearnedLengths
+from celerytrail.policies.reports import EngineReport
+from celerytrail.policies.routing import (
+    LeastReported,
+    PowerOfTwo,
+    RoundRobin,
+    RoutingPolicy,
+)
+from celerytrail.policies.scheduler import Decision, Granted, PoolScheduler
 
 if TYPE_CHECKING:
     from bench.simulation import Simulation
--- a/celerytrail/callers/addresses.py
+++ b/celerytrail/callers/addresses.py
@@ -10,9 +10,9 @@
 from urllib.parse import parse_qs
 
 from ..clock import Clock
-from ..http import Request
-from ..httpserver import Responder
-from ..routes import Params, Router
+from ..http.messages import Request
+from ..http.routes import Params, Router
+from ..http.server import Responder
 
 ADDRESS_SECONDS = 30.0
 MAX_NEAR = 4
--- a/celerytrail/callers/answers.py
+++ b/celerytrail/callers/answers.py
@@ -6,8 +6,8 @@
 from collections.abc import Sequence
 
 from ..engines.streams import StreamLost
-from ..httpserver import Responder
-from ..routes import send_error
+from ..http.routes import send_error
+from ..http.server import Responder
 from ..types import Finding, NotRun
 from .auth import AuthError
 from .starting import GenerationFailed, StartError
--- a/celerytrail/callers/api.py
+++ b/celerytrail/callers/api.py
@@ -10,17 +10,17 @@
 from result import Err
 
 from ..clock import Clock
-from ..configuration import Configuration
+from ..configuration.current import Configuration
 from ..engines.client import EngineClient
 from ..engines.counters import StreamCounters
 from ..engines.streams import StreamPolicy
-from ..grants import Admitter
-from ..http import Request
-from ..httpserver import Responder
+from ..http.messages import Request
+from ..http.routes import Params, Router
+from ..http.server import Responder
 from ..log import TASK_HEADER, continue_task
 from ..metrics import Metrics
-from ..retries import RetryPolicy
-from ..routes import Params, Router
+from ..policies.grants import Admitter
+from ..policies.retries import RetryPolicy
 from .answers import send_auth_error, send_findings
 from .auth import Authenticator
 from .completions import CompletionRoutes
--- a/celerytrail/callers/auth.py
+++ b/celerytrail/callers/auth.py
@@ -8,9 +8,9 @@
 
 from result import Err, Ok, Result
 
-from ..configuration import Configuration
-from ..document import OrganisationSpec, VersionedDocument
-from ..http import Request
+from ..configuration.current import Configuration
+from ..configuration.document import OrganisationSpec, VersionedDocument
+from ..http.messages import Request
 
 MAX_KEY_CHARACTERS = 512
 SCHEME = "bearer"
--- a/celerytrail/callers/completions.py
+++ b/celerytrail/callers/completions.py
@@ -11,15 +11,15 @@
 from result import Err, Ok, Result
 
 from ..clock import Clock
-from ..configuration import Configuration
-from ..document import ModelSpec
+from ..configuration.current import Configuration
+from ..configuration.document import ModelSpec
 from ..engines.prefixes import estimate_tokens
 from ..engines.streams import StreamLost
 from ..exceptions import PeerError
-from ..grants import Admitter
-from ..httpserver import Responder
+from ..http.server import Responder
 from ..log import task_headers
 from ..metrics import Metrics
+from ..policies.grants import Admitter
 from ..types import Finding
 from .answers import send_findings, send_lost, send_start_error
 from .bodies import GenerationBody, read_body
--- a/celerytrail/callers/context.py
+++ b/celerytrail/callers/context.py
@@ -9,8 +9,8 @@
 from result import Err, Ok, Result
 
 from ..clock import Clock
-from ..document import OrganisationSpec
-from ..http import REQUEST_ID_HEADER, Request
+from ..configuration.document import OrganisationSpec
+from ..http.messages import REQUEST_ID_HEADER, Request
 from ..types import Finding
 
 DEADLINE_HEADER = "x-deadline-at"
--- a/celerytrail/callers/delivery.py
+++ b/celerytrail/callers/delivery.py
@@ -10,7 +10,7 @@
 
 from ..engines.streams import EngineStream, StreamLost
 from ..engines.wire import Finished, Tokens
-from ..httpserver import Responder
+from ..http.server import Responder
 from .answers import lost_error
 from .shapes import EVENT_STREAM_TYPE, EventWriter
 
--- a/celerytrail/callers/endings.py
+++ b/celerytrail/callers/endings.py
@@ -7,7 +7,7 @@
 
 from ..engines.streams import EngineStream, StreamLost
 from ..engines.wire import Finished
-from ..grants import Admitter, GenerationEnd, Grant
+from ..policies.grants import Admitter, GenerationEnd, Grant
 from .starting import BackgroundTasks
 
 # Losses after which the generation may still run though nobody wants it.
--- a/celerytrail/callers/generations.py
+++ b/celerytrail/callers/generations.py
@@ -10,15 +10,15 @@
 from result import Err, Ok, Result
 
 from ..clock import Clock
-from ..document import OrganisationSpec
+from ..configuration.document import OrganisationSpec
 from ..engines.streams import EngineStream
 from ..engines.wire import UnknownGeneration
 from ..exceptions import PeerError
-from ..grants import Admitter, Grant
-from ..httpserver import Responder
+from ..http.routes import Params, send_error
+from ..http.server import Responder
 from ..log import task_headers
 from ..metrics import Metrics
-from ..routes import Params, send_error
+from ..policies.grants import Admitter, Grant
 from ..types import Address, Finding
 from .answers import retry_header, send_findings, send_lost, send_unknown_generation
 from .context import Context
--- a/celerytrail/callers/leavers.py
+++ b/celerytrail/callers/leavers.py
@@ -15,7 +15,7 @@
 from eliot import log_message
 
 from ..engines.streams import EngineStream
-from ..grants import Admitter, Grant
+from ..policies.grants import Admitter, Grant
 from .starting import BackgroundTasks
 
 RESUME_GRACE_SECONDS = 20.0
--- a/celerytrail/callers/service_api.py
+++ b/celerytrail/callers/service_api.py
@@ -8,15 +8,15 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ..claims import MAX_KEY_CHARS, KeyReused, Outcome
 from ..clock import Clock
-from ..configuration import Configuration
-from ..document import OperationSpec, OrganisationSpec, ServiceSpec
-from ..http import Request
-from ..httpserver import Responder
+from ..configuration.current import Configuration
+from ..configuration.document import OperationSpec, OrganisationSpec, ServiceSpec
+from ..http.messages import Request
+from ..http.routes import Params, Router, send_error
+from ..http.server import Responder
 from ..log import TASK_HEADER, continue_task
-from ..routes import Params, Router, send_error
 from ..services.calls import CallStatus, ServiceCalls
+from ..services.claims import MAX_KEY_CHARS, KeyReused, Outcome
 from ..services.outcomes import Answered, CallError, CallInProgress, ServiceCall
 from ..types import Finding, NotRun, Unknown
 from .auth import AuthError
--- a/celerytrail/callers/starting.py
+++ b/celerytrail/callers/starting.py
@@ -15,16 +15,16 @@
 from result import Err, Ok, Result
 
 from ..clock import Clock
-from ..configuration import Configuration
-from ..document import EngineSpec, OrganisationSpec
+from ..configuration.current import Configuration
+from ..configuration.document import EngineSpec, OrganisationSpec
 from ..engines.client import EngineClient, OpenError
 from ..engines.counters import StreamCounters
 from ..engines.prefixes import estimate_tokens, prefix_hashes
 from ..engines.reader import TokenReader
 from ..engines.streams import EngineStream, StreamLost, StreamPolicy
 from ..engines.wire import BadReply, EngineRefused, Finished, GenerateOrder, Tokens
-from ..grants import AdmitRequest, Admitter, GenerationEnd, Grant
-from ..retries import RetryPolicy
+from ..policies.grants import AdmitRequest, Admitter, GenerationEnd, Grant
+from ..policies.retries import RetryPolicy
 from ..types import Address, NotRun
 from .bodies import GenerationBody
 
--- /dev/null
+++ b/celerytrail/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration: the document, its sections, and how nodes come by them."""
--- a/celerytrail/collector.py
+++ b/celerytrail/configuration/collector.py
@@ -13,7 +13,7 @@
 
 from eliot import log_message
 
-from .configuration import Configuration
+from .current import Configuration
 from .document import VersionedDocument
 
 # Below this, a collection is over in a few milliseconds anyway.
--- a/celerytrail/configfetch.py
+++ b/celerytrail/configuration/fetch.py
@@ -9,14 +9,14 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
-from .clock import Clock
-from .configrecords import object_name
-from .http import Request
-from .httpclient import HttpClient
-from .metrics import Metrics
-from .platform.objects import ObjectStore
+from ..clock import Clock
+from ..http.client import HttpClient
+from ..http.messages import Request
+from ..metrics import Metrics
+from ..platform.objects import ObjectStore
+from ..types import Address, Finding
+from .records import object_name
 from .sections import digest_of
-from .types import Address, Finding
 
 OBJECT_PATH = "/peer/v1/objects/"
 TRY_SECONDS = 1.0
--- a/celerytrail/configrecords.py
+++ b/celerytrail/configuration/records.py
@@ -7,8 +7,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from ..types import Finding
 from .sections import is_digest
-from .types import Finding
 
 HEAD_KEY = "config/head"
 HISTORY_PREFIX = "config/history/"
--- a/celerytrail/configsync.py
+++ b/celerytrail/configuration/sync.py
@@ -16,22 +16,22 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
-from .clock import Clock
-from .configfetch import OBJECT_PATH, ObjectFetcher, PeerAuth
-from .configrecords import HEAD_KEY, read_head
-from .configtargets import Target, Targets
-from .configuration import Configuration
+from ..clock import Clock
+from ..http.messages import Request
+from ..http.routes import Params, Router, send_error
+from ..http.server import Responder
+from ..metrics import Metrics
+from ..operators.checks import findings_in_steps, findings_of_changes
+from ..platform.backoff import full_jitter
+from ..platform.table import Table
+from ..types import Address, Finding
+from .current import Configuration
 from .document import Document, VersionedDocument
-from .http import Request
-from .httpserver import Responder
-from .metrics import Metrics
-from .operators.checks import findings_in_steps, findings_of_changes
-from .platform.backoff import full_jitter
-from .platform.table import Table
-from .routes import Params, Router, send_error
+from .fetch import OBJECT_PATH, ObjectFetcher, PeerAuth
+from .records import HEAD_KEY, read_head
 from .sections import Tree, is_digest
+from .targets import Target, Targets
 from .treeloader import Misfit, TreeLoader
-from .types import Address, Finding
 
 HEAD_PATH = "/peer/v1/config/head"
 HINT_PATH = "/peer/v1/config/hint"
--- a/celerytrail/configtargets.py
+++ b/celerytrail/configuration/targets.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, replace
 
-from .types import Address
+from ..types import Address
 
 MAX_TARGETS = 4
 MAX_HOLDERS = 3
--- a/celerytrail/treeloader.py
+++ b/celerytrail/configuration/treeloader.py
@@ -9,8 +9,8 @@
 
 from result import Err, Ok, Result
 
+from ..types import Finding
 from .sections import ROOT, Section, Tree, read_index, read_section
-from .types import Finding
 
 N_PARALLEL = 8
 
--- a/celerytrail/engines/client.py
+++ b/celerytrail/engines/client.py
@@ -9,9 +9,9 @@
 from result import Err, Ok, Result
 
 from ..clock import Clock
-from ..http import Response
-from ..httpclient import HttpClient, NotSent, Stream
-from ..reports import EngineReport
+from ..http.client import HttpClient, NotSent, Stream
+from ..http.messages import Response
+from ..policies.reports import EngineReport
 from ..types import Address
 from .reader import TokenReader
 from .wire import (
--- a/celerytrail/engines/reader.py
+++ b/celerytrail/engines/reader.py
@@ -5,7 +5,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ..httpclient import Stream
+from ..http.client import Stream
 from .wire import MAX_LINE_BYTES, BadReply, EngineEnd, EngineLost, Finished, Line
 
 _ENDS: dict[str, EngineEnd] = {
--- /dev/null
+++ b/celerytrail/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP: messages, client, server, routes, and the network beneath."""
--- a/celerytrail/httpclient.py
+++ b/celerytrail/http/client.py
@@ -12,10 +12,10 @@
 import msgspec
 from result import Err, Ok, Result
 
-from .exceptions import PeerError
-from .http import JSON_TYPE, REQUEST_ID_HEADER, Connection, Response, header_map
+from ..exceptions import PeerError
+from ..types import Address
+from .messages import JSON_TYPE, REQUEST_ID_HEADER, Connection, Response, header_map
 from .network import Network, SystemNetwork
-from .types import Address
 
 MAX_IDLE_PER_ADDRESS = 16
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
--- a/celerytrail/http.py
+++ b/celerytrail/http/messages.py
@@ -9,7 +9,7 @@
 import h11
 import msgspec
 
-from .exceptions import PeerError
+from ..exceptions import PeerError
 
 REQUEST_ID_HEADER = "x-request-id"
 JSON_TYPE = "application/json"
--- a/celerytrail/network.py
+++ b/celerytrail/http/network.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from .types import Address
+from ..types import Address
 
 P = TypeVar("P", bound=asyncio.BaseProtocol)
 
--- a/celerytrail/routes.py
+++ b/celerytrail/http/routes.py
@@ -5,8 +5,8 @@
 from collections.abc import Awaitable, Callable
 from urllib.parse import unquote
 
-from .http import Request
-from .httpserver import Handler, Responder
+from .messages import Request
+from .server import Handler, Responder
 
 Params = dict[str, str]
 RouteHandler = Callable[[Request, Responder, Params], Awaitable[None]]
--- a/celerytrail/httpserver.py
+++ b/celerytrail/http/server.py
@@ -11,8 +11,9 @@
 import msgspec
 from eliot import log_message
 
-from .exceptions import PeerError
-from .http import (
+from ..exceptions import PeerError
+from ..types import Address
+from .messages import (
     JSON_TYPE,
     MAX_HEAD_BYTES,
     REQUEST_ID_HEADER,
@@ -22,7 +23,6 @@
     header_map,
 )
 from .network import Listener, Network, SystemNetwork
-from .types import Address
 
 LINGER_SECONDS = 1.0
 
--- a/celerytrail/relay/model.py
+++ b/celerytrail/model.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from functools import cached_property
 
-from ..types import Address
+from .types import Address
 
 
 class RouteKind(enum.Enum):
--- a/celerytrail/node.py
+++ b/celerytrail/node.py
@@ -13,18 +13,18 @@
 from . import wiring
 from .callers.auth import Authenticator
 from .clock import Clock, SystemClock
-from .configuration import Configuration
+from .configuration.current import Configuration
 from .engines.client import EngineClient
-from .http import Request
-from .httpclient import HttpClient
-from .httpserver import HttpServer, Responder, ServerLimits
+from .http.client import HttpClient
+from .http.messages import Request
+from .http.network import Network, SystemNetwork
+from .http.routes import Params, Router
+from .http.server import HttpServer, Responder, ServerLimits
 from .leaving import LeavingBoard
 from .log import start_logging
 from .metrics import Metrics
-from .network import Network, SystemNetwork
 from .nodes.limited import LimitedAdmitter
 from .nodes.signing import PeerKeys
-from .routes import Params, Router
 from .settings import NodeSettings
 from .types import Address
 from .vmwatch import VmWatch
--- a/celerytrail/nodes/admitters.py
+++ b/celerytrail/nodes/admitters.py
@@ -11,9 +11,9 @@
 from result import Err, Ok, Result
 
 from ..clock import Clock
-from ..grants import AdmitRequest, Admitter, GenerationEnd, Grant
-from ..httpclient import HttpClient
+from ..http.client import HttpClient
 from ..metrics import Metrics
+from ..policies.grants import AdmitRequest, Admitter, GenerationEnd, Grant
 from ..types import NotRun
 from .alone import AloneChooser
 from .batches import Batches, Outcome
--- a/celerytrail/nodes/alone.py
+++ b/celerytrail/nodes/alone.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable, Sequence
 
 from ..clock import Clock
-from ..configuration import Configuration
-from ..document import EngineSpec, VersionedDocument
-from ..engineview import EngineBook
-from ..grants import AdmitRequest, GenerationEnd, Grant
-from ..lengths import LengthModel
-from ..reports import EngineReport
-from ..routing import RoutingPolicy
+from ..configuration.current import Configuration
+from ..configuration.document import EngineSpec, VersionedDocument
+from ..policies.engineview import EngineBook
+from ..policies.grants import AdmitRequest, GenerationEnd, Grant
+from ..policies.lengths import LengthModel
+from ..policies.reports import EngineReport
+from ..policies.routing import RoutingPolicy
 
 
 class AloneChooser:
--- a/celerytrail/nodes/batches.py
+++ b/celerytrail/nodes/batches.py
@@ -11,9 +11,9 @@
 from result import Err
 
 from ..clock import Clock
-from ..grants import AdmitRequest, GenerationEnd, Grant
-from ..httpclient import HttpClient
-from ..reports import EngineReport
+from ..http.client import HttpClient
+from ..policies.grants import AdmitRequest, GenerationEnd, Grant
+from ..policies.reports import EngineReport
 from ..types import Address
 from .homes import Homes
 from .homewire import (
--- a/celerytrail/nodes/exchange.py
+++ b/celerytrail/nodes/exchange.py
@@ -9,11 +9,11 @@
 from result import Err
 
 from ..clock import Clock
-from ..http import Request
-from ..httpclient import HttpClient
-from ..httpserver import Responder
+from ..http.client import HttpClient
+from ..http.messages import Request
+from ..http.routes import Params, Router, send_error
+from ..http.server import Responder
 from ..metrics import Metrics
-from ..routes import Params, Router, send_error
 from ..types import Address
 from .membership import Membership
 from .signing import PeerKeys
--- a/celerytrail/nodes/gossip.py
+++ b/celerytrail/nodes/gossip.py
@@ -10,8 +10,8 @@
 
 from ..clock import Clock
 from ..exceptions import InternalError
+from ..http.network import Network, SystemNetwork
 from ..metrics import Metrics
-from ..network import Network, SystemNetwork
 from ..types import Address
 from .events import Event, Outgoing
 from .membership import Membership
--- a/celerytrail/nodes/homes.py
+++ b/celerytrail/nodes/homes.py
@@ -12,15 +12,15 @@
 from eliot import log_message
 
 from ..clock import Clock
-from ..configuration import Configuration
-from ..document import EngineSpec
+from ..configuration.current import Configuration
+from ..configuration.document import EngineSpec
 from ..engines.client import EngineClient
-from ..grants import AdmitRequest
-from ..http import Request
-from ..httpserver import Responder
+from ..http.messages import Request
+from ..http.routes import Params, Router, send_error
+from ..http.server import Responder
 from ..metrics import Metrics
-from ..reports import SeenReport
-from ..routes import Params, Router, send_error
+from ..policies.grants import AdmitRequest
+from ..policies.reports import SeenReport
 from .exchange import refuse_signature
 from .homewire import (
     ADMIT_PATH,
--- a/celerytrail/nodes/homewire.py
+++ b/celerytrail/nodes/homewire.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass
 
-from ..grants import AdmitRequest, GenerationEnd, Grant
-from ..reports import EngineReport
+from ..policies.grants import AdmitRequest, GenerationEnd, Grant
+from ..policies.reports import EngineReport
 from ..types import NotRun
 
 ADMIT_PATH = "/peer/v1/admit"
--- a/celerytrail/nodes/limit_homes.py
+++ b/celerytrail/nodes/limit_homes.py
@@ -11,14 +11,14 @@
 from result import Err
 
 from ..clock import Clock
-from ..configuration import Configuration
-from ..document import VersionedDocument
-from ..http import Request
-from ..httpclient import HttpClient
-from ..httpserver import Responder
-from ..limits import Limit, LimitBorrower, LimitLender, Loan, LoanRequest
+from ..configuration.current import Configuration
+from ..configuration.document import VersionedDocument
+from ..http.client import HttpClient
+from ..http.messages import Request
+from ..http.routes import Params, Router, send_error
+from ..http.server import Responder
 from ..metrics import Metrics
-from ..routes import Params, Router, send_error
+from ..policies.limits import Limit, LimitBorrower, LimitLender, Loan, LoanRequest
 from ..types import NotRun
 from .exchange import refuse_signature
 from .homes import N_ACCEPTING
--- a/celerytrail/nodes/limited.py
+++ b/celerytrail/nodes/limited.py
@@ -7,7 +7,7 @@
 
 from result import Err, Result
 
-from ..grants import AdmitRequest, Admitter, GenerationEnd, Grant
+from ..policies.grants import AdmitRequest, Admitter, GenerationEnd, Grant
 from ..types import NotRun
 from .limit_homes import LimitHomes
 
--- a/celerytrail/memberaddresses.py
+++ b/celerytrail/nodes/memberaddresses.py
@@ -5,9 +5,9 @@
 from collections.abc import Iterable
 from typing import Literal
 
-from .callers.addresses import MemberAddress, MemberSource
-from .nodes.member import State
-from .nodes.nodes import Nodes
+from ..callers.addresses import MemberAddress, MemberSource
+from .member import State
+from .nodes import Nodes
 
 StateName = Literal["alive", "suspect", "leaving", "dead"]
 
--- a/celerytrail/nodes/membership.py
+++ b/celerytrail/nodes/membership.py
@@ -19,12 +19,7 @@
 import msgspec
 
 from ..types import Address
-from .events import (
-    Event,
-    ExchangeWanted,
-    Outgoing,
-    Paused,
-)
+from .events import Event, ExchangeWanted, Outgoing, Paused
 from .knowledge import Knowledge
 from .member import Member, State
 from .mismatches import Mismatches
--- a/celerytrail/nodes/nodes.py
+++ b/celerytrail/nodes/nodes.py
@@ -9,10 +9,10 @@
 from eliot import log_message
 
 from ..clock import Clock
-from ..httpclient import HttpClient
+from ..http.client import HttpClient
+from ..http.network import Network
+from ..http.routes import Router
 from ..metrics import Metrics
-from ..network import Network
-from ..routes import Router
 from ..types import Address
 from .events import (
     BadItem,
--- a/celerytrail/nodes/poolhome.py
+++ b/celerytrail/nodes/poolhome.py
@@ -11,12 +11,12 @@
 from result import Err, Ok
 
 from ..clock import Clock
-from ..document import EngineSpec
+from ..configuration.document import EngineSpec
 from ..engines.client import EngineClient
-from ..grants import AdmitRequest
 from ..metrics import Metrics
-from ..reports import EngineReport
-from ..scheduler import Decision, Granted, PoolScheduler
+from ..policies.grants import AdmitRequest
+from ..policies.reports import EngineReport
+from ..policies.scheduler import Decision, Granted, PoolScheduler
 from ..types import Address
 from .homewire import AdmitAnswer, ProgressAnswer, ProgressBody
 from .pools import Pool
--- a/celerytrail/nodes/pools.py
+++ b/celerytrail/nodes/pools.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ..document import Document, EngineSpec
+from ..configuration.document import Document, EngineSpec
 
 # A home polls each of its engines twice a second, which costs 0.22% of a core for each
 # (docs/CAPACITY.md), and forecasts over all of them for each request; this keeps one
--- a/celerytrail/nodes/reportages.py
+++ b/celerytrail/nodes/reportages.py
@@ -4,7 +4,7 @@
 
 from collections import deque
 
-from ..reports import EngineReport
+from ..policies.reports import EngineReport
 
 N_REMEMBERED = 8
 
--- a/celerytrail/nodes/signing.py
+++ b/celerytrail/nodes/signing.py
@@ -5,7 +5,7 @@
 import hmac
 from collections.abc import Sequence
 
-from ..http import Request
+from ..http.messages import Request
 
 SIGNATURE_HEADER = "x-peer-signature"
 SIGNATURE_BYTES = 16
--- a/celerytrail/operators/actions.py
+++ b/celerytrail/operators/actions.py
@@ -12,8 +12,8 @@
 from result import Err, Ok
 
 from ..clock import Clock
-from ..configrecords import MAX_NOTE_CHARS, Head
-from ..document import Document, encode
+from ..configuration.document import Document, encode
+from ..configuration.records import MAX_NOTE_CHARS, Head
 from ..platform.client import Unavailable
 from ..types import Finding
 from .answers import Answer
--- a/celerytrail/operators/answers.py
+++ b/celerytrail/operators/answers.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from ..httpserver import Responder
+from ..http.server import Responder
 from ..types import Finding
 from .pages import Pages, Visit
 from .sessions import Session, Sessions
--- a/celerytrail/operators/app.py
+++ b/celerytrail/operators/app.py
@@ -13,17 +13,17 @@
 
 from ..clock import Clock, SystemClock
 from ..exceptions import SettingsError
-from ..http import Request
-from ..httpclient import HttpClient
-from ..httpserver import HttpServer, Responder, ServerLimits
+from ..http.client import HttpClient
+from ..http.messages import Request
+from ..http.network import Network, SystemNetwork
+from ..http.routes import Params, Router
+from ..http.server import HttpServer, Responder, ServerLimits
 from ..log import start_logging
-from ..network import Network, SystemNetwork
 from ..nodes.signing import PeerKeys
 from ..platform.client import PlatformClient
 from ..platform.objects import HttpObjectStore
 from ..platform.table import HttpTable
 from ..platform.vms import HttpVmList, VmList
-from ..routes import Params, Router
 from ..settings import ConsoleSettings
 from ..types import Address
 from .console import Console
--- a/celerytrail/operators/checks.py
+++ b/celerytrail/operators/checks.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Collection, Iterable, Iterator, Sized
 from dataclasses import dataclass, field
 
-from ..document import (
+from ..configuration.document import (
     PRIORITY_HIGHEST,
     PRIORITY_LOWEST,
     AdapterSpec,
--- a/celerytrail/operators/console.py
+++ b/celerytrail/operators/console.py
@@ -15,10 +15,10 @@
 from result import Err, Ok, Result
 
 from ..clock import Clock
-from ..document import encode
-from ..http import Request
-from ..httpserver import Responder
-from ..routes import Params, Router
+from ..configuration.document import encode
+from ..http.messages import Request
+from ..http.routes import Params, Router
+from ..http.server import Responder
 from .actions import Actions
 from .answers import HTML, SECURITY_HEADERS, Answer, Screen
 from .drafts import Draft, decode_draft
--- a/celerytrail/operators/drafts.py
+++ b/celerytrail/operators/drafts.py
@@ -16,8 +16,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ..document import Document
-from ..sections import item_key
+from ..configuration.document import Document
+from ..configuration.sections import item_key
 from ..types import Finding
 from .shape import build
 from .validation import Validated, finish
--- a/celerytrail/operators/forms.py
+++ b/celerytrail/operators/forms.py
@@ -12,7 +12,7 @@
 from typing import Any
 from urllib.parse import parse_qsl
 
-from ..document import Document
+from ..configuration.document import Document
 from .drafts import JsonObject
 from .formfields import Field, Form
 
--- a/celerytrail/operators/live.py
+++ b/celerytrail/operators/live.py
@@ -13,10 +13,10 @@
 from result import Ok
 
 from ..clock import Clock
-from ..configfetch import OBJECT_PATH, PeerAuth
-from ..configrecords import Head
-from ..configsync import HINT_PATH
-from ..httpclient import HttpClient
+from ..configuration.fetch import OBJECT_PATH, PeerAuth
+from ..configuration.records import Head
+from ..configuration.sync import HINT_PATH
+from ..http.client import HttpClient
 from ..types import Address
 
 STATUS_PATH = "/peer/v1/status"
--- a/celerytrail/operators/outcomes.py
+++ b/celerytrail/operators/outcomes.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass
 
-from ..configrecords import Head
-from ..document import Document
+from ..configuration.document import Document
+from ..configuration.records import Head
 from ..platform.client import Unavailable
 from ..types import Finding
 
--- a/celerytrail/operators/pages.py
+++ b/celerytrail/operators/pages.py
@@ -12,8 +12,8 @@
 import jinja2
 from result import Err, Ok
 
-from ..document import Document
-from ..sections import item_key
+from ..configuration.document import Document
+from ..configuration.sections import item_key
 from ..types import Finding
 from .drafts import KINDS, Composed, Draft, Edit, compose, difference, to_json
 from .formfields import FORMS, Form
--- a/celerytrail/operators/signin.py
+++ b/celerytrail/operators/signin.py
@@ -6,9 +6,9 @@
 from eliot import log_message
 
 from ..clock import Clock
-from ..http import Request
-from ..httpserver import Responder
-from ..routes import Params, Router
+from ..http.messages import Request
+from ..http.routes import Params, Router
+from ..http.server import Responder
 from .answers import HTML, Answer, Screen
 from .forms import FormValues, first, parse_form
 from .pages import Pages, fields_again
--- a/celerytrail/operators/store.py
+++ b/celerytrail/operators/store.py
@@ -12,7 +12,8 @@
 from result import Err, Ok, Result
 
 from ..clock import Clock
-from ..configrecords import (
+from ..configuration.document import Document
+from ..configuration.records import (
     HEAD_KEY,
     HISTORY_PREFIX,
     Head,
@@ -20,13 +21,12 @@
     object_name,
     read_head,
 )
-from ..document import Document
+from ..configuration.sections import Tree, digest_of
+from ..configuration.treeloader import N_PARALLEL, Misfit, TreeLoader
 from ..platform import table as tables
 from ..platform.client import InDoubt, Unavailable
 from ..platform.objects import ObjectStore
 from ..platform.table import Check, Committed, Put, Row, Table, Transaction
-from ..sections import Tree, digest_of
-from ..treeloader import N_PARALLEL, Misfit, TreeLoader
 from ..types import Finding
 from .outcomes import (
     AcceptError,
--- a/celerytrail/operators/validation.py
+++ b/celerytrail/operators/validation.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from ..document import Document
+from ..configuration.document import Document
 from ..types import Finding
 from .checks import findings_of
 from .shape import build
--- /dev/null
+++ b/celerytrail/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines: what is due, under which lease, and how fast."""
--- a/celerytrail/leases.py
+++ b/celerytrail/orders/leases.py
@@ -15,9 +15,9 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
-from .clock import Clock
-from .platform.client import InDoubt, Unavailable
-from .platform.table import Check, Put, Row, Table, Transaction
+from ..clock import Clock
+from ..platform.client import InDoubt, Unavailable
+from ..platform.table import Check, Put, Row, Table, Transaction
 
 LEASE_PREFIX = "leases/"
 LEASE_SECONDS = 15.0
--- a/celerytrail/orders.py
+++ b/celerytrail/orders/order.py
@@ -15,8 +15,8 @@
 from dataclasses import dataclass
 from typing import Literal
 
-from .document import Document, EngineSpec
-from .reports import EngineReport
+from ..configuration.document import Document, EngineSpec
+from ..policies.reports import EngineReport
 
 # The most engines of one model, as a share, that drain at one time for a change.
 ROLLING_SHARE = 0.25
--- a/celerytrail/pacing.py
+++ b/celerytrail/orders/pacing.py
@@ -8,9 +8,9 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
-from .clock import Clock
-from .platform.client import Unavailable
-from .platform.table import Check, Conflict, Put, Row, Table, Transaction
+from ..clock import Clock
+from ..platform.client import Unavailable
+from ..platform.table import Check, Conflict, Put, Row, Table, Transaction
 
 PACE_KEY = "pace/weights"
 N_TRIES = 5
--- a/celerytrail/reconciler.py
+++ b/celerytrail/orders/reconciler.py
@@ -12,20 +12,20 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
-from .clock import Clock
-from .configrecords import HEAD_KEY, read_head
-from .configuration import Configuration
-from .document import Document, EngineSpec, VersionedDocument
-from .http import Response
-from .httpclient import HttpClient
+from ..clock import Clock
+from ..configuration.current import Configuration
+from ..configuration.document import Document, EngineSpec, VersionedDocument
+from ..configuration.records import HEAD_KEY, read_head
+from ..http.client import HttpClient
+from ..http.messages import Response
+from ..metrics import Metrics
+from ..platform.client import Unavailable
+from ..platform.table import Table
+from ..policies.reports import EngineReport, SeenReport
+from ..types import Address
 from .leases import LEASE_SECONDS, Lease, LeaseKeeper
-from .metrics import Metrics
-from .orders import Order, Wanted, compare, is_rolling, may_begin_roll
+from .order import Order, Wanted, compare, is_rolling, may_begin_roll
 from .pacing import LoadPacer
-from .platform.client import Unavailable
-from .platform.table import Table
-from .reports import EngineReport, SeenReport
-from .types import Address
 
 STEP_SECONDS = 1.0
 TRY_SECONDS = 5.0
--- a/celerytrail/platform/client.py
+++ b/celerytrail/platform/client.py
@@ -12,8 +12,8 @@
 from result import Err, Ok, Result
 
 from ..clock import Clock
-from ..http import Response
-from ..httpclient import HttpClient, NotSent
+from ..http.client import HttpClient, NotSent
+from ..http.messages import Response
 from ..metrics import Metrics
 from ..types import Address
 from . import storewire
--- a/celerytrail/platform/grouping.py
+++ b/celerytrail/platform/grouping.py
@@ -18,15 +18,7 @@
 from result import Err, Ok, Result
 
 from .client import InDoubt, Unavailable
-from .table import (
-    Committed,
-    Conflict,
-    Row,
-    Rows,
-    Table,
-    Transaction,
-    TransactResult,
-)
+from .table import Committed, Conflict, Row, Rows, Table, Transaction, TransactResult
 
 Asked = TypeVar("Asked")
 Answer = TypeVar("Answer")
--- a/celerytrail/platform/operatorconfig.py
+++ b/celerytrail/platform/operatorconfig.py
@@ -7,7 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ..relay.model import (
+from ..model import (
     CallerBounds,
     EngineFacts,
     OrganisationKey,
--- a/celerytrail/platform/registrations.py
+++ b/celerytrail/platform/registrations.py
@@ -7,7 +7,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ..relay.model import EndpointState, Registration
+from ..model import EndpointState, Registration
 from ..types import Address
 
 MS = 0.001
--- a/celerytrail/platform/rows.py
+++ b/celerytrail/platform/rows.py
@@ -4,8 +4,8 @@
 
 from result import Err, Ok, Result
 
-from ..http import Response
-from ..relay.rowsource import (
+from ..http.messages import Response
+from ..rowsource import (
     Changes,
     HistoryGone,
     Row,
--- a/celerytrail/platform/storewire.py
+++ b/celerytrail/platform/storewire.py
@@ -14,8 +14,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ..http import Response
-from ..relay.rowsource import Changes, Row
+from ..http.messages import Response
+from ..rowsource import Changes, Row
 
 OK = 200
 GONE = 410
--- a/celerytrail/platform/table.py
+++ b/celerytrail/platform/table.py
@@ -10,8 +10,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ..http import Response
-from ..relay import rowsource
+from .. import rowsource
+from ..http.messages import Response
 from . import storewire
 from .client import Exchanger, InDoubt, Unavailable
 
--- a/celerytrail/platform/wire.py
+++ b/celerytrail/platform/wire.py
@@ -10,8 +10,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ..http import Request
-from ..relay.model import CallerFacts, EngineReport
+from ..http.messages import Request
+from ..model import CallerFacts, EngineReport
 from ..types import Address
 
 MS = 0.001
--- /dev/null
+++ b/celerytrail/policies/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions: pure, without input or output; a clock and chance are handed in."""
--- a/celerytrail/admitters.py
+++ b/celerytrail/policies/admitters.py
@@ -7,9 +7,9 @@
 
 from result import Err, Ok, Result
 
-from .configuration import Configuration
+from ..configuration.current import Configuration
+from ..types import NotRun
 from .grants import AdmitRequest, Admitter, GenerationEnd, Grant
-from .types import NotRun
 
 NO_ENGINE_RETRY_SECONDS = 2.0
 
--- a/celerytrail/relay/endpointchoice.py
+++ b/celerytrail/policies/endpointchoice.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 
-from .model import Registration
+from ..model import Registration
 
 # How much one outcome counts in an endpoint's failure rate: about the last ten count.
 OUTCOME_WEIGHT = 0.15
--- a/celerytrail/relay/engineloads.py
+++ b/celerytrail/policies/engineloads.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, replace
 
-from .model import EngineReport, Registration
+from ..model import EngineReport, Registration
 
 # Runs of a node that was not heard of for so long are forgotten, in seconds.
 SILENT_SECONDS = 4.0
--- a/celerytrail/engineview.py
+++ b/celerytrail/policies/engineview.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from .document import EngineSpec
+from ..configuration.document import EngineSpec
 from .grants import AdmitRequest
 from .reports import EngineReport
 
--- a/celerytrail/relay/freshness.py
+++ b/celerytrail/policies/freshness.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from .boottime import boottime
+from ..relay.boottime import boottime
 
 # Share of the bound on revocation within which a request is still passed on. What is
 # left covers the way to the endpoint and a feed that was silent for a second.
--- a/celerytrail/grants.py
+++ b/celerytrail/policies/grants.py
@@ -8,7 +8,7 @@
 
 from result import Result
 
-from .types import NotRun
+from ..types import NotRun
 
 GenerationEnd = Literal["answered", "cancelled", "not_run", "lost"]
 
--- a/celerytrail/limits.py
+++ b/celerytrail/policies/limits.py
@@ -10,7 +10,7 @@
 
 from dataclasses import dataclass, field
 
-from .types import NotRun
+from ..types import NotRun
 
 # A bucket holds so many seconds' worth of tokens: the burst that is allowed.
 BURST_SECONDS = 5.0
--- a/celerytrail/relay/moving.py
+++ b/celerytrail/policies/moving.py
@@ -10,8 +10,8 @@
 
 from collections.abc import Iterable
 
+from ..model import EngineFacts
 from .engineloads import Run
-from .model import EngineFacts
 
 # How much longer than within a failure domain a copy to another one takes, and how
 # much longer where it is not known yet which one it will be.
--- a/celerytrail/relay/placing.py
+++ b/celerytrail/policies/placing.py
@@ -11,8 +11,8 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+from ..model import Registration
 from .engineloads import EngineLoad
-from .model import Registration
 
 # Share of an engine's memory that is expected to be taken at any time to come; the
 # rest is for outputs that are longer than hinted.
--- a/celerytrail/retries.py
+++ b/celerytrail/policies/retries.py
@@ -11,7 +11,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from .types import NotRun
+from ..types import NotRun
 
 # Retries allowed for each first attempt, and the most that may be saved up.
 RETRY_RATIO = 0.1
--- a/celerytrail/scheduler.py
+++ b/celerytrail/policies/scheduler.py
@@ -12,16 +12,16 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from ..configuration.document import EngineSpec
+from ..types import NotRun
 from .admission import AdmissionPolicy, PredictedPeak
 from .affinity import AffinityPolicy, BoundedAffinity
-from .document import EngineSpec
 from .engineview import EngineBook, EngineView
 from .fairness import PROMPT_COST, FairQueue, effective_weight
 from .grants import AdmitRequest, GenerationEnd, Grant
 from .lengths import LearnedLengths, LengthModel, prompt_class
 from .reports import EngineReport
 from .shedding import ShedByWait, SheddingPolicy
-from .types import NotRun
 
 # Without news from outside, forecasts change only as tokens come; look again so often.
 POLL_SECONDS = 0.25
--- a/celerytrail/shedding.py
+++ b/celerytrail/policies/shedding.py
@@ -11,7 +11,7 @@
 import math
 import random
 
-from .types import NotRun
+from ..types import NotRun
 
 # The drain rate is an average over about so many seconds.
 DRAIN_SECONDS = 30.0
--- a/celerytrail/relay/stopping.py
+++ b/celerytrail/policies/stopping.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .model import CallerFacts
+from ..model import CallerFacts
 
 # What a generation takes before its first token, in seconds: the usual target.
 FIRST_TOKEN_SECONDS = 1.8
--- a/celerytrail/relay/addresses.py
+++ b/celerytrail/relay/addresses.py
@@ -5,8 +5,8 @@
 import random
 from collections.abc import Callable
 
-from ..http import Request
-from ..httpserver import Handler, Responder
+from ..http.messages import Request
+from ..http.server import Handler, Responder
 from ..nodes.member import Member, State
 from ..nodes.nodes import Nodes
 from ..platform import wire
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -7,14 +7,14 @@
 
 from result import Err
 
-from ..http import Response
-from ..httpclient import HttpClient, Lost, NotSent
+from ..http.client import HttpClient, Lost, NotSent
+from ..http.messages import Response
+from ..model import Registration, RouteKind
 from ..platform import wire
-from .endpointchoice import EndpointChoice
+from ..policies.endpointchoice import EndpointChoice
+from ..policies.retrybudget import RetryBudget
 from .exchange import CallerGoneError, Exchange, refuse
-from .model import Registration, RouteKind
 from .registry import Registry
-from .retrybudget import RetryBudget
 
 # Share of the target after which a second endpoint is asked as well, where the request
 # may be repeated: most answers take a sixth of it, and what is left still suffices.
--- a/celerytrail/relay/departures.py
+++ b/celerytrail/relay/departures.py
@@ -9,14 +9,14 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
+from ..model import Registration
 from ..platform import wire
-from . import moving
+from ..policies import moving
+from ..policies.engineloads import EngineLoads
 from .engineapi import EngineApi, MoveFailed
-from .engineloads import EngineLoads
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
 from .liverun import Copied, LiveRun, Switched
-from .model import Registration
 from .registry import Registry
 
 # How many engines are asked that refuse a run before it stays where it is.
--- a/celerytrail/relay/engineapi.py
+++ b/celerytrail/relay/engineapi.py
@@ -7,10 +7,10 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
-from ..httpclient import HttpClient
+from ..http.client import HttpClient
+from ..model import EngineReport, Registration
 from ..platform import wire
 from ..types import Address
-from .model import EngineReport, Registration
 
 REPORT_SECONDS = 0.5
 
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -4,10 +4,10 @@
 
 from result import Err, Ok, Result
 
-from ..httpclient import HttpClient, NotSent, Stream
+from ..http.client import HttpClient, NotSent, Stream
+from ..model import Registration
 from ..platform import wire
 from .liverun import Failed, LiveRun, Refused
-from .model import Registration
 
 # How long to connect, in seconds, before another engine is tried.
 CONNECT_SECONDS = 0.25
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -6,11 +6,11 @@
 import random
 from dataclasses import replace
 
-from . import moving, placing
-from .engineloads import EngineLoad, EngineLoads
+from ..model import Registration
+from ..policies import moving, placing
+from ..policies.engineloads import EngineLoad, EngineLoads
+from ..policies.paces import Paces
 from .liverun import LiveRun
-from .model import Registration
-from .paces import Paces
 from .registry import Registry
 from .sharing import Sharing
 
--- a/celerytrail/relay/enginewatch.py
+++ b/celerytrail/relay/enginewatch.py
@@ -8,10 +8,10 @@
 from eliot import log_message
 from result import Err
 
+from ..model import Registration
 from ..nodes.nodes import Nodes
 from ..nodes.rendezvous import rank
 from .engineapi import EngineApi
-from .model import Registration
 from .registry import Registry
 from .sharing import Sharing
 
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -9,17 +9,17 @@
 from result import Err, Ok, Result
 
 from ..exceptions import PeerError
-from ..httpclient import Stream
+from ..http.client import Stream
+from ..model import EngineFacts, Registration
 from ..platform import wire
+from ..policies.engineloads import Run
+from ..policies.retrybudget import RetryBudget
 from .departures import Departures
-from .engineloads import Run
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
 from .events import EventSplitter, StreamEvent
 from .exchange import CallerGoneError, Exchange, refuse
 from .liverun import Copied, Failed, LiveRun, Refused, Switched
-from .model import EngineFacts, Registration
-from .retrybudget import RetryBudget
 from .sharing import Sharing
 
 # How many engines are asked that refuse before the caller is told to come back.
--- a/celerytrail/relay/handler.py
+++ b/celerytrail/relay/handler.py
@@ -8,17 +8,17 @@
 
 from eliot import log_message
 
-from ..http import Request
-from ..httpserver import Handler, Responder
+from ..http.messages import Request
+from ..http.server import Handler, Responder
 from ..metrics import Metrics
+from ..model import CallerFacts, OrganisationKey, RelayConfig, Route
 from ..platform import wire
+from ..policies.freshness import Freshness
+from ..policies.stopping import can_finish
 from .boottime import boottime
 from .calls import PlainCalls
 from .exchange import Exchange, refuse
-from .freshness import Freshness
 from .generations import Generations
-from .model import CallerFacts, OrganisationKey, RelayConfig, Route
-from .stopping import can_finish
 
 # When to come back to the system where only this node can't serve, in seconds: another
 # address is worth trying at once.
--- a/celerytrail/relay/knowledge.py
+++ b/celerytrail/relay/knowledge.py
@@ -8,9 +8,9 @@
 from eliot import log_message
 from result import Err, Result
 
-from .model import Registration, RelayConfig
+from ..model import Registration, RelayConfig
+from ..rowsource import Row
 from .registry import Registry
-from .rowsource import Row
 from .watch import TableSink
 
 ConfigDecoder = Callable[[bytes], Result[RelayConfig, str]]
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -5,10 +5,10 @@
 import asyncio
 from dataclasses import dataclass
 
-from ..httpclient import Stream
-from .engineloads import Run
+from ..http.client import Stream
+from ..model import EngineFacts, Registration
+from ..policies.engineloads import Run
 from .exchange import Exchange
-from .model import EngineFacts, Registration
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -11,11 +11,13 @@
 from result import Err
 
 from ..clock import SystemClock
-from ..http import Request
-from ..httpclient import HttpClient
-from ..httpserver import HttpServer, Responder, ServerLimits
+from ..http.client import HttpClient
+from ..http.messages import Request
+from ..http.network import Network, SystemNetwork
+from ..http.routes import Params, Router
+from ..http.server import HttpServer, Responder, ServerLimits
 from ..metrics import Metrics
-from ..network import Network, SystemNetwork
+from ..model import EngineFacts, Registration, RelayConfig
 from ..nodes.member import Member, State
 from ..nodes.nodes import Nodes
 from ..nodes.signing import PeerKeys
@@ -23,28 +25,26 @@
 from ..platform.nodefile import RelaySettings
 from ..platform.operatorconfig import decode_config
 from ..platform.registrations import decode_registration
-from ..routes import Params, Router
+from ..policies.endpointchoice import EndpointChoice
+from ..policies.engineloads import EngineLoads
+from ..policies.freshness import Freshness
+from ..policies.paces import Paces
+from ..policies.retrybudget import RetryBudget
+from ..rowsource import Row, RowSource
 from ..types import Address
 from .addresses import DirectoryHandler, ReadinessHandler
 from .boottime import boottime
 from .calls import PlainCalls
 from .departures import Departures
-from .endpointchoice import EndpointChoice
 from .engineapi import EngineApi
-from .engineloads import EngineLoads
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
 from .enginewatch import EngineWatch
-from .freshness import Freshness
 from .generations import Generations
 from .handler import RelayHandler
 from .knowledge import ConfigSink, RegistrationSink
 from .mirror import TableMirror
-from .model import EngineFacts, Registration, RelayConfig
-from .paces import Paces
 from .registry import Registry
-from .retrybudget import RetryBudget
-from .rowsource import Row, RowSource
 from .sharedrows import SharedRows
 from .sharing import Sharing
 from .storeclient import make_rows
--- a/celerytrail/relay/registry.py
+++ b/celerytrail/relay/registry.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from .model import EndpointState, Registration
+from ..model import EndpointState, Registration
 
 # How long an endpoint whose row vanished beside an outage of the store may still be
 # used where no other is left, in seconds: rows that lapsed only since the store was
--- a/celerytrail/relay/sharedrows.py
+++ b/celerytrail/relay/sharedrows.py
@@ -16,18 +16,16 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
-from ..http import Request
-from ..httpclient import HttpClient
-from ..httpserver import Responder
+from ..http.client import HttpClient
+from ..http.messages import Request
+from ..http.routes import Params, Router, send_error
+from ..http.server import Responder
 from ..metrics import Metrics
 from ..nodes.exchange import refuse_signature
 from ..nodes.nodes import Nodes
 from ..nodes.rendezvous import rank
 from ..nodes.signing import PeerKeys
-from ..routes import Params, Router, send_error
-from ..types import Address
-from .mirror import TableMirror
-from .rowsource import (
+from ..rowsource import (
     Changes,
     HistoryGone,
     Row,
@@ -35,6 +33,8 @@
     StoreInDoubt,
     StoreUnavailable,
 )
+from ..types import Address
+from .mirror import TableMirror
 
 ROWS_PATH = "/peer/v1/rows"
 # Nodes that one reader serves: each asks about twice a second, and an answer costs the
--- a/celerytrail/relay/sharing.py
+++ b/celerytrail/relay/sharing.py
@@ -8,11 +8,11 @@
 import msgspec
 from eliot import log_message
 
-from ..network import Network
+from ..http.network import Network
+from ..model import EngineReport
+from ..policies.engineloads import EngineLoads, Run
+from ..policies.paces import Paces
 from ..types import Address
-from .engineloads import EngineLoads, Run
-from .model import EngineReport
-from .paces import Paces
 
 # Between two whole lists of this node's runs, in seconds.
 REFRESH_SECONDS = 0.5
--- a/celerytrail/relay/storeclient.py
+++ b/celerytrail/relay/storeclient.py
@@ -5,14 +5,14 @@
 import random
 
 from ..clock import Clock
-from ..httpclient import HttpClient
+from ..http.client import HttpClient
+from ..http.network import Network
 from ..metrics import Metrics
-from ..network import Network
 from ..platform.backoff import Breaker, RetryBudget
 from ..platform.client import PlatformClient
 from ..platform.rows import PlatformRows
+from ..rowsource import RowSource
 from ..types import Address
-from .rowsource import RowSource
 
 # The longest pause between two tries of a store that fails, in seconds: a node has to
 # hear of a new configuration within two seconds of the store's return.
--- a/celerytrail/services/calls.py
+++ b/celerytrail/services/calls.py
@@ -11,7 +11,11 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
-from ..claims import (
+from ..clock import Clock
+from ..metrics import Metrics
+from ..platform.client import Unavailable
+from ..types import NotRun, Unknown
+from .claims import (
     Claim,
     Decision,
     Held,
@@ -29,10 +33,6 @@
     row_key,
     standing_decision,
 )
-from ..clock import Clock
-from ..metrics import Metrics
-from ..platform.client import Unavailable
-from ..types import NotRun, Unknown
 from .claimstore import ClaimStore, NotTaken
 from .outcomes import Answered, CallInProgress, CallResult, ServiceCall
 from .recorder import ClaimRecorder
--- a/celerytrail/claims.py
+++ b/celerytrail/services/claims.py
@@ -15,7 +15,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from .types import Finding
+from ..types import Finding
 
 CLAIM_PREFIX = "claims/"
 MAX_KEY_CHARS = 200
--- a/celerytrail/services/claimstore.py
+++ b/celerytrail/services/claimstore.py
@@ -9,7 +9,6 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
-from ..claims import Claim, Decision, Held, Proceed, decide, decode, encode
 from ..clock import Clock
 from ..platform.backoff import full_jitter
 from ..platform.client import InDoubt, Unavailable
@@ -22,6 +21,7 @@
     Transaction,
     TransactResult,
 )
+from .claims import Claim, Decision, Held, Proceed, decide, decode, encode
 
 PAUSE_FIRST_SECONDS = 0.02
 PAUSE_MOST_SECONDS = 0.5
--- a/celerytrail/services/endpoints.py
+++ b/celerytrail/services/endpoints.py
@@ -12,12 +12,12 @@
 from result import Ok
 
 from ..clock import Clock
-from ..configuration import Configuration
-from ..document import EndpointSpec, VersionedDocument
-from ..httpclient import HttpClient
+from ..configuration.current import Configuration
+from ..configuration.document import EndpointSpec, VersionedDocument
+from ..http.client import HttpClient
 from ..leaving import LeavingBoard
 from ..metrics import Metrics
-from ..reports import EndpointReport
+from ..policies.reports import EndpointReport
 from ..types import Address
 
 POLL_SECONDS = 1.0
--- a/celerytrail/services/outcomes.py
+++ b/celerytrail/services/outcomes.py
@@ -6,8 +6,8 @@
 
 from result import Result
 
-from ..claims import KeyReused, Outcome
 from ..types import NotRun, Unknown
+from .claims import KeyReused, Outcome
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/celerytrail/services/recorder.py
+++ b/celerytrail/services/recorder.py
@@ -8,9 +8,9 @@
 
 from eliot import log_message
 
-from ..claims import Claim
 from ..clock import Clock
 from ..platform.backoff import full_jitter
+from .claims import Claim
 from .claimstore import ClaimStore
 
 RECORD_SECONDS = 0.1
--- a/celerytrail/services/sender.py
+++ b/celerytrail/services/sender.py
@@ -9,13 +9,13 @@
 from eliot import current_action
 from result import Err, Ok, Result
 
-from ..claims import Outcome
 from ..clock import Clock
-from ..http import JSON_TYPE, Response
-from ..httpclient import HttpClient, NotSent
+from ..http.client import HttpClient, NotSent
+from ..http.messages import JSON_TYPE, Response
 from ..log import task_headers
 from ..platform.backoff import RetryBudget, sane_retry_after
 from ..types import Address, NotRun, Unknown
+from .claims import Outcome
 from .endpoints import EndpointDirectory, EndpointView
 from .outcomes import ServiceCall
 
--- a/celerytrail/services/sweeper.py
+++ b/celerytrail/services/sweeper.py
@@ -10,7 +10,11 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
-from ..claims import (
+from ..clock import Clock
+from ..platform.client import InDoubt, Unavailable
+from ..platform.table import Check, Conflict, Put, Row, Table, Transaction
+from ..types import Finding
+from .claims import (
     CLAIM_PREFIX,
     RECORD_MARGIN_SECONDS,
     Claim,
@@ -20,10 +24,6 @@
     encode,
     released,
 )
-from ..clock import Clock
-from ..platform.client import InDoubt, Unavailable
-from ..platform.table import Check, Conflict, Put, Row, Table, Transaction
-from ..types import Finding
 
 PAGE_ROWS = 100
 SWEEP_SECONDS = 60.0
--- a/celerytrail/status.py
+++ b/celerytrail/status.py
@@ -4,13 +4,13 @@
 
 from collections.abc import Callable, Mapping
 
-from .configsync import ConfigSync
-from .http import Request
-from .httpserver import Responder
+from .configuration.sync import ConfigSync
+from .http.messages import Request
+from .http.routes import Params, Router, send_error
+from .http.server import Responder
 from .leaving import LeavingBoard
 from .nodes.nodes import Nodes
 from .nodes.signing import PeerKeys
-from .routes import Params, Router, send_error
 
 STATUS_PATH = "/peer/v1/status"
 
--- a/celerytrail/tools.py
+++ b/celerytrail/tools.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from .clock import SystemClock
-from .httpclient import HttpClient
+from .http.client import HttpClient
 from .nodes.signing import PeerKeys
 from .platform.client import PlatformClient
 from .platform.table import HttpTable
--- a/celerytrail/vmwatch.py
+++ b/celerytrail/vmwatch.py
@@ -10,7 +10,7 @@
 from result import Err
 
 from .clock import Clock
-from .configuration import Configuration
+from .configuration.current import Configuration
 from .leaving import LeavingBoard
 from .nodes.nodes import Nodes
 from .platform.vms import Vm, VmList, node_addresses
--- a/celerytrail/wiring.py
+++ b/celerytrail/wiring.py
@@ -12,37 +12,37 @@
 from .callers.service_api import ServiceApi
 from .callers.tickets import TicketSigner
 from .clock import Clock
-from .collector import freeze_documents
-from .configfetch import ObjectFetcher
-from .configsync import ConfigSync
-from .configuration import Configuration
+from .configuration.collector import freeze_documents
+from .configuration.current import Configuration
+from .configuration.fetch import ObjectFetcher
+from .configuration.sync import ConfigSync
 from .engines.client import EngineClient
 from .engines.streams import StreamPolicy
-from .grants import Admitter
-from .httpclient import HttpClient
-from .leases import LeaseKeeper
+from .http.client import HttpClient
+from .http.network import Network
 from .leaving import LeavingBoard, LeavingFact
-from .lengths import LearnedLengths
-from .memberaddresses import NodesSource
 from .metrics import Metrics
-from .network import Network
 from .nodes.admitters import HomeAdmitter
 from .nodes.alone import AloneChooser
 from .nodes.homes import Homes
 from .nodes.limit_homes import LimitHomes
 from .nodes.member import Member
+from .nodes.memberaddresses import NodesSource
 from .nodes.nodes import Nodes
 from .nodes.signing import PeerKeys
-from .pacing import LoadPacer
+from .orders.leases import LeaseKeeper
+from .orders.pacing import LoadPacer
+from .orders.reconciler import EngineReconciler, table_head_version
 from .platform.client import PlatformClient
 from .platform.grouping import GroupedTable
 from .platform.objects import HttpObjectStore, ObjectStore
 from .platform.table import HttpTable, Table
 from .platform.vms import HttpVmList, VmList
 from .platform.weights import HttpWeightStore, WeightStore
-from .reconciler import EngineReconciler, table_head_version
-from .retries import BudgetedRetry
-from .routing import PowerOfTwo
+from .policies.grants import Admitter
+from .policies.lengths import LearnedLengths
+from .policies.retries import BudgetedRetry
+from .policies.routing import PowerOfTwo
 from .services.calls import ServiceCalls
 from .services.claimstore import ClaimStore
 from .services.endpoints import EndpointDirectory
--- a/chores/caller.py
+++ b/chores/caller.py
@@ -10,9 +10,9 @@
 from result import Err, Ok
 
 from celerytrail.exceptions import CelerytrailError
-from celerytrail.http import Response
-from celerytrail.httpclient import HttpClient, Stream
-from celerytrail.network import Network
+from celerytrail.http.client import HttpClient, Stream
+from celerytrail.http.messages import Response
+from celerytrail.http.network import Network
 from celerytrail.types import Address
 
 DONE = "[DONE]"
--- a/chores/demo.py
+++ b/chores/demo.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from celerytrail import timeline
-from celerytrail.httpclient import HttpClient
+from celerytrail.http.client import HttpClient
 from celerytrail.types import Address
 from standins.batch import token_text
 
--- a/chores/documents.py
+++ b/chores/documents.py
@@ -6,7 +6,7 @@
 import secrets
 from collections.abc import Mapping
 
-from celerytrail.document import (
+from celerytrail.configuration.document import (
     Document,
     EndpointSpec,
     EngineSpec,
--- a/chores/operator.py
+++ b/chores/operator.py
@@ -9,10 +9,10 @@
 
 from result import Err
 
-from celerytrail.document import Document, encode
+from celerytrail.configuration.document import Document, encode
 from celerytrail.exceptions import CelerytrailError
-from celerytrail.http import Response
-from celerytrail.httpclient import HttpClient
+from celerytrail.http.client import HttpClient
+from celerytrail.http.messages import Response
 from celerytrail.types import Address
 
 FORM_TYPE = "application/x-www-form-urlencoded"
--- a/chores/platformdemo.py
+++ b/chores/platformdemo.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from celerytrail.http import Response
-from celerytrail.httpclient import HttpClient
+from celerytrail.http.client import HttpClient
+from celerytrail.http.messages import Response
 from celerytrail.platform.nodefile import SETTINGS_VARIABLE
 from celerytrail.types import Address
 from standins.rowstore import RowStore
--- a/chores/system.py
+++ b/chores/system.py
@@ -20,7 +20,7 @@
 from result import Err
 
 from celerytrail.exceptions import CelerytrailError
-from celerytrail.httpclient import HttpClient
+from celerytrail.http.client import HttpClient
 from celerytrail.operators.sessions import make_account
 from celerytrail.types import Address
 
--- a/scenarios/callers.py
+++ b/scenarios/callers.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from celerytrail.http import Response
-from celerytrail.httpclient import Stream
-from celerytrail.network import Network
+from celerytrail.http.client import Stream
+from celerytrail.http.messages import Response
+from celerytrail.http.network import Network
 from celerytrail.types import Address
 from chores.caller import Caller, CallerError, Draft
 from standins.batch import token_text
--- a/scenarios/httpdriver.py
+++ b/scenarios/httpdriver.py
@@ -14,7 +14,7 @@
 from result import Err, Ok
 
 from celerytrail.clock import Clock
-from celerytrail.document import (
+from celerytrail.configuration.document import (
     Document,
     EndpointSpec,
     EngineSpec,
@@ -23,8 +23,8 @@
     OrganisationSpec,
     ServiceSpec,
 )
-from celerytrail.httpclient import HttpClient
-from celerytrail.network import Network
+from celerytrail.http.client import HttpClient
+from celerytrail.http.network import Network
 from celerytrail.operators.store import Conflict, DocumentStore, Loaded
 from celerytrail.platform.client import PlatformClient
 from celerytrail.platform.objects import HttpObjectStore
--- a/scenarios/memorynetwork.py
+++ b/scenarios/memorynetwork.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
-from celerytrail.network import Listener, Network
+from celerytrail.http.network import Listener, Network
 from celerytrail.types import Address
 
 P = TypeVar("P", bound=asyncio.BaseProtocol)
--- a/scenarios/realdriver.py
+++ b/scenarios/realdriver.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from celerytrail.clock import SystemClock
-from celerytrail.network import SystemNetwork
+from celerytrail.http.network import SystemNetwork
 from celerytrail.types import Address
 from chores.system import SERVICE, Child, Layout, System
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -36,11 +36,11 @@
 
 from celerytrail.clock import Clock, SystemClock
 from celerytrail.exceptions import PeerError
-from celerytrail.http import Request
-from celerytrail.httpserver import Responder, ServerLimits
+from celerytrail.http.messages import Request
+from celerytrail.http.network import Network
+from celerytrail.http.routes import Params, Router, send_error
+from celerytrail.http.server import Responder, ServerLimits
 from celerytrail.log import TASK_HEADER, continue_task, start_logging
-from celerytrail.network import Network
-from celerytrail.routes import Params, Router, send_error
 from celerytrail.types import Address
 
 from .batch import Batch, Generation
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -40,10 +40,10 @@
 
 from celerytrail.clock import Clock, SystemClock
 from celerytrail.exceptions import PeerError
-from celerytrail.http import Request
-from celerytrail.httpserver import Handler, HttpServer, Responder, ServerLimits
-from celerytrail.network import Network
-from celerytrail.routes import send_error
+from celerytrail.http.messages import Request
+from celerytrail.http.network import Network
+from celerytrail.http.routes import send_error
+from celerytrail.http.server import Handler, HttpServer, Responder, ServerLimits
 from celerytrail.types import Address, Finding
 
 FAULTS_PATH = "/faults"
--- a/standins/orders.py
+++ b/standins/orders.py
@@ -8,9 +8,9 @@
 from eliot import log_message
 
 from celerytrail.clock import Clock
-from celerytrail.http import Request
-from celerytrail.httpserver import Responder
-from celerytrail.routes import Params, Router, send_error
+from celerytrail.http.messages import Request
+from celerytrail.http.routes import Params, Router, send_error
+from celerytrail.http.server import Responder
 
 from .batch import Batch
 
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -14,8 +14,8 @@
 
 import msgspec
 
-from celerytrail.http import Request
-from celerytrail.httpserver import Handler, HttpServer, Responder
+from celerytrail.http.messages import Request
+from celerytrail.http.server import Handler, HttpServer, Responder
 from celerytrail.types import Address
 
 from .rowtable import Place, RowTable, StoredRow
--- a/standins/service.py
+++ b/standins/service.py
@@ -21,10 +21,10 @@
 import typer
 
 from celerytrail.clock import Clock, SystemClock
-from celerytrail.http import Request
-from celerytrail.httpserver import Responder
+from celerytrail.http.messages import Request
+from celerytrail.http.routes import Params, Router, send_error
+from celerytrail.http.server import Responder
 from celerytrail.log import TASK_HEADER, continue_task, start_logging
-from celerytrail.routes import Params, Router, send_error
 from celerytrail.types import Address
 
 from .faults import Faults, FaultyServer
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from celerytrail.http import Request
-from celerytrail.httpserver import Handler, HttpServer, Responder
+from celerytrail.http.messages import Request
+from celerytrail.http.server import Handler, HttpServer, Responder
 from celerytrail.types import Address
 
 SEAL = "x-response-seal"
--- a/tests/callers_rig.py
+++ b/tests/callers_rig.py
@@ -10,13 +10,12 @@
 
 import msgspec
 
-from celerytrail.admitters import LocalAdmitter
 from celerytrail.callers.api import CallerLimits, CallersApi
 from celerytrail.callers.auth import Authenticator
 from celerytrail.callers.tickets import TicketSigner
 from celerytrail.clock import SystemClock
-from celerytrail.configuration import Configuration
-from celerytrail.document import (
+from celerytrail.configuration.current import Configuration
+from celerytrail.configuration.document import (
     Document,
     EngineSpec,
     ModelSpec,
@@ -25,11 +24,12 @@
 )
 from celerytrail.engines.client import EngineClient
 from celerytrail.engines.streams import StreamPolicy
-from celerytrail.httpclient import HttpClient
-from celerytrail.httpserver import HttpServer
+from celerytrail.http.client import HttpClient
+from celerytrail.http.routes import Router
+from celerytrail.http.server import HttpServer
 from celerytrail.metrics import Metrics
-from celerytrail.retries import BudgetedRetry
-from celerytrail.routes import Router
+from celerytrail.policies.admitters import LocalAdmitter
+from celerytrail.policies.retries import BudgetedRetry
 from celerytrail.types import Address
 from standins.batch import Batch, token_text
 from standins.engine import serve
--- a/tests/consolerig.py
+++ b/tests/consolerig.py
@@ -10,10 +10,16 @@
 from storefakes import FakeObjects, FakeTable
 
 from celerytrail.clock import LoopClock
-from celerytrail.configsync import HINT_PATH
-from celerytrail.document import Document, EngineSpec, ModelSpec, OrganisationSpec
-from celerytrail.httpclient import HttpClient
-from celerytrail.httpserver import Handler, HttpServer, ServerLimits
+from celerytrail.configuration.document import (
+    Document,
+    EngineSpec,
+    ModelSpec,
+    OrganisationSpec,
+)
+from celerytrail.configuration.sync import HINT_PATH
+from celerytrail.http.client import HttpClient
+from celerytrail.http.routes import Router
+from celerytrail.http.server import Handler, HttpServer, ServerLimits
 from celerytrail.operators.console import Console
 from celerytrail.operators.live import STATUS_PATH, LiveView
 from celerytrail.operators.sessions import (
@@ -23,7 +29,6 @@
     parse_accounts,
 )
 from celerytrail.operators.store import DocumentStore
-from celerytrail.routes import Router
 from celerytrail.types import Address
 from scenarios.memorynetwork import Wires
 
--- a/tests/homesrig.py
+++ b/tests/homesrig.py
@@ -8,13 +8,12 @@
 from result import Err, Ok
 
 from celerytrail.clock import LoopClock
-from celerytrail.configuration import Configuration
-from celerytrail.document import Document, EngineSpec, VersionedDocument
+from celerytrail.configuration.current import Configuration
+from celerytrail.configuration.document import Document, EngineSpec, VersionedDocument
 from celerytrail.engines.wire import CacheEvents, EngineLost
-from celerytrail.grants import AdmitRequest
-from celerytrail.httpclient import HttpClient
-from celerytrail.httpserver import HttpServer
-from celerytrail.lengths import LearnedLengths
+from celerytrail.http.client import HttpClient
+from celerytrail.http.routes import Router
+from celerytrail.http.server import HttpServer
 from celerytrail.metrics import Metrics
 from celerytrail.nodes.admitters import HomeAdmitter
 from celerytrail.nodes.alone import AloneChooser
@@ -22,9 +21,10 @@
 from celerytrail.nodes.member import Member
 from celerytrail.nodes.rendezvous import rank
 from celerytrail.nodes.signing import PeerKeys
-from celerytrail.reports import EngineReport
-from celerytrail.routes import Router
-from celerytrail.routing import PowerOfTwo
+from celerytrail.policies.grants import AdmitRequest
+from celerytrail.policies.lengths import LearnedLengths
+from celerytrail.policies.reports import EngineReport
+from celerytrail.policies.routing import PowerOfTwo
 from celerytrail.types import Address
 from scenarios.memorynetwork import Wires
 
--- a/tests/membershiprig.py
+++ b/tests/membershiprig.py
@@ -5,18 +5,11 @@
 import random
 
 from celerytrail.clock import ManualClock
-from celerytrail.nodes.events import (
-    ExchangeWanted,
-    MemberChanged,
-)
+from celerytrail.nodes.events import ExchangeWanted, MemberChanged
 from celerytrail.nodes.member import Member, State
 from celerytrail.nodes.membership import Membership
 from celerytrail.nodes.timing import Timing
-from celerytrail.nodes.wire import (
-    MAX_DATAGRAM_BYTES,
-    decode_datagram,
-    encode_datagram,
-)
+from celerytrail.nodes.wire import MAX_DATAGRAM_BYTES, decode_datagram, encode_datagram
 from celerytrail.types import Address
 
 TIMING = Timing()
--- a/tests/relayrig.py
+++ b/tests/relayrig.py
@@ -8,11 +8,11 @@
 
 import msgspec
 
-from celerytrail.http import Response
-from celerytrail.httpclient import HttpClient
+from celerytrail.http.client import HttpClient
+from celerytrail.http.messages import Response
 from celerytrail.platform.nodefile import RelaySettings
 from celerytrail.relay.node import RelayNode
-from celerytrail.relay.rowsource import RowSource
+from celerytrail.rowsource import RowSource
 from celerytrail.types import Address
 from chores.system import free_address
 from standins.rowstore import RowStore
--- a/tests/servicefakes.py
+++ b/tests/servicefakes.py
@@ -9,20 +9,20 @@
 import msgspec
 from result import Err, Ok
 
-from celerytrail.claims import KeyReused
 from celerytrail.clock import LoopClock
-from celerytrail.configuration import Configuration
-from celerytrail.document import (
+from celerytrail.configuration.current import Configuration
+from celerytrail.configuration.document import (
     Document,
     EndpointSpec,
     OperationSpec,
     ServiceSpec,
     VersionedDocument,
 )
-from celerytrail.http import Response
-from celerytrail.httpclient import HttpClient, Lost, NotSent
+from celerytrail.http.client import HttpClient, Lost, NotSent
+from celerytrail.http.messages import Response
 from celerytrail.leaving import LeavingBoard
 from celerytrail.services.calls import ServiceCalls
+from celerytrail.services.claims import KeyReused
 from celerytrail.services.claimstore import ClaimStore
 from celerytrail.services.endpoints import EndpointDirectory
 from celerytrail.services.outcomes import Answered, CallInProgress, ServiceCall
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from celerytrail.admission import AlwaysAdmit, PredictedPeak
-from celerytrail.document import EngineSpec
-from celerytrail.engineview import EngineBook
-from celerytrail.grants import AdmitRequest
-from celerytrail.lengths import LearnedLengths, prompt_class
-from celerytrail.reports import EngineReport
+from celerytrail.configuration.document import EngineSpec
+from celerytrail.policies.admission import AlwaysAdmit, PredictedPeak
+from celerytrail.policies.engineview import EngineBook
+from celerytrail.policies.grants import AdmitRequest
+from celerytrail.policies.lengths import LearnedLengths, prompt_class
+from celerytrail.policies.reports import EngineReport
 
 
 def make_request(number: int = 0, **fields) -> AdmitRequest:
--- a/tests/test_callers_input.py
+++ b/tests/test_callers_input.py
@@ -15,9 +15,13 @@
 from celerytrail.callers.bodies import GenerationBody, read_body
 from celerytrail.callers.context import read_request_id
 from celerytrail.clock import ManualClock
-from celerytrail.configuration import Configuration
-from celerytrail.document import Document, OrganisationSpec, VersionedDocument
-from celerytrail.http import Request
+from celerytrail.configuration.current import Configuration
+from celerytrail.configuration.document import (
+    Document,
+    OrganisationSpec,
+    VersionedDocument,
+)
+from celerytrail.http.messages import Request
 
 FIELDS = [
     "model",
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from celerytrail.claims import MAX_OUTCOME_BYTES, hash_body, row_key
 from celerytrail.platform.table import Put, Transaction
+from celerytrail.services.claims import MAX_OUTCOME_BYTES, hash_body, row_key
 from tests.servicefakes import World, word
 
 
--- a/tests/test_configsync.py
+++ b/tests/test_configsync.py
@@ -10,17 +10,22 @@
 from storefakes import FakeObjects, FakeTable
 
 from celerytrail.clock import LoopClock
-from celerytrail.configfetch import ObjectFetcher
-from celerytrail.configrecords import HEAD_KEY, history_key, object_name
-from celerytrail.configsync import HEAD_PATH, HINT_PATH, ConfigSync
-from celerytrail.configuration import Configuration
-from celerytrail.document import Document, ModelSpec, OrganisationSpec
-from celerytrail.httpclient import HttpClient
-from celerytrail.httpserver import HttpServer
+from celerytrail.configuration.current import Configuration
+from celerytrail.configuration.document import Document, ModelSpec, OrganisationSpec
+from celerytrail.configuration.fetch import ObjectFetcher
+from celerytrail.configuration.records import HEAD_KEY, history_key, object_name
+from celerytrail.configuration.sections import (
+    Tree,
+    digest_of,
+    make_section,
+    section_name,
+)
+from celerytrail.configuration.sync import HEAD_PATH, HINT_PATH, ConfigSync
+from celerytrail.http.client import HttpClient
+from celerytrail.http.routes import Router
+from celerytrail.http.server import HttpServer
 from celerytrail.metrics import Metrics
 from celerytrail.operators.store import DocumentStore
-from celerytrail.routes import Router
-from celerytrail.sections import Tree, digest_of, make_section, section_name
 from celerytrail.types import Address
 from scenarios.memorynetwork import Wires
 
--- a/tests/test_console_app.py
+++ b/tests/test_console_app.py
@@ -8,7 +8,7 @@
 import pytest
 from formbrowser import Browser
 
-from celerytrail.httpclient import HttpClient
+from celerytrail.http.client import HttpClient
 from celerytrail.node import Node
 from celerytrail.operators.app import ConsoleApp
 from celerytrail.operators.sessions import make_account
--- a/tests/test_document_collector.py
+++ b/tests/test_document_collector.py
@@ -4,9 +4,13 @@
 
 import gc
 
-from celerytrail.collector import freeze_documents
-from celerytrail.configuration import Configuration
-from celerytrail.document import Document, OrganisationSpec, VersionedDocument
+from celerytrail.configuration.collector import freeze_documents
+from celerytrail.configuration.current import Configuration
+from celerytrail.configuration.document import (
+    Document,
+    OrganisationSpec,
+    VersionedDocument,
+)
 
 
 def offer(configuration, version, n_organisations):
--- a/tests/test_document_pages.py
+++ b/tests/test_document_pages.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from celerytrail.document import EndpointSpec, OperationSpec
+from celerytrail.configuration.document import EndpointSpec, OperationSpec
 from celerytrail.operators.drafts import ITEM_TYPES
 from celerytrail.operators.formfields import FORMS
 from celerytrail.operators.validation import validate
--- a/tests/test_document_sections.py
+++ b/tests/test_document_sections.py
@@ -7,14 +7,14 @@
 import msgspec
 import pytest
 
-from celerytrail.document import (
+from celerytrail.configuration.document import (
     AdapterSpec,
     Document,
     EngineSpec,
     ModelSpec,
     OrganisationSpec,
 )
-from celerytrail.sections import (
+from celerytrail.configuration.sections import (
     ROOT,
     Tree,
     digest_of,
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -4,8 +4,8 @@
 
 import itertools
 
-from celerytrail.fairness import ArrivalQueue, FairQueue
-from celerytrail.grants import AdmitRequest
+from celerytrail.policies.fairness import ArrivalQueue, FairQueue
+from celerytrail.policies.grants import AdmitRequest
 
 NUMBERS = itertools.count()
 
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from celerytrail.httpclient import HttpClient, Lost, NotSent
-from celerytrail.httpserver import Handler
+from celerytrail.http.client import HttpClient, Lost, NotSent
+from celerytrail.http.server import Handler
 from celerytrail.types import Address
 from standins.faults import Faults, FaultyServer
 
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -15,7 +15,7 @@
 from result import Ok
 
 from celerytrail.clock import LoopClock
-from celerytrail.document import Document
+from celerytrail.configuration.document import Document
 from celerytrail.nodes.member import Member
 from celerytrail.nodes.pools import MAX_POOL_ENGINES, pools_of
 from celerytrail.nodes.rendezvous import rank
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -7,9 +7,9 @@
 import pytest
 from result import Err
 
-from celerytrail.http import Request
-from celerytrail.httpclient import HttpClient, Lost, NotSent
-from celerytrail.httpserver import Handler, HttpServer, Responder, ServerLimits
+from celerytrail.http.client import HttpClient, Lost, NotSent
+from celerytrail.http.messages import Request
+from celerytrail.http.server import Handler, HttpServer, Responder, ServerLimits
 from celerytrail.types import Address
 
 LOOPBACK = Address(host="127.0.0.1", port=0)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -8,7 +8,12 @@
 import pytest
 
 from celerytrail.clock import LoopClock
-from celerytrail.leases import LEASE_PREFIX, LEASE_SECONDS, MARGIN_SECONDS, LeaseKeeper
+from celerytrail.orders.leases import (
+    LEASE_PREFIX,
+    LEASE_SECONDS,
+    MARGIN_SECONDS,
+    LeaseKeeper,
+)
 from celerytrail.platform.table import Put, Transaction
 from tests.fakes import FakeTable
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -8,9 +8,9 @@
 import msgspec
 import pytest
 
-from celerytrail.document import Document, EndpointSpec, VersionedDocument
+from celerytrail.configuration.document import Document, EndpointSpec, VersionedDocument
 from celerytrail.leaving import LeavingBoard
-from celerytrail.reports import EndpointReport
+from celerytrail.policies.reports import EndpointReport
 from celerytrail.services.endpoints import EndpointView, choose
 from tests.servicefakes import BOOKINGS, World, word
 
--- a/tests/test_lengths.py
+++ b/tests/test_lengths.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from celerytrail.lengths import COLD_HAZARDS, Curve, LearnedLengths
+from celerytrail.policies.lengths import COLD_HAZARDS, Curve, LearnedLengths
 
 
 def learn(lengths: LearnedLengths, n_tokens: int, *, organisation="o", censored=False):
--- a/tests/test_limitedadmitter.py
+++ b/tests/test_limitedadmitter.py
@@ -7,8 +7,8 @@
 import pytest
 from result import Err, Ok
 
-from celerytrail.grants import AdmitRequest, Admitter, Grant
 from celerytrail.nodes.limited import LimitedAdmitter
+from celerytrail.policies.grants import AdmitRequest, Admitter, Grant
 from celerytrail.types import NotRun
 
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -4,7 +4,7 @@
 
 import random
 
-from celerytrail.limits import Limit, LimitBorrower, LimitLender, LoanRequest
+from celerytrail.policies.limits import Limit, LimitBorrower, LimitLender, LoanRequest
 
 N_NODES = 12
 LIMIT = Limit(n_tokens_per_second=1000, n_concurrent=24)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -10,8 +10,9 @@
 from membershiprig import Group, make_member
 
 from celerytrail.clock import SystemClock
-from celerytrail.httpclient import HttpClient
-from celerytrail.httpserver import HttpServer
+from celerytrail.http.client import HttpClient
+from celerytrail.http.routes import Router
+from celerytrail.http.server import HttpServer
 from celerytrail.metrics import Metrics
 from celerytrail.nodes.events import (
     BadItem,
@@ -23,12 +24,7 @@
 from celerytrail.nodes.member import State
 from celerytrail.nodes.nodes import Nodes
 from celerytrail.nodes.signing import PeerKeys
-from celerytrail.nodes.wire import (
-    Datagram,
-    EndpointNews,
-    Kind,
-)
-from celerytrail.routes import Router
+from celerytrail.nodes.wire import Datagram, EndpointNews, Kind
 from celerytrail.types import Address
 
 
--- a/tests/test_memorynetwork.py
+++ b/tests/test_memorynetwork.py
@@ -8,8 +8,8 @@
 import pytest
 from result import Err
 
-from celerytrail.httpclient import HttpClient
-from celerytrail.httpserver import Handler, HttpServer
+from celerytrail.http.client import HttpClient
+from celerytrail.http.server import Handler, HttpServer
 from celerytrail.types import Address
 from scenarios.memorynetwork import Wires
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -11,21 +11,21 @@
 from result import Err, Ok
 
 from celerytrail.clock import LoopClock
-from celerytrail.configuration import Configuration
-from celerytrail.document import (
+from celerytrail.configuration.current import Configuration
+from celerytrail.configuration.document import (
     AdapterSpec,
     Document,
     EngineSpec,
     ModelSpec,
     VersionedDocument,
 )
-from celerytrail.http import Response
-from celerytrail.httpclient import HttpClient, Lost, NotSent
-from celerytrail.leases import LEASE_SECONDS, MARGIN_SECONDS, LeaseKeeper
-from celerytrail.orders import Order, compare, may_begin_roll
-from celerytrail.pacing import LoadPacer
-from celerytrail.reconciler import EngineReconciler
-from celerytrail.reports import EngineReport, SeenReport
+from celerytrail.http.client import HttpClient, Lost, NotSent
+from celerytrail.http.messages import Response
+from celerytrail.orders.leases import LEASE_SECONDS, MARGIN_SECONDS, LeaseKeeper
+from celerytrail.orders.order import Order, compare, may_begin_roll
+from celerytrail.orders.pacing import LoadPacer
+from celerytrail.orders.reconciler import EngineReconciler
+from celerytrail.policies.reports import EngineReport, SeenReport
 from tests.fakes import FakeTable
 
 SPEC = EngineSpec(
--- a/tests/test_orders_sockets.py
+++ b/tests/test_orders_sockets.py
@@ -9,16 +9,21 @@
 import pytest
 
 from celerytrail.clock import SystemClock
-from celerytrail.configrecords import HEAD_KEY, Head
-from celerytrail.configuration import Configuration
-from celerytrail.document import Document, EngineSpec, ModelSpec, VersionedDocument
-from celerytrail.httpclient import HttpClient
-from celerytrail.leases import LeaseKeeper
-from celerytrail.pacing import LoadPacer
+from celerytrail.configuration.current import Configuration
+from celerytrail.configuration.document import (
+    Document,
+    EngineSpec,
+    ModelSpec,
+    VersionedDocument,
+)
+from celerytrail.configuration.records import HEAD_KEY, Head
+from celerytrail.http.client import HttpClient
+from celerytrail.orders.leases import LeaseKeeper
+from celerytrail.orders.pacing import LoadPacer
+from celerytrail.orders.reconciler import EngineReconciler, table_head_version
 from celerytrail.platform.client import PlatformClient
 from celerytrail.platform.table import HttpTable, Put, Transaction
-from celerytrail.reconciler import EngineReconciler, table_head_version
-from celerytrail.reports import EngineReport, SeenReport
+from celerytrail.policies.reports import EngineReport, SeenReport
 from celerytrail.types import Address
 from standins.batch import Batch
 from standins.engine import serve
--- a/tests/test_peer_limits.py
+++ b/tests/test_peer_limits.py
@@ -9,18 +9,22 @@
 from result import Err, Ok
 
 from celerytrail.clock import LoopClock
-from celerytrail.configuration import Configuration
-from celerytrail.document import Document, OrganisationSpec, VersionedDocument
-from celerytrail.grants import AdmitRequest, Admitter, Grant
-from celerytrail.httpclient import HttpClient
-from celerytrail.httpserver import HttpServer
+from celerytrail.configuration.current import Configuration
+from celerytrail.configuration.document import (
+    Document,
+    OrganisationSpec,
+    VersionedDocument,
+)
+from celerytrail.http.client import HttpClient
+from celerytrail.http.routes import Router
+from celerytrail.http.server import HttpServer
 from celerytrail.metrics import Metrics
 from celerytrail.nodes.limit_homes import LimitHomes, _group
 from celerytrail.nodes.limited import LimitedAdmitter
 from celerytrail.nodes.member import Member
 from celerytrail.nodes.rendezvous import rank
 from celerytrail.nodes.signing import PeerKeys
-from celerytrail.routes import Router
+from celerytrail.policies.grants import AdmitRequest, Admitter, Grant
 from celerytrail.types import Address, NotRun
 from scenarios.memorynetwork import Wires
 
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -8,8 +8,8 @@
 import pytest
 
 from celerytrail.clock import SystemClock
-from celerytrail.httpclient import HttpClient
-from celerytrail.httpserver import Handler, HttpServer
+from celerytrail.http.client import HttpClient
+from celerytrail.http.server import Handler, HttpServer
 from celerytrail.platform import storewire
 from celerytrail.platform.client import InDoubt, PlatformClient, Unavailable
 from celerytrail.platform.objects import HttpObjectStore
--- a/tests/test_platform_recovery.py
+++ b/tests/test_platform_recovery.py
@@ -10,8 +10,8 @@
 from result import Err, Ok
 
 from celerytrail.clock import LoopClock
-from celerytrail.http import Response
-from celerytrail.httpclient import HttpClient, Lost, NotSent
+from celerytrail.http.client import HttpClient, Lost, NotSent
+from celerytrail.http.messages import Response
 from celerytrail.platform.backoff import Breaker, RetryBudget, full_jitter
 from celerytrail.platform.client import PlatformClient
 from celerytrail.platform.table import HttpTable
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -7,20 +7,15 @@
 
 import pytest
 
-from celerytrail.relay import moving, placing
-from celerytrail.relay.endpointchoice import EndpointChoice
-from celerytrail.relay.engineloads import EngineLoad, EngineLoads, Run
+from celerytrail.model import EndpointState, EngineFacts, EngineReport, Registration
+from celerytrail.policies import moving, placing
+from celerytrail.policies.endpointchoice import EndpointChoice
+from celerytrail.policies.engineloads import EngineLoad, EngineLoads, Run
+from celerytrail.policies.freshness import Freshness
+from celerytrail.policies.paces import USUAL_TOKEN_SECONDS, Paces
+from celerytrail.policies.retrybudget import USED_SHARE, RetryBudget
 from celerytrail.relay.events import EventSplitter
-from celerytrail.relay.freshness import Freshness
-from celerytrail.relay.model import (
-    EndpointState,
-    EngineFacts,
-    EngineReport,
-    Registration,
-)
-from celerytrail.relay.paces import USUAL_TOKEN_SECONDS, Paces
 from celerytrail.relay.registry import LAPSE_SECONDS, Registry
-from celerytrail.relay.retrybudget import USED_SHARE, RetryBudget
 from celerytrail.types import Address
 
 ENGINE = EngineFacts(
--- a/tests/test_relay_fuzz.py
+++ b/tests/test_relay_fuzz.py
@@ -14,7 +14,7 @@
 import pytest
 from result import Ok
 
-from celerytrail.http import Response
+from celerytrail.http.messages import Response
 from standins.worker import EngineWorker, PlainWorker, WorkerFaults
 from tests.relayrig import PATIENCE_SECONDS, Rig, config, events_of, until, whole_stream
 
--- a/tests/test_relay_http.py
+++ b/tests/test_relay_http.py
@@ -9,8 +9,8 @@
 import pytest
 from result import Err
 
-from celerytrail.httpclient import HttpClient
-from celerytrail.httpserver import Handler, HttpServer
+from celerytrail.http.client import HttpClient
+from celerytrail.http.server import Handler, HttpServer
 from celerytrail.types import Address
 from standins.worker import unframed_answer
 
--- a/tests/test_relay_node.py
+++ b/tests/test_relay_node.py
@@ -9,10 +9,10 @@
 import pytest_asyncio
 from result import Err
 
-from celerytrail.httpclient import HttpClient
-from celerytrail.relay.endpointchoice import TELL_SECONDS
+from celerytrail.http.client import HttpClient
+from celerytrail.policies.endpointchoice import TELL_SECONDS
 from celerytrail.relay.handler import ELSEWHERE_SECONDS, OUTAGE_SECONDS
-from celerytrail.relay.rowsource import RowSource, StoreUnavailable
+from celerytrail.rowsource import RowSource, StoreUnavailable
 from standins.worker import WorkerFaults
 from tests.relayrig import (
     HOST,
--- a/tests/test_relay_platform.py
+++ b/tests/test_relay_platform.py
@@ -6,12 +6,12 @@
 import pytest
 from result import Err, Ok
 
-from celerytrail.http import Request
+from celerytrail.http.messages import Request
+from celerytrail.model import EndpointState, RouteKind
 from celerytrail.platform import wire
 from celerytrail.platform.nodefile import read_settings
 from celerytrail.platform.operatorconfig import decode_config
 from celerytrail.platform.registrations import decode_registration
-from celerytrail.relay.model import EndpointState, RouteKind
 from celerytrail.types import Address
 
 SETTINGS = {
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -8,19 +8,13 @@
 import msgspec
 from result import Err, Ok, Result
 
+from celerytrail.policies.engineloads import EngineLoads, Run
+from celerytrail.policies.paces import Paces
 from celerytrail.relay.boottime import boottime
-from celerytrail.relay.engineloads import EngineLoads, Run
 from celerytrail.relay.mirror import MAX_CHANGES, TableMirror
-from celerytrail.relay.paces import Paces
-from celerytrail.relay.rowsource import (
-    Changes,
-    HistoryGone,
-    Row,
-    RowSource,
-    StoreUnavailable,
-)
 from celerytrail.relay.sharing import MAX_RUNS, News, Sharing
 from celerytrail.relay.watch import OUTAGE_SECONDS, TableSink, TableWatch
+from celerytrail.rowsource import Changes, HistoryGone, Row, RowSource, StoreUnavailable
 from celerytrail.types import Address
 
 
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -4,7 +4,7 @@
 
 import random
 
-from celerytrail.retries import BudgetedRetry, RetryAt
+from celerytrail.policies.retries import BudgetedRetry, RetryAt
 from celerytrail.types import NotRun
 
 REFUSAL = NotRun(reason="shed", retry_after=2.0)
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from celerytrail.http import Request
-from celerytrail.routes import Router
+from celerytrail.http.messages import Request
+from celerytrail.http.routes import Router
 
 
 class FakeResponder:
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -4,13 +4,13 @@
 
 import random
 
-from celerytrail.affinity import BONUS_MAX, BoundedAffinity
-from celerytrail.document import EngineSpec
-from celerytrail.engineview import EngineBook
-from celerytrail.grants import AdmitRequest
-from celerytrail.lengths import LearnedLengths
-from celerytrail.routing import LeastReported, PowerOfTwo, RoundRobin
-from celerytrail.shedding import N_COLD_GRANTS, ShedByWait
+from celerytrail.configuration.document import EngineSpec
+from celerytrail.policies.affinity import BONUS_MAX, BoundedAffinity
+from celerytrail.policies.engineview import EngineBook
+from celerytrail.policies.grants import AdmitRequest
+from celerytrail.policies.lengths import LearnedLengths
+from celerytrail.policies.routing import LeastReported, PowerOfTwo, RoundRobin
+from celerytrail.policies.shedding import N_COLD_GRANTS, ShedByWait
 
 
 def route(policy, *, n_requests: int = 60) -> dict[str, int]:
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -4,10 +4,10 @@
 
 import random
 
-from celerytrail.document import EngineSpec
-from celerytrail.grants import AdmitRequest
-from celerytrail.reports import EngineReport
-from celerytrail.scheduler import Granted, PoolScheduler, Refused
+from celerytrail.configuration.document import EngineSpec
+from celerytrail.policies.grants import AdmitRequest
+from celerytrail.policies.reports import EngineReport
+from celerytrail.policies.scheduler import Granted, PoolScheduler, Refused
 
 
 def make_scheduler(*, n_engines: int = 2, n_memory_tokens: int = 10_000):
--- a/tests/test_services_api.py
+++ b/tests/test_services_api.py
@@ -11,8 +11,8 @@
 from celerytrail.callers.auth import AuthError
 from celerytrail.callers.service_api import ServiceApi
 from celerytrail.clock import SystemClock
-from celerytrail.configuration import Configuration
-from celerytrail.document import (
+from celerytrail.configuration.current import Configuration
+from celerytrail.configuration.document import (
     Document,
     EndpointSpec,
     OperationSpec,
@@ -20,13 +20,13 @@
     ServiceSpec,
     VersionedDocument,
 )
-from celerytrail.httpclient import HttpClient, NotSent
-from celerytrail.httpserver import HttpServer
+from celerytrail.http.client import HttpClient, NotSent
+from celerytrail.http.routes import Router
+from celerytrail.http.server import HttpServer
 from celerytrail.leaving import LeavingBoard
 from celerytrail.platform.client import PlatformClient
 from celerytrail.platform.grouping import GroupedTable
 from celerytrail.platform.table import HttpTable
-from celerytrail.routes import Router
 from celerytrail.services.calls import ServiceCalls
 from celerytrail.services.claimstore import ClaimStore
 from celerytrail.services.endpoints import EndpointDirectory
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -9,8 +9,8 @@
 from storefakes import FakeObjects, FakeTable
 
 from celerytrail.clock import LoopClock
-from celerytrail.configrecords import HEAD_KEY, history_key, object_name
-from celerytrail.document import Document, ModelSpec, OrganisationSpec
+from celerytrail.configuration.document import Document, ModelSpec, OrganisationSpec
+from celerytrail.configuration.records import HEAD_KEY, history_key, object_name
 from celerytrail.operators.outcomes import AcceptInDoubt, Conflict, Damaged, Invalid
 from celerytrail.operators.store import DocumentStore
 from celerytrail.platform.client import Unavailable
--- a/tests/test_store_fuzz.py
+++ b/tests/test_store_fuzz.py
@@ -11,8 +11,8 @@
 from storefakes import FakeObjects, FakeTable
 
 from celerytrail.clock import LoopClock
-from celerytrail.configrecords import HISTORY_PREFIX
-from celerytrail.document import Document, OrganisationSpec
+from celerytrail.configuration.document import Document, OrganisationSpec
+from celerytrail.configuration.records import HISTORY_PREFIX
 from celerytrail.operators.store import Conflict, DocumentStore
 
 FAULTS = ("none", "lost", "delayed", "down", "stale", "objects down", "killed")
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -23,7 +23,7 @@
     OrderExpired,
     UnknownGeneration,
 )
-from celerytrail.httpclient import HttpClient
+from celerytrail.http.client import HttpClient
 from celerytrail.types import Address
 
 
--- a/tests/test_tools.py
+++ b/tests/test_tools.py
@@ -8,9 +8,9 @@
 import pytest
 from typer.testing import CliRunner
 
-from celerytrail.claims import CLAIM_PREFIX, Claim
 from celerytrail.cmdline import app
 from celerytrail.platform.table import PRODUCT_TABLE
+from celerytrail.services.claims import CLAIM_PREFIX, Claim
 from celerytrail.tools import ClaimDesk
 from celerytrail.types import Address
 from standins.platform import PlatformStandin
--- a/tests/test_validation.py
+++ b/tests/test_validation.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from celerytrail.document import (
+from celerytrail.configuration.document import (
     Document,
     EngineSpec,
     ModelSpec,
--- a/tests/test_validation_changes.py
+++ b/tests/test_validation_changes.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from celerytrail.document import (
+from celerytrail.configuration.document import (
     Document,
     EndpointSpec,
     EngineSpec,
@@ -17,9 +17,9 @@
     OrganisationSpec,
     ServiceSpec,
 )
+from celerytrail.configuration.sections import Tree
 from celerytrail.operators import checks
 from celerytrail.operators.checks import findings_of, findings_of_changes
-from celerytrail.sections import Tree
 
 DIGESTS = [digit * 64 for digit in "0123"]
 NAMES = [f"n{number}" for number in range(5)]
