--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -25,6 +25,7 @@
 from result import Ok, Result
 
 from celerytrail.clock import SystemClock
+from celerytrail.configuration.checks import findings_in_steps
 from celerytrail.configuration.collector import freeze_documents
 from celerytrail.configuration.current import Configuration
 from celerytrail.configuration.document import (
@@ -44,7 +45,6 @@
 from celerytrail.http.client import HttpClient
 from celerytrail.http.messages import Request
 from celerytrail.metrics import Metrics
-from celerytrail.operators.checks import findings_in_steps
 from celerytrail.platform.client import Unavailable
 from celerytrail.platform.objects import ObjectStore
 from celerytrail.platform.table import Row, Rows, Table, Transaction, TransactResult
--- a/celerytrail/nodes/memberaddresses.py
+++ b/celerytrail/callers/memberaddresses.py
@@ -5,9 +5,9 @@
 from collections.abc import Iterable
 from typing import Literal
 
-from ..callers.addresses import MemberAddress, MemberSource
-from .member import State
-from .nodes import Nodes
+from ..nodes.member import State
+from ..nodes.nodes import Nodes
+from .addresses import MemberAddress, MemberSource
 
 StateName = Literal["alive", "suspect", "leaving", "dead"]
 
--- a/celerytrail/cmdline.py
+++ b/celerytrail/cmdline.py
@@ -90,7 +90,7 @@
     files: Annotated[list[Path], typer.Argument(help="Documents as JSON files.")],
 ) -> None:
     """Check documents; every finding is printed with its place."""
-    from .operators.validation import validate
+    from .configuration.validation import validate
 
     findings: list[Finding] = []
     for path in files:
@@ -172,7 +172,7 @@
     ],
 ) -> None:
     """Print an operator's account for the console's settings."""
-    from .operators.sessions import make_account
+    from .accounts import make_account
 
     typer.echo(make_account(name, password))
 
--- a/celerytrail/operators/checks.py
+++ b/celerytrail/configuration/checks.py
@@ -11,7 +11,8 @@
 from collections.abc import Callable, Collection, Iterable, Iterator, Sized
 from dataclasses import dataclass, field
 
-from ..configuration.document import (
+from ..types import Address, Finding
+from .document import (
     PRIORITY_HIGHEST,
     PRIORITY_LOWEST,
     AdapterSpec,
@@ -22,7 +23,6 @@
     OrganisationSpec,
     ServiceSpec,
 )
-from ..types import Address, Finding
 
 MAX_CONTEXT_TOKENS = 16_777_216
 MAX_WEIGHT = 1_000.0
--- a/celerytrail/configuration/sections.py
+++ b/celerytrail/configuration/sections.py
@@ -18,9 +18,9 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ..operators.shape import build_list
 from ..types import Finding
 from .document import Document
+from .shape import build_list
 
 FORMAT = 1
 SECTIONS_PER_INDEX = 16
--- a/celerytrail/configuration/sync.py
+++ b/celerytrail/configuration/sync.py
@@ -21,10 +21,10 @@
 from ..http.routes import Params, Router, send_error
 from ..http.server import Responder
 from ..metrics import Metrics
-from ..operators.checks import findings_in_steps, findings_of_changes
 from ..platform.backoff import full_jitter
 from ..platform.table import Table
 from ..types import Address, Finding
+from .checks import findings_in_steps, findings_of_changes
 from .current import Configuration
 from .document import Document, VersionedDocument
 from .fetch import OBJECT_PATH, ObjectFetcher, PeerAuth
--- a/celerytrail/operators/validation.py
+++ b/celerytrail/configuration/validation.py
@@ -7,9 +7,9 @@
 
 from result import Err, Ok, Result
 
-from ..configuration.document import Document
 from ..types import Finding
 from .checks import findings_of
+from .document import Document
 from .shape import build
 
 MAX_DOCUMENT_BYTES = 32 * 1024 * 1024
--- a/celerytrail/operators/actions.py
+++ b/celerytrail/operators/actions.py
@@ -14,6 +14,7 @@
 from ..clock import Clock
 from ..configuration.document import Document, encode
 from ..configuration.records import MAX_NOTE_CHARS, Head
+from ..configuration.validation import validate
 from ..platform.client import Unavailable
 from ..types import Finding
 from .answers import Answer
@@ -32,7 +33,6 @@
 )
 from .pages import Visit, fields_again, item_values, review_values
 from .store import DocumentStore
-from .validation import validate
 
 ACCEPT_SECONDS = 8.0
 KEY_PREFIX = "ct-"
--- a/celerytrail/operators/app.py
+++ b/celerytrail/operators/app.py
@@ -11,6 +11,7 @@
 from eliot import log_message
 from result import Err
 
+from ..accounts import parse_accounts
 from ..clock import Clock, SystemClock
 from ..exceptions import SettingsError
 from ..http.client import HttpClient
@@ -28,7 +29,7 @@
 from ..types import Address
 from .console import Console
 from .live import LiveView
-from .sessions import Accounts, Sessions, parse_accounts
+from .sessions import Accounts, Sessions
 from .store import DocumentStore
 
 # A draft that replaces the whole document at 6,400 organisations is 2 MB, and grows
--- a/celerytrail/operators/drafts.py
+++ b/celerytrail/operators/drafts.py
@@ -18,9 +18,9 @@
 
 from ..configuration.document import Document
 from ..configuration.sections import item_key
+from ..configuration.shape import build
+from ..configuration.validation import Validated, finish
 from ..types import Finding
-from .shape import build
-from .validation import Validated, finish
 
 MAX_DRAFT_BYTES = 8 * 1024 * 1024
 MAX_EDITS = 30_000
--- a/celerytrail/operators/sessions.py
+++ b/celerytrail/operators/sessions.py
@@ -6,17 +6,13 @@
 
 from __future__ import annotations
 
-import hashlib
 import hmac
-import re
 import secrets
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
-from result import Err, Ok, Result
-
+from ..accounts import Hashes, PasswordHash, scrypt_digest
 from ..clock import Clock
-from ..types import Finding
 
 SESSION_SECONDS = 8 * 3600.0
 LOGIN_FORM_SECONDS = 3600.0
@@ -24,72 +20,12 @@
 MAX_PASSWORD_CHARS = 1_000
 COOKIE_NAME = "celerytrail_session"
 
-# Some tens of milliseconds and 16 MB for each try, which makes guessing slow.
-SCRYPT_N = 2**14
-SCRYPT_R = 8
-SCRYPT_P = 1
 
 FAILURES_BEFORE_WAIT = 5
 WAIT_SECONDS = 30.0
 MAX_TRACKED_NAMES = 1_000
 
 
-def make_account(name: str, password: str, *, salt: bytes | None = None) -> str:
-    """Return an account as the settings hold it: ``NAME:SALT:HASH`` by scrypt."""
-    salt = secrets.token_bytes(16) if salt is None else salt
-    return f"{name}:{salt.hex()}:{_scrypt(password, salt).hex()}"
-
-
-Hashes = Mapping[str, "PasswordHash"]
-
-_ACCOUNT = re.compile(
-    r"([A-Za-z0-9._-]{1,64}):((?:[0-9a-f]{2}){8,32}):((?:[0-9a-f]{2}){32})"
-)
-
-
-def _scrypt(password: str, salt: bytes) -> bytes:
-    return hashlib.scrypt(
-        password.encode(), salt=salt, n=SCRYPT_N, r=SCRYPT_R, p=SCRYPT_P, dklen=32
-    )
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PasswordHash:
-    """A salt and what scrypt made of it and the password."""
-
-    salt: bytes
-    digest: bytes
-
-
-def parse_accounts(text: str, place: str) -> Result[Hashes, tuple[Finding, ...]]:
-    """Read accounts: ``NAME:SALT:HASH``, several with commas between them.
-
-    Parameters
-    ----------
-    text : str
-        The setting.
-    place : str
-        The setting's name, for the findings.
-    """
-    findings: list[Finding] = []
-    hashes: dict[str, PasswordHash] = {}
-    for number, part in enumerate(text.split(","), 1):
-        match = _ACCOUNT.fullmatch(part.strip())
-        # The text holds hashes, so messages tell the number and never repeat it.
-        if match is None:
-            problem = f"account {number} is not NAME:SALT:HASH as made by the command"
-            findings.append(Finding(place=place, problem=problem))
-            continue
-        name, salt, digest = match.groups()
-        if name in hashes:
-            problem = f"account {number} has the name of an earlier one"
-            findings.append(Finding(place=place, problem=problem))
-        hashes[name] = PasswordHash(
-            salt=bytes.fromhex(salt), digest=bytes.fromhex(digest)
-        )
-    return Err(tuple(findings)) if findings else Ok(hashes)
-
-
 class Accounts:
     """Who may log in, with a brake on guessing.
 
@@ -118,7 +54,7 @@
         # An unknown name costs the same time as a known one, so that the time does
         # not tell which names exist.
         wanted = self._hashes.get(name, self._nobody)
-        digest = _scrypt(password, wanted.salt)
+        digest = scrypt_digest(password, wanted.salt)
         is_same = hmac.compare_digest(digest, wanted.digest)
         is_good = is_same and name in self._hashes
         if is_good:
--- a/celerytrail/operators/store.py
+++ b/celerytrail/operators/store.py
@@ -23,6 +23,7 @@
 )
 from ..configuration.sections import Tree, digest_of
 from ..configuration.treeloader import N_PARALLEL, Misfit, TreeLoader
+from ..configuration.validation import validate
 from ..platform import table as tables
 from ..platform.client import InDoubt, Unavailable
 from ..platform.objects import ObjectStore
@@ -37,7 +38,6 @@
     Loaded,
     LoadError,
 )
-from .validation import validate
 
 __all__ = [
     "AcceptError",
--- a/celerytrail/policies/freshness.py
+++ b/celerytrail/policies/freshness.py
@@ -4,8 +4,6 @@
 
 from collections.abc import Callable
 
-from ..relay.boottime import boottime
-
 # Share of the bound on revocation within which a request is still passed on. What is
 # left covers the way to the endpoint and a feed that was silent for a second.
 USABLE_SHARE = 0.62
@@ -33,7 +31,7 @@
         *,
         bound_seconds: float,
         is_strict: bool,
-        clock: Callable[[], float] = boottime,
+        clock: Callable[[], float],
     ) -> None:
         self._usable_seconds = USABLE_SHARE * bound_seconds
         self._is_strict = is_strict
--- a/celerytrail/relay/exchange.py
+++ b/celerytrail/relay/exchange.py
@@ -9,12 +9,12 @@
 
 from eliot import log_message
 
+from ..boottime import boottime
 from ..http.messages import Request
 from ..http.server import Responder
 from ..metrics import Metrics
 from ..model import CallerFacts, Route
 from ..platform import wire
-from .boottime import boottime
 
 T = TypeVar("T")
 
--- a/celerytrail/relay/handler.py
+++ b/celerytrail/relay/handler.py
@@ -8,6 +8,7 @@
 
 from eliot import log_message
 
+from ..boottime import boottime
 from ..http.messages import Request
 from ..http.server import Handler, Responder
 from ..metrics import Metrics
@@ -15,7 +16,6 @@
 from ..platform import wire
 from ..policies.freshness import Freshness
 from ..policies.stopping import can_finish
-from .boottime import boottime
 from .calls import PlainCalls
 from .exchange import Exchange, refuse
 from .generations import Generations
--- a/celerytrail/relay/mirror.py
+++ b/celerytrail/relay/mirror.py
@@ -6,8 +6,8 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 
+from ..boottime import boottime
 from ..rowsource import Changes, HistoryGone, Row
-from .boottime import boottime
 from .watch import TableSink
 
 # Changes that are kept for those that follow; whoever lags more reads the whole table.
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -10,6 +10,7 @@
 from eliot import log_message
 from result import Err
 
+from ..boottime import boottime
 from ..clock import SystemClock
 from ..http.client import HttpClient
 from ..http.messages import Request
@@ -33,7 +34,6 @@
 from ..rowsource import Row, RowSource
 from ..types import Address
 from .addresses import DirectoryHandler, ReadinessHandler
-from .boottime import boottime
 from .calls import PlainCalls
 from .departures import Departures
 from .engineapi import EngineApi
@@ -115,7 +115,9 @@
         self._was_ready = False
         self.node_id = f"{cfg.node}-{self._rng.getrandbits(32):08x}"
         self._freshness = Freshness(
-            bound_seconds=cfg.revoke_seconds, is_strict=cfg.is_revocation_strict
+            bound_seconds=cfg.revoke_seconds,
+            is_strict=cfg.is_revocation_strict,
+            clock=boottime,
         )
         self._registrations_at: float | None = None
         self._make_peers()
--- a/celerytrail/relay/watch.py
+++ b/celerytrail/relay/watch.py
@@ -10,8 +10,8 @@
 from eliot import log_message
 from result import Err
 
+from ..boottime import boottime
 from ..rowsource import Changes, HistoryGone, Row, RowSource
-from .boottime import boottime
 
 # How long an answer may take beyond the time that it was asked to wait, in seconds. A
 # connection may go silent for ever; the next question goes over a new one.
--- a/celerytrail/settings.py
+++ b/celerytrail/settings.py
@@ -89,10 +89,10 @@
 def parse_accounts(text: str) -> str:
     """Take operators' accounts as they stand, once they can be read.
 
-    The console reads them again with `operators.sessions.parse_accounts`, which is
+    The console reads them again with `accounts.parse_accounts`, which is
     loaded here only when needed, since a node has no use for it.
     """
-    from .operators.sessions import parse_accounts as read_accounts
+    from .accounts import parse_accounts as read_accounts
 
     checked = read_accounts(text, "accounts")
     if isinstance(checked, Err):
--- a/celerytrail/wiring.py
+++ b/celerytrail/wiring.py
@@ -9,6 +9,7 @@
 from .callers.addresses import AddressesApi
 from .callers.api import CallerLimits, CallersApi
 from .callers.auth import Authenticator
+from .callers.memberaddresses import NodesSource
 from .callers.service_api import ServiceApi
 from .callers.tickets import TicketSigner
 from .clock import Clock
@@ -27,7 +28,6 @@
 from .nodes.homes import Homes
 from .nodes.limit_homes import LimitHomes
 from .nodes.member import Member
-from .nodes.memberaddresses import NodesSource
 from .nodes.nodes import Nodes
 from .nodes.signing import PeerKeys
 from .orders.leases import LeaseKeeper
--- a/chores/system.py
+++ b/chores/system.py
@@ -19,9 +19,9 @@
 
 from result import Err
 
+from celerytrail.accounts import make_account
 from celerytrail.exceptions import CelerytrailError
 from celerytrail.http.client import HttpClient
-from celerytrail.operators.sessions import make_account
 from celerytrail.types import Address
 
 START_SECONDS = 20.0
--- a/tests/consolerig.py
+++ b/tests/consolerig.py
@@ -9,6 +9,7 @@
 from result import Ok
 from storefakes import FakeObjects, FakeTable
 
+from celerytrail.accounts import make_account, parse_accounts
 from celerytrail.clock import LoopClock
 from celerytrail.configuration.document import (
     Document,
@@ -25,8 +26,6 @@
 from celerytrail.operators.sessions import (
     Accounts,
     Sessions,
-    make_account,
-    parse_accounts,
 )
 from celerytrail.operators.store import DocumentStore
 from celerytrail.types import Address
--- a/tests/test_console_app.py
+++ b/tests/test_console_app.py
@@ -8,10 +8,10 @@
 import pytest
 from formbrowser import Browser
 
+from celerytrail.accounts import make_account
 from celerytrail.http.client import HttpClient
 from celerytrail.node import Node
 from celerytrail.operators.app import ConsoleApp
-from celerytrail.operators.sessions import make_account
 from celerytrail.settings import ConsoleSettings, NodeSettings, SigningKey
 from celerytrail.types import Address
 from standins.platform import PlatformStandin
--- a/tests/test_document_pages.py
+++ b/tests/test_document_pages.py
@@ -8,9 +8,9 @@
 import pytest
 
 from celerytrail.configuration.document import EndpointSpec, OperationSpec
+from celerytrail.configuration.validation import validate
 from celerytrail.operators.drafts import ITEM_TYPES
 from celerytrail.operators.formfields import FORMS
-from celerytrail.operators.validation import validate
 
 ROOT = Path(__file__).parent.parent
 ROWS = {"operations": OperationSpec, "endpoints": EndpointSpec}
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -8,9 +8,9 @@
 import msgspec
 from result import Err, Ok, Result
 
+from celerytrail.boottime import boottime
 from celerytrail.policies.engineloads import EngineLoads, Run
 from celerytrail.policies.paces import Paces
-from celerytrail.relay.boottime import boottime
 from celerytrail.relay.mirror import MAX_CHANGES, TableMirror
 from celerytrail.relay.sharing import MAX_RUNS, News, Sharing
 from celerytrail.relay.watch import OUTAGE_SECONDS, TableSink, TableWatch
--- a/tests/test_validation.py
+++ b/tests/test_validation.py
@@ -13,7 +13,7 @@
     OrganisationSpec,
     encode,
 )
-from celerytrail.operators.validation import validate
+from celerytrail.configuration.validation import validate
 
 
 def places(data) -> dict[str, str]:
--- a/tests/test_validation_changes.py
+++ b/tests/test_validation_changes.py
@@ -8,6 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from celerytrail.configuration import checks
+from celerytrail.configuration.checks import findings_of, findings_of_changes
 from celerytrail.configuration.document import (
     Document,
     EndpointSpec,
@@ -18,8 +20,6 @@
     ServiceSpec,
 )
 from celerytrail.configuration.sections import Tree
-from celerytrail.operators import checks
-from celerytrail.operators.checks import findings_of, findings_of_changes
 
 DIGESTS = [digit * 64 for digit in "0123"]
 NAMES = [f"n{number}" for number in range(5)]
