Hand the relay its clocks, the one of suspensions too

Cause: the relay read CLOCK_BOOTTIME by itself, so that no test could suspend a VM, and a node could not run in virtual time. Change: boottime() belongs to Clock; node, handler, exchanges, watches and mirrors get the clock; LoopClock can be suspended. No behaviour changes.

--- a/celerytrail/clock.py
+++ b/celerytrail/clock.py
@@ -23,6 +23,15 @@
     def wall(self) -> float:
         """Return seconds since the epoch; it may jump either way."""
 
+    @abc.abstractmethod
+    def boottime(self) -> float:
+        """Return seconds on a clock that neither jumps nor stands still.
+
+        The monotonic clock stands still while a VM is suspended. Were the age of what a
+        node knows counted on it, a node that wakes after a minute would take its
+        knowledge for fresh, and let a key through that was taken away meanwhile.
+        """
+
     def deadline_of_wall(self, wall_deadline: float) -> float:
         """Turn a deadline on the wall clock into one on the monotonic clock."""
         return self.monotonic() + (wall_deadline - self.wall())
@@ -43,6 +52,10 @@
         """Return ``time.time()``."""
         return time.time()
 
+    def boottime(self) -> float:
+        """Return the seconds since the machine's start, suspension included."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
 
 class LoopClock(Clock):
     """The running event loop's clock, with a settable wall time.
@@ -54,10 +67,16 @@
     ----------
     wall_offset : float
         Seconds added to the loop's time to give the wall time.
+
+    Attributes
+    ----------
+    suspended_seconds : float
+        How long the machine was suspended; the loop's time stood still meanwhile.
     """
 
     def __init__(self, *, wall_offset: float = 1_700_000_000.0) -> None:
         self.wall_offset = wall_offset
+        self.suspended_seconds = 0.0
 
     def monotonic(self) -> float:
         """Return the running loop's time."""
@@ -65,7 +84,11 @@
 
     def wall(self) -> float:
         """Return the loop's time moved by the offset."""
-        return self.monotonic() + self.wall_offset
+        return self.boottime() + self.wall_offset
+
+    def boottime(self) -> float:
+        """Return the loop's time and that of suspensions."""
+        return self.monotonic() + self.suspended_seconds
 
 
 class ManualClock(Clock):
@@ -83,6 +106,10 @@
         """Return the time it was last moved to, with the offset."""
         return self.time + self.wall_offset
 
+    def boottime(self) -> float:
+        """Return the time it was last moved to."""
+        return self.time
+
     def advance(self, seconds: float) -> None:
         """Move the clock on by ``seconds``."""
         self.time += seconds
--- a/celerytrail/relay/exchange.py
+++ b/celerytrail/relay/exchange.py
@@ -9,7 +9,7 @@
 
 from eliot import log_message
 
-from ..boottime import boottime
+from ..clock import Clock
 from ..http.messages import Request
 from ..http.server import Responder
 from ..metrics import Metrics
@@ -47,6 +47,8 @@
         Whether it may be passed on at this moment.
     metrics : Metrics
         Counts its turning points.
+    clock : Clock
+        Tells how long it has been here.
     """
 
     req: Request
@@ -60,11 +62,12 @@
     deadline: float
     may_pass: Callable[[], bool]
     metrics: Metrics
+    clock: Clock
 
     @property
     def seconds_left(self) -> float:
         """Return the time until the deadline."""
-        return self.deadline - boottime()
+        return self.deadline - self.clock.boottime()
 
     @property
     def loop_deadline(self) -> float:
@@ -116,7 +119,7 @@
 
     def observe(self, name: str) -> None:
         """Add the time since its arrival to a histogram."""
-        self.observe_seconds(name, boottime() - self.arrived_at)
+        self.observe_seconds(name, self.clock.boottime() - self.arrived_at)
 
     def observe_seconds(self, name: str, seconds: float) -> None:
         """Add a time of this request to a histogram."""
@@ -130,7 +133,7 @@
             f"relay:{event}",
             request=self.facts.attempt_id,
             route=self.route.name,
-            age=round(boottime() - self.arrived_at, 4),
+            age=round(self.clock.boottime() - self.arrived_at, 4),
             **fields,
         )
 
--- a/celerytrail/relay/handler.py
+++ b/celerytrail/relay/handler.py
@@ -8,7 +8,7 @@
 
 from eliot import log_message
 
-from ..boottime import boottime
+from ..clock import Clock
 from ..http.messages import Request
 from ..http.server import Handler, Responder
 from ..metrics import Metrics
@@ -51,6 +51,8 @@
     killed_at : callable
         Returns when this node will be killed, in loop time; None while it isn't asked
         to stop.
+    clock : Clock
+        Dates arrivals and deadlines.
     rng : random.Random
         Splits traffic between services.
     metrics : Metrics
@@ -66,6 +68,7 @@
         generations: Generations,
         has_others: Callable[[], bool],
         killed_at: Callable[[], float | None],
+        clock: Clock,
         rng: random.Random,
         metrics: Metrics,
     ) -> None:
@@ -75,12 +78,13 @@
         self._generations = generations
         self._has_others = has_others
         self._killed_at = killed_at
+        self._clock = clock
         self._rng = rng
         self._metrics = metrics
 
     async def handle(self, req: Request, res: Responder) -> None:
         """Answer one request."""
-        arrived_at = boottime()
+        arrived_at = self._clock.boottime()
         cfg = self._config()
         facts = wire.caller_facts(req)
         if cfg is None:
@@ -114,6 +118,7 @@
             deadline=arrived_at + min(budget, route.timeout_seconds),
             may_pass=self._guard(route, facts),
             metrics=self._metrics,
+            clock=self._clock,
         )
         service = cfg.services.get(ex.service)
         if service is not None and service.engine is not None:
--- a/celerytrail/relay/mirror.py
+++ b/celerytrail/relay/mirror.py
@@ -6,7 +6,7 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 
-from ..boottime import boottime
+from ..clock import Clock
 from ..rowsource import Changes, HistoryGone, Row
 from .watch import TableSink
 
@@ -24,11 +24,18 @@
     meaning : callable
         Returns what of a row matters to those that follow. Endpoints write a heartbeat
         each second; only what changes more than that is worth a message to every node.
+    clock : Clock
+        Tells how old the knowledge is.
     """
 
     def __init__(
-        self, *, inner: TableSink, meaning: Callable[[str, bytes], object]
+        self,
+        *,
+        inner: TableSink,
+        meaning: Callable[[str, bytes], object],
+        clock: Clock,
     ) -> None:
+        self._clock = clock
         self._inner = inner
         self._meaning = meaning
         self._rows: dict[str, Row] = {}
@@ -98,7 +105,7 @@
         """Return how old the knowledge is, None where there is none."""
         if self._confirmed_at is None or self._version is None:
             return None
-        return boottime() - self._confirmed_at
+        return self._clock.boottime() - self._confirmed_at
 
     def whole(self) -> Changes | None:
         """Return all rows, None before the first whole read."""
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -10,8 +10,7 @@
 from eliot import log_message
 from result import Err
 
-from ..boottime import boottime
-from ..clock import SystemClock
+from ..clock import Clock, SystemClock
 from ..http.client import HttpClient
 from ..http.messages import Request
 from ..http.network import Network, SystemNetwork
@@ -92,6 +91,8 @@
         Its source of jitter and of ids.
     store : RowSource or None
         The platform's tables; the store that the settings name by default.
+    clock : Clock or None
+        Its clocks; the machine's by default.
     """
 
     def __init__(
@@ -101,12 +102,13 @@
         network: Network | None = None,
         rng: random.Random | None = None,
         store: RowSource | None = None,
+        clock: Clock | None = None,
     ) -> None:
         self.cfg = cfg
         self._store = store
         self._network = network or SystemNetwork()
         self._rng = rng or random.Random()
-        self._clock = SystemClock()
+        self._clock = clock or SystemClock()
         self._metrics = Metrics(process=cfg.node)
         self._tasks: list[asyncio.Task[None]] = []
         self.is_stopping = False
@@ -117,7 +119,7 @@
         self._freshness = Freshness(
             bound_seconds=cfg.revoke_seconds,
             is_strict=cfg.is_revocation_strict,
-            clock=boottime,
+            clock=self._clock.boottime,
         )
         self._registrations_at: float | None = None
         self._make_peers()
@@ -137,13 +139,19 @@
         self._watches = [
             self._watch(
                 storewire.CONFIG_TABLE,
-                TableMirror(inner=self.configs, meaning=lambda key, value: value),
+                TableMirror(
+                    inner=self.configs,
+                    meaning=lambda key, value: value,
+                    clock=self._clock,
+                ),
                 lambda confirmed_at: self._freshness.confirm(confirmed_at),
                 CONFIG_PAUSE_SECONDS,
             ),
             self._watch(
                 storewire.REGISTRATION_TABLE,
-                TableMirror(inner=registrations, meaning=_lasting_facts),
+                TableMirror(
+                    inner=registrations, meaning=_lasting_facts, clock=self._clock
+                ),
                 self._note_registrations,
                 REGISTRATION_PAUSE_SECONDS,
             ),
@@ -168,6 +176,7 @@
             wait=self._wait_seconds,
             pause=lambda: pause_seconds,
             on_confirmed=confirm,
+            clock=self._clock,
             rng=self._rng,
         )
 
@@ -306,6 +315,7 @@
                 member.node != self.node_id for member in self.nodes.live()
             ),
             killed_at=lambda: self._killed_at,
+            clock=self._clock,
             rng=self._rng,
             metrics=self._metrics,
         )
@@ -450,7 +460,9 @@
 
     def _is_unsure_of_engines(self) -> bool:
         known_at = self._registrations_at
-        return known_at is not None and boottime() - known_at > UNSURE_SECONDS
+        return (
+            known_at is not None and self._clock.boottime() - known_at > UNSURE_SECONDS
+        )
 
     def _heard_share(self) -> float:
         """Return the share of all VMs whose nodes this one hears of."""
--- a/celerytrail/relay/watch.py
+++ b/celerytrail/relay/watch.py
@@ -10,7 +10,7 @@
 from eliot import log_message
 from result import Err
 
-from ..boottime import boottime
+from ..clock import Clock
 from ..rowsource import Changes, HistoryGone, Row, RowSource
 
 # How long an answer may take beyond the time that it was asked to wait, in seconds. A
@@ -54,6 +54,8 @@
         bounded rate of calls.
     on_confirmed : callable
         Called with a version, and the boot time as of which its rows were whole.
+    clock : Clock
+        Dates the questions.
     rng : random.Random
         For jitter.
     """
@@ -67,6 +69,7 @@
         wait: Callable[[], float],
         pause: Callable[[], float],
         on_confirmed: Callable[[int, float], None],
+        clock: Clock,
         rng: random.Random,
     ) -> None:
         self._source = source
@@ -75,9 +78,10 @@
         self._wait = wait
         self._pause = pause
         self._on_confirmed = on_confirmed
+        self._clock = clock
         self._rng = rng
         self._version: int | None = None
-        self._heard_at = boottime()
+        self._heard_at = self._clock.boottime()
         self._is_away = False
 
     async def run(self) -> None:
@@ -91,7 +95,7 @@
 
     async def _step(self) -> bool:
         """Ask once; returns whether the store answered."""
-        sent_at = boottime()
+        sent_at = self._clock.boottime()
         now = asyncio.get_running_loop().time()
         if self._version is None:
             answered = await self._source.read(self._table, now + READ_SECONDS)
@@ -136,7 +140,7 @@
 
     def _note_back(self) -> bool:
         """Note an answer; returns whether the store had been silent for long."""
-        now = boottime()
+        now = self._clock.boottime()
         silent_seconds = now - self._heard_at
         self._heard_at = now
         if self._is_away:
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -8,7 +8,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from celerytrail.boottime import boottime
+from celerytrail.clock import SystemClock
 from celerytrail.policies.engineloads import EngineLoads, Run
 from celerytrail.policies.paces import Paces
 from celerytrail.relay.mirror import MAX_CHANGES, TableMirror
@@ -17,6 +17,8 @@
 from celerytrail.rowsource import Changes, HistoryGone, Row, RowSource, StoreUnavailable
 from celerytrail.types import Address
 
+CLOCK = SystemClock()
+
 
 class Recorder(TableSink):
     """Keeps what it is given."""
@@ -67,7 +69,9 @@
 
 def mirror() -> tuple[TableMirror, Recorder]:
     inner = Recorder()
-    return TableMirror(inner=inner, meaning=lambda key, value: value), inner
+    return TableMirror(
+        inner=inner, meaning=lambda key, value: value, clock=CLOCK
+    ), inner
 
 
 class TestTableWatch:
@@ -81,6 +85,7 @@
             wait=lambda: 0.0,
             pause=lambda: 0.0,
             on_confirmed=lambda version, at: confirmed.append((version, at)),
+            clock=CLOCK,
             rng=random.Random(1),
         )
         for _ in range(len(source._answers)):
@@ -121,7 +126,7 @@
 
     async def test_an_age_that_another_node_tells_makes_the_word_older(self):
         source = Scripted(Ok(Changes(rows=(), version=1, age_seconds=2.0)))
-        before = boottime()
+        before = CLOCK.boottime()
         _, confirmed = await self.play(source)
         assert confirmed[0][1] <= before - 1.9
 
@@ -141,6 +146,7 @@
             wait=lambda: 0.0,
             pause=lambda: 0.0,
             on_confirmed=lambda version, at: None,
+            clock=CLOCK,
             rng=random.Random(1),
         )
         await watch._step()
@@ -159,11 +165,11 @@
     async def test_a_change_wakes_whoever_waits(self):
         made, _ = mirror()
         made.replace(rows("a"), was_away=False)
-        made.confirm(1, boottime())
+        made.confirm(1, CLOCK.boottime())
         waiting = asyncio.ensure_future(made.follow(1, 5.0))
         await asyncio.sleep(0)
         made.change([Row(key="b", value=b"x", version=2)], was_away=False)
-        made.confirm(2, boottime())
+        made.confirm(2, CLOCK.boottime())
         found = await waiting
         assert isinstance(found, Changes)
         assert [row.key for row in found.rows] == ["b"]
@@ -172,11 +178,11 @@
         # Endpoints write their rows again each second. Told on, each of them would be
         # a message to every node.
         inner = Recorder()
-        made = TableMirror(inner=inner, meaning=lambda key, value: "same")
+        made = TableMirror(inner=inner, meaning=lambda key, value: "same", clock=CLOCK)
         made.replace(rows("a"), was_away=False)
-        made.confirm(1, boottime())
+        made.confirm(1, CLOCK.boottime())
         made.change([Row(key="a", value=b"beat 2", version=2)], was_away=False)
-        made.confirm(2, boottime())
+        made.confirm(2, CLOCK.boottime())
         found = await made.follow(1, 0.0)
         assert isinstance(found, Changes)
         assert found.rows == ()
@@ -186,11 +192,11 @@
     async def test_a_removed_row_is_news_once(self):
         made, _ = mirror()
         made.replace(rows("a"), was_away=False)
-        made.confirm(1, boottime())
+        made.confirm(1, CLOCK.boottime())
         gone = Row(key="a", value=None, version=2)
         made.change([gone], was_away=False)
         made.change([gone], was_away=False)
-        made.confirm(2, boottime())
+        made.confirm(2, CLOCK.boottime())
         found = await made.follow(1, 0.0)
         assert isinstance(found, Changes)
         assert found.rows == (gone,)
@@ -200,12 +206,12 @@
     async def test_who_lags_too_far_reads_whole(self):
         made, _ = mirror()
         made.replace(rows("a"), was_away=False)
-        made.confirm(1, boottime())
+        made.confirm(1, CLOCK.boottime())
         for number in range(MAX_CHANGES + 1):
             value = str(number).encode()
             row = Row(key="a", value=value, version=number + 2)
             made.change([row], was_away=False)
-        made.confirm(MAX_CHANGES + 2, boottime())
+        made.confirm(MAX_CHANGES + 2, CLOCK.boottime())
         assert isinstance(await made.follow(1, 0.0), HistoryGone)
 
 
