--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,261 @@
+"""A whole fleet in virtual time: real nodes, model engines that come and go, callers.
+
+The nodes are the relay's own, over a network in memory; only the engines, the store and
+the callers are stand-ins. So what is measured is what the product decides and sends.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass, field, replace
+
+from bench.fleetcallers import Caller, Ending
+from bench.fleetload import Arrival, FleetLoad, arrivals
+from celerytrail.clock import LoopClock
+from celerytrail.platform.nodefile import RelaySettings
+from celerytrail.policies.placing import Placing
+from celerytrail.relay.node import RelayNode
+from celerytrail.types import Address
+from scenarios.memorynetwork import Wires
+from scenarios.virtualtime import close_loop, new_loop
+from standins.enginemodel import EngineSpec
+from standins.modelworker import ModelWorker
+from standins.rowstore import RowStore
+
+HOST = "desk.example"
+KEY = "key-of-org"
+SERVICE = "models"
+# One way between two processes, in seconds.
+DELAY_SECONDS = 0.001
+# Nodes find one another and read the configuration before traffic starts, in seconds.
+WARM_UP_SECONDS = 6.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Variation:
+    """What differs between two plays of the same load.
+
+    Parameters
+    ----------
+    placing : Placing or None
+        The policy that places; the product's own by default.
+    can_move, can_back_up : bool
+        Whether engines allow runs to be moved, and copied as they grow.
+    """
+
+    placing: Placing | None = None
+    can_move: bool = True
+    can_back_up: bool = True
+
+
+@dataclass(kw_only=True)
+class FleetResult:
+    """What a play gave."""
+
+    endings: list[Ending] = field(default_factory=list)
+    n_read: int = 0
+    n_read_again: int = 0
+    n_preempted: int = 0
+    moved_bytes: float = 0.0
+    twice: list[str] = field(default_factory=list)
+
+
+class Fleet:
+    """One play of a load.
+
+    Parameters
+    ----------
+    load : FleetLoad
+        What comes.
+    variation : Variation
+        What differs from the product as it is shipped.
+    seed : int
+        Of all chance.
+    """
+
+    def __init__(self, *, load: FleetLoad, variation: Variation, seed: int) -> None:
+        self._load = load
+        self._variation = variation
+        self._rng = random.Random(seed)
+        self._seed = seed
+        self._wires = Wires(rng=random.Random(seed), delay=DELAY_SECONDS)
+        self._store = RowStore(network=self._wires.process("store"))
+        self._engines: dict[str, ModelWorker] = {}
+        self._lost: list[ModelWorker] = []
+        self._nodes: list[RelayNode] = []
+        self._n_engines = 0
+        self._spec = EngineSpec(n_memory_tokens=load.engines.n_memory_tokens)
+        self.result = FleetResult()
+
+    async def play(self) -> FleetResult:
+        """Play the load to its last answer."""
+        store = await self._store.start()
+        self._store.put("op", "config", self._config())
+        for zone in self._load.zones:
+            for _ in range(self._load.engines.n_per_zone):
+                await self._add_engine(zone)
+        for number in range(self._load.n_nodes):
+            await self._add_node(number, store)
+        await asyncio.sleep(WARM_UP_SECONDS)
+        if not all(node.is_ready for node in self._nodes):
+            raise RuntimeError("not all nodes are ready")
+        reclaiming = asyncio.ensure_future(self._reclaim())
+        coming = arrivals(self._load, self._spec.n_event_tokens, self._seed)
+        started_at = asyncio.get_running_loop().time()
+        asked = [self._ask(arrival, started_at) for arrival in coming]
+        self.result.endings = list(await asyncio.gather(*asked))
+        reclaiming.cancel()
+        self._sum_up()
+        for node in self._nodes:
+            await node.close()
+        return self.result
+
+    def _sum_up(self) -> None:
+        for engine in (*self._engines.values(), *self._lost):
+            totals = engine.model.totals
+            self.result.n_read += totals.n_read
+            self.result.n_read_again += totals.n_read_again
+            self.result.n_preempted += totals.n_preempted
+            self.result.moved_bytes += engine.link.n_bytes
+
+    # What there is.
+
+    def _config(self) -> dict[str, object]:
+        spec = self._spec
+        engine = {
+            "slots": spec.n_slots,
+            "kv-capacity-tokens": spec.n_memory_tokens,
+            "kv-token-bytes": spec.token_bytes,
+            "link-mbps": spec.link_bytes_per_second * 8 / 1e6,
+            "moves": self._variation.can_move,
+            "backups": self._variation.can_back_up,
+            "stride": spec.n_event_tokens,
+            "handle-s": 5.0,
+        }
+        routes = [
+            {
+                "name": kind.name,
+                "hostname": HOST,
+                "prefix": f"/{kind.name}/",
+                "route-type": "streaming",
+                "timeout-ms": kind.timeout * 1_000,
+                "target-latency-ms": kind.target * 1_000,
+                "gap-target-ms": kind.pause * 1_000,
+                "service": SERVICE,
+                "max-attempts": 2 if kind.resumable else 1,
+                "resumable": kind.resumable,
+                "priority": kind.priority,
+            }
+            for kind in self._load.requests
+        ]
+        return {
+            "version": 1,
+            "routes": routes,
+            "services": [{"name": SERVICE, "engine": engine}],
+            "tenants": [{"name": "org", "api-keys": [KEY]}],
+        }
+
+    async def _add_engine(self, zone: str) -> None:
+        slowness = self._load.engines.slowness
+        number = self._n_engines
+        self._n_engines += 1
+        name = f"engine-{number}"
+        spec = replace(self._spec, slowness=slowness[number % len(slowness)])
+        engine = ModelWorker(
+            worker_id=name,
+            failure_domain=zone,
+            spec=spec,
+            find=self._find,
+            network=self._wires.process(name),
+        )
+        await engine.start()
+        self._engines[name] = engine
+        self._write_row(engine, "ready")
+
+    def _write_row(self, engine: ModelWorker, state: str) -> None:
+        facts = {"zone": engine.failure_domain, "slots": self._spec.n_slots}
+        row = engine.row(SERVICE, state, **facts)
+        self._store.put("servers", engine.worker_id, row)
+
+    def _find(self, address: str) -> ModelWorker | None:
+        for engine in self._engines.values():
+            if str(engine.address) == address:
+                return engine
+        return None
+
+    async def _add_node(self, number: int, store: Address) -> None:
+        host = f"10.1.0.{number + 1}"
+        name = f"vm-{number}"
+        seeds = tuple(node.cfg.peers for node in self._nodes[:3] if node.cfg.peers)
+        cfg = RelaySettings(
+            node=name,
+            failure_domain=self._load.zones[number % len(self._load.zones)],
+            region="r",
+            callers=Address(host=host, port=8740),
+            readiness=Address(host=host, port=8741),
+            peers=Address(host=host, port=8742),
+            directory=Address(host=host, port=8743),
+            peer_ports=(7200, 7201),
+            seeds=seeds,
+            store=store,
+            retry_slack=100.0,
+        )
+        node = RelayNode(
+            cfg=cfg,
+            network=self._wires.process(name),
+            rng=random.Random(f"{self._seed}:{name}"),
+            clock=LoopClock(),
+            placing=self._variation.placing,
+        )
+        await node.start()
+        self._nodes.append(node)
+
+    # What happens.
+
+    async def _ask(self, arrival: Arrival, started_at: float) -> Ending:
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(started_at + arrival.at - loop.time())
+        node = self._rng.choice(self._nodes)
+        assert node.cfg.callers is not None
+        caller = Caller(
+            arrival=arrival,
+            network=self._wires.process("callers"),
+            host=HOST,
+            key=KEY,
+        )
+        return await caller.ask(node.cfg.callers)
+
+    async def _reclaim(self) -> None:
+        """Take engines away, one after another, and let others come."""
+        fleet = self._load.engines
+        while fleet.reclaim_every > 0:
+            await asyncio.sleep(fleet.reclaim_every)
+            ready = [
+                engine for engine in self._engines.values() if engine.leaves_at is None
+            ]
+            asyncio.ensure_future(self._take_away(self._rng.choice(ready)))
+
+    async def _take_away(self, engine: ModelWorker) -> None:
+        fleet = self._load.engines
+        notice = self._rng.uniform(*fleet.notice)
+        engine.leaves_at = asyncio.get_running_loop().time() + notice
+        if notice:
+            self._write_row(engine, "draining")
+            await asyncio.sleep(notice)
+        self._wires.kill(engine.worker_id)
+        await engine.close()
+        self._lost.append(self._engines.pop(engine.worker_id))
+        self._store.drop("servers", engine.worker_id)
+        await asyncio.sleep(max(0.0, fleet.replace_after - notice))
+        await self._add_engine(engine.failure_domain)
+
+
+def play(load: FleetLoad, variation: Variation, seed: int) -> FleetResult:
+    """Play a load on a loop of its own in virtual time."""
+    loop = new_loop()
+    try:
+        fleet = Fleet(load=load, variation=variation, seed=seed)
+        return loop.run_until_complete(fleet.play())
+    finally:
+        close_loop(loop)
--- /dev/null
+++ b/bench/fleetload.py
@@ -0,0 +1,130 @@
+"""What a fleet is asked to do: a workload file, and the requests that come of it."""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+
+class Spread(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """A log-normal size: its mean, the deviation of its logarithm, and its bound."""
+
+    mean: float
+    spread: float
+    max: float
+
+    def draw(self, rng: random.Random) -> int:
+        """Return a size of at least 1."""
+        middle = math.log(self.mean) - self.spread**2 / 2
+        return max(1, round(min(self.max, rng.lognormvariate(middle, self.spread))))
+
+
+class Burst(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """A time in which more requests come."""
+
+    at: float
+    seconds: float
+    factor: float
+
+
+class RequestKind(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """One kind of generation; times are in seconds."""
+
+    name: str
+    per_second: float
+    prompt: Spread
+    events: Spread
+    target: float
+    pause: float
+    timeout: float
+    worth: float
+    shared: int = 0
+    hint_spread: float = 0.0
+    resumable: bool = False
+    priority: int = 1
+    burst: Burst | None = None
+
+    def rate(self, at: float) -> float:
+        """Return how many come a second at a time."""
+        burst = self.burst
+        if burst is not None and burst.at <= at < burst.at + burst.seconds:
+            return self.per_second * burst.factor
+        return self.per_second
+
+
+class EngineFleet(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """The engines, and how they come and go; times are in seconds."""
+
+    n_per_zone: int
+    slowness: list[float]
+    reclaim_every: float
+    notice: list[float]
+    replace_after: float
+    n_memory_tokens: int = 34_000
+
+
+class FleetLoad(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """A whole workload."""
+
+    seconds: float
+    n_nodes: int
+    zones: list[str]
+    engines: EngineFleet
+    requests: list[RequestKind]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """One request to come.
+
+    Parameters
+    ----------
+    number : int
+        Which one.
+    at : float
+        Seconds from the start of traffic.
+    kind : RequestKind
+        What it is.
+    n_prompt, n_events, n_hinted : int
+        Prompt tokens, events of its answer, and the output tokens that it hints.
+    """
+
+    number: int
+    at: float
+    kind: RequestKind
+    n_prompt: int
+    n_events: int
+    n_hinted: int
+
+
+def read_load(path: Path) -> FleetLoad:
+    """Read a workload file; a field that is not known is an error."""
+    return msgspec.toml.decode(path.read_bytes(), type=FleetLoad)
+
+
+def arrivals(load: FleetLoad, n_event_tokens: int, seed: int) -> list[Arrival]:
+    """Return the requests of a workload in the order of their coming."""
+    drawn: list[dict[str, Any]] = []
+    for kind in load.requests:
+        rng = random.Random(f"{seed}:{kind.name}")
+        at = rng.expovariate(kind.rate(0.0))
+        while at < load.seconds:
+            n_events = kind.events.draw(rng)
+            error = rng.lognormvariate(0.0, kind.hint_spread)
+            drawn.append(
+                {
+                    "at": at,
+                    "kind": kind,
+                    "n_prompt": kind.shared + kind.prompt.draw(rng),
+                    "n_events": n_events,
+                    "n_hinted": max(1, round(n_events * n_event_tokens * error)),
+                }
+            )
+            at += rng.expovariate(kind.rate(at))
+    drawn.sort(key=lambda one: one["at"])
+    return [Arrival(number=number, **one) for number, one in enumerate(drawn)]
--- a/celerytrail/policies/placing.py
+++ b/celerytrail/policies/placing.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import abc
 import random
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
@@ -139,16 +140,31 @@
     )
 
 
-def choose_engine(
-    loads: Sequence[EngineLoad], demand: Demand, rng: random.Random
-) -> EngineLoad | None:
-    """Return the best engine that is expected to hold a generation to its end."""
-    fitting = [load for load in loads if fits(load, demand)]
-    if not fitting:
-        return None
-    # Nodes that decide in the same millisecond see the same loads; where two engines
-    # are alike, chance keeps them apart.
-    return min(fitting, key=lambda load: (round(cost(load, demand), 2), rng.random()))
+class Placing(abc.ABC):
+    """Which engine a generation goes to."""
+
+    @abc.abstractmethod
+    def choose(
+        self, loads: Sequence[EngineLoad], demand: Demand, rng: random.Random
+    ) -> EngineLoad | None:
+        """Return the engine, None where the generation has to wait for room."""
+
+
+class CheapestPlacing(Placing):
+    """The best engine that is expected to hold a generation to its end."""
+
+    def choose(
+        self, loads: Sequence[EngineLoad], demand: Demand, rng: random.Random
+    ) -> EngineLoad | None:
+        """Return the fitting engine with the least cost."""
+        fitting = [load for load in loads if fits(load, demand)]
+        if not fitting:
+            return None
+        # Nodes that decide in the same millisecond see the same loads; where two
+        # engines are alike, chance keeps them apart.
+        return min(
+            fitting, key=lambda load: (round(cost(load, demand), 2), rng.random())
+        )
 
 
 def choose_backup(
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -38,6 +38,8 @@
         Where this node runs.
     rng : random.Random
         Breaks ties.
+    policy : Placing
+        Decides among the engines.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         paces: Paces,
         failure_domain: str,
         rng: random.Random,
+        policy: placing.Placing,
     ) -> None:
         self._registry = registry
         self._loads = loads
@@ -56,6 +59,7 @@
         self._paces = paces
         self._failure_domain = failure_domain
         self._rng = rng
+        self._placing = policy
 
     def _engine_loads(self, live: LiveRun, excluded: set[str]) -> list[EngineLoad]:
         engine = live.engine
@@ -91,7 +95,7 @@
         demand = self._demand(live)
         while True:
             loads = self._engine_loads(live, excluded)
-            load = placing.choose_engine(loads, demand, self._rng)
+            load = self._placing.choose(loads, demand, self._rng)
             if load is not None:
                 ex.observe("relay_wait")
                 self._note_place(live, load.reg, loads, demand)
@@ -163,5 +167,5 @@
             far_cost=placing.FAR_MOVE_COST,
         )
         loads = self._engine_loads(live, excluded)
-        target = placing.choose_engine(loads, demand, self._rng)
+        target = self._placing.choose(loads, demand, self._rng)
         return target.reg if target is not None else None
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -29,6 +29,7 @@
 from ..policies.engineloads import EngineLoads
 from ..policies.freshness import Freshness
 from ..policies.paces import Paces
+from ..policies.placing import CheapestPlacing, Placing
 from ..policies.retrybudget import RetryBudget
 from ..rowsource import Row, RowSource
 from ..types import Address
@@ -93,6 +94,8 @@
         The platform's tables; the store that the settings name by default.
     clock : Clock or None
         Its clocks; the machine's by default.
+    placing : Placing or None
+        Decides which engine a generation goes to; by cost by default.
     """
 
     def __init__(
@@ -103,9 +106,11 @@
         rng: random.Random | None = None,
         store: RowSource | None = None,
         clock: Clock | None = None,
+        placing: Placing | None = None,
     ) -> None:
         self.cfg = cfg
         self._store = store
+        self._placing = placing or CheapestPlacing()
         self._network = network or SystemNetwork()
         self._rng = rng or random.Random()
         self._clock = clock or SystemClock()
@@ -269,6 +274,7 @@
             paces=self._paces,
             failure_domain=cfg.failure_domain,
             rng=self._rng,
+            policy=self._placing,
         )
         opener = EngineOpener(client=self.endpoints)
         departures = Departures(
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from celerytrail.http.messages import Request
+from celerytrail.http.network import Network
 from celerytrail.http.server import Handler, HttpServer, Responder
 from celerytrail.types import Address
 
@@ -34,15 +35,21 @@
 
 
 class RowStore(Handler):
-    """Holds rows and objects in memory and answers the calls of the protocol."""
+    """Holds rows and objects in memory and answers the calls of the protocol.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    network : Network or None
+        What carries its connections; the machine's own by default.
+    """
+
+    def __init__(self, *, network: Network | None = None) -> None:
         self.faults = StoreFaults()
         self.n_calls = 0
         self.rows = RowTable()
         self.objects: dict[str, bytes] = {}
         self._changed = asyncio.Event()
-        self._server = HttpServer(handler=self)
+        self._server = HttpServer(handler=self, network=network)
 
     async def start(self) -> Address:
         """Listen on a free port of the loopback address."""
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from celerytrail.http.messages import Request
+from celerytrail.http.network import Network
 from celerytrail.http.server import Handler, HttpServer, Responder
 from celerytrail.types import Address
 
@@ -48,15 +49,17 @@
     ----------
     worker_id : str
         Its id; a request that means another one is refused.
+    network : Network or None
+        What carries its connections; the machine's own by default.
     """
 
-    def __init__(self, *, worker_id: str) -> None:
+    def __init__(self, *, worker_id: str, network: Network | None = None) -> None:
         self.worker_id = worker_id
         self.faults = WorkerFaults()
         self.seen: list[Seen] = []
         self.ran: list[str] = []
         self.address = Address(host="127.0.0.1", port=1)
-        self._server = HttpServer(handler=self)
+        self._server = HttpServer(handler=self, network=network)
 
     async def start(self) -> Address:
         """Listen on a free port of the loopback address."""
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -26,6 +26,7 @@
     can_move=True,
     can_back_up=True,
 )
+CHEAPEST = placing.CheapestPlacing()
 
 
 def registration(endpoint: str, **more: object) -> Registration:
@@ -88,7 +89,7 @@
         placed: dict[str, list[Run]] = {f"e{n}": [] for n in range(6)}
         for number in range(12):
             loads = [load(name, *runs) for name, runs in placed.items()]
-            chosen = placing.choose_engine(loads, DEMAND, rng)
+            chosen = CHEAPEST.choose(loads, DEMAND, rng)
             assert chosen is not None
             name = chosen.reg.endpoint
             placed[name].append(draft(f"r{number}", name, is_reading=True))
@@ -103,7 +104,7 @@
         placed["new"] = []
         for number in range(6):
             loads = [load(name, *runs) for name, runs in placed.items()]
-            chosen = placing.choose_engine(loads, DEMAND, rng)
+            chosen = CHEAPEST.choose(loads, DEMAND, rng)
             assert chosen is not None
             name = chosen.reg.endpoint
             placed[name].append(draft(f"r{number}", name, is_reading=True))
@@ -113,7 +114,7 @@
         # Placed all the same, the newest run would be preempted in the middle of its
         # stream, and its caller would see it stand still while its prompt is read anew.
         full = load("e1", *(draft(f"r{n}") for n in range(8)))
-        assert placing.choose_engine([full], DEMAND, random.Random(1)) is None
+        assert CHEAPEST.choose([full], DEMAND, random.Random(1)) is None
 
     def test_a_run_off_a_leaving_engine_may_fill_what_new_ones_may_not(self):
         nearly = load("e1", *(draft(f"r{n}", n_made_tokens=400) for n in range(7)))
@@ -171,7 +172,7 @@
         ]
         asked = draft("q", "e3", n_prompt_tokens=2_550, n_expected_tokens=16)
         quiet = load("e3", replace(asked, is_reading=True), draft("x3"))
-        chosen = placing.choose_engine([*drafting, quiet], question, random.Random(1))
+        chosen = CHEAPEST.choose([*drafting, quiet], question, random.Random(1))
         assert chosen is not None and chosen.reg.endpoint == "e3"
 
     def test_long_outputs_go_to_fast_engines_and_short_ones_anywhere(self):
@@ -179,10 +180,10 @@
         # tokens placed there takes four seconds longer, and is lost more often.
         slow = replace(load("slow"), token_seconds=0.015)
         fast = replace(load("fast", draft("r1"), draft("r2")), token_seconds=0.010)
-        chosen = placing.choose_engine([slow, fast], DEMAND, random.Random(1))
+        chosen = CHEAPEST.choose([slow, fast], DEMAND, random.Random(1))
         assert chosen is not None and chosen.reg.endpoint == "fast"
         short = replace(DEMAND, n_remaining_tokens=15)
-        chosen = placing.choose_engine([slow, fast], short, random.Random(1))
+        chosen = CHEAPEST.choose([slow, fast], short, random.Random(1))
         assert chosen is not None and chosen.reg.endpoint == "slow"
 
 
