Count every pause between events and the time of each store call

Cause: docs/OPERATIONS.md named two histograms as missing; who asks why answers were late had only the longest pause of whole streams. Change: TimeCounts collects pauses in plain numbers, for both daemons, and hands them over once a stream; the platform's client observes each call with its retries.

--- a/celerytrail/engines/counters.py
+++ b/celerytrail/engines/counters.py
@@ -6,10 +6,9 @@
 
 from __future__ import annotations
 
-from bisect import bisect_left
 from collections import Counter
 
-from ..metrics import TIME_BUCKETS, Metrics
+from ..metrics import Metrics, TimeCounts
 
 
 class StreamCounters:
@@ -22,15 +21,12 @@
         self.stall_seconds = 0.0
         self.resumes: Counter[str] = Counter()
         self.bad_replies: Counter[str] = Counter()
-        self.n_gaps = [0] * (len(TIME_BUCKETS) + 1)
-        self.gap_seconds = 0.0
+        self.gaps = TimeCounts()
 
     def note_tokens(self, n_tokens: int, gap: float) -> None:
         """Note tokens that came together, ``gap`` seconds after those before."""
         self.n_tokens += n_tokens
-        self.gap_seconds += gap
-        self.n_gaps[bisect_left(TIME_BUCKETS, gap)] += 1
-        self.n_gaps[0] += n_tokens - 1
+        self.gaps.add(gap, n_tokens)
 
     def flush(self, metrics: Metrics) -> None:
         """Hand everything to the metrics and begin anew."""
@@ -46,6 +42,6 @@
             metrics.count("bad_input", n, peer="engine", problem=problem)
         if self.n_repeats:
             metrics.count("bad_input", self.n_repeats, peer="engine", problem="repeat")
-        if any(self.n_gaps):
-            metrics.observe_many("between_tokens", self.n_gaps, self.gap_seconds)
+        if not self.gaps.is_empty:
+            metrics.observe_many("between_tokens", self.gaps)
         self.__init__()  # type: ignore[misc]
--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
+
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 from aioprometheus.histogram import Histogram as Aggregate
 
@@ -14,6 +16,25 @@
 Labels = dict[str, str]
 
 
+class TimeCounts:
+    """Times counted in plain numbers, to be handed to a histogram in one step."""
+
+    def __init__(self) -> None:
+        self.n_by_bucket = [0] * (len(TIME_BUCKETS) + 1)
+        self.seconds = 0.0
+
+    def add(self, seconds: float, n: int = 1) -> None:
+        """Count a time; of ``n`` that came together all but one took none."""
+        self.seconds += seconds
+        self.n_by_bucket[bisect_left(TIME_BUCKETS, seconds)] += 1
+        self.n_by_bucket[0] += n - 1
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether nothing was counted."""
+        return not any(self.n_by_bucket)
+
+
 class Metrics:
     """The metrics of one process.
 
@@ -60,10 +81,8 @@
         """Add to a histogram of seconds, ``celerytrail_NAME_seconds``."""
         self._histogram(name).observe(labels, seconds)
 
-    def observe_many(
-        self, name: str, n_by_bucket: list[int], seconds: float, **labels: str
-    ) -> None:
-        """Add what was counted by `TIME_BUCKETS`, the last being all above them."""
+    def observe_many(self, name: str, counts: TimeCounts, **labels: str) -> None:
+        """Add what was counted before."""
         histogram = self._histogram(name)
         try:
             series = histogram.get_value(labels)
@@ -72,11 +91,11 @@
             histogram.set_value(labels, series)
         # The library's buckets are cumulative and take no observation with a weight.
         n_so_far = 0
-        for bound, n in zip(series.buckets, n_by_bucket, strict=True):
+        for bound, n in zip(series.buckets, counts.n_by_bucket, strict=True):
             n_so_far += n
             series.buckets[bound] += n_so_far
         series.observations += n_so_far
-        series.sum += seconds
+        series.sum += counts.seconds
 
     def _histogram(self, name: str) -> Histogram:
         histogram = self._histograms.get(name)
@@ -127,6 +146,8 @@
     "first_token": "Time from request to first token.",
     "between_tokens": "Time between two tokens of a stream.",
     "relay_wait": "Time from a request's arrival until an engine was chosen for it.",
+    "relay_between_events": "Time between two events of a generation's stream.",
+    "platform_call": "Time of a call to the platform, with its retries, by kind.",
     "relay_longest_pause": "The longest pause between two events of a whole stream.",
     "relay_first_event": "Time from a request's arrival to its first event.",
     "relay_answer": "Time from a request's arrival to the end of its answer.",
--- a/celerytrail/platform/client.py
+++ b/celerytrail/platform/client.py
@@ -189,6 +189,25 @@
         is_repeatable: bool,
     ) -> Result[Response, Unavailable | InDoubt]:
         """Make an exchange, with retries as far as they are safe and in budget."""
+        began_at = self._clock.monotonic()
+        made = await self._exchange(
+            kind, method, path, body, deadline, is_repeatable=is_repeatable
+        )
+        if self._metrics is not None:
+            seconds = self._clock.monotonic() - began_at
+            self._metrics.observe("platform_call", seconds, kind=kind)
+        return made
+
+    async def _exchange(
+        self,
+        kind: str,
+        method: str,
+        path: str,
+        body: bytes,
+        deadline: float,
+        *,
+        is_repeatable: bool,
+    ) -> Result[Response, Unavailable | InDoubt]:
         if self._n_waiting >= self._most_waiting:
             return self._end(kind, Err(Unavailable(reason="queue_full")))
         self._n_waiting += 1
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -95,6 +95,10 @@
             ex.log("caller_lost", problem=str(exc), n_events=live.n_events)
         finally:
             self._live.discard(live)
+            if not live.pauses.is_empty:
+                ex.metrics.observe_many(
+                    "relay_between_events", live.pauses, route=ex.route.name
+                )
             if live.stream is not None:
                 live.stream.close()
             self._departures.drop_move(live)
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from ..http.client import Stream
+from ..metrics import TimeCounts
 from ..model import EngineFacts, Registration
 from ..policies.engineloads import Run
 from .exchange import Exchange
@@ -81,12 +82,15 @@
         self._first_event_at = 0.0
         self._last_event_at = 0.0
         self.longest_pause = 0.0
+        self.pauses = TimeCounts()
 
     def note_event(self) -> None:
         """Note that an event came."""
         now = asyncio.get_running_loop().time()
         if self.n_events:
-            self.longest_pause = max(self.longest_pause, now - self._last_event_at)
+            pause = now - self._last_event_at
+            self.longest_pause = max(self.longest_pause, pause)
+            self.pauses.add(pause)
         if not self.started.is_set():
             self._first_event_at = now
             self.started.set()
--- a/tests/test_relay_node.py
+++ b/tests/test_relay_node.py
@@ -456,6 +456,8 @@
         assert "celerytrail_relay_answer_seconds" in text
         assert 'relay_wait_seconds_count{process="vm-1",route="draft"} 1' in text
         assert "celerytrail_relay_longest_pause_seconds" in text
+        assert "celerytrail_relay_between_events_seconds" in text
+        assert "celerytrail_platform_call_seconds" in text
         assert 'celerytrail_platform_calls_total{kind="read",outcome="answered"' in text
         assert "celerytrail_configuration_version" in text
 
