--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -42,11 +42,17 @@
         The policy that places; the product's own by default.
     can_move, can_back_up : bool
         Whether engines allow runs to be moved, and copied as they grow.
+    dropped_share : float
+        Share of the nodes' datagrams that are lost.
+    frozen : tuple of (str, float, float) or None
+        A node that stands still, from when on and for how many seconds.
     """
 
     placing: Placing | None = None
     can_move: bool = True
     can_back_up: bool = True
+    dropped_share: float = 0.0
+    frozen: tuple[str, float, float] | None = None
 
 
 @dataclass(kw_only=True)
@@ -100,12 +106,16 @@
         await asyncio.sleep(WARM_UP_SECONDS)
         if not all(node.is_ready for node in self._nodes):
             raise RuntimeError("not all nodes are ready")
-        reclaiming = asyncio.ensure_future(self._reclaim())
+        troubles = [asyncio.ensure_future(self._reclaim())]
+        self._wires.dropped_share = self._variation.dropped_share
+        if self._variation.frozen is not None:
+            troubles.append(asyncio.ensure_future(self._freeze()))
         coming = arrivals(self._load, self._spec.n_event_tokens, self._seed)
         started_at = asyncio.get_running_loop().time()
         asked = [self._ask(arrival, started_at) for arrival in coming]
         self.result.endings = list(await asyncio.gather(*asked))
-        reclaiming.cancel()
+        for trouble in troubles:
+            trouble.cancel()
         self._sum_up()
         for node in self._nodes:
             await node.close()
@@ -236,6 +246,15 @@
             ]
             asyncio.ensure_future(self._take_away(self._rng.choice(ready)))
 
+    async def _freeze(self) -> None:
+        """Let a node stand still for a while; nothing reaches it or comes from it."""
+        assert self._variation.frozen is not None
+        name, at, seconds = self._variation.frozen
+        await asyncio.sleep(at)
+        self._wires.freeze(name)
+        await asyncio.sleep(seconds)
+        self._wires.thaw(name)
+
     async def _take_away(self, engine: ModelWorker) -> None:
         fleet = self._load.engines
         notice = self._rng.uniform(*fleet.notice)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from bench.fleet import FleetResult, play
+from bench.fleet import FleetResult, Variation, play
 from bench.fleetcompare import LOADS, Measures, summarise, table
 from bench.fleetload import Burst, FleetLoad, arrivals, read_load
 from bench.fleetplacing import VARIATIONS
@@ -77,6 +77,31 @@
         assert shipped.first_p95 < 1.8
 
 
+class TestNews:
+    def test_drafts_are_saved_though_a_third_of_all_news_is_lost(self):
+        """Nodes tell each other of their runs by datagrams, of which a crowded link
+        loses some. With a wrong picture of who is where, two nodes could move their
+        drafts at once, or none; their callers would see them break off.
+        """
+        load = short_load("office-thin")
+        lossy = play(load, Variation(dropped_share=0.33), SEED)
+        found = summarise("office-thin", "lossy", SEED, lossy)
+        assert found.n_wrong == 0
+        assert found.n_lost <= measures("office-thin", "no moves").n_lost / 3
+
+    def test_a_node_that_stands_still_spoils_no_answer(self):
+        """A VM freezes for three seconds while its drafts run on, and one of their
+        engines may leave meanwhile. What it passes on after it wakes must still be
+        whole, each event once; the other nodes' callers notice nothing.
+        """
+        load = short_load("office-thin")
+        frozen = play(load, Variation(frozen=("vm-1", 8.0, 3.0)), SEED)
+        found = summarise("office-thin", "frozen", SEED, frozen)
+        assert found.n_wrong == 0
+        assert found.n_lost <= 6
+        assert found.worth > measures("office-thin", "no moves").worth
+
+
 class TestOverload:
     """For fourteen seconds four times as many drafts come. Engines can neither read
     their prompts in time nor hold them all.
