--- a/Makefile
+++ b/Makefile
@@ -56,8 +56,11 @@
 bench-membership: install  ## Measure how nodes notice and tell (SCALE=0.3 for a short run).
 	$(PY) -m bench.membership --scale $(SCALE)
 
+bench-fleet: install  ## Play whole fleets in virtual time, policies side by side.
+	$(PY) -m bench.fleetcompare office-thin crashes
+
 bench-relay: install  ## Measure what a relayed token costs, next to h11's floor.
 	$(PY) -m bench.relay
 
 .PHONY: help install test demo run scenarios fuzz fuzz-relay format check
-.PHONY: bench bench-quick bench-capacity bench-membership bench-relay
+.PHONY: bench bench-quick bench-capacity bench-membership bench-fleet bench-relay
