Ask engines whether they leave while no node serves; charge no try to dead endpoints

(2) A crashed engine's row stands for 3 s; every node tried it first (16 to 24 refused connections), each counted as a try and as a retry: three such engines had drafts refused (engines_refused) with others free. Ruled out: late news of the leaving (no node logged any), lost datagrams. Change: Nodes.running(); refused connections cost neither a try nor budget, and such an engine is avoided for 2 s.

--- a/celerytrail/nodes/nodes.py
+++ b/celerytrail/nodes/nodes.py
@@ -202,6 +202,19 @@
             self._live[region] = found
         return found
 
+    def running(self) -> tuple[Member, ...]:
+        """Return the members that run, by name, also those that serve nobody now.
+
+        While the store is away for long, all nodes are out of service, and yet go on
+        hearing one another and carrying what they have.
+        """
+        found = (
+            member
+            for member in self._membership.members()
+            if member.state in (State.ALIVE, State.LEAVING)
+        )
+        return tuple(sorted(found, key=lambda member: member.node))
+
     def leaving_endpoints(self) -> dict[str, float]:
         """Return the leaving endpoints and when each leaves, in wall seconds."""
         return self._membership.endpoints
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -36,9 +36,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NotRunThere:
-    """The endpoint certainly has not run the request."""
+    """The endpoint has not run the request; ``was_sent`` tells whether it saw it."""
 
     reason: str
+    was_sent: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -120,8 +121,9 @@
         """Send a request that must not run twice, until one endpoint takes it."""
         tried: set[str] = set()
         outcome: Outcome = NotRunThere(reason="no_endpoint")
+        n_sent = 0
         while len(tried) < MAX_NOT_RUN:
-            reg = self._next(ex, tried)
+            reg = self._next(ex, tried, is_repeat=n_sent > 0)
             if reg is None:
                 break
             tried.add(reg.endpoint)
@@ -130,6 +132,7 @@
             # of which no byte went out, allows another one to be asked.
             if not isinstance(outcome, NotRunThere):
                 break
+            n_sent += outcome.was_sent
         return outcome
 
     async def _ask_repeatedly(self, ex: Exchange) -> Outcome:
@@ -137,12 +140,14 @@
         tried: set[str] = set()
         pending: set[asyncio.Task[Outcome]] = set()
         worst: Outcome = NotRunThere(reason="no_endpoint")
-        n_run = 0
+        n_run = n_sent = 0
         try:
             while True:
                 if not pending:
-                    reg = self._next(ex, tried) if len(tried) < MAX_NOT_RUN else None
-                    if reg is None or n_run >= ex.route.max_attempts:
+                    if len(tried) >= MAX_NOT_RUN or n_run >= ex.route.max_attempts:
+                        return worst
+                    reg = self._next(ex, tried, is_repeat=n_sent > 0)
+                    if reg is None:
                         return worst
                     tried.add(reg.endpoint)
                     pending.add(asyncio.ensure_future(self._attempt(ex, reg)))
@@ -154,7 +159,7 @@
                     pending, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
                 )
                 if not done:
-                    reg = self._next(ex, tried)
+                    reg = self._next(ex, tried, is_repeat=True)
                     if reg is None:
                         done, _ = await asyncio.wait(
                             pending, return_when=asyncio.FIRST_COMPLETED
@@ -170,18 +175,27 @@
                         return outcome
                     if not isinstance(outcome, NotRunThere):
                         n_run += 1
+                    if not isinstance(outcome, NotRunThere) or outcome.was_sent:
+                        n_sent += 1
                     worst = _better(worst, outcome)
         finally:
             for task in pending:
                 task.cancel()
 
-    def _next(self, ex: Exchange, tried: set[str]) -> Registration | None:
-        """Return where to send a request next, within the budget for repeats."""
+    def _next(
+        self, ex: Exchange, tried: set[str], *, is_repeat: bool
+    ) -> Registration | None:
+        """Return where to send a request next, within the budget for repeats.
+
+        The budget bounds what endpoints get to see. A connection that was refused
+        showed the endpoint nothing; charged for it, callers would be refused for want
+        of budget while a crashed endpoint's row still stands.
+        """
         now = asyncio.get_running_loop().time()
         reg = self._choice.choose(self._registry.usable(ex.service), tried, now)
         if reg is None:
             return None
-        if tried and not self._budget.take(ex.service, now):
+        if is_repeat and not self._budget.take(ex.service, now):
             ex.log("retry_denied")
             return None
         return reg
@@ -239,7 +253,7 @@
             return Broken(reason=lost.reason)
         if wire.is_not_run(stream.status, stream.headers):
             ex.log("attempt_refused", endpoint=reg.endpoint, status=stream.status)
-            return NotRunThere(reason="endpoint_refused")
+            return NotRunThere(reason="endpoint_refused", was_sent=True)
         if not wire.is_own_answer(stream.headers):
             ex.log("attempt_failed", endpoint=reg.endpoint, reason="unsealed")
             return Broken(reason="unsealed")
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -66,7 +66,7 @@
         if wire.is_not_run(stream.status, stream.headers):
             ex.log("attempt_refused", endpoint=reg.endpoint, status=stream.status)
             await stream.read(ex.loop_deadline)
-            return Err(Refused(reason="engine_refused"))
+            return Err(Refused(reason="engine_refused", was_sent=True))
         live.n_runs += 1
         ex.log(
             "placed",
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -20,6 +20,9 @@
 WAIT_SHARE = 0.5
 # Between two looks for room, in seconds.
 LOOK_SECONDS = 0.02
+# How long an engine is avoided that no connection could be made to, in seconds: a
+# crashed one's row is gone after three of its heartbeats, some 3.6 s.
+AVOID_SECONDS = 2.0
 
 
 class EnginePlacer:
@@ -65,6 +68,34 @@
         self._rng = rng
         self._placing = policy
         self._rates = rates
+        # Engines that no connection could be made to, and until when they are avoided.
+        self._avoid_until: dict[str, float] = {}
+
+    def note_unreachable(self, reg: Registration) -> None:
+        """Avoid an engine for a while that no connection could be made to."""
+        now = asyncio.get_running_loop().time()
+        self._avoid_until = {
+            endpoint: until
+            for endpoint, until in self._avoid_until.items()
+            if until > now
+        }
+        self._avoid_until[reg.endpoint] = now + AVOID_SECONDS
+
+    def _usable(self, service: str, excluded: set[str]) -> list[Registration]:
+        """Return the engines to choose from; avoided ones only if there are no others.
+
+        A silent engine costs each request that tries it a quarter of a second.
+        """
+        now = asyncio.get_running_loop().time()
+        usable = [
+            reg
+            for reg in self._registry.usable(service)
+            if reg.endpoint not in excluded
+        ]
+        reachable = [
+            reg for reg in usable if self._avoid_until.get(reg.endpoint, 0.0) <= now
+        ]
+        return reachable or usable
 
     def _engine_loads(self, live: LiveRun, excluded: set[str]) -> list[EngineLoad]:
         engine = live.engine
@@ -74,8 +105,7 @@
                 n_slots=engine.n_slots,
                 n_memory_tokens=engine.n_memory_tokens,
             )
-            for reg in self._registry.usable(live.ex.service)
-            if reg.endpoint not in excluded
+            for reg in self._usable(live.ex.service, excluded)
         ]
         return [
             replace(load, token_seconds=self._paces.token_seconds(load.reg.endpoint))
--- a/celerytrail/relay/enginewatch.py
+++ b/celerytrail/relay/enginewatch.py
@@ -30,6 +30,9 @@
     store is away only the report is left, and it is read more often. One node asks each
     engine and tells the others, so that the questions don't grow with the nodes.
 
+    Nodes that are out of service ask as well: in a long outage of the store all of them
+    are, and an engine that nobody asks takes its drafts with it when it goes.
+
     Parameters
     ----------
     api : EngineApi
@@ -79,7 +82,7 @@
             await asyncio.sleep(UNSURE_REPORT_SECONDS if is_unsure else REPORT_SECONDS)
 
     def _own(self) -> list[Registration]:
-        names = [member.node for member in self._nodes.live()]
+        names = [member.node for member in self._nodes.running()]
         me = self._nodes.me.node
         return [
             reg
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -24,6 +24,8 @@
 
 # How many engines are asked that refuse before the caller is told to come back.
 MAX_REFUSED = 3
+# What the client says of an endpoint that no connection could be made to.
+UNREACHABLE = ("connect_refused", "connect_timeout")
 # When to come back after engines were full, in seconds: about as long as a short
 # answer takes to free its place.
 FULL_RETRY_SECONDS = 0.7
@@ -157,22 +159,37 @@
         await refuse(ex.res, status, end.reason, attempt_id=attempt)
 
     async def _start(self, live: LiveRun) -> Result[Stream, Refused | Failed]:
-        """Find an engine that takes the generation."""
+        """Find an engine that takes the generation.
+
+        A crashed engine's row stays for seconds, and to every node it looks the
+        emptiest. Were its refused connections counted as tries, three such engines
+        would have a draft refused while others are free.
+        """
         ex = live.ex
         excluded: set[str] = set()
-        for number in range(MAX_REFUSED):
+        n_sent = n_tries = 0
+        while n_tries < MAX_REFUSED:
             reg = await self._placer.place(live, excluded)
             if reg is None:
                 return Err(Refused(reason="no_room"))
             now = asyncio.get_running_loop().time()
-            if number and not self._budget.take(ex.service, now):
+            if n_sent and not self._budget.take(ex.service, now):
                 return Err(Refused(reason="retry_denied"))
             opened = await self._opener.open(live, reg, live.backup)
             if isinstance(opened, Ok):
                 return opened
             if isinstance(opened.err_value, Failed):
                 return await self._start_again(live, opened.err_value)
+            refused = opened.err_value
+            if not refused.was_sent and refused.reason not in UNREACHABLE:
+                return Err(refused)
             excluded.add(reg.endpoint)
+            if refused.was_sent:
+                n_sent += 1
+            else:
+                self._placer.note_unreachable(reg)
+            if refused.reason != "connect_refused":
+                n_tries += 1
         return Err(Refused(reason="engines_refused"))
 
     async def _start_again(
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -30,9 +30,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Refused:
-    """No engine has run it, and none will."""
+    """An engine has not run it; ``was_sent`` says whether it got to see the request."""
 
     reason: str
+    was_sent: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -472,7 +472,7 @@
     def _heard_share(self) -> float:
         """Return the share of all VMs whose nodes this one hears of."""
         known = {member.vm for member in self.nodes.members()}
-        live = {member.vm for member in self.nodes.live()} | {self.cfg.node}
+        live = {member.vm for member in self.nodes.running()} | {self.cfg.node}
         return len(live) / max(1, len(known))
 
     def _note_retried(self, service: str) -> None:
--- a/tests/relayrig.py
+++ b/tests/relayrig.py
@@ -177,6 +177,12 @@
         assert res.headers.get("x-attempt-id") == headers["x-attempt-id"]
         return res
 
+    async def metrics(self, node: RelayNode) -> str:
+        """Return what a node shows of its metrics."""
+        assert node.cfg.peers is not None
+        answered = await self.client.request(node.cfg.peers, "GET", "/metrics")
+        return answered.unwrap().body.decode()
+
 
 async def until(is_so, *, seconds: float = PATIENCE_SECONDS) -> None:
     """Wait until something is so."""
--- a/tests/test_relay_node.py
+++ b/tests/test_relay_node.py
@@ -13,7 +13,7 @@
 from celerytrail.policies.endpointchoice import TELL_SECONDS
 from celerytrail.relay.handler import ELSEWHERE_SECONDS, OUTAGE_SECONDS
 from celerytrail.rowsource import RowSource, StoreUnavailable
-from standins.worker import WorkerFaults
+from standins.worker import EngineWorker, WorkerFaults
 from tests.relayrig import (
     HOST,
     KEY,
@@ -447,10 +447,7 @@
         await until(lambda: engine.running)
         await engine.tick(6)
         await drafted
-        answered = await HttpClient(id_header=None).request(
-            node.cfg.peers, "GET", "/metrics"
-        )
-        text = answered.unwrap().body.decode()
+        text = await rig.metrics(node)
         assert 'cause="200",event="answered"' in text
         assert 'cause="unknown_key",event="refused"' in text
         assert "celerytrail_relay_answer_seconds" in text
@@ -532,6 +529,75 @@
         await until(lambda: two.loads.on_engine("e1") == [])
 
 
+class TestCrashedButListed:
+    """Endpoints crash; their rows stand for some seconds more, and to each node they
+    look the emptiest of all, so that every request is sent there first.
+    """
+
+    @staticmethod
+    async def draft(rig: Rig, engine: EngineWorker, path: str) -> None:
+        asked = asyncio.ensure_future(rig.ask(path))
+        await until(lambda: engine.running or asked.done())
+        await engine.tick(6)
+        assert events_of((await asked).body) == whole_stream(6)
+
+    async def test_a_draft_finds_the_engine_that_lives(self, rig):
+        crashed = [await rig.add_engine(f"e{number}") for number in range(5)]
+        for engine in crashed:
+            await engine.close()
+        alive = await rig.add_engine("alive")
+        await rig.add_node(retry_slack=0.0)
+        await self.draft(rig, alive, "/draft/1")
+
+    async def test_the_next_draft_does_not_try_them_again(self, rig):
+        engines = [await rig.add_engine(f"e{number}") for number in range(2)]
+        await engines[0].close()
+        node = await rig.add_node(retry_slack=0.0)
+        for number in range(3):
+            await self.draft(rig, engines[1], f"/draft/{number}")
+        text = await rig.metrics(node)
+        tried = 'cause="connect_refused",event="attempt_failed"'
+        lines = [line for line in text.splitlines() if tried in line]
+        assert not lines or lines[0].endswith(" 1")
+
+    async def test_a_filing_needs_no_retry_budget_for_them(self, rig):
+        crashed = [await rig.add_desk(f"d{number}") for number in range(2)]
+        for desk in crashed:
+            await desk.close()
+        await rig.add_desk("alive")
+        await rig.add_node(retry_slack=0.0)
+        for path in ("/file/1", "/look/1"):
+            assert (await rig.ask(path)).status == 200
+
+
+class TestLongOutageOfTheStore:
+    """The store is away for so long that all nodes are out of service. They still run,
+    hear one another, and have drafts under way.
+    """
+
+    async def test_an_engine_that_leaves_is_heard_all_the_same(self, rig):
+        # Only its own report says that it leaves. Were nobody to ask for it, its
+        # drafts would end with it.
+        engine = await rig.add_engine("e1")
+        node = await rig.add_node(revoke_seconds=1.0)
+        await until(lambda: node.registry.usable("models"))
+        rig.store.faults.is_silent = True
+        await until(lambda: not node.is_ready)
+        await until(lambda: not node.nodes.live())
+        engine.leaves_ms = 1_500.0
+        await until(lambda: not node.registry.usable("models"))
+
+    async def test_nodes_still_count_as_heard(self, rig):
+        # The retry budget is shared among those that hear one another. Taken for lost,
+        # they would leave one node's part to all, and callers without a second try.
+        one = await rig.add_node("vm-1", revoke_seconds=1.0)
+        two = await rig.add_node("vm-2", revoke_seconds=1.0)
+        await until(lambda: len(one.nodes.live()) == len(two.nodes.live()) == 2)
+        rig.store.faults.is_silent = True
+        await until(lambda: not one.nodes.live())
+        assert one._heard_share() == 1.0
+
+
 class TurnedAway(RowSource):
     """A store that refuses this node."""
 
