Split the tries of repeatable requests into steps with a name each

Cause: one method of 45 lines began, awaited and counted tries, with two loops' exits in it. Change: _Tries, _begin and _wait; behaviour as before, but that a third endpoint is no longer asked beside two that are pending.

--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from result import Err
 
@@ -52,6 +52,28 @@
 Outcome = Answered | NotRunThere | Broken
 
 
+@dataclass(kw_only=True, slots=True)
+class _Tries:
+    """The tries of one request that may run again.
+
+    ``tried`` are endpoints, ``n_run`` counts tries that may have run there, ``n_sent``
+    those that an endpoint got to see.
+    """
+
+    tried: set[str] = field(default_factory=set)
+    pending: set[asyncio.Task[Outcome]] = field(default_factory=set)
+    n_run: int = 0
+    n_sent: int = 0
+
+    def note(self, outcome: Outcome) -> None:
+        """Note how a try ended."""
+        if not isinstance(outcome, NotRunThere):
+            self.n_run += 1
+            self.n_sent += 1
+        elif outcome.was_sent:
+            self.n_sent += 1
+
+
 class PlainCalls:
     """Relays requests to plain endpoints.
 
@@ -137,51 +159,52 @@
 
     async def _ask_repeatedly(self, ex: Exchange) -> Outcome:
         """Send a request that may run again; a slow or failed try gets a second one."""
-        tried: set[str] = set()
-        pending: set[asyncio.Task[Outcome]] = set()
+        tries = _Tries()
         worst: Outcome = NotRunThere(reason="no_endpoint")
-        n_run = n_sent = 0
         try:
-            while True:
-                if not pending:
-                    if len(tried) >= MAX_NOT_RUN or n_run >= ex.route.max_attempts:
-                        return worst
-                    reg = self._next(ex, tried, is_repeat=n_sent > 0)
-                    if reg is None:
-                        return worst
-                    tried.add(reg.endpoint)
-                    pending.add(asyncio.ensure_future(self._attempt(ex, reg)))
-                timeout = None
-                can_hedge = n_run + len(pending) < ex.route.max_attempts
-                if can_hedge:
-                    timeout = HEDGE_SHARE * ex.route.target_seconds
-                done, _ = await asyncio.wait(
-                    pending, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
-                )
-                if not done:
-                    reg = self._next(ex, tried, is_repeat=True)
-                    if reg is None:
-                        done, _ = await asyncio.wait(
-                            pending, return_when=asyncio.FIRST_COMPLETED
-                        )
-                    else:
-                        tried.add(reg.endpoint)
-                        pending.add(asyncio.ensure_future(self._attempt(ex, reg)))
-                        continue
-                for task in done:
-                    pending.discard(task)
+            while tries.pending or self._begin(ex, tries):
+                for task in await self._wait(ex, tries):
+                    tries.pending.discard(task)
                     outcome = task.result()
                     if isinstance(outcome, Answered) and outcome.res.status < 500:
                         return outcome
-                    if not isinstance(outcome, NotRunThere):
-                        n_run += 1
-                    if not isinstance(outcome, NotRunThere) or outcome.was_sent:
-                        n_sent += 1
+                    tries.note(outcome)
                     worst = _better(worst, outcome)
+            return worst
         finally:
-            for task in pending:
+            for task in tries.pending:
                 task.cancel()
 
+    def _begin(self, ex: Exchange, tries: _Tries) -> bool:
+        """Begin one more try, where one is allowed and there is an endpoint for it."""
+        n_attempts = tries.n_run + len(tries.pending)
+        if len(tries.tried) >= MAX_NOT_RUN or n_attempts >= ex.route.max_attempts:
+            return False
+        is_repeat = tries.n_sent > 0 or bool(tries.pending)
+        reg = self._next(ex, tries.tried, is_repeat=is_repeat)
+        if reg is None:
+            return False
+        tries.tried.add(reg.endpoint)
+        tries.pending.add(asyncio.ensure_future(self._attempt(ex, reg)))
+        return True
+
+    async def _wait(self, ex: Exchange, tries: _Tries) -> set[asyncio.Task[Outcome]]:
+        """Wait for tries to end; one that takes long gets a second one beside it.
+
+        Returns those that ended, none where another one was begun.
+        """
+        timeout = None
+        if tries.n_run + len(tries.pending) < ex.route.max_attempts:
+            timeout = HEDGE_SHARE * ex.route.target_seconds
+        done, _ = await asyncio.wait(
+            tries.pending, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not done and not self._begin(ex, tries):
+            done, _ = await asyncio.wait(
+                tries.pending, return_when=asyncio.FIRST_COMPLETED
+            )
+        return done
+
     def _next(
         self, ex: Exchange, tried: set[str], *, is_repeat: bool
     ) -> Registration | None:
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -181,13 +181,14 @@
             if isinstance(opened.err_value, Failed):
                 return await self._start_again(live, opened.err_value)
             refused = opened.err_value
-            if not refused.was_sent and refused.reason not in UNREACHABLE:
-                return Err(refused)
             excluded.add(reg.endpoint)
             if refused.was_sent:
                 n_sent += 1
-            else:
+            elif refused.reason in UNREACHABLE:
                 self._placer.note_unreachable(reg)
+            else:
+                # The key was taken away, or the caller's time is over.
+                return Err(refused)
             if refused.reason != "connect_refused":
                 n_tries += 1
         return Err(Refused(reason="engines_refused"))
