--- a/celerytrail/policies/placing.py
+++ b/celerytrail/policies/placing.py
@@ -8,8 +8,10 @@
 from __future__ import annotations
 
 import abc
+import enum
 import math
 import random
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
@@ -144,13 +146,34 @@
     return n_reading / demand.read_rate <= demand.read_seconds
 
 
-def fits(load: EngineLoad, demand: Demand) -> bool:
-    """Return whether an engine serves a generation in time and holds it to its end."""
+class Obstacle(enum.Enum):
+    """Why an engine can't take a generation now."""
+
+    NO_SLOT = "no_slot"
+    PROMPTS_QUEUED = "prompts_queued"
+    NO_MEMORY = "no_memory"
+
+
+def find_obstacle(load: EngineLoad, demand: Demand) -> Obstacle | None:
+    """Return why an engine would not serve a generation in time and to its end."""
     if len(load.runs) >= load.n_slots:
-        return False
+        return Obstacle.NO_SLOT
     if not is_read_in_time(load, demand):
-        return False
-    return expected_share(load, demand) <= demand.memory_share
+        return Obstacle.PROMPTS_QUEUED
+    if expected_share(load, demand) > demand.memory_share:
+        return Obstacle.NO_MEMORY
+    return None
+
+
+def fits(load: EngineLoad, demand: Demand) -> bool:
+    """Return whether an engine serves a generation in time and holds it to its end."""
+    return find_obstacle(load, demand) is None
+
+
+def count_obstacles(loads: Iterable[EngineLoad], demand: Demand) -> dict[str, int]:
+    """Return on how many engines each obstacle stood in the way."""
+    found = (find_obstacle(load, demand) for load in loads)
+    return Counter(obstacle.value for obstacle in found if obstacle is not None)
 
 
 def cost(load: EngineLoad, demand: Demand) -> float:
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -140,7 +140,8 @@
                 self._note_place(live, load.reg, loads, demand)
                 return load.reg
             if loop.time() >= until:
-                ex.log("no_room", n_engines=len(loads))
+                obstacles = placing.count_obstacles(loads, demand)
+                ex.log("no_room", n_engines=len(loads), obstacles=obstacles)
                 return None
             await asyncio.sleep(LOOK_SECONDS)
 
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -618,6 +618,20 @@
         assert placing.fits(queued, moved)
 
 
+class TestObstacles:
+    def test_a_refusal_can_be_explained_by_what_stood_in_the_way(self):
+        """A caller is refused for want of room. Whether memory, slots or queued prompts
+        are short asks for different things of an operator.
+        """
+        demand = replace(DEMAND, read_seconds=0.5, read_rate=7_500.0)
+        queued = load("queued", draft("r1", is_reading=True))
+        full = load("full", *(draft(f"r{n}") for n in range(9)))
+        crowded = replace(load("crowded", draft("r1")), n_slots=1)
+        free = load("free")
+        found = placing.count_obstacles([queued, full, crowded, free], demand)
+        assert found == {"prompts_queued": 1, "no_memory": 1, "no_slot": 1}
+
+
 class TestReadRates:
     """Engines of another deployment read half as fast as is usual. Were the usual rate
     taken for theirs, prompts would wait in queues twice as long as reckoned.
