Check in whole fleets that no draft is begun twice

Cause: the fleet's result had a place for runs begun twice that nothing filled. Change: engines note which attempts they read from the start; a result names those that may not be repeated and were begun at two engines. Bench, stand-ins and tests only.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -8,9 +8,10 @@
 
 import asyncio
 import random
+from collections import Counter
 from dataclasses import dataclass, field, replace
 
-from bench.fleetcallers import Caller, Ending
+from bench.fleetcallers import Caller, Ending, arrival_number
 from bench.fleetload import Arrival, FleetLoad, arrivals
 from celerytrail.clock import LoopClock
 from celerytrail.platform.nodefile import RelaySettings
@@ -57,7 +58,19 @@
 
 @dataclass(kw_only=True)
 class FleetResult:
-    """What a play gave."""
+    """What a play gave.
+
+    Parameters
+    ----------
+    endings : list of Ending
+        What became of each request.
+    n_read, n_read_again, n_preempted : int
+        Prompt tokens read, those read again after a preemption, and preemptions.
+    moved_bytes : float
+        Memory copied between engines.
+    twice : list of str
+        Attempts that may not be repeated and were begun at more than one engine.
+    """
 
     endings: list[Ending] = field(default_factory=list)
     n_read: int = 0
@@ -122,12 +135,24 @@
         return self.result
 
     def _sum_up(self) -> None:
+        begun: Counter[str] = Counter()
         for engine in (*self._engines.values(), *self._lost):
+            begun.update(engine.begun)
             totals = engine.model.totals
             self.result.n_read += totals.n_read
             self.result.n_read_again += totals.n_read_again
             self.result.n_preempted += totals.n_preempted
             self.result.moved_bytes += engine.link.n_bytes
+        repeatable = {
+            number
+            for number, ending in enumerate(self.result.endings)
+            if ending.kind.resumable
+        }
+        self.result.twice = [
+            attempt
+            for attempt, n_begun in begun.items()
+            if n_begun > 1 and arrival_number(attempt) not in repeatable
+        ]
 
     # What there is.
 
--- a/bench/fleetcallers.py
+++ b/bench/fleetcallers.py
@@ -46,6 +46,16 @@
     seconds: float = 0.0
 
 
+def name_attempt(arrival: int, number: int) -> str:
+    """Return the id of one attempt of a request."""
+    return f"r{arrival}t{number}"
+
+
+def arrival_number(attempt_id: str) -> int:
+    """Return which request an attempt belongs to."""
+    return int(attempt_id[1:].partition("t")[0])
+
+
 class Caller:
     """One caller with one request.
 
@@ -74,7 +84,7 @@
         self._began_at = loop.time()
         ending = self._end("failed")
         for number in range(N_TRIES):
-            attempt_id = f"r{self._arrival.number}t{number}"
+            attempt_id = name_attempt(self._arrival.number, number)
             client = HttpClient(network=self._network, id_header=None)
             ending, wait_seconds = await self._try(client, address, attempt_id)
             client.close()
--- a/standins/modelworker.py
+++ b/standins/modelworker.py
@@ -81,6 +81,8 @@
         self.link = Link()
         self.leaves_at: float | None = None
         self.is_dead = False
+        # Attempts whose prompt it read from the start, not from a copy.
+        self.begun: list[str] = []
         self._find = find
         self._streams: dict[str, _Stream] = {}
         self._copies: dict[str, _Copy] = {}
@@ -257,6 +259,8 @@
             await res.send(503, headers=headers)
             return
         self.ran.append(attempt_id)
+        if not job.is_copy:
+            self.begun.append(attempt_id)
         stream = _Stream(job=job, backup=req.headers.get("x-kv-backup"))
         self._streams[attempt_id] = stream
         self._has_work.set()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -46,6 +46,12 @@
         for policy in ("shipped", "no moves"):
             assert measures("office-thin", policy).n_wrong == 0
 
+    def test_no_draft_is_begun_twice(self):
+        """A draft may run once. Begun anew at a second engine, two contracts would be
+        drafted of one booking, and its caller could get either.
+        """
+        assert played("office-thin", "shipped").twice == []
+
     def test_worth_beats_what_ignores_memory_and_prompts(self):
         shipped = measures("office-thin", "shipped").worth
         for policy in ("round robin", "least reported"):
@@ -61,8 +67,9 @@
         shipped = sum(measures("crashes", "shipped", seed).n_lost for seed in (1, 2))
         assert shipped <= 0.75 * without
 
-    def test_no_answer_is_wrong(self):
+    def test_no_answer_is_wrong_and_no_draft_begun_twice(self):
         assert measures("crashes", "shipped").n_wrong == 0
+        assert played("crashes", "shipped").twice == []
 
 
 class TestManyNodesOneReport:
@@ -87,6 +94,7 @@
         lossy = play(load, Variation(dropped_share=0.33), SEED)
         found = summarise("office-thin", "lossy", SEED, lossy)
         assert found.n_wrong == 0
+        assert lossy.twice == []
         assert found.n_lost <= measures("office-thin", "no moves").n_lost / 3
 
     def test_a_node_that_stands_still_spoils_no_answer(self):
@@ -98,6 +106,7 @@
         frozen = play(load, Variation(frozen=("vm-1", 8.0, 3.0)), SEED)
         found = summarise("office-thin", "frozen", SEED, frozen)
         assert found.n_wrong == 0
+        assert frozen.twice == []
         assert found.n_lost <= 6
         assert found.worth > measures("office-thin", "no moves").worth
 
