Give each run of the tests loopback hosts of its own

Ruled out: a fault of the node, which never got to listen. Change: the relay's rig takes hosts by the process's id; a test holds that.

--- a/tests/relayrig.py
+++ b/tests/relayrig.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import random
 from dataclasses import dataclass, field
 
@@ -28,6 +29,16 @@
     return Address(host="127.0.0.1", port=port)
 
 
+def node_host(number: int, pid: int) -> str:
+    """Return the loopback address of a node, one that no other run of the tests has.
+
+    A free port is looked for on 127.0.0.1 only. With the same hosts in two runs beside
+    each other, a node of one could choose a port that a node of the other has.
+    """
+    high, low = divmod(pid, 250)
+    return f"127.{1 + high % 250}.{1 + low}.{10 + number}"
+
+
 def route(name: str, kind: str, service: str, **more: object) -> dict[str, object]:
     return {
         "name": name,
@@ -115,7 +126,7 @@
         self, name: str = "vm-1", store: RowSource | None = None, **more: object
     ) -> RelayNode:
         # Nodes find one another's news by one port on different addresses.
-        host = f"127.0.0.{10 + self._n_started}"
+        host = node_host(self._n_started, os.getpid())
         self._n_started += 1
         seeds = tuple(node.cfg.peers for node in self.nodes if node.cfg.peers)
         fields: dict[str, object] = {
--- a/tests/test_relay_node.py
+++ b/tests/test_relay_node.py
@@ -21,6 +21,7 @@
     config,
     error_type,
     events_of,
+    node_host,
     route,
     until,
     whole_stream,
@@ -614,6 +615,16 @@
         return Err(StoreUnavailable(reason="status 503", status=503))
 
 
+def test_two_runs_beside_each_other_share_no_address():
+    """Two runs of the tests on one machine, as when CI is tried beside load. A node
+    that found its port taken by the other run's node failed a test for no fault.
+    """
+    hosts = {
+        node_host(number, pid) for number in range(3) for pid in (700, 701, 95_000)
+    }
+    assert len(hosts) == 9
+
+
 def test_the_keys_of_the_rig_are_those_of_its_configuration():
     tenants = config()["tenants"]
     assert tenants == [{"name": "org", "api-keys": [KEY]}]
