--- a/standins/enginemodel.py
+++ b/standins/enginemodel.py
@@ -176,7 +176,8 @@
         ready = self._make_room(ready)
         n_read = self._read_chunk()
         for job in ready:
-            job.n_made += 1
+            # A run that was moved right after its last token has none left to make.
+            job.n_made = min(job.n_output, job.n_made + 1)
             if job.is_done:
                 self.running.remove(job)
                 self._keep(job)
