Carry runs off an engine that began to leave while they came

Cause: an engine that begins to leave is told to the runs that are on it then. A run on its way there from another leaving engine was told nothing, and was lost two seconds later with nobody looking. It takes two engines that leave close to each other, as where a quarter of them is taken away beside the usual ones.

Ruled out: leaving it to the copy that grows (a run that was moved has none).

Change: with each look at a run, also look whether its engine leaves. Test first: two engines leave, the second as the run comes; cut before, whole after.

--- a/celerytrail/relay/departures.py
+++ b/celerytrail/relay/departures.py
@@ -92,10 +92,16 @@
             self._leave_engine(live)
 
     def look_at(self, live: LiveRun) -> None:
-        """Begin to carry a run off an engine that sends nothing more."""
-        if live.move is not None or live.backup is None:
+        """Begin to carry a run off an engine that leaves or sends nothing more.
+
+        One that began to leave while the run was on its way there was not told of it;
+        the run would be lost with it.
+        """
+        if live.move is not None or live.reg is None or not live.started.is_set():
             return
-        if live.silent_seconds > SILENT_SECONDS:
+        if self._registry.is_leaving(live.reg):
+            self._leave_engine(live)
+        elif live.backup is not None and live.silent_seconds > SILENT_SECONDS:
             live.move = asyncio.ensure_future(self._leave_silent(live))
 
     @staticmethod
--- a/celerytrail/relay/registry.py
+++ b/celerytrail/relay/registry.py
@@ -86,6 +86,10 @@
             return False
         return not self._is_leaving(known)
 
+    def is_leaving(self, reg: Registration) -> bool:
+        """Return whether the endpoint said that it leaves, or is gone for sure."""
+        return (reg.endpoint, reg.started_at) in self._told_leaving
+
     def usable(self, service: str) -> list[Registration]:
         """Return a service's endpoints that take new work.
 
@@ -111,7 +115,7 @@
     def _is_leaving(self, reg: Registration) -> bool:
         if reg.state is EndpointState.LEAVING:
             return True
-        return (reg.endpoint, reg.started_at) in self._told_leaving
+        return self.is_leaving(reg)
 
     def _leave(self, reg: Registration) -> None:
         life = (reg.endpoint, reg.started_at)
--- a/tests/test_relay_node.py
+++ b/tests/test_relay_node.py
@@ -36,6 +36,13 @@
     await made.close()
 
 
+def without_backups() -> list[dict[str, object]]:
+    """Return the services of the rig, with engines that copy nothing as it grows."""
+    models, desk = config()["services"]
+    engine = {**models["engine"], "backups": False}
+    return [{**models, "engine": engine}, desk]
+
+
 class TestPlainCalls:
     async def test_an_answer_comes_back_whole_with_its_seal(self, rig):
         desk = await rig.add_desk("d1")
@@ -274,6 +281,39 @@
         assert events_of(res.body) == whole_stream(6)
         assert not first.running
 
+    async def test_a_run_leaves_an_engine_that_began_to_leave_as_it_came(self, rig):
+        # Two engines leave one after the other. The second one says so while a run is
+        # on its way there from the first; nobody looked at the run again, and its
+        # caller saw it break off as the second engine went.
+        engines = {name: await rig.add_engine(name) for name in ("e1", "e2", "e3")}
+        node = await rig.add_node()
+        rig.store.put("op", "config", config(2, services=without_backups()))
+        await until(lambda: node.configs.cfg.version == 2)
+        copy = node._engine_api.copy
+
+        async def copy_and_leave(source, attempt_id, target, *, is_last, deadline):
+            made = await copy(
+                source, attempt_id, target, is_last=is_last, deadline=deadline
+            )
+            if is_last and len(left) == 1:
+                name = next(n for n, one in engines.items() if one.address == target)
+                left.append(name)
+                node.registry.note_leaving(name)
+            return made
+
+        node._engine_api.copy = copy_and_leave
+        asked = asyncio.ensure_future(rig.ask("/draft/1"))
+        await until(lambda: any(one.running for one in engines.values()))
+        left = [next(name for name, one in engines.items() if one.running)]
+        await engines[left[0]].tick(2)
+        node.registry.note_leaving(left[0])
+        await until(lambda: len(left) == 2 and engines[left[1]].running)
+        await engines[left[1]].tick(2)
+        third = next(one for name, one in engines.items() if name not in left)
+        await until(lambda: third.running)
+        await third.tick(6)
+        assert events_of((await asked).body) == whole_stream(6)
+
     async def test_a_run_goes_on_at_its_copy_when_its_engine_dies(self, rig):
         # The engine dies without notice. The copy that grew at another engine carries
         # the draft on where the caller has it.
