--- a/tests/test_engine_model.py
+++ b/tests/test_engine_model.py
@@ -89,6 +89,16 @@
         assert [one.attempt_id for one in model.step().made] == ["moved"]
 
 
+    def test_a_run_moved_after_its_last_token_makes_no_more(self):
+        # A run is moved as it ends: all its tokens are made, only its end was not sent.
+        # A token more at the other engine would reach its caller as a wrong answer.
+        model = EngineModel(spec=SPEC)
+        model.submit(job("a", n_output=10, n_made=10, is_copy=True))
+        made = model.step().made
+        assert [(one.n_made, one.is_done) for one in made] == [(10, True)]
+        assert model.is_idle
+
+
 class TestLink:
     def test_copies_queue_on_both_links(self):
         one, two, three = Link(), Link(), Link()
