--- a/tests/test_engine_model.py
+++ b/tests/test_engine_model.py
@@ -88,7 +88,6 @@
         model.step()
         assert [one.attempt_id for one in model.step().made] == ["moved"]
 
-
     def test_a_run_moved_after_its_last_token_makes_no_more(self):
         # A run is moved as it ends: all its tokens are made, only its end was not sent.
         # A token more at the other engine would reach its caller as a wrong answer.
