Ask the store again where nobody else is left to ask

Cause: since the next in rank reads the store, a node that passed the store over after a failure asked other nodes first, and where these were none, or all had failed, nobody, for up to 4 s after the store was back. Seen while reading the change once more; a test with 1, 2, 3 and 8 nodes failed in all four: not ready 1.5 s after the return, all ready now.

Change: one step decides between good sources, one the last resort; a store that failed of late is asked without waiting for news, and is good again by its first answer.

--- a/celerytrail/relay/sharedrows.py
+++ b/celerytrail/relay/sharedrows.py
@@ -226,16 +226,25 @@
         readers = self._readers()
         if me in readers and is_store_good:
             return STORE
-        n_readers_tried = len(tried - {STORE})
+        n_asked = len(tried - {STORE})
         others = [name for name in readers if name not in tried and name != me]
-        if others and not (is_store_good and n_readers_tried >= MAX_READERS):
-            return rank(me, others)[0]
-        if is_store_good or (STORE not in tried and n_readers_tried >= MAX_READERS):
+        if is_store_good and (n_asked >= MAX_READERS or not others):
             return STORE
+        if others:
+            return rank(me, others)[0]
+        return self._last_resort(tried)
+
+    def _last_resort(self, tried: set[str]) -> str | None:
+        """Return whom to ask where all have failed of late, the store among them."""
+        me = self._nodes.me.node
         rest = [name for name in self._ranked() if name not in tried and name != me]
-        # All have failed of late; the one that did so longest ago comes first.
-        rest.sort(key=lambda name: self._avoid_until.get(name, 0.0))
-        return rest[0] if rest else None
+        n_asked = len(tried - {STORE})
+        if STORE not in tried and (n_asked >= MAX_READERS or not rest):
+            return STORE
+        # The one that failed longest ago comes first.
+        return min(
+            rest, key=lambda name: self._avoid_until.get(name, 0.0), default=None
+        )
 
     async def _ask_each(
         self,
@@ -264,7 +273,8 @@
             was_good = not self._is_avoided(name, loop.time())
             address = self._address(name)
             if address is None:
-                answered = await ask_store(wait_seconds)
+                # One that failed of late is only asked whether it is back.
+                answered = await ask_store(wait_seconds if was_good else 0.0)
             else:
                 until = min(deadline, loop.time() + wait_seconds + ANSWER_SECONDS)
                 answered = await ask(address, wait_seconds, until)
@@ -281,6 +291,7 @@
             self._second_hand.add(table)
         else:
             self._second_hand.discard(table)
+            self._avoid_until.pop(STORE, None)
 
     def _note_failed(self, name: str, exc: StoreUnavailable) -> None:
         now = asyncio.get_running_loop().time()
--- a/tests/test_relay_sources.py
+++ b/tests/test_relay_sources.py
@@ -59,17 +59,18 @@
 class Fleet:
     """Nodes around one store, each with a gate of its own to it."""
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, n_nodes: int) -> None:
         self.wires = Wires(rng=random.Random(seed))
         self.store = RowStore(network=self.wires.process("store"))
         self.nodes: list[RelayNode] = []
         self.gates: list[Gate] = []
         self._seed = seed
+        self._n_nodes = n_nodes
 
     async def start(self) -> None:
         address = await self.store.start()
         self.store.put("op", "config", config())
-        for number in range(N_NODES):
+        for number in range(self._n_nodes):
             await self._add_node(number, address)
         await asyncio.sleep(WARM_UP_SECONDS)
         assert all(node.is_ready for node in self.nodes)
@@ -126,11 +127,13 @@
         return unready
 
 
-def play(seed: int, work: Callable[[Fleet], Awaitable[None]]) -> None:
+def play(
+    seed: int, work: Callable[[Fleet], Awaitable[None]], n_nodes: int = N_NODES
+) -> None:
     """Run a test's steps in virtual time."""
 
     async def steps() -> None:
-        fleet = Fleet(seed)
+        fleet = Fleet(seed, n_nodes)
         await fleet.start()
         await work(fleet)
         for node in fleet.nodes:
@@ -190,3 +193,26 @@
             assert sum(n > 8 for n in n_calls) <= 2
 
         play(seed, work)
+
+
+@pytest.mark.parametrize("n_nodes", [1, 2, 3, 8])
+class TestStoreAway:
+    """The store is away for all nodes, and comes back."""
+
+    def test_it_is_heard_again_soon_after_its_return(self, n_nodes: int):
+        """A node that passes the store over since it failed, and has few or no others
+        to ask, must ask it all the same. Its callers would be refused for seconds
+        after the store is back.
+        """
+
+        async def work(fleet: Fleet) -> None:
+            for gate in fleet.gates:
+                gate.is_shut = True
+            await asyncio.sleep(6.0)
+            assert not any(node.is_ready for node in fleet.nodes)
+            for gate in fleet.gates:
+                gate.is_shut = False
+            await asyncio.sleep(1.5)
+            assert all(node.is_ready for node in fleet.nodes)
+
+        play(1, work, n_nodes)
