Let runs be that are on their way to another engine

Cause: since each look at a run also asks whether its engine leaves, a run whose last copy was still waiting on a link looked like one that nobody carries off: its move had been handed to the step that takes runs up again.

Ruled out: the change of the store's readers, and keys (nothing was refused).

Change: a run says while it is between two streams, and is let be. Test first: one move with a slow last copy, 3 requests at the new engine before, 1 after.

--- a/celerytrail/relay/departures.py
+++ b/celerytrail/relay/departures.py
@@ -95,9 +95,12 @@
         """Begin to carry a run off an engine that leaves or sends nothing more.
 
         One that began to leave while the run was on its way there was not told of it;
-        the run would be lost with it.
+        the run would be lost with it. A run that is on its way now is let be: sent to a
+        second engine at the same time, it would run at both.
         """
-        if live.move is not None or live.reg is None or not live.started.is_set():
+        if live.is_resuming or not live.started.is_set():
+            return
+        if live.move is not None or live.reg is None:
             return
         if self._registry.is_leaving(live.reg):
             self._leave_engine(live)
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -273,6 +273,13 @@
 
     async def _resume(self, live: LiveRun, reason: str) -> Stream | None:
         """Take a run up again after its stream broke or was moved."""
+        live.is_resuming = True
+        try:
+            return await self._go_on(live, reason)
+        finally:
+            live.is_resuming = False
+
+    async def _go_on(self, live: LiveRun, reason: str) -> Stream | None:
         ex = live.ex
         former = live.reg
         moved = await self._finished_move(live)
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -77,6 +77,8 @@
         self.reading: Reading | None = None
         self.n_events = 0
         self.n_runs = 0
+        # Whether its former stream ended and the next one is not there yet.
+        self.is_resuming = False
         self.is_whole = False
         self.move: asyncio.Task[Copied | Switched | None] | None = None
         self.started = asyncio.Event()
--- a/tests/test_relay_node.py
+++ b/tests/test_relay_node.py
@@ -281,6 +281,40 @@
         assert events_of(res.body) == whole_stream(6)
         assert not first.running
 
+    async def test_a_run_that_is_on_its_way_is_not_carried_off_again(self, rig):
+        # The last copy of a run waits on a link while its engine leaves. Looked at
+        # meanwhile, the run was sent to the same engine by another name as well; that
+        # request went ahead of the right one, and the caller's events paused.
+        engines = {name: await rig.add_engine(name) for name in ("e1", "e2")}
+        node = await rig.add_node()
+        rig.store.put("op", "config", config(2, services=without_backups()))
+        await until(lambda: node.configs.cfg.version == 2)
+        copy = node._engine_api.copy
+
+        async def copy_slowly(source, attempt_id, target, *, is_last, deadline):
+            made = await copy(
+                source, attempt_id, target, is_last=is_last, deadline=deadline
+            )
+            if is_last:
+                for _ in range(3):
+                    await asyncio.sleep(0.01)
+                    node.generations.note_progress()
+                # A copy is only gone on from when it has had time to stand.
+                await asyncio.sleep(0.5)
+            return made
+
+        node._engine_api.copy = copy_slowly
+        asked = asyncio.ensure_future(rig.ask("/draft/1"))
+        await until(lambda: any(one.running for one in engines.values()))
+        first = next(name for name, one in engines.items() if one.running)
+        await engines[first].tick(2)
+        node.registry.note_leaving(first)
+        second = next(one for name, one in engines.items() if name != first)
+        await until(lambda: second.running)
+        await second.tick(6)
+        assert events_of((await asked).body) == whole_stream(6)
+        assert len(second.seen) == 1
+
     async def test_a_run_leaves_an_engine_that_began_to_leave_as_it_came(self, rig):
         # Two engines leave one after the other. The second one says so while a run is
         # on its way there from the first; nobody looked at the run again, and its
