Give the tests of shared rows a rig that others can use

Cause: the fleet of nodes around one store, each with a gate of its own, stood in the test file of the sources; tests of the bound on configuration need the same fleet.

--- /dev/null
+++ b/tests/sourcesrig.py
@@ -0,0 +1,145 @@
+"""Nodes around one store, each with a gate of its own to it, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+from result import Err
+
+from celerytrail.clock import LoopClock
+from celerytrail.metrics import Metrics
+from celerytrail.platform.nodefile import RelaySettings
+from celerytrail.relay.node import RelayNode
+from celerytrail.relay.storeclient import make_rows
+from celerytrail.rowsource import RowSource, StoreUnavailable
+from celerytrail.types import Address
+from scenarios.memorynetwork import Wires
+from scenarios.virtualtime import close_loop, new_loop
+from standins.rowstore import RowStore
+from tests.relayrig import config
+
+N_NODES = 8
+REVOKE_SECONDS = 5.0
+WARM_UP_SECONDS = 6.0
+
+
+class Gate(RowSource):
+    """The store as one node reaches it; it may turn just this node away."""
+
+    def __init__(self, *, store: RowSource) -> None:
+        self._store = store
+        self.is_shut = False
+        self.n_calls = 0
+
+    def _refusal(self) -> Err[StoreUnavailable] | None:
+        self.n_calls += 1
+        if self.is_shut:
+            return Err(StoreUnavailable(reason="status 429", status=429))
+        return None
+
+    async def read(self, table, deadline):
+        return self._refusal() or await self._store.read(table, deadline)
+
+    async def follow(self, table, after, wait_seconds, deadline):
+        refusal = self._refusal()
+        if refusal is not None:
+            return refusal
+        return await self._store.follow(table, after, wait_seconds, deadline)
+
+    async def put(self, table, key, value, deadline):
+        return self._refusal() or await self._store.put(table, key, value, deadline)
+
+    async def drop(self, table, key, deadline):
+        return self._refusal() or await self._store.drop(table, key, deadline)
+
+
+class Fleet:
+    """Nodes around one store, each with a gate of its own to it."""
+
+    def __init__(self, seed: int, n_nodes: int) -> None:
+        self.wires = Wires(rng=random.Random(seed))
+        self.store = RowStore(network=self.wires.process("store"))
+        self.nodes: list[RelayNode] = []
+        self.gates: list[Gate] = []
+        self._seed = seed
+        self._n_nodes = n_nodes
+
+    async def start(self) -> None:
+        address = await self.store.start()
+        self.store.put("op", "config", config())
+        for number in range(self._n_nodes):
+            await self._add_node(number, address)
+        await asyncio.sleep(WARM_UP_SECONDS)
+        assert all(node.is_ready for node in self.nodes)
+
+    async def _add_node(self, number: int, store: Address) -> None:
+        host = f"10.1.0.{number + 1}"
+        name = f"vm-{number}"
+        network = self.wires.process(name)
+        rng = random.Random(100 * self._seed + number)
+        gate = Gate(
+            store=make_rows(
+                store,
+                network=network,
+                clock=LoopClock(),
+                rng=rng,
+                metrics=Metrics(process=name),
+            )
+        )
+        cfg = RelaySettings(
+            node=name,
+            failure_domain="abc"[number % 3],
+            region="r",
+            callers=Address(host=host, port=8740),
+            readiness=Address(host=host, port=8741),
+            peers=Address(host=host, port=8742),
+            directory=Address(host=host, port=8743),
+            peer_ports=(7200, 7201),
+            seeds=(Address(host="10.1.0.1", port=8742),),
+            store=store,
+            revoke_seconds=REVOKE_SECONDS,
+        )
+        node = RelayNode(
+            cfg=cfg, network=network, rng=rng, clock=LoopClock(), store=gate
+        )
+        await node.start()
+        self.nodes.append(node)
+        self.gates.append(gate)
+
+    @property
+    def reader(self) -> int:
+        """Return the number of the node that follows the store for all."""
+        readers = [i for i, node in enumerate(self.nodes) if node.shared.is_reader]
+        assert len(readers) == 1
+        return readers[0]
+
+    async def unready_seconds(self, seconds: float) -> float:
+        """Return for how many seconds, of all nodes together, one was not ready."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        unready = 0.0
+        while loop.time() < until:
+            await asyncio.sleep(0.05)
+            unready += 0.05 * sum(not node.is_ready for node in self.nodes)
+        return unready
+
+
+def play(
+    seed: int, work: Callable[[Fleet], Awaitable[None]], n_nodes: int = N_NODES
+) -> None:
+    """Run a test's steps in virtual time."""
+
+    async def steps() -> None:
+        fleet = Fleet(seed, n_nodes)
+        await fleet.start()
+        await work(fleet)
+        for node in fleet.nodes:
+            await node.close()
+
+    loop = new_loop()
+    try:
+        loop.run_until_complete(steps())
+    finally:
+        close_loop(loop)
