Tell in logs and metrics how old the word of a table became, and from whom

A refusal named the version and the age of the node's knowledge, but not who had told it, and nothing said when a renewal came later than the bound; so 'nobody told it in time' and 'it was told that nothing had changed' could not be told apart by one line.

Change: config-ms is read from the settings; relay:refused has knowledge_source; relay:table:renewed_late tells age and source of a renewal that came after its bound (config-ms for the configuration, drain-ms for endpoints); a histogram of the age at each renewal and a counter of late ones. No decision changed. Test: tests/test_relay_sharing.py (test_tells_how_old_its_word_had_become).

--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -148,6 +148,7 @@
     "relay_wait": "Time from a request's arrival until an engine was chosen for it.",
     "relay_between_events": "Time between two events of a generation's stream.",
     "platform_call": "Time of a call to the platform, with its retries, by kind.",
+    "knowledge_renewed": "How old a node's word of a table had become, by table.",
     "relay_longest_pause": "The longest pause between two events of a whole stream.",
     "relay_first_event": "Time from a request's arrival to its first event.",
     "relay_answer": "Time from a request's arrival to the end of its answer.",
--- a/celerytrail/platform/nodefile.py
+++ b/celerytrail/platform/nodefile.py
@@ -36,6 +36,8 @@
         Peer addresses of a few nodes; may be stale.
     store : Address or None
         The platform's metadata store.
+    config_seconds : float
+        After so long a configuration that was acknowledged is in force here.
     revoke_seconds : float
         After so long a key that was taken away lets nothing through.
     is_revocation_strict : bool
@@ -62,6 +64,7 @@
     peer_ports: tuple[int, int]
     seeds: tuple[Address, ...]
     store: Address | None
+    config_seconds: float = 2.0
     revoke_seconds: float = 5.0
     is_revocation_strict: bool = True
     drain_seconds: float = 2.0
@@ -97,6 +100,7 @@
         peer_ports=reader.ports("port-range"),
         seeds=reader.addresses("seeds"),
         store=store.address("address"),
+        config_seconds=bounds.number("config-ms", 2_000) * MS,
         revoke_seconds=bounds.number("revoke-ms", 5_000) * MS,
         is_revocation_strict=bool(bounds.raw.get("strict-revocation", True)),
         drain_seconds=bounds.number("drain-ms", 2_000) * MS,
--- a/celerytrail/policies/freshness.py
+++ b/celerytrail/policies/freshness.py
@@ -39,16 +39,26 @@
         self._is_strict = is_strict
         self._clock = clock
         self._confirmed_at: float | None = None
+        self._source = ""
 
     def set_bound(self, bound_seconds: float, *, is_strict: bool) -> None:
         """Take in settings that changed."""
         self._usable_seconds = USABLE_SHARE * bound_seconds
         self._is_strict = is_strict
 
-    def confirm(self, sent_at: float) -> None:
-        """Note that a read sent at ``sent_at`` showed all that was in force then."""
+    def confirm(self, sent_at: float, *, source: str = "") -> None:
+        """Note that a read sent at ``sent_at`` showed all that was in force then.
+
+        ``source`` is the node that told it, empty for the store.
+        """
         if self._confirmed_at is None or sent_at > self._confirmed_at:
             self._confirmed_at = sent_at
+            self._source = source
+
+    @property
+    def source(self) -> str:
+        """Return the node that told what is known, empty for the store."""
+        return self._source
 
     @property
     def usable_seconds(self) -> float:
--- a/celerytrail/relay/handler.py
+++ b/celerytrail/relay/handler.py
@@ -175,6 +175,7 @@
             status=status,
             version=cfg.version if cfg else None,
             knowledge_age=self._freshness.age_seconds,
+            knowledge_source=self._freshness.source or "store",
         )
         retry_after = None
         if is_elsewhere:
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -50,7 +50,7 @@
 from .sharedrows import SharedRows
 from .sharing import Sharing
 from .storeclient import make_rows
-from .watch import TableWatch
+from .watch import Confirmation, TableWatch
 
 MILLISECONDS = 1_000
 # How long one question for changes waits, in seconds. A confirmed absence of news is
@@ -147,8 +147,9 @@
                     meaning=lambda key, value: value,
                     clock=self._clock,
                 ),
-                lambda confirmed_at: self._freshness.confirm(confirmed_at),
+                lambda known: self._freshness.confirm(known.at, source=known.source),
                 CONFIG_PAUSE_SECONDS,
+                lambda: self.cfg.config_seconds,
             ),
             self._watch(
                 storewire.REGISTRATION_TABLE,
@@ -157,6 +158,7 @@
                 ),
                 self._note_registrations,
                 REGISTRATION_PAUSE_SECONDS,
+                lambda: self.cfg.drain_seconds,
             ),
         ]
 
@@ -164,12 +166,13 @@
         self,
         table: str,
         mirror: TableMirror,
-        on_confirmed: Callable[[float], None],
+        on_confirmed: Callable[[Confirmation], None],
         pause_seconds: float,
+        bound_seconds: Callable[[], float],
     ) -> TableWatch:
-        def confirm(version: int, confirmed_at: float) -> None:
-            mirror.confirm(version, confirmed_at)
-            on_confirmed(confirmed_at)
+        def confirm(known: Confirmation) -> None:
+            mirror.confirm(known.version, known.at)
+            on_confirmed(known)
 
         self.shared.serve(table, mirror)
         return TableWatch(
@@ -179,6 +182,8 @@
             wait=self._wait_seconds,
             pause=lambda: pause_seconds,
             on_confirmed=confirm,
+            on_renewed=lambda age: self._note_renewed(table, age, bound_seconds()),
+            bound_seconds=bound_seconds,
             clock=self._clock,
             rng=self._rng,
         )
@@ -192,8 +197,13 @@
         longest = READER_WAIT_SECONDS if self.shared.is_reader else WAIT_SECONDS
         return min(longest, WAIT_SHARE * self._freshness.usable_seconds)
 
-    def _note_registrations(self, confirmed_at: float) -> None:
-        self._registrations_at = confirmed_at
+    def _note_renewed(self, table: str, age: float, bound_seconds: float) -> None:
+        self._metrics.observe("knowledge_renewed", age, table=table)
+        if age > bound_seconds:
+            self._metrics.count("relay_events", event="renewed_late", cause=table)
+
+    def _note_registrations(self, known: Confirmation) -> None:
+        self._registrations_at = known.at
 
     def _make_peers(self) -> None:
         cfg = self.cfg
--- a/celerytrail/relay/sharedrows.py
+++ b/celerytrail/relay/sharedrows.py
@@ -150,7 +150,9 @@
         """Read a whole table as of one moment."""
         found = await self._ask_each(
             table,
-            lambda address, wait, until: self._ask(address, table, None, wait, until),
+            lambda name, address, wait, until: self._ask(
+                name, address, table, None, wait, until
+            ),
             lambda _: self._store.read(table, deadline),
             wait_seconds=0.0,
             deadline=deadline,
@@ -168,7 +170,9 @@
         """Return what changed after a version, waiting a while for something."""
         return await self._ask_each(
             table,
-            lambda address, wait, until: self._ask(address, table, after, wait, until),
+            lambda name, address, wait, until: self._ask(
+                name, address, table, after, wait, until
+            ),
             lambda wait: self._store.follow(table, after, wait, deadline),
             wait_seconds=wait_seconds,
             deadline=deadline,
@@ -249,7 +253,7 @@
     async def _ask_each(
         self,
         table: str,
-        ask: Callable[[Address, float, float], Awaitable[Answer]],
+        ask: Callable[[str, Address, float, float], Awaitable[Answer]],
         ask_store: Callable[[float], Awaitable[Answer]],
         *,
         wait_seconds: float,
@@ -277,7 +281,7 @@
                 answered = await ask_store(wait_seconds if was_good else 0.0)
             else:
                 until = min(deadline, loop.time() + wait_seconds + ANSWER_SECONDS)
-                answered = await ask(address, wait_seconds, until)
+                answered = await ask(name, address, wait_seconds, until)
             if isinstance(answered, Ok) or isinstance(answered.err_value, HistoryGone):
                 self._note_heard(table, is_second_hand=address is not None)
                 return answered
@@ -319,6 +323,7 @@
 
     async def _ask(
         self,
+        name: str,
         address: Address,
         table: str,
         after: int | None,
@@ -356,7 +361,12 @@
             for row in answer.rows
         )
         return Ok(
-            Changes(rows=rows, version=answer.version, age_seconds=answer.age_seconds)
+            Changes(
+                rows=rows,
+                version=answer.version,
+                age_seconds=answer.age_seconds,
+                source=name,
+            )
         )
 
     async def _answer(self, req: Request, res: Responder, _: Params) -> None:
--- a/celerytrail/relay/watch.py
+++ b/celerytrail/relay/watch.py
@@ -6,6 +6,7 @@
 import asyncio
 import random
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 from eliot import log_message
 from result import Err
@@ -24,6 +25,18 @@
 OUTAGE_SECONDS = 1.0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Confirmation:
+    """That a table's rows were whole as of a version and a boot time.
+
+    ``source`` is the node that told it, empty for the store.
+    """
+
+    version: int
+    at: float
+    source: str = ""
+
+
 class TableSink(abc.ABC):
     """Takes in rows."""
 
@@ -53,7 +66,12 @@
         Returns the seconds between two questions, so that a busy table costs a
         bounded rate of calls.
     on_confirmed : callable
-        Called with a version, and the boot time as of which its rows were whole.
+        Called with each confirmation.
+    on_renewed : callable
+        Called with how old the knowledge had become in seconds, right before a
+        confirmation made it younger.
+    bound_seconds : callable
+        Returns the age that the knowledge must not reach.
     clock : Clock
         Dates the questions.
     rng : random.Random
@@ -68,7 +86,9 @@
         sink: TableSink,
         wait: Callable[[], float],
         pause: Callable[[], float],
-        on_confirmed: Callable[[int, float], None],
+        on_confirmed: Callable[[Confirmation], None],
+        on_renewed: Callable[[float], None],
+        bound_seconds: Callable[[], float],
         clock: Clock,
         rng: random.Random,
     ) -> None:
@@ -78,9 +98,12 @@
         self._wait = wait
         self._pause = pause
         self._on_confirmed = on_confirmed
+        self._on_renewed = on_renewed
+        self._bound_seconds = bound_seconds
         self._clock = clock
         self._rng = rng
         self._version: int | None = None
+        self._confirmed_at: float | None = None
         self._heard_at = self._clock.boottime()
         self._is_away = False
 
@@ -131,7 +154,31 @@
     def _note_version(self, changes: Changes, sent_at: float) -> None:
         # Another node may know less than this one did already.
         self._version = max(changes.version, self._version or 0)
-        self._on_confirmed(changes.version, sent_at - changes.age_seconds)
+        known = Confirmation(
+            version=changes.version,
+            at=sent_at - changes.age_seconds,
+            source=changes.source,
+        )
+        self._note_renewed(known)
+        self._on_confirmed(known)
+
+    def _note_renewed(self, known: Confirmation) -> None:
+        former = self._confirmed_at
+        if former is not None and known.at <= former:
+            return
+        self._confirmed_at = known.at
+        if former is None:
+            return
+        age = self._clock.boottime() - former
+        self._on_renewed(age)
+        if age > self._bound_seconds():
+            log_message(
+                "relay:table:renewed_late",
+                table=self._table,
+                age=age,
+                source=known.source or "store",
+                version=known.version,
+            )
 
     def _note_away(self, reason: str) -> None:
         if not self._is_away:
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -6,9 +6,11 @@
 import random
 
 import msgspec
+from eliot import MemoryLogger
+from eliot.testing import swap_logger
 from result import Err, Ok, Result
 
-from celerytrail.clock import SystemClock
+from celerytrail.clock import ManualClock, SystemClock
 from celerytrail.policies.engineloads import EngineLoads, Run
 from celerytrail.policies.paces import Paces
 from celerytrail.relay.mirror import MAX_CHANGES, TableMirror
@@ -84,7 +86,9 @@
             sink=sink,
             wait=lambda: 0.0,
             pause=lambda: 0.0,
-            on_confirmed=lambda version, at: confirmed.append((version, at)),
+            on_confirmed=lambda known: confirmed.append((known.version, known.at)),
+            on_renewed=lambda age: None,
+            bound_seconds=lambda: 2.0,
             clock=CLOCK,
             rng=random.Random(1),
         )
@@ -130,6 +134,43 @@
         _, confirmed = await self.play(source)
         assert confirmed[0][1] <= before - 1.9
 
+    async def test_tells_how_old_its_word_had_become(self):
+        # Word that comes later than the bound is what an operator looks for after a
+        # caller was refused by an old version.
+        clock = ManualClock()
+        renewed: list[float] = []
+        watch = TableWatch(
+            source=Scripted(
+                Ok(Changes(rows=rows("a"), version=1)),
+                Ok(Changes(rows=(), version=1, age_seconds=4.0)),
+                Ok(Changes(rows=(), version=2, age_seconds=1.0, source="vm-2")),
+            ),
+            table="op",
+            sink=Recorder(),
+            wait=lambda: 0.0,
+            pause=lambda: 0.0,
+            on_confirmed=lambda known: None,
+            on_renewed=renewed.append,
+            bound_seconds=lambda: 2.0,
+            clock=clock,
+            rng=random.Random(1),
+        )
+        logger = MemoryLogger()
+        former = swap_logger(logger)
+        try:
+            for _ in range(3):
+                await watch._step()
+                clock.advance(3.0)
+        finally:
+            swap_logger(former)
+        assert renewed == [6.0]
+        lines = [
+            line
+            for line in logger.messages
+            if line["message_type"] == "relay:table:renewed_late"
+        ]
+        assert [(line["age"], line["source"]) for line in lines] == [(6.0, "vm-2")]
+
     async def test_rows_that_come_after_a_long_silence_are_marked(self):
         # The store was away; endpoints whose rows vanish now may only have been unable
         # to write there.
@@ -145,7 +186,9 @@
             sink=sink,
             wait=lambda: 0.0,
             pause=lambda: 0.0,
-            on_confirmed=lambda version, at: None,
+            on_confirmed=lambda known: None,
+            on_renewed=lambda age: None,
+            bound_seconds=lambda: 2.0,
             clock=CLOCK,
             rng=random.Random(1),
         )
