--- a/celerytrail/relay/sharedrows.py
+++ b/celerytrail/relay/sharedrows.py
@@ -36,6 +36,8 @@
 from ..types import Address
 from .mirror import TableMirror
 
+# The key by which nodes are ranked as readers.
+READERS_KEY = "readers of the store"
 ROWS_PATH = "/peer/v1/rows"
 # Nodes that one reader serves: each asks about twice a second, and an answer costs the
 # reader about a millisecond.
@@ -198,7 +200,7 @@
     def _ranked(self) -> list[str]:
         if not self._order:
             names = [member.node for member in self._nodes.live()]
-            self._order = rank("readers of the store", names)
+            self._order = rank(READERS_KEY, names)
         return self._order
 
     def _readers(self) -> list[str]:
--- a/tests/sourcesrig.py
+++ b/tests/sourcesrig.py
@@ -9,18 +9,23 @@
 from result import Err
 
 from celerytrail.clock import LoopClock
+from celerytrail.http.client import HttpClient
+from celerytrail.http.messages import Response
 from celerytrail.metrics import Metrics
+from celerytrail.nodes.rendezvous import rank
 from celerytrail.platform.nodefile import RelaySettings
 from celerytrail.relay.node import RelayNode
+from celerytrail.relay.sharedrows import READERS_KEY
 from celerytrail.relay.storeclient import make_rows
 from celerytrail.rowsource import RowSource, StoreUnavailable
 from celerytrail.types import Address
 from scenarios.memorynetwork import Wires
 from scenarios.virtualtime import close_loop, new_loop
 from standins.rowstore import RowStore
-from tests.relayrig import config
+from tests.relayrig import HOST, KEY, config, route
 
 N_NODES = 8
+CONFIG_SECONDS = 2.0
 REVOKE_SECONDS = 5.0
 WARM_UP_SECONDS = 6.0
 
@@ -63,6 +68,9 @@
         self.store = RowStore(network=self.wires.process("store"))
         self.nodes: list[RelayNode] = []
         self.gates: list[Gate] = []
+        self.client = HttpClient(network=self.wires.process("callers"), id_header=None)
+        self.version = 1
+        self._n_asked = 0
         self._seed = seed
         self._n_nodes = n_nodes
 
@@ -99,6 +107,7 @@
             peer_ports=(7200, 7201),
             seeds=(Address(host="10.1.0.1", port=8742),),
             store=store,
+            config_seconds=CONFIG_SECONDS,
             revoke_seconds=REVOKE_SECONDS,
         )
         node = RelayNode(
@@ -115,6 +124,41 @@
         assert len(readers) == 1
         return readers[0]
 
+    @property
+    def ranked(self) -> list[int]:
+        """Return the numbers of all nodes, by their rank as readers."""
+        numbers = {node.node_id: i for i, node in enumerate(self.nodes)}
+        return [numbers[name] for name in rank(READERS_KEY, numbers)]
+
+    def freeze(self, number: int) -> None:
+        """Silence a node; connections to it are accepted and never answered."""
+        self.wires.freeze(f"vm-{number}")
+
+    def thaw(self, number: int) -> None:
+        """Let a silent node speak again."""
+        self.wires.thaw(f"vm-{number}")
+
+    def change(self, *route_names: str, **more: object) -> None:
+        """Let the operator write the next version, with further routes."""
+        self.version += 1
+        cfg = config(self.version, **more)
+        added = [route(name, "safe", "desk") for name in route_names]
+        self.store.put("op", "config", {**cfg, "routes": [*cfg["routes"], *added]})
+
+    async def ask(self, number: int, name: str, key: str = KEY) -> Response:
+        """Ask a node for a route as a caller does."""
+        self._n_asked += 1
+        address = self.nodes[number].cfg.callers
+        assert address is not None
+        headers = {
+            "host": HOST,
+            "authorization": f"Bearer {key}",
+            "x-attempt-id": f"a{self._n_asked}",
+            "x-time-budget-ms": "1000",
+        }
+        asked = await self.client.request(address, "GET", f"/{name}/1", headers=headers)
+        return asked.unwrap()
+
     async def unready_seconds(self, seconds: float) -> float:
         """Return for how many seconds, of all nodes together, one was not ready."""
         loop = asyncio.get_running_loop()
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -246,6 +246,21 @@
         whole = made.whole()
         assert whole is not None and whole.rows == ()
 
+    async def test_a_whole_read_of_a_node_that_knows_less_claims_no_more_than_it(self):
+        # A follower that was told the higher version never asked for the rows between.
+        made, _ = mirror()
+        made.replace(rows("a", version=115), was_away=False)
+        made.confirm(120, CLOCK.boottime())
+        made.replace(rows("a", version=100), was_away=False)
+        made.confirm(110, CLOCK.boottime() - 1.0)
+        whole = made.whole()
+        assert whole is not None
+        assert whole.version == 110
+        assert whole.age_seconds >= 1.0
+        found = await made.follow(112, 0.0)
+        assert isinstance(found, Changes)
+        assert found.version == 110
+
     async def test_who_lags_too_far_reads_whole(self):
         made, _ = mirror()
         made.replace(rows("a"), was_away=False)
