Claim no newer version for a table than its rows are from

What callers could see: 404 or 401 by an old version, at a node that believes itself up to date. Cause: a node whose history is gone reads the whole table, perhaps from a node that knows less than itself. It kept its former version and age beside the older rows, and told both to those that follow it; they never asked for the rows between. Class: metadata that outlives the data it describes.

Change: a whole read begins version and age anew. The node's own configuration still goes upwards only, as ConfigSink refuses older ones.

Not shown: that this is what the users saw.

--- a/celerytrail/relay/mirror.py
+++ b/celerytrail/relay/mirror.py
@@ -55,7 +55,10 @@
             row.key: self._meaning(row.key, row.value or b"") for row in rows
         }
         self._changes.clear()
+        # The rows may be older than the former ones, and so may be their version.
         self._whole_at = None
+        self._version = None
+        self._confirmed_at = None
         self._inner.replace(rows, was_away=was_away)
         self._tell()
 
