Bound the renewal of a table by the age of what is known, not step by step

What callers saw: 404 for a route that had been in force for over two seconds, at a node that was undisturbed. Cause: a node's word of the configuration is renewed in steps (a question waits 0.7 s at the reader, its answer may take 0.35 s, the step ends at 1.3 s, a pause of up to 0.45 s, the next node's full wait), each bounded by a time of its own and their sum by nothing. With the first readers in rank silent, each cost its whole time-out in turn; the store, which answers in milliseconds, came last. Class: a deadline kept only by adding up independent time-outs.

--- a/celerytrail/relay/mirror.py
+++ b/celerytrail/relay/mirror.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable, Sequence
 
@@ -12,6 +13,8 @@
 
 # Changes that are kept for those that follow; whoever lags more reads the whole table.
 MAX_CHANGES = 512
+# A shorter wait is none, in seconds: timers are no finer.
+LEAST_WAIT_SECONDS = 0.001
 
 
 class TableMirror(TableSink):
@@ -119,26 +122,50 @@
         return Changes(rows=rows, version=self._version, age_seconds=age)
 
     async def follow(
-        self, after: int, wait_seconds: float
+        self, after: int, wait_seconds: float, *, useful_seconds: float = math.inf
     ) -> Changes | HistoryGone | None:
-        """Return what changed after a version, waiting a while for something."""
-        found = self._since(after)
-        if not isinstance(found, Changes) or found.rows:
-            return found
+        """Return what changed after a version, waiting a while for something.
+
+        Parameters
+        ----------
+        after : int
+            The version.
+        wait_seconds : float
+            How long to wait for a change.
+        useful_seconds : float
+            An answer is given before the knowledge is older, so that whoever asked has
+            time left to ask elsewhere.
+        """
+        asked_at = self._clock.boottime()
+        while True:
+            waited = self._clock.boottime() - asked_at
+            found = self._since(after, waited)
+            if not isinstance(found, Changes) or found.rows:
+                return found
+            left = min(wait_seconds - waited, useful_seconds - found.age_seconds)
+            if left < LEAST_WAIT_SECONDS:
+                return found
+            await self._wait_for_news(left)
+
+    async def _wait_for_news(self, seconds: float) -> None:
         news = self._news
         try:
-            async with asyncio.timeout(wait_seconds):
+            async with asyncio.timeout(seconds):
                 await news.wait()
         except TimeoutError:
             # Nothing changed; the answer still says how fresh that is.
             pass
-        return self._since(after)
 
-    def _since(self, after: int) -> Changes | HistoryGone | None:
+    def _since(self, after: int, waited_seconds: float) -> Changes | HistoryGone | None:
         age = self.age_seconds
         if age is None or self._version is None or self._whole_at is None:
             return None
         if after < self._whole_at:
             return HistoryGone()
         rows = tuple(row for row in self._changes if row.version > after)
-        return Changes(rows=rows, version=self._version, age_seconds=age)
+        return Changes(
+            rows=rows,
+            version=self._version,
+            age_seconds=age,
+            waited_seconds=waited_seconds,
+        )
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -32,6 +32,7 @@
 from ..policies.paces import Paces
 from ..policies.placing import CheapestPlacing, Placing
 from ..policies.readrates import ReadRates
+from ..policies.renewal import RenewalBound
 from ..policies.retrybudget import RetryBudget
 from ..rowsource import RowSource
 from ..types import Address
@@ -174,12 +175,17 @@
             mirror.confirm(known.version, known.at)
             on_confirmed(known)
 
-        self.shared.serve(table, mirror)
+        def bound() -> RenewalBound:
+            return RenewalBound(seconds=bound_seconds())
+
+        self.shared.serve(table, mirror, bound)
         return TableWatch(
             source=self.shared,
             table=table,
             sink=mirror,
-            wait=self._wait_seconds,
+            wait=lambda: bound().wait_seconds(
+                mirror.age_seconds, self._longest_wait_seconds()
+            ),
             pause=lambda: pause_seconds,
             on_confirmed=confirm,
             on_renewed=lambda age: self._note_renewed(table, age, bound_seconds()),
@@ -188,8 +194,8 @@
             rng=self._rng,
         )
 
-    def _wait_seconds(self) -> float:
-        """Return how long one question waits for changes.
+    def _longest_wait_seconds(self) -> float:
+        """Return how long one question waits for changes at the most.
 
         An answer is as old as its question. Where the bound on revocation is short, a
         node whose questions waited too long would never know enough to serve.
--- a/celerytrail/relay/sharedrows.py
+++ b/celerytrail/relay/sharedrows.py
@@ -11,6 +11,7 @@
 import asyncio
 import math
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 
 import msgspec
 from eliot import log_message
@@ -25,6 +26,7 @@
 from ..nodes.nodes import Nodes
 from ..nodes.rendezvous import rank
 from ..nodes.signing import PeerKeys
+from ..policies.renewal import RenewalBound
 from ..rowsource import (
     Changes,
     HistoryGone,
@@ -42,9 +44,6 @@
 # Nodes that one reader serves: each asks about twice a second, and an answer costs the
 # reader about a millisecond.
 NODES_PER_READER = 32
-# A reader whose knowledge is older than this is passed over, in seconds: its own
-# question to the store waits 0.35 s, and the bound on configuration is two.
-MAX_AGE_SECONDS = 1.2
 # How long a source that failed is passed over, in seconds.
 AVOID_SECONDS = 4.0
 # The same for a reader that is behind: the next one in rank becomes a reader as soon as
@@ -54,12 +53,18 @@
 MAX_READERS = 2
 # How many sources one question goes to, within its deadline.
 MAX_TRIES = 3
-# How long a node may take to answer beyond the time that it was asked to wait, in
-# seconds. A silent one must leave time to ask the next.
+# How long a node may take at most to answer beyond the time that it was asked to wait,
+# in seconds. A silent one must leave time to ask the next.
 ANSWER_SECONDS = 0.35
 # A source that gets less time than this is not asked, in seconds, as its failing would
 # say nothing of it.
 LEAST_SECONDS = 0.1
+# How long the store may take to answer beyond the time that it was asked to wait, in
+# seconds.
+STORE_ANSWER_SECONDS = 0.6
+# How soon a store that failed is asked again by a node whose knowledge is overdue, in
+# seconds.
+STORE_RETRY_SECONDS = 1.0
 
 STORE = ""
 
@@ -87,12 +92,23 @@
 class _Answer(msgspec.Struct):
     version: int
     age_seconds: float
+    waited_seconds: float
     rows: list[_RowOnWire]
     is_history_gone: bool = False
     # Whether the sender heard it from another node, not from the store.
     is_second_hand: bool = False
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Table:
+    mirror: TableMirror
+    bound: Callable[[], RenewalBound]
+
+    @property
+    def is_overdue(self) -> bool:
+        return self.bound().is_overdue(self.mirror.age_seconds)
+
+
 class SharedRows(RowSource):
     """Follows tables at a reader, or at the store where there is no good reader.
 
@@ -124,16 +140,19 @@
         self._client = client
         self._keys = keys
         self._metrics = metrics
-        self._mirrors: dict[str, TableMirror] = {}
+        self._tables: dict[str, _Table] = {}
+        self._store_failed_at = -math.inf
         self._avoid_until: dict[str, float] = {}
         # Tables that this node heard of from another one last.
         self._second_hand: set[str] = set()
         self._order: list[str] = []
         nodes.on_change(self._forget_order)
 
-    def serve(self, table: str, mirror: TableMirror) -> None:
-        """Let other nodes follow a table here."""
-        self._mirrors[table] = mirror
+    def serve(
+        self, table: str, mirror: TableMirror, bound: Callable[[], RenewalBound]
+    ) -> None:
+        """Let other nodes follow a table here, whose knowledge has a bound."""
+        self._tables[table] = _Table(mirror=mirror, bound=bound)
 
     def add_routes(self, router: Router) -> None:
         """Add the route by which other nodes follow tables."""
@@ -155,7 +174,7 @@
             lambda name, address, wait, until: self._ask(
                 name, address, table, None, wait, until
             ),
-            lambda _: self._store.read(table, deadline),
+            lambda _, until: self._store.read(table, until),
             wait_seconds=0.0,
             deadline=deadline,
         )
@@ -175,7 +194,7 @@
             lambda name, address, wait, until: self._ask(
                 name, address, table, after, wait, until
             ),
-            lambda wait: self._store.follow(table, after, wait, deadline),
+            lambda wait, until: self._store.follow(table, after, wait, until),
             wait_seconds=wait_seconds,
             deadline=deadline,
         )
@@ -224,10 +243,19 @@
     def _is_avoided(self, name: str, now: float) -> bool:
         return self._avoid_until.get(name, 0.0) > now
 
-    def _next_source(self, tried: set[str]) -> str | None:
+    def _may_retry_store(self, now: float) -> bool:
+        return now - self._store_failed_at >= STORE_RETRY_SECONDS
+
+    def _next_source(self, table: str, tried: set[str]) -> str | None:
         """Return whom to ask next, an empty name for the store, None for nobody."""
         me = self._nodes.me.node
         now = asyncio.get_running_loop().time()
+        if (
+            STORE not in tried
+            and self._tables[table].is_overdue
+            and self._may_retry_store(now)
+        ):
+            return STORE
         is_store_good = STORE not in tried and not self._is_avoided(STORE, now)
         readers = self._readers()
         if me in readers and is_store_good:
@@ -256,7 +284,7 @@
         self,
         table: str,
         ask: Callable[[str, Address, float, float], Awaitable[Answer]],
-        ask_store: Callable[[float], Awaitable[Answer]],
+        ask_store: Callable[[float, float], Awaitable[Answer]],
         *,
         wait_seconds: float,
         deadline: float,
@@ -272,7 +300,7 @@
         answered: Answer = Err(StoreUnavailable(reason="no source"))
         tried: set[str] = set()
         while len(tried) < MAX_TRIES and deadline - loop.time() > LEAST_SECONDS:
-            name = self._next_source(tried)
+            name = self._next_source(table, tried)
             if name is None:
                 break
             tried.add(name)
@@ -280,9 +308,14 @@
             address = self._address(name)
             if address is None:
                 # One that failed of late is only asked whether it is back.
-                answered = await ask_store(wait_seconds if was_good else 0.0)
+                wait = wait_seconds if was_good else 0.0
+                until = min(deadline, loop.time() + wait + STORE_ANSWER_SECONDS)
+                answered = await ask_store(wait, until)
             else:
-                until = min(deadline, loop.time() + wait_seconds + ANSWER_SECONDS)
+                answer_seconds = (
+                    self._tables[table].bound().answer_seconds(ANSWER_SECONDS)
+                )
+                until = min(deadline, loop.time() + wait_seconds + answer_seconds)
                 answered = await ask(name, address, wait_seconds, until)
             if isinstance(answered, Ok) or isinstance(answered.err_value, HistoryGone):
                 self._note_heard(table, is_second_hand=address is not None)
@@ -301,6 +334,8 @@
 
     def _note_failed(self, name: str, exc: StoreUnavailable) -> None:
         now = asyncio.get_running_loop().time()
+        if name == STORE:
+            self._store_failed_at = now
         former = self._avoid_until.get(name, -math.inf)
         is_first = now - former > AVOID_SECONDS
         is_brief = is_first and isinstance(exc, ReaderBehind)
@@ -353,7 +388,7 @@
             return Err(StoreUnavailable(reason=f"can't be read: {exc}"))
         if answer.is_history_gone:
             return Err(HistoryGone())
-        if answer.age_seconds > MAX_AGE_SECONDS:
+        if answer.age_seconds > self._tables[table].bound().useful_seconds:
             return Err(ReaderBehind(reason="the reader is behind"))
         if answer.is_second_hand:
             # It is fresh enough, but may be what this node told that one itself.
@@ -367,6 +402,7 @@
                 rows=rows,
                 version=answer.version,
                 age_seconds=answer.age_seconds,
+                waited_seconds=answer.waited_seconds,
                 source=name,
             )
         )
@@ -380,37 +416,35 @@
         except (msgspec.DecodeError, UnicodeDecodeError) as exc:
             await send_error(res, 400, "bad_question", place="body", message=str(exc))
             return
-        mirror = self._mirrors.get(question.table)
+        table = self._tables.get(question.table)
         found: Changes | HistoryGone | None = None
-        if mirror is not None and question.after is None:
-            found = mirror.whole()
-        elif mirror is not None and question.after is not None:
-            wait_seconds = _useful_wait(mirror, question.wait_seconds)
-            found = await mirror.follow(question.after, wait_seconds)
+        if table is not None and question.after is None:
+            found = table.mirror.whole()
+        elif table is not None and question.after is not None:
+            found = await table.mirror.follow(
+                question.after,
+                question.wait_seconds,
+                useful_seconds=table.bound().useful_seconds,
+            )
         if found is None:
             await send_error(
                 res, 503, "nothing_known", place="table", message="not read yet"
             )
             return
         if isinstance(found, HistoryGone):
-            answer = _Answer(version=0, age_seconds=0, rows=[], is_history_gone=True)
+            answer = _Answer(
+                version=0,
+                age_seconds=0.0,
+                waited_seconds=0.0,
+                rows=[],
+                is_history_gone=True,
+            )
         else:
             is_second_hand = question.table in self._second_hand
             answer = _on_wire(found, is_second_hand=is_second_hand)
         await res.send_json(200, answer)
 
 
-def _useful_wait(mirror: TableMirror, wait_seconds: float) -> float:
-    """Return how long to let a question wait.
-
-    What is too old by then is told at once, while time is left to ask another source.
-    """
-    age = mirror.age_seconds
-    if age is None:
-        return 0.0
-    return max(0.0, min(wait_seconds, MAX_AGE_SECONDS - age))
-
-
 def _on_wire(changes: Changes, *, is_second_hand: bool) -> _Answer:
     rows = [
         _RowOnWire(key=row.key, value=row.value, version=row.version)
@@ -419,6 +453,7 @@
     return _Answer(
         version=changes.version,
         age_seconds=changes.age_seconds,
+        waited_seconds=changes.waited_seconds,
         rows=rows,
         is_second_hand=is_second_hand,
     )
--- a/celerytrail/relay/watch.py
+++ b/celerytrail/relay/watch.py
@@ -16,7 +16,7 @@
 
 # How long an answer may take beyond the time that it was asked to wait, in seconds. A
 # connection may go silent for ever; the next question goes over a new one.
-ANSWER_SECONDS = 0.6
+ANSWER_SECONDS = 0.95
 READ_SECONDS = 1.0
 # Between two tries while the store doesn't answer, in seconds, with jitter.
 RETRY_SECONDS = 0.3
@@ -125,7 +125,7 @@
             if isinstance(answered, Err):
                 self._note_away(answered.err_value.reason)
                 return False
-            was_away = self._note_back()
+            was_away = self._note_back(0.0)
             self._sink.replace(answered.ok_value.rows, was_away=was_away)
             self._note_version(answered.ok_value, sent_at)
             return True
@@ -145,7 +145,7 @@
             self._note_away(exc.reason)
             # What was missed is read whole: the history may be short.
             return False
-        was_away = self._note_back()
+        was_away = self._note_back(wait_seconds)
         if followed.ok_value.rows:
             self._sink.change(followed.ok_value.rows, was_away=was_away)
         self._note_version(followed.ok_value, sent_at)
@@ -154,9 +154,13 @@
     def _note_version(self, changes: Changes, sent_at: float) -> None:
         # Another node may know less than this one did already.
         self._version = max(changes.version, self._version or 0)
+        # The question arrived after it was sent, so its answer is at least so much
+        # younger as it waited there.
+        elapsed = self._clock.boottime() - sent_at
+        answered_at = sent_at + min(changes.waited_seconds, elapsed)
         known = Confirmation(
             version=changes.version,
-            at=sent_at - changes.age_seconds,
+            at=answered_at - changes.age_seconds,
             source=changes.source,
         )
         self._note_renewed(known)
@@ -185,7 +189,7 @@
             self._is_away = True
             log_message("relay:store:lost", table=self._table, reason=reason)
 
-    def _note_back(self) -> bool:
+    def _note_back(self, wait_seconds: float) -> bool:
         """Note an answer; returns whether the store had been silent for long."""
         now = self._clock.boottime()
         silent_seconds = now - self._heard_at
@@ -195,4 +199,4 @@
             log_message(
                 "relay:store:regained", table=self._table, silent=silent_seconds
             )
-        return silent_seconds > self._wait() + OUTAGE_SECONDS
+        return silent_seconds > wait_seconds + OUTAGE_SECONDS
--- a/celerytrail/rowsource.py
+++ b/celerytrail/rowsource.py
@@ -22,12 +22,14 @@
     """Rows, and the version of the table as of which they were read.
 
     ``age_seconds`` is how old that was when the question was answered; 0 from the store
-    itself. ``source`` is the node that told it, empty for the store.
+    itself. ``waited_seconds`` is how long the question waited there for news.
+    ``source`` is the node that told it, empty for the store.
     """
 
     rows: tuple[Row, ...]
     version: int
     age_seconds: float = 0.0
+    waited_seconds: float = 0.0
     source: str = ""
 
 
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -6,6 +6,7 @@
 import random
 
 import msgspec
+import pytest
 from eliot import MemoryLogger
 from eliot.testing import swap_logger
 from result import Err, Ok, Result
@@ -171,6 +172,32 @@
         ]
         assert [(line["age"], line["source"]) for line in lines] == [(6.0, "vm-2")]
 
+    async def test_what_a_question_waited_elsewhere_does_not_make_the_word_older(self):
+        # Counted from when the question was sent, word that was fresh seemed to be as
+        # old as the question had waited.
+        clock = ManualClock()
+        answers = Scripted(
+            Ok(Changes(rows=(), version=1, age_seconds=0.2, waited_seconds=0.5))
+        )
+        confirmed: list[float] = []
+        watch = TableWatch(
+            source=answers,
+            table="op",
+            sink=Recorder(),
+            wait=lambda: 0.5,
+            pause=lambda: 0.0,
+            on_confirmed=lambda known: confirmed.append(known.at),
+            on_renewed=lambda age: None,
+            bound_seconds=lambda: 2.0,
+            clock=clock,
+            rng=random.Random(1),
+        )
+        watch._note_version(answers._answers[0].ok_value, sent_at=0.0)
+        clock.advance(0.6)
+        watch._note_version(answers._answers[0].ok_value, sent_at=0.0)
+        # No more than the time that has passed here is believed.
+        assert confirmed == pytest.approx([-0.2, 0.3])
+
     async def test_rows_that_come_after_a_long_silence_are_marked(self):
         # The store was away; endpoints whose rows vanish now may only have been unable
         # to write there.
@@ -232,6 +259,17 @@
         assert found.version == 2
         assert inner.changes == [["a"]]
 
+    async def test_a_question_is_answered_before_the_knowledge_is_of_no_use(self):
+        # Whoever asked needs time to ask elsewhere.
+        clock = ManualClock()
+        made = TableMirror(inner=Recorder(), meaning=lambda key, v: v, clock=clock)
+        made.replace(rows("a"), was_away=False)
+        made.confirm(1, clock.boottime())
+        clock.advance(1.5)
+        found = await made.follow(1, 5.0, useful_seconds=1.0)
+        assert isinstance(found, Changes)
+        assert found.waited_seconds == 0.0
+
     async def test_a_removed_row_is_news_once(self):
         made, _ = mirror()
         made.replace(rows("a"), was_away=False)
