Deny no route and no key by knowledge that may be out of date

What callers saw: 404 for a route that had been added 2.285 s before. Cause, beside the late renewal: a node denied by whatever configuration it held, however old. A 404 or 401 is final, its caller does not ask again; after a 503 it tries another node. Class: a negative answer from a cache that may be stale, told as a fact.

Change: a route or key that is not known is denied only while the knowledge is younger than 0.9 of the bound on configuration, counted from when the confirming read was sent; else the request is refused as not run (configuration_unsure), with when to come back.

--- a/celerytrail/policies/freshness.py
+++ b/celerytrail/policies/freshness.py
@@ -1,4 +1,4 @@
-"""How old a node's knowledge of keys is, and when that is too old."""
+"""How old a node's knowledge of routes and keys is, and when that is too old."""
 
 from __future__ import annotations
 
@@ -9,19 +9,26 @@
 # way to the endpoint nor a pause in between needs a margin; what is left is for clocks
 # that differ. A shorter share refuses callers in every outage of a few seconds.
 USABLE_SHARE = 0.9
+# Share of the bound on configuration within which a route or key that is not known may
+# be denied. The rest is for clocks that differ.
+DENIABLE_SHARE = 0.9
 
 
 class Freshness:
-    """Tells whether what is known of keys may still be acted on.
+    """Tells whether what is known of routes and keys may still be acted on.
 
     A key that was taken away must let nothing through after a bound, also at a node
-    that can't hear of it. The age counts from when the confirming read was *sent*, as
-    the answer may have waited anywhere on its way back.
+    that can't hear of it. What is not known may have been added since; denying it is
+    final for its caller, so a node that can't tell must not. The age counts from when
+    the confirming read was *sent*, as the answer may have waited anywhere on its way
+    back.
 
     Parameters
     ----------
     bound_seconds : float
         After so long a key that was taken away lets nothing through.
+    config_seconds : float
+        After so long a route or key that was added is in force.
     is_strict : bool
         Whether that holds also for a node that is out of touch.
     clock : callable
@@ -32,18 +39,23 @@
         self,
         *,
         bound_seconds: float,
+        config_seconds: float,
         is_strict: bool,
         clock: Callable[[], float],
     ) -> None:
         self._usable_seconds = USABLE_SHARE * bound_seconds
+        self._deniable_seconds = DENIABLE_SHARE * config_seconds
         self._is_strict = is_strict
         self._clock = clock
         self._confirmed_at: float | None = None
         self._source = ""
 
-    def set_bound(self, bound_seconds: float, *, is_strict: bool) -> None:
+    def set_bounds(
+        self, *, bound_seconds: float, config_seconds: float, is_strict: bool
+    ) -> None:
         """Take in settings that changed."""
         self._usable_seconds = USABLE_SHARE * bound_seconds
+        self._deniable_seconds = DENIABLE_SHARE * config_seconds
         self._is_strict = is_strict
 
     def confirm(self, sent_at: float, *, source: str = "") -> None:
@@ -79,3 +91,9 @@
         if age is None:
             return False
         return not self._is_strict or age < self._usable_seconds
+
+    @property
+    def may_deny(self) -> bool:
+        """Return whether what is not known now is not in force for sure."""
+        age = self.age_seconds
+        return age is not None and age < self._deniable_seconds
--- a/celerytrail/relay/handler.py
+++ b/celerytrail/relay/handler.py
@@ -41,7 +41,7 @@
     config : callable
         Returns the configuration in force, None before the first.
     freshness : Freshness
-        Tells whether keys may be acted on.
+        Tells whether keys may be acted on, and what is not known may be denied.
     calls : PlainCalls
         Serves plain services.
     generations : Generations
@@ -92,7 +92,7 @@
             return
         route = cfg.find_route(req.headers.get("host", ""), req.path)
         if route is None:
-            await self._refuse(res, facts, 404, "no_route")
+            await self._deny(res, facts, 404, "no_route")
             return
         holder: OrganisationKey | None = None
         if cfg.keys is not None and not route.is_public:
@@ -101,7 +101,7 @@
                 return
             holder = cfg.keys.get(facts.key or "")
             if holder is None:
-                await self._refuse(res, facts, 401, "unknown_key")
+                await self._deny(res, facts, 401, "unknown_key")
                 return
         budget = facts.budget_seconds
         if budget is None:
@@ -157,6 +157,17 @@
             return names[0]
         return self._rng.choices(names, weights)[0]
 
+    async def _deny(
+        self, res: Responder, facts: CallerFacts, status: int, reason: str
+    ) -> None:
+        """Refuse for good what is not in force; as not run where it may be by now."""
+        if self._freshness.may_deny:
+            await self._refuse(res, facts, status, reason)
+        else:
+            await self._refuse(
+                res, facts, 503, "configuration_unsure", is_elsewhere=True
+            )
+
     async def _refuse(
         self,
         res: Responder,
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -122,6 +122,7 @@
         self.node_id = f"{cfg.node}-{self._rng.getrandbits(32):08x}"
         self._freshness = Freshness(
             bound_seconds=cfg.revoke_seconds,
+            config_seconds=cfg.config_seconds,
             is_strict=cfg.is_revocation_strict,
             clock=self._clock.boottime,
         )
@@ -425,8 +426,10 @@
         Addresses to listen on are taken at the start only.
         """
         self.cfg = cfg
-        self._freshness.set_bound(
-            cfg.revoke_seconds, is_strict=cfg.is_revocation_strict
+        self._freshness.set_bounds(
+            bound_seconds=cfg.revoke_seconds,
+            config_seconds=cfg.config_seconds,
+            is_strict=cfg.is_revocation_strict,
         )
         self.nodes.set_seeds(cfg.seeds)
         log_message("relay:node:reloaded", node=self.node_id)
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -372,7 +372,12 @@
 class TestFreshness:
     def make(self, **more: object) -> tuple[Freshness, list[float]]:
         now = [100.0]
-        fields: dict[str, object] = {"bound_seconds": 5.0, "is_strict": True, **more}
+        fields: dict[str, object] = {
+            "bound_seconds": 5.0,
+            "config_seconds": 2.0,
+            "is_strict": True,
+            **more,
+        }
         made = Freshness(clock=lambda: now[0], **fields)  # type: ignore[arg-type]
         return made, now
 
@@ -416,7 +421,7 @@
         freshness, now = self.make()
         freshness.confirm(100.0)
         now[0] = 102.0
-        freshness.set_bound(1.0, is_strict=True)
+        freshness.set_bounds(bound_seconds=1.0, config_seconds=2.0, is_strict=True)
         assert not freshness.is_usable
 
     def test_where_revocation_is_not_strict_old_knowledge_serves(self):
@@ -665,6 +670,26 @@
         assert rates.rate("models") == USUAL_RATE
 
 
+class TestDenial:
+    def test_what_may_have_been_added_since_is_not_denied(self):
+        # A caller that is told that its route doesn't exist gives up for good.
+        now = [100.0]
+        freshness = Freshness(
+            bound_seconds=5.0,
+            config_seconds=2.0,
+            is_strict=True,
+            clock=lambda: now[0],
+        )
+        assert not freshness.may_deny
+        freshness.confirm(100.0)
+        now[0] = 101.7
+        assert freshness.may_deny
+        now[0] = 101.9
+        assert not freshness.may_deny
+        freshness.set_bounds(bound_seconds=5.0, config_seconds=4.0, is_strict=True)
+        assert freshness.may_deny
+
+
 class TestRenewalBound:
     @pytest.mark.parametrize("seconds", [1.0, 2.0, 3.0, 7.0])
     def test_a_source_that_never_answers_leaves_time_for_the_store(self, seconds):
