Take in no whole table that is older than what was known

What callers could see: an endpoint that came a second ago is used by no request of one node for good. Cause: a node whose history is gone reads the table anew, perhaps from a node that knows less than it did; endpoints that came since are missing there, are taken for gone, and an endpoint that was gone once is not used again.

Change: a whole read names the version that it must at least have; a node that knows less is passed over for the next source, and an older answer is not taken in.

--- a/celerytrail/platform/rows.py
+++ b/celerytrail/platform/rows.py
@@ -30,9 +30,12 @@
         self._exchanger = exchanger
 
     async def read(
-        self, table: str, deadline: float
+        self, table: str, deadline: float, *, at_least: int = 0
     ) -> Result[Changes, StoreUnavailable]:
-        """Read a whole table as of one moment; pages are joined at their oldest."""
+        """Read a whole table as of one moment; pages are joined at their oldest.
+
+        The store's answers are linearizable, so it knows every version by itself.
+        """
         rows: list[Row] = []
         version: int | None = None
         start = ""
--- a/celerytrail/relay/sharedrows.py
+++ b/celerytrail/relay/sharedrows.py
@@ -166,13 +166,13 @@
     # As a source.
 
     async def read(
-        self, table: str, deadline: float
+        self, table: str, deadline: float, *, at_least: int = 0
     ) -> Result[Changes, StoreUnavailable]:
-        """Read a whole table as of one moment."""
+        """Read a whole table as of one moment, at a source that knows a version."""
         found = await self._ask_each(
             table,
-            lambda name, address, wait, until: self._ask(
-                name, address, table, None, wait, until
+            lambda name, address, wait, until: self._ask_whole(
+                name, address, table, at_least, until
             ),
             lambda _, until: self._store.read(table, until),
             wait_seconds=0.0,
@@ -407,6 +407,14 @@
             )
         )
 
+    async def _ask_whole(
+        self, name: str, address: Address, table: str, at_least: int, deadline: float
+    ) -> Answer:
+        answered = await self._ask(name, address, table, None, 0.0, deadline)
+        if isinstance(answered, Ok) and answered.ok_value.version < at_least:
+            return Err(ReaderBehind(reason="knows less than this node"))
+        return answered
+
     async def _answer(self, req: Request, res: Responder, _: Params) -> None:
         if not self._keys.accepts(req):
             await refuse_signature(res, self._metrics)
--- a/celerytrail/relay/watch.py
+++ b/celerytrail/relay/watch.py
@@ -103,6 +103,7 @@
         self._clock = clock
         self._rng = rng
         self._version: int | None = None
+        self._newest = 0
         self._confirmed_at: float | None = None
         self._heard_at = self._clock.boottime()
         self._is_away = False
@@ -121,10 +122,16 @@
         sent_at = self._clock.boottime()
         now = asyncio.get_running_loop().time()
         if self._version is None:
-            answered = await self._source.read(self._table, now + READ_SECONDS)
+            answered = await self._source.read(
+                self._table, now + READ_SECONDS, at_least=self._newest
+            )
             if isinstance(answered, Err):
                 self._note_away(answered.err_value.reason)
                 return False
+            if answered.ok_value.version < self._newest:
+                # Endpoints that came since would be missing, and taken for gone.
+                self._note_away("older than what is known")
+                return False
             was_away = self._note_back(0.0)
             self._sink.replace(answered.ok_value.rows, was_away=was_away)
             self._note_version(answered.ok_value, sent_at)
@@ -154,6 +161,7 @@
     def _note_version(self, changes: Changes, sent_at: float) -> None:
         # Another node may know less than this one did already.
         self._version = max(changes.version, self._version or 0)
+        self._newest = max(self._newest, self._version)
         # The question arrived after it was sent, so its answer is at least so much
         # younger as it waited there.
         elapsed = self._clock.boottime() - sent_at
--- a/celerytrail/rowsource.py
+++ b/celerytrail/rowsource.py
@@ -58,9 +58,9 @@
 
     @abc.abstractmethod
     async def read(
-        self, table: str, deadline: float
+        self, table: str, deadline: float, *, at_least: int = 0
     ) -> Result[Changes, StoreUnavailable]:
-        """Read a whole table as of one moment."""
+        """Read a whole table as of one moment, at a source that knows a version."""
 
     @abc.abstractmethod
     async def follow(
--- a/tests/sourcesrig.py
+++ b/tests/sourcesrig.py
@@ -44,8 +44,11 @@
             return Err(StoreUnavailable(reason="status 429", status=429))
         return None
 
-    async def read(self, table, deadline):
-        return self._refusal() or await self._store.read(table, deadline)
+    async def read(self, table, deadline, *, at_least=0):
+        refusal = self._refusal()
+        if refusal is not None:
+            return refusal
+        return await self._store.read(table, deadline, at_least=at_least)
 
     async def follow(self, table, after, wait_seconds, deadline):
         refusal = self._refusal()
--- a/tests/test_relay_node.py
+++ b/tests/test_relay_node.py
@@ -537,7 +537,7 @@
 class TurnedAway(RowSource):
     """A store that refuses this node."""
 
-    async def read(self, table, deadline):
+    async def read(self, table, deadline, *, at_least=0):
         return Err(StoreUnavailable(reason="status 503", status=503))
 
     async def follow(self, table, after, wait_seconds, deadline):
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -53,7 +53,7 @@
             await asyncio.Event().wait()
         return self._answers.pop(0)
 
-    async def read(self, table, deadline):
+    async def read(self, table, deadline, *, at_least=0):
         return await self._next(None)
 
     async def follow(self, table, after, wait_seconds, deadline):
@@ -120,6 +120,18 @@
         sink, _ = await self.play(source)
         assert sink.wholes == [["a"], ["c"]]
 
+    async def test_a_whole_read_of_a_node_that_lags_takes_nothing_back(self):
+        # An endpoint that came since would be missing, and taken for gone for good.
+        source = Scripted(
+            Ok(Changes(rows=rows("a", "b"), version=9)),
+            Err(HistoryGone()),
+            Ok(Changes(rows=rows("a"), version=4)),
+            Ok(Changes(rows=rows("a", "b"), version=9)),
+        )
+        sink, confirmed = await self.play(source)
+        assert sink.wholes == [["a", "b"], ["a", "b"]]
+        assert [version for version, _ in confirmed] == [9, 9]
+
     async def test_an_answer_from_a_node_that_lags_takes_nothing_back(self):
         source = Scripted(
             Ok(Changes(rows=rows("a"), version=9)),
