--- a/celerytrail/relay/watch.py
+++ b/celerytrail/relay/watch.py
@@ -15,7 +15,7 @@
 from ..rowsource import Changes, HistoryGone, Row, RowSource
 
 # How long an answer may take beyond the time that it was asked to wait, in seconds. A
-# connection may go silent for ever; the next question goes over a new one.
+# node that stays silent is given up within it, with time left for the store's answer.
 ANSWER_SECONDS = 0.95
 READ_SECONDS = 1.0
 # Between two tries while the store doesn't answer, in seconds, with jitter.
