Let two nodes follow the store for all, however many readers there are

Cause: one node in 32 read the platform's store, each on its own.

Ruled out: fewer readers for all.

Change: the first two readers in rank follow the store, the others follow these, and all other nodes follow any reader. Word says over how many nodes it came, so that nodes don't follow one another in a circle; it was a yes or no before. A reader that can't reach the store is passed over as before, and the next in rank takes its place.

Before: with 8 nodes and 2 a reader, 4 nodes call the store (the first test fails); after: 2. That no node stops serving as both are turned away, and that a change is in force within its bound with one of them frozen, holds before and after.

--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -57,8 +57,7 @@
 # How long one question for changes waits, in seconds. A confirmed absence of news is
 # what keeps keys usable, so it must come well within the bound on revoking.
 WAIT_SECONDS = 0.7
-# The same for a node that follows the store for others: half of it, as theirs comes on
-# top of it.
+# The same for a node that others follow: half of it, as theirs comes on top of it.
 READER_WAIT_SECONDS = 0.35
 # One question waits at most this share of the age at which knowledge is no longer used.
 WAIT_SHARE = 0.25
--- a/celerytrail/relay/sharedrows.py
+++ b/celerytrail/relay/sharedrows.py
@@ -1,9 +1,10 @@
 """Lets a few nodes follow the platform's tables for all.
 
 Each call to the store costs, and all nodes together may make a bounded number of them.
-So a few readers follow the tables there, and the others follow the readers. A node
-that can't reach the store hears from those that can, and a node whose reader falls
-silent or behind asks the store itself.
+So two readers follow the tables there, further readers follow these where there are
+many nodes, and all others follow the readers. A node that can't reach the store hears
+from those that can, and a node whose reader falls silent or behind asks the store
+itself.
 """
 
 from __future__ import annotations
@@ -44,6 +45,9 @@
 # Nodes that one reader serves: each asks about twice a second, and an answer costs the
 # reader about a millisecond.
 NODES_PER_READER = 32
+# Readers that follow the store itself; the others follow these, so that calls to the
+# store don't grow with the nodes.
+N_STORE_READERS = 2
 # How long a source that failed is passed over, in seconds.
 AVOID_SECONDS = 4.0
 # The same for a reader that is behind: the next one in rank becomes a reader as soon as
@@ -95,8 +99,8 @@
     waited_seconds: float
     rows: list[_RowOnWire]
     is_history_gone: bool = False
-    # Whether the sender heard it from another node, not from the store.
-    is_second_hand: bool = False
+    # Over how many nodes the sender heard it; 0 from the store itself.
+    n_hops: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -143,8 +147,8 @@
         self._tables: dict[str, _Table] = {}
         self._store_failed_at = -math.inf
         self._avoid_until: dict[str, float] = {}
-        # Tables that this node heard of from another one last.
-        self._second_hand: set[str] = set()
+        # Over how many nodes this one heard of a table last.
+        self._n_hops: dict[str, int] = {}
         self._order: list[str] = []
         nodes.on_change(self._forget_order)
 
@@ -258,10 +262,13 @@
             return STORE
         is_store_good = STORE not in tried and not self._is_avoided(STORE, now)
         readers = self._readers()
-        if me in readers and is_store_good:
-            return STORE
+        followed = readers
+        if me in readers:
+            followed = readers[:N_STORE_READERS]
+            if me in followed and is_store_good:
+                return STORE
         n_asked = len(tried - {STORE})
-        others = [name for name in readers if name not in tried and name != me]
+        others = [name for name in followed if name not in tried and name != me]
         if is_store_good and (n_asked >= MAX_READERS or not others):
             return STORE
         if others:
@@ -318,20 +325,15 @@
                 until = min(deadline, loop.time() + wait_seconds + answer_seconds)
                 answered = await ask(name, address, wait_seconds, until)
             if isinstance(answered, Ok) or isinstance(answered.err_value, HistoryGone):
-                self._note_heard(table, is_second_hand=address is not None)
+                if address is None:
+                    self._n_hops[table] = 0
+                    self._avoid_until.pop(STORE, None)
                 return answered
             self._note_failed(name, answered.err_value)
             if was_good:
                 wait_seconds = 0.0
         return answered
 
-    def _note_heard(self, table: str, *, is_second_hand: bool) -> None:
-        if is_second_hand:
-            self._second_hand.add(table)
-        else:
-            self._second_hand.discard(table)
-            self._avoid_until.pop(STORE, None)
-
     def _note_failed(self, name: str, exc: StoreUnavailable) -> None:
         now = asyncio.get_running_loop().time()
         if name == STORE:
@@ -344,6 +346,18 @@
             "relay:rows:source_failed", source=name or "store", reason=exc.reason
         )
 
+    @property
+    def _most_hops(self) -> int:
+        """Return over how many nodes word may have come that another one tells.
+
+        It is fresh enough, but may be what this node told that one itself. Readers are
+        told by those that follow the store, and the others by readers.
+        """
+        readers = self._readers()
+        if len(readers) <= N_STORE_READERS or self._nodes.me.node in readers:
+            return 0
+        return 1
+
     def _pass_over(self, address: Address) -> None:
         now = asyncio.get_running_loop().time()
         for member in self._nodes.live():
@@ -390,9 +404,9 @@
             return Err(HistoryGone())
         if answer.age_seconds > self._tables[table].bound().useful_seconds:
             return Err(ReaderBehind(reason="the reader is behind"))
-        if answer.is_second_hand:
-            # It is fresh enough, but may be what this node told that one itself.
+        if answer.n_hops > self._most_hops:
             self._pass_over(address)
+        self._n_hops[table] = answer.n_hops + 1
         rows = tuple(
             Row(key=row.key, value=row.value, version=row.version)
             for row in answer.rows
@@ -448,12 +462,11 @@
                 is_history_gone=True,
             )
         else:
-            is_second_hand = question.table in self._second_hand
-            answer = _on_wire(found, is_second_hand=is_second_hand)
+            answer = _on_wire(found, n_hops=self._n_hops.get(question.table, 0))
         await res.send_json(200, answer)
 
 
-def _on_wire(changes: Changes, *, is_second_hand: bool) -> _Answer:
+def _on_wire(changes: Changes, *, n_hops: int) -> _Answer:
     rows = [
         _RowOnWire(key=row.key, value=row.value, version=row.version)
         for row in changes.rows
@@ -463,5 +476,5 @@
         age_seconds=changes.age_seconds,
         waited_seconds=changes.waited_seconds,
         rows=rows,
-        is_second_hand=is_second_hand,
+        n_hops=n_hops,
     )
--- a/tests/test_relay_sources.py
+++ b/tests/test_relay_sources.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from tests.sourcesrig import N_NODES, Fleet, play
+from celerytrail.relay import sharedrows
+from tests.sourcesrig import CONFIG_SECONDS, N_NODES, Fleet, play
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -79,3 +80,76 @@
             assert all(node.is_ready for node in fleet.nodes)
 
         play(1, work, n_nodes)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+class TestManyReaders:
+    """More nodes than two readers can serve; here each reader serves two of eight."""
+
+    @pytest.fixture(autouse=True)
+    def few_nodes_per_reader(self, monkeypatch):
+        monkeypatch.setattr(sharedrows, "NODES_PER_READER", 2)
+
+    def test_calls_to_the_store_do_not_grow_with_the_readers(self, seed: int):
+        """Each reader for 32 nodes asked the store itself: a fleet of hundreds made
+        thousands of calls in a calm minute, most of them for heartbeats.
+        """
+
+        async def work(fleet: Fleet) -> None:
+            assert sum(node.shared.is_reader for node in fleet.nodes) == 4
+            before = [gate.n_calls for gate in fleet.gates]
+            assert await fleet.unready_seconds(4.0) == 0.0
+            n_calls = [
+                gate.n_calls - n for gate, n in zip(fleet.gates, before, strict=True)
+            ]
+            assert sum(n > 0 for n in n_calls) <= 2
+
+        play(seed, work)
+
+    def test_no_node_stops_serving_as_all_that_follow_the_store_are_turned_away(
+        self, seed: int
+    ):
+        """Both nodes that the others follow lose the store. The next in rank have to
+        take their place before keys are too old to be used.
+        """
+
+        async def work(fleet: Fleet) -> None:
+            for number in fleet.ranked[:2]:
+                fleet.gates[number].is_shut = True
+            assert await fleet.unready_seconds(8.0) == 0.0
+
+        play(seed, work)
+
+    def test_a_change_is_in_force_everywhere_within_the_bound(self, seed: int):
+        """Word goes over two nodes to most others. Were the waits of each added up, a
+        node would deny a route that callers were told of two seconds ago.
+        """
+
+        async def work(fleet: Fleet) -> None:
+            for step in range(4):
+                fleet.change(f"added{step}")
+                await asyncio.sleep(CONFIG_SECONDS)
+                versions = {node.configs.cfg.version for node in fleet.nodes}
+                assert versions == {fleet.version}
+
+        play(seed, work)
+
+    def test_a_frozen_store_reader_makes_no_change_late(self, seed: int):
+        """One of the two that follow the store stands still without a word while the
+        operator changes the configuration.
+        """
+
+        async def work(fleet: Fleet) -> None:
+            frozen = fleet.ranked[0]
+            fleet.freeze(frozen)
+            for step in range(3):
+                fleet.change(f"added{step}")
+                await asyncio.sleep(CONFIG_SECONDS)
+                versions = {
+                    node.configs.cfg.version
+                    for number, node in enumerate(fleet.nodes)
+                    if number != frozen
+                }
+                assert versions == {fleet.version}
+
+        play(seed, work)
