--- a/celerytrail/nodes/knowledge.py
+++ b/celerytrail/nodes/knowledge.py
@@ -21,6 +21,8 @@
 # A refutation raises the incarnation by one, a new start by the milliseconds since the
 # last: so a smaller rise than this is a refutation.
 MAX_REFUTED_RISE = 1_000
+# Between two looks for what is to be forgotten, in seconds; none of it is urgent.
+SWEEP_SECONDS = 0.5
 
 
 @dataclass(kw_only=True, slots=True)
@@ -66,6 +68,7 @@
         self.has_changed = True
         self._recent: dict[tuple[str, str], _Recent] = {}
         self._expired_at = 0.0
+        self._sweep_at = 0.0
         self._pass_on(("member", me.node), record_of(me))
 
     @property
@@ -118,12 +121,15 @@
         for node, until in list(self._suspected_until.items()):
             if now >= until:
                 self._set(replace(self.table.others[node], state=State.DEAD), now)
+        self._expired_at = now
+        if now < self._sweep_at:
+            return
+        self._sweep_at = now + SWEEP_SECONDS
         for node, forget_at in list(self._forget_at.items()):
             if now >= forget_at:
                 del self._forget_at[node]
                 self.table.remove(node)
         self.table.forget_endpoints(now)
-        self._expired_at = now
         for subject, recent in list(self._recent.items()):
             if now >= recent.at + self._recent_seconds:
                 del self._recent[subject]
--- a/celerytrail/nodes/rendezvous.py
+++ b/celerytrail/nodes/rendezvous.py
@@ -21,6 +21,11 @@
     return sorted(nodes, key=lambda node: (_weight(key, node), node), reverse=True)
 
 
+def first(key: str, nodes: Iterable[str]) -> str:
+    """Return the first node in the order for a key, its home."""
+    return max(nodes, key=lambda node: (_weight(key, node), node))
+
+
 def _weight(key: str, node: str) -> bytes:
     # The length of the key goes first, so that no two pairs give the same text.
     text = f"{len(key)} {key} {node}"
