Let nodes that start find one another before they follow the store

Cause: a node that starts serves nobody yet. It looked for others only while it was the one node that serves, so on the platform it never did, and found them by the contacts that membership makes each second. Until then each followed the store itself; there every heartbeat of an endpoint is an answer.

Change: a node joins while it knows no other member; it asks the store seldom until it knows whom to follow, for 1.5 s at most; it doesn't write its row again where that stands from before a restart. One node follows the store for all, as in small fleets, and not two.

Word only counts as farther where it is newer than what was known.

--- a/celerytrail/nodes/nodes.py
+++ b/celerytrail/nodes/nodes.py
@@ -88,6 +88,7 @@
         self._rng = rng
         self._seeds = tuple(seeds)
         self._listed: tuple[Address, ...] = ()
+        self._has_candidates = asyncio.Event()
         self.answer_seconds = answer_seconds
         self._membership = Membership(
             me=me,
@@ -164,12 +165,16 @@
     def set_seeds(self, seeds: Sequence[Address]) -> None:
         """Set the peer addresses from settings that changed."""
         self._seeds = tuple(seeds)
-        self._membership.set_candidates(self._seeds + self._listed)
+        self._set_candidates()
 
     def set_listed(self, addresses: Sequence[Address]) -> None:
         """Set the peer addresses from the platform's VM list; may lag or be empty."""
         self._listed = tuple(addresses)
+        self._set_candidates()
+
+    def _set_candidates(self) -> None:
         self._membership.set_candidates(self._seeds + self._listed)
+        self._has_candidates.set()
 
     # What is known.
 
@@ -248,7 +253,7 @@
     async def _join(self) -> None:
         """Exchange states with any node that answers, and try until one does."""
         wait = JOIN_SECONDS
-        while len(self.live()) == 1:
+        while len(self.members()) == 1:
             candidates = sorted({*self._seeds, *self._listed} - {self.me.peer})
             self._rng.shuffle(candidates)
             for address in candidates:
@@ -257,9 +262,18 @@
                     return
             # After an outage all nodes start at once; without the spread they would
             # all ask the same few again at the same moments.
-            await asyncio.sleep(wait * self._rng.uniform(0.5, 1.0))
+            await self._await_candidates(wait * self._rng.uniform(0.5, 1.0))
             wait = min(2 * wait, MAX_JOIN_SECONDS)
 
+    async def _await_candidates(self, seconds: float) -> None:
+        """Wait a while, or until others are named that may be asked."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._has_candidates.wait()
+        except TimeoutError:
+            return
+        self._has_candidates.clear()
+
     async def _exchange(self, address: Address) -> None:
         await self._exchanger.exchange(address)
         self.gossip.flush()
--- a/celerytrail/platform/noderows.py
+++ b/celerytrail/platform/noderows.py
@@ -6,9 +6,9 @@
 import random
 
 from eliot import log_message
-from result import Err, Result
+from result import Err, Ok, Result
 
-from ..rowsource import RowSource, StoreUnavailable
+from ..rowsource import Changes, RowSource, StoreInDoubt, StoreUnavailable
 from ..types import Address
 from . import storewire
 from .vms import node_address
@@ -42,17 +42,36 @@
         self._rng = rng
 
     async def enter(self) -> list[Address]:
-        """Write the row and read the others, trying until both are done."""
+        """Write the row and read the others, trying until both are done.
+
+        A row that stands from before a restart is not written again.
+        """
         while True:
-            put = await self._rows.put(
-                storewire.NODES_TABLE, self._key, self._value, self._deadline()
-            )
+            found: Result[Changes, StoreUnavailable | StoreInDoubt]
             found = await self._read()
-            if not isinstance(put, Err) and not isinstance(found, Err):
-                return found.ok_value
+            if isinstance(found, Ok) and not self._is_entered(found.ok_value):
+                # Read again: of two nodes that enter at once one must see the other.
+                found = await self._put_and_read()
+            if isinstance(found, Ok):
+                return _addresses(found.ok_value)
             log_message("nodes:not_entered", row=self._key)
             await asyncio.sleep(RETRY_SECONDS * self._rng.uniform(0.5, 1.5))
 
+    def _is_entered(self, changes: Changes) -> bool:
+        return any(
+            row.key == self._key and row.value == self._value for row in changes.rows
+        )
+
+    async def _put_and_read(
+        self,
+    ) -> Result[Changes, StoreUnavailable | StoreInDoubt]:
+        put = await self._rows.put(
+            storewire.NODES_TABLE, self._key, self._value, self._deadline()
+        )
+        if isinstance(put, Err):
+            return put
+        return await self._read()
+
     async def leave(self) -> None:
         """Remove the row; where the store is away it stays, which does no harm."""
         dropped = await self._rows.drop(
@@ -61,16 +80,14 @@
         if isinstance(dropped, Err):
             log_message("nodes:row_left", row=self._key, reason=str(dropped.err_value))
 
-    async def _read(self) -> Result[list[Address], StoreUnavailable]:
-        read = await self._rows.read(storewire.NODES_TABLE, self._deadline())
-        return read.map(
-            lambda changes: [
-                address
-                for address in map(node_address, changes.rows)
-                if address is not None
-            ]
-        )
+    async def _read(self) -> Result[Changes, StoreUnavailable]:
+        return await self._rows.read(storewire.NODES_TABLE, self._deadline())
 
     @staticmethod
     def _deadline() -> float:
         return asyncio.get_running_loop().time() + STORE_SECONDS
+
+
+def _addresses(changes: Changes) -> list[Address]:
+    found = map(node_address, changes.rows)
+    return [address for address in found if address is not None]
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -61,11 +61,15 @@
 READER_WAIT_SECONDS = 0.35
 # One question waits at most this share of the age at which knowledge is no longer used.
 WAIT_SHARE = 0.25
+# Between two questions for the configuration, in seconds.
 CONFIG_PAUSE_SECONDS = 0.0
 # Between two questions for endpoints' rows, in seconds; they change many times a second
 # with every heartbeat, and each question is a priced call. An engine that is taken
 # away says so in its row, two seconds ahead.
 REGISTRATION_PAUSE_SECONDS = 0.1
+# The same until a node knows whom to follow, in seconds. After a loss of all VMs every
+# node asks the store itself for a second or two.
+UNSETTLED_PAUSE_SECONDS = 0.6
 # Engines are asked themselves whether they leave while what the store says of them is
 # older than this, in seconds.
 UNSURE_SECONDS = 1.5
@@ -149,7 +153,9 @@
                     clock=self._clock,
                 ),
                 lambda known: self._freshness.confirm(known.at, source=known.source),
-                CONFIG_PAUSE_SECONDS,
+                lambda: self._pause_seconds(
+                    CONFIG_PAUSE_SECONDS, self.cfg.config_seconds
+                ),
                 lambda: self.cfg.config_seconds,
             ),
             self._watch(
@@ -158,7 +164,9 @@
                     inner=registrations, meaning=_lasting_facts, clock=self._clock
                 ),
                 self._note_registrations,
-                REGISTRATION_PAUSE_SECONDS,
+                lambda: self._pause_seconds(
+                    REGISTRATION_PAUSE_SECONDS, self.cfg.drain_seconds
+                ),
                 lambda: self.cfg.drain_seconds,
             ),
         ]
@@ -168,7 +176,7 @@
         table: str,
         mirror: TableMirror,
         on_confirmed: Callable[[Confirmation], None],
-        pause_seconds: float,
+        pause: Callable[[], float],
         bound_seconds: Callable[[], float],
     ) -> TableWatch:
         def confirm(known: Confirmation) -> None:
@@ -186,7 +194,7 @@
             wait=lambda: bound().wait_seconds(
                 mirror.age_seconds, self._longest_wait_seconds()
             ),
-            pause=lambda: pause_seconds,
+            pause=pause,
             on_confirmed=confirm,
             on_renewed=lambda age: self._note_renewed(table, age, bound_seconds()),
             bound_seconds=bound_seconds,
@@ -203,6 +211,12 @@
         longest = READER_WAIT_SECONDS if self.shared.is_reader else WAIT_SECONDS
         return min(longest, WAIT_SHARE * self._freshness.usable_seconds)
 
+    def _pause_seconds(self, usual: float, bound_seconds: float) -> float:
+        """Return the pause between two questions for a table with a bound."""
+        if self.shared.is_settled:
+            return usual
+        return min(UNSETTLED_PAUSE_SECONDS, WAIT_SHARE * bound_seconds)
+
     def _note_renewed(self, table: str, age: float, bound_seconds: float) -> None:
         self._metrics.observe("knowledge_renewed", age, table=table)
         if age > bound_seconds:
--- a/celerytrail/relay/sharedrows.py
+++ b/celerytrail/relay/sharedrows.py
@@ -1,8 +1,8 @@
 """Lets a few nodes follow the platform's tables for all.
 
 Each call to the store costs, and all nodes together may make a bounded number of them.
-So two readers follow the tables there, further readers follow these where there are
-many nodes, and all others follow the readers. A node that can't reach the store hears
+So one reader follows the tables there, further readers follow it where there are many
+nodes, and all others follow the readers. A node that can't reach the store hears
 from those that can, and a node whose reader falls silent or behind asks the store
 itself.
 """
@@ -47,7 +47,7 @@
 NODES_PER_READER = 32
 # Readers that follow the store itself; the others follow these, so that calls to the
 # store don't grow with the nodes.
-N_STORE_READERS = 2
+N_STORE_READERS = 1
 # How long a source that failed is passed over, in seconds.
 AVOID_SECONDS = 4.0
 # The same for a reader that is behind: the next one in rank becomes a reader as soon as
@@ -69,6 +69,9 @@
 # How soon a store that failed is asked again by a node whose knowledge is overdue, in
 # seconds.
 STORE_RETRY_SECONDS = 1.0
+# How long after its start a node that sees no other one takes it that it has not found
+# the others yet, in seconds.
+SETTLE_SECONDS = 1.5
 
 STORE = ""
 
@@ -150,6 +153,7 @@
         # Over how many nodes this one heard of a table last.
         self._n_hops: dict[str, int] = {}
         self._order: list[str] = []
+        self._settle_by: float | None = None
         nodes.on_change(self._forget_order)
 
     def serve(
@@ -167,6 +171,15 @@
         """Return whether this node follows the store for others."""
         return self._nodes.me.node in self._readers()
 
+    @property
+    def is_settled(self) -> bool:
+        """Return whether this node knows whom to follow, or that it is alone."""
+        readers = self._readers()
+        if readers and readers != [self._nodes.me.node]:
+            return True
+        settle_by = self._settle_by
+        return settle_by is not None and asyncio.get_running_loop().time() >= settle_by
+
     # As a source.
 
     async def read(
@@ -310,6 +323,8 @@
         the next answers without waiting, as what is known here may soon be too old.
         """
         loop = asyncio.get_running_loop()
+        if self._settle_by is None:
+            self._settle_by = loop.time() + SETTLE_SECONDS
         answered: Answer = Err(StoreUnavailable(reason="no source"))
         tried: set[str] = set()
         while len(tried) < MAX_TRIES and deadline - loop.time() > LEAST_SECONDS:
@@ -412,7 +427,7 @@
             return Err(ReaderBehind(reason="the reader is behind"))
         if answer.n_hops > self._most_hops:
             self._pass_over(address)
-        self._n_hops[table] = answer.n_hops + 1
+        self._note_hops(table, answer)
         rows = tuple(
             Row(key=row.key, value=row.value, version=row.version)
             for row in answer.rows
@@ -427,6 +442,16 @@
             )
         )
 
+    def _note_hops(self, table: str, answer: _Answer) -> None:
+        """Note over how many nodes word came, where it is newer than what is known.
+
+        A reader may be told by a follower what it told that one before. It is still as
+        near to the store as it was, and must not be passed over by the others.
+        """
+        age = self._tables[table].mirror.age_seconds
+        if age is None or answer.age_seconds < age:
+            self._n_hops[table] = answer.n_hops + 1
+
     async def _ask_whole(
         self, name: str, address: Address, table: str, at_least: int, deadline: float
     ) -> Answer:
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -236,6 +236,26 @@
         await one.leave()
         assert standin.store.keys("nodes") == ["10.0.0.1:2"]
 
+    async def test_two_nodes_that_enter_at_once_find_one_another(self, platform):
+        """Both start at the same moment. Were each to read before it writes, neither
+        would know of the other.
+        """
+        _, exchanger = platform
+        found = await asyncio.gather(
+            *(self.rows_of(exchanger, number).enter() for number in (1, 2))
+        )
+        assert any(len(addresses) == 2 for addresses in found)
+
+    async def test_a_restart_does_not_write_the_row_again(self, platform):
+        """Hundreds of nodes come back at once after a loss of power. Their rows stand,
+        and each needless write is a priced call in the store's worst second.
+        """
+        standin, exchanger = platform
+        await self.rows_of(exchanger, 1).enter()
+        version = standin.store.rows.version
+        assert len(await self.rows_of(exchanger, 1).enter()) == 1
+        assert standin.store.rows.version == version
+
     async def test_a_store_that_is_away_at_start_is_asked_until_it_is_back(
         self, platform
     ):
