--- a/Makefile
+++ b/Makefile
@@ -59,8 +59,11 @@
 bench-fleet: install  ## Play whole fleets in virtual time, policies side by side.
 	$(PY) -m bench.fleetcompare office-thin crashes
 
+bench-cost: install  ## Measure what a node costs at 12 to 330 VMs, in virtual time.
+	$(PY) -m bench.fleetcost
+
 bench-relay: install  ## Measure what a relayed token costs, next to h11's floor.
 	$(PY) -m bench.relay
 
 .PHONY: help install test demo run scenarios fuzz fuzz-relay format check
-.PHONY: bench bench-quick bench-capacity bench-membership bench-fleet bench-relay
+.PHONY: bench bench-quick bench-capacity bench-membership bench-fleet bench-cost bench-relay
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+import time
 from collections import Counter
 from dataclasses import dataclass, field, replace
 
@@ -56,6 +57,41 @@
     frozen: tuple[str, float, float] | None = None
 
 
+@dataclass(frozen=True, kw_only=True)
+class Costs:
+    """What the nodes sent and used, all together, up to a moment.
+
+    Parameters
+    ----------
+    at : float
+        Virtual time, in seconds.
+    processor_seconds : float
+        Of the whole play, stand-ins and callers included.
+    n_news, news_bytes : int
+        Datagrams of news of runs, and their bytes with the heads of IP and UDP.
+    gossip_bytes : int
+        Bytes of membership.
+    n_store_calls : int
+        Calls of the store.
+    """
+
+    at: float = 0.0
+    processor_seconds: float = 0.0
+    n_news: int = 0
+    news_bytes: int = 0
+    gossip_bytes: int = 0
+    n_store_calls: int = 0
+
+    def since(self, former: Costs) -> Costs:
+        """Return what was added after an earlier moment; ``at`` becomes the time."""
+        return Costs(
+            **{
+                name: getattr(self, name) - getattr(former, name)
+                for name in self.__dataclass_fields__
+            }
+        )
+
+
 @dataclass(kw_only=True)
 class FleetResult:
     """What a play gave.
@@ -70,6 +106,8 @@
         Memory copied between engines.
     twice : list of str
         Attempts that may not be repeated and were begun at more than one engine.
+    start, traffic : Costs
+        What the nodes cost until traffic began, and while it lasted.
     """
 
     endings: list[Ending] = field(default_factory=list)
@@ -78,6 +116,8 @@
     n_preempted: int = 0
     moved_bytes: float = 0.0
     twice: list[str] = field(default_factory=list)
+    start: Costs = field(default_factory=Costs)
+    traffic: Costs = field(default_factory=Costs)
 
 
 class Fleet:
@@ -125,8 +165,11 @@
             troubles.append(asyncio.ensure_future(self._freeze()))
         coming = arrivals(self._load, self._spec.n_event_tokens, self._seed)
         started_at = asyncio.get_running_loop().time()
+        self.result.start = self._costs()
         asked = [self._ask(arrival, started_at) for arrival in coming]
+        traffic_ends = asyncio.ensure_future(self._await_end(started_at))
         self.result.endings = list(await asyncio.gather(*asked))
+        await traffic_ends
         for trouble in troubles:
             trouble.cancel()
         self._sum_up()
@@ -134,6 +177,22 @@
             await node.close()
         return self.result
 
+    async def _await_end(self, started_at: float) -> None:
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(started_at + self._load.seconds - loop.time())
+        self.result.traffic = self._costs().since(self.result.start)
+
+    def _costs(self) -> Costs:
+        nodes = self._nodes
+        return Costs(
+            at=asyncio.get_running_loop().time(),
+            processor_seconds=time.process_time(),
+            n_news=sum(node.sharing.n_sent for node in nodes),
+            news_bytes=sum(node.sharing.n_sent_bytes for node in nodes),
+            gossip_bytes=sum(node.nodes.gossip.n_sent_bytes for node in nodes),
+            n_store_calls=self._store.n_calls,
+        )
+
     def _sum_up(self) -> None:
         begun: Counter[str] = Counter()
         for engine in (*self._engines.values(), *self._lost):
--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -140,6 +140,9 @@
     "streams": "Streams being relayed.",
     "queued": "Requests waiting for a grant, by model.",
     "engine_used_tokens": "Tokens in an engine's memory as last reported, by engine.",
+    "news_sent": "Datagrams of news of runs sent to other nodes.",
+    "news_sent_bytes": "Bytes of these datagrams, with the heads of IP and UDP.",
+    "news_period_seconds": "Time between two lists of this node's runs.",
     "knowledge_age_seconds": "Age of what is known of keys and configuration.",
 }
 HISTOGRAMS = {
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -468,6 +468,9 @@
         self._metrics.set("configuration_version", float(cfg.version if cfg else 0))
         self._metrics.set("knowledge_age_seconds", self._freshness.age_seconds or 0.0)
         self._metrics.set("streams", float(self.generations.n_live))
+        self._metrics.set("news_sent", float(self.sharing.n_sent))
+        self._metrics.set("news_sent_bytes", float(self.sharing.n_sent_bytes))
+        self._metrics.set("news_period_seconds", self.sharing.period_seconds)
         body, headers = self._metrics.render()
         await res.send(200, body, headers)
 
--- a/celerytrail/relay/sharing.py
+++ b/celerytrail/relay/sharing.py
@@ -11,6 +11,7 @@
 
 from ..http.network import Network
 from ..model import EngineReport
+from ..nodes.gossip import DATAGRAM_HEAD_BYTES
 from ..policies.engineloads import EngineLoads, Run
 from ..policies.paces import Paces
 from ..policies.repeats import SHORTEST_SECONDS, Repeats
@@ -115,6 +116,7 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._decoder = msgspec.msgpack.Decoder(News)
         self.n_sent = 0
+        self.n_sent_bytes = 0
 
     async def start(self, network: Network, address: Address) -> None:
         """Listen for news."""
@@ -133,6 +135,11 @@
         if self._transport is not None:
             self._transport.close()
 
+    @property
+    def period_seconds(self) -> float:
+        """Return the time between two lists of this node's runs, in seconds."""
+        return self._period_seconds
+
     def placed(self, run: Run) -> None:
         """Tell that this node placed a run, or what changed of it."""
         self._repeats.note_run()
@@ -228,9 +235,11 @@
         if self._transport is None or self._transport.is_closing():
             return
         data = msgspec.msgpack.encode(news)
-        for address in self._peers():
+        addresses = list(self._peers())
+        for address in addresses:
             self._transport.sendto(data, (address.host, address.port))
-            self.n_sent += 1
+        self.n_sent += len(addresses)
+        self.n_sent_bytes += len(addresses) * (len(data) + DATAGRAM_HEAD_BYTES)
 
     @staticmethod
     def _now() -> float:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -10,6 +10,7 @@
 
 from bench.fleet import FleetResult, Variation, play
 from bench.fleetcompare import LOADS, Measures, summarise, table
+from bench.fleetcost import Point, measure
 from bench.fleetload import Burst, FleetLoad, arrivals, read_load
 from bench.fleetplacing import VARIATIONS
 
@@ -165,6 +166,35 @@
         assert not [end for end in result.endings if end.outcome == "wrong"]
 
 
+class TestManyNodes:
+    """The same engines and callers behind more and more nodes. Each sees less of the
+    load itself and hears the rest from others.
+    """
+
+    @staticmethod
+    @functools.cache
+    def point(n_nodes: int, load: float) -> Point:
+        return measure(n_nodes, load, seconds=4.0, seed=SEED)
+
+    def test_callers_are_served_as_well_by_many_nodes_as_by_few(self):
+        """Nodes that decide at the same time choose the same engine, where news comes
+        late or is lost among hundreds of nodes; prompts queue there.
+        """
+        assert self.point(36, 1.0).worth >= self.point(12, 1.0).worth - 0.05
+
+    def test_what_a_node_sends_without_traffic_does_not_grow_with_the_nodes(self):
+        """Hundreds of nodes that tell one another that they have nothing to tell need
+        half of a small VM before the first request.
+        """
+        few, many = self.point(12, 0.0), self.point(36, 0.0)
+        assert many.n_news <= 1.2 * few.n_news
+        assert many.gossip_bytes <= 1.2 * few.gossip_bytes
+
+    def test_calls_to_the_store_do_not_grow_with_the_nodes(self):
+        assert self.point(36, 0.0).store_calls <= 1.2 * self.point(12, 0.0).store_calls
+        assert self.point(36, 0.0).n_start_calls <= self.point(12, 0.0).n_start_calls
+
+
 class TestTool:
     def test_a_seed_gives_the_same_requests(self):
         load = short_load("office-thin")
