Enter a node in the store with fewer calls at the first start of all

Cause: a node read the rows, wrote its own and read again, where at the first start of the whole system no row of its own can stand.

Change: the settings say whether it is the first start; then the row is written first and the others are read after it, else it is read first. Either way of two nodes that enter at once one sees the other (test of both ways).

--- a/celerytrail/platform/nodefile.py
+++ b/celerytrail/platform/nodefile.py
@@ -52,6 +52,8 @@
         How long callers may keep an address answer.
     memory_bytes : int
         The process is killed beyond that.
+    is_first_start : bool
+        Whether the whole system starts for the first time.
     """
 
     node: str
@@ -74,6 +76,7 @@
     retry_slack: float = 0.0
     max_address_seconds: float = 5.0
     memory_bytes: int = 0
+    is_first_start: bool = False
 
 
 def read_settings(data: bytes) -> Result[RelaySettings, list[Finding]]:
@@ -110,6 +113,7 @@
         retry_slack=bounds.number("retry-slack", 0),
         max_address_seconds=bounds.number("ttl_max_s", 5),
         memory_bytes=int(limits.number("memory-mb", 0) * 1024 * 1024),
+        is_first_start=raw.get("bootstrap") is True,
     )
     if reader.findings:
         return Err(reader.findings)
--- a/celerytrail/platform/noderows.py
+++ b/celerytrail/platform/noderows.py
@@ -31,15 +31,24 @@
         Where the node takes callers, which names its row, and other nodes.
     rng : random.Random
         For jitter.
+    is_first_start : bool
+        Whether its row is not expected to stand already.
     """
 
     def __init__(
-        self, *, rows: RowSource, caller: Address, peer: Address, rng: random.Random
+        self,
+        *,
+        rows: RowSource,
+        caller: Address,
+        peer: Address,
+        rng: random.Random,
+        is_first_start: bool = False,
     ) -> None:
         self._rows = rows
         self._key = str(caller)
         self._value = str(peer).encode("ascii")
         self._rng = rng
+        self._is_first_start = is_first_start
 
     async def enter(self) -> list[Address]:
         """Write the row and read the others, trying until both are done.
@@ -48,7 +57,10 @@
         """
         while True:
             found: Result[Changes, StoreUnavailable | StoreInDoubt]
-            found = await self._read()
+            if self._is_first_start:
+                found = await self._put_and_read()
+            else:
+                found = await self._read()
             if isinstance(found, Ok) and not self._is_entered(found.ok_value):
                 # Read again: of two nodes that enter at once one must see the other.
                 found = await self._put_and_read()
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -270,7 +270,11 @@
             metrics=self._metrics,
         )
         self._node_rows = NodeRows(
-            rows=self.rows, caller=cfg.callers, peer=cfg.peers, rng=self._rng
+            rows=self.rows,
+            caller=cfg.callers,
+            peer=cfg.peers,
+            rng=self._rng,
+            is_first_start=cfg.is_first_start,
         )
         self.shared = SharedRows(
             store=self.rows,
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -220,12 +220,13 @@
 
 
 class TestNodeRows:
-    def rows_of(self, exchanger, number):
+    def rows_of(self, exchanger, number, **more):
         return NodeRows(
             rows=PlatformRows(exchanger=exchanger),
             caller=Address(host="10.0.0.1", port=number),
             peer=Address(host="10.0.0.1", port=100 + number),
             rng=random.Random(1),
+            **more,
         )
 
     async def test_nodes_find_one_another_and_leave_no_row(self, platform):
@@ -236,13 +237,19 @@
         await one.leave()
         assert standin.store.keys("nodes") == ["10.0.0.1:2"]
 
-    async def test_two_nodes_that_enter_at_once_find_one_another(self, platform):
+    @pytest.mark.parametrize("is_first_start", [True, False])
+    async def test_two_nodes_that_enter_at_once_find_one_another(
+        self, platform, is_first_start
+    ):
         """Both start at the same moment. Were each to read before it writes, neither
         would know of the other.
         """
         _, exchanger = platform
         found = await asyncio.gather(
-            *(self.rows_of(exchanger, number).enter() for number in (1, 2))
+            *(
+                self.rows_of(exchanger, number, is_first_start=is_first_start).enter()
+                for number in (1, 2)
+            )
         )
         assert any(len(addresses) == 2 for addresses in found)
 
