Send nothing to the failure domains that the operator evacuates

Cause: the rows `op/evacuate/ZONE` reach every node with the configuration's table, and the sink dropped every row but the configuration's.

Change: a second sink of the same table keeps the evacuated domains, so they have the configuration's bound and way. The registry offers no endpoint of such a domain; a gate asks once more right before the first byte, as an endpoint is chosen before its connection is opened. Runs there go on to their end and are moved elsewhere if their engine leaves; backups there are given up. A run whose copy was already on its way may continue there for half of what the bound on evacuations leaves beyond the one on configuration. If every engine of a service is evacuated, requests are refused at once.

--- a/celerytrail/platform/nodesettings.py
+++ b/celerytrail/platform/nodesettings.py
@@ -44,6 +44,9 @@
         Bound from the revocation of a key until no request with it is accepted.
     is_revocation_strict : bool
         Whether that bound also applies to a node that can't reach the store.
+    evacuation_seconds : float
+        Bound from the acknowledgement of an evacuation until no request is sent to
+        its failure domain.
     drain_seconds : float
         How long an endpoint serves requests after it announced that it leaves.
     grace_seconds : float
@@ -71,6 +74,7 @@
     config_seconds: float = 2.0
     revoke_seconds: float = 5.0
     is_revocation_strict: bool = True
+    evacuation_seconds: float = 5.0
     drain_seconds: float = 2.0
     grace_seconds: float = 8.0
     retry_ratio: float = 0.2
@@ -108,6 +112,7 @@
         config_seconds=bounds.number("config-ms", 2_000) * MS,
         revoke_seconds=bounds.number("revoke-ms", 5_000) * MS,
         is_revocation_strict=bool(bounds.raw.get("strict-revocation", True)),
+        evacuation_seconds=bounds.number("evacuation-ms", 5_000) * MS,
         drain_seconds=bounds.number("drain-ms", 2_000) * MS,
         grace_seconds=bounds.number("grace-s", 8),
         retry_ratio=bounds.number("budget-ratio", 0.2),
--- a/celerytrail/platform/storewire.py
+++ b/celerytrail/platform/storewire.py
@@ -31,6 +31,8 @@
 # Tables that the operator and the endpoints write.
 CONFIG_TABLE = "op"
 CONFIG_KEY = "config"
+# Start of the keys of rows that evacuate a failure domain; its name follows.
+EVACUATION_PREFIX = "evacuate/"
 REGISTRATION_TABLE = "servers"
 # A row for each node with its peer address, written by the nodes.
 NODES_TABLE = "nodes"
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -13,6 +13,7 @@
 from ..platform import wire
 from ..policies.endpointchoice import EndpointChoice
 from ..policies.retrybudget import SharedRetryBudget
+from .endpointgate import EndpointGate
 from .exchange import CallerDisconnectedError, Exchange, refuse
 from .registry import Registry
 
@@ -90,6 +91,8 @@
         Chooses among them.
     budget : SharedRetryBudget
         Bounds repeated requests.
+    gate : EndpointGate
+        Whether an endpoint may receive a request now.
     """
 
     def __init__(
@@ -99,11 +102,13 @@
         registry: Registry,
         choice: EndpointChoice,
         budget: SharedRetryBudget,
+        gate: EndpointGate,
     ) -> None:
         self._client = client
         self._registry = registry
         self._choice = choice
         self._budget = budget
+        self._gate = gate
         self.n_open = 0
 
     async def relay(self, ex: Exchange) -> None:
@@ -273,7 +278,7 @@
             deadline=ex.loop_deadline,
             connect_seconds=CONNECT_SECONDS,
             request_id=ex.facts.attempt_id,
-            may_send=ex.may_send,
+            may_send=lambda: ex.may_send() and self._gate.may_begin(reg),
         )
         if isinstance(opened, Err):
             exc = opened.err_value
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -7,6 +7,7 @@
 from ..http.client import HttpClient, NotSent, Stream
 from ..model import Registration
 from ..platform import wire
+from .endpointgate import ENDPOINT_CLOSED, EndpointGate
 from .liverun import Failed, LiveRun, Refused
 
 # Connect timeout before another engine is tried, in seconds.
@@ -20,10 +21,13 @@
     ----------
     client : HttpClient
         Sends requests to engines.
+    gate : EndpointGate
+        Whether an engine may receive a request now.
     """
 
-    def __init__(self, *, client: HttpClient) -> None:
+    def __init__(self, *, client: HttpClient, gate: EndpointGate) -> None:
         self._client = client
+        self._gate = gate
 
     async def open(
         self,
@@ -57,6 +61,17 @@
             resume_from=copy_name,
             last_event_id=live.last_event_id,
         )
+        is_closed = False
+
+        def may_send() -> bool:
+            nonlocal is_closed
+            if copy_name is None:
+                is_open = self._gate.may_begin(reg)
+            else:
+                is_open = self._gate.may_continue(reg)
+            is_closed = not is_open
+            return is_open and (ex.can_continue() if copy_name else ex.may_send())
+
         opened = await self._client.open(
             reg.address,
             ex.req.method,
@@ -66,13 +81,14 @@
             deadline=ex.loop_deadline,
             connect_seconds=CONNECT_SECONDS,
             request_id=ex.facts.attempt_id,
-            may_send=ex.can_continue if copy_name else ex.may_send,
+            may_send=may_send,
         )
         if isinstance(opened, Err):
             exc = opened.err_value
-            ex.log("attempt_failed", endpoint=reg.endpoint, reason=exc.reason)
+            reason = ENDPOINT_CLOSED if is_closed else exc.reason
+            ex.log("attempt_failed", endpoint=reg.endpoint, reason=reason)
             if isinstance(exc, NotSent):
-                return Err(Refused(reason=exc.reason))
+                return Err(Refused(reason=reason))
             return Err(Failed(reason=exc.reason))
         stream = opened.ok_value
         if wire.is_not_run(stream.status, stream.headers):
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -81,6 +81,10 @@
         }
         self._avoid_until[reg.endpoint] = now + AVOID_SECONDS
 
+    def is_evacuated(self, service: str) -> bool:
+        """Return whether all engines of a service are in evacuated domains."""
+        return self._registry.is_service_evacuated(service)
+
     def _usable(self, service: str, excluded: set[str]) -> list[Registration]:
         """Return the engines to choose from; avoided ones only if there are no others.
 
@@ -144,7 +148,7 @@
                 ex.observe("relay_wait")
                 self._record_placement(live, load.reg, loads, demand)
                 return load.reg
-            if loop.time() >= wait_deadline:
+            if loop.time() >= wait_deadline or self.is_evacuated(ex.service):
                 obstacles = placing.count_obstacles(loads, demand)
                 ex.log("no_room", n_engines=len(loads), obstacles=obstacles)
                 return None
--- a/celerytrail/relay/enginewatch.py
+++ b/celerytrail/relay/enginewatch.py
@@ -88,7 +88,7 @@
         regs = [
             reg
             for reg in self._registry.all()
-            if self._is_engine_service(reg.service) and self._registry.is_usable(reg)
+            if self._is_engine_service(reg.service) and self._registry.is_accepting(reg)
         ]
         self._homes.keep(reg.endpoint for reg in regs)
         self._homes.set_nodes(member.node for member in self._nodes.running_members())
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Collection
 from dataclasses import replace
 
 from result import Err, Ok, Result
@@ -14,6 +15,7 @@
 from ..platform import wire
 from ..policies.engineloads import Run
 from ..policies.retrybudget import SharedRetryBudget
+from .endpointgate import ENDPOINT_CLOSED
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
 from .events import EventSplitter, StreamEvent
@@ -29,6 +31,9 @@
 # Retry-After when engines are full, in seconds: about as long as a short answer takes
 # to free its slot.
 FULL_RETRY_SECONDS = 0.7
+# Reason and Retry-After, in seconds, when all engines are in evacuated domains.
+EVACUATED = "evacuated"
+EVACUATED_RETRY_SECONDS = 2.0
 
 
 class Generations:
@@ -114,6 +119,10 @@
         """Move the runs of a leaving engine to others."""
         self._run_mover.on_leaving(reg, self._live)
 
+    def on_evacuated(self, domains: Collection[str]) -> None:
+        """Give up the backups in failure domains that get no new work."""
+        self._run_mover.on_evacuated(domains, self._live)
+
     def report_progress(self) -> None:
         """Report the progress of the runs and move those that need it."""
         for live in self._live:
@@ -147,12 +156,15 @@
         attempt = ex.facts.attempt_id
         if isinstance(outcome, Refused):
             ex.log("refused", reason=outcome.reason)
+            is_evacuated = outcome.reason == EVACUATED
             await refuse(
                 ex.res,
                 503,
                 outcome.reason,
                 attempt_id=attempt,
-                retry_after=FULL_RETRY_SECONDS,
+                retry_after=(
+                    EVACUATED_RETRY_SECONDS if is_evacuated else FULL_RETRY_SECONDS
+                ),
             )
             return
         status = 504 if outcome.reason in ("timeout", "stalled") else 502
@@ -174,7 +186,8 @@
         while n_tries < MAX_REFUSALS:
             reg = await self._placer.place(live, excluded)
             if reg is None:
-                return Err(Refused(reason="no_room"))
+                is_evacuated = self._placer.is_evacuated(ex.service)
+                return Err(Refused(reason=EVACUATED if is_evacuated else "no_room"))
             now = asyncio.get_running_loop().time()
             if n_sent and not self._budget.take(ex.service, now):
                 return Err(Refused(reason="retry_denied"))
@@ -189,7 +202,7 @@
                 n_sent += 1
             elif refused.reason in UNREACHABLE_REASONS:
                 self._placer.record_unreachable(reg)
-            else:
+            elif refused.reason != ENDPOINT_CLOSED:
                 # The key was revoked, or the caller's deadline has passed.
                 return Err(refused)
             if refused.reason != "connect_refused":
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -29,6 +29,7 @@
 from ..policies.decodetimes import DecodeTimes
 from ..policies.endpointchoice import EndpointChoice
 from ..policies.engineloads import EngineLoads
+from ..policies.evacuations import Evacuations
 from ..policies.freshness import Freshness
 from ..policies.placing import LeastCostPlacement, PlacementPolicy
 from ..policies.prefillrates import PrefillRates
@@ -38,6 +39,7 @@
 from ..types import Address
 from .addresses import DirectoryHandler, ReadinessHandler
 from .calls import PlainCalls
+from .endpointgate import EndpointGate
 from .engineapi import EngineApi
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
@@ -50,7 +52,7 @@
 from .sharedrows import SharedRows
 from .storeclient import make_rows
 from .tablemirror import TableMirror
-from .tablesinks import ConfigSink, RegistrationSink
+from .tablesinks import ConfigSink, EvacuationSink, RegistrationSink, SinkGroup
 from .tablewatch import Confirmation, TableWatch
 
 MILLISECONDS = 1_000
@@ -77,6 +79,9 @@
 # While the registrations are older than this, in seconds, the engines themselves are
 # asked more often whether they leave.
 STALE_REGISTRATIONS_SECONDS = 1.5
+# Share of the time between the bounds on configuration and on evacuations in which a
+# run may still continue from a copy that was already on its way.
+EVACUATION_CONTINUE_SHARE = 0.5
 HOUSEKEEPING_SECONDS = 0.25
 # How long a stopping node still accepts new connections, in seconds: callers cache an
 # address answer for up to three times its lifetime.
@@ -139,12 +144,22 @@
         self._make_serving()
 
     def _make_table_watches(self) -> None:
-        self.registry = Registry(on_leaving=self._on_leaving)
+        cfg = self.cfg
+        spare_seconds = max(0.0, cfg.evacuation_seconds - cfg.config_seconds)
+        self.evacuations = Evacuations(
+            continue_seconds=EVACUATION_CONTINUE_SHARE * spare_seconds
+        )
+        self.registry = Registry(
+            on_leaving=self._on_leaving, evacuations=self.evacuations
+        )
         self._decode_times = DecodeTimes()
         self.loads = EngineLoads(token_seconds=self._decode_times.token_seconds)
         self.configs = ConfigSink(
             key=storewire.CONFIG_KEY, decode=decode_config, on_change=self._on_config
         )
+        evacuated = EvacuationSink(
+            prefix=storewire.EVACUATION_PREFIX, on_change=self._on_evacuated
+        )
         registrations = RegistrationSink(
             registry=self.registry, decode=decode_registration
         )
@@ -152,7 +167,7 @@
             self._watch(
                 storewire.CONFIG_TABLE,
                 TableMirror(
-                    sink=self.configs,
+                    sink=SinkGroup(sinks=(evacuated, self.configs)),
                     relevant_content=lambda key, value: value,
                     clock=self._clock,
                 ),
@@ -327,7 +342,8 @@
             policy=self._placing,
             rates=PrefillRates(),
         )
-        opener = EngineOpener(client=self.endpoints)
+        gate = EndpointGate(evacuations=self.evacuations)
+        opener = EngineOpener(client=self.endpoints, gate=gate)
         run_mover = RunMover(
             api=self._engine_api,
             registry=self.registry,
@@ -354,6 +370,7 @@
             registry=self.registry,
             choice=self._choice,
             budget=budget,
+            gate=gate,
         )
         self._engine_watch = EngineWatch(
             api=self._engine_api,
@@ -485,6 +502,7 @@
         cfg = self.configs.cfg
         self._metrics.set("configuration_version", float(cfg.version if cfg else 0))
         self._metrics.set("knowledge_age_seconds", self._freshness.age_seconds or 0.0)
+        self._metrics.set("evacuated_domains", float(len(self.evacuations.domains)))
         self._metrics.set("streams", float(self.generations.n_live))
         self._metrics.set("news_sent", float(self.peer_updates.n_sent))
         self._metrics.set("news_sent_bytes", float(self.peer_updates.n_sent_bytes))
@@ -508,6 +526,10 @@
             )
         )
 
+    def _on_evacuated(self, domains: frozenset[str]) -> None:
+        self.evacuations.set_domains(domains, asyncio.get_running_loop().time())
+        self.generations.on_evacuated(domains)
+
     def _on_engine_leaving(self, reg: Registration) -> None:
         """Record that an engine leaves, and announce it to the other nodes."""
         self.registry.record_leaving(reg.endpoint)
--- a/celerytrail/relay/registry.py
+++ b/celerytrail/relay/registry.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from ..model import EndpointState, Registration
+from ..policies.evacuations import Evacuations
 
 # How long an endpoint whose row vanished around an outage of the store may still be
 # used if its service has no other, in seconds. Rows that lapsed only because of the
@@ -26,9 +27,17 @@
     ----------
     on_leaving : callable
         Called once for each incarnation of an endpoint that leaves or is removed.
+    evacuations : Evacuations or None
+        The failure domains whose endpoints get no new work; none by default.
     """
 
-    def __init__(self, *, on_leaving: Callable[[Registration], None]) -> None:
+    def __init__(
+        self,
+        *,
+        on_leaving: Callable[[Registration], None],
+        evacuations: Evacuations | None = None,
+    ) -> None:
+        self._evacuations = evacuations or Evacuations()
         self._known: dict[str, Registration] = {}
         self._lapsed: dict[str, _Lapsed] = {}
         self._announced_leaving: set[tuple[str, int]] = set()
@@ -82,7 +91,11 @@
                 self._set_leaving(lapsed.reg)
 
     def is_usable(self, reg: Registration) -> bool:
-        """Return whether the endpoint is known and accepts new work."""
+        """Return whether the endpoint may get new work."""
+        return self.is_accepting(reg) and not self._is_evacuated(reg)
+
+    def is_accepting(self, reg: Registration) -> bool:
+        """Return whether the endpoint is known and doesn't leave."""
         known = self._known.get(reg.endpoint)
         if known is None or known.started_at != reg.started_at:
             return False
@@ -93,10 +106,22 @@
         return (reg.endpoint, reg.started_at) in self._announced_leaving
 
     def usable_endpoints(self, service: str) -> list[Registration]:
-        """Return a service's endpoints that accept new work.
+        """Return a service's endpoints that may get new work.
 
-        If there is none, return those whose rows vanished around an outage.
+        If none accepts any, return those whose rows vanished around an outage.
         """
+        return [
+            reg
+            for reg in self._accepting_endpoints(service)
+            if not self._is_evacuated(reg)
+        ]
+
+    def is_service_evacuated(self, service: str) -> bool:
+        """Return whether all endpoints of a service are in evacuated domains."""
+        accepting = self._accepting_endpoints(service)
+        return bool(accepting) and all(map(self._is_evacuated, accepting))
+
+    def _accepting_endpoints(self, service: str) -> list[Registration]:
         found = [
             reg
             for reg in self._known.values()
@@ -114,6 +139,9 @@
         """Return all endpoints that have a row."""
         return list(self._known.values())
 
+    def _is_evacuated(self, reg: Registration) -> bool:
+        return self._evacuations.is_evacuated(reg.failure_domain)
+
     def _is_leaving(self, reg: Registration) -> bool:
         if reg.state is EndpointState.LEAVING:
             return True
--- a/celerytrail/relay/runmover.py
+++ b/celerytrail/relay/runmover.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine, Iterable
+from collections.abc import Collection, Coroutine, Iterable
 from typing import Any
 
 from eliot import log_message
@@ -93,6 +93,16 @@
         for live in leaving:
             self._begin_move(live)
 
+    def on_evacuated(self, domains: Collection[str], runs: Iterable[LiveRun]) -> None:
+        """Give up the backups in evacuated domains; runs in progress there go on."""
+        for live in runs:
+            backup = live.backup
+            # The target of a move in progress is kept until the move has ended.
+            if live.run.is_moving or backup is None:
+                continue
+            if backup.failure_domain in domains:
+                self._placer.clear_backup(live)
+
     def move_if_needed(self, live: LiveRun) -> None:
         """Begin to move a run off an engine that leaves or has stopped sending.
 
--- a/celerytrail/relay/tablesinks.py
+++ b/celerytrail/relay/tablesinks.py
@@ -1,4 +1,4 @@
-"""Applies rows of the platform's tables: the configuration and the registrations."""
+"""Applies rows of the platform's tables: operator's rows and registrations."""
 
 from __future__ import annotations
 
@@ -13,10 +13,94 @@
 from .registry import Registry
 from .tablewatch import TableSink
 
+EvacuationCallback = Callable[[frozenset[str]], None]
 ConfigDecoder = Callable[[bytes], Result[RelayConfig, str]]
 RegistrationDecoder = Callable[[str, bytes], Result[Registration, str]]
 
 
+class SinkGroup(TableSink):
+    """Passes the rows of one table to several sinks, in their order.
+
+    Parameters
+    ----------
+    sinks : sequence of TableSink
+        The sinks.
+    """
+
+    def __init__(self, *, sinks: Sequence[TableSink]) -> None:
+        self._sinks = tuple(sinks)
+
+    def replace(self, rows: Sequence[Row], *, is_after_outage: bool) -> None:
+        """Replace the whole table."""
+        for sink in self._sinks:
+            sink.replace(rows, is_after_outage=is_after_outage)
+
+    def change(self, rows: Sequence[Row], *, is_after_outage: bool) -> None:
+        """Apply changed rows."""
+        for sink in self._sinks:
+            sink.change(rows, is_after_outage=is_after_outage)
+
+
+class EvacuationSink(TableSink):
+    """Holds the failure domains that the operator evacuates.
+
+    A row exists for each evacuated domain, and its key alone names the domain. A value
+    that can't be decoded doesn't end the evacuation.
+
+    Parameters
+    ----------
+    prefix : str
+        Start of the rows' keys, before the name of the domain.
+    on_change : callable
+        Called with all evacuated domains when they change.
+    """
+
+    def __init__(self, *, prefix: str, on_change: EvacuationCallback) -> None:
+        self._prefix = prefix
+        self._on_change = on_change
+        self._domains: frozenset[str] = frozenset()
+
+    def replace(self, rows: Sequence[Row], *, is_after_outage: bool) -> None:
+        """Replace the whole table."""
+        self._set_domains(
+            frozenset(
+                domain
+                for row in rows
+                if (domain := self._domain(row)) and row.value is not None
+            )
+        )
+
+    def change(self, rows: Sequence[Row], *, is_after_outage: bool) -> None:
+        """Apply changed rows."""
+        domains = set(self._domains)
+        for row in rows:
+            domain = self._domain(row)
+            if not domain:
+                continue
+            if row.value is None:
+                domains.discard(domain)
+            else:
+                domains.add(domain)
+        self._set_domains(frozenset(domains))
+
+    def _domain(self, row: Row) -> str:
+        """Return the domain that a row names, empty for a row of another kind."""
+        if not row.key.startswith(self._prefix):
+            return ""
+        return row.key.removeprefix(self._prefix)
+
+    def _set_domains(self, domains: frozenset[str]) -> None:
+        former, self._domains = self._domains, domains
+        if domains == former:
+            return
+        log_message(
+            "relay:domains:evacuated",
+            domains=sorted(domains),
+            returned=sorted(former - domains),
+        )
+        self._on_change(domains)
+
+
 class ConfigSink(TableSink):
     """Holds the newest configuration; an older version never replaces a newer one.
 
