Bound what all nodes together send to a cold endpoint

Nothing limited the requests of a cold endpoint: its remaining cold time was decoded into the registration, changes of it were dropped as heartbeats, and only the cost of an engine used it. That cost also used the value of the endpoint's first row for as long as the endpoint lived, as later values never reached the followers.

Change: deadlines of cold endpoints are kept from their rows and from their own answers, whichever is later. Each node has a share of the allowed requests per second that it knows without a message: equal parts, and what can't be divided goes to the first VMs in an order that differs by endpoint. VMs that don't run and VMs that are only known by their row in the store keep their part, so shares hold in and out of touch. The gate counts a request right before its first byte. Endpoints of a domain that is taken back count as cold for three seconds, in which their next heartbeat tells whether they are.

--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -138,6 +138,7 @@
     "configuration_version": "The version of the document in force.",
     "members": "Nodes known, by state.",
     "streams": "Streams being relayed.",
+    "cold_endpoints": "Endpoints that tolerate few requests after their start.",
     "evacuated_domains": "Failure domains that get no new requests.",
     "queued": "Requests waiting for a grant, by model.",
     "engine_used_tokens": "Tokens in an engine's memory as last reported, by engine.",
--- a/celerytrail/model.py
+++ b/celerytrail/model.py
@@ -105,11 +105,27 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Service:
-    """A set of equivalent endpoints; ``engine`` is set if they are model engines."""
+    """A set of equivalent endpoints.
+
+    Parameters
+    ----------
+    name : str
+        The service's name.
+    health_path : str
+        Path of its endpoints' health checks.
+    engine : EngineProfile or None
+        Set if the endpoints are model engines.
+    cold_seconds : float
+        How long an endpoint is cold after its start.
+    cold_requests_per_second : float
+        Requests per second that a cold endpoint tolerates.
+    """
 
     name: str
     health_path: str = "/health"
     engine: EngineProfile | None = None
+    cold_seconds: float = 0.0
+    cold_requests_per_second: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/celerytrail/platform/nodesettings.py
+++ b/celerytrail/platform/nodesettings.py
@@ -47,6 +47,10 @@
     evacuation_seconds : float
         Bound from the acknowledgement of an evacuation until no request is sent to
         its failure domain.
+    cold_excess, cold_slack : float or None
+        All nodes together send a cold endpoint at most the rate that it tolerates times
+        the excess, and the slack beyond that, in any second. No limit without an
+        excess.
     drain_seconds : float
         How long an endpoint serves requests after it announced that it leaves.
     grace_seconds : float
@@ -75,6 +79,8 @@
     revoke_seconds: float = 5.0
     is_revocation_strict: bool = True
     evacuation_seconds: float = 5.0
+    cold_excess: float | None = None
+    cold_slack: float = 0.0
     drain_seconds: float = 2.0
     grace_seconds: float = 8.0
     retry_ratio: float = 0.2
@@ -113,6 +119,10 @@
         revoke_seconds=bounds.number("revoke-ms", 5_000) * MS,
         is_revocation_strict=bool(bounds.raw.get("strict-revocation", True)),
         evacuation_seconds=bounds.number("evacuation-ms", 5_000) * MS,
+        cold_excess=(
+            bounds.number("cold-excess", 0) if "cold-excess" in bounds.raw else None
+        ),
+        cold_slack=bounds.number("cold-slack", 0),
         drain_seconds=bounds.number("drain-ms", 2_000) * MS,
         grace_seconds=bounds.number("grace-s", 8),
         retry_ratio=bounds.number("budget-ratio", 0.2),
--- a/celerytrail/platform/operatorconfig.py
+++ b/celerytrail/platform/operatorconfig.py
@@ -69,6 +69,9 @@
     name: Text
     health_path: str = "/health"
     engine: _Engine | None = None
+    cold_s: float = 0.0
+    # Requests per second that an endpoint tolerates while it is cold.
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -168,4 +171,10 @@
             copy_lifetime_seconds=engine.handle_s,
             n_event_tokens=max(1, engine.stride),
         )
-    return Service(name=raw.name, health_path=raw.health_path, engine=facts)
+    return Service(
+        name=raw.name,
+        health_path=raw.health_path,
+        engine=facts,
+        cold_seconds=raw.cold_s,
+        cold_requests_per_second=raw.cold_per_s,
+    )
--- a/celerytrail/platform/wire.py
+++ b/celerytrail/platform/wire.py
@@ -29,6 +29,7 @@
 _RESUME_FROM = "kv-from"
 _LAST_EVENT = "last-event-id"
 _NOT_RUN = "x-not-executed"
+_COLD = "x-cold-ms"
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1).
 _HOP_BY_HOP = frozenset(
@@ -178,6 +179,11 @@
     return _NOT_RUN in headers or status == 421
 
 
+def cold_seconds(headers: Mapping[str, str]) -> float:
+    """Return for how long an endpoint states that it stays cold, 0 if it doesn't."""
+    return _milliseconds(headers.get(_COLD)) or 0.0
+
+
 def is_sealed_answer(headers: Mapping[str, str]) -> bool:
     """Return whether an answer has an endpoint's seal and can be passed on."""
     return SEAL_HEADER in headers and "content-encoding" not in headers
--- a/celerytrail/policies/engineloads.py
+++ b/celerytrail/policies/engineloads.py
@@ -87,6 +87,8 @@
         Decode time per token of one run, in seconds.
     report : EngineReport or None
         Its last report.
+    cold_seconds : float
+        How long it stays cold.
     """
 
     reg: Registration
@@ -96,6 +98,7 @@
     copies: tuple[Run, ...] = ()
     token_seconds: float = 0.0
     report: EngineReport | None = None
+    cold_seconds: float = 0.0
 
     @property
     def n_prefill_tokens(self) -> int:
--- a/celerytrail/policies/placing.py
+++ b/celerytrail/policies/placing.py
@@ -185,7 +185,7 @@
         + CROWDED_COST * max(0.0, share - CROWDED_SHARE)
         + OUTPUT_COST * demand.n_remaining_tokens * load.token_seconds
         + QUEUE_COST * (load.report.n_queued if load.report else 0)
-        + COLD_COST * load.reg.cold_seconds
+        + COLD_COST * load.cold_seconds
         + (demand.cross_domain_cost if is_cross_domain else 0.0)
     )
 
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -231,9 +231,9 @@
         registration would use up the budget and callers would be refused.
         """
         now = asyncio.get_running_loop().time()
-        reg = self._choice.choose(
-            self._registry.usable_endpoints(ex.service), tried, now
-        )
+        usable = self._registry.usable_endpoints(ex.service)
+        open_regs = [reg for reg in usable if self._gate.is_open(reg)]
+        reg = self._choice.choose(open_regs, tried, now)
         if reg is None:
             return None
         if is_repeat and not self._budget.take(ex.service, now):
@@ -292,6 +292,7 @@
             lost: RequestLost = body.err_value
             ex.log("attempt_failed", endpoint=reg.endpoint, reason=lost.reason)
             return Failed(reason=lost.reason)
+        self._gate.record_cold(reg, wire.cold_seconds(stream.headers))
         if wire.is_not_run(stream.status, stream.headers):
             ex.log("attempt_refused", endpoint=reg.endpoint, status=stream.status)
             return NotExecuted(reason="endpoint_refused", was_sent=True)
--- a/celerytrail/relay/endpointgate.py
+++ b/celerytrail/relay/endpointgate.py
@@ -3,34 +3,103 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from ..model import Registration
+from ..policies.coldlimits import ColdEndpoints, ColdShares, NodePosition, RankedShares
 from ..policies.evacuations import Evacuations
 
 # Reason for which a request wasn't sent: its endpoint may not receive it now.
 ENDPOINT_CLOSED = "endpoint_closed"
+# Interval at which a run that continues checks whether its engine may receive it, in
+# seconds.
+POLL_SECONDS = 0.05
 
 
 class EndpointGate:
     """Decides whether an endpoint may receive a request at this moment.
 
     Endpoints are chosen before a connection is opened; by the time the first byte is
-    sent, the operator may have evacuated their failure domain.
+    sent, the operator may have evacuated their failure domain, and this node may have
+    used its share of a cold endpoint's requests.
 
     Parameters
     ----------
     evacuations : Evacuations
         The failure domains that get no new work.
+    cold : ColdEndpoints
+        The cold endpoints.
+    cold_limit : callable
+        Returns how many requests per second all nodes together may send to a cold
+        endpoint of a service; None without a limit.
+    position : callable
+        Returns this node's position in the order that belongs to an endpoint.
+    shares : ColdShares or None
+        Divides these requests among the nodes; by rank by default.
     """
 
-    def __init__(self, *, evacuations: Evacuations) -> None:
+    def __init__(
+        self,
+        *,
+        evacuations: Evacuations,
+        cold: ColdEndpoints,
+        cold_limit: Callable[[str], float | None],
+        position: Callable[[str], NodePosition],
+        shares: ColdShares | None = None,
+    ) -> None:
         self._evacuations = evacuations
+        self._cold = cold
+        self._cold_limit = cold_limit
+        self._position = position
+        self._shares = shares or RankedShares()
+
+    def is_open(self, reg: Registration) -> bool:
+        """Return whether a request could be sent to an endpoint now."""
+        if self._evacuations.is_evacuated(reg.failure_domain):
+            return False
+        return self._has_share(reg, _now())
 
     def may_begin(self, reg: Registration) -> bool:
-        """Return whether a request may be sent to an endpoint now."""
-        return not self._evacuations.is_evacuated(reg.failure_domain)
+        """Return whether a request may be sent to an endpoint now, and count it."""
+        return self.is_open(reg) and self._count_request(reg)
 
     def may_continue(self, reg: Registration) -> bool:
-        """Return whether a run may continue from its copy at an engine now."""
-        now = asyncio.get_running_loop().time()
-        return self._evacuations.may_continue(reg.failure_domain, now)
+        """Return whether a run may continue from its copy now, and count it."""
+        now = _now()
+        if not self._evacuations.may_continue(reg.failure_domain, now):
+            return False
+        return self._has_share(reg, now) and self._count_request(reg)
+
+    async def wait_for_share(self, reg: Registration, deadline: float) -> None:
+        """Wait until this node has a share of a cold endpoint's requests again."""
+        while not self._has_share(reg, _now()):
+            if _now() >= deadline:
+                return
+            await asyncio.sleep(POLL_SECONDS)
+
+    def cold_seconds(self, reg: Registration) -> float:
+        """Return for how long an endpoint stays cold."""
+        return self._cold.remaining_seconds(reg.endpoint, _now())
+
+    def record_cold(self, reg: Registration, seconds: float) -> None:
+        """Record for how long an endpoint stays cold by its own statement."""
+        if seconds > 0:
+            self._cold.record(reg.endpoint, _now() + seconds)
+
+    def _has_share(self, reg: Registration, now: float) -> bool:
+        if not self._cold.is_cold(reg.endpoint, now):
+            return True
+        n_per_second = self._cold_limit(reg.service)
+        if n_per_second is None:
+            return True
+        position = self._position(reg.endpoint)
+        n_allowed = self._shares.n_allowed(n_per_second, position)
+        return self._cold.n_recent(reg.endpoint, now) < n_allowed
+
+    def _count_request(self, reg: Registration) -> bool:
+        self._cold.count_request(reg.endpoint, _now())
+        return True
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from result import Err, Ok, Result
 
 from ..http.client import HttpClient, NotSent, Stream
@@ -12,6 +14,9 @@
 
 # Connect timeout before another engine is tried, in seconds.
 CONNECT_SECONDS = 0.25
+# How long a run that continues at a cold engine waits until that may receive it, in
+# seconds. The run would be lost otherwise.
+COLD_WAIT_SECONDS = 1.2
 
 
 class EngineOpener:
@@ -61,6 +66,9 @@
             resume_from=copy_name,
             last_event_id=live.last_event_id,
         )
+        if copy_name is not None:
+            now = asyncio.get_running_loop().time()
+            await self._gate.wait_for_share(reg, now + COLD_WAIT_SECONDS)
         is_closed = False
 
         def may_send() -> bool:
@@ -91,6 +99,7 @@
                 return Err(Refused(reason=reason))
             return Err(Failed(reason=exc.reason))
         stream = opened.ok_value
+        self._gate.record_cold(reg, wire.cold_seconds(stream.headers))
         if wire.is_not_run(stream.status, stream.headers):
             ex.log("attempt_refused", endpoint=reg.endpoint, status=stream.status)
             await stream.read(ex.loop_deadline)
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -11,6 +11,7 @@
 from ..policies.decodetimes import DecodeTimes
 from ..policies.engineloads import EngineLoad, EngineLoads
 from ..policies.prefillrates import PrefillRates
+from .endpointgate import EndpointGate
 from .liverun import LiveRun, Prefill
 from .peerupdates import PeerUpdates
 from .registry import Registry
@@ -42,6 +43,8 @@
         The failure domain of this node.
     rng : random.Random
         Breaks ties.
+    gate : EndpointGate
+        Which engines may receive a request now.
     policy : PlacementPolicy
         Chooses among the engines.
     rates : PrefillRates
@@ -57,6 +60,7 @@
         decode_times: DecodeTimes,
         failure_domain: str,
         rng: random.Random,
+        gate: EndpointGate,
         policy: placing.PlacementPolicy,
         rates: PrefillRates,
     ) -> None:
@@ -66,6 +70,7 @@
         self._decode_times = decode_times
         self._failure_domain = failure_domain
         self._rng = rng
+        self._gate = gate
         self._placing = policy
         self._rates = rates
         # By endpoint, the loop time until which an unreachable engine is avoided.
@@ -95,7 +100,7 @@
         usable = [
             reg
             for reg in self._registry.usable_endpoints(service)
-            if reg.endpoint not in excluded
+            if reg.endpoint not in excluded and self._gate.is_open(reg)
         ]
         reachable = [
             reg for reg in usable if self._avoid_until.get(reg.endpoint, 0.0) <= now
@@ -115,7 +120,9 @@
         now = asyncio.get_running_loop().time()
         return [
             replace(
-                load, token_seconds=self._decode_times.token_seconds(load.reg.endpoint)
+                load,
+                token_seconds=self._decode_times.token_seconds(load.reg.endpoint),
+                cold_seconds=self._gate.cold_seconds(load.reg),
             )
             for load in self._loads.estimate(idle_loads, now)
         ]
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 from collections.abc import Callable, Coroutine
-from dataclasses import replace
 
 from eliot import log_message
 from result import Err
@@ -26,6 +25,7 @@
 from ..platform.nodesettings import RelaySettings
 from ..platform.operatorconfig import decode_config
 from ..platform.registrations import decode_registration
+from ..policies.coldlimits import ColdEndpoints
 from ..policies.decodetimes import DecodeTimes
 from ..policies.endpointchoice import EndpointChoice
 from ..policies.engineloads import EngineLoads
@@ -46,6 +46,7 @@
 from .enginewatch import EngineWatch
 from .generations import Generations
 from .handler import RelayHandler
+from .nodeorder import NodeOrder
 from .peerupdates import PeerUpdates
 from .registry import Registry
 from .runmover import RunMover
@@ -82,6 +83,9 @@
 # Share of the time between the bounds on configuration and on evacuations in which a
 # run may still continue from a copy that was already on its way.
 EVACUATION_CONTINUE_SHARE = 0.5
+# How long the endpoints of a failure domain are treated as cold after an evacuation, in
+# seconds. They may have turned cold meanwhile, and say so in their next heartbeat.
+RETURN_SECONDS = 3.0
 HOUSEKEEPING_SECONDS = 0.25
 # How long a stopping node still accepts new connections, in seconds: callers cache an
 # address answer for up to three times its lifetime.
@@ -149,6 +153,7 @@
         self.evacuations = Evacuations(
             continue_seconds=EVACUATION_CONTINUE_SHARE * spare_seconds
         )
+        self.cold = ColdEndpoints()
         self.registry = Registry(
             on_leaving=self._on_leaving, evacuations=self.evacuations
         )
@@ -161,7 +166,7 @@
             prefix=storewire.EVACUATION_PREFIX, on_change=self._on_evacuated
         )
         registrations = RegistrationSink(
-            registry=self.registry, decode=decode_registration
+            registry=self.registry, cold=self.cold, decode=decode_registration
         )
         self._watches = [
             self._watch(
@@ -183,7 +188,7 @@
                 storewire.REGISTRATION_TABLE,
                 TableMirror(
                     sink=registrations,
-                    relevant_content=_without_heartbeat,
+                    relevant_content=_without_heartbeat_number,
                     clock=self._clock,
                 ),
                 self._on_registrations_confirmed,
@@ -281,6 +286,7 @@
             answer_seconds=cfg.max_address_seconds,
             network=self._network,
         )
+        self._node_order = NodeOrder(nodes=self.nodes)
         assert cfg.store is not None
         self.rows = self._store or make_rows(
             cfg.store,
@@ -332,6 +338,12 @@
         self._engine_api = EngineApi(
             client=HttpClient(network=self._network, id_header=None)
         )
+        gate = EndpointGate(
+            evacuations=self.evacuations,
+            cold=self.cold,
+            cold_limit=self._cold_limit,
+            position=self._node_order.position,
+        )
         placer = EnginePlacer(
             registry=self.registry,
             loads=self.loads,
@@ -339,10 +351,10 @@
             decode_times=self._decode_times,
             failure_domain=cfg.failure_domain,
             rng=self._rng,
+            gate=gate,
             policy=self._placing,
             rates=PrefillRates(),
         )
-        gate = EndpointGate(evacuations=self.evacuations)
         opener = EngineOpener(client=self.endpoints, gate=gate)
         run_mover = RunMover(
             api=self._engine_api,
@@ -503,6 +515,8 @@
         self._metrics.set("configuration_version", float(cfg.version if cfg else 0))
         self._metrics.set("knowledge_age_seconds", self._freshness.age_seconds or 0.0)
         self._metrics.set("evacuated_domains", float(len(self.evacuations.domains)))
+        now = asyncio.get_running_loop().time()
+        self._metrics.set("cold_endpoints", float(self.cold.n_cold(now)))
         self._metrics.set("streams", float(self.generations.n_live))
         self._metrics.set("news_sent", float(self.peer_updates.n_sent))
         self._metrics.set("news_sent_bytes", float(self.peer_updates.n_sent_bytes))
@@ -527,9 +541,28 @@
         )
 
     def _on_evacuated(self, domains: frozenset[str]) -> None:
-        self.evacuations.set_domains(domains, asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        returned = self.evacuations.domains - domains
+        for reg in self.registry.all():
+            if reg.failure_domain in returned and self._cold_seconds(reg.service) > 0:
+                self.cold.record(reg.endpoint, now + RETURN_SECONDS)
+        self.evacuations.set_domains(domains, now)
         self.generations.on_evacuated(domains)
 
+    def _cold_seconds(self, service: str) -> float:
+        cfg = self.configs.cfg
+        found = cfg.services.get(service) if cfg else None
+        return found.cold_seconds if found else 0.0
+
+    def _cold_limit(self, service: str) -> float | None:
+        """Return the requests per second for a cold endpoint, None without a limit."""
+        cfg = self.configs.cfg
+        found = cfg.services.get(service) if cfg else None
+        if found is None or self.cfg.cold_excess is None:
+            return None
+        rate = found.cold_requests_per_second
+        return rate * self.cfg.cold_excess + self.cfg.cold_slack
+
     def _on_engine_leaving(self, reg: Registration) -> None:
         """Record that an engine leaves, and announce it to the other nodes."""
         self.registry.record_leaving(reg.endpoint)
@@ -574,6 +607,7 @@
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             now = asyncio.get_running_loop().time()
             self.registry.expire(now)
+            self.cold.expire(now)
             self.loads.expire(now, self.node_id)
             self.generations.report_progress()
             if self.is_ready != self._was_ready and not self.is_stopping:
@@ -583,12 +617,15 @@
 
     async def _enter_store(self) -> None:
         """Write this node's row to the store, and read the other nodes' addresses."""
-        self.nodes.set_vm_addresses(await self._node_rows.enter())
+        addresses = await self._node_rows.enter()
+        self._node_order.set_n_listed(len(addresses))
+        self.nodes.set_vm_addresses(addresses)
 
 
-def _without_heartbeat(key: str, value: bytes) -> object:
-    """Return the content of an endpoint's row that heartbeats don't change."""
+def _without_heartbeat_number(key: str, value: bytes) -> object:
+    """Return the content of an endpoint's row that heartbeats don't change.
+
+    The heartbeats of a cold endpoint do: it may turn cold again at any moment.
+    """
     decoded = decode_registration(key, value)
-    if isinstance(decoded, Err):
-        return None
-    return replace(decoded.ok_value, cold_seconds=0.0)
+    return None if isinstance(decoded, Err) else decoded.ok_value
--- a/celerytrail/relay/tablesinks.py
+++ b/celerytrail/relay/tablesinks.py
@@ -9,6 +9,7 @@
 from result import Err, Result
 
 from ..model import Registration, RelayConfig
+from ..policies.coldlimits import ColdEndpoints
 from ..rowsource import Row
 from .registry import Registry
 from .tablewatch import TableSink
@@ -164,12 +165,17 @@
     ----------
     registry : Registry
         Holds the known endpoints.
+    cold : ColdEndpoints
+        Records until when endpoints are cold.
     decode : callable
         Decodes a row.
     """
 
-    def __init__(self, *, registry: Registry, decode: RegistrationDecoder) -> None:
+    def __init__(
+        self, *, registry: Registry, cold: ColdEndpoints, decode: RegistrationDecoder
+    ) -> None:
         self._registry = registry
+        self._cold = cold
         self._decode = decode
 
     def replace(self, rows: Sequence[Row], *, is_after_outage: bool) -> None:
@@ -202,4 +208,8 @@
                 problem=decoded.err_value,
             )
             return None
-        return decoded.ok_value
+        reg = decoded.ok_value
+        if reg.cold_seconds > 0:
+            now = asyncio.get_running_loop().time()
+            self._cold.record(reg.endpoint, now + reg.cold_seconds)
+        return reg
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -71,10 +71,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ReceivedRequest:
-    """A request as a worker received it."""
+    """A request as a worker received it, and the loop time of its arrival."""
 
     attempt_id: str
     req: Request
+    arrived_at: float = 0.0
 
 
 class Worker(Handler, abc.ABC):
@@ -93,6 +94,8 @@
         self.faults = WorkerFaults()
         self.seen: list[ReceivedRequest] = []
         self.ran: list[str] = []
+        # How long it states in its answers that it stays cold, in milliseconds.
+        self.cold_ms = 0
         self.address = Address(host="127.0.0.1", port=1)
         self._server = HttpServer(handler=self, network=network)
 
@@ -109,12 +112,21 @@
         """Return the row by which it registers in the store."""
         return worker_row(service, self.address, state, **more)
 
+    @property
+    def max_requests_per_second(self) -> int:
+        """Return the most requests that arrived within any second."""
+        times = [seen.arrived_at for seen in self.seen]
+        return max((sum(at <= t < at + 1.0 for t in times) for at in times), default=0)
+
     async def handle(self, req: Request, res: Responder) -> None:
         """Answer one request."""
         if await self._answer_other(req, res):
             return
         attempt_id = req.headers.get("x-attempt-id", "")
-        self.seen.append(ReceivedRequest(attempt_id=attempt_id, req=req))
+        arrived_at = asyncio.get_running_loop().time()
+        self.seen.append(
+            ReceivedRequest(attempt_id=attempt_id, req=req, arrived_at=arrived_at)
+        )
         target_id = req.headers.get("x-target-instance", self.worker_id)
         if target_id != self.worker_id:
             await res.send(421, headers=self._headers(attempt_id))
@@ -138,6 +150,8 @@
     def _headers(self, attempt_id: str) -> dict[str, str]:
         echoed = "another" if self.faults.echoes_other_id else attempt_id
         headers = {"x-attempt-id": echoed, "x-worker-id": self.worker_id}
+        if self.cold_ms:
+            headers["x-cold-ms"] = str(self.cold_ms)
         if not self.faults.is_unsealed:
             headers[SEAL_HEADER] = f"seal of {self.worker_id}"
         return headers
