Let a large configuration reach every node, on slow links too

Cause: the row is sent whole by the store and by each reader to 32 followers. Where an answer took longer than its timeout, it was abandoned and requested again from its first byte, by every node at once, so it could never arrive. Ruled out: decoding (11 ms) and the store's rate.

--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -51,6 +51,29 @@
 ClientError = NotSent | RequestLost
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Progress:
+    """Lets an answer exceed its deadline while it keeps arriving.
+
+    A large answer on a slow link would otherwise be abandoned and requested again from
+    its first byte, each time in vain.
+
+    Parameters
+    ----------
+    seconds : float
+        Longest pause between two chunks of the body.
+    deadline : float
+        Loop time by which the whole body must have arrived.
+    """
+
+    seconds: float
+    deadline: float
+
+    def extend(self, deadline: float, now: float) -> float:
+        """Return the deadline of the next chunk after one that has just arrived."""
+        return max(deadline, min(now + self.seconds, self.deadline))
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _IdleConnection:
     """Holds an idle connection that may be reused until loop time ``drop_at``."""
@@ -116,8 +139,11 @@
         self._client.release(self._address, self._conn, self.headers)
         return Ok(None)
 
-    async def read(self, deadline: float | None = None) -> Result[bytes, RequestLost]:
-        """Return the remaining body."""
+    async def read(
+        self, deadline: float | None = None, *, progress: Progress | None = None
+    ) -> Result[bytes, RequestLost]:
+        """Return the remaining body; ``progress`` extends the deadline."""
+        loop = asyncio.get_running_loop()
         body = bytearray()
         while True:
             match await self.next_chunk(deadline):
@@ -126,6 +152,8 @@
                 case Ok(chunk):
                     assert chunk is not None
                     body += chunk
+                    if progress is not None and deadline is not None:
+                        deadline = progress.extend(deadline, loop.time())
                 case Err(lost):
                     return Err(lost)
             if len(body) > MAX_RESPONSE_BYTES:
@@ -185,8 +213,12 @@
         headers: Mapping[str, str] | None = None,
         deadline: float | None = None,
         fresh: bool = False,
+        progress: Progress | None = None,
     ) -> Result[Response, ClientError]:
-        """Send a request and read the whole answer; see `open` for the parameters."""
+        """Send a request and read the whole answer; see `open` for the parameters.
+
+        ``progress`` lets the answer's body exceed the deadline.
+        """
         opened = await self.open(
             address,
             method,
@@ -199,7 +231,7 @@
         if isinstance(opened, Err):
             return Err(opened.err_value)
         stream = opened.ok_value
-        match await stream.read(deadline):
+        match await stream.read(deadline, progress=progress):
             case Ok(content):
                 return Ok(
                     Response(status=stream.status, headers=stream.headers, body=content)
--- a/celerytrail/nodes/member.py
+++ b/celerytrail/nodes/member.py
@@ -36,6 +36,8 @@
         Address for other nodes: HTTP, and datagrams at the same port.
     vm, failure_domain, region : str
         Where the node runs.
+    link_mbps : int
+        Bandwidth of the VM's link in Mbit/s; 0 if unknown.
     version : int
         The configuration version in force according to the member's last datagram to
         this node; 0 if there was none. Updates don't carry it, as keeping it up to date
@@ -50,6 +52,7 @@
     vm: str = ""
     failure_domain: str = ""
     region: str = ""
+    link_mbps: int = 0
     version: int = 0
 
     @property
--- a/celerytrail/nodes/wire.py
+++ b/celerytrail/nodes/wire.py
@@ -41,6 +41,8 @@
     vm: Name
     failure_domain: Name
     region: Name
+    # Nodes of former releases send none.
+    link_mbps: Count = 0
 
 
 class StateUpdate(msgspec.Struct, array_like=True, frozen=True, tag="c"):
@@ -206,6 +208,7 @@
         vm=member.vm,
         failure_domain=member.failure_domain,
         region=member.region,
+        link_mbps=member.link_mbps,
     )
 
 
@@ -220,6 +223,7 @@
         vm=record.vm,
         failure_domain=record.failure_domain,
         region=record.region,
+        link_mbps=record.link_mbps,
     )
 
 
--- a/celerytrail/platform/client.py
+++ b/celerytrail/platform/client.py
@@ -12,7 +12,7 @@
 from result import Err, Ok, Result
 
 from ..clock import Clock
-from ..http.client import HttpClient, NotSent
+from ..http.client import HttpClient, NotSent, Progress
 from ..http.messages import Response
 from ..metrics import Metrics
 from ..types import Address
@@ -20,6 +20,10 @@
 from .backoff import Breaker, RetryBudget, clamp_retry_after, full_jitter
 
 DEFAULT_RETRY_AFTER_SECONDS = 1.0
+# Longest pause within an answer, and longest time for one that keeps arriving, in
+# seconds.
+PROGRESS_SECONDS = 0.6
+MAX_TRANSFER_SECONDS = 10.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -264,10 +268,24 @@
         try_deadline: float,
         is_repeatable: bool,
     ) -> Result[Response, Unavailable | InDoubt]:
-        """Try once and record the outcome in the circuit breaker."""
+        """Try once and record the outcome in the circuit breaker.
+
+        The answer to a repeatable request may exceed the deadline while it arrives.
+        """
+        progress = None
+        if is_repeatable:
+            progress = Progress(
+                seconds=PROGRESS_SECONDS,
+                deadline=self._clock.monotonic() + MAX_TRANSFER_SECONDS,
+            )
         try:
             result = await self._http.request(
-                self.address, method, path, body=body, deadline=try_deadline
+                self.address,
+                method,
+                path,
+                body=body,
+                deadline=try_deadline,
+                progress=progress,
             )
         except BaseException:
             self._breaker.record_abandoned()
--- a/celerytrail/platform/nodesettings.py
+++ b/celerytrail/platform/nodesettings.py
@@ -59,6 +59,8 @@
         The shared retry budget of all nodes.
     max_address_seconds : float
         How long callers may cache an answer with addresses.
+    link_mbps : float
+        Bandwidth of the VM's link in Mbit/s; 0 if not stated.
     memory_bytes : int
         Memory limit, beyond which the process is killed.
     is_first_start : bool
@@ -87,6 +89,7 @@
     retry_window_seconds: float = 10.0
     retry_slack: float = 0.0
     max_address_seconds: float = 5.0
+    link_mbps: float = 0.0
     memory_bytes: int = 0
     is_first_start: bool = False
 
@@ -129,6 +132,7 @@
         retry_window_seconds=bounds.number("budget-window-s", 10),
         retry_slack=bounds.number("retry-slack", 0),
         max_address_seconds=bounds.number("ttl_max_s", 5),
+        link_mbps=limits.number("link-mbps", 0),
         memory_bytes=int(limits.number("memory-mb", 0) * 1024 * 1024),
         is_first_start=raw.get("bootstrap") is True,
     )
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -236,18 +236,18 @@
         An answer counts as old as its request. If the bound on revocation is short, a
         node whose requests wait too long would never have rows new enough to serve.
         """
-        if self.shared_rows.is_reader:
+        if self.shared_rows.sources.is_reader:
             longest = READER_WAIT_SECONDS
-            if self.shared_rows.is_relayed:
+            if self.shared_rows.sources.is_relayed:
                 longest = bound.relayed_seconds(longest)
         else:
-            is_relayed = self.shared_rows.is_relayed
+            is_relayed = self.shared_rows.sources.is_relayed
             longest = MANY_NODES_WAIT_SECONDS if is_relayed else WAIT_SECONDS
         return min(longest, WAIT_SHARE * self._freshness.usable_seconds)
 
     def _pause_seconds(self, usual: float, bound_seconds: float) -> float:
         """Return the pause between two requests for a table, in seconds."""
-        if self.shared_rows.is_settled:
+        if self.shared_rows.sources.is_settled:
             return usual
         return min(UNSETTLED_PAUSE_SECONDS, WAIT_SHARE * bound_seconds)
 
@@ -274,6 +274,7 @@
             vm=cfg.node,
             failure_domain=cfg.failure_domain,
             region=cfg.region,
+            link_mbps=round(cfg.link_mbps),
         )
         self.nodes = Nodes(
             me=me,
--- a/celerytrail/relay/tablemirror.py
+++ b/celerytrail/relay/tablemirror.py
@@ -4,14 +4,13 @@
 
 import asyncio
 import math
-from collections import deque
 from collections.abc import Callable, Sequence
 
 from ..clock import Clock
 from ..rowsource import Changes, HistoryTruncated, Row
 from .tablewatch import TableSink
 
-# Changes kept for followers; one that lags further reads the whole table.
+# Changed rows kept for followers; one that lags further reads the whole table.
 MAX_CHANGES = 512
 # A wait shorter than this, in seconds, is skipped: timers are no finer.
 MIN_WAIT_SECONDS = 0.001
@@ -43,7 +42,8 @@
         self._relevant_content = relevant_content
         self._rows: dict[str, Row] = {}
         self._contents: dict[str, object] = {}
-        self._changes: deque[Row] = deque(maxlen=MAX_CHANGES)
+        # By key, the newest change of each row, in the order of the changes.
+        self._changes: dict[str, Row] = {}
         # The version after which `_changes` holds every change.
         self._history_start: int | None = None
         self._version: int | None = None
@@ -93,13 +93,17 @@
             is_relevant = content != self._contents.get(row.key)
             self._contents[row.key] = content
         if is_relevant:
+            # A follower needs only the newest state; several versions of a large row
+            # would take many times its memory, and be sent to each follower that lags.
+            self._changes.pop(row.key, None)
             self._trim_history()
-            self._changes.append(row)
+            self._changes[row.key] = row
         return is_relevant
 
     def _trim_history(self) -> None:
-        if len(self._changes) == MAX_CHANGES:
-            self._history_start = self._changes[0].version
+        if len(self._changes) >= MAX_CHANGES:
+            oldest = self._changes.pop(next(iter(self._changes)))
+            self._history_start = oldest.version
 
     def _wake_followers(self) -> None:
         self._changed.set()
@@ -165,7 +169,7 @@
             return None
         if after < self._history_start:
             return HistoryTruncated()
-        rows = tuple(row for row in self._changes if row.version > after)
+        rows = tuple(row for row in self._changes.values() if row.version > after)
         return Changes(
             rows=rows,
             version=self._version,
--- a/scenarios/memorynetwork.py
+++ b/scenarios/memorynetwork.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
 import random
 from collections import defaultdict, deque
@@ -19,6 +20,8 @@
 P = TypeVar("P", bound=asyncio.BaseProtocol)
 
 HIGH_WATER_BYTES = 64 * 1024
+# Largest part of a write that crosses a link of limited bandwidth at once.
+SEGMENT_BYTES = 16 * 1024
 FIRST_FREE_PORT = 40_000
 
 
@@ -37,6 +40,10 @@
         self.rng = rng
         self.delay_seconds = delay_seconds
         self.datagram_loss_rate = 0.0
+        # By process, bytes per second of its link; unlimited if missing.
+        self.bandwidths: dict[str, float] = {}
+        self.sent_bytes: defaultdict[str, int] = defaultdict(int)
+        self._busy_until: defaultdict[tuple[str, str], float] = defaultdict(float)
         self.listeners: dict[Address, MemoryListener] = {}
         self.datagrams: dict[Address, MemoryDatagrams] = {}
         self._cut: set[tuple[str, str]] = set()
@@ -85,17 +92,43 @@
         """Return an unused port."""
         return next(self._ports)
 
-    def deliver(self, sender: str, receiver: str, action: Callable[[], None]) -> None:
-        """Run an action at the receiver after the delay, or once nothing holds it."""
+    def deliver(
+        self,
+        sender: str,
+        receiver: str,
+        action: Callable[[], None],
+        n_bytes: int = 0,
+    ) -> None:
+        """Run an action at the receiver after the delay, or once nothing holds it.
+
+        ``n_bytes`` first pass the sender's link and then the receiver's, each behind
+        what already waits there.
+        """
         # The loop does not order two timers that are due at the same time, and a stream
         # never reorders bytes; so each timer runs the oldest action of the link.
         in_flight = self._in_flight[sender, receiver]
         in_flight.append(action)
-        asyncio.get_running_loop().call_later(
-            self.delay_seconds,
+        self.sent_bytes[sender] += n_bytes
+        loop = asyncio.get_running_loop()
+        sent_at = self._pass_link(sender, "out", loop.time(), n_bytes)
+        arrives_at = self._pass_link(receiver, "in", sent_at, n_bytes)
+        loop.call_at(
+            arrives_at + self.delay_seconds,
             lambda: self._arrive(sender, receiver, in_flight.popleft()),
         )
 
+    def _pass_link(
+        self, process: str, direction: str, starts_at: float, n_bytes: int
+    ) -> float:
+        """Return when bytes have passed one direction of a process's link."""
+        bandwidth = self.bandwidths.get(process)
+        if bandwidth is None:
+            return starts_at
+        link = (process, direction)
+        ends_at = max(starts_at, self._busy_until[link]) + n_bytes / bandwidth
+        self._busy_until[link] = ends_at
+        return ends_at
+
     def deliver_despite_freeze(
         self, sender: str, receiver: str, action: Callable[[], None]
     ) -> None:
@@ -246,7 +279,14 @@
         if self._n_unread_by_peer > HIGH_WATER_BYTES and not self._is_paused:
             self._is_paused = True
             self._protocol.pause_writing()
-        self._fabric.deliver(self.owner, peer.owner, lambda: peer.receive(chunk))
+        for start in range(0, len(chunk), SEGMENT_BYTES):
+            segment = chunk[start : start + SEGMENT_BYTES]
+            self._fabric.deliver(
+                self.owner,
+                peer.owner,
+                functools.partial(peer.receive, segment),
+                len(segment),
+            )
 
     def write_eof(self) -> None:
         """Send an end of file to the peer."""
@@ -360,6 +400,7 @@
             self.owner,
             target.owner,
             lambda: target.protocol.datagram_received(datagram, source),
+            len(datagram),
         )
 
     def close(self) -> None:
--- a/tests/sourcesrig.py
+++ b/tests/sourcesrig.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from result import Err
 
@@ -15,7 +16,7 @@
 from celerytrail.nodes.rendezvous import rank
 from celerytrail.platform.nodesettings import RelaySettings
 from celerytrail.relay.node import RelayNode
-from celerytrail.relay.sharedrows import READERS_KEY
+from celerytrail.relay.rowsources import READERS_KEY
 from celerytrail.relay.storeclient import make_rows
 from celerytrail.rowsource import RowSource, StoreUnavailable
 from celerytrail.types import Address
@@ -28,6 +29,7 @@
 CONFIG_SECONDS = 2.0
 REVOKE_SECONDS = 5.0
 WARM_UP_SECONDS = 6.0
+BYTES_PER_MEGABIT = 125_000
 
 
 class GatedStore(RowSource):
@@ -66,7 +68,14 @@
 class Fleet:
     """Nodes that share one store; each node's access to it can be refused."""
 
-    def __init__(self, seed: int, n_nodes: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        n_nodes: int,
+        *,
+        config_seconds: float = CONFIG_SECONDS,
+        link_mbps: Callable[[int], float] | None = None,
+    ) -> None:
         self.wires = MemoryFabric(rng=random.Random(seed))
         self.store = RowStore(network=self.wires.network_of("store"))
         self.nodes: list[RelayNode] = []
@@ -77,6 +86,8 @@
         self.version = 1
         self._n_requests = 0
         self._seed = seed
+        self._config_seconds = config_seconds
+        self._link_mbps = link_mbps
         self._n_nodes = n_nodes
 
     async def start(self) -> None:
@@ -115,6 +126,9 @@
                 metrics=Metrics(process=name),
             )
         )
+        link_mbps = self._link_mbps(number) if self._link_mbps else 0.0
+        if link_mbps:
+            self.wires.bandwidths[name] = link_mbps * BYTES_PER_MEGABIT
         cfg = RelaySettings(
             node=name,
             failure_domain="abc"[number % 3],
@@ -126,7 +140,8 @@
             peer_ports=(7200, 7201),
             seeds=(Address(host="10.1.0.1", port=8742),),
             store=store,
-            config_seconds=CONFIG_SECONDS,
+            config_seconds=self._config_seconds,
+            link_mbps=link_mbps,
             revoke_seconds=REVOKE_SECONDS,
         )
         node = RelayNode(
@@ -139,7 +154,9 @@
     @property
     def reader(self) -> int:
         """Return the number of the only reader."""
-        readers = [i for i, node in enumerate(self.nodes) if node.shared_rows.is_reader]
+        readers = [
+            i for i, node in enumerate(self.nodes) if node.shared_rows.sources.is_reader
+        ]
         assert len(readers) == 1
         return readers[0]
 
@@ -192,12 +209,15 @@
 
 
 def run_fleet(
-    seed: int, test: Callable[[Fleet], Awaitable[None]], n_nodes: int = N_NODES
+    seed: int,
+    test: Callable[[Fleet], Awaitable[None]],
+    n_nodes: int = N_NODES,
+    **more: Any,
 ) -> None:
     """Run a test's steps against a new fleet in virtual time."""
 
     async def steps() -> None:
-        fleet = Fleet(seed, n_nodes)
+        fleet = Fleet(seed, n_nodes, **more)
         await fleet.start()
         await test(fleet)
         for node in fleet.nodes:
--- a/tests/test_relay_node.py
+++ b/tests/test_relay_node.py
@@ -454,7 +454,7 @@
     async def test_one_node_follows_the_store_for_all(self, rig):
         nodes = [await rig.add_node(f"vm-{number}") for number in range(3)]
         await wait_until(lambda: all(len(node.nodes.live()) == 3 for node in nodes))
-        assert sum(node.shared_rows.is_reader for node in nodes) == 1
+        assert sum(node.shared_rows.sources.is_reader for node in nodes) == 1
         rig.store.put("op", "config", config(8))
         await wait_until(lambda: all(node.configs.cfg.version == 8 for node in nodes))
 
--- a/tests/test_relay_sources.py
+++ b/tests/test_relay_sources.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from celerytrail.relay import sharedrows
+from celerytrail.relay import rowsources
 from tests.sourcesrig import CONFIG_SECONDS, N_NODES, Fleet, run_fleet
 
 
@@ -164,7 +164,7 @@
 
     @pytest.fixture(autouse=True)
     def few_nodes_per_reader(self, monkeypatch):
-        monkeypatch.setattr(sharedrows, "NODES_PER_READER", 2)
+        monkeypatch.setattr(rowsources, "NODES_PER_READER", 2)
 
     def test_calls_to_the_store_do_not_grow_with_the_readers(self, seed: int):
         """When every reader followed the store itself, hundreds of nodes made thousands
@@ -172,7 +172,7 @@
         """
 
         async def steps(fleet: Fleet) -> None:
-            assert sum(node.shared_rows.is_reader for node in fleet.nodes) == 4
+            assert sum(node.shared_rows.sources.is_reader for node in fleet.nodes) == 4
             before = [gate.n_calls for gate in fleet.gates]
             assert await fleet.unready_seconds(4.0) == 0.0
             n_calls = [
@@ -235,7 +235,9 @@
 
         async def steps(fleet: Fleet) -> None:
             domains = {node.node_id: node.cfg.failure_domain for node in fleet.nodes}
-            readers = [node for node in fleet.nodes if node.shared_rows.is_reader]
+            readers = [
+                node for node in fleet.nodes if node.shared_rows.sources.is_reader
+            ]
             reader_domains = {node.cfg.failure_domain for node in readers}
             followers = [node for node in fleet.nodes if node not in readers]
             for node in followers:
