--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -14,9 +14,12 @@
 from dataclasses import dataclass, field, replace
 
 from bench.fleetcallers import Caller, RequestResult, parse_request_number
-from bench.fleetload import Arrival, FleetLoad, draw_arrivals
+from bench.fleetload import Arrival, FleetEvent, FleetLoad, draw_arrivals
 from celerytrail.clock import LoopClock
 from celerytrail.platform.nodesettings import RelaySettings
+from celerytrail.policies.backups import BackupPolicy
+from celerytrail.policies.movetargets import MoveTargets
+from celerytrail.policies.moving import StopPolicy
 from celerytrail.policies.placing import PlacementPolicy
 from celerytrail.relay.node import RelayNode
 from celerytrail.types import Address
@@ -44,6 +47,14 @@
     ----------
     placing : PlacementPolicy or None
         The placement policy; the product's default if None.
+    backups : BackupPolicy or None
+        Chooses the engines that keep copies; the product's default if None.
+    move_targets : MoveTargets or None
+        Selects the engines that runs are moved to; the product's default if None.
+    incoming_cost : float
+        Cost of each run that is being moved to the same engine, in seconds.
+    stopping : StopPolicy or None
+        When a run is stopped for its last copy; the product's default if None.
     can_move, can_back_up : bool
         Whether engines allow migration of runs, and replication of a run's memory
         as it grows.
@@ -55,6 +66,10 @@
     """
 
     placing: PlacementPolicy | None = None
+    backups: BackupPolicy | None = None
+    move_targets: MoveTargets | None = None
+    incoming_cost: float = 0.0
+    stopping: StopPolicy | None = None
     can_move: bool = True
     can_back_up: bool = True
     dropped_share: float = 0.0
@@ -168,6 +183,10 @@
         if not all(node.is_ready for node in self._nodes):
             raise RuntimeError("not all nodes are ready")
         faults = [asyncio.ensure_future(self._reclaim_engines())]
+        faults += [
+            asyncio.ensure_future(self._play_event(event))
+            for event in self._load.events
+        ]
         self._network.datagram_loss_rate = self._variation.dropped_share
         if self._variation.frozen is not None:
             faults.append(asyncio.ensure_future(self._freeze_node()))
@@ -223,7 +242,7 @@
 
     # Setup of the configuration, the engines and the nodes.
 
-    def _config(self) -> dict[str, object]:
+    def _config(self, version: int = 1, n_more: int = 0) -> dict[str, object]:
         spec = self._spec
         engine = {
             "slots": spec.n_slots,
@@ -251,14 +270,18 @@
             }
             for kind in self._load.requests
         ]
+        routes += [
+            {**routes[0], "name": f"r{number}", "prefix": f"/more-{number}/"}
+            for number in range(n_more)
+        ]
         return {
-            "version": 1,
+            "version": version,
             "routes": routes,
             "services": [{"name": SERVICE, "engine": engine}],
             "tenants": [{"name": "org", "api-keys": [KEY]}],
         }
 
-    async def _add_engine(self, zone: str) -> None:
+    async def _add_engine(self, zone: str, *, is_cold: bool = False) -> None:
         slowness = self._load.engines.slowness
         number = self._n_engines
         self._n_engines += 1
@@ -273,10 +296,18 @@
         )
         await engine.start()
         self._engines[name] = engine
-        self._write_engine_row(engine, "ready")
+        self._write_engine_row(
+            engine, "ready", self._load.engines.cold if is_cold else 0.0
+        )
 
-    def _write_engine_row(self, engine: ModelWorker, state: str) -> None:
-        columns = {"zone": engine.failure_domain, "slots": self._spec.n_slots}
+    def _write_engine_row(
+        self, engine: ModelWorker, state: str, cold_seconds: float = 0.0
+    ) -> None:
+        columns = {
+            "zone": engine.failure_domain,
+            "slots": self._spec.n_slots,
+            "cold-remaining-ms": round(cold_seconds * 1_000),
+        }
         row = engine.row(SERVICE, state, **columns)
         self._store.put("servers", engine.worker_id, row)
 
@@ -309,6 +340,10 @@
             rng=random.Random(f"{self._seed}:{name}"),
             clock=LoopClock(),
             placing=self._variation.placing,
+            backups=self._variation.backups,
+            move_targets=self._variation.move_targets,
+            stopping=self._variation.stopping,
+            incoming_cost=self._variation.incoming_cost,
         )
         await node.start()
         self._nodes.append(node)
@@ -336,7 +371,41 @@
             ready = [
                 engine for engine in self._engines.values() if engine.leaving_at is None
             ]
-            asyncio.ensure_future(self._reclaim_engine(self._rng.choice(ready)))
+            chosen = self._rng.sample(ready, min(engines.n_reclaimed, len(ready)))
+            for engine in chosen:
+                asyncio.ensure_future(self._reclaim_engine(engine))
+
+    async def _play_event(self, event: FleetEvent) -> None:
+        await asyncio.sleep(event.at)
+        match event.kind:
+            case "evacuate":
+                await self._evacuate(event)
+            case "cold_return":
+                await self._lose_domain(event)
+            case "big_config":
+                self._store.put("op", "config", self._config(2, event.n_routes))
+
+    async def _evacuate(self, event: FleetEvent) -> None:
+        key = f"evacuate/{event.domain}"
+        self._store.put("op", key, {})
+        await asyncio.sleep(event.seconds)
+        self._store.drop("op", key)
+
+    async def _lose_domain(self, event: FleetEvent) -> None:
+        """Crash all engines of a domain; as many return together, cold."""
+        lost = [
+            engine
+            for engine in self._engines.values()
+            if engine.failure_domain == event.domain and engine.leaving_at is None
+        ]
+        for engine in lost:
+            self._network.kill(engine.worker_id)
+            await engine.close()
+            self._reclaimed.append(self._engines.pop(engine.worker_id))
+        await asyncio.sleep(event.seconds)
+        for engine in lost:
+            self._store.drop("servers", engine.worker_id)
+            await self._add_engine(event.domain, is_cold=True)
 
     async def _freeze_node(self) -> None:
         """Freeze a node for a while; it neither receives nor sends anything."""
@@ -354,12 +423,14 @@
         if notice:
             self._write_engine_row(engine, "draining")
             await asyncio.sleep(notice)
+        if engine.worker_id not in self._engines:
+            return
         self._network.kill(engine.worker_id)
         await engine.close()
         self._reclaimed.append(self._engines.pop(engine.worker_id))
         self._store.drop("servers", engine.worker_id)
         await asyncio.sleep(max(0.0, engines.replace_after - notice))
-        await self._add_engine(engine.failure_domain)
+        await self._add_engine(engine.failure_domain, is_cold=True)
 
 
 def simulate(load: FleetLoad, variation: Variation, seed: int) -> FleetResult:
--- a/bench/fleetload.py
+++ b/bench/fleetload.py
@@ -6,7 +6,7 @@
 import random
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, Literal
 
 import msgspec
 
@@ -66,6 +66,25 @@
     notice: list[float]
     replace_after: float
     n_memory_tokens: int = 34_000
+    # Engines that are reclaimed together.
+    n_reclaimed: int = 1
+    # How long a new engine is cold.
+    cold: float = 0.0
+
+
+class FleetEvent(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """An event in a simulation; times are in seconds from the start of traffic.
+
+    ``kind`` is one of "evacuate" (the operator evacuates a domain), "cold_return" (a
+    domain's engines are down, and others come back cold) and "big_config" (the operator
+    adds ``n_routes`` routes).
+    """
+
+    kind: Literal["evacuate", "cold_return", "big_config"]
+    at: float
+    seconds: float = 0.0
+    domain: str = ""
+    n_routes: int = 0
 
 
 class FleetLoad(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -76,6 +95,7 @@
     zones: list[str]
     engines: EngineFleet
     requests: list[RequestKind]
+    events: list[FleetEvent] = []
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/bench/fleetplacing.py
+++ b/bench/fleetplacing.py
@@ -8,7 +8,10 @@
 from dataclasses import replace
 
 from bench.fleet import Variation
+from celerytrail.policies.backups import OtherDomainBackup
 from celerytrail.policies.engineloads import EngineLoad
+from celerytrail.policies.movetargets import OwnTargets
+from celerytrail.policies.moving import StopAfterQuick
 from celerytrail.policies.placing import Demand, LeastCostPlacement, PlacementPolicy
 
 
@@ -71,6 +74,27 @@
 
 VARIATIONS: dict[str, Callable[[], Variation]] = {
     "shipped": Variation,
+    "other domain": lambda: Variation(backups=OtherDomainBackup()),
+    "own targets": lambda: Variation(move_targets=OwnTargets()),
+    "own targets, spread moves": lambda: Variation(
+        move_targets=OwnTargets(), incoming_cost=1.0
+    ),
+    "own targets, other domain": lambda: Variation(
+        move_targets=OwnTargets(), backups=OtherDomainBackup()
+    ),
+    "stop when quick": lambda: Variation(stopping=StopAfterQuick()),
+    "own targets, quick": lambda: Variation(
+        move_targets=OwnTargets(), stopping=StopAfterQuick()
+    ),
+    "own targets, quick, other": lambda: Variation(
+        move_targets=OwnTargets(),
+        stopping=StopAfterQuick(),
+        backups=OtherDomainBackup(),
+    ),
+    "spread moves": lambda: Variation(incoming_cost=1.0),
+    "other domain, spread moves": lambda: Variation(
+        backups=OtherDomainBackup(), incoming_cost=1.0
+    ),
     "no copies": lambda: Variation(can_back_up=False),
     "no moves": lambda: Variation(can_move=False, can_back_up=False),
     "any queue": lambda: Variation(placing=AnyQueue()),
--- a/celerytrail/nodes/admitters.py
+++ b/celerytrail/nodes/admitters.py
@@ -14,6 +14,7 @@
 from ..http.client import HttpClient
 from ..metrics import Metrics
 from ..policies.grants import AdmitRequest, Admitter, GenerationEnd, Grant
+from ..policies.rendezvous import rank
 from ..types import NotRun
 from .batches import AdmitOutcome, ProgressBatcher
 from .fallback import FallbackChooser
@@ -21,7 +22,6 @@
 from .homewire import ADMIT_PATH, AdmitAnswer, AdmitBody
 from .member import Member
 from .pools import Pool
-from .rendezvous import rank
 from .signing import PeerKeys
 from .view import NodesView, Ranking
 
--- a/celerytrail/nodes/view.py
+++ b/celerytrail/nodes/view.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from ..policies.rendezvous import rank
 from .member import Member
-from .rendezvous import rank
 
 # One for each key of a pool or of a group of organisations, by region.
 MAX_CACHED_RANKINGS = 2_000
--- a/celerytrail/policies/moving.py
+++ b/celerytrail/policies/moving.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import abc
 from collections.abc import Iterable
 
 from ..model import EngineProfile
@@ -35,6 +36,61 @@
 N_ENDING_TOKENS = 100
 
 
+# A copy that took less than this, in seconds, had nothing ahead of it on either link.
+QUICK_SECONDS = 0.04
+# Copies of a run while it continues, before it is stopped in any case.
+MAX_COPIES = 4
+# Time before an engine's shutdown from which its runs aren't copied again before they
+# are stopped, in seconds.
+URGENT_SECONDS = 0.6
+
+
+class StopPolicy(abc.ABC):
+    """Decides when a run that is being copied is stopped for its last copy.
+
+    The caller receives nothing until the last copy is complete. That copy is small, but
+    waits behind whatever else the links of both engines carry.
+    """
+
+    @abc.abstractmethod
+    def should_stop(
+        self, n_copies: int, copy_seconds: float, remaining_seconds: float | None
+    ) -> bool:
+        """Return whether to stop the run now.
+
+        Parameters
+        ----------
+        n_copies : int
+            Copies made while the run continued.
+        copy_seconds : float
+            Duration of the latest one.
+        remaining_seconds : float or None
+            Time until the engine shuts down, None if unknown.
+        """
+
+
+class StopAfterOne(StopPolicy):
+    """Stops the run after its first copy."""
+
+    def should_stop(
+        self, n_copies: int, copy_seconds: float, remaining_seconds: float | None
+    ) -> bool:
+        """Return whether to stop the run now."""
+        return True
+
+
+class StopAfterQuick(StopPolicy):
+    """Copies what is new until that finds the links idle, then stops the run."""
+
+    def should_stop(
+        self, n_copies: int, copy_seconds: float, remaining_seconds: float | None
+    ) -> bool:
+        """Return whether to stop the run now."""
+        if remaining_seconds is not None and remaining_seconds < URGENT_SECONDS:
+            return True
+        return copy_seconds < QUICK_SECONDS or n_copies >= MAX_COPIES
+
+
 def copy_seconds(
     run: Run, engine: EngineProfile, *, is_cross_domain: bool | None = None
 ) -> float:
--- a/celerytrail/policies/placing.py
+++ b/celerytrail/policies/placing.py
@@ -1,4 +1,4 @@
-"""Choice of the engine that runs a generation, and of the one that keeps its backup.
+"""Choice of the engine that runs a generation.
 
 The workload: generations with some thousand prompt tokens arrive in bursts at many
 nodes at once. Each occupies memory until it ends, and concurrent prefills on one engine
@@ -15,18 +15,12 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from ..model import Registration
 from .engineloads import EngineLoad
 from .prefillrates import DEFAULT_PREFILL_RATE
 
 # Largest expected share of an engine's memory in use at any future time. The rest is
 # for outputs that are longer than their hint.
 MEMORY_SHARE = 0.85
-# The same limit for copies; the difference is reserved for new generations.
-COPY_SHARE = 0.6
-# The same limit for copies of runs on an engine that holds more than its link can
-# move before the engine stops.
-NEEDED_COPY_SHARE = 0.72
 # The same limit for a run that is moved off a leaving engine and would otherwise be
 # lost.
 MOVE_SHARE = 0.9
@@ -76,6 +70,8 @@
         Largest expected share of an engine's memory in use with it.
     cross_domain_cost : float
         Cost of another failure domain, in seconds.
+    incoming_cost : float
+        Cost of each run that is being moved to the engine, in seconds.
     prefill_rate : float
         Prompt tokens that an engine reads per second.
     max_prefill_seconds : float
@@ -88,6 +84,7 @@
     failure_domain: str = ""
     memory_share: float = MEMORY_SHARE
     cross_domain_cost: float = CROSS_DOMAIN_COST
+    incoming_cost: float = 0.0
     prefill_rate: float = DEFAULT_PREFILL_RATE
     max_prefill_seconds: float = math.inf
 
@@ -186,6 +183,7 @@
         + OUTPUT_COST * demand.n_remaining_tokens * load.token_seconds
         + QUEUE_COST * (load.report.n_queued if load.report else 0)
         + COLD_COST * load.cold_seconds
+        + demand.incoming_cost * load.n_incoming
         + (demand.cross_domain_cost if is_cross_domain else 0.0)
     )
 
@@ -215,30 +213,3 @@
         return min(
             fitting, key=lambda load: (round(cost(load, demand), 2), rng.random())
         )
-
-
-def choose_backup(
-    loads: Sequence[EngineLoad],
-    demand: Demand,
-    placed: Registration,
-    rng: random.Random,
-    *,
-    is_needed: bool,
-) -> EngineLoad | None:
-    """Return the engine with the most free memory for a copy, None if none has enough.
-
-    Only engines in the failure domain of ``placed`` qualify. A copy to another domain
-    occupies both links for twice as long. The final step of a run that is being moved,
-    during which its caller receives nothing, would queue behind it for up to a second.
-    """
-    best: EngineLoad | None = None
-    best_share = NEEDED_COPY_SHARE if is_needed else COPY_SHARE
-    for load in loads:
-        if load.reg.endpoint == placed.endpoint:
-            continue
-        if load.reg.failure_domain != placed.failure_domain:
-            continue
-        share = expected_memory_share(load, demand) + 0.001 * rng.random()
-        if share < best_share:
-            best, best_share = load, share
-    return best
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -8,8 +8,10 @@
 
 from ..model import Registration
 from ..policies import moving, placing
+from ..policies.backups import BackupPolicy, SameDomainBackup
 from ..policies.decodetimes import DecodeTimes
 from ..policies.engineloads import EngineLoad, EngineLoads
+from ..policies.movetargets import AnyTargets, MoveTargets
 from ..policies.prefillrates import PrefillRates
 from .endpointgate import EndpointGate
 from .liverun import LiveRun, Prefill
@@ -47,6 +49,14 @@
         Which engines may receive a request now.
     policy : PlacementPolicy
         Chooses among the engines.
+    backups : BackupPolicy or None
+        Chooses the engines that keep copies of runs; in the same failure domain by
+        default.
+    move_targets : MoveTargets or None
+        Selects the engines that get the runs of leaving ones; any by default.
+    incoming_cost : float
+        Cost, for a run that is moved, of each other one that is being moved to the same
+        engine, in seconds.
     rates : PrefillRates
         Prefill speed of the engines of each service.
     """
@@ -63,6 +73,9 @@
         gate: EndpointGate,
         policy: placing.PlacementPolicy,
         rates: PrefillRates,
+        backups: BackupPolicy | None = None,
+        move_targets: MoveTargets | None = None,
+        incoming_cost: float = 0.0,
     ) -> None:
         self._registry = registry
         self._loads = loads
@@ -73,6 +86,9 @@
         self._gate = gate
         self._placing = policy
         self._rates = rates
+        self._backups = backups or SameDomainBackup()
+        self._move_targets = move_targets or AnyTargets()
+        self._incoming_cost = incoming_cost
         # By endpoint, the loop time until which an unreachable engine is avoided.
         self._avoid_until: dict[str, float] = {}
 
@@ -195,7 +211,7 @@
             if run.run_id != live.run.run_id
         ]
         is_needed = moving.needs_backup(live.run, others, live.engine)
-        copy = placing.choose_backup(loads, demand, reg, self._rng, is_needed=is_needed)
+        copy = self._backups.choose(loads, demand, reg, self._rng, is_needed=is_needed)
         return copy.reg if copy is not None else None
 
     def announce(
@@ -238,7 +254,12 @@
             n_prefill_tokens=0,
             memory_share=placing.MOVE_SHARE,
             cross_domain_cost=placing.CROSS_DOMAIN_MOVE_COST,
+            incoming_cost=self._incoming_cost,
         )
         loads = self._engine_loads(live, excluded)
-        target = self._placing.choose(loads, demand, self._rng)
+        leaving = self._registry.leaving_endpoints(live.ex.service)
+        preferred = self._move_targets.select(loads, source.endpoint, leaving)
+        target = self._placing.choose(preferred, demand, self._rng)
+        if target is None:
+            target = self._placing.choose(loads, demand, self._rng)
         return target.reg if target is not None else None
--- a/celerytrail/relay/enginewatch.py
+++ b/celerytrail/relay/enginewatch.py
@@ -10,7 +10,7 @@
 
 from ..model import Registration
 from ..nodes.nodes import Nodes
-from ..nodes.rendezvous import RendezvousHomes
+from ..policies.rendezvous import RendezvousHomes
 from .engineapi import EngineApi
 from .peerupdates import PeerUpdates
 from .registry import Registry
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -25,12 +25,15 @@
 from ..platform.nodesettings import RelaySettings
 from ..platform.operatorconfig import decode_config
 from ..platform.registrations import decode_registration
+from ..policies.backups import BackupPolicy
 from ..policies.coldlimits import ColdEndpoints
 from ..policies.decodetimes import DecodeTimes
 from ..policies.endpointchoice import EndpointChoice
 from ..policies.engineloads import EngineLoads
 from ..policies.evacuations import Evacuations
 from ..policies.freshness import Freshness
+from ..policies.movetargets import MoveTargets
+from ..policies.moving import StopPolicy
 from ..policies.placing import LeastCostPlacement, PlacementPolicy
 from ..policies.prefillrates import PrefillRates
 from ..policies.renewal import RenewalBound
@@ -111,6 +114,12 @@
         The clocks; the VM's by default.
     placing : PlacementPolicy or None
         Chooses the engine for a generation; by cost by default.
+    backups : BackupPolicy or None
+        Chooses the engine that keeps a generation's copy.
+    move_targets, incoming_cost
+        See `EnginePlacer`.
+    stopping : StopPolicy or None
+        See `RunMover`.
     """
 
     def __init__(
@@ -122,10 +131,18 @@
         store: RowSource | None = None,
         clock: Clock | None = None,
         placing: PlacementPolicy | None = None,
+        backups: BackupPolicy | None = None,
+        move_targets: MoveTargets | None = None,
+        incoming_cost: float = 0.0,
+        stopping: StopPolicy | None = None,
     ) -> None:
         self.cfg = cfg
         self._store = store
         self._placing = placing or LeastCostPlacement()
+        self._backups = backups
+        self._move_targets = move_targets
+        self._stopping = stopping
+        self._incoming_cost = incoming_cost
         self._network = network or SystemNetwork()
         self._rng = rng or random.Random()
         self._clock = clock or SystemClock()
@@ -355,6 +372,9 @@
             gate=gate,
             policy=self._placing,
             rates=PrefillRates(),
+            backups=self._backups,
+            move_targets=self._move_targets,
+            incoming_cost=self._incoming_cost,
         )
         opener = EngineOpener(client=self.endpoints, gate=gate)
         run_mover = RunMover(
@@ -363,6 +383,7 @@
             loads=self.loads,
             placer=placer,
             opener=opener,
+            stopping=self._stopping,
         )
         self.generations = Generations(
             placer=placer,
--- a/celerytrail/relay/nodeorder.py
+++ b/celerytrail/relay/nodeorder.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from ..nodes.nodes import Nodes
-from ..nodes.rendezvous import rank
 from ..policies.coldlimits import NodePosition
+from ..policies.rendezvous import rank
 
 MAX_CACHED = 1_000
 
--- a/celerytrail/relay/registry.py
+++ b/celerytrail/relay/registry.py
@@ -135,6 +135,14 @@
             if lapsed.reg.service == service
         ]
 
+    def leaving_endpoints(self, service: str) -> list[str]:
+        """Return the ids of a service's endpoints that leave and still have a row."""
+        return [
+            reg.endpoint
+            for reg in self._known.values()
+            if reg.service == service and self._is_leaving(reg)
+        ]
+
     def all(self) -> list[Registration]:
         """Return all endpoints that have a row."""
         return list(self._known.values())
--- a/celerytrail/relay/rowsources.py
+++ b/celerytrail/relay/rowsources.py
@@ -10,8 +10,8 @@
 
 from ..nodes.member import Member
 from ..nodes.nodes import Nodes
-from ..nodes.rendezvous import rank
 from ..policies.readers import Candidate, FastLinkOrder, ReaderOrder
+from ..policies.rendezvous import rank
 from ..rowsource import StoreUnavailable
 from ..types import Address
 
--- a/celerytrail/relay/runmover.py
+++ b/celerytrail/relay/runmover.py
@@ -59,6 +59,8 @@
         Chooses the target engines.
     opener : EngineOpener
         Opens streams at the target engines.
+    stopping : StopPolicy or None
+        Decides when a run is stopped for its last copy; after one by default.
     """
 
     def __init__(
@@ -69,8 +71,10 @@
         loads: EngineLoads,
         placer: EnginePlacer,
         opener: EngineOpener,
+        stopping: moving.StopPolicy | None = None,
     ) -> None:
         self._api = api
+        self._stopping = stopping or moving.StopAfterOne()
         self._registry = registry
         self._loads = loads
         self._placer = placer
@@ -250,14 +254,14 @@
     def _can_finish_copy(
         self, live: LiveRun, source: Registration, target: Registration
     ) -> bool:
-        leaves_at = self._leaves_at.get(source.endpoint)
-        if leaves_at is None:
+        remaining_seconds = self._remaining_seconds(source)
+        if remaining_seconds is None:
             return True
         is_cross_domain = source.failure_domain != target.failure_domain
         seconds = moving.copy_seconds(
             live.run, live.engine, is_cross_domain=is_cross_domain
         )
-        return asyncio.get_running_loop().time() + seconds < leaves_at
+        return seconds < remaining_seconds
 
     async def _fetch_shutdown_time(self, reg: Registration) -> None:
         """Read from a leaving engine's report when it shuts down."""
@@ -286,7 +290,9 @@
         """Copy a run while it continues, then stop it and copy the rest."""
         moved: wire.CompletedMove | None = None
         loop = asyncio.get_running_loop()
-        for is_last in (False, True):
+        n_copies = 0
+        is_last = False
+        while True:
             started_at = loop.time()
             copied = await self._api.copy(
                 source.address,
@@ -296,37 +302,64 @@
                 deadline=deadline,
             )
             if isinstance(copied, Err):
-                if moved is not None:
-                    # The first copy would occupy memory there for seconds.
-                    for engine in (source, target):
-                        self._run_in_background(
-                            self._api.free_copy(engine.address, moved.handle, deadline)
-                        )
-                live.ex.log(
-                    "move_failed",
-                    endpoint=source.endpoint,
-                    target=target.endpoint,
-                    reason=copied.err_value.reason,
-                    status=copied.err_value.status,
-                    is_last=is_last,
+                return self._on_copy_failed(
+                    live, source, target, copied.err_value, moved, is_last=is_last
                 )
-                handle = copied.err_value.handle
-                if is_last and handle is not None:
-                    name = wire.copy_name(source.address, handle)
-                    return Ok(Copied(reg=source, name=name))
-                return Err(copied.err_value)
             moved = copied.ok_value
+            seconds = loop.time() - started_at
             live.ex.log(
                 "copied",
                 endpoint=source.endpoint,
                 target=target.endpoint,
-                seconds=round(loop.time() - started_at, 4),
+                seconds=round(seconds, 4),
                 n_tokens=live.run.n_tokens,
                 is_last=is_last,
             )
-        assert moved is not None
-        name = wire.copy_name(source.address, moved.handle)
-        return Ok(Copied(reg=target, name=name))
+            if is_last:
+                name = wire.copy_name(source.address, moved.handle)
+                return Ok(Copied(reg=target, name=name))
+            n_copies += 1
+            is_last = self._stopping.should_stop(
+                n_copies, seconds, self._remaining_seconds(source)
+            )
+
+    def _on_copy_failed(
+        self,
+        live: LiveRun,
+        source: Registration,
+        target: Registration,
+        exc: CopyFailed,
+        moved: wire.CompletedMove | None,
+        *,
+        is_last: bool,
+    ) -> Result[Copied, CopyFailed]:
+        """Free an incomplete copy; a run that was stopped resumes at its own engine."""
+        if moved is not None:
+            # The earlier copy would occupy memory there for seconds.
+            deadline = asyncio.get_running_loop().time() + FREE_TIMEOUT_SECONDS
+            for engine in (source, target):
+                self._run_in_background(
+                    self._api.free_copy(engine.address, moved.handle, deadline)
+                )
+        live.ex.log(
+            "move_failed",
+            endpoint=source.endpoint,
+            target=target.endpoint,
+            reason=exc.reason,
+            status=exc.status,
+            is_last=is_last,
+        )
+        if is_last and exc.handle is not None:
+            name = wire.copy_name(source.address, exc.handle)
+            return Ok(Copied(reg=source, name=name))
+        return Err(exc)
+
+    def _remaining_seconds(self, reg: Registration) -> float | None:
+        """Return the time until a leaving engine shuts down, None if unknown."""
+        leaves_at = self._leaves_at.get(reg.endpoint)
+        if leaves_at is None:
+            return None
+        return leaves_at - asyncio.get_running_loop().time()
 
 
 def _has_failed(move: asyncio.Task[Copied | Switched | None]) -> bool:
--- a/tests/homesrig.py
+++ b/tests/homesrig.py
@@ -19,11 +19,11 @@
 from celerytrail.nodes.fallback import FallbackChooser
 from celerytrail.nodes.homes import Homes
 from celerytrail.nodes.member import Member
-from celerytrail.nodes.rendezvous import rank
 from celerytrail.nodes.signing import PeerKeys
 from celerytrail.policies.grants import AdmitRequest
 from celerytrail.policies.lengths import LearnedLengths
 from celerytrail.policies.loadreports import EngineReport
+from celerytrail.policies.rendezvous import rank
 from celerytrail.policies.routing import PowerOfTwo
 from celerytrail.types import Address
 from scenarios.memorynetwork import MemoryFabric
--- a/tests/sourcesrig.py
+++ b/tests/sourcesrig.py
@@ -13,8 +13,8 @@
 from celerytrail.http.client import HttpClient
 from celerytrail.http.messages import Response
 from celerytrail.metrics import Metrics
-from celerytrail.nodes.rendezvous import rank
 from celerytrail.platform.nodesettings import RelaySettings
+from celerytrail.policies.rendezvous import rank
 from celerytrail.relay.node import RelayNode
 from celerytrail.relay.rowsources import READERS_KEY
 from celerytrail.relay.storeclient import make_rows
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -19,9 +19,9 @@
 from celerytrail.configuration.document import Document
 from celerytrail.nodes.member import Member
 from celerytrail.nodes.pools import MAX_POOL_ENGINES, pools_of
-from celerytrail.nodes.rendezvous import RendezvousHomes, rank
 from celerytrail.nodes.signing import PeerKeys
 from celerytrail.nodes.view import ranked
+from celerytrail.policies.rendezvous import RendezvousHomes, rank
 from celerytrail.types import Address
 
 
--- a/tests/test_peer_limits.py
+++ b/tests/test_peer_limits.py
@@ -22,9 +22,9 @@
 from celerytrail.nodes.limit_homes import LimitHomes, _group_of
 from celerytrail.nodes.limited import LimitedAdmitter
 from celerytrail.nodes.member import Member
-from celerytrail.nodes.rendezvous import rank
 from celerytrail.nodes.signing import PeerKeys
 from celerytrail.policies.grants import AdmitRequest, Admitter, Grant
+from celerytrail.policies.rendezvous import rank
 from celerytrail.types import Address, NotRun
 from scenarios.memorynetwork import MemoryFabric
 
--- a/tests/test_relay_cold.py
+++ b/tests/test_relay_cold.py
@@ -9,12 +9,12 @@
 import pytest
 import pytest_asyncio
 
-from celerytrail.nodes.rendezvous import rank
 from celerytrail.policies.coldlimits import (
     ColdEndpoints,
     NodePosition,
     RankedShares,
 )
+from celerytrail.policies.rendezvous import rank
 from tests.relayrig import Rig, config, expected_events, split_events, wait_until
 
 COLD = {"cold_excess": 1.5, "cold_slack": 5.0}
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -9,6 +9,7 @@
 
 from celerytrail.model import EndpointState, EngineProfile, EngineReport, Registration
 from celerytrail.policies import moving, placing
+from celerytrail.policies.backups import SameDomainBackup
 from celerytrail.policies.decodetimes import DEFAULT_TOKEN_SECONDS, DecodeTimes
 from celerytrail.policies.endpointchoice import EndpointChoice
 from celerytrail.policies.engineloads import EngineLoad, EngineLoads, Run
@@ -144,7 +145,7 @@
 
     def test_a_copy_goes_to_another_engine_with_the_most_free_memory(self):
         loads = [load("e1"), load("e2", draft("r1", "e2")), load("e3")]
-        chosen = placing.choose_backup(
+        chosen = SameDomainBackup().choose(
             loads, DEMAND, registration("e1"), random.Random(1), is_needed=False
         )
         assert chosen is not None and chosen.reg.endpoint == "e3"
@@ -154,7 +155,7 @@
         # failure domain occupies both links for 0.34 s. Drafts moved off an engine in
         # its last 1.6 s queued behind such copies, and were lost or paused for 1 s.
         loads = [load("e1"), load("e2", failure_domain="b")]
-        chosen = placing.choose_backup(
+        chosen = SameDomainBackup().choose(
             loads, DEMAND, registration("e1"), random.Random(1), is_needed=True
         )
         assert chosen is None
@@ -162,7 +163,7 @@
     def test_no_copy_uses_memory_reserved_for_new_generations(self):
         runs = [draft(f"r{n}", "e2") for n in range(5)]
         loads = [load("e1"), load("e2", *runs)]
-        chosen = placing.choose_backup(
+        chosen = SameDomainBackup().choose(
             loads, DEMAND, registration("e1"), random.Random(1), is_needed=False
         )
         assert chosen is None
