Move a run that would be lost to an engine that holds it for now

Change: where no engine holds it to its end, the one with the least expected use that has room now is taken.

--- a/celerytrail/policies/placing.py
+++ b/celerytrail/policies/placing.py
@@ -161,6 +161,24 @@
     return find_obstacle(load, demand) is None
 
 
+def choose_last_resort(
+    loads: Sequence[EngineLoad], demand: Demand
+) -> EngineLoad | None:
+    """Return the engine for a run that would be lost otherwise, None if none has room.
+
+    The run fits now, though perhaps not to its end; by then others may have ended.
+    """
+    roomy = [
+        load
+        for load in loads
+        if len(load.runs) < load.n_slots
+        and load.n_tokens + demand.n_tokens <= load.n_memory_tokens
+    ]
+    return min(
+        roomy, key=lambda load: expected_memory_share(load, demand), default=None
+    )
+
+
 def count_obstacles(loads: Iterable[EngineLoad], demand: Demand) -> dict[str, int]:
     """Return the number of engines by obstacle."""
     found = (find_obstacle(load, demand) for load in loads)
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -259,4 +259,6 @@
         target = self._placing.choose(preferred, demand, self._rng)
         if target is None:
             target = self._placing.choose(loads, demand, self._rng)
+        if target is None:
+            target = placing.choose_last_resort(loads, demand)
         return target.reg if target is not None else None
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -162,6 +162,20 @@
         assert not placing.fits(nearly_full, replace(DEMAND, n_remaining_tokens=350))
         assert placing.fits(nearly_full, moved)
 
+    def test_a_run_that_would_be_lost_goes_where_it_fits_for_now(self):
+        # Eight runs on engines that leave were lost in one wave of requests, as no
+        # engine had memory for their whole expected length.
+        loads = [
+            load("e1", *(draft(f"a{n}") for n in range(11))),
+            load("e2", *(draft(f"b{n}") for n in range(9))),
+            load("e3", *(draft(f"c{n}") for n in range(10))),
+        ]
+        moved = replace(DEMAND, memory_share=placing.MOVE_SHARE)
+        assert CHEAPEST.choose(loads, moved, random.Random(1)) is None
+        chosen = placing.choose_last_resort(loads, moved)
+        assert chosen is not None and chosen.reg.endpoint == "e2"
+        assert placing.choose_last_resort(loads[:1], moved) is None
+
     def test_reported_memory_counts_beyond_the_listed_runs(self):
         # A failed node left orphaned copies. By the lists of runs the engine looks
         # empty, but generations that are placed there wait for seconds.
