--- /dev/null
+++ b/celerytrail/relay/endpointstate.py
@@ -0,0 +1,89 @@
+"""What a node knows of the endpoints: registrations, evacuations and cold phases."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from ..model import Registration, Service
+from ..platform.nodesettings import RelaySettings
+from ..policies.coldlimits import ColdEndpoints
+from ..policies.evacuations import Evacuations
+from .endpointgate import EndpointGate
+from .nodeorder import NodeOrder
+from .registry import Registry
+
+# Share of the time between the bounds on configuration and on evacuations in which a
+# run may still continue from a copy that was already on its way.
+EVACUATION_CONTINUE_SHARE = 0.5
+# How long the endpoints of a failure domain are treated as cold after an evacuation, in
+# seconds. They may have turned cold meanwhile, and say so in their next heartbeat.
+RETURN_SECONDS = 3.0
+
+
+class EndpointState:
+    """Holds the registry, and decides which endpoints may receive requests.
+
+    Parameters
+    ----------
+    cfg : RelaySettings
+        The node's settings.
+    find_service : callable
+        Returns a service of the configuration in force by its name, or None.
+    node_order : NodeOrder
+        This node's position among all nodes.
+    on_leaving : callable
+        Called once for each incarnation of an endpoint that leaves or is removed.
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: RelaySettings,
+        find_service: Callable[[str], Service | None],
+        node_order: NodeOrder,
+        on_leaving: Callable[[Registration], None],
+    ) -> None:
+        self._cfg = cfg
+        self._find_service = find_service
+        spare_seconds = max(0.0, cfg.evacuation_seconds - cfg.config_seconds)
+        self.evacuations = Evacuations(
+            continue_seconds=EVACUATION_CONTINUE_SHARE * spare_seconds
+        )
+        self.cold = ColdEndpoints()
+        self.registry = Registry(on_leaving=on_leaving, evacuations=self.evacuations)
+        self.gate = EndpointGate(
+            evacuations=self.evacuations,
+            cold=self.cold,
+            cold_limit=self._cold_limit,
+            position=node_order.position,
+        )
+
+    def set_evacuated(self, domains: frozenset[str]) -> None:
+        """Set the evacuated failure domains.
+
+        The endpoints of one that is taken back count as cold until their own rows can
+        tell.
+        """
+        now = asyncio.get_running_loop().time()
+        returned = self.evacuations.domains - domains
+        for reg in self.registry.all():
+            service = self._find_service(reg.service)
+            if service is None or service.cold_seconds <= 0:
+                continue
+            if reg.failure_domain in returned:
+                self.cold.record(reg.endpoint, now + RETURN_SECONDS)
+        self.evacuations.set_domains(domains, now)
+
+    def expire(self, now: float) -> None:
+        """Forget endpoints that didn't return in time, and those no longer cold."""
+        self.registry.expire(now)
+        self.cold.expire(now)
+
+    def _cold_limit(self, name: str) -> float | None:
+        """Return the requests per second for a cold endpoint, None without a limit."""
+        service = self._find_service(name)
+        if service is None or self._cfg.cold_excess is None:
+            return None
+        rate = service.cold_requests_per_second
+        return rate * self._cfg.cold_excess + self._cfg.cold_slack
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -4,10 +4,9 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 
 from eliot import log_message
-from result import Err
 
 from ..clock import Clock, SystemClock
 from ..http.client import HttpClient
@@ -16,7 +15,7 @@
 from ..http.routes import Params, Router
 from ..http.server import HttpServer, Responder, ServerLimits
 from ..metrics import Metrics
-from ..model import EngineProfile, Registration, RelayConfig
+from ..model import Registration, RelayConfig, Service
 from ..nodes.member import Member, State
 from ..nodes.nodes import Nodes
 from ..nodes.signing import PeerKeys
@@ -36,59 +35,27 @@
 from ..policies.moving import StopPolicy
 from ..policies.placing import LeastCostPlacement, PlacementPolicy
 from ..policies.prefillrates import PrefillRates
-from ..policies.renewal import RenewalBound
 from ..policies.retrybudget import SharedRetryBudget
 from ..rowsource import RowSource
 from ..types import Address
 from .addresses import DirectoryHandler, ReadinessHandler
 from .calls import PlainCalls
-from .endpointgate import EndpointGate
+from .endpointstate import EndpointState
 from .engineapi import EngineApi
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
 from .enginewatch import EngineWatch
+from .followedtables import FollowedTables
 from .generations import Generations
 from .handler import RelayHandler
 from .nodeorder import NodeOrder
 from .peerupdates import PeerUpdates
-from .registry import Registry
 from .runmover import RunMover
 from .sharedrows import SharedRows
 from .storeclient import make_rows
-from .tablemirror import TableMirror
 from .tablesinks import ConfigSink, EvacuationSink, RegistrationSink, SinkGroup
-from .tablewatch import Confirmation, TableWatch
 
 MILLISECONDS = 1_000
-# Longest wait of one request for changes, in seconds. Keys stay usable only while the
-# absence of changes is confirmed, so an answer must arrive well within the bound on
-# revocation.
-WAIT_SECONDS = 0.7
-# The same if one reader can't serve all nodes: these requests are most of what an idle
-# node costs.
-MANY_NODES_WAIT_SECONDS = 1.1
-# The same for a reader: half of it, as the followers' own wait is added to it.
-READER_WAIT_SECONDS = 0.35
-# Largest share of the age up to which keys are usable that one request may wait.
-WAIT_SHARE = 0.25
-# Pause between two requests for the configuration, in seconds.
-CONFIG_PAUSE_SECONDS = 0.0
-# Pause between two requests for the endpoints' rows, in seconds. Heartbeats change them
-# many times a second, and each request is a priced call. An engine announces in its
-# row, two seconds ahead, that it leaves.
-REGISTRATION_PAUSE_SECONDS = 0.1
-# The same until a node has found a reader to follow, in seconds. After a loss of all
-# VMs every node calls the store itself for a second or two.
-UNSETTLED_PAUSE_SECONDS = 0.6
-# While the registrations are older than this, in seconds, the engines themselves are
-# asked more often whether they leave.
-STALE_REGISTRATIONS_SECONDS = 1.5
-# Share of the time between the bounds on configuration and on evacuations in which a
-# run may still continue from a copy that was already on its way.
-EVACUATION_CONTINUE_SHARE = 0.5
-# How long the endpoints of a failure domain are treated as cold after an evacuation, in
-# seconds. They may have turned cold meanwhile, and say so in their next heartbeat.
-RETURN_SECONDS = 3.0
 HOUSEKEEPING_SECONDS = 0.25
 # How long a stopping node still accepts new connections, in seconds: callers cache an
 # address answer for up to three times its lifetime.
@@ -157,21 +124,18 @@
             is_strict=cfg.is_revocation_strict,
             clock=self._clock.boottime,
         )
-        self._registrations_confirmed_at: float | None = None
         self._make_peers()
-        self._make_table_watches()
+        self._make_tables()
         self._make_serving()
 
-    def _make_table_watches(self) -> None:
-        cfg = self.cfg
-        spare_seconds = max(0.0, cfg.evacuation_seconds - cfg.config_seconds)
-        self.evacuations = Evacuations(
-            continue_seconds=EVACUATION_CONTINUE_SHARE * spare_seconds
-        )
-        self.cold = ColdEndpoints()
-        self.registry = Registry(
-            on_leaving=self._on_leaving, evacuations=self.evacuations
+    def _make_tables(self) -> None:
+        self._endpoint_state = state = EndpointState(
+            cfg=self.cfg,
+            find_service=self._find_service,
+            node_order=self._node_order,
+            on_leaving=self._on_leaving,
         )
+        self.registry = state.registry
         self._decode_times = DecodeTimes()
         self.loads = EngineLoads(token_seconds=self._decode_times.token_seconds)
         self.configs = ConfigSink(
@@ -180,100 +144,19 @@
         evacuated = EvacuationSink(
             prefix=storewire.EVACUATION_PREFIX, on_change=self._on_evacuated
         )
-        registrations = RegistrationSink(
-            registry=self.registry, cold=self.cold, decode=decode_registration
-        )
-        self._watches = [
-            self._watch(
-                storewire.CONFIG_TABLE,
-                TableMirror(
-                    sink=SinkGroup(sinks=(evacuated, self.configs)),
-                    relevant_content=lambda key, value: value,
-                    clock=self._clock,
-                ),
-                lambda confirmation: self._freshness.confirm(
-                    confirmation.confirmed_at, source=confirmation.source
-                ),
-                lambda: self._pause_seconds(
-                    CONFIG_PAUSE_SECONDS, self.cfg.config_seconds
-                ),
-                lambda: self.cfg.config_seconds,
-            ),
-            self._watch(
-                storewire.REGISTRATION_TABLE,
-                TableMirror(
-                    sink=registrations,
-                    relevant_content=_without_heartbeat_number,
-                    clock=self._clock,
-                ),
-                self._on_registrations_confirmed,
-                lambda: self._pause_seconds(
-                    REGISTRATION_PAUSE_SECONDS, self.cfg.drain_seconds
-                ),
-                lambda: self.cfg.drain_seconds,
-            ),
-        ]
-
-    def _watch(
-        self,
-        table: str,
-        mirror: TableMirror,
-        on_confirmed: Callable[[Confirmation], None],
-        pause: Callable[[], float],
-        bound_seconds: Callable[[], float],
-    ) -> TableWatch:
-        def confirm(confirmation: Confirmation) -> None:
-            mirror.confirm(confirmation.version, confirmation.confirmed_at)
-            on_confirmed(confirmation)
-
-        def bound() -> RenewalBound:
-            return RenewalBound(seconds=bound_seconds())
-
-        self.shared_rows.serve(table, mirror, bound)
-        return TableWatch(
-            source=self.shared_rows,
-            table=table,
-            sink=mirror,
-            wait=lambda: bound().wait_seconds(
-                mirror.age_seconds, self._longest_wait_seconds(bound())
+        self._tables = FollowedTables(
+            shared_rows=self.shared_rows,
+            settings=lambda: self.cfg,
+            freshness=self._freshness,
+            operator_rows=SinkGroup(sinks=(evacuated, self.configs)),
+            registrations=RegistrationSink(
+                registry=state.registry, cold=state.cold, decode=decode_registration
             ),
-            pause=pause,
-            on_confirmed=confirm,
-            on_renewed=lambda age: self._on_renewed(table, age, bound_seconds()),
-            bound_seconds=bound_seconds,
             clock=self._clock,
             rng=self._rng,
+            metrics=self._metrics,
         )
 
-    def _longest_wait_seconds(self, bound: RenewalBound) -> float:
-        """Return the longest wait of one request for changes, in seconds.
-
-        An answer counts as old as its request. If the bound on revocation is short, a
-        node whose requests wait too long would never have rows new enough to serve.
-        """
-        if self.shared_rows.sources.is_reader:
-            longest = READER_WAIT_SECONDS
-            if self.shared_rows.sources.is_relayed:
-                longest = bound.relayed_seconds(longest)
-        else:
-            is_relayed = self.shared_rows.sources.is_relayed
-            longest = MANY_NODES_WAIT_SECONDS if is_relayed else WAIT_SECONDS
-        return min(longest, WAIT_SHARE * self._freshness.usable_seconds)
-
-    def _pause_seconds(self, usual: float, bound_seconds: float) -> float:
-        """Return the pause between two requests for a table, in seconds."""
-        if self.shared_rows.sources.is_settled:
-            return usual
-        return min(UNSETTLED_PAUSE_SECONDS, WAIT_SHARE * bound_seconds)
-
-    def _on_renewed(self, table: str, age: float, bound_seconds: float) -> None:
-        self._metrics.observe("knowledge_renewed", age, table=table)
-        if age > bound_seconds:
-            self._metrics.count("relay_events", event="renewed_late", cause=table)
-
-    def _on_registrations_confirmed(self, confirmation: Confirmation) -> None:
-        self._registrations_confirmed_at = confirmation.confirmed_at
-
     def _make_peers(self) -> None:
         cfg = self.cfg
         assert cfg.callers is not None and cfg.peers is not None
@@ -354,12 +237,7 @@
         self._engine_api = EngineApi(
             client=HttpClient(network=self._network, id_header=None)
         )
-        gate = EndpointGate(
-            evacuations=self.evacuations,
-            cold=self.cold,
-            cold_limit=self._cold_limit,
-            position=self._node_order.position,
-        )
+        gate = self._endpoint_state.gate
         placer = EnginePlacer(
             registry=self.registry,
             loads=self.loads,
@@ -408,8 +286,8 @@
             registry=self.registry,
             peer_updates=self.peer_updates,
             nodes=self.nodes,
-            is_store_stale=self._has_stale_registrations,
-            is_engine_service=lambda service: self._engine_of(service) is not None,
+            is_store_stale=lambda: self._tables.has_stale_registrations,
+            is_engine_service=self._is_engine_service,
             on_leaving=self._on_engine_leaving,
         )
         handler = RelayHandler(
@@ -457,7 +335,7 @@
         await self.peer_updates.start(
             self._network, Address(host=cfg.callers.host, port=cfg.peer_ports[0])
         )
-        for watch in self._watches:
+        for watch in self._tables.watches:
             self._run(watch.run())
         self._run(self.peer_updates.run())
         self._run(self._engine_watch.run())
@@ -496,6 +374,16 @@
         self.peer_updates.close()
         self.endpoints.close()
 
+    @property
+    def evacuations(self) -> Evacuations:
+        """Return the evacuated failure domains."""
+        return self._endpoint_state.evacuations
+
+    @property
+    def cold(self) -> ColdEndpoints:
+        """Return the cold endpoints."""
+        return self._endpoint_state.cold
+
     @property
     def n_endpoint_requests(self) -> int:
         """Return how many requests at endpoints are in progress."""
@@ -543,10 +431,13 @@
         body, headers = self._metrics.render()
         await res.send(200, body, headers)
 
-    def _engine_of(self, service: str) -> EngineProfile | None:
+    def _find_service(self, name: str) -> Service | None:
         cfg = self.configs.cfg
-        found = cfg.services.get(service) if cfg else None
-        return found.engine if found else None
+        return cfg.services.get(name) if cfg else None
+
+    def _is_engine_service(self, name: str) -> bool:
+        service = self._find_service(name)
+        return service is not None and service.engine is not None
 
     def _on_config(self, cfg: RelayConfig) -> None:
         bounds = cfg.bounds
@@ -560,28 +451,9 @@
         )
 
     def _on_evacuated(self, domains: frozenset[str]) -> None:
-        now = asyncio.get_running_loop().time()
-        returned = self.evacuations.domains - domains
-        for reg in self.registry.all():
-            if reg.failure_domain in returned and self._cold_seconds(reg.service) > 0:
-                self.cold.record(reg.endpoint, now + RETURN_SECONDS)
-        self.evacuations.set_domains(domains, now)
+        self._endpoint_state.set_evacuated(domains)
         self.generations.on_evacuated(domains)
 
-    def _cold_seconds(self, service: str) -> float:
-        cfg = self.configs.cfg
-        found = cfg.services.get(service) if cfg else None
-        return found.cold_seconds if found else 0.0
-
-    def _cold_limit(self, service: str) -> float | None:
-        """Return the requests per second for a cold endpoint, None without a limit."""
-        cfg = self.configs.cfg
-        found = cfg.services.get(service) if cfg else None
-        if found is None or self.cfg.cold_excess is None:
-            return None
-        rate = found.cold_requests_per_second
-        return rate * self.cfg.cold_excess + self.cfg.cold_slack
-
     def _on_engine_leaving(self, reg: Registration) -> None:
         """Record that an engine leaves, and announce it to the other nodes."""
         self.registry.record_leaving(reg.endpoint)
@@ -592,13 +464,6 @@
         self.loads.discard_report(reg.endpoint)
         self.generations.on_leaving(reg)
 
-    def _has_stale_registrations(self) -> bool:
-        confirmed_at = self._registrations_confirmed_at
-        return (
-            confirmed_at is not None
-            and self._clock.boottime() - confirmed_at > STALE_REGISTRATIONS_SECONDS
-        )
-
     def _reachable_share(self) -> float:
         """Return the share of all known VMs whose nodes run, this one included."""
         known = {member.vm for member in self.nodes.members()}
@@ -625,8 +490,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             now = asyncio.get_running_loop().time()
-            self.registry.expire(now)
-            self.cold.expire(now)
+            self._endpoint_state.expire(now)
             self.loads.expire(now, self.node_id)
             self.generations.report_progress()
             if self.is_ready != self._was_ready and not self.is_stopping:
@@ -639,12 +503,3 @@
         addresses = await self._node_rows.enter()
         self._node_order.set_n_listed(len(addresses))
         self.nodes.set_vm_addresses(addresses)
-
-
-def _without_heartbeat_number(key: str, value: bytes) -> object:
-    """Return the content of an endpoint's row that heartbeats don't change.
-
-    The heartbeats of a cold endpoint do: it may turn cold again at any moment.
-    """
-    decoded = decode_registration(key, value)
-    return None if isinstance(decoded, Err) else decoded.ok_value
