Give each page of a table its own time

Cause: all pages of a whole read had to arrive within the first page's deadline of one second.

Change: 0.6 s for each further page, 10 s for all. The test fails without it.

--- a/celerytrail/platform/rows.py
+++ b/celerytrail/platform/rows.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from result import Err, Ok, Result
 
 from ..http.messages import Response
@@ -16,6 +18,11 @@
 from . import storewire
 from .client import Exchanger, InDoubt
 
+# Time for each further page of a table, and for all pages, in seconds. With the first
+# page's deadline for all, a large table would be read from its start again and again.
+PAGE_SECONDS = 0.6
+MAX_READ_SECONDS = 10.0
+
 
 class PlatformRows(RowSource):
     """Reads, follows and writes rows of the platform's store.
@@ -36,6 +43,8 @@
 
         The store's answers are linearizable, so ``at_least`` needs no check here.
         """
+        loop = asyncio.get_running_loop()
+        last_deadline = max(deadline, loop.time() + MAX_READ_SECONDS)
         rows: list[Row] = []
         version: int | None = None
         start = ""
@@ -54,6 +63,7 @@
             if not has_more or not changes.rows:
                 return Ok(Changes(rows=tuple(rows), version=version))
             start = changes.rows[-1].key + "\0"
+            deadline = min(last_deadline, max(deadline, loop.time() + PAGE_SECONDS))
 
     async def follow(
         self, table: str, after: int, wait_seconds: float, deadline: float
--- a/tests/test_relay_large_config.py
+++ b/tests/test_relay_large_config.py
@@ -12,6 +12,8 @@
 from celerytrail.relay.tablemirror import TableMirror
 from celerytrail.relay.tablewatch import TableSink
 from celerytrail.rowsource import Changes, Row
+from celerytrail.types import Address
+from standins.worker import worker_row
 from tests.sourcesrig import CONFIG_SECONDS, Fleet, run_fleet
 
 N_ROUTES = 1_400
@@ -85,6 +87,28 @@
         )
 
 
+class TestManyEndpoints:
+    def test_a_table_of_many_pages_is_read_on_a_slow_link(self):
+        """2,000 endpoints have rows. All pages had to arrive within one second, and on
+        a slow link each read began again at the first page.
+        """
+        n_endpoints = 2_000
+
+        async def steps(fleet: Fleet) -> None:
+            for number in range(n_endpoints):
+                address = Address(host="10.9.0.1", port=10_000 + number)
+                row = worker_row("desk", address)
+                fleet.store.put("servers", f"w{number}", row)
+            await fleet.restart()
+            await asyncio.sleep(6.0)
+            for node in fleet.nodes:
+                assert len(node.registry.usable_endpoints("desk")) == n_endpoints
+
+        run_fleet(
+            1, steps, 3, config_seconds=BOUND_SECONDS, link_mbps=lambda number: SLOW
+        )
+
+
 class TestFastLinkOrder:
     def test_readers_have_fast_links_and_begin_with_each_failure_domain(self):
         candidates = [
