Learn from all nodes' runs how fast each engine reads prompts

Cause: each node learned one rate for all engines of a service from its own generations.

Kept: by engine, from the announcements that every node gets anyway; no message more. The log line of a placed run tells how long it waited and what was queued ahead of it.

--- a/celerytrail/policies/engineloads.py
+++ b/celerytrail/policies/engineloads.py
@@ -89,6 +89,8 @@
         Its last report.
     cold_seconds : float
         How long it stays cold.
+    prefill_rate : float or None
+        Prompt tokens that it reads per second, None if unknown.
     """
 
     reg: Registration
@@ -99,6 +101,7 @@
     token_seconds: float = 0.0
     report: EngineReport | None = None
     cold_seconds: float = 0.0
+    prefill_rate: float | None = None
 
     @property
     def n_prefill_tokens(self) -> int:
@@ -231,6 +234,14 @@
             if run.endpoint == endpoint
         ]
 
+    def n_prefill_tokens(self, endpoint: str, *, excluded: str) -> int:
+        """Return the prompt tokens queued at an engine, without one run's own."""
+        return sum(
+            run.n_prompt_tokens
+            for run in self.runs_on_engine(endpoint)
+            if run.is_prefilling and run.run_id != excluded
+        )
+
     def expire(self, now: float, own: str) -> None:
         """Remove the runs of silent nodes, and runs that are no longer listed.
 
--- a/celerytrail/policies/placing.py
+++ b/celerytrail/policies/placing.py
@@ -134,7 +134,12 @@
     if load.n_prefill_tokens == 0:
         return True
     n_reading = load.n_prefill_tokens + demand.n_prefill_tokens
-    return n_reading / demand.prefill_rate <= demand.max_prefill_seconds
+    return n_reading / prefill_rate(load, demand) <= demand.max_prefill_seconds
+
+
+def prefill_rate(load: EngineLoad, demand: Demand) -> float:
+    """Return the prompt tokens that an engine is expected to read per second."""
+    return load.prefill_rate or demand.prefill_rate
 
 
 class Obstacle(enum.Enum):
@@ -190,9 +195,10 @@
     n_reading = load.n_prefill_tokens + demand.n_prefill_tokens
     share = expected_memory_share(load, demand)
     is_cross_domain = load.reg.failure_domain != demand.failure_domain
+    rate = prefill_rate(load, demand)
     return (
-        n_reading / demand.prefill_rate
-        + DELAY_COST * len(load.runs) * demand.n_prefill_tokens / demand.prefill_rate
+        n_reading / rate
+        + DELAY_COST * len(load.runs) * demand.n_prefill_tokens / rate
         + MEMORY_COST * share
         + CROWDED_COST * max(0.0, share - CROWDED_SHARE)
         + OUTPUT_COST * demand.n_remaining_tokens * load.token_seconds
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -111,5 +111,7 @@
             backup=backup.endpoint if backup else "",
             copy=copy_name,
             status=stream.status,
+            waited=round(live.waited_seconds, 3),
+            n_queued_tokens=live.n_queued_tokens,
         )
         return Ok(stream)
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -15,7 +15,7 @@
 from ..policies.prefillrates import PrefillRates
 from .endpointgate import EndpointGate
 from .exchange import Exchange
-from .liverun import LiveRun, Prefill
+from .liverun import LiveRun
 from .peerupdates import PeerUpdates
 from .registry import Registry
 
@@ -59,7 +59,7 @@
         Cost, for a run that is moved, of each other one that is being moved to the same
         engine, in seconds.
     rates : PrefillRates
-        Prefill speed of the engines of each service.
+        Prefill speed of each engine and of each service's engines.
     """
 
     def __init__(
@@ -139,10 +139,14 @@
                 load,
                 token_seconds=self._decode_times.token_seconds(load.reg.endpoint),
                 cold_seconds=self._gate.cold_seconds(load.reg),
+                prefill_rate=self._prefill_rate(load.reg),
             )
             for load in self._loads.estimate(idle_loads, now)
         ]
 
+    def _prefill_rate(self, reg: Registration) -> float:
+        return self._rates.rate(reg.endpoint, reg.service)
+
     def _demand(self, live: LiveRun) -> placing.Demand:
         run = live.run
         return placing.Demand(
@@ -150,7 +154,6 @@
             n_prefill_tokens=run.n_prompt_tokens,
             n_remaining_tokens=run.n_remaining_tokens,
             failure_domain=self._failure_domain,
-            prefill_rate=self._rates.rate(live.ex.service),
         )
 
     async def place(self, live: LiveRun, excluded: set[str]) -> Registration | None:
@@ -188,10 +191,8 @@
         n_ahead = sum(
             load.n_prefill_tokens for load in loads if load.reg.endpoint == reg.endpoint
         )
-        live.prefill = Prefill(
-            n_queued_tokens=n_ahead + demand.n_prefill_tokens,
-            started_at=asyncio.get_running_loop().time(),
-        )
+        live.waited_seconds = live.ex.age_seconds
+        live.n_queued_tokens = n_ahead
         live.backup = self._choose_backup(live, reg, loads, demand)
         self.announce(live, is_prefilling=True)
 
@@ -229,13 +230,7 @@
         self._sharing.announce_run(live.run)
 
     def on_first_event(self, live: LiveRun) -> None:
-        """Record how long a prefill took, and announce that it has ended."""
-        prefill, live.prefill = live.prefill, None
-        if prefill is not None:
-            seconds = asyncio.get_running_loop().time() - prefill.started_at
-            self._rates.record_prefill(
-                live.ex.service, prefill.n_queued_tokens, seconds
-            )
+        """Announce that a prefill has ended."""
         self.announce(live, is_prefilling=False)
 
     def clear_backup(self, live: LiveRun) -> None:
--- a/celerytrail/relay/exchange.py
+++ b/celerytrail/relay/exchange.py
@@ -72,6 +72,11 @@
         """Return the time until the deadline."""
         return self.deadline - self.clock.boottime()
 
+    @property
+    def age_seconds(self) -> float:
+        """Return the time since its arrival."""
+        return self.clock.boottime() - self.arrived_at
+
     @property
     def loop_deadline(self) -> float:
         """Return the deadline on the event loop's clock."""
@@ -122,7 +127,7 @@
 
     def observe(self, name: str) -> None:
         """Add the time since the request's arrival to a histogram."""
-        self.observe_seconds(name, self.clock.boottime() - self.arrived_at)
+        self.observe_seconds(name, self.age_seconds)
 
     def observe_seconds(self, name: str, seconds: float) -> None:
         """Add a duration of this request to a histogram."""
@@ -136,7 +141,7 @@
             f"relay:{event}",
             request=self.facts.attempt_id,
             route=self.route.name,
-            age=round(self.clock.boottime() - self.arrived_at, 4),
+            age=round(self.age_seconds, 4),
             **fields,
         )
 
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -46,14 +46,6 @@
     reason: str
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Prefill:
-    """A prefill in progress: the prompt tokens queued up to its end, and its start."""
-
-    n_queued_tokens: int
-    started_at: float
-
-
 class LiveRun:
     """A generation in progress, with the state needed to move it to another engine.
 
@@ -76,8 +68,9 @@
         self.stream: Stream | None = None
         self.last_event_id: str | None = ex.facts.last_event_id
         self.last_number: int | None = None
-        # Set until the first event of the first engine arrives.
-        self.prefill: Prefill | None = None
+        # Time for which it waited for its first engine, and prompt tokens queued there.
+        self.waited_seconds = 0.0
+        self.n_queued_tokens = 0
         self.n_events = 0
         self.n_runs = 0
         # True between the end of one stream and the start of the next.
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -28,13 +28,13 @@
 from ..policies.coldlimits import ColdEndpoints
 from ..policies.decodetimes import DecodeTimes
 from ..policies.endpointchoice import EndpointChoice
-from ..policies.engineloads import EngineLoads
+from ..policies.engineloads import EngineLoads, Run
 from ..policies.evacuations import Evacuations
 from ..policies.freshness import Freshness
 from ..policies.movetargets import MoveTargets
 from ..policies.moving import StopPolicy
 from ..policies.placing import LeastCostPlacement, PlacementPolicy
-from ..policies.prefillrates import PrefillRates
+from ..policies.prefillrates import PrefillObserver, PrefillRates
 from ..policies.retrybudget import SharedRetryBudget
 from ..rowsource import RowSource
 from ..types import Address
@@ -211,10 +211,14 @@
 
     def _make_serving(self) -> None:
         cfg = self.cfg
+        rates = PrefillRates()
+        self._prefills = PrefillObserver(rates=rates)
         self.peer_updates = PeerUpdates(
             node=self.node_id,
             loads=self.loads,
             decode_times=self._decode_times,
+            on_run=self._on_run,
+            on_ended=self._prefills.forget,
             peers=self._update_addresses,
             on_leaving=self.registry.record_leaving,
             on_retried=self._on_retried,
@@ -247,7 +251,7 @@
             rng=self._rng,
             gate=gate,
             policy=self._placing,
-            rates=PrefillRates(),
+            rates=rates,
             backups=self._backups,
             move_targets=self._move_targets,
         )
@@ -472,6 +476,15 @@
         }
         return len(running) / max(1, len(known))
 
+    def _on_run(self, run: Run) -> None:
+        reg = self.registry.find(run.endpoint)
+        if reg is not None:
+            n_ahead = 0
+            if run.is_prefilling:
+                n_ahead = self.loads.n_prefill_tokens(run.endpoint, excluded=run.run_id)
+            now = asyncio.get_running_loop().time()
+            self._prefills.on_run(run, reg.service, n_ahead, now)
+
     def _on_retried(self, service: str) -> None:
         self._budget.record_peer_retry(service, asyncio.get_running_loop().time())
 
--- a/celerytrail/relay/peerupdates.py
+++ b/celerytrail/relay/peerupdates.py
@@ -78,6 +78,10 @@
         Holds the runs and load reports of all nodes.
     decode_times : DecodeTimes
         Learns token rates from the progress of runs.
+    on_run : callable
+        Called with each run that this or another node announces.
+    on_ended : callable
+        Called with the id of each run that ended.
     peers : callable
         Returns the addresses at which the other nodes receive updates.
     on_leaving : callable
@@ -96,6 +100,8 @@
         node: str,
         loads: EngineLoads,
         decode_times: DecodeTimes,
+        on_run: Callable[[Run], None],
+        on_ended: Callable[[str], None],
         peers: Callable[[], Iterable[Address]],
         on_leaving: Callable[[str], None],
         on_retried: Callable[[str], None],
@@ -105,6 +111,8 @@
         self._node = node
         self._loads = loads
         self._decode_times = decode_times
+        self._on_run = on_run
+        self._on_ended = on_ended
         self._peers = peers
         self._on_leaving = on_leaving
         self._on_retried = on_retried
@@ -145,6 +153,7 @@
     def announce_run(self, run: Run) -> None:
         """Announce a run that this node placed, or a change of it."""
         self._list_schedule.on_run_announced()
+        self._on_run(run)
         self._loads.put_run(self._node, run, self._now())
         self._send(self._make_update([run]))
 
@@ -155,6 +164,7 @@
 
     def announce_end(self, run_id: str) -> None:
         """Announce that a run ended."""
+        self._on_ended(run_id)
         self._loads.remove_run(self._node, run_id, self._now())
         self._decode_times.forget(run_id)
         self._send(NodeUpdate(node=self._node, ended=[run_id]))
@@ -196,6 +206,7 @@
         runs = [_run_from(entry) for entry in update.runs]
         for run in runs:
             self._decode_times.record_progress(run, now)
+            self._on_run(run)
         if update.is_complete:
             self._loads.replace_runs(
                 update.node, runs, now, period_seconds=update.period_seconds
@@ -206,6 +217,7 @@
                     update.node, run, now, period_seconds=update.period_seconds
                 )
         for run_id in update.ended:
+            self._on_ended(run_id)
             self._loads.remove_run(update.node, run_id, now)
             self._decode_times.forget(run_id)
         for endpoint in update.leaving:
--- a/celerytrail/relay/registry.py
+++ b/celerytrail/relay/registry.py
@@ -143,6 +143,10 @@
             if reg.service == service and self._is_leaving(reg)
         ]
 
+    def find(self, endpoint: str) -> Registration | None:
+        """Return an endpoint's registration, None if it has no row."""
+        return self._known.get(endpoint)
+
     def all(self) -> list[Registration]:
         """Return all endpoints that have a row."""
         return list(self._known.values())
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -14,7 +14,11 @@
 from celerytrail.policies.endpointchoice import EndpointChoice
 from celerytrail.policies.engineloads import EngineLoad, EngineLoads, Run
 from celerytrail.policies.movetargets import OwnTargets
-from celerytrail.policies.prefillrates import DEFAULT_PREFILL_RATE, PrefillRates
+from celerytrail.policies.prefillrates import (
+    DEFAULT_PREFILL_RATE,
+    PrefillObserver,
+    PrefillRates,
+)
 from celerytrail.policies.retrybudget import USED_SHARE, SharedRetryBudget
 from celerytrail.policies.runlistschedule import (
     MAX_LISTS_PER_SECOND,
@@ -710,6 +714,48 @@
         assert found == {"prompts_queued": 1, "no_memory": 1, "no_slot": 1}
 
 
+class TestPrefillObserver:
+    """With a hundred nodes each relays a few generations a minute. From these alone no
+    node learned that one engine reads at half the rate of the others, and prompts were
+    placed behind queues there that took five seconds.
+    """
+
+    def observe(self, rates: PrefillRates, endpoint: str, seconds: float) -> None:
+        observer = PrefillObserver(rates=rates)
+        for number in range(40):
+            run = draft(f"{endpoint}-{number}", endpoint, is_prefilling=True)
+            observer.on_run(run, "models", 3_000, 10.0)
+            observer.on_run(
+                replace(run, is_prefilling=False), "models", 0, 10 + seconds
+            )
+
+    def test_a_slow_engine_is_known_from_the_runs_of_all_nodes(self):
+        rates = PrefillRates()
+        self.observe(rates, "e1", 1.0)
+        self.observe(rates, "slow", 2.0)
+        assert rates.rate("e1", "models") == pytest.approx(6_000, rel=0.05)
+        assert rates.rate("slow", "models") == pytest.approx(3_000, rel=0.05)
+        assert 3_000 < rates.rate("new", "models") < 6_000
+
+    def test_a_run_that_was_moved_or_ended_is_no_observation(self):
+        rates = PrefillRates()
+        observer = PrefillObserver(rates=rates)
+        moved, ended = (draft(name, "e1", is_prefilling=True) for name in ("m", "e"))
+        for run in (moved, ended):
+            observer.on_run(run, "models", 0, 10.0)
+        elsewhere = replace(moved, endpoint="e2", is_prefilling=False)
+        observer.on_run(elsewhere, "models", 0, 11.0)
+        observer.forget("e")
+        observer.on_run(replace(ended, is_prefilling=False), "models", 0, 11.0)
+        assert rates.rate("e1", "models") == DEFAULT_PREFILL_RATE
+
+    def test_fewer_prompts_are_placed_on_an_engine_that_reads_slowly(self):
+        demand = replace(DEMAND, max_prefill_seconds=1.0)
+        queued = load("e1", draft("q", is_prefilling=True))
+        assert placing.fits(replace(queued, prefill_rate=7_500.0), demand)
+        assert not placing.fits(replace(queued, prefill_rate=4_000.0), demand)
+
+
 class TestPrefillRates:
     """The engines of some deployment read at half the default rate. With the default,
     prompts would wait twice as long as estimated.
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -356,6 +356,8 @@
             node=name,
             loads=loads,
             decode_times=DecodeTimes(),
+            on_run=lambda run: None,
+            on_ended=lambda run_id: None,
             peers=lambda: [],
             on_leaving=events["leaving"].append,
             on_retried=events["retried"].append,
