--- a/celerytrail/cmdline.py
+++ b/celerytrail/cmdline.py
@@ -211,13 +211,7 @@
     from . import timeline as timelines
     from .timelinepage import as_page
 
-    missing = [
-        Finding(place=str(path), problem="no such file")
-        for path in logs
-        if not path.is_file()
-    ]
-    if missing:
-        _fail(missing)
+    _require_files(logs)
     merged = timelines.read_files(logs)
     if request is not None:
         merged = merged.of_request(request)
@@ -228,11 +222,43 @@
         typer.echo(line)
 
 
+@app.command()
+def losses(
+    logs: Annotated[list[Path], typer.Argument(help="Log files of nodes.")],
+    first: Annotated[
+        float, typer.Option(help="Longest time to the first event, in seconds.")
+    ] = 1.8,
+    pause: Annotated[
+        float, typer.Option(help="Longest pause between events, in seconds.")
+    ] = 0.18,
+) -> None:
+    """Count how requests ended, by route and cause."""
+    from . import losses as request_losses
+    from .timeline import read_files
+
+    _require_files(logs)
+    limits = request_losses.Limits(first_seconds=first, pause_seconds=pause)
+    counted = request_losses.count(read_files(logs).events, limits)
+    for line in request_losses.as_text(counted):
+        typer.echo(line)
+
+
 def main() -> None:
     """Run the command line."""
     app()
 
 
+def _require_files(paths: list[Path]) -> None:
+    """Exit with a finding for each path that is no file."""
+    missing = [
+        Finding(place=str(path), problem="no such file")
+        for path in paths
+        if not path.is_file()
+    ]
+    if missing:
+        _fail(missing)
+
+
 def _settings_command(
     name: str,
     settings_class: type[T],
--- a/celerytrail/relay/endpointgate.py
+++ b/celerytrail/relay/endpointgate.py
@@ -70,14 +70,20 @@
 
     def may_begin(self, reg: Registration) -> bool:
         """Return whether a request may be sent to an endpoint now, and count it."""
-        return self._is_open(reg) and self._count_request(reg)
+        if not self._is_open(reg):
+            return False
+        self._cold.count_request(reg.endpoint, _now())
+        return True
 
     def may_continue(self, reg: Registration) -> bool:
         """Return whether a run may continue from its copy now, and count it."""
         now = _now()
         if not self._evacuations.may_continue(reg.failure_domain, now):
             return False
-        return self._has_share(reg, now) and self._count_request(reg)
+        if not self._has_share(reg, now):
+            return False
+        self._cold.count_request(reg.endpoint, now)
+        return True
 
     async def wait_for_share(self, reg: Registration, deadline: float) -> None:
         """Wait until this node has a share of a cold endpoint's requests again."""
@@ -105,10 +111,6 @@
         n_allowed = self._shares.n_allowed(n_per_second, position)
         return self._cold.n_recent(reg.endpoint, now) < n_allowed
 
-    def _count_request(self, reg: Registration) -> bool:
-        self._cold.count_request(reg.endpoint, _now())
-        return True
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -55,6 +55,9 @@
             The copy to resume from; None begins a new run.
         """
         ex = live.ex
+        if copy_name is not None:
+            now = asyncio.get_running_loop().time()
+            await self._gate.wait_for_share(reg, now + COLD_WAIT_SECONDS)
         if ex.seconds_left <= 0:
             return Err(Failed(reason="timeout"))
         facts = wire.ForwardMetadata(
@@ -66,19 +69,16 @@
             resume_from=copy_name,
             last_event_id=live.last_event_id,
         )
-        if copy_name is not None:
-            now = asyncio.get_running_loop().time()
-            await self._gate.wait_for_share(reg, now + COLD_WAIT_SECONDS)
         is_closed = False
 
         def may_send() -> bool:
             nonlocal is_closed
-            if copy_name is None:
-                is_open = self._gate.may_begin(reg)
-            else:
-                is_open = self._gate.may_continue(reg)
-            is_closed = not is_open
-            return is_open and (ex.can_continue() if copy_name else ex.may_send())
+            is_new = copy_name is None
+            if not (ex.may_send() if is_new else ex.can_continue()):
+                return False
+            admits = self._gate.may_begin if is_new else self._gate.may_continue
+            is_closed = not admits(reg)
+            return not is_closed
 
         opened = await self._client.open(
             reg.address,
