Log the limits that endpoints state in their answers

Change: the statement is decoded in the adapter and kept by StatedLimits, which orders statements whose answers overtake each other; its changes and the answers that carry it are logged, and a gauge counts the endpoints with a limit. No decision uses it yet. The stand-in for endpoints states limits.

--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -139,6 +139,7 @@
     "members": "Nodes known, by state.",
     "streams": "Streams being relayed.",
     "cold_endpoints": "Endpoints that tolerate few requests after their start.",
+    "limited_endpoints": "Endpoints that state a limit for all nodes together.",
     "evacuated_domains": "Failure domains that get no new requests.",
     "queued": "Requests waiting for a grant, by model.",
     "engine_used_tokens": "Tokens in an engine's memory as last reported, by engine.",
--- a/celerytrail/model.py
+++ b/celerytrail/model.py
@@ -242,6 +242,26 @@
     started_at: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EndpointStatements:
+    """What an endpoint states about itself in an answer.
+
+    Parameters
+    ----------
+    cold_seconds : float
+        For how long it stays cold; 0 if it isn't.
+    requests_per_second : float or None
+        The requests that it takes from all nodes together; None without a limit.
+    is_own : bool
+        Whether the answer is certainly the endpoint's own, so that a limit that isn't
+        stated has ended.
+    """
+
+    cold_seconds: float = 0.0
+    requests_per_second: float | None = None
+    is_own: bool = True
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EngineReport:
     """An engine's report of its load, some hundred milliseconds old.
--- a/celerytrail/platform/wire.py
+++ b/celerytrail/platform/wire.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from ..http.messages import Request
-from ..model import EngineReport, RequestMetadata
+from ..model import EndpointStatements, EngineReport, RequestMetadata
 from ..types import Address
 
 MS = 0.001
@@ -30,6 +30,7 @@
 _LAST_EVENT = "last-event-id"
 _NOT_RUN = "x-not-executed"
 _COLD = "x-cold-ms"
+_LIMIT = "server-limit"
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1).
 _HOP_BY_HOP = frozenset(
@@ -179,9 +180,13 @@
     return _NOT_RUN in headers or status == 421
 
 
-def cold_seconds(headers: Mapping[str, str]) -> float:
-    """Return for how long an endpoint states that it stays cold, 0 if it doesn't."""
-    return _milliseconds(headers.get(_COLD)) or 0.0
+def decode_statements(status: int, headers: Mapping[str, str]) -> EndpointStatements:
+    """Decode what an endpoint states about itself; unreadable values are ignored."""
+    return EndpointStatements(
+        cold_seconds=_milliseconds(headers.get(_COLD)) or 0.0,
+        requests_per_second=_rate(headers.get(_LIMIT)),
+        is_own=is_sealed_answer(headers) and not is_not_run(status, headers),
+    )
 
 
 def is_sealed_answer(headers: Mapping[str, str]) -> bool:
@@ -274,6 +279,14 @@
     return value * MS if value is not None and 0 <= value < 1e12 else None
 
 
+def _rate(text: str | None) -> float | None:
+    try:
+        value = float(text) if text is not None else None
+    except ValueError:
+        return None
+    return value if value is not None and 0 <= value < 1e9 else None
+
+
 def _count(text: str) -> int:
     text = text.strip()
     return int(text) if text.isdigit() and len(text) < 10 else 0
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -271,6 +271,7 @@
             budget_seconds=ex.seconds_left,
             organisation=ex.organisation,
         )
+        sent_at = asyncio.get_running_loop().time()
         opened = await self._client.open(
             reg.address,
             ex.req.method,
@@ -289,12 +290,15 @@
                 return NotExecuted(reason=exc.reason)
             return Failed(reason=exc.reason)
         stream = opened.ok_value
+        stated = wire.decode_statements(stream.status, stream.headers)
+        self._gate.record_statements(reg, stated, sent_at)
+        if stated.requests_per_second is not None:
+            ex.log("limit_stated", endpoint=reg.endpoint, sent_at=round(sent_at, 3))
         body = await stream.read(ex.loop_deadline)
         if isinstance(body, Err):
             lost: RequestLost = body.err_value
             ex.log("attempt_failed", endpoint=reg.endpoint, reason=lost.reason)
             return Failed(reason=lost.reason)
-        self._gate.record_cold(reg, wire.cold_seconds(stream.headers))
         if wire.is_not_run(stream.status, stream.headers):
             ex.log("attempt_refused", endpoint=reg.endpoint, status=stream.status)
             return NotExecuted(reason="endpoint_refused", was_sent=True)
--- a/celerytrail/relay/endpointgate.py
+++ b/celerytrail/relay/endpointgate.py
@@ -5,10 +5,13 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
-from ..model import Registration
+from eliot import log_message
+
+from ..model import EndpointStatements, Registration
 from ..policies.coldlimits import ColdEndpoints, ColdShares, NodePosition, RankedShares
 from ..policies.evacuations import Evacuations
 from ..policies.homes import is_allowed
+from ..policies.statedlimits import LimitStatement, StatedLimits
 
 # Reason for which a request wasn't sent: its endpoint may not receive it now.
 ENDPOINT_CLOSED = "endpoint_closed"
@@ -33,6 +36,8 @@
     cold_limit : callable
         Returns how many requests per second all nodes together may send to a cold
         endpoint of a service; None without a limit.
+    limits : StatedLimits
+        The limits that endpoints state.
     position : callable
         Returns this node's position in the order that belongs to an endpoint.
     domain_regions : mapping or None
@@ -47,6 +52,7 @@
         evacuations: Evacuations,
         cold: ColdEndpoints,
         cold_limit: Callable[[str], float | None],
+        limits: StatedLimits,
         position: Callable[[str], NodePosition],
         domain_regions: Mapping[str, str] | None = None,
         shares: ColdShares | None = None,
@@ -54,6 +60,7 @@
         self._evacuations = evacuations
         self._cold = cold
         self._cold_limit = cold_limit
+        self._limits = limits
         self._position = position
         self._domain_regions = domain_regions or {}
         self._shares = shares or RankedShares()
@@ -96,10 +103,37 @@
         """Return for how long an endpoint stays cold."""
         return self._cold.remaining_seconds(reg.endpoint, _now())
 
-    def record_cold(self, reg: Registration, seconds: float) -> None:
-        """Record for how long an endpoint stays cold by its own statement."""
-        if seconds > 0:
-            self._cold.record(reg.endpoint, _now() + seconds)
+    def record_statements(
+        self, reg: Registration, stated: EndpointStatements, sent_at: float
+    ) -> None:
+        """Record what an endpoint states in the answer to a request.
+
+        Parameters
+        ----------
+        reg : Registration
+            The endpoint.
+        stated : EndpointStatements
+            Its statements.
+        sent_at : float
+            Loop time at which the request was about to be sent.
+        """
+        now = _now()
+        if stated.cold_seconds > 0:
+            self._cold.record(reg.endpoint, now + stated.cold_seconds)
+        if stated.requests_per_second is None and not stated.is_own:
+            return
+        statement = LimitStatement(
+            endpoint=reg.endpoint,
+            requests_per_second=stated.requests_per_second,
+            sent_at=sent_at,
+            heard_at=now,
+        )
+        if self._limits.record(statement):
+            log_message(
+                "relay:endpoint:limit",
+                endpoint=reg.endpoint,
+                requests_per_second=stated.requests_per_second,
+            )
 
     def _has_share(self, reg: Registration, now: float) -> bool:
         if not self._cold.is_cold(reg.endpoint, now):
--- a/celerytrail/relay/endpointstate.py
+++ b/celerytrail/relay/endpointstate.py
@@ -9,6 +9,7 @@
 from ..platform.nodesettings import RelaySettings
 from ..policies.coldlimits import ColdEndpoints
 from ..policies.evacuations import Evacuations
+from ..policies.statedlimits import StatedLimits
 from .endpointgate import EndpointGate
 from .nodeorder import NodeOrder
 from .registry import Registry
@@ -51,11 +52,13 @@
             continue_seconds=EVACUATION_CONTINUE_SHARE * spare_seconds
         )
         self.cold = ColdEndpoints()
+        self.limits = StatedLimits()
         self.registry = Registry(on_leaving=on_leaving, evacuations=self.evacuations)
         self.gate = EndpointGate(
             evacuations=self.evacuations,
             cold=self.cold,
             cold_limit=self._cold_limit,
+            limits=self.limits,
             position=node_order.position,
             domain_regions=cfg.domain_regions,
         )
@@ -77,9 +80,13 @@
         self.evacuations.set_domains(domains, now)
 
     def expire(self, now: float) -> None:
-        """Forget endpoints that didn't return in time, and those no longer cold."""
+        """Forget endpoints that didn't return in time, and what has ended of them."""
         self.registry.expire(now)
         self.cold.expire(now)
+        for statement in self.limits.in_force():
+            if not self.registry.has(statement.endpoint):
+                self.limits.forget(statement.endpoint)
+        self.limits.expire(now)
 
     def _cold_limit(self, name: str) -> float | None:
         """Return the requests per second for a cold endpoint, None without a limit."""
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -70,6 +70,7 @@
             last_event_id=live.last_event_id,
         )
         is_closed = False
+        sent_at = asyncio.get_running_loop().time()
 
         def may_send() -> bool:
             nonlocal is_closed
@@ -99,7 +100,10 @@
                 return Err(Refused(reason=reason))
             return Err(Failed(reason=exc.reason))
         stream = opened.ok_value
-        self._gate.record_cold(reg, wire.cold_seconds(stream.headers))
+        stated = wire.decode_statements(stream.status, stream.headers)
+        self._gate.record_statements(reg, stated, sent_at)
+        if stated.requests_per_second is not None:
+            ex.log("limit_stated", endpoint=reg.endpoint, sent_at=round(sent_at, 3))
         if wire.is_not_run(stream.status, stream.headers):
             ex.log("attempt_refused", endpoint=reg.endpoint, status=stream.status)
             await stream.read(ex.loop_deadline)
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -428,6 +428,8 @@
         self._metrics.set("evacuated_domains", float(len(self.evacuations.domains)))
         now = asyncio.get_running_loop().time()
         self._metrics.set("cold_endpoints", float(self.cold.n_cold(now)))
+        n_limited = len(self._endpoint_state.limits.in_force())
+        self._metrics.set("limited_endpoints", float(n_limited))
         self._metrics.set("streams", float(self.generations.n_live))
         self._metrics.set("news_sent", float(self.peer_updates.n_sent))
         self._metrics.set("news_sent_bytes", float(self.peer_updates.n_sent_bytes))
--- a/celerytrail/relay/registry.py
+++ b/celerytrail/relay/registry.py
@@ -147,6 +147,10 @@
         """Return an endpoint's registration, None if it has no row."""
         return self._known.get(endpoint)
 
+    def has(self, endpoint: str) -> bool:
+        """Return whether an endpoint has a row, or had one before an outage."""
+        return endpoint in self._known or endpoint in self._lapsed
+
     def all(self) -> list[Registration]:
         """Return all endpoints that have a row."""
         return list(self._known.values())
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -8,6 +8,7 @@
 
 import abc
 import asyncio
+from bisect import bisect_left
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -96,6 +97,8 @@
         self.ran: list[str] = []
         # How long it states in its answers that it stays cold, in milliseconds.
         self.cold_ms = 0
+        # The requests per second that it states to take from all nodes together.
+        self.request_limit: float | None = None
         self.address = Address(host="127.0.0.1", port=1)
         self._server = HttpServer(handler=self, network=network)
 
@@ -115,8 +118,15 @@
     @property
     def max_requests_per_second(self) -> int:
         """Return the most requests that arrived within any second."""
-        times = [seen.arrived_at for seen in self.seen]
-        return max((sum(at <= t < at + 1.0 for t in times) for at in times), default=0)
+        return self.max_requests(seconds=1.0)
+
+    def max_requests(self, *, seconds: float, since: float = 0.0) -> int:
+        """Return the most requests that arrived within a window after a time."""
+        times = [seen.arrived_at for seen in self.seen if seen.arrived_at >= since]
+        return max(
+            (bisect_left(times, at + seconds) - n for n, at in enumerate(times)),
+            default=0,
+        )
 
     async def handle(self, req: Request, res: Responder) -> None:
         """Answer one request."""
@@ -152,6 +162,8 @@
         headers = {"x-attempt-id": echoed, "x-worker-id": self.worker_id}
         if self.cold_ms:
             headers["x-cold-ms"] = str(self.cold_ms)
+        if self.request_limit is not None:
+            headers["server-limit"] = f"{self.request_limit:g}"
         if not self.faults.is_unsealed:
             headers[SEAL_HEADER] = f"seal of {self.worker_id}"
         return headers
