--- a/bench/limitways.py
+++ b/bench/requestlimits.py
@@ -1,23 +1,21 @@
-"""Compares ways to keep an endpoint's limit on the requests of all nodes together.
+"""Measures how an endpoint's limit on the requests of all nodes together is kept.
 
-Run it with ``python -m bench.limitways``. Only the decisions are simulated: callers ask
-random nodes for the endpoint, and messages between nodes take time or get lost.
+Run it with ``python -m bench.requestlimits``. Only the decisions are simulated: callers
+ask random nodes for the endpoint, and messages between nodes take time or get lost.
 """
 
 from __future__ import annotations
 
-import abc
 import heapq
 import itertools
 import random
 from bisect import bisect_left
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from celerytrail.policies.coldlimits import NodePosition, RankedShares
+from celerytrail.policies.coldlimits import NodePosition
 from celerytrail.policies.rendezvous import rank
-from celerytrail.policies.requesttokens import Grants
+from celerytrail.policies.requesttokens import RequestTokens
 
 ENDPOINT = "e1"
 WINDOW_SECONDS = 4.0
@@ -27,6 +25,8 @@
 SLOW_DELAY_SECONDS = 0.15
 # Time until a node that was lost is no longer taken for running, in seconds.
 DETECTION_SECONDS = 2.0
+# Time for which a node doesn't ask again after an answer that didn't come, in seconds.
+UNREACHABLE_SECONDS = 1.0
 
 
 def allowed(limit: float) -> float:
@@ -154,87 +154,13 @@
         return NodePosition(index=self.index[node], n_nodes=self.n_nodes)
 
 
-class Way(abc.ABC):
-    """One way to keep the limit."""
+class OwnedEndpoint:
+    """An endpoint whose owner issues tokens, and callers who ask for it at nodes."""
 
     def __init__(self, world: World) -> None:
         self._world = world
-
-    @abc.abstractmethod
-    def on_request(self, node: int) -> None:
-        """Handle a request at a node; it is sent, or goes elsewhere."""
-
-    def _send(self) -> None:
-        self._world.sent_at.append(self._world.now)
-
-
-class EachAlone(Way):
-    """Every node keeps the limit by itself."""
-
-    def __init__(self, world: World) -> None:
-        super().__init__(world)
-        self._sent: list[deque[float]] = [deque() for _ in range(world.n_nodes)]
-
-    def _n_recent(self, node: int) -> int:
-        recent = self._sent[node]
-        while recent and recent[0] <= self._world.now - WINDOW_SECONDS:
-            recent.popleft()
-        return len(recent)
-
-    def _n_allowed(self, node: int) -> float:
-        return WINDOW_SECONDS * self._world.limit
-
-    def on_request(self, node: int) -> None:
-        """Handle a request at a node; it is sent, or goes elsewhere."""
-        if self._n_recent(node) < self._n_allowed(node):
-            self._sent[node].append(self._world.now)
-            self._send()
-
-
-class EqualParts(EachAlone):
-    """Every node has an equal part; what can't be divided goes by rank."""
-
-    used_share = 0.75
-
-    def _n_allowed(self, node: int) -> float:
-        n_in_window = self.used_share / 0.75 * WINDOW_SECONDS * self._world.limit
-        return RankedShares().n_allowed(n_in_window, self._world.position(node))
-
-
-class EqualPartsOfWhole(EqualParts):
-    """The same, of the whole limit."""
-
-    used_share = 1.0
-
-
-class Announced(EachAlone):
-    """Every node announces its requests, and counts those of all."""
-
-    def on_request(self, node: int) -> None:
-        """Handle a request at a node; it is sent, or goes elsewhere."""
-        share = self._world.known_share(node)
-        if self._n_recent(node) + 1 > max(1.0, share * self._n_allowed(node)):
-            return
-        self._sent[node].append(self._world.now)
-        self._send()
-        for other in range(self._world.n_nodes):
-            if other != node:
-                self._world.deliver(node, other, lambda n=other: self._count(n))  # type: ignore[misc]
-
-    def _count(self, node: int) -> None:
-        self._sent[node].append(self._world.now)
-
-
-class Owner(Way):
-    """One node grants each request; it knows all others, or a part of them."""
-
-    limit_factor = 1.0
-
-    def __init__(self, world: World) -> None:
-        super().__init__(world)
-        self._grants = [Grants() for _ in range(world.n_nodes)]
+        self._tokens = [RequestTokens() for _ in range(world.n_nodes)]
         self._ask_again_at = [0.0] * world.n_nodes
-        self._was_lost = False
 
     def on_request(self, node: int) -> None:
         """Handle a request at a node; it is sent, or goes elsewhere."""
@@ -246,65 +172,33 @@
             self._decide(node, node)
             return
         # An answer that doesn't come is a refusal.
-        self._ask_again_at[node] = world.now + 1.0
+        self._ask_again_at[node] = world.now + UNREACHABLE_SECONDS
         world.deliver(node, owner, lambda: self._decide(owner, node))
 
-    def _share(self, node: int) -> float:
-        return self._world.known_share(node)
-
     def _decide(self, owner: int, node: int) -> None:
         world = self._world
         if world.is_lost(owner):
-            self._grants[owner] = Grants()
+            self._tokens[owner] = RequestTokens()
             return
-        decision = self._grants[owner].decide(
+        decision = self._tokens[owner].decide(
             ENDPOINT,
             f"vm-{node}",
             world.now,
-            requests_per_second=self.limit_factor * world.limit,
+            requests_per_second=world.limit,
             position=world.position(owner),
-            known_share=self._share(owner),
+            known_share=world.known_share(owner),
         )
-        answer = lambda: self._answered(node, decision.ask_again_at, decision.is_granted)  # noqa: E731
+
+        def answer() -> None:
+            self._ask_again_at[node] = decision.ask_again_at
+            if decision.is_granted:
+                world.sent_at.append(world.now)
+
         if owner == node:
             answer()
         else:
             world.deliver(owner, node, answer)
 
-    def _answered(self, node: int, ask_again_at: float, is_granted: bool) -> None:
-        self._ask_again_at[node] = ask_again_at
-        if is_granted:
-            self._send()
-
-
-class OwnerOfWholeLimit(Owner):
-    """An owner that grants the whole limit."""
-
-    limit_factor = 4 / 3
-
-
-class Turns(Owner):
-    """Every node grants its own part, in turns that differ; without a message."""
-
-    def on_request(self, node: int) -> None:
-        """Handle a request at a node; it is sent, or goes elsewhere."""
-        if self._world.now >= self._ask_again_at[node]:
-            self._decide(node, node)
-
-    def _share(self, node: int) -> float:
-        return 1.0 / self._world.n_nodes
-
-
-WAYS: dict[str, type[Way]] = {
-    "each alone": EachAlone,
-    "equal parts": EqualParts,
-    "equal, whole": EqualPartsOfWhole,
-    "announced": Announced,
-    "turns": Turns,
-    "owner, whole": OwnerOfWholeLimit,
-    "owner": Owner,
-}
-
 
 @dataclass(frozen=True, kw_only=True)
 class Result:
@@ -315,17 +209,17 @@
     n_messages: float
 
 
-def play(way: type[Way], n_nodes: int, limit: float, scenario: Scenario) -> Result:
-    """Play one way; callers ask every node for one request a second."""
+def play(n_nodes: int, limit: float, scenario: Scenario) -> Result:
+    """Simulate one scenario."""
     rng = random.Random(f"{n_nodes}:{limit}:{scenario.name}")
     world = World(n_nodes=n_nodes, limit=limit, scenario=scenario, rng=rng)
-    player = way(world)
+    endpoint = OwnedEndpoint(world)
     at = 0.0
     while at < SECONDS:
         n_busy = round(scenario.busy_share * n_nodes)
         at += rng.expovariate(scenario.per_node * n_busy)
         node = rng.randrange(n_busy)
-        world.at(at, lambda node=node: player.on_request(node))  # type: ignore[misc]
+        world.at(at, lambda node=node: endpoint.on_request(node))  # type: ignore[misc]
     world.run()
     times = sorted(world.sent_at)
     n_most = max(
@@ -343,14 +237,17 @@
     """Print a table for each number of nodes and limit."""
     for n_nodes in (12, 119, 330):
         for limit in (1.0, 2.2, 10.0, 50.0):
-            print(f"\n{n_nodes} nodes, {limit:g} a second, {allowed(limit):.0f} allowed")
+            print(
+                f"\n{n_nodes} nodes, {limit:g} a second, {allowed(limit):.0f} allowed"
+            )
             for scenario in SCENARIOS:
-                cells = []
-                for name, way in WAYS.items():
-                    res = play(way, n_nodes, limit, scenario)
-                    mark = "!" if res.n_most > allowed(limit) else ""
-                    cells.append(f"{name} {res.used:.2f} {res.n_most}{mark}")
-                print(f"  {scenario.name}: " + "; ".join(cells), flush=True)
+                res = play(n_nodes, limit, scenario)
+                print(
+                    f"  {scenario.name}: {res.used:.2f} of the limit used, at most "
+                    f"{res.n_most} in {WINDOW_SECONDS:g} s, "
+                    f"{res.n_messages:.0f} messages a second",
+                    flush=True,
+                )
 
 
 if __name__ == "__main__":
--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -132,6 +132,7 @@
     "gossip_bytes": "Bytes of gossip, by direction.",
     "membership_changes": "Changes of other nodes' states, by state.",
     "orders": "Orders sent to engines, by outcome.",
+    "request_tokens": "Requests for tokens of limited endpoints, by outcome.",
     "relay_events": "Events of relayed requests, by event and cause.",
 }
 GAUGES = {
--- a/celerytrail/policies/requesttokens.py
+++ b/celerytrail/policies/requesttokens.py
@@ -1,46 +1,45 @@
-"""Grants of requests to an endpoint that limits the requests of all nodes together.
+"""Tokens that admit requests to an endpoint with a limit for all nodes together.
 
 The load pattern: callers press on many nodes at once, and the limit is often below one
 request per second and node. If every node had a part of its own, most of the limit
 would be parts of nodes that have no request at that moment. So one node, the
-endpoint's owner, grants each request; a node that knows only some of the others grants
-only their part, and alone it has a turn now and then.
+endpoint's owner, issues a token for each request. A node that knows only some of the
+others issues only their part of the tokens; one that knows nobody has a turn at times.
 """
 
 from __future__ import annotations
 
 import math
 from collections import deque
+from collections.abc import Collection
 from dataclasses import dataclass
 
 from .coldlimits import NodePosition
 
-# Share of the limit that is granted. Nodes that disagree on the owner of an endpoint
-# have two of them for a while, which together stay within the limit's tolerance of one
-# half.
+# Share of the limit for which tokens are issued. While nodes disagree on the owner of
+# an endpoint, two of them issue tokens, and may exceed the limit by one half together.
 USED_SHARE = 0.75
 # The least limit that is used, in requests per second. Without any request, nobody
 # would learn that an endpoint's limit has ended.
 MIN_REQUESTS_PER_SECOND = 0.1
-# Longest time for which a node that was refused a grant doesn't ask again, in seconds.
+# Longest time for which a node that got no token doesn't ask again, in seconds.
 MAX_HOLD_SECONDS = 1.0
-# Requests for grants that all nodes together should make per grant, so that few grants
-# are lost for want of a request.
-N_ASKS_PER_GRANT = 4.0
-# Time for which nodes that asked are counted as competing for grants, in seconds.
+# How often all nodes together should ask per token, so that few tokens are lost.
+N_ASKS_PER_TOKEN = 4.0
+# Time for which a node that got no token counts as competing for one, in seconds.
 COMPETING_SECONDS = 2.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Decision:
-    """The answer to a request for a grant.
+    """The answer to a node that asks for a token.
 
     Parameters
     ----------
     is_granted : bool
-        Whether one request may be sent.
+        Whether it gets one.
     ask_again_at : float
-        When to ask again; the time of the decision if it is a grant.
+        When it may ask again; the time of the decision if it got one.
     """
 
     is_granted: bool
@@ -57,7 +56,7 @@
     Parameters
     ----------
     now : float
-        Time at which the node begins to grant.
+        Time at which the node begins to issue tokens.
     position : NodePosition
         This node's position among all nodes. It spreads the first tokens of nodes that
         begin at the same time.
@@ -98,8 +97,8 @@
         return Decision(is_granted=True, ask_again_at=now)
 
 
-class Grants:
-    """Decides on requests for grants, for the endpoints that this node owns."""
+class RequestTokens:
+    """Issues the tokens of the endpoints that this node owns."""
 
     def __init__(self) -> None:
         self._schedules: dict[str, TokenSchedule] = {}
@@ -116,7 +115,7 @@
         position: NodePosition,
         known_share: float,
     ) -> Decision:
-        """Decide whether a node may send one request to an endpoint.
+        """Decide whether a node gets a token for an endpoint.
 
         Parameters
         ----------
@@ -146,8 +145,10 @@
         competing.append((now, node))
         while competing[0][0] <= now - COMPETING_SECONDS:
             competing.popleft()
-        rate = N_ASKS_PER_GRANT * USED_SHARE * max(
-            MIN_REQUESTS_PER_SECOND, requests_per_second
+        rate = (
+            N_ASKS_PER_TOKEN
+            * USED_SHARE
+            * max(MIN_REQUESTS_PER_SECOND, requests_per_second)
         )
         hold_seconds = len({name for _, name in competing}) / rate
         ask_again_at = max(
@@ -155,7 +156,8 @@
         )
         return Decision(is_granted=False, ask_again_at=ask_again_at)
 
-    def forget(self, endpoint: str) -> None:
-        """Forget an endpoint whose limit has ended."""
-        self._schedules.pop(endpoint, None)
-        self._competing.pop(endpoint, None)
+    def forget_all_but(self, endpoints: Collection[str]) -> None:
+        """Forget the endpoints whose limits have ended."""
+        for endpoint in self._schedules.keys() - set(endpoints):
+            del self._schedules[endpoint]
+            self._competing.pop(endpoint, None)
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -9,11 +9,11 @@
 
 from ..http.client import HttpClient, NotSent, RequestLost
 from ..http.messages import Response
-from ..model import Registration, RouteKind
+from ..model import RouteKind
 from ..platform import wire
 from ..policies.endpointchoice import EndpointChoice
 from ..policies.retrybudget import SharedRetryBudget
-from .endpointgate import EndpointGate
+from .endpointgate import ENDPOINT_LIMITED, Admission, EndpointGate
 from .exchange import CallerDisconnectedError, Exchange, refuse
 from .registry import Registry
 
@@ -26,6 +26,8 @@
 MAX_TRIED_ENDPOINTS = 3
 # Retry-After when all endpoints refused, in seconds.
 BUSY_RETRY_SECONDS = 0.25
+# The least Retry-After, in seconds.
+MIN_RETRY_SECONDS = 0.01
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -39,11 +41,13 @@
 class NotExecuted:
     """The endpoint hasn't executed the request.
 
-    ``was_sent`` is True if the endpoint received it.
+    ``was_sent`` is True if the endpoint received it. ``retry_at`` is the loop time at
+    which there is room again, if that is known.
     """
 
     reason: str
     was_sent: bool = False
+    retry_at: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -133,14 +137,14 @@
                 ex.observe("relay_answer")
                 headers = wire.answer_headers(res.headers)
                 await ex.res.send(res.status, res.body, headers)
-            case NotExecuted(reason=reason):
+            case NotExecuted(reason=reason, retry_at=retry_at):
                 ex.log("refused", reason=reason)
                 await refuse(
                     ex.res,
                     503,
                     reason,
                     attempt_id=attempt,
-                    retry_after=BUSY_RETRY_SECONDS,
+                    retry_after=_retry_after(retry_at),
                 )
             case Failed(reason=reason):
                 status = 504 if reason in ("timeout", "stalled") else 502
@@ -150,40 +154,40 @@
     async def _send_unrepeatable(self, ex: Exchange) -> Outcome:
         """Send a request that must run only once, until an endpoint accepts it."""
         tried: set[str] = set()
-        outcome: Outcome = NotExecuted(reason="no_endpoint")
+        outcome: Outcome | None = None
         n_sent = 0
         while len(tried) < MAX_TRIED_ENDPOINTS:
-            reg = self._choose_endpoint(ex, tried, is_repeat=n_sent > 0)
-            if reg is None:
+            admission = await self._choose_endpoint(ex, tried, is_repeat=n_sent > 0)
+            if admission is None:
                 break
-            tried.add(reg.endpoint)
-            outcome = await self._attempt(ex, reg)
+            tried.add(admission.reg.endpoint)
+            outcome = await self._attempt(ex, admission)
             # Another endpoint may be tried only if this one states that it hasn't
             # executed the request, or if no byte of it was sent.
             if not isinstance(outcome, NotExecuted):
                 break
             n_sent += outcome.was_sent
-        return outcome
+        return outcome or self._unsent(ex)
 
     async def _send_repeatable(self, ex: Exchange) -> Outcome:
         """Send a request that may be repeated, and hedge slow or failed attempts."""
         attempts = _Attempts()
-        failure: Outcome = NotExecuted(reason="no_endpoint")
+        failure: Outcome | None = None
         try:
-            while attempts.pending or self._begin_attempt(ex, attempts):
+            while attempts.pending or await self._begin_attempt(ex, attempts):
                 for task in await self._wait_or_hedge(ex, attempts):
                     attempts.pending.discard(task)
                     outcome = task.result()
                     if isinstance(outcome, Answered) and outcome.res.status < 500:
                         return outcome
                     attempts.record(outcome)
-                    failure = _more_informative(failure, outcome)
-            return failure
+                    failure = _more_informative(failure or outcome, outcome)
+            return failure or self._unsent(ex)
         finally:
             for task in attempts.pending:
                 task.cancel()
 
-    def _begin_attempt(self, ex: Exchange, attempts: _Attempts) -> bool:
+    async def _begin_attempt(self, ex: Exchange, attempts: _Attempts) -> bool:
         """Begin one more attempt if the limits allow it and an endpoint is left."""
         n_attempts = attempts.n_maybe_executed + len(attempts.pending)
         if (
@@ -192,11 +196,11 @@
         ):
             return False
         is_repeat = attempts.n_sent > 0 or bool(attempts.pending)
-        reg = self._choose_endpoint(ex, attempts.tried, is_repeat=is_repeat)
-        if reg is None:
+        admission = await self._choose_endpoint(ex, attempts.tried, is_repeat=is_repeat)
+        if admission is None:
             return False
-        attempts.tried.add(reg.endpoint)
-        attempts.pending.add(asyncio.ensure_future(self._attempt(ex, reg)))
+        attempts.tried.add(admission.reg.endpoint)
+        attempts.pending.add(asyncio.ensure_future(self._attempt(ex, admission)))
         return True
 
     async def _wait_or_hedge(
@@ -215,40 +219,53 @@
         done, _ = await asyncio.wait(
             attempts.pending, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
         )
-        if not done and not self._begin_attempt(ex, attempts):
+        if not done and not await self._begin_attempt(ex, attempts):
             done, _ = await asyncio.wait(
                 attempts.pending, return_when=asyncio.FIRST_COMPLETED
             )
         return done
 
-    def _choose_endpoint(
+    async def _choose_endpoint(
         self, ex: Exchange, tried: set[str], *, is_repeat: bool
-    ) -> Registration | None:
+    ) -> Admission | None:
         """Choose the next endpoint for a request, within the retry budget.
 
         The budget bounds what endpoints receive, and a refused connection delivers
         nothing. If refused connections were charged to it, a crashed endpoint's
         registration would use up the budget and callers would be refused.
         """
-        now = asyncio.get_running_loop().time()
-        usable = self._registry.usable_endpoints(ex.service)
-        open_regs = [
-            reg for reg in usable if self._gate.is_open_for(reg, ex.home_regions)
-        ]
-        reg = self._choice.choose(open_regs, tried, now)
-        if reg is None:
-            return None
-        if is_repeat and not self._budget.take(ex.service, now):
+        loop = asyncio.get_running_loop()
+        admission = None
+        while admission is None:
+            usable = self._registry.usable_endpoints(ex.service)
+            open_regs = [
+                reg for reg in usable if self._gate.is_open_for(reg, ex.home_regions)
+            ]
+            reg = self._choice.choose(open_regs, tried, loop.time())
+            if reg is None:
+                return None
+            admission = await self._gate.admit(reg)
+        if is_repeat and not self._budget.take(ex.service, loop.time()):
             ex.log("retry_denied")
             return None
-        return reg
+        return admission
 
-    async def _attempt(self, ex: Exchange, reg: Registration) -> Outcome:
+    def _unsent(self, ex: Exchange) -> NotExecuted:
+        """Return the outcome of a request for which there was no endpoint."""
+        usable = self._registry.usable_endpoints(ex.service)
+        seconds = self._gate.seconds_until_open(usable)
+        if seconds is None:
+            return NotExecuted(reason="no_endpoint")
+        retry_at = asyncio.get_running_loop().time() + seconds
+        return NotExecuted(reason=ENDPOINT_LIMITED, retry_at=retry_at)
+
+    async def _attempt(self, ex: Exchange, admission: Admission) -> Outcome:
+        reg = admission.reg
         self._choice.begin(reg.endpoint)
         self.n_open += 1
         outcome: Outcome | None = None
         try:
-            outcome = await self._send(ex, reg)
+            outcome = await self._send(ex, admission)
             return outcome
         finally:
             self.n_open -= 1
@@ -263,7 +280,8 @@
                 now=now,
             )
 
-    async def _send(self, ex: Exchange, reg: Registration) -> Outcome:
+    async def _send(self, ex: Exchange, admission: Admission) -> Outcome:
+        reg = admission.reg
         if ex.seconds_left <= 0:
             return Failed(reason="timeout")
         facts = wire.ForwardMetadata(
@@ -281,7 +299,7 @@
             deadline=ex.loop_deadline,
             connect_seconds=CONNECT_SECONDS,
             request_id=ex.facts.attempt_id,
-            may_send=lambda: ex.may_send() and self._gate.may_begin(reg),
+            may_send=lambda: ex.may_send() and self._gate.may_begin(admission),
         )
         if isinstance(opened, Err):
             exc = opened.err_value
@@ -309,6 +327,14 @@
         return Answered(res=res)
 
 
+def _retry_after(retry_at: float | None) -> float:
+    """Return the seconds after which a refused caller should come back."""
+    if retry_at is None:
+        return BUSY_RETRY_SECONDS
+    seconds = retry_at - asyncio.get_running_loop().time()
+    return round(max(MIN_RETRY_SECONDS, seconds), 3)
+
+
 def _more_informative(first: Outcome, second: Outcome) -> Outcome:
     """Return the outcome that is more informative to the caller."""
     order = (NotExecuted, Failed, Answered)
--- a/celerytrail/relay/endpointgate.py
+++ b/celerytrail/relay/endpointgate.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
 
 from eliot import log_message
 
@@ -12,20 +13,31 @@
 from ..policies.evacuations import Evacuations
 from ..policies.homes import is_allowed
 from ..policies.statedlimits import LimitStatement, StatedLimits
+from .tokenbroker import RequestToken, TokenBroker
 
 # Reason for which a request wasn't sent: its endpoint may not receive it now.
 ENDPOINT_CLOSED = "endpoint_closed"
+# The same, because of the limit that its endpoint states.
+ENDPOINT_LIMITED = "endpoint_limited"
 # Interval at which a run that continues checks whether its engine may receive it, in
 # seconds.
 POLL_SECONDS = 0.05
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Admission:
+    """An endpoint that a request may be sent to, and the token that admits it."""
+
+    reg: Registration
+    token: RequestToken | None
+
+
 class EndpointGate:
     """Decides whether an endpoint may receive a request at this moment.
 
     Endpoints are chosen before a connection is opened; by the time the first byte is
-    sent, the operator may have evacuated their failure domain, and this node may have
-    used its share of a cold endpoint's requests.
+    sent, the operator may have evacuated their failure domain, this node may have used
+    its share of a cold endpoint's requests, and the endpoint may have stated a limit.
 
     Parameters
     ----------
@@ -38,6 +50,10 @@
         endpoint of a service; None without a limit.
     limits : StatedLimits
         The limits that endpoints state.
+    broker : TokenBroker
+        Obtains tokens for endpoints with a limit.
+    on_limit : callable
+        Called with each statement that changes an endpoint's limit.
     position : callable
         Returns this node's position in the order that belongs to an endpoint.
     domain_regions : mapping or None
@@ -53,6 +69,8 @@
         cold: ColdEndpoints,
         cold_limit: Callable[[str], float | None],
         limits: StatedLimits,
+        broker: TokenBroker,
+        on_limit: Callable[[LimitStatement], None],
         position: Callable[[str], NodePosition],
         domain_regions: Mapping[str, str] | None = None,
         shares: ColdShares | None = None,
@@ -61,30 +79,79 @@
         self._cold = cold
         self._cold_limit = cold_limit
         self._limits = limits
+        self._broker = broker
+        self._on_limit = on_limit
         self._position = position
         self._domain_regions = domain_regions or {}
         self._shares = shares or RankedShares()
 
-    def is_open_for(self, reg: Registration, home_regions: frozenset[str]) -> bool:
-        """Return whether a request with these homes could be sent to an endpoint."""
+    def is_open_for(
+        self,
+        reg: Registration,
+        home_regions: frozenset[str],
+        *,
+        can_wait: bool = False,
+    ) -> bool:
+        """Return whether a request with these homes could be sent to an endpoint.
+
+        ``can_wait`` is for runs that continue, which wait for room within its limit.
+        """
         is_home = is_allowed(reg.failure_domain, home_regions, self._domain_regions)
-        return is_home and self._is_open(reg)
+        has_room = can_wait or self._broker.seconds_until_open(reg.endpoint) == 0
+        return is_home and has_room and self._is_open(reg)
+
+    def seconds_until_open(self, regs: Iterable[Registration]) -> float | None:
+        """Return the time until one of several endpoints has room within its limit.
+
+        None if none of them is closed because of its limit.
+        """
+        seconds = (self._broker.seconds_until_open(reg.endpoint) for reg in regs)
+        return min((wait for wait in seconds if wait > 0), default=None)
+
+    def is_limited(self, reg: Registration) -> bool:
+        """Return whether an endpoint states a limit for all nodes together."""
+        return self._broker.is_limited(reg.endpoint)
+
+    async def admit(self, reg: Registration) -> Admission | None:
+        """Return the admission of a request to an endpoint, None if its limit forbids.
+
+        An endpoint that refused is closed until it may have room again.
+        """
+        if not self.is_limited(reg):
+            return Admission(reg=reg, token=None)
+        token = await self._broker.take(reg.endpoint)
+        return Admission(reg=reg, token=token) if token is not None else None
+
+    async def admit_until(self, reg: Registration, deadline: float) -> Admission | None:
+        """Return the admission of a run that continues; wait until a deadline."""
+        while (admission := await self.admit(reg)) is None:
+            seconds = self._broker.seconds_until_open(reg.endpoint)
+            if _now() + seconds >= deadline:
+                return None
+            await asyncio.sleep(seconds)
+        return admission
 
     def _is_open(self, reg: Registration) -> bool:
         if self._evacuations.is_evacuated(reg.failure_domain):
             return False
         return self._has_share(reg, _now())
 
-    def may_begin(self, reg: Registration) -> bool:
+    def may_begin(self, admission: Admission) -> bool:
         """Return whether a request may be sent to an endpoint now, and count it."""
+        reg = admission.reg
         if not self._is_open(reg):
             return False
+        if not self._broker.admits(reg.endpoint, admission.token):
+            return False
         self._cold.count_request(reg.endpoint, _now())
         return True
 
-    def may_continue(self, reg: Registration) -> bool:
+    def may_continue(self, admission: Admission) -> bool:
         """Return whether a run may continue from its copy now, and count it."""
+        reg = admission.reg
         now = _now()
+        if not self._broker.admits(reg.endpoint, admission.token):
+            return False
         if not self._evacuations.may_continue(reg.failure_domain, now):
             return False
         if not self._has_share(reg, now):
@@ -128,12 +195,19 @@
             sent_at=sent_at,
             heard_at=now,
         )
-        if self._limits.record(statement):
-            log_message(
-                "relay:endpoint:limit",
-                endpoint=reg.endpoint,
-                requests_per_second=stated.requests_per_second,
-            )
+        if self.record_limit(statement):
+            self._on_limit(statement)
+
+    def record_limit(self, statement: LimitStatement) -> bool:
+        """Record an endpoint's limit, and return whether it changes."""
+        if not self._limits.record(statement):
+            return False
+        log_message(
+            "relay:endpoint:limit",
+            endpoint=statement.endpoint,
+            requests_per_second=statement.requests_per_second,
+        )
+        return True
 
     def _has_share(self, reg: Registration, now: float) -> bool:
         if not self._cold.is_cold(reg.endpoint, now):
--- a/celerytrail/relay/endpointstate.py
+++ b/celerytrail/relay/endpointstate.py
@@ -1,4 +1,4 @@
-"""What a node knows of the endpoints: registrations, evacuations and cold phases."""
+"""What a node knows of the endpoints: rows, evacuations, cold phases and limits."""
 
 from __future__ import annotations
 
@@ -9,10 +9,11 @@
 from ..platform.nodesettings import RelaySettings
 from ..policies.coldlimits import ColdEndpoints
 from ..policies.evacuations import Evacuations
-from ..policies.statedlimits import StatedLimits
+from ..policies.statedlimits import LimitStatement, StatedLimits
 from .endpointgate import EndpointGate
 from .nodeorder import NodeOrder
 from .registry import Registry
+from .tokenbroker import TokenBroker
 
 # Share of the time between the bounds on configuration and on evacuations in which a
 # run may still continue from a copy that was already on its way.
@@ -33,6 +34,12 @@
         Returns a service of the configuration in force by its name, or None.
     node_order : NodeOrder
         This node's position among all nodes.
+    limits : StatedLimits
+        The limits that endpoints state.
+    broker : TokenBroker
+        Obtains tokens for endpoints with a limit.
+    on_limit : callable
+        Called with each statement that changes an endpoint's limit.
     on_leaving : callable
         Called once for each incarnation of an endpoint that leaves or is removed.
     """
@@ -43,6 +50,9 @@
         cfg: RelaySettings,
         find_service: Callable[[str], Service | None],
         node_order: NodeOrder,
+        limits: StatedLimits,
+        broker: TokenBroker,
+        on_limit: Callable[[LimitStatement], None],
         on_leaving: Callable[[Registration], None],
     ) -> None:
         self._cfg = cfg
@@ -52,13 +62,15 @@
             continue_seconds=EVACUATION_CONTINUE_SHARE * spare_seconds
         )
         self.cold = ColdEndpoints()
-        self.limits = StatedLimits()
+        self.limits = limits
         self.registry = Registry(on_leaving=on_leaving, evacuations=self.evacuations)
         self.gate = EndpointGate(
             evacuations=self.evacuations,
             cold=self.cold,
             cold_limit=self._cold_limit,
-            limits=self.limits,
+            limits=limits,
+            broker=broker,
+            on_limit=on_limit,
             position=node_order.position,
             domain_regions=cfg.domain_regions,
         )
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -9,7 +9,7 @@
 from ..http.client import HttpClient, NotSent, Stream
 from ..model import Registration
 from ..platform import wire
-from .endpointgate import ENDPOINT_CLOSED, EndpointGate
+from .endpointgate import ENDPOINT_CLOSED, ENDPOINT_LIMITED, Admission, EndpointGate
 from .liverun import Failed, LiveRun, Refused
 
 # Connect timeout before another engine is tried, in seconds.
@@ -17,6 +17,8 @@
 # How long a run that continues at a cold engine waits until that may receive it, in
 # seconds. The run would be lost otherwise.
 COLD_WAIT_SECONDS = 1.2
+# The same at an engine with a limit; engines keep copies for about five seconds.
+LIMIT_WAIT_SECONDS = 4.0
 
 
 class EngineOpener:
@@ -34,10 +36,24 @@
         self._client = client
         self._gate = gate
 
+    async def open_copy(
+        self, live: LiveRun, reg: Registration, copy_name: str
+    ) -> Result[Stream, Refused | Failed]:
+        """Resume a generation from a copy, once its engine may receive it."""
+        now = asyncio.get_running_loop().time()
+        await self._gate.wait_for_share(reg, now + COLD_WAIT_SECONDS)
+        admission = await self._gate.admit_until(reg, now + LIMIT_WAIT_SECONDS)
+        if admission is None:
+            live.ex.log(
+                "attempt_failed", endpoint=reg.endpoint, reason=ENDPOINT_LIMITED
+            )
+            return Err(Refused(reason=ENDPOINT_LIMITED))
+        return await self.open(live, admission, None, copy_name)
+
     async def open(
         self,
         live: LiveRun,
-        reg: Registration,
+        admission: Admission,
         backup: Registration | None,
         copy_name: str | None = None,
     ) -> Result[Stream, Refused | Failed]:
@@ -47,17 +63,15 @@
         ----------
         live : LiveRun
             The generation.
-        reg : Registration
-            The engine.
+        admission : Admission
+            The engine, and what admits the request there.
         backup : Registration or None
             The engine that receives a growing copy of the run, if any.
         copy_name : str or None
             The copy to resume from; None begins a new run.
         """
         ex = live.ex
-        if copy_name is not None:
-            now = asyncio.get_running_loop().time()
-            await self._gate.wait_for_share(reg, now + COLD_WAIT_SECONDS)
+        reg = admission.reg
         if ex.seconds_left <= 0:
             return Err(Failed(reason="timeout"))
         facts = wire.ForwardMetadata(
@@ -78,7 +92,7 @@
             if not (ex.may_send() if is_new else ex.can_continue()):
                 return False
             admits = self._gate.may_begin if is_new else self._gate.may_continue
-            is_closed = not admits(reg)
+            is_closed = not admits(admission)
             return not is_closed
 
         opened = await self._client.open(
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -13,7 +13,7 @@
 from ..policies.engineloads import EngineLoad, EngineLoads
 from ..policies.movetargets import MoveTargets, OwnTargets
 from ..policies.prefillrates import PrefillRates
-from .endpointgate import EndpointGate
+from .endpointgate import Admission, EndpointGate
 from .exchange import Exchange
 from .liverun import LiveRun
 from .peerupdates import PeerUpdates
@@ -105,7 +105,16 @@
         """Return whether all engines of a service are in evacuated domains."""
         return self._registry.is_service_evacuated(service)
 
-    def _usable(self, ex: Exchange, excluded: set[str]) -> list[Registration]:
+    def seconds_until_open(self, service: str) -> float | None:
+        """Return the time until an engine has room within the limit that it states.
+
+        None if no engine of the service is closed because of its limit.
+        """
+        return self._gate.seconds_until_open(self._registry.usable_endpoints(service))
+
+    def _usable(
+        self, ex: Exchange, excluded: set[str], *, can_wait: bool
+    ) -> list[Registration]:
         """Return the engines to choose from; avoided ones only if there are no others.
 
         An engine that doesn't respond costs each request that tries it the connect
@@ -116,14 +125,16 @@
             reg
             for reg in self._registry.usable_endpoints(ex.service)
             if reg.endpoint not in excluded
-            and self._gate.is_open_for(reg, ex.home_regions)
+            and self._gate.is_open_for(reg, ex.home_regions, can_wait=can_wait)
         ]
         reachable = [
             reg for reg in usable if self._avoid_until.get(reg.endpoint, 0.0) <= now
         ]
         return reachable or usable
 
-    def _engine_loads(self, live: LiveRun, excluded: set[str]) -> list[EngineLoad]:
+    def _engine_loads(
+        self, live: LiveRun, excluded: set[str], *, can_wait: bool = False
+    ) -> list[EngineLoad]:
         engine = live.engine
         idle_loads = [
             EngineLoad(
@@ -131,7 +142,7 @@
                 n_slots=engine.n_slots,
                 n_memory_tokens=engine.n_memory_tokens,
             )
-            for reg in self._usable(live.ex, excluded)
+            for reg in self._usable(live.ex, excluded, can_wait=can_wait)
         ]
         now = asyncio.get_running_loop().time()
         return [
@@ -156,6 +167,18 @@
             failure_domain=self._failure_domain,
         )
 
+    async def place_admitted(
+        self, live: LiveRun, excluded: set[str]
+    ) -> Admission | None:
+        """Wait for an engine with capacity that also admits the generation."""
+        admission = None
+        while admission is None:
+            reg = await self.place(live, excluded)
+            if reg is None:
+                return None
+            admission = await self._gate.admit(reg)
+        return admission
+
     async def place(self, live: LiveRun, excluded: set[str]) -> Registration | None:
         """Wait for an engine with capacity; return None if none has any in time."""
         ex = live.ex
@@ -174,12 +197,22 @@
                 ex.observe("relay_wait")
                 self._record_placement(live, load.reg, loads, demand)
                 return load.reg
-            if loop.time() >= wait_deadline or self.is_evacuated(ex.service):
+            is_hopeless = self.is_evacuated(ex.service) or (
+                not loads and self._opens_after(ex.service, wait_deadline)
+            )
+            if loop.time() >= wait_deadline or is_hopeless:
                 obstacles = placing.count_obstacles(loads, demand)
                 ex.log("no_room", n_engines=len(loads), obstacles=obstacles)
                 return None
             await asyncio.sleep(POLL_SECONDS)
 
+    def _opens_after(self, service: str, deadline: float) -> bool:
+        """Return whether the limits of engines keep them closed past a deadline."""
+        seconds = self.seconds_until_open(service)
+        if seconds is None:
+            return False
+        return asyncio.get_running_loop().time() + seconds >= deadline
+
     def _record_placement(
         self,
         live: LiveRun,
@@ -212,9 +245,15 @@
             if run.run_id != live.run.run_id
         ]
         is_needed = moving.needs_backup(live.run, others, live.engine)
+        loads = self._unlimited(loads)
         copy = self._backups.choose(loads, demand, reg, self._rng, is_needed=is_needed)
         return copy.reg if copy is not None else None
 
+    def _unlimited(self, loads: list[EngineLoad]) -> list[EngineLoad]:
+        """Return the engines without a limit, at which any run may continue, if any."""
+        unlimited = [load for load in loads if not self._gate.is_limited(load.reg)]
+        return unlimited or loads
+
     def announce(
         self, live: LiveRun, *, is_prefilling: bool, is_moving: bool = False
     ) -> None:
@@ -250,7 +289,7 @@
             memory_share=placing.MOVE_SHARE,
             cross_domain_cost=placing.CROSS_DOMAIN_MOVE_COST,
         )
-        loads = self._engine_loads(live, excluded)
+        loads = self._unlimited(self._engine_loads(live, excluded, can_wait=True))
         leaving = self._registry.leaving_endpoints(live.ex.service)
         preferred = self._move_targets.select(loads, source.endpoint, leaving)
         target = self._placing.choose(preferred, demand, self._rng)
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -15,7 +15,7 @@
 from ..platform import wire
 from ..policies.engineloads import Run
 from ..policies.retrybudget import SharedRetryBudget
-from .endpointgate import ENDPOINT_CLOSED
+from .endpointgate import ENDPOINT_CLOSED, ENDPOINT_LIMITED
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
 from .events import EventSplitter, StreamEvent
@@ -31,6 +31,8 @@
 # Retry-After when engines are full, in seconds: about as long as a short answer takes
 # to free its slot.
 FULL_RETRY_SECONDS = 0.7
+# The least Retry-After, in seconds.
+MIN_RETRY_SECONDS = 0.01
 # Reason and Retry-After, in seconds, when all engines are in evacuated domains.
 EVACUATED = "evacuated"
 EVACUATED_RETRY_SECONDS = 2.0
@@ -156,15 +158,12 @@
         attempt = ex.facts.attempt_id
         if isinstance(outcome, Refused):
             ex.log("refused", reason=outcome.reason)
-            is_evacuated = outcome.reason == EVACUATED
             await refuse(
                 ex.res,
                 503,
                 outcome.reason,
                 attempt_id=attempt,
-                retry_after=(
-                    EVACUATED_RETRY_SECONDS if is_evacuated else FULL_RETRY_SECONDS
-                ),
+                retry_after=_retry_after(outcome),
             )
             return
         status = 504 if outcome.reason in ("timeout", "stalled") else 502
@@ -184,14 +183,14 @@
         excluded: set[str] = set()
         n_sent = n_tries = 0
         while n_tries < MAX_REFUSALS:
-            reg = await self._placer.place(live, excluded)
-            if reg is None:
-                is_evacuated = self._placer.is_evacuated(ex.service)
-                return Err(Refused(reason=EVACUATED if is_evacuated else "no_room"))
+            admission = await self._placer.place_admitted(live, excluded)
+            if admission is None:
+                return Err(self._unplaced(ex))
+            reg = admission.reg
             now = asyncio.get_running_loop().time()
             if n_sent and not self._budget.take(ex.service, now):
                 return Err(Refused(reason="retry_denied"))
-            opened = await self._opener.open(live, reg, live.backup)
+            opened = await self._opener.open(live, admission, live.backup)
             if isinstance(opened, Ok):
                 return opened
             if isinstance(opened.err_value, Failed):
@@ -209,6 +208,16 @@
                 n_tries += 1
         return Err(Refused(reason="engines_refused"))
 
+    def _unplaced(self, ex: Exchange) -> Refused:
+        """Return the refusal of a generation for which there was no engine."""
+        if self._placer.is_evacuated(ex.service):
+            return Refused(reason=EVACUATED)
+        seconds = self._placer.seconds_until_open(ex.service)
+        if seconds is None:
+            return Refused(reason="no_room")
+        retry_at = asyncio.get_running_loop().time() + seconds
+        return Refused(reason=ENDPOINT_LIMITED, retry_at=retry_at)
+
     async def _resume_unanswered(
         self, live: LiveRun, failed: Failed
     ) -> Result[Stream, Refused | Failed]:
@@ -315,7 +324,7 @@
             copied = Copied(reg=live.backup, name=name)
         if copied is not None:
             self._on_moved(live, copied.reg)
-            opened = await self._opener.open(live, copied.reg, None, copied.name)
+            opened = await self._opener.open_copy(live, copied.reg, copied.name)
             if isinstance(opened, Ok):
                 ex.log("resumed", reason=reason, endpoint=copied.reg.endpoint)
                 return opened.ok_value
@@ -325,15 +334,15 @@
         now = asyncio.get_running_loop().time()
         if not self._budget.take(ex.service, now):
             return None
-        reg = await self._placer.place(
+        admission = await self._placer.place_admitted(
             live, {previous_reg.endpoint} if previous_reg else set()
         )
-        if reg is None:
+        if admission is None:
             return None
-        opened = await self._opener.open(live, reg, live.backup)
+        opened = await self._opener.open(live, admission, live.backup)
         if isinstance(opened, Err):
             return None
-        ex.log("run_again", reason=reason, endpoint=reg.endpoint)
+        ex.log("run_again", reason=reason, endpoint=admission.reg.endpoint)
         return opened.ok_value
 
     async def _await_move(self, live: LiveRun) -> Copied | Switched | None:
@@ -355,3 +364,13 @@
         live.reg = reg
         live.on_engine_changed()
         self._placer.announce(live, is_prefilling=False)
+
+
+def _retry_after(refused: Refused) -> float:
+    """Return the seconds after which a refused caller should come back."""
+    if refused.reason == EVACUATED:
+        return EVACUATED_RETRY_SECONDS
+    if refused.retry_at is None:
+        return FULL_RETRY_SECONDS
+    seconds = refused.retry_at - asyncio.get_running_loop().time()
+    return round(max(MIN_RETRY_SECONDS, seconds), 3)
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -32,11 +32,13 @@
 class Refused:
     """An engine hasn't run the request.
 
-    ``was_sent`` is True if the engine received it.
+    ``was_sent`` is True if the engine received it. ``retry_at`` is the loop time at
+    which there is room again, if that is known.
     """
 
     reason: str
     was_sent: bool = False
+    retry_at: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -36,6 +36,7 @@
 from ..policies.placing import LeastCostPlacement, PlacementPolicy
 from ..policies.prefillrates import PrefillObserver, PrefillRates
 from ..policies.retrybudget import SharedRetryBudget
+from ..policies.statedlimits import StatedLimits
 from ..rowsource import RowSource
 from ..types import Address
 from .addresses import DirectoryHandler, ReadinessHandler
@@ -48,12 +49,13 @@
 from .followedtables import FollowedTables
 from .generations import Generations
 from .handler import RelayHandler
-from .nodeorder import NodeOrder
+from .nodeorder import JOIN_SECONDS, NodeOrder
 from .peerupdates import PeerUpdates
 from .runmover import RunMover
 from .sharedrows import SharedRows
 from .storeclient import make_rows
 from .tablesinks import ConfigSink, EvacuationSink, RegistrationSink, SinkGroup
+from .tokenbroker import TokenBroker
 
 MILLISECONDS = 1_000
 HOUSEKEEPING_SECONDS = 0.25
@@ -129,10 +131,24 @@
         self._make_serving()
 
     def _make_tables(self) -> None:
+        self._limits = StatedLimits()
+        self._broker = TokenBroker(
+            node=self.node_id,
+            limits=self._limits,
+            node_order=self._node_order,
+            client=HttpClient(process=self.node_id, network=self._network),
+            keys=self._keys,
+            announce=lambda limits: self.peer_updates.announce_limits(limits),
+            clock=self._clock,
+            metrics=self._metrics,
+        )
         self._endpoint_state = state = EndpointState(
             cfg=self.cfg,
             find_service=self._find_service,
             node_order=self._node_order,
+            limits=self._limits,
+            broker=self._broker,
+            on_limit=lambda limit: self.peer_updates.announce_limits([limit]),
             on_leaving=self._on_leaving,
         )
         self.registry = state.registry
@@ -162,7 +178,7 @@
         assert cfg.callers is not None and cfg.peers is not None
         # All nodes of a deployment share its store. A key derived from its address
         # rejects datagrams of another deployment that reach a reused address.
-        keys = PeerKeys(keys=[f"nodes of {cfg.store}".encode()])
+        self._keys = keys = PeerKeys(keys=[f"nodes of {cfg.store}".encode()])
         me = Member(
             node=self.node_id,
             incarnation=int(self._clock.wall() * MILLISECONDS),
@@ -185,7 +201,9 @@
             answer_seconds=cfg.max_address_seconds,
             network=self._network,
         )
-        self._node_order = NodeOrder(nodes=self.nodes)
+        self._node_order = NodeOrder(
+            nodes=self.nodes, joined_at=self._clock.boottime() + JOIN_SECONDS
+        )
         assert cfg.store is not None
         self.rows = self._store or make_rows(
             cfg.store,
@@ -223,6 +241,7 @@
             on_leaving=self.registry.record_leaving,
             on_retried=self._on_retried,
             on_aborted=self._on_aborted,
+            on_limit=self._endpoint_state.gate.record_limit,
             rng=self._rng,
         )
         self._budget = budget = SharedRetryBudget(
@@ -317,6 +336,7 @@
         router = Router()
         self.nodes.add_routes(router)
         self.shared_rows.add_routes(router)
+        self._broker.add_routes(router)
         router.add("GET", "/metrics", self._answer_metrics)
         self._peers = HttpServer(handler=router, network=self._network)
 
@@ -343,6 +363,7 @@
             self._run(watch.run())
         self._run(self.peer_updates.run())
         self._run(self._engine_watch.run())
+        self._run(self._broker.run())
         self._run(self._run_housekeeping())
         self._run(self._enter_store())
         log_message("relay:node:started", node=self.node_id, callers=str(cfg.callers))
@@ -428,8 +449,7 @@
         self._metrics.set("evacuated_domains", float(len(self.evacuations.domains)))
         now = asyncio.get_running_loop().time()
         self._metrics.set("cold_endpoints", float(self.cold.n_cold(now)))
-        n_limited = len(self._endpoint_state.limits.in_force())
-        self._metrics.set("limited_endpoints", float(n_limited))
+        self._metrics.set("limited_endpoints", float(len(self._limits.in_force())))
         self._metrics.set("streams", float(self.generations.n_live))
         self._metrics.set("news_sent", float(self.peer_updates.n_sent))
         self._metrics.set("news_sent_bytes", float(self.peer_updates.n_sent_bytes))
--- a/celerytrail/relay/peerupdates.py
+++ b/celerytrail/relay/peerupdates.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 from eliot import log_message
@@ -15,6 +15,7 @@
 from ..policies.decodetimes import DecodeTimes
 from ..policies.engineloads import EngineLoads, Run
 from ..policies.runlistschedule import MIN_LIST_PERIOD_SECONDS, RunListSchedule
+from ..policies.statedlimits import LimitStatement
 from ..types import Address
 
 # Largest relative deviation of the time to the next run list from its period, so
@@ -22,6 +23,7 @@
 PERIOD_JITTER = 0.2
 # Keeps a datagram below 1,200 bytes.
 MAX_RUNS_PER_DATAGRAM = 12
+MAX_LIMITS_PER_DATAGRAM = 20
 
 
 class RunEntry(msgspec.Struct, array_like=True, frozen=True):
@@ -47,13 +49,26 @@
     n_memory_tokens: int
 
 
+class LimitEntry(msgspec.Struct, array_like=True, frozen=True):
+    """An endpoint's limit as sent between nodes, which have no clock in common.
+
+    The ages, in seconds, are those of the request and of the answer that stated it.
+    """
+
+    endpoint: str
+    requests_per_second: float | None
+    sent_seconds_ago: float
+    heard_seconds_ago: float
+
+
 class NodeUpdate(msgspec.Struct, array_like=True, frozen=True):
     """One node's update: its runs, and events at engines and endpoints.
 
     ``is_complete`` says that ``runs`` are all runs of the sender. ``ended`` holds run
     ids, ``leaving`` engines that are about to leave, ``retried`` services at which the
     sender made a retry, and ``aborted`` endpoints that aborted its requests.
-    ``period_seconds`` is the time to the sender's next run list.
+    ``period_seconds`` is the time to the sender's next run list. ``limits`` are limits
+    that endpoints state for all nodes together.
     """
 
     node: str
@@ -65,6 +80,7 @@
     reports: list[ReportEntry] = []
     aborted: list[str] = []
     period_seconds: float = MIN_LIST_PERIOD_SECONDS
+    limits: list[LimitEntry] = []
 
 
 class PeerUpdates(asyncio.DatagramProtocol):
@@ -90,6 +106,8 @@
         Called with a service at which another node made a retry.
     on_aborted : callable
         Called with an endpoint that aborted another node's request.
+    on_limit : callable
+        Called with the statement of a limit that another node announced.
     rng : random.Random
         Source of the jitter between run lists.
     """
@@ -106,6 +124,7 @@
         on_leaving: Callable[[str], None],
         on_retried: Callable[[str], None],
         on_aborted: Callable[[str], None],
+        on_limit: Callable[[LimitStatement], object],
         rng: random.Random,
     ) -> None:
         self._node = node
@@ -117,6 +136,7 @@
         self._on_leaving = on_leaving
         self._on_retried = on_retried
         self._on_aborted = on_aborted
+        self._on_limit = on_limit
         self._rng = rng
         self._list_schedule = RunListSchedule()
         # Sent with each update, so that no run expires at a receiver before the next.
@@ -181,6 +201,21 @@
         """Announce that an endpoint aborted a request."""
         self._send(NodeUpdate(node=self._node, aborted=[endpoint]))
 
+    def announce_limits(self, statements: Sequence[LimitStatement]) -> None:
+        """Announce limits that endpoints state for all nodes together."""
+        now = self._now()
+        for start in range(0, len(statements), MAX_LIMITS_PER_DATAGRAM):
+            entries = [
+                LimitEntry(
+                    endpoint=statement.endpoint,
+                    requests_per_second=statement.requests_per_second,
+                    sent_seconds_ago=round(now - statement.sent_at, 4),
+                    heard_seconds_ago=round(now - statement.heard_at, 4),
+                )
+                for statement in statements[start : start + MAX_LIMITS_PER_DATAGRAM]
+            ]
+            self._send(NodeUpdate(node=self._node, limits=entries))
+
     def announce_report(self, endpoint: str, report: EngineReport) -> None:
         """Announce the load that an engine reported."""
         self._loads.record_report(endpoint, report)
@@ -228,6 +263,8 @@
             self._on_retried(service)
         for endpoint in update.aborted:
             self._on_aborted(endpoint)
+        for entry in update.limits:
+            self._on_limit(_limit_from(entry, now))
 
     def _make_update(self, runs: list[Run], *, is_complete: bool = False) -> NodeUpdate:
         return NodeUpdate(
@@ -284,6 +321,15 @@
     )
 
 
+def _limit_from(entry: LimitEntry, now: float) -> LimitStatement:
+    return LimitStatement(
+        endpoint=entry.endpoint,
+        requests_per_second=entry.requests_per_second,
+        sent_at=now - entry.sent_seconds_ago,
+        heard_at=now - entry.heard_seconds_ago,
+    )
+
+
 def _run_from(entry: RunEntry) -> Run:
     return Run(
         run_id=entry.run_id,
--- a/celerytrail/relay/runmover.py
+++ b/celerytrail/relay/runmover.py
@@ -196,7 +196,7 @@
         the answer arrives.
         """
         name = wire.copy_name(backup.address, live.ex.facts.attempt_id)
-        opened = await self._opener.open(live, backup, None, name)
+        opened = await self._opener.open_copy(live, backup, name)
         if isinstance(opened, Err):
             return None
         if live.stream is not None:
--- a/tests/limitrig.py
+++ b/tests/limitrig.py
@@ -10,6 +10,7 @@
 from result import Ok
 
 from celerytrail.http.messages import Response
+from celerytrail.policies.rendezvous import rank
 from standins.worker import PlainWorker
 from tests.relayrig import HOST, KEY
 from tests.sourcesrig import Fleet, run_fleet
@@ -98,6 +99,34 @@
         await asyncio.sleep(1.0)
         return endpoint
 
+    def n_most(self, endpoint: PlainWorker, since: float) -> int:
+        """Return the most requests in any window once a limit binds."""
+        return endpoint.max_requests(
+            seconds=WINDOW_SECONDS, since=since + CONTACT_SECONDS
+        )
+
+    def owner_of(self, endpoint: PlainWorker) -> int:
+        """Return the number of the node that issues an endpoint's tokens."""
+        running = {
+            node.cfg.node: number for number, node in enumerate(self.fleet.nodes)
+        }
+        return running[rank(f"cold {endpoint.worker_id}", set(running))[0]]
+
+    async def restart(self, *numbers: int) -> None:
+        """Kill nodes, and start them again one after the other."""
+        for number in numbers:
+            await self.fleet.restart_node(number)
+            await asyncio.sleep(0.5)
+
+    def isolate(self, *numbers: int) -> None:
+        """Cut nodes off from all other nodes; they still reach everything else."""
+        names = [f"vm-{number}" for number in range(len(self.fleet.nodes))]
+        for number in numbers:
+            for other in names:
+                if other != f"vm-{number}":
+                    self.fleet.wires.cut(f"vm-{number}", other)
+                    self.fleet.wires.cut(other, f"vm-{number}")
+
     def traffic(self, per_second: float, **more: object) -> Traffic:
         """Return callers of this fleet."""
         return Traffic(fleet=self.fleet, per_second=per_second, **more)  # type: ignore[arg-type]
--- a/tests/sourcesrig.py
+++ b/tests/sourcesrig.py
@@ -112,8 +112,16 @@
         """Start one more node."""
         await self._add_node(len(self.nodes), self._address)
 
+    async def restart_node(self, number: int) -> None:
+        """Kill a node and start it again on its VM."""
+        self.wires.kill(f"vm-{number}")
+        await self.nodes[number].close()
+        await self._add_node(number, self._address)
+        self.nodes[number] = self.nodes.pop()
+        self.gates[number] = self.gates.pop()
+
     async def _add_node(self, number: int, store: Address) -> None:
-        host = f"10.1.0.{number + 1}"
+        host = f"10.1.{number // 250}.{number % 250 + 1}"
         name = f"vm-{number}"
         network = self.wires.network_of(name)
         rng = random.Random(100 * self._seed + number)
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -14,6 +14,7 @@
 from celerytrail.clock import ManualClock, SystemClock
 from celerytrail.policies.decodetimes import DecodeTimes
 from celerytrail.policies.engineloads import EngineLoads, Run
+from celerytrail.policies.statedlimits import LimitStatement
 from celerytrail.relay.peerupdates import (
     MAX_RUNS_PER_DATAGRAM,
     NodeUpdate,
@@ -351,7 +352,9 @@
         self, name: str = "me"
     ) -> tuple[PeerUpdates, EngineLoads, dict[str, list]]:
         loads = EngineLoads()
-        events: dict[str, list] = {"leaving": [], "retried": [], "aborted": []}
+        events: dict[str, list] = {
+            name: [] for name in ("leaving", "retried", "aborted", "limits")
+        }
         peer_updates = PeerUpdates(
             node=name,
             loads=loads,
@@ -362,6 +365,7 @@
             on_leaving=events["leaving"].append,
             on_retried=events["retried"].append,
             on_aborted=events["aborted"].append,
+            on_limit=events["limits"].append,
             rng=random.Random(1),
         )
         return peer_updates, loads, events
@@ -386,6 +390,34 @@
         receiver.datagram_received(msgspec.msgpack.encode(sent[0]), ("10.0.0.1", 1))
         assert loads.runs_on_engine("e1") == [self.run()]
 
+    async def test_a_limit_is_announced_by_the_age_of_its_statement(self):
+        # Two nodes have no clock in common.
+        sender, _, _ = self.make("other")
+        receiver, _, events = self.make()
+        sent: list[NodeUpdate] = []
+        sender._send = sent.append  # type: ignore[method-assign]
+        stated_at = asyncio.get_running_loop().time() - 2.0
+        limit = LimitStatement(
+            endpoint="d1",
+            requests_per_second=1.5,
+            sent_at=stated_at - 1.0,
+            heard_at=stated_at,
+        )
+        sender.announce_limits([limit])
+        receiver.datagram_received(msgspec.msgpack.encode(sent[0]), ("10.0.0.1", 1))
+        (received,) = events["limits"]
+        assert received.requests_per_second == 1.5
+        assert received.sent_at == pytest.approx(limit.sent_at, abs=0.1)
+        assert received.heard_at == pytest.approx(limit.heard_at, abs=0.1)
+
+    async def test_an_update_of_a_node_without_limits_is_read(self):
+        # Nodes of the former version run beside new ones during a rolling restart.
+        receiver, _, events = self.make()
+        former = ["other", False, [], [], ["e1"], [], [], [], 0.5]
+        receiver.datagram_received(msgspec.msgpack.encode(former), ("10.0.0.1", 1))
+        assert events["leaving"] == ["e1"]
+        assert events["limits"] == []
+
     async def test_many_runs_are_split_across_datagrams(self):
         sender, _, _ = self.make("other")
         sent: list[NodeUpdate] = []
@@ -446,7 +478,7 @@
         for data in (b"", b"\xc1", b"\x93\x01\x02\x03", b"{}"):
             receiver.datagram_received(data, ("10.0.0.1", 1))
         assert loads.runs_on_engine("e1") == []
-        assert events == {"leaving": [], "retried": [], "aborted": []}
+        assert events == {"leaving": [], "retried": [], "aborted": [], "limits": []}
 
     async def test_events_at_engines_and_services_are_passed_on(self):
         receiver, _, events = self.make()
@@ -454,7 +486,12 @@
             node="other", leaving=["e1"], retried=["desk"], aborted=["d1"]
         )
         receiver.datagram_received(msgspec.msgpack.encode(update), ("10.0.0.1", 1))
-        assert events == {"leaving": ["e1"], "retried": ["desk"], "aborted": ["d1"]}
+        assert events == {
+            "leaving": ["e1"],
+            "retried": ["desk"],
+            "aborted": ["d1"],
+            "limits": [],
+        }
 
     async def test_the_nodes_own_update_is_ignored(self):
         receiver, _, events = self.make()
