Take no part for itself at a node that knows nobody yet

A node that had just started, knew nobody and hadn't read how many nodes there are took itself for the only one: its part of a cold endpoint's 44 requests a second was 33, as was that of each other node that started with it. And rows of VMs that are gone counted forever in the parts of nodes that started later.

Ruled out: that it shows in a restart of all nodes. 12 and 40 nodes in virtual time, all killed and started again, also with the store refusing all but one: at most 6 of 8 a second, as nodes know the others before they serve. The window is a node that can't reach any other.

Change: NodeOrder assumes 1,000 nodes as long as it knows nobody and has read no rows; rows count for 10 s after the start, in which nodes come to know one another. The share of the running nodes is computed there too, and the tokens of limited endpoints use it.

Before: 33 and, by the rows of lost VMs, 3 of 12 forever.

Conclusion: nodes that start together can't each use the whole.

--- a/celerytrail/nodes/nodes.py
+++ b/celerytrail/nodes/nodes.py
@@ -215,7 +215,7 @@
         """
         members = (
             member
-            for member in self._membership.members()
+            for member in self.members()
             if member.state in (State.ALIVE, State.LEAVING)
         )
         return tuple(sorted(members, key=lambda member: member.node))
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -49,7 +49,7 @@
 from .followedtables import FollowedTables
 from .generations import Generations
 from .handler import RelayHandler
-from .nodeorder import JOIN_SECONDS, NodeOrder
+from .nodeorder import NodeOrder
 from .peerupdates import PeerUpdates
 from .runmover import RunMover
 from .sharedrows import SharedRows
@@ -201,9 +201,7 @@
             answer_seconds=cfg.max_address_seconds,
             network=self._network,
         )
-        self._node_order = NodeOrder(
-            nodes=self.nodes, joined_at=self._clock.boottime() + JOIN_SECONDS
-        )
+        self._node_order = NodeOrder(nodes=self.nodes, clock=self._clock)
         assert cfg.store is not None
         self.rows = self._store or make_rows(
             cfg.store,
--- a/celerytrail/relay/nodeorder.py
+++ b/celerytrail/relay/nodeorder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ..clock import Clock
 from ..nodes.member import Member
 from ..nodes.nodes import Nodes
 from ..policies.coldlimits import NodePosition
@@ -10,6 +11,10 @@
 MAX_CACHED = 1_000
 # Time after its start in which a node may not know all others yet, in seconds.
 JOIN_SECONDS = 10.0
+# Nodes that one which knows nobody yet assumes, before it has read how many there are.
+# If it took itself for the only one, nodes that start together would each use the whole
+# of what all of them share.
+N_ASSUMED = 1_000
 
 
 class NodeOrder:
@@ -22,15 +27,17 @@
     ----------
     nodes : Nodes
         The known nodes.
-    joined_at : float
-        Boot time from which this node counts as knowing all others.
+    clock : Clock
+        Measures the time since this node's start.
     """
 
-    def __init__(self, *, nodes: Nodes, joined_at: float) -> None:
+    def __init__(self, *, nodes: Nodes, clock: Clock) -> None:
         self._nodes = nodes
-        self._joined_at = joined_at
+        self._clock = clock
+        self._joined_at = clock.boottime() + JOIN_SECONDS
         self._n_listed: int | None = None
-        self._positions: dict[str, NodePosition] = {}
+        # By endpoint, and whether this node counts as knowing all others.
+        self._positions: dict[tuple[str, bool], NodePosition] = {}
         self._owners: dict[str, Member | None] = {}
         nodes.on_change(self._clear)
 
@@ -48,11 +55,12 @@
 
         Nodes that have a row in the store but aren't known by name yet come first.
         """
-        position = self._positions.get(endpoint)
+        key = (endpoint, self._has_joined)
+        position = self._positions.get(key)
         if position is None:
             if len(self._positions) >= MAX_CACHED:
                 self._positions.clear()
-            position = self._positions[endpoint] = self._rank(endpoint)
+            position = self._positions[key] = self._rank(endpoint)
         return position
 
     def owner(self, endpoint: str) -> Member | None:
@@ -65,28 +73,32 @@
             self._owners[endpoint] = running[first] if first is not None else None
         return self._owners[endpoint]
 
-    def running_share(self, now: float) -> float:
-        """Return the share of all VMs whose nodes run and are known to this one.
-
-        It is 0 for a node that knows nobody yet and hasn't learned how many there are:
-        if it took itself for the only one, many nodes that start at once would each
-        use what all of them share.
-        """
+    def running_share(self) -> float:
+        """Return the share of all VMs whose nodes run and are known to this one."""
         vms = self._vms()
-        n_known = len(vms)
-        if now < self._joined_at:
-            if n_known == 1 and self._n_listed is None:
-                return 0.0
-            n_known = max(n_known, self._n_listed or 0)
         running = {member.vm for member in self._nodes.running_members()}
-        return len(running | {self._nodes.me.vm}) / n_known
+        n_running = len(running | {self._nodes.me.vm})
+        return n_running / (len(vms) + self._n_unknown(len(vms)))
+
+    @property
+    def _has_joined(self) -> bool:
+        return self._clock.boottime() >= self._joined_at
 
     def _vms(self) -> set[str]:
         return {member.vm for member in self._nodes.members()} | {self._nodes.me.vm}
 
+    def _n_unknown(self, n_known: int) -> int:
+        """Return how many nodes there may be beside the known ones."""
+        if self._has_joined:
+            return 0
+        n_listed = self._n_listed
+        if n_listed is None:
+            n_listed = N_ASSUMED if n_known == 1 else 0
+        return max(0, n_listed - n_known)
+
     def _rank(self, endpoint: str) -> NodePosition:
         vms = self._vms()
-        n_unknown = max(0, (self._n_listed or 0) - len(vms))
+        n_unknown = self._n_unknown(len(vms))
         return NodePosition(
             index=n_unknown + rank(_key(endpoint), vms).index(self._nodes.me.vm),
             n_nodes=n_unknown + len(vms),
--- a/celerytrail/relay/tokenbroker.py
+++ b/celerytrail/relay/tokenbroker.py
@@ -237,16 +237,13 @@
         statement = self._limits.find(endpoint)
         if statement is None:
             return Decision(is_granted=True, ask_again_at=now)
-        known_share = self._node_order.running_share(now)
-        if known_share == 0:
-            return Decision(is_granted=False, ask_again_at=now + UNREACHABLE_SECONDS)
         return self._tokens.decide(
             endpoint,
             node,
             now,
             requests_per_second=statement.rate,
             position=self._node_order.position(endpoint),
-            known_share=known_share,
+            known_share=self._node_order.running_share(),
         )
 
     def _answer(self, decision: Decision) -> TokenAnswer:
