Share the retry budget at nodes that know nobody

A node that knows no other counted itself as all nodes, so that each of several such nodes used the whole allowance. A node that stays alone did so too after its first ten seconds.

Change: the budget uses the share of NodeOrder, which reckons with the rows in the store; they count as long as a node is alone.

Before: 6 nodes cut off from one another since their start, all look-ups fail (test_relay_limit, TestStart): over 0.2 of the requests + 10. After: within. Conclusion: kept also by nodes that never met.

--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -246,7 +246,7 @@
             ratio=cfg.retry_ratio,
             allowance=cfg.retry_slack,
             window_seconds=cfg.retry_window_seconds,
-            received_share=self._reachable_share,
+            received_share=self._node_order.running_share,
             tell=self.peer_updates.announce_retry,
         )
         self.endpoints = HttpClient(
@@ -488,14 +488,6 @@
         self.loads.discard_report(reg.endpoint)
         self.generations.on_leaving(reg)
 
-    def _reachable_share(self) -> float:
-        """Return the share of all known VMs whose nodes run, this one included."""
-        known = {member.vm for member in self.nodes.members()}
-        running = {member.vm for member in self.nodes.running_members()} | {
-            self.cfg.node
-        }
-        return len(running) / max(1, len(known))
-
     def _on_run(self, run: Run) -> None:
         reg = self.registry.find(run.endpoint)
         if reg is not None:
--- a/celerytrail/relay/nodeorder.py
+++ b/celerytrail/relay/nodeorder.py
@@ -36,8 +36,8 @@
         self._clock = clock
         self._joined_at = clock.boottime() + JOIN_SECONDS
         self._n_listed: int | None = None
-        # By endpoint, and whether this node counts as knowing all others.
-        self._positions: dict[tuple[str, bool], NodePosition] = {}
+        # By endpoint and number of unknown nodes.
+        self._positions: dict[tuple[str, int], NodePosition] = {}
         self._owners: dict[str, Member | None] = {}
         nodes.on_change(self._clear)
 
@@ -55,12 +55,17 @@
 
         Nodes that have a row in the store but aren't known by name yet come first.
         """
-        key = (endpoint, self._has_joined)
+        vms = self._vms()
+        n_unknown = self._n_unknown(len(vms))
+        key = (endpoint, n_unknown)
         position = self._positions.get(key)
         if position is None:
             if len(self._positions) >= MAX_CACHED:
                 self._positions.clear()
-            position = self._positions[key] = self._rank(endpoint)
+            position = self._positions[key] = NodePosition(
+                index=n_unknown + rank(_key(endpoint), vms).index(self._nodes.me.vm),
+                n_nodes=n_unknown + len(vms),
+            )
         return position
 
     def owner(self, endpoint: str) -> Member | None:
@@ -80,30 +85,22 @@
         n_running = len(running | {self._nodes.me.vm})
         return n_running / (len(vms) + self._n_unknown(len(vms)))
 
-    @property
-    def _has_joined(self) -> bool:
-        return self._clock.boottime() >= self._joined_at
-
     def _vms(self) -> set[str]:
         return {member.vm for member in self._nodes.members()} | {self._nodes.me.vm}
 
     def _n_unknown(self, n_known: int) -> int:
-        """Return how many nodes there may be beside the known ones."""
-        if self._has_joined:
+        """Return how many nodes there may be beside the known ones.
+
+        The row of a VM that was lost stays in the store, so rows count only until this
+        node has had time to join the others, or as long as it is alone.
+        """
+        if n_known > 1 and self._clock.boottime() >= self._joined_at:
             return 0
         n_listed = self._n_listed
         if n_listed is None:
             n_listed = N_ASSUMED if n_known == 1 else 0
         return max(0, n_listed - n_known)
 
-    def _rank(self, endpoint: str) -> NodePosition:
-        vms = self._vms()
-        n_unknown = self._n_unknown(len(vms))
-        return NodePosition(
-            index=n_unknown + rank(_key(endpoint), vms).index(self._nodes.me.vm),
-            n_nodes=n_unknown + len(vms),
-        )
-
 
 def _key(endpoint: str) -> str:
     return f"cold {endpoint}"
--- a/tests/limitrig.py
+++ b/tests/limitrig.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from result import Ok
 
@@ -118,22 +119,16 @@
             await self.fleet.restart_node(number)
             await asyncio.sleep(0.5)
 
-    def isolate(self, *numbers: int) -> None:
-        """Cut nodes off from all other nodes; they still reach everything else."""
-        names = [f"vm-{number}" for number in range(len(self.fleet.nodes))]
-        for number in numbers:
-            for other in names:
-                if other != f"vm-{number}":
-                    self.fleet.wires.cut(f"vm-{number}", other)
-                    self.fleet.wires.cut(other, f"vm-{number}")
-
     def traffic(self, per_second: float, **more: object) -> Traffic:
         """Return callers of this fleet."""
         return Traffic(fleet=self.fleet, per_second=per_second, **more)  # type: ignore[arg-type]
 
 
 def run_endpoint_fleet(
-    n_nodes: int, steps: Callable[[EndpointFleet], Awaitable[None]], seed: int = 1
+    n_nodes: int,
+    steps: Callable[[EndpointFleet], Awaitable[None]],
+    seed: int = 1,
+    **more: Any,
 ) -> None:
     """Run a test's steps against a new fleet in virtual time."""
 
@@ -143,7 +138,7 @@
         for endpoint in endpoint_fleet.endpoints:
             await endpoint.close()
 
-    run_fleet(seed, test, n_nodes)
+    run_fleet(seed, test, n_nodes, **more)
 
 
 def now() -> float:
--- a/tests/sourcesrig.py
+++ b/tests/sourcesrig.py
@@ -75,6 +75,8 @@
         *,
         config_seconds: float = CONFIG_SECONDS,
         link_mbps: Callable[[int], float] | None = None,
+        are_nodes_cut_off: bool = False,
+        **settings: object,
     ) -> None:
         self.wires = MemoryFabric(rng=random.Random(seed))
         self.store = RowStore(network=self.wires.network_of("store"))
@@ -89,6 +91,17 @@
         self._config_seconds = config_seconds
         self._link_mbps = link_mbps
         self._n_nodes = n_nodes
+        self._settings = settings
+        if are_nodes_cut_off:
+            self.cut_off(*range(n_nodes))
+
+    def cut_off(self, *numbers: int) -> None:
+        """Cut nodes off from all other nodes; they still reach everything else."""
+        for number in numbers:
+            for other in range(self._n_nodes):
+                if other != number:
+                    self.wires.cut(f"vm-{number}", f"vm-{other}")
+                    self.wires.cut(f"vm-{other}", f"vm-{number}")
 
     async def start(self) -> None:
         self._address = await self.store.start()
@@ -151,6 +164,7 @@
             config_seconds=self._config_seconds,
             link_mbps=link_mbps,
             revoke_seconds=REVOKE_SECONDS,
+            **self._settings,
         )
         node = RelayNode(
             cfg=cfg, network=network, rng=rng, clock=LoopClock(), store=gate
--- a/tests/test_node_order.py
+++ b/tests/test_node_order.py
@@ -87,6 +87,12 @@
         assert order.running_share() == 1.0
         assert order.position("e1").n_nodes == 3
 
+    def test_a_node_that_stays_alone_keeps_to_its_part(self):
+        order, _, clock = make()
+        order.set_n_listed(12)
+        clock.time += 10 * JOIN_SECONDS
+        assert order.running_share() == 1 / 12
+
 
 class TestOwner:
     def test_it_is_the_first_node_that_runs(self):
--- a/tests/test_relay_limit.py
+++ b/tests/test_relay_limit.py
@@ -150,7 +150,7 @@
             await traffic.run(4.0)
             owner = rig.owner_of(limited)
             others = [number for number in range(12) if number != owner]
-            rig.isolate(*[owner, *others][:n_isolated])
+            rig.fleet.cut_off(*[owner, *others][:n_isolated])
             await traffic.run(16.0)
             assert 0 < rig.n_most(limited, stated_at) <= allowed(1.0)
             assert traffic.n_served >= 0.99 * len(traffic.answers)
@@ -187,6 +187,36 @@
     await relay_rig.close()
 
 
+class TestStart:
+    """Nodes start cut off from one another, so that each knows nobody."""
+
+    def test_they_keep_a_limit(self):
+        async def steps(rig: EndpointFleet) -> None:
+            limited = await rig.add_endpoint(1.0)
+            await rig.add_endpoint()
+            stated_at = now()
+            await rig.traffic(20.0).run(20.0)
+            assert rig.n_most(limited, stated_at) <= allowed(1.0)
+
+        run_endpoint_fleet(6, steps, are_nodes_cut_off=True)
+
+    def test_they_share_the_retry_budget(self):
+        # Each node took the allowance of all nodes for its own.
+        async def steps(rig: EndpointFleet) -> None:
+            for _ in range(2):
+                endpoint = await rig.add_endpoint()
+                endpoint.faults.status = 500
+            traffic = rig.traffic(6.0, routes=("look",))
+            await traffic.run(9.0)
+            n_arrived = sum(len(endpoint.seen) for endpoint in rig.endpoints)
+            n_requests = len(traffic.answers)
+            assert n_arrived - n_requests <= 0.2 * n_requests + 10
+
+        run_endpoint_fleet(
+            6, steps, are_nodes_cut_off=True, retry_ratio=0.2, retry_slack=10.0
+        )
+
+
 class TestEngines:
     async def test_generations_beyond_an_engines_limit_go_to_others(self, rig):
         limited, other = await rig.add_engine("e1", 1), await rig.add_engine("e2", 1)
