Share an endpoint's connections among the nodes

An endpoint accepts a number of connections from all nodes and resets what is beyond; each node kept up to 16 idle ones, 1,904 at 119 nodes where 809 are accepted.

A connection in use is not refused for it: requests in progress are bounded by the endpoint's own refusals, which say that nothing ran.

Conclusion: kept in the calm; bursts of open requests are not bounded by it.

--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -21,6 +21,7 @@
 from .messages import JSON_TYPE, REQUEST_ID_HEADER, Connection, Response, header_map
 from .network import Network, SystemNetwork
 
+# Idle connections to one peer, unless a request states fewer.
 MAX_IDLE_PER_ADDRESS = 16
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 # Lifetime of an idle connection if the peer announces no keep-alive timeout.
@@ -96,10 +97,12 @@
         conn: Connection,
         status: int,
         headers: Mapping[str, str],
+        max_idle: int,
     ) -> None:
         self._client = client
         self._address = address
         self._conn = conn
+        self._max_idle = max_idle
         self._is_ended = False
         self._is_abandoned = False
         self.status = status
@@ -136,7 +139,9 @@
         if isinstance(event, h11.Data):
             return Ok(bytes(event.data))
         self._is_ended = True
-        self._client.release(self._address, self._conn, self.headers)
+        self._client.release(
+            self._address, self._conn, self.headers, max_idle=self._max_idle
+        )
         return Ok(None)
 
     async def read(
@@ -274,6 +279,7 @@
         request_id: str | None = None,
         may_send: Callable[[], bool] | None = None,
         connect_seconds: float | None = None,
+        max_idle: int = MAX_IDLE_PER_ADDRESS,
     ) -> Result[Stream, ClientError]:
         """Send a request and read the answer's head.
 
@@ -297,6 +303,8 @@
             False.
         connect_seconds : float or None
             Timeout for making a new connection, in addition to the deadline.
+        max_idle : int
+            Idle connections to the peer that are kept at most.
         """
         connect_deadline = deadline
         if connect_seconds is not None:
@@ -316,7 +324,7 @@
             conn.abort()
             return Err(NotSent(reason="deadline", detail=str(address)))
         if may_send is not None and not may_send():
-            self._add_idle(address, conn)
+            self._add_idle(address, conn, max_idle=max_idle)
             return Err(NotSent(reason="withdrawn", detail=str(address)))
         request_id = request_id or f"{self._process}-{next(self._exchange_numbers)}"
         self._send_request(conn, address, method, path, body, headers or {}, request_id)
@@ -337,29 +345,40 @@
         if not isinstance(event, h11.Response):
             conn.abort()
             return Err(RequestLost(reason="cut", detail="closed before its answer"))
-        return self._check_head(conn, address, event, request_id)
+        return self._check_head(conn, address, event, request_id, max_idle)
 
     def release(
-        self, address: Address, conn: Connection, headers: Mapping[str, str]
+        self,
+        address: Address,
+        conn: Connection,
+        headers: Mapping[str, str],
+        *,
+        max_idle: int = MAX_IDLE_PER_ADDRESS,
     ) -> None:
         """Pool a connection whose exchange ended properly, if it can be reused."""
         is_done = conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE
         # Bytes after a complete answer belong to no exchange, and the next request on
         # this connection would receive them.
         is_clean = conn.h11.trailing_data == (b"", False)
-        idle = self._idle.setdefault(address, [])
-        is_full = len(idle) >= MAX_IDLE_PER_ADDRESS
-        if conn.is_lost or not is_done or not is_clean or is_full:
+        if conn.is_lost or not is_done or not is_clean:
             conn.close()
             return
         conn.h11.start_next_cycle()
-        self._add_idle(address, conn, _idle_seconds(headers))
+        self._add_idle(address, conn, _idle_seconds(headers), max_idle=max_idle)
 
     def _add_idle(
-        self, address: Address, conn: Connection, seconds: float = IDLE_SECONDS
+        self,
+        address: Address,
+        conn: Connection,
+        seconds: float = IDLE_SECONDS,
+        *,
+        max_idle: int,
     ) -> None:
         drop_at = asyncio.get_running_loop().time() + seconds
         idle = self._idle.setdefault(address, [])
+        if len(idle) >= max_idle:
+            conn.close()
+            return
         idle.append(_IdleConnection(conn=conn, drop_at=drop_at))
 
     def is_connected(self, address: Address) -> bool:
@@ -381,7 +400,12 @@
             self.close_idle(address)
 
     def _check_head(
-        self, conn: Connection, address: Address, head: h11.Response, request_id: str
+        self,
+        conn: Connection,
+        address: Address,
+        head: h11.Response,
+        request_id: str,
+        max_idle: int,
     ) -> Result[Stream, ClientError]:
         """Reject an answer to another exchange or one without a known length."""
         headers = header_map(list(head.headers))
@@ -403,6 +427,7 @@
                 conn=conn,
                 status=head.status_code,
                 headers=headers,
+                max_idle=max_idle,
             )
         )
 
--- a/celerytrail/http/server.py
+++ b/celerytrail/http/server.py
@@ -175,6 +175,11 @@
         self._listener = await self._network.listen(self._make_connection, address)
         return self._listener.address
 
+    @property
+    def n_connections(self) -> int:
+        """Return how many connections are open, idle ones included."""
+        return len(self._tasks)
+
     @property
     def n_busy(self) -> int:
         """Return the number of exchanges in progress."""
--- a/celerytrail/model.py
+++ b/celerytrail/model.py
@@ -122,6 +122,8 @@
         How long an endpoint is cold after its start.
     cold_requests_per_second : float
         Requests per second that a cold endpoint tolerates.
+    n_max_connections : int or None
+        Connections that an endpoint accepts from all nodes together; None if unknown.
     """
 
     name: str
@@ -129,6 +131,7 @@
     engine: EngineProfile | None = None
     cold_seconds: float = 0.0
     cold_requests_per_second: float = 0.0
+    n_max_connections: int | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/celerytrail/platform/operatorconfig.py
+++ b/celerytrail/platform/operatorconfig.py
@@ -73,6 +73,8 @@
     cold_s: float = 0.0
     # Requests per second that an endpoint tolerates while it is cold.
     cold_per_s: float = 0.0
+    # Connections that an endpoint accepts from all nodes together.
+    max_connections: int | None = None
 
 
 class _Limits(msgspec.Struct, rename="kebab"):
@@ -184,4 +186,5 @@
         engine=facts,
         cold_seconds=raw.cold_s,
         cold_requests_per_second=raw.cold_per_s,
+        n_max_connections=raw.max_connections,
     )
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -298,6 +298,7 @@
             headers=wire.forward_headers(ex.req, facts),
             deadline=ex.loop_deadline,
             connect_seconds=CONNECT_SECONDS,
+            max_idle=self._gate.max_idle_connections(reg),
             request_id=ex.facts.attempt_id,
             may_send=lambda: ex.may_send() and self._gate.may_begin(admission),
         )
--- a/celerytrail/relay/endpointgate.py
+++ b/celerytrail/relay/endpointgate.py
@@ -8,6 +8,7 @@
 
 from eliot import log_message
 
+from ..http.client import MAX_IDLE_PER_ADDRESS
 from ..model import EndpointStatements, Registration
 from ..policies.coldlimits import ColdEndpoints, ColdShares, NodePosition, RankedShares
 from ..policies.evacuations import Evacuations
@@ -48,6 +49,9 @@
     cold_limit : callable
         Returns how many requests per second all nodes together may send to a cold
         endpoint of a service; None without a limit.
+    connection_limit : callable
+        Returns how many connections an endpoint of a service accepts from all nodes
+        together; None if unknown.
     limits : StatedLimits
         The limits that endpoints state.
     broker : TokenBroker
@@ -68,6 +72,7 @@
         evacuations: Evacuations,
         cold: ColdEndpoints,
         cold_limit: Callable[[str], float | None],
+        connection_limit: Callable[[str], int | None],
         limits: StatedLimits,
         broker: TokenBroker,
         on_limit: Callable[[LimitStatement], None],
@@ -78,6 +83,7 @@
         self._evacuations = evacuations
         self._cold = cold
         self._cold_limit = cold_limit
+        self._connection_limit = connection_limit
         self._limits = limits
         self._broker = broker
         self._on_limit = on_limit
@@ -166,6 +172,17 @@
                 return
             await asyncio.sleep(POLL_SECONDS)
 
+    def max_idle_connections(self, reg: Registration) -> int:
+        """Return how many idle connections to an endpoint this node may keep.
+
+        Endpoints reset connections beyond those that they accept from all nodes.
+        """
+        n_max = self._connection_limit(reg.service)
+        if n_max is None:
+            return MAX_IDLE_PER_ADDRESS
+        n_allowed = self._shares.n_allowed(n_max, self._position(reg.endpoint))
+        return min(MAX_IDLE_PER_ADDRESS, n_allowed)
+
     def cold_seconds(self, reg: Registration) -> float:
         """Return for how long an endpoint stays cold."""
         return self._cold.remaining_seconds(reg.endpoint, _now())
--- a/celerytrail/relay/endpointstate.py
+++ b/celerytrail/relay/endpointstate.py
@@ -68,6 +68,7 @@
             evacuations=self.evacuations,
             cold=self.cold,
             cold_limit=self._cold_limit,
+            connection_limit=self._connection_limit,
             limits=limits,
             broker=broker,
             on_limit=on_limit,
@@ -107,3 +108,8 @@
             return None
         rate = service.cold_requests_per_second
         return rate * self._cfg.cold_excess + self._cfg.cold_slack
+
+    def _connection_limit(self, name: str) -> int | None:
+        """Return the connections that an endpoint of a service accepts, if known."""
+        service = self._find_service(name)
+        return service.n_max_connections if service is not None else None
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -111,6 +111,11 @@
         """Stop as in a crash: all connections are cut."""
         await self._server.close()
 
+    @property
+    def n_connections(self) -> int:
+        """Return how many connections are open."""
+        return self._server.n_connections
+
     def row(self, service: str, state: str = "ready", **more: object) -> object:
         """Return the row by which it registers in the store."""
         return worker_row(service, self.address, state, **more)
--- a/tests/test_relay_limit.py
+++ b/tests/test_relay_limit.py
@@ -13,6 +13,7 @@
 from tests.limitrig import EndpointFleet, allowed, now, run_endpoint_fleet
 from tests.relayrig import (
     Rig,
+    config,
     error_type,
     expected_events,
     split_events,
@@ -217,6 +218,21 @@
         )
 
 
+class TestConnections:
+    def test_idle_connections_of_all_nodes_stay_below_what_an_endpoint_accepts(self):
+        # Each node kept up to 16, and endpoints reset what is beyond their own limit.
+        async def steps(rig: EndpointFleet) -> None:
+            services = [
+                {**service, "max-connections": 20} for service in config()["services"]
+            ]
+            rig.fleet.change(services=services)
+            endpoint = await rig.add_endpoint()
+            await rig.traffic(3_000.0).run(1.0)
+            assert 0 < endpoint.n_connections <= 20
+
+        run_endpoint_fleet(12, steps)
+
+
 class TestEngines:
     async def test_generations_beyond_an_engines_limit_go_to_others(self, rig):
         limited, other = await rig.add_engine("e1", 1), await rig.add_engine("e2", 1)
