Pass on the heartbeats of a cold endpoint only if it stays cold for longer

Each heartbeat of a cold endpoint states another remaining time, counted as a change of its row and went to every node.

Change: the row's content is compared with the end of the cold phase, by half a second. An endpoint that turns cold again is passed on at once; nodes already count the phase down.

Before: five heartbeats in a cold phase of 6 s, six messages to each follower.

--- a/celerytrail/relay/followedtables.py
+++ b/celerytrail/relay/followedtables.py
@@ -4,11 +4,13 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import replace
 
 from result import Err
 
 from ..clock import Clock
 from ..metrics import Metrics
+from ..model import Registration
 from ..platform import storewire
 from ..platform.nodesettings import RelaySettings
 from ..platform.registrations import decode_registration
@@ -38,6 +40,9 @@
 # The same until a node has found a reader to follow, in seconds. After a loss of all
 # VMs every node calls the store itself for a second or two.
 UNSETTLED_PAUSE_SECONDS = 0.6
+# How much longer than stated before an endpoint must stay cold for that to be passed
+# on, in seconds. The times at which heartbeats arrive vary by less.
+COLD_TOLERANCE_SECONDS = 0.5
 # While the registrations are older than this, in seconds, the engines themselves are
 # asked more often whether they leave.
 STALE_REGISTRATIONS_SECONDS = 1.5
@@ -100,7 +105,7 @@
                 storewire.REGISTRATION_TABLE,
                 TableMirror(
                     sink=registrations,
-                    relevant_content=_without_heartbeat_number,
+                    relevant_content=RegistrationContent(clock=clock),
                     clock=clock,
                 ),
                 self._on_registrations_confirmed,
@@ -179,10 +184,38 @@
         self._registrations_confirmed_at = confirmation.confirmed_at
 
 
-def _without_heartbeat_number(key: str, value: bytes) -> object:
-    """Return the content of an endpoint's row that heartbeats don't change.
+class RegistrationContent:
+    """Returns the content of an endpoint's row that heartbeats don't change.
 
-    The heartbeats of a cold endpoint do: it may turn cold again at any moment.
+    Each heartbeat of a cold endpoint states how long it stays cold. That changes the
+    content only if the endpoint stays cold for longer than it stated before, as one
+    that turns cold again does.
+
+    Parameters
+    ----------
+    clock : Clock
+        Dates the ends of cold phases.
     """
-    decoded = decode_registration(key, value)
-    return None if isinstance(decoded, Err) else decoded.ok_value
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._cold_until: dict[str, float] = {}
+
+    def __call__(self, key: str, value: bytes) -> Registration | None:
+        """Return the content of a row, None if it can't be decoded."""
+        decoded = decode_registration(key, value)
+        if isinstance(decoded, Err):
+            return None
+        reg = decoded.ok_value
+        now = self._clock.boottime()
+        cold_until = now + reg.cold_seconds
+        if reg.cold_seconds > 0 and cold_until > self._known_end(key, now):
+            self._cold_until[key] = cold_until
+        return replace(reg, cold_seconds=self._cold_until.get(key, 0.0))
+
+    def _known_end(self, key: str, now: float) -> float:
+        """Return the time up to which a statement says nothing new."""
+        known = self._cold_until.get(key)
+        if known is None or known < now:
+            return now
+        return known + COLD_TOLERANCE_SECONDS
