Compare 64 engines for a choice, however many there are

Change: with more than 64 engines, 64 are drawn by lot; if none of them may be used, all are looked through. The list of a service's endpoints that accept work is cached until a row changes.

Conclusion: kept at 64; no deployment of today has more than 64 engines of a service, so nothing changes there.

--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -22,6 +22,9 @@
 # Share of the target for which a generation waits for an engine with capacity; the rest
 # is for the prefill.
 WAIT_SHARE = 0.5
+# Engines that are compared for one choice. With hundreds of engines, comparing all of
+# them takes tens of milliseconds, and some of these are nearly as good as the best.
+MAX_COMPARED = 64
 # Interval between two checks for capacity, in seconds.
 POLL_SECONDS = 0.02
 # How long an engine is avoided after a failed connection, in seconds. A crashed
@@ -121,12 +124,19 @@
         timeout of 0.25 s.
         """
         now = asyncio.get_running_loop().time()
-        usable = [
-            reg
-            for reg in self._registry.usable_endpoints(ex.service)
-            if reg.endpoint not in excluded
-            and self._gate.is_open_for(reg, ex.home_regions, can_wait=can_wait)
-        ]
+
+        def is_usable(reg: Registration) -> bool:
+            return reg.endpoint not in excluded and self._gate.is_open_for(
+                reg, ex.home_regions, can_wait=can_wait
+            )
+
+        regs = self._registry.usable_endpoints(ex.service)
+        drawn = regs
+        if len(regs) > MAX_COMPARED:
+            drawn = self._rng.sample(regs, MAX_COMPARED)
+        usable = list(filter(is_usable, drawn))
+        if not usable and drawn is not regs:
+            usable = list(filter(is_usable, regs))[:MAX_COMPARED]
         reachable = [
             reg for reg in usable if self._avoid_until.get(reg.endpoint, 0.0) <= now
         ]
--- a/celerytrail/relay/registry.py
+++ b/celerytrail/relay/registry.py
@@ -41,6 +41,8 @@
         self._known: dict[str, Registration] = {}
         self._lapsed: dict[str, _Lapsed] = {}
         self._announced_leaving: set[tuple[str, int]] = set()
+        # By service, cached as it is read for each request.
+        self._accepting: dict[str, list[Registration]] = {}
         self._on_leaving = on_leaving
 
     def put(self, reg: Registration) -> None:
@@ -52,6 +54,7 @@
             self._set_leaving(former)
         self._known[reg.endpoint] = reg
         self._lapsed.pop(reg.endpoint, None)
+        self._accepting.clear()
         if reg.state is EndpointState.LEAVING:
             self._set_leaving(reg)
 
@@ -60,6 +63,7 @@
         former = self._known.pop(endpoint, None)
         if former is None:
             return
+        self._accepting.clear()
         if may_be_lapse and former.state is EndpointState.READY:
             self._lapsed[endpoint] = _Lapsed(
                 reg=former, expires_at=now + LAPSE_GRACE_SECONDS
@@ -88,6 +92,7 @@
         for endpoint, lapsed in list(self._lapsed.items()):
             if now >= lapsed.expires_at:
                 del self._lapsed[endpoint]
+                self._accepting.clear()
                 self._set_leaving(lapsed.reg)
 
     def is_usable(self, reg: Registration) -> bool:
@@ -122,6 +127,12 @@
         return bool(accepting) and all(map(self._is_evacuated, accepting))
 
     def _accepting_endpoints(self, service: str) -> list[Registration]:
+        found = self._accepting.get(service)
+        if found is None:
+            found = self._accepting[service] = self._find_accepting(service)
+        return found
+
+    def _find_accepting(self, service: str) -> list[Registration]:
         found = [
             reg
             for reg in self._known.values()
@@ -167,4 +178,5 @@
         incarnation = (reg.endpoint, reg.started_at)
         if incarnation not in self._announced_leaving:
             self._announced_leaving.add(incarnation)
+            self._accepting.clear()
             self._on_leaving(reg)
