Move a node's gauges and the reckoning of Retry-After to modules of their own

Cause: relay/node.py grew, and two modules reckoned Retry-After alike. A refusal was also called limited though another engine was merely full.

Change: relay/gauges.py sets the gauges; exchange.seconds_until turns the time of room into a Retry-After; a request is refused as limited only if all endpoints of its service are.

--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -14,7 +14,7 @@
 from ..policies.endpointchoice import EndpointChoice
 from ..policies.retrybudget import SharedRetryBudget
 from .endpointgate import ENDPOINT_LIMITED, Admission, EndpointGate
-from .exchange import CallerDisconnectedError, Exchange, refuse
+from .exchange import CallerDisconnectedError, Exchange, refuse, seconds_until
 from .registry import Registry
 
 # Share of the target after which a repeatable request is also sent to a second
@@ -26,8 +26,6 @@
 MAX_TRIED_ENDPOINTS = 3
 # Retry-After when all endpoints refused, in seconds.
 BUSY_RETRY_SECONDS = 0.25
-# The least Retry-After, in seconds.
-MIN_RETRY_SECONDS = 0.01
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -144,7 +142,7 @@
                     503,
                     reason,
                     attempt_id=attempt,
-                    retry_after=_retry_after(retry_at),
+                    retry_after=seconds_until(retry_at, BUSY_RETRY_SECONDS),
                 )
             case Failed(reason=reason):
                 status = 504 if reason in ("timeout", "stalled") else 502
@@ -328,14 +326,6 @@
         return Answered(res=res)
 
 
-def _retry_after(retry_at: float | None) -> float:
-    """Return the seconds after which a refused caller should come back."""
-    if retry_at is None:
-        return BUSY_RETRY_SECONDS
-    seconds = retry_at - asyncio.get_running_loop().time()
-    return round(max(MIN_RETRY_SECONDS, seconds), 3)
-
-
 def _more_informative(first: Outcome, second: Outcome) -> Outcome:
     """Return the outcome that is more informative to the caller."""
     order = (NotExecuted, Failed, Answered)
--- a/celerytrail/relay/endpointgate.py
+++ b/celerytrail/relay/endpointgate.py
@@ -109,10 +109,10 @@
     def seconds_until_open(self, regs: Iterable[Registration]) -> float | None:
         """Return the time until one of several endpoints has room within its limit.
 
-        None if none of them is closed because of its limit.
+        None unless all of them are closed because of their limits.
         """
-        seconds = (self._broker.seconds_until_open(reg.endpoint) for reg in regs)
-        return min((wait for wait in seconds if wait > 0), default=None)
+        waits = [self._broker.seconds_until_open(reg.endpoint) for reg in regs]
+        return min(waits, default=0.0) or None
 
     def is_limited(self, reg: Registration) -> bool:
         """Return whether an endpoint states a limit for all nodes together."""
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -111,7 +111,7 @@
     def seconds_until_open(self, service: str) -> float | None:
         """Return the time until an engine has room within the limit that it states.
 
-        None if no engine of the service is closed because of its limit.
+        None unless all engines of the service are closed because of their limits.
         """
         return self._gate.seconds_until_open(self._registry.usable_endpoints(service))
 
--- a/celerytrail/relay/exchange.py
+++ b/celerytrail/relay/exchange.py
@@ -18,6 +18,9 @@
 
 T = TypeVar("T")
 
+# The least Retry-After, in seconds.
+MIN_RETRY_SECONDS = 0.01
+
 
 class CallerDisconnectedError(Exception):
     """The caller has disconnected; its request needs no further work."""
@@ -164,3 +167,11 @@
     if close:
         res.is_closing = True
     await res.send_json(status, {"error": {"type": reason}}, headers)
+
+
+def seconds_until(retry_at: float | None, default: float) -> float:
+    """Return the Retry-After for a loop time, or a default if it isn't known."""
+    if retry_at is None:
+        return default
+    seconds = retry_at - asyncio.get_running_loop().time()
+    return round(max(MIN_RETRY_SECONDS, seconds), 3)
--- /dev/null
+++ b/celerytrail/relay/gauges.py
@@ -0,0 +1,41 @@
+"""Gauges of a node on a platform, set when its metrics are read."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ..metrics import Metrics
+from ..model import RelayConfig
+from ..nodes.nodes import Nodes
+from ..policies.freshness import Freshness
+from .endpointstate import EndpointState
+from .generations import Generations
+from .peerupdates import PeerUpdates
+
+
+def set_gauges(
+    metrics: Metrics,
+    *,
+    cfg: RelayConfig | None,
+    nodes: Nodes,
+    freshness: Freshness,
+    endpoints: EndpointState,
+    generations: Generations,
+    peer_updates: PeerUpdates,
+) -> None:
+    """Set the gauges to the node's present state."""
+    now = asyncio.get_running_loop().time()
+    nodes.update_member_gauge()
+    values = {
+        "configuration_version": cfg.version if cfg else 0,
+        "knowledge_age_seconds": freshness.age_seconds or 0.0,
+        "evacuated_domains": len(endpoints.evacuations.domains),
+        "cold_endpoints": endpoints.cold.n_cold(now),
+        "limited_endpoints": len(endpoints.limits.in_force()),
+        "streams": generations.n_live,
+        "news_sent": peer_updates.n_sent,
+        "news_sent_bytes": peer_updates.n_sent_bytes,
+        "news_period_seconds": peer_updates.period_seconds,
+    }
+    for name, value in values.items():
+        metrics.set(name, float(value))
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -19,7 +19,7 @@
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
 from .events import EventSplitter, StreamEvent
-from .exchange import CallerDisconnectedError, Exchange, refuse
+from .exchange import CallerDisconnectedError, Exchange, refuse, seconds_until
 from .liverun import Copied, Failed, LiveRun, Refused, Switched
 from .peerupdates import PeerUpdates
 from .runmover import RunMover
@@ -31,8 +31,6 @@
 # Retry-After when engines are full, in seconds: about as long as a short answer takes
 # to free its slot.
 FULL_RETRY_SECONDS = 0.7
-# The least Retry-After, in seconds.
-MIN_RETRY_SECONDS = 0.01
 # Reason and Retry-After, in seconds, when all engines are in evacuated domains.
 EVACUATED = "evacuated"
 EVACUATED_RETRY_SECONDS = 2.0
@@ -163,7 +161,11 @@
                 503,
                 outcome.reason,
                 attempt_id=attempt,
-                retry_after=_retry_after(outcome),
+                retry_after=(
+                    EVACUATED_RETRY_SECONDS
+                    if outcome.reason == EVACUATED
+                    else seconds_until(outcome.retry_at, FULL_RETRY_SECONDS)
+                ),
             )
             return
         status = 504 if outcome.reason in ("timeout", "stalled") else 502
@@ -364,13 +366,3 @@
         live.reg = reg
         live.on_engine_changed()
         self._placer.announce(live, is_prefilling=False)
-
-
-def _retry_after(refused: Refused) -> float:
-    """Return the seconds after which a refused caller should come back."""
-    if refused.reason == EVACUATED:
-        return EVACUATED_RETRY_SECONDS
-    if refused.retry_at is None:
-        return FULL_RETRY_SECONDS
-    seconds = refused.retry_at - asyncio.get_running_loop().time()
-    return round(max(MIN_RETRY_SECONDS, seconds), 3)
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -47,6 +47,7 @@
 from .engineplacer import EnginePlacer
 from .enginewatch import EngineWatch
 from .followedtables import FollowedTables
+from .gauges import set_gauges
 from .generations import Generations
 from .handler import RelayHandler
 from .nodeorder import NodeOrder
@@ -440,18 +441,15 @@
     async def _answer_metrics(
         self, req: Request, res: Responder, params: Params
     ) -> None:
-        self.nodes.update_member_gauge()
-        cfg = self.configs.cfg
-        self._metrics.set("configuration_version", float(cfg.version if cfg else 0))
-        self._metrics.set("knowledge_age_seconds", self._freshness.age_seconds or 0.0)
-        self._metrics.set("evacuated_domains", float(len(self.evacuations.domains)))
-        now = asyncio.get_running_loop().time()
-        self._metrics.set("cold_endpoints", float(self.cold.n_cold(now)))
-        self._metrics.set("limited_endpoints", float(len(self._limits.in_force())))
-        self._metrics.set("streams", float(self.generations.n_live))
-        self._metrics.set("news_sent", float(self.peer_updates.n_sent))
-        self._metrics.set("news_sent_bytes", float(self.peer_updates.n_sent_bytes))
-        self._metrics.set("news_period_seconds", self.peer_updates.period_seconds)
+        set_gauges(
+            self._metrics,
+            cfg=self.configs.cfg,
+            nodes=self.nodes,
+            freshness=self._freshness,
+            endpoints=self._endpoint_state,
+            generations=self.generations,
+            peer_updates=self.peer_updates,
+        )
         body, headers = self._metrics.render()
         await res.send(200, body, headers)
 
