Read the seeds of both random tests in one place

Cause: the read-through found the same lines in two test modules.

Measured: both tests pass with their usual seeds.

--- a/tests/test_relay_fuzz.py
+++ b/tests/test_relay_fuzz.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
 from collections import Counter
 from dataclasses import dataclass, field
@@ -16,6 +15,7 @@
 
 from celerytrail.http.messages import Response
 from standins.worker import EngineWorker, PlainWorker, WorkerFaults
+from tests.fuzzseeds import seeds
 from tests.relayrig import (
     PATIENCE_SECONDS,
     Rig,
@@ -26,7 +26,7 @@
 )
 
 # A few seeds for each change; more by hand: CELERYTRAIL_FUZZ_SEEDS=100-160.
-SEEDS = os.environ.get("CELERYTRAIL_FUZZ_SEEDS", "1-5")
+SEEDS = seeds("CELERYTRAIL_FUZZ_SEEDS", "1-5")
 N_STEPS = 30
 STEP_SECONDS = 0.04
 N_EVENTS = 20
@@ -36,11 +36,6 @@
 NODE_ERRORS = (*NOT_RUN, 502, 504)
 
 
-def seeds() -> range:
-    first, _, last = SEEDS.partition("-")
-    return range(int(first), int(last or first) + 1)
-
-
 @dataclass(frozen=True, kw_only=True)
 class RequestRecord:
     """One request and its caller's answer: None where the connection was cut."""
@@ -239,7 +234,7 @@
 
 
 class TestFuzz:
-    @pytest.mark.parametrize("seed", seeds())
+    @pytest.mark.parametrize("seed", SEEDS)
     async def test_guarantees_hold_under_random_faults(self, seed):
         """Injects random faults in engines, endpoints, store, configuration and nodes.
 
--- a/tests/test_relay_limit_fuzz.py
+++ b/tests/test_relay_limit_fuzz.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import random
 from bisect import bisect_left
 from dataclasses import dataclass, field
@@ -14,6 +13,7 @@
 import pytest
 
 from standins.worker import PlainWorker
+from tests.fuzzseeds import seeds
 from tests.limitrig import (
     CONTACT_SECONDS,
     WINDOW_SECONDS,
@@ -24,7 +24,7 @@
 )
 
 # A few seeds for each change; more by hand: CELERYTRAIL_LIMIT_SEEDS=100-160.
-SEEDS = os.environ.get("CELERYTRAIL_LIMIT_SEEDS", "1-4")
+SEEDS = seeds("CELERYTRAIL_LIMIT_SEEDS", "1-4")
 N_NODES = 12
 MIN_NODES = 8
 N_FAULTS = 24
@@ -33,11 +33,6 @@
 TOLD_SECONDS = 0.5
 
 
-def seeds() -> range:
-    first, _, last = SEEDS.partition("-")
-    return range(int(first), int(last or first) + 1)
-
-
 @dataclass(frozen=True, kw_only=True)
 class Period:
     """A time in which an endpoint states one limit."""
@@ -190,7 +185,7 @@
 
 
 class TestFuzz:
-    @pytest.mark.parametrize("seed", seeds())
+    @pytest.mark.parametrize("seed", SEEDS)
     def test_limits_are_kept_under_random_faults(self, seed: int):
         """Limits change while nodes restart, join, freeze, and lose sight of others."""
 
