Show a limit kept by parts of the nodes that can't reach one another

Cause: the postmortem named no test of groups of nodes, only of single ones.

Change: 12 nodes in two, three and four parts, cut from one another for 10 s and healed.

--- a/tests/sourcesrig.py
+++ b/tests/sourcesrig.py
@@ -100,8 +100,18 @@
         for number in numbers:
             for other in range(self._n_nodes):
                 if other != number:
-                    self.wires.cut(f"vm-{number}", f"vm-{other}")
-                    self.wires.cut(f"vm-{other}", f"vm-{number}")
+                    self._cut(number, other)
+
+    def split(self, n_parts: int) -> None:
+        """Split the nodes into parts that can't reach one another."""
+        for number in range(self._n_nodes):
+            for other in range(number):
+                if number % n_parts != other % n_parts:
+                    self._cut(number, other)
+
+    def _cut(self, number: int, other: int) -> None:
+        self.wires.cut(f"vm-{number}", f"vm-{other}")
+        self.wires.cut(f"vm-{other}", f"vm-{number}")
 
     async def start(self) -> None:
         self._address = await self.store.start()
--- a/tests/test_relay_limit.py
+++ b/tests/test_relay_limit.py
@@ -158,6 +158,22 @@
 
         run_endpoint_fleet(12, steps)
 
+    @pytest.mark.parametrize("n_parts", [2, 3, 4])
+    def test_parts_of_the_nodes_that_lose_sight_of_one_another(self, n_parts: int):
+        async def steps(rig: EndpointFleet) -> None:
+            limited = await rig.add_endpoint(2.2)
+            await rig.add_endpoint()
+            traffic = rig.traffic(36.0)
+            stated_at = now()
+            await traffic.run(4.0)
+            rig.fleet.split(n_parts)
+            await traffic.run(10.0)
+            rig.fleet.wires.heal()
+            await traffic.run(8.0)
+            assert 0 < rig.n_most(limited, stated_at) <= allowed(2.2)
+
+        run_endpoint_fleet(12, steps)
+
     def test_nodes_that_hear_late(self):
         # Half of the datagrams are lost, and the owner of the endpoint stands still.
         async def steps(rig: EndpointFleet) -> None:
