Choose endpoints by the time of their answers too

Cause: an endpoint that works eight times slower than the others, passes its health checks and fails nothing kept its third of the requests. The choice knew failures and this node's own requests in progress, of which each of a dozen nodes rarely has two. Requests that may not be repeated can't be saved by a second attempt.

Change: EndpointChoice keeps a moving average of each endpoint's answer times, which halves in 10 s, and the age of its oldest request in progress; a second costs as much as two thirds of a failure rate of one.

--- a/celerytrail/policies/endpointchoice.py
+++ b/celerytrail/policies/endpointchoice.py
@@ -1,14 +1,15 @@
 """Choice of the endpoint of a plain service that gets a request.
 
-Endpoints of one service differ in speed, some fail part of their requests while they
-pass their health checks, and many nodes choose at the same time.
+Endpoints of one service differ in speed, some fail part of their requests or take many
+times as long while they pass their health checks, and many nodes choose at the same
+time, each with few requests of its own in progress.
 """
 
 from __future__ import annotations
 
 import random
 from collections.abc import Callable, Collection, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..model import Registration
 from ..types import Address
@@ -24,6 +25,12 @@
 # slots. With many nodes, each sends few requests. If it spread them over all endpoints,
 # connections would time out as idle before they are used again.
 CONNECT_COST = 0.1
+# Cost of a second that an endpoint takes for an answer.
+ANSWER_COST = 2.0
+# Weight of one answer's time in an endpoint's moving average.
+ANSWER_WEIGHT = 0.3
+# Half-life of that average, in seconds. An endpoint that was slow is tried again.
+ANSWER_HALF_LIFE_SECONDS = 10.0
 # Half-life of the failure rate, in seconds. Through the decay an endpoint that was
 # avoided gets a request now and then and can recover.
 HALF_LIFE_SECONDS = 3.0
@@ -35,14 +42,17 @@
 
 @dataclass(kw_only=True, slots=True)
 class _Record:
-    n_open: int = 0
+    # When each request in progress began, the oldest first.
+    began_at: list[float] = field(default_factory=list)
     failure_rate: float = 0.0
     updated_at: float = 0.0
+    answer_seconds: float = 0.0
+    answered_at: float = 0.0
     next_announcement_at: float = 0.0
 
 
 class EndpointChoice:
-    """Chooses endpoints by requests in progress and recent failures.
+    """Chooses endpoints by requests in progress, recent failures and answer times.
 
     Parameters
     ----------
@@ -79,14 +89,20 @@
             return None
         return min(choices, key=lambda reg: self._cost(reg, now))
 
-    def begin(self, endpoint: str) -> None:
+    def begin(self, endpoint: str, now: float) -> None:
         """Count a request that is sent to an endpoint as in progress."""
-        self._record(endpoint).n_open += 1
+        self._record(endpoint).began_at.append(now)
 
     def end(
-        self, endpoint: str, *, is_failed: bool, is_broken: bool, now: float
+        self,
+        endpoint: str,
+        began_at: float,
+        *,
+        is_failed: bool,
+        is_broken: bool,
+        now: float,
     ) -> None:
-        """Record how a request ended at an endpoint.
+        """Record how a request that began at ``began_at`` ended at an endpoint.
 
         An aborted request is announced to the other nodes. An endpoint may reset all
         requests while its row reports it healthy. Without the announcement each of a
@@ -97,7 +113,10 @@
         requests cut off from 11 to 4.
         """
         record = self._record(endpoint)
-        record.n_open -= 1
+        record.began_at.remove(began_at)
+        change = ANSWER_WEIGHT * (now - began_at - record.answer_seconds)
+        record.answer_seconds += change
+        record.answered_at = now
         self._observe(record, 1.0 if is_failed else 0.0, now)
         if is_broken and now >= record.next_announcement_at:
             record.next_announcement_at = now + ANNOUNCE_SECONDS
@@ -116,13 +135,25 @@
         record = self._record(reg.endpoint)
         is_cross_domain = reg.failure_domain != self._failure_domain
         return (
-            record.n_open / max(1, reg.n_slots)
+            len(record.began_at) / max(1, reg.n_slots)
             + FAILURE_COST * self._rate(record, now)
+            + ANSWER_COST * self._answer_seconds(record, now)
             + (CROSS_DOMAIN_COST if is_cross_domain else 0.0)
             + (0.0 if self._is_connected(reg.address) else CONNECT_COST)
             + 0.04 * self._rng.random()
         )
 
+    @staticmethod
+    def _answer_seconds(record: _Record, now: float) -> float:
+        """Return how long an answer is expected to take.
+
+        A request in progress shows that an endpoint has become slow before it ends.
+        """
+        age = max(0.0, now - record.answered_at)
+        expected = record.answer_seconds * 0.5 ** (age / ANSWER_HALF_LIFE_SECONDS)
+        oldest = now - record.began_at[0] if record.began_at else 0.0
+        return float(max(expected, oldest))
+
     @staticmethod
     def _rate(record: _Record, now: float) -> float:
         age = max(0.0, now - record.updated_at)
@@ -132,6 +163,8 @@
         if len(self._records) >= MAX_RECORDS:
             # Replaced endpoints get new ids, so records that aren't in use are dropped.
             self._records = {
-                name: record for name, record in self._records.items() if record.n_open
+                name: record
+                for name, record in self._records.items()
+                if record.began_at
             }
         return self._records.setdefault(endpoint, _Record())
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -259,7 +259,8 @@
 
     async def _attempt(self, ex: Exchange, admission: Admission) -> Outcome:
         reg = admission.reg
-        self._choice.begin(reg.endpoint)
+        began_at = asyncio.get_running_loop().time()
+        self._choice.begin(reg.endpoint, began_at)
         self.n_open += 1
         outcome: Outcome | None = None
         try:
@@ -273,6 +274,7 @@
             now = asyncio.get_running_loop().time()
             self._choice.end(
                 reg.endpoint,
+                began_at,
                 is_failed=is_failed,
                 is_broken=isinstance(outcome, Failed),
                 now=now,
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -585,16 +585,16 @@
         # checks. If it kept its share of the load, every sixth request would fail.
         choice = self.make()
         for number in range(20):
-            choice.begin("e1")
-            choice.end("e1", is_failed=number % 2 == 0, is_broken=False, now=0.0)
+            choice.begin("e1", 0.0)
+            choice.end("e1", 0.0, is_failed=number % 2 == 0, is_broken=False, now=0.0)
         chosen = [choice.choose(self.REGS, (), 0.0) for _ in range(50)]
         assert all(reg is not None and reg.endpoint != "e1" for reg in chosen)
 
     def test_a_failing_endpoint_is_tried_again_after_a_while(self):
         choice = self.make()
         for _ in range(20):
-            choice.begin("e1")
-            choice.end("e1", is_failed=True, is_broken=False, now=0.0)
+            choice.begin("e1", 0.0)
+            choice.end("e1", 0.0, is_failed=True, is_broken=False, now=0.0)
         chosen = {choice.choose(self.REGS, (), 60.0).endpoint for _ in range(50)}  # type: ignore[union-attr]
         assert "e1" in chosen
 
@@ -603,14 +603,35 @@
         # found out by a request of its own, which may have run and was answered 502.
         choice = self.make()
         for number in range(10):
-            choice.begin("e1")
-            choice.end("e1", is_failed=True, is_broken=True, now=0.05 * number)
+            choice.begin("e1", 0.0)
+            choice.end("e1", 0.0, is_failed=True, is_broken=True, now=0.05 * number)
         assert 1 <= len(self.announced) <= 3
 
+    def test_an_endpoint_that_takes_many_times_as_long_is_avoided(self):
+        # It passes its health checks and fails nothing. Each of a dozen nodes rarely
+        # has two requests in progress there, so it kept its share of the load.
+        choice = self.make()
+        for name, seconds in (("e0", 0.06), ("e1", 0.5), ("e2", 0.07)):
+            for number in range(5):
+                choice.begin(name, number)
+                choice.end(
+                    name, number, is_failed=False, is_broken=False, now=number + seconds
+                )
+        chosen = [choice.choose(self.REGS, (), 5.0) for _ in range(50)]
+        assert all(reg is not None and reg.endpoint != "e1" for reg in chosen)
+        later = {choice.choose(self.REGS, (), 90.0).endpoint for _ in range(50)}  # type: ignore[union-attr]
+        assert "e1" in later
+
+    def test_an_endpoint_that_has_not_answered_yet_is_avoided(self):
+        choice = self.make()
+        choice.begin("e1", 0.0)
+        chosen = [choice.choose(self.REGS, (), 0.4) for _ in range(50)]
+        assert all(reg is not None and reg.endpoint != "e1" for reg in chosen)
+
     def test_error_answers_are_not_announced(self):
         choice = self.make()
-        choice.begin("e1")
-        choice.end("e1", is_failed=True, is_broken=False, now=0.0)
+        choice.begin("e1", 0.0)
+        choice.end("e1", 0.0, is_failed=True, is_broken=False, now=0.0)
         assert self.announced == []
 
     def test_an_endpoint_that_broke_requests_of_others_is_avoided_for_a_while(self):
@@ -633,12 +654,12 @@
         self.connected.add(regs[1].address)
         for _ in range(20):
             assert choice.choose(regs, (), 0.0) == regs[1]
-        choice.begin("e1")
+        choice.begin("e1", 0.0)
         # With 24 slots, one request in progress costs less than a new connection, and
         # five cost more.
         assert choice.choose(regs, (), 0.0) == regs[1]
         for _ in range(4):
-            choice.begin("e1")
+            choice.begin("e1", 0.0)
         assert choice.choose(regs, (), 0.0) != regs[1]
 
     def test_requests_in_progress_are_spread(self):
@@ -647,7 +668,7 @@
         for _ in range(30):
             reg = choice.choose(self.REGS, (), 0.0)
             assert reg is not None
-            choice.begin(reg.endpoint)
+            choice.begin(reg.endpoint, 0.0)
             counts[reg.endpoint] += 1
         assert max(counts.values()) - min(counts.values()) <= 3
 
