--- a/celerytrail/relay/nodeorder.py
+++ b/celerytrail/relay/nodeorder.py
@@ -103,4 +103,5 @@
 
 
 def _key(endpoint: str) -> str:
+    """Return the key of an endpoint's order, the same in all versions of the nodes."""
     return f"cold {endpoint}"
