--- a/scenarios/memorynetwork.py
+++ b/scenarios/memorynetwork.py
@@ -47,6 +47,7 @@
         self.listeners: dict[Address, MemoryListener] = {}
         self.datagrams: dict[Address, MemoryDatagrams] = {}
         self._cut: set[tuple[str, str]] = set()
+        self._refused: set[tuple[str, str]] = set()
         self._frozen: set[str] = set()
         self._in_flight: defaultdict[tuple[str, str], deque[Callable[[], None]]]
         self._in_flight = defaultdict(deque)
@@ -62,9 +63,33 @@
         """Hold everything in one direction of a link, without breaking connections."""
         self._cut.add((sender, receiver))
 
+    def refuse(self, client: str, server: str) -> None:
+        """Refuse new connections from one process to another; open ones stay."""
+        self._refused.add((client, server))
+
+    def reset(self, process: str, other: str) -> None:
+        """Reset the open connections between two processes."""
+        for stream in list(self._streams):
+            peer = stream.peer
+            if stream.owner == process and peer is not None and peer.owner == other:
+                stream.receive_reset()
+                peer.receive_reset()
+
+    def is_refused(self, client: str, server: str) -> bool:
+        """Return whether new connections from one process to another are refused."""
+        return (client, server) in self._refused
+
+    def heal_link(self, process: str, other: str) -> None:
+        """Remove the cuts and refusals between two processes."""
+        for link in ((process, other), (other, process)):
+            self._cut.discard(link)
+            self._refused.discard(link)
+        self._release()
+
     def heal(self) -> None:
         """Remove all cuts and deliver what they held."""
         self._cut.clear()
+        self._refused.clear()
         self._release()
 
     def freeze(self, name: str) -> None:
@@ -186,7 +211,7 @@
     async def connect(self, factory: Callable[[], P], address: Address) -> P:
         """Open a connection; this waits without limit while the link is cut."""
         listener = self._fabric.listeners.get(address)
-        if listener is None:
+        if listener is None or self._fabric.is_refused(self._name, listener.owner):
             await asyncio.sleep(self._fabric.delay_seconds)
             raise ConnectionRefusedError(f"nothing accepts at {address}")
         # The kernel of a frozen process still accepts connections; a cut link carries
@@ -288,6 +313,14 @@
                 len(segment),
             )
 
+    def set_protocol(self, protocol: Any) -> None:
+        """Replace the protocol that receives from now on."""
+        self._protocol = protocol
+
+    def get_protocol(self) -> Any:
+        """Return the protocol that receives."""
+        return self._protocol
+
     def write_eof(self) -> None:
         """Send an end of file to the peer."""
         peer = self.peer
