Reach endpoints through other nodes when the path to them is lost

Cause: a node had one way to an endpoint, and took itself for fit as long as its process, the store and the other nodes were there.

Change: connections to endpoints are made on the node's own path and, a little later or once that fails, through other nodes: an HTTP upgrade, then bytes in both directions. All that talks to endpoints gets this: calls, generations, reports, moves. A node that fails to reach the endpoints it tried says so to the others, which then aren't asked by it nor sent callers, as long as at least half of the nodes are left. One node's announced aborts count once, and none is announced whose cause is the node's own path.

--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -190,6 +190,11 @@
         peers don't echo it.
     allows_unframed : bool
         Whether an answer may lack a length and end with its connection.
+    on_silence : callable or None
+        Called with the address of a peer that has not begun to answer a request
+        ``silence_seconds`` after it was sent.
+    silence_seconds : float
+        See ``on_silence``.
     """
 
     def __init__(
@@ -199,11 +204,15 @@
         network: Network | None = None,
         id_header: str | None = REQUEST_ID_HEADER,
         allows_unframed: bool = False,
+        on_silence: Callable[[Address], None] | None = None,
+        silence_seconds: float = 0.0,
     ) -> None:
         self._process = process
         self._network = network or SystemNetwork()
         self._id_header = id_header
         self._allows_unframed = allows_unframed
+        self._on_silence = on_silence
+        self._silence_seconds = silence_seconds
         self._exchange_numbers = itertools.count(1)
         self._idle: dict[Address, list[_IdleConnection]] = {}
         self.n_connections_made = 0
@@ -328,6 +337,7 @@
             return Err(NotSent(reason="withdrawn", detail=str(address)))
         request_id = request_id or f"{self._process}-{next(self._exchange_numbers)}"
         self._send_request(conn, address, method, path, body, headers or {}, request_id)
+        silence = self._start_silence_timer(address)
         try:
             await conn.drain(deadline)
             event = await _read_final_head(conn, deadline)
@@ -342,11 +352,20 @@
             # were pooled, the next request on it would receive that answer.
             conn.abort()
             raise
+        finally:
+            if silence is not None:
+                silence.cancel()
         if not isinstance(event, h11.Response):
             conn.abort()
             return Err(RequestLost(reason="cut", detail="closed before its answer"))
         return self._check_head(conn, address, event, request_id, max_idle)
 
+    def _start_silence_timer(self, address: Address) -> asyncio.TimerHandle | None:
+        if self._on_silence is None:
+            return None
+        loop = asyncio.get_running_loop()
+        return loop.call_later(self._silence_seconds, self._on_silence, address)
+
     def release(
         self,
         address: Address,
@@ -360,7 +379,7 @@
         # Bytes after a complete answer belong to no exchange, and the next request on
         # this connection would receive them.
         is_clean = conn.h11.trailing_data == (b"", False)
-        if conn.is_lost or not is_done or not is_clean:
+        if conn.is_lost or conn.is_retired or not is_done or not is_clean:
             conn.close()
             return
         conn.h11.start_next_cycle()
@@ -385,7 +404,7 @@
         """Return whether a connection to a peer is likely to be reused."""
         now = asyncio.get_running_loop().time()
         return any(
-            now < entry.drop_at and not entry.conn.is_lost
+            now < entry.drop_at and not entry.conn.is_lost and not entry.conn.is_retired
             for entry in self._idle.get(address, ())
         )
 
@@ -440,7 +459,8 @@
             entry = idle.pop()
             conn = entry.conn
             is_clean = conn.h11.trailing_data == (b"", False)
-            if not conn.is_lost and is_clean and now < entry.drop_at:
+            is_usable = not conn.is_lost and not conn.is_retired and is_clean
+            if is_usable and now < entry.drop_at:
                 return Ok(conn)
             conn.abort()
         try:
--- a/celerytrail/http/messages.py
+++ b/celerytrail/http/messages.py
@@ -22,7 +22,7 @@
 # All connections receive into this one buffer: there is one loop on one thread, and
 # the received bytes are copied before the next call. Without it asyncio allocates
 # 256 KiB for each read, which costs more than the rest of relaying a token.
-_receive_buffer = memoryview(bytearray(RECEIVE_BYTES))
+receive_buffer = memoryview(bytearray(RECEIVE_BYTES))
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -120,6 +120,10 @@
         self.request_id: str | None = None
         self.is_lost = False
         self.is_eof = False
+        # Whether it must not be used for another exchange.
+        self.is_retired = False
+        # Loop time at which bytes last arrived, or the connection was made.
+        self.received_at = 0.0
         self._n_unread = 0
         self._read_waiter: asyncio.Future[None] | None = None
         self._write_waiter: asyncio.Future[None] | None = None
@@ -137,17 +141,19 @@
         """Store the transport."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self.received_at = self._loop.time()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer to receive into."""
-        return _receive_buffer
+        return receive_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Process the bytes received into the buffer."""
-        self.data_received(bytes(_receive_buffer[:nbytes]))
+        self.data_received(bytes(receive_buffer[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Pass bytes to h11 and wake the reading task."""
+        self.received_at = self._loop.time()
         if self._is_discarding:
             return
         self.h11.receive_data(data)
--- a/celerytrail/http/server.py
+++ b/celerytrail/http/server.py
@@ -124,6 +124,19 @@
         """Abort the connection, so that a partial answer can't look complete."""
         self._conn.abort()
 
+    def switch_protocols(self, headers: Mapping[str, str]) -> asyncio.Transport:
+        """Accept the caller's upgrade, and return the connection's transport.
+
+        The handler replaces the transport's protocol, and returns once it is closed.
+        """
+        transport = self._conn.transport
+        assert transport is not None
+        self.status = 101
+        self._conn.send(
+            h11.InformationalResponse(status_code=101, headers=header_list(headers))
+        )
+        return transport
+
     async def _drain(self) -> None:
         deadline = asyncio.get_running_loop().time() + self._limits.write_seconds
         try:
--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -118,6 +118,9 @@
 
 # Help texts of all metrics; using a name that is not declared here is a bug.
 COUNTERS = {
+    "endpoint_paths_lost": "Endpoints to which this node lost the path.",
+    "endpoint_tunnels": "Connections to endpoints through other nodes, by outcome.",
+    "tunnels_served": "Connections made for other nodes, by outcome.",
     "requests": "Callers' requests, by route and status.",
     "refusals": "Requests refused as not run, by reason.",
     "unknowns": "Calls whose outcome is unknown, by reason.",
@@ -136,6 +139,10 @@
     "relay_events": "Events of relayed requests, by event and cause.",
 }
 GAUGES = {
+    "lost_paths": "Endpoints that only other nodes reach at present.",
+    "cut_off_services": "Services that this node is cut off from at present.",
+    "cut_off_nodes": "Nodes that say that they are cut off from a service.",
+    "open_tunnels": "Connections made for other nodes that are open.",
     "configuration_version": "The version of the document in force.",
     "members": "Nodes known, by state.",
     "streams": "Streams being relayed.",
--- a/celerytrail/policies/endpointchoice.py
+++ b/celerytrail/policies/endpointchoice.py
@@ -49,6 +49,8 @@
     answer_seconds: float = 0.0
     answered_at: float = 0.0
     next_announcement_at: float = 0.0
+    # By node, when its last announcement counted.
+    announced_at: dict[str, float] = field(default_factory=dict)
 
 
 class EndpointChoice:
@@ -122,9 +124,17 @@
             record.next_announcement_at = now + ANNOUNCE_SECONDS
             self._tell(endpoint)
 
-    def record_peer_failure(self, endpoint: str, now: float) -> None:
-        """Record that an endpoint aborted a request of another node."""
-        self._observe(self._record(endpoint), 1.0, now)
+    def record_peer_failure(self, endpoint: str, node: str, now: float) -> None:
+        """Record that an endpoint aborted a request of another node.
+
+        What one node announces counts once while it is remembered: the fault may be on
+        that node's path, and alone it must not take an endpoint from the others.
+        """
+        record = self._record(endpoint)
+        if now < record.announced_at.get(node, -HALF_LIFE_SECONDS) + HALF_LIFE_SECONDS:
+            return
+        record.announced_at[node] = now
+        self._observe(record, 1.0, now)
 
     def _observe(self, record: _Record, outcome: float, now: float) -> None:
         rate = self._rate(record, now)
--- a/celerytrail/relay/addresses.py
+++ b/celerytrail/relay/addresses.py
@@ -11,6 +11,7 @@
 from ..nodes.nodes import Nodes
 from ..platform import wire
 from ..policies import homes
+from ..policies.reach import listed_nodes
 from ..types import Address
 
 MAX_ADDRESSES = 64
@@ -20,11 +21,16 @@
 
 
 def choose_addresses(
-    members: list[Member], region: str, failure_domain: str, rng: random.Random
+    members: list[Member],
+    region: str,
+    failure_domain: str,
+    rng: random.Random,
+    is_cut_off: Callable[[Member], bool] = lambda _: False,
 ) -> list[Address]:
     """Return the addresses of nodes that serve, those in the failure domain first.
 
-    Nodes of another region are returned only if the caller's has none.
+    Nodes of another region are returned only if the caller's has none. Nodes that are
+    cut off from endpoints are left out as long as the others suffice.
 
     If no node is alive, all that aren't known to be dead are returned: with an empty
     answer callers would have no address to try.
@@ -33,6 +39,7 @@
     if not serving:
         serving = [member for member in members if member.state is not State.DEAD]
     serving = homes.in_region(serving, region, lambda member: member.region)
+    serving = list(listed_nodes(serving, is_cut_off))
     rng.shuffle(serving)
     serving.sort(key=lambda member: member.failure_domain != failure_domain)
     return [member.caller for member in serving[:MAX_ADDRESSES]]
@@ -49,12 +56,22 @@
         Upper limit on how long callers may cache an answer.
     rng : random.Random
         Shuffles the addresses within a failure domain.
+    is_cut_off : callable
+        Returns whether a node is cut off from endpoints.
     """
 
-    def __init__(self, *, nodes: Nodes, max_seconds: float, rng: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        nodes: Nodes,
+        max_seconds: float,
+        rng: random.Random,
+        is_cut_off: Callable[[Member], bool] = lambda _: False,
+    ) -> None:
         self._nodes = nodes
         self._seconds = min(ADDRESS_SECONDS, max_seconds)
         self._rng = rng
+        self._is_cut_off = is_cut_off
 
     async def handle(self, req: Request, res: Responder) -> None:
         """Answer one request."""
@@ -64,7 +81,7 @@
         domain = wire.requested_domain(req)
         region = wire.requested_region(req)
         addresses = choose_addresses(
-            list(self._nodes.members()), region, domain, self._rng
+            list(self._nodes.members()), region, domain, self._rng, self._is_cut_off
         )
         body = wire.encode_addresses(addresses, self._seconds)
         await res.send(200, body, {"content-type": "application/json"})
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 from collections.abc import Coroutine
 
@@ -19,7 +20,7 @@
 from ..nodes.member import Member, State
 from ..nodes.nodes import Nodes
 from ..nodes.signing import PeerKeys
-from ..platform import storewire, wire
+from ..platform import storewire
 from ..platform.noderows import NodeRows
 from ..platform.nodesettings import RelaySettings
 from ..platform.operatorconfig import decode_config
@@ -41,8 +42,8 @@
 from ..types import Address
 from .addresses import DirectoryHandler, ReadinessHandler
 from .calls import PlainCalls
+from .endpointaccess import EndpointAccess
 from .endpointstate import EndpointState
-from .engineapi import EngineApi
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
 from .enginewatch import EngineWatch
@@ -63,6 +64,8 @@
 # How long a stopping node still accepts new connections, in seconds: callers cache an
 # address answer for up to three times its lifetime.
 STOP_ACCEPT_SECONDS = 6.0
+# Time before it is killed at which a stopping node ends the last tunnels, in seconds.
+STOP_MARGIN_SECONDS = 0.5
 # Interval at which a stopping node closes idle connections, in seconds.
 STOP_POLL_SECONDS = 0.1
 
@@ -241,6 +244,7 @@
             on_retried=self._on_retried,
             on_aborted=self._on_aborted,
             on_limit=self._endpoint_state.gate.record_limit,
+            on_cut_off=self._on_node_cut_off,
             rng=self._rng,
         )
         self._budget = budget = SharedRetryBudget(
@@ -250,15 +254,17 @@
             received_share=self._node_order.running_share,
             tell=self.peer_updates.announce_retry,
         )
-        self.endpoints = HttpClient(
-            process=self.node_id,
+        self.access = EndpointAccess(
             network=self._network,
-            id_header=wire.ATTEMPT_HEADER,
-            allows_unframed=True,
-        )
-        self._engine_api = EngineApi(
-            client=HttpClient(network=self._network, id_header=None)
+            nodes=self.nodes,
+            registry=self.registry,
+            keys=self._keys,
+            metrics=self._metrics,
+            rng=self._rng,
+            announce=self.peer_updates.announce_cut_off,
+            on_silent=self._on_path_silent,
         )
+        self.nodes.on_change(self.access.on_members_changed)
         gate = self._endpoint_state.gate
         placer = EnginePlacer(
             registry=self.registry,
@@ -273,9 +279,9 @@
             backups=self._backups,
             move_targets=self._move_targets,
         )
-        opener = EngineOpener(client=self.endpoints, gate=gate)
+        opener = EngineOpener(client=self.access.client, gate=gate)
         run_mover = RunMover(
-            api=self._engine_api,
+            api=self.access.engine_api,
             registry=self.registry,
             loads=self.loads,
             placer=placer,
@@ -293,18 +299,18 @@
         self._choice = EndpointChoice(
             failure_domain=cfg.failure_domain,
             rng=self._rng,
-            tell=self.peer_updates.announce_abort,
-            is_connected=self.endpoints.is_connected,
+            tell=self._announce_abort,
+            is_connected=self.access.client.is_connected,
         )
         self.calls = PlainCalls(
-            client=self.endpoints,
+            client=self.access.client,
             registry=self.registry,
             choice=self._choice,
             budget=budget,
             gate=gate,
         )
         self._engine_watch = EngineWatch(
-            api=self._engine_api,
+            api=self.access.engine_api,
             registry=self.registry,
             peer_updates=self.peer_updates,
             nodes=self.nodes,
@@ -327,7 +333,10 @@
         )
         self._front = HttpServer(handler=handler, network=self._network)
         directory = DirectoryHandler(
-            nodes=self.nodes, max_seconds=cfg.max_address_seconds, rng=self._rng
+            nodes=self.nodes,
+            max_seconds=cfg.max_address_seconds,
+            rng=self._rng,
+            is_cut_off=self.access.is_node_cut_off,
         )
         self._directory = HttpServer(handler=directory, network=self._network)
         readiness = ReadinessHandler(is_ready=lambda: self.is_ready)
@@ -336,6 +345,7 @@
         self.nodes.add_routes(router)
         self.shared_rows.add_routes(router)
         self._broker.add_routes(router)
+        self.access.add_routes(router)
         router.add("GET", "/metrics", self._answer_metrics)
         self._peers = HttpServer(handler=router, network=self._network)
 
@@ -363,6 +373,7 @@
         self._run(self.peer_updates.run())
         self._run(self._engine_watch.run())
         self._run(self._broker.run())
+        self._run(self.access.run())
         self._run(self._run_housekeeping())
         self._run(self._enter_store())
         log_message("relay:node:started", node=self.node_id, callers=str(cfg.callers))
@@ -380,6 +391,7 @@
             await asyncio.sleep(STOP_POLL_SECONDS)
             self._front.retire()
         await self._front.drain()
+        await self.access.tunnels.stop(self._killed_at - STOP_MARGIN_SECONDS)
         await self._node_rows.leave()
         for task in self._tasks:
             task.cancel()
@@ -396,7 +408,7 @@
         await asyncio.wait(self._tasks)
         await self.nodes.stop()
         self.peer_updates.close()
-        self.endpoints.close()
+        self.access.close()
 
     @property
     def evacuations(self) -> Evacuations:
@@ -498,8 +510,23 @@
     def _on_retried(self, service: str) -> None:
         self._budget.record_peer_retry(service, asyncio.get_running_loop().time())
 
-    def _on_aborted(self, endpoint: str) -> None:
-        self._choice.record_peer_failure(endpoint, asyncio.get_running_loop().time())
+    def _on_aborted(self, endpoint: str, node: str) -> None:
+        now = asyncio.get_running_loop().time()
+        self._choice.record_peer_failure(endpoint, node, now)
+
+    def _announce_abort(self, endpoint: str) -> None:
+        """Announce an abort to the other nodes, unless the path is the cause."""
+        reg = self.registry.find(endpoint)
+        if reg is not None:
+            announce = functools.partial(self.peer_updates.announce_abort, endpoint)
+            self.access.paths.check_then(reg.address, announce)
+
+    def _on_node_cut_off(self, node: str, services: list[str]) -> None:
+        now = asyncio.get_running_loop().time()
+        self.access.cut_off_nodes.record(node, services, now)
+
+    def _on_path_silent(self, reg: Registration) -> None:
+        """Take this node's runs off an engine whose answers no longer arrive."""
 
     def _update_addresses(self) -> list[Address]:
         port = self.cfg.peer_ports[0]
@@ -514,6 +541,7 @@
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             now = asyncio.get_running_loop().time()
             self._endpoint_state.expire(now)
+            self.access.update(now)
             self.loads.expire(now, self.node_id)
             self.generations.report_progress()
             if self.is_ready != self._was_ready and not self.is_stopping:
--- a/celerytrail/relay/peerupdates.py
+++ b/celerytrail/relay/peerupdates.py
@@ -68,7 +68,8 @@
     ids, ``leaving`` engines that are about to leave, ``retried`` services at which the
     sender made a retry, and ``aborted`` endpoints that aborted its requests.
     ``period_seconds`` is the time to the sender's next run list. ``limits`` are limits
-    that endpoints state for all nodes together.
+    that endpoints state for all nodes together. ``cut_off`` are all services that the
+    sender is cut off from, None if it says nothing of them.
     """
 
     node: str
@@ -81,6 +82,7 @@
     aborted: list[str] = []
     period_seconds: float = MIN_LIST_PERIOD_SECONDS
     limits: list[LimitEntry] = []
+    cut_off: list[str] | None = None
 
 
 class PeerUpdates(asyncio.DatagramProtocol):
@@ -105,9 +107,11 @@
     on_retried : callable
         Called with a service at which another node made a retry.
     on_aborted : callable
-        Called with an endpoint that aborted another node's request.
+        Called with an endpoint that aborted another node's request, and that node.
     on_limit : callable
         Called with the statement of a limit that another node announced.
+    on_cut_off : callable
+        Called with another node and all services that it is cut off from.
     rng : random.Random
         Source of the jitter between run lists.
     """
@@ -123,8 +127,9 @@
         peers: Callable[[], Iterable[Address]],
         on_leaving: Callable[[str], None],
         on_retried: Callable[[str], None],
-        on_aborted: Callable[[str], None],
+        on_aborted: Callable[[str, str], None],
         on_limit: Callable[[LimitStatement], object],
+        on_cut_off: Callable[[str, list[str]], None],
         rng: random.Random,
     ) -> None:
         self._node = node
@@ -137,6 +142,7 @@
         self._on_retried = on_retried
         self._on_aborted = on_aborted
         self._on_limit = on_limit
+        self._on_cut_off = on_cut_off
         self._rng = rng
         self._list_schedule = RunListSchedule()
         # Sent with each update, so that no run expires at a receiver before the next.
@@ -201,6 +207,10 @@
         """Announce that an endpoint aborted a request."""
         self._send(NodeUpdate(node=self._node, aborted=[endpoint]))
 
+    def announce_cut_off(self, services: Iterable[str]) -> None:
+        """Announce all services that this node is cut off from."""
+        self._send(NodeUpdate(node=self._node, cut_off=sorted(services)))
+
     def announce_limits(self, statements: Sequence[LimitStatement]) -> None:
         """Announce limits that endpoints state for all nodes together."""
         now = self._now()
@@ -262,9 +272,11 @@
         for service in update.retried:
             self._on_retried(service)
         for endpoint in update.aborted:
-            self._on_aborted(endpoint)
+            self._on_aborted(endpoint, update.node)
         for entry in update.limits:
             self._on_limit(_limit_from(entry, now))
+        if update.cut_off is not None:
+            self._on_cut_off(update.node, update.cut_off)
 
     def _make_update(self, runs: list[Run], *, is_complete: bool = False) -> NodeUpdate:
         return NodeUpdate(
--- a/celerytrail/relay/registry.py
+++ b/celerytrail/relay/registry.py
@@ -7,6 +7,7 @@
 
 from ..model import EndpointState, Registration
 from ..policies.evacuations import Evacuations
+from ..types import Address
 
 # How long an endpoint whose row vanished around an outage of the store may still be
 # used if its service has no other, in seconds. Rows that lapsed only because of the
@@ -158,6 +159,14 @@
         """Return an endpoint's registration, None if it has no row."""
         return self._known.get(endpoint)
 
+    def find_address(self, address: Address) -> Registration | None:
+        """Return the registration of the endpoint at an address, if there is one."""
+        regs = (reg for reg in self._known.values() if reg.address == address)
+        lapsed = (
+            one.reg for one in self._lapsed.values() if one.reg.address == address
+        )
+        return next(regs, None) or next(lapsed, None)
+
     def has(self, endpoint: str) -> bool:
         """Return whether an endpoint has a row, or had one before an outage."""
         return endpoint in self._known or endpoint in self._lapsed
--- /dev/null
+++ b/celerytrail/relay/tunnelserver.py
@@ -0,0 +1,147 @@
+"""Connects other nodes to endpoints that they can't reach themselves."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from eliot import log_message
+
+from ..http.messages import Request
+from ..http.network import Network
+from ..http.routes import Params, Router, send_error
+from ..http.server import Responder
+from ..http.tunnels import END_HEADER, UPGRADE_HEADERS, Pipe, accept_tunnel, new_end
+from ..metrics import Metrics
+from ..nodes.exchange import refuse_signature
+from ..nodes.signing import PeerKeys
+from ..policies.reach import Reach
+from ..types import Address
+
+TUNNEL_PATH = "/peer/v1/tunnel"
+# Reasons why a node makes no connection: it doesn't reach the endpoint either, knows no
+# such endpoint, has no room, or is about to stop.
+UNREACHED = "unreached"
+UNKNOWN = "unknown_endpoint"
+NO_ROOM = "no_room"
+STOPPING = "stopping"
+# Timeout of a connection to an endpoint, in seconds.
+CONNECT_SECONDS = 0.2
+# Tunnels of all other nodes together.
+MAX_TUNNELS = 256
+# Interval at which a stopping node looks whether its tunnels are closed, in seconds.
+STOP_POLL_SECONDS = 0.05
+
+
+class TunnelRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A node's request for a connection to an endpoint, by its address."""
+
+    endpoint: str
+
+
+class TunnelServer:
+    """Makes connections to endpoints for nodes that have lost the path to them.
+
+    They are made on this node's own path only, so that no tunnel leads through another
+    one.
+
+    Parameters
+    ----------
+    network : Network
+        This node's own network.
+    reach : Reach
+        Which endpoints this node has lost the path to.
+    is_endpoint : callable
+        Returns whether an endpoint has an address.
+    keys : PeerKeys
+        Verify the signatures of requests.
+    metrics : Metrics
+        Counts requests by outcome.
+    on_unreached : callable
+        Called with an endpoint that this node doesn't reach either.
+    """
+
+    def __init__(
+        self,
+        *,
+        network: Network,
+        reach: Reach,
+        is_endpoint: Callable[[Address], bool],
+        keys: PeerKeys,
+        metrics: Metrics,
+        on_unreached: Callable[[Address], None],
+    ) -> None:
+        self._network = network
+        self._reach = reach
+        self._is_endpoint = is_endpoint
+        self._keys = keys
+        self._metrics = metrics
+        self._on_unreached = on_unreached
+        self._is_stopping = False
+        self.n_open = 0
+
+    def add_routes(self, router: Router) -> None:
+        """Add the route that other nodes call."""
+        router.add("POST", TUNNEL_PATH, self._on_request)
+
+    async def stop(self, deadline: float) -> None:
+        """Make no more connections, and wait until the present ones are closed."""
+        self._is_stopping = True
+        loop = asyncio.get_running_loop()
+        while self.n_open and loop.time() < deadline:  # noqa: ASYNC110
+            await asyncio.sleep(STOP_POLL_SECONDS)
+
+    async def _on_request(self, req: Request, res: Responder, _: Params) -> None:
+        if not self._keys.accepts(req):
+            await refuse_signature(res, self._metrics)
+            return
+        try:
+            asked = msgspec.json.decode(req.body, type=TunnelRequest)
+            address = Address.parse(asked.endpoint)
+        except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
+            await send_error(res, 400, "bad_request", place="body", message=str(exc))
+            return
+        reason = self._refusal(address)
+        if reason is not None:
+            await self._refuse(res, address, reason)
+            return
+        end = new_end()
+        self.n_open += 1
+        try:
+            await self._connect(res, address, end)
+        finally:
+            self.n_open -= 1
+
+    def _refusal(self, address: Address) -> str | None:
+        """Return why no connection is made, None if one should be tried."""
+        if self._is_stopping:
+            return STOPPING
+        if self.n_open >= MAX_TUNNELS:
+            return NO_ROOM
+        if not self._is_endpoint(address):
+            return UNKNOWN
+        if self._reach.is_lost(address):
+            return UNREACHED
+        return None
+
+    async def _connect(self, res: Responder, address: Address, end: bytes) -> None:
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                other = await self._network.connect(lambda: Pipe(end=end), address)
+        except (OSError, TimeoutError):
+            self._on_unreached(address)
+            await self._refuse(res, address, UNREACHED)
+            return
+        if res.is_lost:
+            other.abort()
+            return
+        self._metrics.count("tunnels_served", outcome="opened")
+        headers = {**UPGRADE_HEADERS, END_HEADER: end.hex()}
+        await accept_tunnel(res.switch_protocols(headers), Pipe(), other)
+
+    async def _refuse(self, res: Responder, address: Address, reason: str) -> None:
+        self._metrics.count("tunnels_served", outcome=reason)
+        log_message("relay:tunnel:refused", address=str(address), reason=reason)
+        res.is_closing = True
+        await res.send_json(503, {"error": {"type": reason}}, {"x-reason": reason})
--- a/tests/reachrig.py
+++ b/tests/reachrig.py
@@ -20,8 +20,8 @@
 from tests.relayrig import HOST, KEY
 
 CutKind = Literal["silent", "reset", "refused"]
-# Failed first tries at cut nodes that the rule always allows, and the share of all first
-# tries beyond that.
+# Failed first tries at cut nodes that the rule always allows, and the share of all
+# first tries beyond that.
 N_ALLOWED_FAILURES = 10
 ALLOWED_FAILURE_SHARE = 1 / 50
 # A cut node serves this share of what the others serve, at least.
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -636,13 +636,23 @@
 
     def test_an_endpoint_that_broke_requests_of_others_is_avoided_for_a_while(self):
         choice = self.make()
-        for _ in range(3):
-            choice.record_peer_failure("e1", 0.0)
+        for number in range(3):
+            choice.record_peer_failure("e1", f"node-{number}", 0.0)
         chosen = [choice.choose(self.REGS, (), 0.0) for _ in range(50)]
         assert all(reg is not None and reg.endpoint != "e1" for reg in chosen)
         later = {choice.choose(self.REGS, (), 60.0).endpoint for _ in range(50)}  # type: ignore[union-attr]
         assert "e1" in later
 
+    def test_the_word_of_one_node_alone_takes_no_endpoint_from_others(self):
+        # A node that had lost its path announced each endpoint five times a second.
+        choice = self.make()
+        for number in range(15):
+            choice.record_peer_failure("e1", "node-1", 0.1 * number)
+        for node in ("node-1", "node-2"):
+            choice.record_peer_failure("e2", node, 1.4)
+        chosen = [choice.choose(self.REGS, ("e0",), 1.4) for _ in range(50)]
+        assert all(reg is not None and reg.endpoint == "e1" for reg in chosen)
+
     def test_an_open_connection_is_reused_while_its_endpoint_is_free(self):
         # Each of hundreds of nodes sends few requests. Spread over all endpoints, their
         # connections would time out as idle before they are used again.
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -353,7 +353,7 @@
     ) -> tuple[PeerUpdates, EngineLoads, dict[str, list]]:
         loads = EngineLoads()
         events: dict[str, list] = {
-            name: [] for name in ("leaving", "retried", "aborted", "limits")
+            name: [] for name in ("leaving", "retried", "aborted", "limits", "cut_off")
         }
         peer_updates = PeerUpdates(
             node=name,
@@ -364,8 +364,9 @@
             peers=lambda: [],
             on_leaving=events["leaving"].append,
             on_retried=events["retried"].append,
-            on_aborted=events["aborted"].append,
+            on_aborted=lambda *abort: events["aborted"].append(abort),
             on_limit=events["limits"].append,
+            on_cut_off=lambda *statement: events["cut_off"].append(statement),
             rng=random.Random(1),
         )
         return peer_updates, loads, events
@@ -478,7 +479,7 @@
         for data in (b"", b"\xc1", b"\x93\x01\x02\x03", b"{}"):
             receiver.datagram_received(data, ("10.0.0.1", 1))
         assert loads.runs_on_engine("e1") == []
-        assert events == {"leaving": [], "retried": [], "aborted": [], "limits": []}
+        assert not any(events.values())
 
     async def test_events_at_engines_and_services_are_passed_on(self):
         receiver, _, events = self.make()
@@ -489,10 +490,18 @@
         assert events == {
             "leaving": ["e1"],
             "retried": ["desk"],
-            "aborted": ["d1"],
+            "aborted": [("d1", "other")],
             "limits": [],
+            "cut_off": [],
         }
 
+    async def test_the_services_that_a_node_is_cut_off_from_are_passed_on(self):
+        receiver, _, events = self.make()
+        for cut_off in (["desk"], [], None):
+            update = NodeUpdate(node="other", cut_off=cut_off)
+            receiver.datagram_received(msgspec.msgpack.encode(update), ("10.0.0.1", 1))
+        assert events["cut_off"] == [("other", ["desk"]), ("other", [])]
+
     async def test_the_nodes_own_update_is_ignored(self):
         receiver, _, events = self.make()
         update = NodeUpdate(node="me", leaving=["e1"])
