Show brittle endpoints that all nodes together make fall over

Cause: what waits at an endpoint is bounded by the endpoint's own refusal alone, and one that states to be brittle falls over by just these refusals.

Change: the stand-in for plain endpoints has a limited number of places, states how many requests it can refuse in a second, and is away for 3 s when it has to refuse more.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -174,10 +174,90 @@
         return headers
 
 
+@dataclass(kw_only=True)
+class Brittleness:
+    """How a worker that falls over is set up, and what became of it.
+
+    Parameters
+    ----------
+    n_refusals : int
+        Requests that it can refuse within a second for want of room, as it states.
+    n_slots, n_waiting : int
+        Requests that it runs at a time, and those that it lets wait.
+    run_seconds : float
+        How long it runs a request.
+    down_seconds : float
+        How long it is away after it fell over.
+    """
+
+    n_refusals: int
+    n_slots: int = 4
+    n_waiting: int = 0
+    run_seconds: float = 0.1
+    down_seconds: float = 3.0
+    n_running: int = 0
+    refused_at: list[float] = field(default_factory=list)
+    fell_at: list[float] = field(default_factory=list)
+
+    @property
+    def is_full(self) -> bool:
+        """Return whether it has no room for one more request."""
+        return self.n_running >= self.n_slots + self.n_waiting
+
+    @property
+    def max_refused(self) -> int:
+        """Return the most requests that it refused within any second."""
+        times = self.refused_at
+        return max(
+            (bisect_left(times, at + 1.0) - n for n, at in enumerate(times)), default=0
+        )
+
+
 class PlainWorker(Worker):
-    """Answers each request with its own id and the request's body."""
+    """Answers each request with its own id and the request's body.
+
+    If it is brittle, it falls over when it has to refuse more than it states.
+    """
+
+    brittleness: Brittleness | None = None
 
     async def _run(self, req: Request, res: Responder, attempt_id: str) -> None:
+        brittle = self.brittleness
+        if brittle is None:
+            await self._answer(req, res, attempt_id)
+            return
+        now = asyncio.get_running_loop().time()
+        if brittle.fell_at and now < brittle.fell_at[-1] + brittle.down_seconds:
+            res.abort()
+            return
+        if brittle.is_full:
+            await self._refuse(res, attempt_id, brittle, now)
+            return
+        brittle.n_running += 1
+        try:
+            n_ahead = max(0, brittle.n_running - brittle.n_slots)
+            await asyncio.sleep(brittle.run_seconds * (1 + n_ahead / brittle.n_slots))
+        finally:
+            brittle.n_running -= 1
+        await self._answer(req, res, attempt_id)
+
+    async def _refuse(
+        self, res: Responder, attempt_id: str, brittle: Brittleness, now: float
+    ) -> None:
+        brittle.refused_at.append(now)
+        if sum(at > now - 1.0 for at in brittle.refused_at) > brittle.n_refusals:
+            brittle.fell_at.append(now)
+            res.abort()
+            return
+        await res.send(503, headers={**self._headers(attempt_id), "x-not-executed": ""})
+
+    def _headers(self, attempt_id: str) -> dict[str, str]:
+        headers = super()._headers(attempt_id)
+        if self.brittleness is not None:
+            headers["server-brittle"] = str(self.brittleness.n_refusals)
+        return headers
+
+    async def _answer(self, req: Request, res: Responder, attempt_id: str) -> None:
         self.ran.append(attempt_id)
         faults = self.faults
         if faults.resets:
