Share the places of brittle endpoints among all nodes

What callers saw: endpoints that state to be brittle fell over when all nodes together made them refuse too much, and were away for seconds.

Cause: nothing read the statement, and what waits at an endpoint was bounded by its own refusal alone.

Change: the statement is read and spread as limits are. Each request to such an endpoint needs a place of the endpoint's owner, which counts the requests of all nodes there; as many as the endpoint runs at a time have one. A plain request waits for a place for up to half of its target, and is refused with the time of the next chance otherwise.

--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -118,6 +118,7 @@
 
 # Help texts of all metrics; using a name that is not declared here is a bug.
 COUNTERS = {
+    "places": "Requests for places at brittle endpoints, by outcome.",
     "endpoint_paths_lost": "Endpoints to which this node lost the path.",
     "endpoint_tunnels": "Connections to endpoints through other nodes, by outcome.",
     "tunnels_served": "Connections made for other nodes, by outcome.",
@@ -139,6 +140,7 @@
     "relay_events": "Events of relayed requests, by event and cause.",
 }
 GAUGES = {
+    "brittle_endpoints": "Endpoints that fall over when they refuse too much.",
     "lost_paths": "Endpoints that only other nodes reach at present.",
     "cut_off_services": "Services that this node is cut off from at present.",
     "cut_off_nodes": "Nodes that say that they are cut off from a service.",
--- a/celerytrail/model.py
+++ b/celerytrail/model.py
@@ -255,6 +255,9 @@
         For how long it stays cold; 0 if it isn't.
     requests_per_second : float or None
         The requests that it takes from all nodes together; None without a limit.
+    refusals_per_second : float or None
+        The requests that it can refuse for want of room; beyond them it falls over.
+        None if it isn't brittle.
     is_own : bool
         Whether the answer is certainly the endpoint's own, so that a limit that isn't
         stated has ended.
@@ -262,6 +265,7 @@
 
     cold_seconds: float = 0.0
     requests_per_second: float | None = None
+    refusals_per_second: float | None = None
     is_own: bool = True
 
 
--- a/celerytrail/platform/wire.py
+++ b/celerytrail/platform/wire.py
@@ -31,6 +31,7 @@
 _NOT_RUN = "x-not-executed"
 _COLD = "x-cold-ms"
 _LIMIT = "server-limit"
+_BRITTLE = "server-brittle"
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1).
 _HOP_BY_HOP = frozenset(
@@ -185,6 +186,7 @@
     return EndpointStatements(
         cold_seconds=_milliseconds(headers.get(_COLD)) or 0.0,
         requests_per_second=_rate(headers.get(_LIMIT)),
+        refusals_per_second=_rate(headers.get(_BRITTLE)),
         is_own=is_sealed_answer(headers) and not is_not_run(status, headers),
     )
 
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from dataclasses import dataclass, field
 
 from result import Err
 
 from ..http.client import HttpClient, NotSent, RequestLost
 from ..http.messages import Response
-from ..model import RouteKind
+from ..model import Registration, RouteKind
 from ..platform import wire
 from ..policies.endpointchoice import EndpointChoice
 from ..policies.retrybudget import SharedRetryBudget
@@ -22,6 +23,10 @@
 HEDGE_SHARE = 0.45
 # Connect timeout before another endpoint is tried, in seconds.
 CONNECT_SECONDS = 0.25
+# Share of the target for which a request waits for room within endpoints' limits, and
+# the longest wait for the next chance, in seconds.
+WAIT_SHARE = 0.5
+MAX_POLL_SECONDS = 0.1
 # Endpoints that a request may be sent to while none has executed it.
 MAX_TRIED_ENDPOINTS = 3
 # Retry-After when all endpoints refused, in seconds.
@@ -159,7 +164,13 @@
             if admission is None:
                 break
             tried.add(admission.reg.endpoint)
-            outcome = await self._attempt(ex, admission)
+            attempt = asyncio.ensure_future(self._attempt(ex, admission))
+            attempt.add_done_callback(functools.partial(self._on_ended, admission))
+            try:
+                outcome = await attempt
+            except asyncio.CancelledError:
+                attempt.cancel()
+                raise
             # Another endpoint may be tried only if this one states that it hasn't
             # executed the request, or if no byte of it was sent.
             if not isinstance(outcome, NotExecuted):
@@ -198,9 +209,19 @@
         if admission is None:
             return False
         attempts.tried.add(admission.reg.endpoint)
-        attempts.pending.add(asyncio.ensure_future(self._attempt(ex, admission)))
+        attempt = asyncio.ensure_future(self._attempt(ex, admission))
+        attempt.add_done_callback(functools.partial(self._on_ended, admission))
+        attempts.pending.add(attempt)
         return True
 
+    def _on_ended(self, admission: Admission, attempt: asyncio.Task[Outcome]) -> None:
+        """Give an attempt's admission back, also if it was cancelled at once."""
+        outcome = None
+        if not attempt.cancelled() and attempt.exception() is None:
+            outcome = attempt.result()
+        is_refused = isinstance(outcome, NotExecuted) and outcome.was_sent
+        self._gate.end(admission, is_refused=is_refused)
+
     async def _wait_or_hedge(
         self, ex: Exchange, attempts: _Attempts
     ) -> set[asyncio.Task[Outcome]]:
@@ -240,14 +261,31 @@
                 reg for reg in usable if self._gate.is_open_for(reg, ex.home_regions)
             ]
             reg = self._choice.choose(open_regs, tried, loop.time())
+            if reg is None and await self._wait_for_room(ex, usable, tried):
+                continue
             if reg is None:
                 return None
             admission = await self._gate.admit(reg)
         if is_repeat and not self._budget.take(ex.service, loop.time()):
+            self._gate.end(admission)
             ex.log("retry_denied")
             return None
         return admission
 
+    async def _wait_for_room(
+        self, ex: Exchange, usable: list[Registration], tried: set[str]
+    ) -> bool:
+        """Wait until an endpoint has room again; return whether it is worth trying."""
+        regs = [reg for reg in usable if reg.endpoint not in tried]
+        seconds = self._gate.seconds_until_open(regs)
+        if seconds is None or seconds > MAX_POLL_SECONDS:
+            return False
+        wait_seconds = WAIT_SHARE * ex.route.target_latency_seconds - ex.age_seconds
+        if seconds > wait_seconds:
+            return False
+        await asyncio.sleep(seconds)
+        return True
+
     def _unsent(self, ex: Exchange) -> NotExecuted:
         """Return the outcome of a request for which there was no endpoint."""
         usable = self._registry.usable_endpoints(ex.service)
--- a/celerytrail/relay/endpointgate.py
+++ b/celerytrail/relay/endpointgate.py
@@ -14,6 +14,7 @@
 from ..policies.evacuations import Evacuations
 from ..policies.homes import is_allowed
 from ..policies.statedlimits import LimitStatement, StatedLimits
+from .placebroker import Place, PlaceBroker
 from .tokenbroker import RequestToken, TokenBroker
 
 # Reason for which a request wasn't sent: its endpoint may not receive it now.
@@ -23,14 +24,17 @@
 # Interval at which a run that continues checks whether its engine may receive it, in
 # seconds.
 POLL_SECONDS = 0.05
+# Shortest wait for room within an endpoint's limits, in seconds.
+MIN_WAIT_SECONDS = 0.01
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Admission:
-    """An endpoint that a request may be sent to, and the token that admits it."""
+    """An endpoint that a request may be sent to, with its token and its place."""
 
     reg: Registration
     token: RequestToken | None
+    place: Place
 
 
 class EndpointGate:
@@ -56,6 +60,12 @@
         The limits that endpoints state.
     broker : TokenBroker
         Obtains tokens for endpoints with a limit.
+    brittle : StatedLimits
+        The refusals per second that brittle endpoints state to bear.
+    places : PlaceBroker
+        Obtains places at brittle endpoints.
+    on_brittle : callable
+        Called with each statement that changes whether an endpoint is brittle.
     on_limit : callable
         Called with each statement that changes an endpoint's limit.
     position : callable
@@ -75,6 +85,9 @@
         connection_limit: Callable[[str], int | None],
         limits: StatedLimits,
         broker: TokenBroker,
+        brittle: StatedLimits,
+        places: PlaceBroker,
+        on_brittle: Callable[[LimitStatement], None],
         on_limit: Callable[[LimitStatement], None],
         position: Callable[[str], NodePosition],
         domain_regions: Mapping[str, str] | None = None,
@@ -86,6 +99,9 @@
         self._connection_limit = connection_limit
         self._limits = limits
         self._broker = broker
+        self._brittle = brittle
+        self._places = places
+        self._on_brittle = on_brittle
         self._on_limit = on_limit
         self._position = position
         self._domain_regions = domain_regions or {}
@@ -103,35 +119,58 @@
         ``can_wait`` is for runs that continue, which wait for room within its limit.
         """
         is_home = is_allowed(reg.failure_domain, home_regions, self._domain_regions)
-        has_room = can_wait or self._broker.seconds_until_open(reg.endpoint) == 0
+        has_room = can_wait or self._seconds_until_open(reg) == 0
         return is_home and has_room and self._is_open(reg)
 
     def seconds_until_open(self, regs: Iterable[Registration]) -> float | None:
-        """Return the time until one of several endpoints has room within its limit.
+        """Return the time until one of several endpoints has room within its limits.
 
         None unless all of them are closed because of their limits.
         """
-        waits = [self._broker.seconds_until_open(reg.endpoint) for reg in regs]
+        waits = [self._seconds_until_open(reg) for reg in regs]
         return min(waits, default=0.0) or None
 
+    def _seconds_until_open(self, reg: Registration) -> float:
+        return max(
+            self._broker.seconds_until_open(reg.endpoint),
+            self._places.seconds_until_open(reg.endpoint),
+        )
+
     def is_limited(self, reg: Registration) -> bool:
         """Return whether an endpoint states a limit for all nodes together."""
-        return self._broker.is_limited(reg.endpoint)
+        endpoint = reg.endpoint
+        return self._broker.is_limited(endpoint) or self._places.is_brittle(endpoint)
 
     async def admit(self, reg: Registration) -> Admission | None:
         """Return the admission of a request to an endpoint, None if its limit forbids.
 
         An endpoint that refused is closed until it may have room again.
         """
-        if not self.is_limited(reg):
-            return Admission(reg=reg, token=None)
-        token = await self._broker.take(reg.endpoint)
-        return Admission(reg=reg, token=token) if token is not None else None
+        place = await self._places.take(reg.endpoint, reg.n_slots)
+        if place is None:
+            return None
+        token = None
+        if self._broker.is_limited(reg.endpoint):
+            try:
+                token = await self._broker.take(reg.endpoint)
+            finally:
+                if token is None:
+                    self._places.end(place, is_refused=False)
+            if token is None:
+                return None
+        return Admission(reg=reg, token=token, place=place)
+
+    def end(self, admission: Admission, *, is_refused: bool = False) -> None:
+        """Record that an admitted request has ended, or wasn't sent.
+
+        ``is_refused`` says that its endpoint had no room for it.
+        """
+        self._places.end(admission.place, is_refused=is_refused)
 
     async def admit_until(self, reg: Registration, deadline: float) -> Admission | None:
         """Return the admission of a run that continues; wait until a deadline."""
         while (admission := await self.admit(reg)) is None:
-            seconds = self._broker.seconds_until_open(reg.endpoint)
+            seconds = max(self._seconds_until_open(reg), MIN_WAIT_SECONDS)
             if _now() + seconds >= deadline:
                 return None
             await asyncio.sleep(seconds)
@@ -204,6 +243,15 @@
         now = _now()
         if stated.cold_seconds > 0:
             self._cold.record(reg.endpoint, now + stated.cold_seconds)
+        if stated.refusals_per_second is not None or stated.is_own:
+            bears = LimitStatement(
+                endpoint=reg.endpoint,
+                requests_per_second=stated.refusals_per_second,
+                sent_at=sent_at,
+                heard_at=now,
+            )
+            if self.record_brittle(bears):
+                self._on_brittle(bears)
         if stated.requests_per_second is None and not stated.is_own:
             return
         statement = LimitStatement(
@@ -226,6 +274,17 @@
         )
         return True
 
+    def record_brittle(self, statement: LimitStatement) -> bool:
+        """Record what an endpoint bears, and return whether that changes."""
+        if not self._brittle.record(statement):
+            return False
+        log_message(
+            "relay:endpoint:brittle",
+            endpoint=statement.endpoint,
+            refusals_per_second=statement.requests_per_second,
+        )
+        return True
+
     def _has_share(self, reg: Registration, now: float) -> bool:
         if not self._cold.is_cold(reg.endpoint, now):
             return True
--- a/celerytrail/relay/endpointstate.py
+++ b/celerytrail/relay/endpointstate.py
@@ -12,6 +12,7 @@
 from ..policies.statedlimits import LimitStatement, StatedLimits
 from .endpointgate import EndpointGate
 from .nodeorder import NodeOrder
+from .placebroker import PlaceBroker
 from .registry import Registry
 from .tokenbroker import TokenBroker
 
@@ -38,6 +39,12 @@
         The limits that endpoints state.
     broker : TokenBroker
         Obtains tokens for endpoints with a limit.
+    brittle : StatedLimits
+        The refusals per second that brittle endpoints state to bear.
+    places : PlaceBroker
+        Obtains places at brittle endpoints.
+    on_brittle : callable
+        Called with each statement that changes whether an endpoint is brittle.
     on_limit : callable
         Called with each statement that changes an endpoint's limit.
     on_leaving : callable
@@ -52,6 +59,9 @@
         node_order: NodeOrder,
         limits: StatedLimits,
         broker: TokenBroker,
+        brittle: StatedLimits,
+        places: PlaceBroker,
+        on_brittle: Callable[[LimitStatement], None],
         on_limit: Callable[[LimitStatement], None],
         on_leaving: Callable[[Registration], None],
     ) -> None:
@@ -63,6 +73,7 @@
         )
         self.cold = ColdEndpoints()
         self.limits = limits
+        self.brittle = brittle
         self.registry = Registry(on_leaving=on_leaving, evacuations=self.evacuations)
         self.gate = EndpointGate(
             evacuations=self.evacuations,
@@ -71,6 +82,9 @@
             connection_limit=self._connection_limit,
             limits=limits,
             broker=broker,
+            brittle=brittle,
+            places=places,
+            on_brittle=on_brittle,
             on_limit=on_limit,
             position=node_order.position,
             domain_regions=cfg.domain_regions,
@@ -96,10 +110,11 @@
         """Forget endpoints that didn't return in time, and what has ended of them."""
         self.registry.expire(now)
         self.cold.expire(now)
-        for statement in self.limits.in_force():
-            if not self.registry.has(statement.endpoint):
-                self.limits.forget(statement.endpoint)
-        self.limits.expire(now)
+        for limits in (self.limits, self.brittle):
+            for statement in limits.in_force():
+                if not self.registry.has(statement.endpoint):
+                    limits.forget(statement.endpoint)
+            limits.expire(now)
 
     def _cold_limit(self, name: str) -> float | None:
         """Return the requests per second for a cold endpoint, None without a limit."""
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -70,6 +70,39 @@
         copy_name : str or None
             The copy to resume from; None begins a new run.
         """
+        opened: Result[Stream, Refused | Failed] | None = None
+        try:
+            opened = await self._send(live, admission, backup, copy_name)
+            return opened
+        finally:
+            if isinstance(opened, Ok):
+                self.end(live)
+                live.admission = admission
+            else:
+                is_refused = (
+                    opened is not None
+                    and isinstance(opened.err_value, Refused)
+                    and opened.err_value.was_sent
+                )
+                self._gate.end(admission, is_refused=is_refused)
+
+    def discard(self, admission: Admission) -> None:
+        """Give back an admission that isn't used."""
+        self._gate.end(admission)
+
+    def end(self, live: LiveRun) -> None:
+        """Record that a run is no longer at its engine."""
+        if live.admission is not None:
+            self._gate.end(live.admission)
+            live.admission = None
+
+    async def _send(
+        self,
+        live: LiveRun,
+        admission: Admission,
+        backup: Registration | None,
+        copy_name: str | None,
+    ) -> Result[Stream, Refused | Failed]:
         ex = live.ex
         reg = admission.reg
         if ex.seconds_left <= 0:
--- a/celerytrail/relay/gauges.py
+++ b/celerytrail/relay/gauges.py
@@ -8,6 +8,7 @@
 from ..model import RelayConfig
 from ..nodes.nodes import Nodes
 from ..policies.freshness import Freshness
+from .endpointaccess import EndpointAccess
 from .endpointstate import EndpointState
 from .generations import Generations
 from .peerupdates import PeerUpdates
@@ -20,6 +21,7 @@
     nodes: Nodes,
     freshness: Freshness,
     endpoints: EndpointState,
+    access: EndpointAccess,
     generations: Generations,
     peer_updates: PeerUpdates,
 ) -> None:
@@ -32,6 +34,11 @@
         "evacuated_domains": len(endpoints.evacuations.domains),
         "cold_endpoints": endpoints.cold.n_cold(now),
         "limited_endpoints": len(endpoints.limits.in_force()),
+        "brittle_endpoints": len(endpoints.brittle.in_force()),
+        "lost_paths": access.reach.n_lost,
+        "cut_off_services": len(access.cut_off_services),
+        "cut_off_nodes": access.cut_off_nodes.n_cut_off(now),
+        "open_tunnels": access.tunnels.n_open,
         "streams": generations.n_live,
         "news_sent": peer_updates.n_sent,
         "news_sent_bytes": peer_updates.n_sent_bytes,
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -109,6 +109,7 @@
                 )
             if live.stream is not None:
                 live.stream.close()
+            self._opener.end(live)
             self._run_mover.discard_move(live)
             if not live.is_complete and live.reg is not None:
                 self._run_mover.free_backup(live, live.reg)
@@ -191,6 +192,7 @@
             reg = admission.reg
             now = asyncio.get_running_loop().time()
             if n_sent and not self._budget.take(ex.service, now):
+                self._opener.discard(admission)
                 return Err(Refused(reason="retry_denied"))
             opened = await self._opener.open(live, admission, live.backup)
             if isinstance(opened, Ok):
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -9,6 +9,7 @@
 from ..metrics import DurationCounts
 from ..model import EngineProfile, Registration
 from ..policies.engineloads import Run
+from .endpointgate import Admission
 from .exchange import Exchange
 
 
@@ -67,6 +68,8 @@
         self.run = run
         self.reg: Registration | None = None
         self.backup: Registration | None = None
+        # What admitted it to its engine.
+        self.admission: Admission | None = None
         self.stream: Stream | None = None
         self.last_event_id: str | None = ex.facts.last_event_id
         self.last_number: int | None = None
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -53,6 +53,7 @@
 from .handler import RelayHandler
 from .nodeorder import NodeOrder
 from .peerupdates import PeerUpdates
+from .placebroker import PlaceBroker
 from .runmover import RunMover
 from .sharedrows import SharedRows
 from .storeclient import make_rows
@@ -146,12 +147,25 @@
             clock=self._clock,
             metrics=self._metrics,
         )
+        brittle = StatedLimits()
+        self._places = PlaceBroker(
+            node=self.node_id,
+            brittle=brittle,
+            node_order=self._node_order,
+            client=HttpClient(process=self.node_id, network=self._network),
+            keys=self._keys,
+            announce=lambda found: self.peer_updates.announce_brittle(found),
+            metrics=self._metrics,
+        )
         self._endpoint_state = state = EndpointState(
             cfg=self.cfg,
             find_service=self._find_service,
             node_order=self._node_order,
             limits=self._limits,
             broker=self._broker,
+            brittle=brittle,
+            places=self._places,
+            on_brittle=lambda found: self.peer_updates.announce_brittle([found]),
             on_limit=lambda limit: self.peer_updates.announce_limits([limit]),
             on_leaving=self._on_leaving,
         )
@@ -244,6 +258,7 @@
             on_retried=self._on_retried,
             on_aborted=self._on_aborted,
             on_limit=self._endpoint_state.gate.record_limit,
+            on_brittle=self._endpoint_state.gate.record_brittle,
             on_cut_off=self._on_node_cut_off,
             rng=self._rng,
         )
@@ -345,6 +360,7 @@
         self.nodes.add_routes(router)
         self.shared_rows.add_routes(router)
         self._broker.add_routes(router)
+        self._places.add_routes(router)
         self.access.add_routes(router)
         router.add("GET", "/metrics", self._answer_metrics)
         self._peers = HttpServer(handler=router, network=self._network)
@@ -373,6 +389,7 @@
         self._run(self.peer_updates.run())
         self._run(self._engine_watch.run())
         self._run(self._broker.run())
+        self._run(self._places.run())
         self._run(self.access.run())
         self._run(self._run_housekeeping())
         self._run(self._enter_store())
@@ -459,6 +476,7 @@
             nodes=self.nodes,
             freshness=self._freshness,
             endpoints=self._endpoint_state,
+            access=self.access,
             generations=self.generations,
             peer_updates=self.peer_updates,
         )
--- a/celerytrail/relay/nodeorder.py
+++ b/celerytrail/relay/nodeorder.py
@@ -78,6 +78,11 @@
             self._owners[endpoint] = running[first] if first is not None else None
         return self._owners[endpoint]
 
+    def running_nodes(self) -> set[str]:
+        """Return the names of the nodes that run, this one included."""
+        running = {member.node for member in self._nodes.running_members()}
+        return running | {self._nodes.me.node}
+
     def running_share(self) -> float:
         """Return the share of all VMs whose nodes run and are known to this one."""
         vms = self._vms()
--- a/celerytrail/relay/peerupdates.py
+++ b/celerytrail/relay/peerupdates.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 
 import msgspec
 from eliot import log_message
@@ -69,7 +69,8 @@
     sender made a retry, and ``aborted`` endpoints that aborted its requests.
     ``period_seconds`` is the time to the sender's next run list. ``limits`` are limits
     that endpoints state for all nodes together. ``cut_off`` are all services that the
-    sender is cut off from, None if it says nothing of them.
+    sender is cut off from, None if it says nothing of them. ``brittle`` are endpoints
+    that fall over, with the refusals per second that they bear.
     """
 
     node: str
@@ -83,6 +84,7 @@
     period_seconds: float = MIN_LIST_PERIOD_SECONDS
     limits: list[LimitEntry] = []
     cut_off: list[str] | None = None
+    brittle: list[LimitEntry] = []
 
 
 class PeerUpdates(asyncio.DatagramProtocol):
@@ -110,6 +112,8 @@
         Called with an endpoint that aborted another node's request, and that node.
     on_limit : callable
         Called with the statement of a limit that another node announced.
+    on_brittle : callable
+        The same for the refusals that an endpoint bears.
     on_cut_off : callable
         Called with another node and all services that it is cut off from.
     rng : random.Random
@@ -129,6 +133,7 @@
         on_retried: Callable[[str], None],
         on_aborted: Callable[[str, str], None],
         on_limit: Callable[[LimitStatement], object],
+        on_brittle: Callable[[LimitStatement], object],
         on_cut_off: Callable[[str, list[str]], None],
         rng: random.Random,
     ) -> None:
@@ -142,6 +147,7 @@
         self._on_retried = on_retried
         self._on_aborted = on_aborted
         self._on_limit = on_limit
+        self._on_brittle = on_brittle
         self._on_cut_off = on_cut_off
         self._rng = rng
         self._list_schedule = RunListSchedule()
@@ -213,9 +219,21 @@
 
     def announce_limits(self, statements: Sequence[LimitStatement]) -> None:
         """Announce limits that endpoints state for all nodes together."""
+        for entries in self._limit_entries(statements):
+            self._send(NodeUpdate(node=self._node, limits=entries))
+
+    def announce_brittle(self, statements: Sequence[LimitStatement]) -> None:
+        """Announce endpoints that fall over, with the refusals that they bear."""
+        for entries in self._limit_entries(statements):
+            self._send(NodeUpdate(node=self._node, brittle=entries))
+
+    def _limit_entries(
+        self, statements: Sequence[LimitStatement]
+    ) -> Iterator[list[LimitEntry]]:
+        """Yield the statements in portions that fit into a datagram."""
         now = self._now()
         for start in range(0, len(statements), MAX_LIMITS_PER_DATAGRAM):
-            entries = [
+            yield [
                 LimitEntry(
                     endpoint=statement.endpoint,
                     requests_per_second=statement.requests_per_second,
@@ -224,7 +242,6 @@
                 )
                 for statement in statements[start : start + MAX_LIMITS_PER_DATAGRAM]
             ]
-            self._send(NodeUpdate(node=self._node, limits=entries))
 
     def announce_report(self, endpoint: str, report: EngineReport) -> None:
         """Announce the load that an engine reported."""
@@ -275,6 +292,8 @@
             self._on_aborted(endpoint, update.node)
         for entry in update.limits:
             self._on_limit(_limit_from(entry, now))
+        for entry in update.brittle:
+            self._on_brittle(_limit_from(entry, now))
         if update.cut_off is not None:
             self._on_cut_off(update.node, update.cut_off)
 
--- a/tests/test_relay_brittle.py
+++ b/tests/test_relay_brittle.py
@@ -14,7 +14,10 @@
     """Start brittle endpoints that at first let many requests wait."""
     endpoints = [await rig.add_endpoint() for _ in range(n_endpoints)]
     for endpoint in endpoints:
-        endpoint.brittleness = Brittleness(n_refusals=n_refusals, n_waiting=1_000)
+        brittle = Brittleness(n_refusals=n_refusals, n_waiting=1_000)
+        endpoint.brittleness = brittle
+        row = endpoint.row("desk", slots=brittle.n_slots)
+        rig.fleet.store.put("servers", endpoint.worker_id, row)
     return endpoints
 
 
--- a/tests/test_relay_moving.py
+++ b/tests/test_relay_moving.py
@@ -51,7 +51,7 @@
         node = await rig.add_node()
         rig.store.put("op", "config", config(2, services=without_backups()))
         await wait_until(lambda: node.configs.cfg.version == 2)
-        copy = node._engine_api.copy
+        copy = node.access.engine_api.copy
 
         async def copy_slowly(source, attempt_id, target, *, is_last, deadline):
             copied = await copy(
@@ -65,7 +65,7 @@
                 await asyncio.sleep(0.5)
             return copied
 
-        node._engine_api.copy = copy_slowly
+        node.access.engine_api.copy = copy_slowly
         pending = asyncio.ensure_future(rig.request("/draft/1"))
         await wait_until(lambda: any(engine.running for engine in engines.values()))
         first = next(name for name, engine in engines.items() if engine.running)
@@ -85,7 +85,7 @@
         node = await rig.add_node()
         rig.store.put("op", "config", config(2, services=without_backups()))
         await wait_until(lambda: node.configs.cfg.version == 2)
-        copy = node._engine_api.copy
+        copy = node.access.engine_api.copy
 
         async def copy_and_leave(source, attempt_id, target, *, is_last, deadline):
             copied = await copy(
@@ -99,7 +99,7 @@
                 node.registry.record_leaving(name)
             return copied
 
-        node._engine_api.copy = copy_and_leave
+        node.access.engine_api.copy = copy_and_leave
         pending = asyncio.ensure_future(rig.request("/draft/1"))
         await wait_until(lambda: any(engine.running for engine in engines.values()))
         leaving = [next(name for name, engine in engines.items() if engine.running)]
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -366,6 +366,7 @@
             on_retried=events["retried"].append,
             on_aborted=lambda *abort: events["aborted"].append(abort),
             on_limit=events["limits"].append,
+            on_brittle=lambda statement: None,
             on_cut_off=lambda *statement: events["cut_off"].append(statement),
             rng=random.Random(1),
         )
