Take runs off connections on which nothing arrives any more

Cause: when a path falls silent, a generation on it waits until its caller's deadline or the path's return, although its engine still makes it.

Change: such runs switch to their backup, or are copied to another engine over another node; one that may run again begins anew. The fleet tool has nodes that lose the path to all engines.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -381,6 +381,25 @@
             case "big_config":
                 self._store.put("op", "config", self._config(2, event.n_routes))
 
+            case "cut_nodes":
+                await self._cut_nodes(event)
+
+    async def _cut_nodes(self, event: FleetEvent) -> None:
+        """Cut nodes off from the engines that there are, and mend that."""
+        nodes = [f"vm-{number}" for number in range(event.n_nodes)]
+        links = [(node, engine) for node in nodes for engine in self._engines]
+        for node, engine in links:
+            if event.how == "silent":
+                self._network.cut(node, engine)
+                self._network.cut(engine, node)
+                continue
+            self._network.refuse(node, engine)
+            if event.how == "reset":
+                self._network.reset(node, engine)
+        await asyncio.sleep(event.seconds)
+        for node, engine in links:
+            self._network.heal_link(node, engine)
+
     async def _evacuate(self, event: FleetEvent) -> None:
         key = f"evacuate/{event.domain}"
         self._store.put("op", key, {})
--- a/bench/fleetload.py
+++ b/bench/fleetload.py
@@ -76,15 +76,18 @@
     """An event in a simulation; times are in seconds from the start of traffic.
 
     ``kind`` is one of "evacuate" (the operator evacuates a domain), "cold_return" (a
-    domain's engines are down, and others come back cold) and "big_config" (the operator
-    adds ``n_routes`` routes).
+    domain's engines are down, and others come back cold), "big_config" (the operator
+    adds ``n_routes`` routes) and "cut_nodes" (the first ``n_nodes`` nodes lose the path
+    to all engines; ``how`` their connections end).
     """
 
-    kind: Literal["evacuate", "cold_return", "big_config"]
+    kind: Literal["evacuate", "cold_return", "big_config", "cut_nodes"]
     at: float
     seconds: float = 0.0
     domain: str = ""
     n_routes: int = 0
+    n_nodes: int = 0
+    how: Literal["silent", "reset", "refused"] = "silent"
 
 
 class FleetLoad(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -120,6 +120,10 @@
         """Move the runs of a leaving engine to others."""
         self._run_mover.on_leaving(reg, self._live)
 
+    def on_path_silent(self, reg: Registration) -> None:
+        """Take the runs of an engine off connections on which nothing arrives now."""
+        self._run_mover.on_path_silent(reg, self._live)
+
     def on_evacuated(self, domains: Collection[str]) -> None:
         """Give up the backups in failure domains that get no new work."""
         self._run_mover.on_evacuated(domains, self._live)
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -277,7 +277,7 @@
             metrics=self._metrics,
             rng=self._rng,
             announce=self.peer_updates.announce_cut_off,
-            on_silent=self._on_path_silent,
+            on_silent=lambda reg: self.generations.on_path_silent(reg),
         )
         self.nodes.on_change(self.access.on_members_changed)
         gate = self._endpoint_state.gate
@@ -543,9 +543,6 @@
         now = asyncio.get_running_loop().time()
         self.access.cut_off_nodes.record(node, services, now)
 
-    def _on_path_silent(self, reg: Registration) -> None:
-        """Take this node's runs off an engine whose answers no longer arrive."""
-
     def _update_addresses(self) -> list[Address]:
         port = self.cfg.peer_ports[0]
         return [
--- a/celerytrail/relay/runmover.py
+++ b/celerytrail/relay/runmover.py
@@ -124,6 +124,36 @@
         elif live.backup is not None and live.silent_seconds > SILENCE_TIMEOUT_SECONDS:
             live.move = asyncio.ensure_future(self._leave_silent_engine(live))
 
+    def on_path_silent(self, reg: Registration, runs: Iterable[LiveRun]) -> None:
+        """Take runs off the connections to an engine on which nothing arrives now.
+
+        The engine still makes them. They continue from a copy, at another engine, and
+        over another node.
+        """
+        for live in runs:
+            if live.reg is None or live.reg.endpoint != reg.endpoint:
+                continue
+            if live.is_resuming or not live.started.is_set():
+                continue
+            if live.move is None or _has_failed(live.move):
+                live.move = asyncio.ensure_future(self._leave_silent_path(live))
+
+    async def _leave_silent_path(self, live: LiveRun) -> Copied | Switched | None:
+        source, stream = live.reg, live.stream
+        if live.backup is not None:
+            live.ex.log("silent", endpoint=live.run.endpoint)
+            switched = await self._switch_to_backup(live, live.backup)
+            if switched is not None:
+                return switched
+        copied = None
+        if source is not None and live.engine.can_move:
+            copied = await self._copy_to_engine(live, source)
+        # Without a copy, only a request that may run again is better off elsewhere: the
+        # path may come back.
+        if stream is not None and (copied is not None or live.ex.route.is_resumable):
+            stream.close()
+        return copied
+
     @staticmethod
     def discard_move(live: LiveRun) -> None:
         """Discard a move that is no longer needed."""
