Record an endpoint as out of reach only once all ways failed

Cause: it was recorded as soon as the last node was asked, and other requests of that moment were refused; and a silent path wasn't recorded at a node that knows of no other one.

Seen in virtual time: addresses of cut nodes were not left out when the paths were silent and no other node was known. Change: record after the race, and the own path whenever another way begins. The tests of cut nodes hold as before.

--- a/celerytrail/relay/paths.py
+++ b/celerytrail/relay/paths.py
@@ -139,17 +139,17 @@
         OSError
             When no way works.
         """
-        reach = self._reach
-        now = _now()
-        direct = self._connect_directly(factory, address)
-        if not reach.is_lost(address):
-            ways = self._ways(factory, address, [direct])
-            return await self._race(ways, STAGGER_SECONDS)
-        if reach.is_retry_due(address, now):
-            ways = self._ways(factory, address, [direct])
-            return await self._race(ways, 0.0)
-        direct.close()
-        return await self._race(self._ways(factory, address, []), STAGGER_SECONDS)
+        is_lost = self._reach.is_lost(address)
+        is_retry = is_lost and self._reach.is_retry_due(address, _now())
+        first = []
+        if not is_lost or is_retry:
+            first.append(self._connect_directly(factory, address))
+        ways = self._ways(factory, address, first)
+        try:
+            return await self._race(ways, 0.0 if is_retry else STAGGER_SECONDS)
+        except OSError:
+            self._reach.record_down(address, _now())
+            raise
 
     def suspect(self, address: Address) -> None:
         """Check the path to an endpoint from which an answer doesn't arrive."""
@@ -192,11 +192,9 @@
             for member in self._peers(address)
             if now >= self._avoid_until.get((member.node, address), 0.0)
         ]
-        if members:
-            self._record_unreached(address)
+        self._record_unreached(address)
         for member in self._choice.order(members, MAX_PEERS):
             yield self._connect_through(member, factory, address)
-        self._reach.record_down(address, _now())
 
     async def _race(
         self, ways: Iterator[Coroutine[Any, Any, P]], stagger_seconds: float
