Test tunnels on real sockets and what a node knows of its reach

Exchanges, answers without a length, resets, the death of the node in the middle, a caller that leaves, refusals, a node in the middle that stops; which endpoints count as lost, and when a node counts as cut off.

--- /dev/null
+++ b/tests/test_tunnels.py
@@ -0,0 +1,228 @@
+"""Connections through another node, on real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+import pytest
+from result import Err
+
+from celerytrail.http.client import HttpClient, NotSent, RequestLost
+from celerytrail.http.messages import Request
+from celerytrail.http.network import SystemNetwork
+from celerytrail.http.routes import Router
+from celerytrail.http.server import Handler, HttpServer, Responder
+from celerytrail.http.tunnels import TunnelRefusedError, open_tunnel
+from celerytrail.metrics import Metrics
+from celerytrail.nodes.signing import PeerKeys
+from celerytrail.policies.reach import Reach
+from celerytrail.relay.tunnelserver import (
+    MAX_TUNNELS,
+    NO_ROOM,
+    STOPPING,
+    TUNNEL_PATH,
+    UNKNOWN,
+    UNREACHED,
+    TunnelRequest,
+    TunnelServer,
+)
+from celerytrail.types import Address
+from tests.relayrig import wait_until
+
+LOOPBACK = Address(host="127.0.0.1", port=0)
+KEYS = PeerKeys(keys=[b"key"])
+
+
+class EndpointHandler(Handler):
+    """Answers with a length, without one, in parts, or not at all."""
+
+    def __init__(self) -> None:
+        self.go_on = asyncio.Event()
+        self.n_waiting = 0
+
+    async def handle(self, req: Request, res: Responder) -> None:
+        transport = res._conn.transport
+        assert transport is not None
+        if req.path == "/unframed":
+            transport.write(b"HTTP/1.1 200 OK\r\n\r\nwhole")
+            transport.close()
+        elif req.path == "/parts":
+            transport.write(b"HTTP/1.1 200 OK\r\n\r\npart")
+            self.n_waiting += 1
+            await asyncio.wait(
+                [asyncio.ensure_future(self.go_on.wait()), res.lost],
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            self.n_waiting -= 1
+            transport.close()
+        elif req.path == "/reset":
+            transport.write(b"HTTP/1.1 200 OK\r\n\r\npart")
+            await asyncio.sleep(0.01)
+            linger = struct.pack("ii", 1, 0)
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            res.abort()
+        else:
+            await res.send(200, req.body)
+
+
+class ThroughPeer(SystemNetwork):
+    """Connects through a peer."""
+
+    def __init__(self, peer: Address) -> None:
+        self.peer = peer
+
+    async def connect(self, factory: Callable, address: Address):
+        body = msgspec.json.encode(TunnelRequest(endpoint=str(address)))
+        headers = KEYS.headers("POST", TUNNEL_PATH, body)
+        return await open_tunnel(
+            SystemNetwork(), self.peer, TUNNEL_PATH, body, headers, factory
+        )
+
+
+@dataclass(kw_only=True)
+class TunnelRig:
+    """An endpoint, a node in the middle, and a client that connects through it."""
+
+    handler: EndpointHandler
+    endpoint: HttpServer
+    address: Address
+    reach: Reach
+    tunnels: TunnelServer
+    middle: HttpServer
+    client: HttpClient
+    unreached: list[Address]
+
+    async def get(self, path: str):
+        return await self.client.request(self.address, "GET", path, deadline=None)
+
+
+@pytest.fixture
+async def rig():
+    handler = EndpointHandler()
+    endpoint = HttpServer(handler=handler)
+    address = await endpoint.start(LOOPBACK)
+    reach = Reach()
+    unreached: list[Address] = []
+    tunnels = TunnelServer(
+        network=SystemNetwork(),
+        reach=reach,
+        is_endpoint=lambda found: found == address,
+        keys=KEYS,
+        metrics=Metrics(process="middle"),
+        on_unreached=unreached.append,
+    )
+    router = Router()
+    tunnels.add_routes(router)
+    middle = HttpServer(handler=router)
+    peer = await middle.start(LOOPBACK)
+    client = HttpClient(network=ThroughPeer(peer), id_header=None, allows_unframed=True)
+    yield TunnelRig(
+        handler=handler,
+        endpoint=endpoint,
+        address=address,
+        reach=reach,
+        tunnels=tunnels,
+        middle=middle,
+        client=client,
+        unreached=unreached,
+    )
+    client.close()
+    await middle.close()
+    await endpoint.close()
+
+
+class TestExchange:
+    async def test_several_requests_use_one_tunnel(self, rig):
+        for _ in range(3):
+            answered = await rig.client.request(rig.address, "POST", "/", body=b"abc")
+            assert answered.ok_value.body == b"abc"
+        assert rig.client.n_connections_made == 1
+        assert rig.tunnels.n_open == 1
+
+    async def test_an_answer_that_ends_with_its_connection_is_whole(self, rig):
+        answered = await rig.get("/unframed")
+        assert answered.ok_value.body == b"whole"
+
+    async def test_an_answer_that_is_reset_is_not_whole(self, rig):
+        answered = await rig.get("/reset")
+        assert isinstance(answered, Err)
+        assert isinstance(answered.err_value, RequestLost)
+
+    async def test_an_answer_is_not_whole_if_the_node_in_the_middle_dies(self, rig):
+        # Its system closes the connection as the endpoint would do at the proper end.
+        reading = asyncio.ensure_future(rig.get("/parts"))
+        await wait_until(lambda: rig.handler.n_waiting == 1)
+        for conn in rig.middle._tasks.values():
+            conn.transport.write_eof()
+        answered = await reading
+        assert isinstance(answered, Err)
+        assert isinstance(answered.err_value, RequestLost)
+
+    async def test_the_endpoint_learns_that_the_caller_has_left(self, rig):
+        reading = asyncio.ensure_future(rig.get("/parts"))
+        await wait_until(lambda: rig.handler.n_waiting == 1)
+        reading.cancel()
+        await wait_until(lambda: rig.handler.n_waiting == 0)
+        await wait_until(lambda: rig.tunnels.n_open == 0)
+
+
+class TestRefusals:
+    async def refusal(self, rig) -> str:
+        with pytest.raises(TunnelRefusedError) as raised:
+            await rig.client._network.connect(asyncio.Protocol, rig.address)
+        return raised.value.reason
+
+    async def test_a_refused_tunnel_has_sent_nothing(self, rig):
+        rig.tunnels.n_open = MAX_TUNNELS
+        answered = await rig.get("/")
+        assert isinstance(answered.err_value, NotSent)
+        assert await self.refusal(rig) == NO_ROOM
+
+    async def test_no_tunnel_leads_through_another_one(self, rig):
+        rig.reach.record_lost(rig.address, 0.0)
+        assert await self.refusal(rig) == UNREACHED
+        assert rig.endpoint.n_connections == 0
+
+    async def test_no_tunnel_leads_to_an_address_without_an_endpoint(self, rig):
+        rig.tunnels._is_endpoint = lambda _: False
+        assert await self.refusal(rig) == UNKNOWN
+
+    async def test_an_endpoint_that_the_peer_does_not_reach_is_checked(self, rig):
+        await rig.endpoint.close()
+        assert await self.refusal(rig) == UNREACHED
+        assert rig.unreached == [rig.address]
+
+    async def test_an_unsigned_request_is_refused(self, rig):
+        body = msgspec.json.encode(TunnelRequest(endpoint=str(rig.address)))
+        with pytest.raises(TunnelRefusedError):
+            await open_tunnel(
+                SystemNetwork(),
+                rig.client._network.peer,
+                TUNNEL_PATH,
+                body,
+                {},
+                asyncio.Protocol,
+            )
+        assert rig.endpoint.n_connections == 0
+
+
+class TestStopping:
+    async def test_a_stopping_node_lets_tunnels_end_and_opens_no_more(self, rig):
+        reading = asyncio.ensure_future(rig.get("/parts"))
+        await wait_until(lambda: rig.handler.n_waiting == 1)
+        loop = asyncio.get_running_loop()
+        stopping = asyncio.ensure_future(rig.tunnels.stop(loop.time() + 20.0))
+        await asyncio.sleep(0.1)
+        assert not stopping.done()
+        with pytest.raises(TunnelRefusedError) as raised:
+            await rig.client._network.connect(asyncio.Protocol, rig.address)
+        assert raised.value.reason == STOPPING
+        rig.handler.go_on.set()
+        assert (await reading).ok_value.body == b"part"
+        await stopping
