Hold no bytes of an answer that comes through another node

Cause: the end of a connection is marked by bytes behind it, and a last byte that equals the first of these was held until the caller's deadline.

Change: the end begins with a byte that no UTF-8 text has, and what is held is passed on after 20 ms. Idle connections that must not be used again are closed, so that a node in the middle stops without waiting for its deadline.

--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -408,6 +408,14 @@
             for entry in self._idle.get(address, ())
         )
 
+    def close_retired(self) -> None:
+        """Close the idle connections that must not be used again."""
+        for address, idle in list(self._idle.items()):
+            for entry in idle:
+                if entry.conn.is_retired:
+                    entry.conn.close()
+            self._idle[address] = [one for one in idle if not one.conn.is_retired]
+
     def close_idle(self, address: Address) -> None:
         """Close the idle connections to a peer."""
         for entry in self._idle.pop(address, []):
--- a/celerytrail/http/tunnels.py
+++ b/celerytrail/http/tunnels.py
@@ -25,6 +25,11 @@
 # In the peer's answer: the bytes that follow the other process's last ones.
 END_HEADER = "x-tunnel-end"
 N_END_BYTES = 16
+# The end begins with a byte that no UTF-8 text contains, so that hardly any answer's
+# last bytes look like its beginning.
+END_PREFIX = b"\xff"
+# How long bytes are held with which the end may begin, in seconds.
+HOLD_SECONDS = 0.02
 
 
 class TunnelRefusedError(OSError):
@@ -127,6 +132,7 @@
         self._end = end
         # Received bytes with which the end may begin.
         self._held = b""
+        self._release_timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
         self._is_over = False
 
@@ -141,9 +147,20 @@
         data = self._held + data
         n_held = _n_common(data, self._end)
         self._held = data[len(data) - n_held :]
+        if self._release_timer is not None:
+            self._release_timer.cancel()
+            self._release_timer = None
+        if 0 < n_held < len(self._end):
+            loop = asyncio.get_running_loop()
+            self._release_timer = loop.call_later(HOLD_SECONDS, self._release_held)
         if n_held < len(data):
             self._inner.data_received(data[: len(data) - n_held])
 
+    def _release_held(self) -> None:
+        """Pass on what didn't turn out to be the end."""
+        held, self._held = self._held, b""
+        self._inner.data_received(held)
+
     def eof_received(self) -> bool:
         """Pass on the end of the connection; without the end bytes, as a reset."""
         if self._held == self._end:
@@ -170,6 +187,8 @@
 
     def _lose(self, exc: Exception | None) -> None:
         self._is_over = True
+        if self._release_timer is not None:
+            self._release_timer.cancel()
         inner, self._inner = self._inner, asyncio.Protocol()
         inner.connection_lost(exc)
 
@@ -204,7 +223,7 @@
 
 def new_end() -> bytes:
     """Return end bytes that no answer contains by chance."""
-    return secrets.token_bytes(N_END_BYTES)
+    return END_PREFIX + secrets.token_bytes(N_END_BYTES - len(END_PREFIX))
 
 
 async def open_tunnel(
--- a/celerytrail/relay/endpointaccess.py
+++ b/celerytrail/relay/endpointaccess.py
@@ -128,6 +128,11 @@
 
     def update(self, now: float) -> None:
         """Find out which services this node is cut off from, and announce changes."""
+        if self.paths.has_retired:
+            # A node in the middle stops once the tunnels through it are closed.
+            self.paths.has_retired = False
+            self.client.close_retired()
+            self.engine_api.close_retired()
         by_service: dict[str, list[Address]] = {}
         for reg in self._registry.all():
             by_service.setdefault(reg.service, []).append(reg.address)
--- a/celerytrail/relay/engineapi.py
+++ b/celerytrail/relay/engineapi.py
@@ -41,6 +41,10 @@
         self._client = client
         self.n_reports = 0
 
+    def close_retired(self) -> None:
+        """Close the idle connections that must not be used again."""
+        self._client.close_retired()
+
     async def report(
         self, reg: Registration, deadline: float
     ) -> Result[EngineReport, str]:
--- a/celerytrail/relay/paths.py
+++ b/celerytrail/relay/paths.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterator
+from collections.abc import Callable, Coroutine, Iterable, Iterator
 from typing import Any, TypeVar
 from weakref import WeakSet
 
@@ -100,6 +100,8 @@
         self._refused_at: dict[Address, float] = {}
         self._checks: dict[Address, asyncio.Task[None]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
+        # Whether idle connections may have to be closed.
+        self.has_retired = False
 
     async def run(self) -> None:
         """Try lost paths again periodically, until cancelled."""
@@ -171,8 +173,7 @@
 
     def retire_peer(self, node: str) -> None:
         """Use no connection through a node again."""
-        for conn in self._by_peer.pop(node, ()):
-            conn.is_retired = True
+        self._retire(self._by_peer.pop(node, ()))
 
     # Internals.
 
@@ -293,8 +294,7 @@
         if not self._reach.record_reached(address, _now()):
             return
         log_message("relay:path:back", address=str(address))
-        for conn in self._tunnelled.pop(address, ()):
-            conn.is_retired = True
+        self._retire(self._tunnelled.pop(address, ()))
 
     def _record_lost(self, address: Address, member: Member) -> None:
         if not self._reach.record_lost(address, _now()):
@@ -303,8 +303,7 @@
         self._metrics.count("endpoint_paths_lost")
         if _now() - self._refused_at.get(address, 0.0) > REFUSED_SECONDS:
             # The path is silent, and so are the connections that it carried.
-            for conn in self._direct.pop(address, ()):
-                conn.is_retired = True
+            self._retire(self._direct.pop(address, ()))
             self._on_silent(address)
 
     def _record_unreached(self, address: Address) -> None:
@@ -320,6 +319,11 @@
         for other in others[:N_CHECKED]:
             self.suspect(other)
 
+    def _retire(self, conns: Iterable[Connection]) -> None:
+        for conn in conns:
+            conn.is_retired = True
+            self.has_retired = True
+
     async def _check(self, address: Address) -> None:
         """Connect to an endpoint once, to learn whether its path is open."""
         try:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -17,7 +17,7 @@
 from celerytrail.http.network import SystemNetwork
 from celerytrail.http.routes import Router
 from celerytrail.http.server import Handler, HttpServer, Responder
-from celerytrail.http.tunnels import TunnelRefusedError, open_tunnel
+from celerytrail.http.tunnels import END_PREFIX, TunnelRefusedError, open_tunnel
 from celerytrail.metrics import Metrics
 from celerytrail.nodes.signing import PeerKeys
 from celerytrail.policies.reach import Reach
@@ -149,6 +149,13 @@
         answered = await rig.get("/unframed")
         assert answered.ok_value.body == b"whole"
 
+    async def test_bytes_with_which_the_end_could_begin_are_passed_on(self, rig):
+        # The last byte of an answer was held for the rest of the end, which never came.
+        answered = await rig.client.request(
+            rig.address, "POST", "/", body=b"abc" + END_PREFIX
+        )
+        assert answered.ok_value.body == b"abc" + END_PREFIX
+
     async def test_an_answer_that_is_reset_is_not_whole(self, rig):
         answered = await rig.get("/reset")
         assert isinstance(answered, Err)
