Check no other endpoints while a connection is made as usual

Cause: the next way to connect was prepared together with the first one, and its preparation recorded the endpoint as out of reach and had three others checked, at each connection.

Seen in the read-through. Change: the next way is prepared when its time has come.

--- a/celerytrail/relay/paths.py
+++ b/celerytrail/relay/paths.py
@@ -210,17 +210,21 @@
         pending: set[asyncio.Task[P]] = set()
         winner: asyncio.Task[P] | None = None
         exc: BaseException = ConnectionRefusedError("no node reaches the endpoint")
+        are_all_begun = False
         try:
-            way = next(ways, None)
-            while way is not None or pending:
-                if way is not None:
-                    task = asyncio.ensure_future(way)
-                    tasks.append(task)
-                    pending.add(task)
+            while True:
+                if not are_all_begun:
                     way = next(ways, None)
+                    are_all_begun = way is None
+                    if way is not None:
+                        task = asyncio.ensure_future(way)
+                        tasks.append(task)
+                        pending.add(task)
+                if not pending:
+                    raise exc
                 done, pending = await asyncio.wait(
                     pending,
-                    timeout=stagger_seconds if way is not None else None,
+                    timeout=None if are_all_begun else stagger_seconds,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
                 for task in done:
@@ -228,14 +232,11 @@
                         winner = task
                         return task.result()
                     exc = task.exception() or exc
-            raise exc
         finally:
             for task in tasks:
                 if task is not winner:
                     task.cancel()
                     task.add_done_callback(_close_connection)
-            if way is not None:
-                way.close()
 
     async def _connect_directly(self, factory: Callable[[], P], address: Address) -> P:
         try:
--- a/scenarios/memorynetwork.py
+++ b/scenarios/memorynetwork.py
@@ -10,7 +10,7 @@
 import functools
 import itertools
 import random
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -48,6 +48,8 @@
         self.datagrams: dict[Address, MemoryDatagrams] = {}
         self._cut: set[tuple[str, str]] = set()
         self._refused: set[tuple[str, str]] = set()
+        # By client and server, how often a connection was asked for.
+        self.n_connects: Counter[tuple[str, str]] = Counter()
         self._frozen: set[str] = set()
         self._in_flight: defaultdict[tuple[str, str], deque[Callable[[], None]]]
         self._in_flight = defaultdict(deque)
@@ -211,6 +213,8 @@
     async def connect(self, factory: Callable[[], P], address: Address) -> P:
         """Open a connection; this waits without limit while the link is cut."""
         listener = self._fabric.listeners.get(address)
+        if listener is not None:
+            self._fabric.n_connects[self._name, listener.owner] += 1
         if listener is None or self._fabric.is_refused(self._name, listener.owner):
             await asyncio.sleep(self._fabric.delay_seconds)
             raise ConnectionRefusedError(f"nothing accepts at {address}")
--- a/tests/test_relay_reach.py
+++ b/tests/test_relay_reach.py
@@ -141,6 +141,25 @@
 
         run_cut_fleet(12, steps)
 
+    def test_nothing_is_paid_for_while_all_paths_are_open(self):
+        # Each connection to an endpoint made nodes check three others.
+        async def steps(rig: CutFleet) -> None:
+            for _ in range(4):
+                await rig.add_endpoint()
+            callers = rig.first_tries(36.0)
+            await callers.run(5.0)
+            names = {endpoint.worker_id for endpoint in rig.endpoints}
+            n_asked = sum(
+                n
+                for (_, server), n in rig.fleet.wires.n_connects.items()
+                if server in names
+            )
+            clients = [node.access.client for node in rig.fleet.nodes]
+            assert n_asked == sum(client.n_connections_made for client in clients)
+            assert not any(node.access.tunnels.n_open for node in rig.fleet.nodes)
+
+        run_cut_fleet(12, steps)
+
     def test_nobody_is_left_out_if_all_nodes_are_cut(self):
         async def steps(rig: CutFleet) -> None:
             for _ in range(3):
