--- a/celerytrail/relay/endpointgate.py
+++ b/celerytrail/relay/endpointgate.py
@@ -6,16 +6,14 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
-from eliot import log_message
-
 from ..http.client import MAX_IDLE_PER_ADDRESS
 from ..model import EndpointStatements, Registration
 from ..policies.coldlimits import ColdEndpoints, ColdShares, NodePosition, RankedShares
 from ..policies.evacuations import Evacuations
 from ..policies.homes import is_allowed
-from ..policies.statedlimits import LimitStatement, StatedLimits
-from .placebroker import Place, PlaceBroker
-from .tokenbroker import RequestToken, TokenBroker
+from .endpointlimits import EndpointLimits
+from .placebroker import Place
+from .tokenbroker import RequestToken
 
 # Reason for which a request wasn't sent: its endpoint may not receive it now.
 ENDPOINT_CLOSED = "endpoint_closed"
@@ -56,18 +54,8 @@
     connection_limit : callable
         Returns how many connections an endpoint of a service accepts from all nodes
         together; None if unknown.
-    limits : StatedLimits
-        The limits that endpoints state.
-    broker : TokenBroker
-        Obtains tokens for endpoints with a limit.
-    brittle : StatedLimits
-        The refusals per second that brittle endpoints state to bear.
-    places : PlaceBroker
-        Obtains places at brittle endpoints.
-    on_brittle : callable
-        Called with each statement that changes whether an endpoint is brittle.
-    on_limit : callable
-        Called with each statement that changes an endpoint's limit.
+    limits : EndpointLimits
+        What endpoints state for all nodes together.
     position : callable
         Returns this node's position in the order that belongs to an endpoint.
     domain_regions : mapping or None
@@ -83,12 +71,7 @@
         cold: ColdEndpoints,
         cold_limit: Callable[[str], float | None],
         connection_limit: Callable[[str], int | None],
-        limits: StatedLimits,
-        broker: TokenBroker,
-        brittle: StatedLimits,
-        places: PlaceBroker,
-        on_brittle: Callable[[LimitStatement], None],
-        on_limit: Callable[[LimitStatement], None],
+        limits: EndpointLimits,
         position: Callable[[str], NodePosition],
         domain_regions: Mapping[str, str] | None = None,
         shares: ColdShares | None = None,
@@ -98,11 +81,6 @@
         self._cold_limit = cold_limit
         self._connection_limit = connection_limit
         self._limits = limits
-        self._broker = broker
-        self._brittle = brittle
-        self._places = places
-        self._on_brittle = on_brittle
-        self._on_limit = on_limit
         self._position = position
         self._domain_regions = domain_regions or {}
         self._shares = shares or RankedShares()
@@ -119,7 +97,7 @@
         ``can_wait`` is for runs that continue, which wait for room within its limit.
         """
         is_home = is_allowed(reg.failure_domain, home_regions, self._domain_regions)
-        has_room = can_wait or self._seconds_until_open(reg) == 0
+        has_room = can_wait or self._limits.seconds_until_open(reg.endpoint) == 0
         return is_home and has_room and self._is_open(reg)
 
     def seconds_until_open(self, regs: Iterable[Registration]) -> float | None:
@@ -127,35 +105,28 @@
 
         None unless all of them are closed because of their limits.
         """
-        waits = [self._seconds_until_open(reg) for reg in regs]
+        waits = [self._limits.seconds_until_open(reg.endpoint) for reg in regs]
         return min(waits, default=0.0) or None
 
-    def _seconds_until_open(self, reg: Registration) -> float:
-        return max(
-            self._broker.seconds_until_open(reg.endpoint),
-            self._places.seconds_until_open(reg.endpoint),
-        )
-
     def is_limited(self, reg: Registration) -> bool:
         """Return whether an endpoint states a limit for all nodes together."""
-        endpoint = reg.endpoint
-        return self._broker.is_limited(endpoint) or self._places.is_brittle(endpoint)
+        return self._limits.is_limited(reg.endpoint)
 
     async def admit(self, reg: Registration) -> Admission | None:
         """Return the admission of a request to an endpoint, None if its limit forbids.
 
         An endpoint that refused is closed until it may have room again.
         """
-        place = await self._places.take(reg.endpoint, reg.n_slots)
+        place = await self._limits.places.take(reg.endpoint, reg.n_slots)
         if place is None:
             return None
         token = None
-        if self._broker.is_limited(reg.endpoint):
+        if self._limits.tokens.is_limited(reg.endpoint):
             try:
-                token = await self._broker.take(reg.endpoint)
+                token = await self._limits.tokens.take(reg.endpoint)
             finally:
                 if token is None:
-                    self._places.end(place, is_refused=False)
+                    self._limits.places.end(place, is_refused=False)
             if token is None:
                 return None
         return Admission(reg=reg, token=token, place=place)
@@ -165,12 +136,14 @@
 
         ``is_refused`` says that its endpoint had no room for it.
         """
-        self._places.end(admission.place, is_refused=is_refused)
+        self._limits.places.end(admission.place, is_refused=is_refused)
 
     async def admit_until(self, reg: Registration, deadline: float) -> Admission | None:
         """Return the admission of a run that continues; wait until a deadline."""
         while (admission := await self.admit(reg)) is None:
-            seconds = max(self._seconds_until_open(reg), MIN_WAIT_SECONDS)
+            seconds = max(
+                self._limits.seconds_until_open(reg.endpoint), MIN_WAIT_SECONDS
+            )
             if _now() + seconds >= deadline:
                 return None
             await asyncio.sleep(seconds)
@@ -186,7 +159,7 @@
         reg = admission.reg
         if not self._is_open(reg):
             return False
-        if not self._broker.admits(reg.endpoint, admission.token):
+        if not self._limits.tokens.admits(reg.endpoint, admission.token):
             return False
         self._cold.count_request(reg.endpoint, _now())
         return True
@@ -195,7 +168,7 @@
         """Return whether a run may continue from its copy now, and count it."""
         reg = admission.reg
         now = _now()
-        if not self._broker.admits(reg.endpoint, admission.token):
+        if not self._limits.tokens.admits(reg.endpoint, admission.token):
             return False
         if not self._evacuations.may_continue(reg.failure_domain, now):
             return False
@@ -243,47 +216,7 @@
         now = _now()
         if stated.cold_seconds > 0:
             self._cold.record(reg.endpoint, now + stated.cold_seconds)
-        if stated.refusals_per_second is not None or stated.is_own:
-            bears = LimitStatement(
-                endpoint=reg.endpoint,
-                requests_per_second=stated.refusals_per_second,
-                sent_at=sent_at,
-                heard_at=now,
-            )
-            if self.record_brittle(bears):
-                self._on_brittle(bears)
-        if stated.requests_per_second is None and not stated.is_own:
-            return
-        statement = LimitStatement(
-            endpoint=reg.endpoint,
-            requests_per_second=stated.requests_per_second,
-            sent_at=sent_at,
-            heard_at=now,
-        )
-        if self.record_limit(statement):
-            self._on_limit(statement)
-
-    def record_limit(self, statement: LimitStatement) -> bool:
-        """Record an endpoint's limit, and return whether it changes."""
-        if not self._limits.record(statement):
-            return False
-        log_message(
-            "relay:endpoint:limit",
-            endpoint=statement.endpoint,
-            requests_per_second=statement.requests_per_second,
-        )
-        return True
-
-    def record_brittle(self, statement: LimitStatement) -> bool:
-        """Record what an endpoint bears, and return whether that changes."""
-        if not self._brittle.record(statement):
-            return False
-        log_message(
-            "relay:endpoint:brittle",
-            endpoint=statement.endpoint,
-            refusals_per_second=statement.requests_per_second,
-        )
-        return True
+        self._limits.record_statements(reg, stated, sent_at, now)
 
     def _has_share(self, reg: Registration, now: float) -> bool:
         if not self._cold.is_cold(reg.endpoint, now):
--- a/celerytrail/relay/endpointstate.py
+++ b/celerytrail/relay/endpointstate.py
@@ -9,12 +9,10 @@
 from ..platform.nodesettings import RelaySettings
 from ..policies.coldlimits import ColdEndpoints
 from ..policies.evacuations import Evacuations
-from ..policies.statedlimits import LimitStatement, StatedLimits
 from .endpointgate import EndpointGate
+from .endpointlimits import EndpointLimits
 from .nodeorder import NodeOrder
-from .placebroker import PlaceBroker
 from .registry import Registry
-from .tokenbroker import TokenBroker
 
 # Share of the time between the bounds on configuration and on evacuations in which a
 # run may still continue from a copy that was already on its way.
@@ -35,18 +33,8 @@
         Returns a service of the configuration in force by its name, or None.
     node_order : NodeOrder
         This node's position among all nodes.
-    limits : StatedLimits
-        The limits that endpoints state.
-    broker : TokenBroker
-        Obtains tokens for endpoints with a limit.
-    brittle : StatedLimits
-        The refusals per second that brittle endpoints state to bear.
-    places : PlaceBroker
-        Obtains places at brittle endpoints.
-    on_brittle : callable
-        Called with each statement that changes whether an endpoint is brittle.
-    on_limit : callable
-        Called with each statement that changes an endpoint's limit.
+    limits : EndpointLimits
+        What endpoints state for all nodes together.
     on_leaving : callable
         Called once for each incarnation of an endpoint that leaves or is removed.
     """
@@ -57,12 +45,7 @@
         cfg: RelaySettings,
         find_service: Callable[[str], Service | None],
         node_order: NodeOrder,
-        limits: StatedLimits,
-        broker: TokenBroker,
-        brittle: StatedLimits,
-        places: PlaceBroker,
-        on_brittle: Callable[[LimitStatement], None],
-        on_limit: Callable[[LimitStatement], None],
+        limits: EndpointLimits,
         on_leaving: Callable[[Registration], None],
     ) -> None:
         self._cfg = cfg
@@ -73,7 +56,6 @@
         )
         self.cold = ColdEndpoints()
         self.limits = limits
-        self.brittle = brittle
         self.registry = Registry(on_leaving=on_leaving, evacuations=self.evacuations)
         self.gate = EndpointGate(
             evacuations=self.evacuations,
@@ -81,11 +63,6 @@
             cold_limit=self._cold_limit,
             connection_limit=self._connection_limit,
             limits=limits,
-            broker=broker,
-            brittle=brittle,
-            places=places,
-            on_brittle=on_brittle,
-            on_limit=on_limit,
             position=node_order.position,
             domain_regions=cfg.domain_regions,
         )
@@ -110,11 +87,7 @@
         """Forget endpoints that didn't return in time, and what has ended of them."""
         self.registry.expire(now)
         self.cold.expire(now)
-        for limits in (self.limits, self.brittle):
-            for statement in limits.in_force():
-                if not self.registry.has(statement.endpoint):
-                    limits.forget(statement.endpoint)
-            limits.expire(now)
+        self.limits.expire(now, self.registry.has)
 
     def _cold_limit(self, name: str) -> float | None:
         """Return the requests per second for a cold endpoint, None without a limit."""
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -37,12 +37,12 @@
 from ..policies.placing import LeastCostPlacement, PlacementPolicy
 from ..policies.prefillrates import PrefillObserver, PrefillRates
 from ..policies.retrybudget import SharedRetryBudget
-from ..policies.statedlimits import StatedLimits
 from ..rowsource import RowSource
 from ..types import Address
 from .addresses import DirectoryHandler, ReadinessHandler
 from .calls import PlainCalls
 from .endpointaccess import EndpointAccess
+from .endpointlimits import EndpointLimits
 from .endpointstate import EndpointState
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
@@ -53,12 +53,10 @@
 from .handler import RelayHandler
 from .nodeorder import NodeOrder
 from .peerupdates import PeerUpdates
-from .placebroker import PlaceBroker
 from .runmover import RunMover
 from .sharedrows import SharedRows
 from .storeclient import make_rows
 from .tablesinks import ConfigSink, EvacuationSink, RegistrationSink, SinkGroup
-from .tokenbroker import TokenBroker
 
 MILLISECONDS = 1_000
 HOUSEKEEPING_SECONDS = 0.25
@@ -136,37 +134,21 @@
         self._make_serving()
 
     def _make_tables(self) -> None:
-        self._limits = StatedLimits()
-        self._broker = TokenBroker(
+        self._limits = EndpointLimits(
             node=self.node_id,
-            limits=self._limits,
             node_order=self._node_order,
-            client=HttpClient(process=self.node_id, network=self._network),
+            network=self._network,
             keys=self._keys,
-            announce=lambda limits: self.peer_updates.announce_limits(limits),
+            announce_rates=lambda found: self.peer_updates.announce_limits(found),
+            announce_brittle=lambda found: self.peer_updates.announce_brittle(found),
             clock=self._clock,
             metrics=self._metrics,
         )
-        brittle = StatedLimits()
-        self._places = PlaceBroker(
-            node=self.node_id,
-            brittle=brittle,
-            node_order=self._node_order,
-            client=HttpClient(process=self.node_id, network=self._network),
-            keys=self._keys,
-            announce=lambda found: self.peer_updates.announce_brittle(found),
-            metrics=self._metrics,
-        )
         self._endpoint_state = state = EndpointState(
             cfg=self.cfg,
             find_service=self._find_service,
             node_order=self._node_order,
             limits=self._limits,
-            broker=self._broker,
-            brittle=brittle,
-            places=self._places,
-            on_brittle=lambda found: self.peer_updates.announce_brittle([found]),
-            on_limit=lambda limit: self.peer_updates.announce_limits([limit]),
             on_leaving=self._on_leaving,
         )
         self.registry = state.registry
@@ -257,8 +239,8 @@
             on_leaving=self.registry.record_leaving,
             on_retried=self._on_retried,
             on_aborted=self._on_aborted,
-            on_limit=self._endpoint_state.gate.record_limit,
-            on_brittle=self._endpoint_state.gate.record_brittle,
+            on_limit=self._limits.record_rate,
+            on_brittle=self._limits.record_brittle,
             on_cut_off=self._on_node_cut_off,
             rng=self._rng,
         )
@@ -359,8 +341,7 @@
         router = Router()
         self.nodes.add_routes(router)
         self.shared_rows.add_routes(router)
-        self._broker.add_routes(router)
-        self._places.add_routes(router)
+        self._limits.add_routes(router)
         self.access.add_routes(router)
         router.add("GET", "/metrics", self._answer_metrics)
         self._peers = HttpServer(handler=router, network=self._network)
@@ -388,8 +369,7 @@
             self._run(watch.run())
         self._run(self.peer_updates.run())
         self._run(self._engine_watch.run())
-        self._run(self._broker.run())
-        self._run(self._places.run())
+        self._run(self._limits.run())
         self._run(self.access.run())
         self._run(self._run_housekeeping())
         self._run(self._enter_store())
