--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -166,11 +166,7 @@
             tried.add(admission.reg.endpoint)
             attempt = asyncio.ensure_future(self._attempt(ex, admission))
             attempt.add_done_callback(functools.partial(self._on_ended, admission))
-            try:
-                outcome = await attempt
-            except asyncio.CancelledError:
-                attempt.cancel()
-                raise
+            outcome = await attempt
             # Another endpoint may be tried only if this one states that it hasn't
             # executed the request, or if no byte of it was sent.
             if not isinstance(outcome, NotExecuted):
