--- a/celerytrail/policies/peerchoice.py
+++ b/celerytrail/policies/peerchoice.py
@@ -56,20 +56,3 @@
         self._rng.shuffle(near)
         self._rng.shuffle(far)
         yield from (near[:1] + far + near[1:])[:n_most]
-
-
-class RandomPeers(PeerChoice):
-    """Draws nodes at random.
-
-    Parameters
-    ----------
-    rng : random.Random
-        Spreads the requests over the nodes.
-    """
-
-    def __init__(self, *, rng: random.Random) -> None:
-        self._rng = rng
-
-    def order(self, members: Sequence[M], n_most: int) -> Iterator[M]:
-        """Yield the nodes to try, the preferred one first."""
-        yield from self._rng.sample(members, min(n_most, len(members)))
