--- a/tests/test_relay_limit.py
+++ b/tests/test_relay_limit.py
@@ -20,9 +20,6 @@
     wait_until,
 )
 
-# How much of a limit is used depends on which endpoint each node happens to try first.
-SEEDS = range(1, 5)
-
 
 class TestStatedLimit:
     @pytest.mark.parametrize("limit", [1.0, 2.2])
@@ -62,17 +59,13 @@
 
     def test_most_of_it_is_used(self):
         # A node's own part of the limit would be lost while it has no request.
-        n_sent: list[int] = []
-
         async def steps(rig: EndpointFleet) -> None:
             limited = await rig.add_endpoint(2.0)
             await rig.add_endpoint()
             await rig.traffic(30.0).run(20.0)
-            n_sent.append(len(limited.seen))
+            assert len(limited.seen) >= 0.6 * 2.0 * 20.0
 
-        for seed in SEEDS:
-            run_endpoint_fleet(12, steps, seed)
-        assert sum(n_sent) >= len(SEEDS) * 0.6 * 2.0 * 20.0
+        run_endpoint_fleet(12, steps)
 
     def test_requests_beyond_it_are_refused_with_the_time_of_room(self):
         async def steps(rig: EndpointFleet) -> None:
@@ -150,8 +143,6 @@
 
     @pytest.mark.parametrize("n_isolated", [1, 4, 12])
     def test_nodes_that_hear_nobody(self, n_isolated: int):
-        n_most: list[int] = []
-
         async def steps(rig: EndpointFleet) -> None:
             limited = await rig.add_endpoint(1.0)
             await rig.add_endpoint()
@@ -162,13 +153,10 @@
             others = [number for number in range(12) if number != owner]
             rig.fleet.cut_off(*[owner, *others][:n_isolated])
             await traffic.run(16.0)
-            n_most.append(rig.n_most(limited, stated_at))
-            assert n_most[-1] <= allowed(1.0)
+            assert 0 < rig.n_most(limited, stated_at) <= allowed(1.0)
             assert traffic.n_served >= 0.99 * len(traffic.answers)
 
-        for seed in SEEDS:
-            run_endpoint_fleet(12, steps, seed)
-        assert sum(n_most) > 0
+        run_endpoint_fleet(12, steps)
 
     @pytest.mark.parametrize("n_parts", [2, 3, 4])
     def test_parts_of_the_nodes_that_lose_sight_of_one_another(self, n_parts: int):
