Decode and log pauses and leaving in the answers of endpoints

Why: neither new rule could be reckoned from a log. A refusal showed no Retry-After, and relay:answered named no endpoint, so where a plain request was served stayed unknown.

Change: the adapter decodes Retry-After of a 503 (a fraction too; negative, unreadable and dates as none, an hour at most) and Server-Leaving of any answer; attempt_refused logs the pause, answered the endpoint. Nothing acts on it yet.

--- a/celerytrail/model.py
+++ b/celerytrail/model.py
@@ -261,12 +261,18 @@
     is_own : bool
         Whether the answer is certainly the endpoint's own, so that a limit that isn't
         stated has ended.
+    pause_seconds : float
+        For how long it wants no requests from this node; 0 if it doesn't say.
+    is_leaving : bool
+        Whether it says that it leaves.
     """
 
     cold_seconds: float = 0.0
     requests_per_second: float | None = None
     refusals_per_second: float | None = None
     is_own: bool = True
+    pause_seconds: float = 0.0
+    is_leaving: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/celerytrail/platform/wire.py
+++ b/celerytrail/platform/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -32,6 +33,11 @@
 _COLD = "x-cold-ms"
 _LIMIT = "server-limit"
 _BRITTLE = "server-brittle"
+_LEAVING = "server-leaving"
+_RETRY_AFTER = "retry-after"
+
+# Longest pause that an endpoint may ask for, in seconds.
+MAX_PAUSE_SECONDS = 3_600.0
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1).
 _HOP_BY_HOP = frozenset(
@@ -188,6 +194,8 @@
         requests_per_second=_rate(headers.get(_LIMIT)),
         refusals_per_second=_rate(headers.get(_BRITTLE)),
         is_own=is_sealed_answer(headers) and not is_not_run(status, headers),
+        pause_seconds=_pause_seconds(status, headers.get(_RETRY_AFTER)),
+        is_leaving=headers.get(_LEAVING, "0").strip() not in ("", "0"),
     )
 
 
@@ -281,6 +289,22 @@
     return value * MS if value is not None and 0 <= value < 1e12 else None
 
 
+def _pause_seconds(status: int, text: str | None) -> float:
+    """Return the pause that a refusal asks for, 0 if it asks for none.
+
+    Only numbers count: a date would be one of the endpoint's clock.
+    """
+    if status != 503 or text is None:
+        return 0.0
+    try:
+        seconds = float(text)
+    except ValueError:
+        return 0.0
+    if math.isnan(seconds) or seconds <= 0:
+        return 0.0
+    return min(seconds, MAX_PAUSE_SECONDS)
+
+
 def _rate(text: str | None) -> float | None:
     try:
         value = float(text) if text is not None else None
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -35,8 +35,9 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Answered:
-    """A complete answer of the endpoint's own."""
+    """A complete answer of an endpoint's own."""
 
+    endpoint: str
     res: Response
 
 
@@ -135,8 +136,8 @@
     async def _send_answer(self, ex: Exchange, outcome: Outcome) -> None:
         attempt = ex.facts.attempt_id
         match outcome:
-            case Answered(res=res):
-                ex.log("answered", status=res.status)
+            case Answered(endpoint=endpoint, res=res):
+                ex.log("answered", endpoint=endpoint, status=res.status)
                 ex.observe("relay_answer")
                 headers = wire.answer_headers(res.headers)
                 await ex.res.send(res.status, res.body, headers)
@@ -353,13 +354,18 @@
             ex.log("attempt_failed", endpoint=reg.endpoint, reason=lost.reason)
             return Failed(reason=lost.reason)
         if wire.is_not_run(stream.status, stream.headers):
-            ex.log("attempt_refused", endpoint=reg.endpoint, status=stream.status)
+            ex.log(
+                "attempt_refused",
+                endpoint=reg.endpoint,
+                status=stream.status,
+                pause_seconds=stated.pause_seconds,
+            )
             return NotExecuted(reason="endpoint_refused", was_sent=True)
         if not wire.is_sealed_answer(stream.headers):
             ex.log("attempt_failed", endpoint=reg.endpoint, reason="unsealed")
             return Failed(reason="unsealed")
         res = Response(status=stream.status, headers=stream.headers, body=body.ok_value)
-        return Answered(res=res)
+        return Answered(endpoint=reg.endpoint, res=res)
 
 
 def _more_informative(first: Outcome, second: Outcome) -> Outcome:
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -153,7 +153,12 @@
         if stated.requests_per_second is not None:
             ex.log("limit_stated", endpoint=reg.endpoint, sent_at=round(sent_at, 3))
         if wire.is_not_run(stream.status, stream.headers):
-            ex.log("attempt_refused", endpoint=reg.endpoint, status=stream.status)
+            ex.log(
+                "attempt_refused",
+                endpoint=reg.endpoint,
+                status=stream.status,
+                pause_seconds=stated.pause_seconds,
+            )
             await stream.read(ex.loop_deadline)
             return Err(Refused(reason="engine_refused", was_sent=True))
         live.n_runs += 1
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -244,7 +244,7 @@
             ex.log("failed", reason=body.err_value.reason)
             await refuse(ex.res, 502, body.err_value.reason, attempt_id=attempt)
             return
-        ex.log("answered", status=stream.status)
+        ex.log("answered", endpoint=live.run.endpoint, status=stream.status)
         headers = wire.answer_headers(stream.headers)
         await ex.res.send(stream.status, body.ok_value, headers)
 
@@ -279,6 +279,7 @@
         ex.observe_seconds("relay_longest_pause", live.longest_pause)
         ex.log(
             "answered",
+            endpoint=live.run.endpoint,
             status=200,
             n_events=live.n_events,
             n_runs=live.n_runs,
