Reproduce requests in the pauses of endpoints, and at leaving ones, in failing tests

Cause: not shown by this commit. What callers see: their requests are tried at endpoints that had asked for a pause or said that they leave; the tries are refused or lost.

The stand-in workers learn to turn requests away with Retry-After and to say in all answers that they leave, and record what reached them from which machine and what they said to it.

--- a/standins/modelworker.py
+++ b/standins/modelworker.py
@@ -208,10 +208,10 @@
         order = msgspec.json.decode(req.body)
         stream = self._streams.get(order["id"])
         if stream is None:
-            await res.send(404)
+            await res.send(404, headers=self.leaving_headers)
             return
         if stream.is_moving:
-            await res.send(409)
+            await res.send(409, headers=self.leaving_headers)
             return
         stream.is_moving = True
         handle = f"m{order['id']}"
@@ -229,12 +229,13 @@
         stream.changed.set()
         if not is_copied:
             body = {"handle": handle} if order["last"] else {}
-            await res.send_json(503, body)
+            await res.send_json(503, body, self.leaving_headers)
             return
         if order["last"]:
             self._drop_copy(f"{self.address}/{handle}")
         n_events = job.n_generated // self.model.spec.n_event_tokens
-        await res.send_json(200, {"handle": handle, "created": n_events})
+        moved = {"handle": handle, "created": n_events}
+        await res.send_json(200, moved, self.leaving_headers)
 
     def _hold_copy(self, name: str, job: Job) -> None:
         drop_at = asyncio.get_running_loop().time() + COPY_LIFETIME_SECONDS
@@ -246,7 +247,7 @@
         names = [name for name in self._copies if name.endswith(f"/{handle}")]
         for name in names:
             self._drop_copy(name)
-        await res.send(200 if names else 404)
+        await res.send(200 if names else 404, headers=self.leaving_headers)
 
     # Requests.
 
@@ -254,7 +255,8 @@
         if req.path == "/api/report":
             latest_at = asyncio.get_running_loop().time() - REPORT_LAG_SECONDS
             stale = [report for at, report in self._reports if at <= latest_at]
-            await res.send_json(200, stale[-1] if stale else self._reports[0][1])
+            report = stale[-1] if stale else self._reports[0][1]
+            await res.send_json(200, report, self.leaving_headers)
         elif req.path == "/api/kv-move":
             await self._move(req, res)
         elif req.path.startswith("/api/kv-handle/"):
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -8,6 +8,7 @@
 
 import abc
 import asyncio
+import random
 from bisect import bisect_left
 from collections.abc import Mapping
 from dataclasses import dataclass, field
@@ -70,6 +71,55 @@
     status: int = 200
 
 
+@dataclass(kw_only=True)
+class Shedding:
+    """How a worker turns requests away and asks for pauses.
+
+    Parameters
+    ----------
+    pauses : tuple of str
+        The values of ``Retry-After``, used in turn; an empty one omits the header.
+    share : float
+        Share of the requests that it turns away.
+    rng : random.Random
+        Draws them.
+    """
+
+    pauses: tuple[str, ...]
+    share: float = 1.0
+    rng: random.Random = field(default_factory=lambda: random.Random(1))
+    n_refused: int = 0
+
+    def refuses(self) -> bool:
+        """Return whether the next request is turned away."""
+        return self.rng.random() < self.share
+
+    def next_pause(self) -> str:
+        """Return the pause that the next refusal asks for."""
+        self.n_refused += 1
+        return self.pauses[(self.n_refused - 1) % len(self.pauses)]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """Any request as a worker received it: from which machine, and when."""
+
+    peer: str
+    path: str
+    attempt_id: str
+    at: float
+
+
+@dataclass(frozen=True, kw_only=True)
+class Statement:
+    """What a worker said of itself to a machine, in an answer to a request."""
+
+    peer: str
+    at: float
+    pause_seconds: float = 0.0
+    is_leaving: bool = False
+
+
 @dataclass(frozen=True, kw_only=True)
 class ReceivedRequest:
     """A request as a worker received it, and the loop time of its arrival."""
@@ -99,6 +149,12 @@
         self.cold_ms = 0
         # The requests per second that it states to take from all nodes together.
         self.request_limit: float | None = None
+        self.shedding: Shedding | None = None
+        # Whether it says in all its answers that it leaves.
+        self.is_leaving = False
+        # All that reached it, and what it said; for checks.
+        self.arrivals: list[Arrival] = []
+        self.statements: list[Statement] = []
         self.address = Address(host="127.0.0.1", port=1)
         self._server = HttpServer(handler=self, network=network)
 
@@ -135,10 +191,16 @@
 
     async def handle(self, req: Request, res: Responder) -> None:
         """Answer one request."""
-        if await self._answer_other(req, res):
-            return
         attempt_id = req.headers.get("x-attempt-id", "")
         arrived_at = asyncio.get_running_loop().time()
+        peer = req.peer.rpartition(":")[0]
+        self.arrivals.append(
+            Arrival(peer=peer, path=req.path, attempt_id=attempt_id, at=arrived_at)
+        )
+        if self.is_leaving:
+            self.statements.append(Statement(peer=peer, at=arrived_at, is_leaving=True))
+        if await self._answer_other(req, res):
+            return
         self.seen.append(
             ReceivedRequest(attempt_id=attempt_id, req=req, arrived_at=arrived_at)
         )
@@ -148,16 +210,40 @@
         elif self.faults.refuses:
             headers = {**self._headers(attempt_id), "x-not-executed": "1"}
             await res.send(503, headers=headers)
+        elif self.shedding is not None and self.shedding.refuses():
+            await self._shed(res, attempt_id, peer, self.shedding)
         elif self.faults.is_mute:
             self.ran.append(attempt_id)
             await res.lost
         else:
             await self._run(req, res, attempt_id)
 
+    async def _shed(
+        self, res: Responder, attempt_id: str, peer: str, shedding: Shedding
+    ) -> None:
+        """Turn a request away, and ask its machine for a pause."""
+        headers = {**self._headers(attempt_id), "x-not-executed": "1"}
+        pause = shedding.next_pause()
+        if pause:
+            headers["retry-after"] = pause
+            self.statements.append(
+                Statement(
+                    peer=peer,
+                    at=asyncio.get_running_loop().time(),
+                    pause_seconds=float(pause),
+                )
+            )
+        await res.send(503, headers=headers)
+
     async def _answer_other(self, req: Request, res: Responder) -> bool:
         """Answer a call of the protocol that isn't a caller's request, if it is one."""
         return False
 
+    @property
+    def leaving_headers(self) -> dict[str, str]:
+        """Return what it adds to all its answers while it leaves."""
+        return {"server-leaving": "1"} if self.is_leaving else {}
+
     @abc.abstractmethod
     async def _run(self, req: Request, res: Responder, attempt_id: str) -> None:
         """Run a request."""
@@ -165,6 +251,7 @@
     def _headers(self, attempt_id: str) -> dict[str, str]:
         echoed = "another" if self.faults.echoes_other_id else attempt_id
         headers = {"x-attempt-id": echoed, "x-worker-id": self.worker_id}
+        headers |= self.leaving_headers
         if self.cold_ms:
             headers["x-cold-ms"] = str(self.cold_ms)
         if self.request_limit is not None:
@@ -339,14 +426,15 @@
             report = {"queued": 0, "in-flight": len(self._runs), "kv-used": 0}
             if self.leaves_ms is not None:
                 report["leaves_ms"] = self.leaves_ms  # type: ignore[assignment]
-            await res.send_json(200, {**report, "kv-total": 1, "state": "ready"})
+            report |= {"kv-total": 1, "state": "ready"}  # type: ignore[dict-item]
+            await res.send_json(200, report, self.leaving_headers)
             return True
         if req.path == "/api/kv-move":
             await self._move(req, res)
             return True
         if req.path.startswith("/api/kv-handle/"):
             self.freed_handles.append(req.path.rpartition("/")[2])
-            await res.send(200)
+            await res.send(200, headers=self.leaving_headers)
             return True
         return False
 
@@ -354,16 +442,17 @@
         order = msgspec.json.decode(req.body)
         run = self._runs.get(order["id"])
         if run is None:
-            await res.send(404)
+            await res.send(404, headers=self.leaving_headers)
             return
         if self.refuses_moves:
-            await res.send(503)
+            await res.send(503, headers=self.leaving_headers)
             return
         target = self._peers[order["to"]]
         handle = f"copy-{run.attempt_id}"
         target.held_copies[f"{self.address}/{handle}"] = run.n_events
         run.is_stopped = run.is_stopped or order["last"]
-        await res.send_json(200, {"handle": handle, "created": run.n_events})
+        moved = {"handle": handle, "created": run.n_events}
+        await res.send_json(200, moved, self.leaving_headers)
         if order["last"]:
             await self.tick()
 
