--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -395,7 +395,7 @@
     ) -> None:
         drop_at = asyncio.get_running_loop().time() + seconds
         idle = self._idle.setdefault(address, [])
-        if len(idle) >= max_idle:
+        if conn.is_retired or len(idle) >= max_idle:
             conn.close()
             return
         idle.append(_IdleConnection(conn=conn, drop_at=drop_at))
--- a/celerytrail/http/tunnels.py
+++ b/celerytrail/http/tunnels.py
@@ -12,6 +12,7 @@
 from typing import TypeVar
 
 import h11
+from eliot import log_message
 
 from ..exceptions import PeerError
 from ..types import Address
@@ -28,6 +29,7 @@
 # The end begins with a byte that no UTF-8 text contains, so that hardly any answer's
 # last bytes look like its beginning.
 END_PREFIX = b"\xff"
+_ANY_HOST = [("host", "endpoint")]
 # How long bytes are held with which the end may begin, in seconds.
 HOLD_SECONDS = 0.02
 
@@ -120,6 +122,51 @@
         other._transport.close()
 
 
+class AnswerPipe(Pipe):
+    """A pipe to a process that answers one request; reads the answer's head.
+
+    Parameters
+    ----------
+    end : bytes
+        See `Pipe`.
+    on_head : callable
+        Called with the status and the headers of the answer.
+    """
+
+    def __init__(
+        self, *, end: bytes, on_head: Callable[[int, Mapping[str, str]], None]
+    ) -> None:
+        super().__init__(end=end)
+        self._on_head = on_head
+        self._reader: h11.Connection | None = h11.Connection(h11.CLIENT)
+        # h11 reads an answer only after a request.
+        self._reader.send(h11.Request(method="GET", target="/", headers=_ANY_HOST))
+        self._reader.send(h11.EndOfMessage())
+
+    def data_received(self, data: bytes) -> None:
+        """Write the bytes to the other end, and look for the head in them."""
+        if self._reader is not None:
+            self._read_head(self._reader, data)
+        super().data_received(data)
+
+    def _read_head(self, reader: h11.Connection, data: bytes) -> None:
+        reader.receive_data(data)
+        try:
+            event = reader.next_event()
+            while isinstance(event, h11.InformationalResponse):
+                event = reader.next_event()
+        except h11.RemoteProtocolError as exc:
+            # The node that asked reads the answer too, and refuses it.
+            log_message("tunnel:unreadable", problem=str(exc))
+            self._reader = None
+            return
+        if event is h11.NEED_DATA:
+            return
+        self._reader = None
+        if isinstance(event, h11.Response):
+            self._on_head(event.status_code, header_map(list(event.headers)))
+
+
 class _TunnelEnd(_Receiver):
     """Passes what arrives through a tunnel to the protocol of a connection.
 
@@ -233,9 +280,12 @@
     body: bytes,
     headers: Mapping[str, str],
     factory: Callable[[], P],
+    on_accepted: Callable[[Mapping[str, str]], None] | None = None,
 ) -> P:
     """Open a tunnel through a peer, and return the protocol of its connection.
 
+    ``on_accepted`` is called with the headers of the peer's answer.
+
     Raises
     ------
     OSError
@@ -243,7 +293,8 @@
     """
     conn = await network.connect(lambda: Connection(role=h11.CLIENT), peer)
     try:
-        end = await _negotiate(conn, peer, path, body, headers)
+        answered = await _negotiate(conn, peer, path, body, headers)
+        end = bytes.fromhex(answered.get(END_HEADER, ""))
     except BaseException:
         conn.abort()
         raise
@@ -251,6 +302,8 @@
     assert transport is not None
     protocol = factory()
     assert isinstance(protocol, asyncio.Protocol)
+    if on_accepted is not None:
+        on_accepted(answered)
     tunnel_end = _TunnelEnd(inner=protocol, end=end)
     tunnel_end.attach(transport)
     unread, is_closed = conn.h11.trailing_data
@@ -268,8 +321,8 @@
     path: str,
     body: bytes,
     headers: Mapping[str, str],
-) -> bytes:
-    """Request the upgrade, and return the end bytes that the peer will send."""
+) -> Mapping[str, str]:
+    """Request the upgrade, and return the headers of the peer's answer."""
     fields = {
         "host": str(peer),
         "content-length": str(len(body)),
@@ -284,8 +337,7 @@
     except PeerError as exc:
         raise ConnectionResetError(str(exc)) from exc
     if isinstance(event, h11.InformationalResponse) and event.status_code == 101:
-        answered = header_map(list(event.headers))
-        return bytes.fromhex(answered.get(END_HEADER, ""))
+        return header_map(list(event.headers))
     if isinstance(event, h11.Response):
         answered = header_map(list(event.headers))
         raise TunnelRefusedError(answered.get("x-reason", str(event.status_code)))
--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -141,6 +141,7 @@
 }
 GAUGES = {
     "brittle_endpoints": "Endpoints that fall over when they refuse too much.",
+    "paused_endpoints": "Endpoints that want no requests from this node at present.",
     "lost_paths": "Endpoints that only other nodes reach at present.",
     "cut_off_services": "Services that this node is cut off from at present.",
     "cut_off_nodes": "Nodes that say that they are cut off from a service.",
--- a/celerytrail/model.py
+++ b/celerytrail/model.py
@@ -8,6 +8,9 @@
 
 from .types import Address
 
+# One start of an endpoint: its id and when it started.
+Incarnation = tuple[str, int]
+
 
 class RouteKind(enum.Enum):
     """How the requests of a route may be repeated."""
@@ -244,6 +247,11 @@
     cold_seconds: float = 0.0
     started_at: int = 0
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return the endpoint and its start."""
+        return (self.endpoint, self.started_at)
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EndpointStatements:
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -14,6 +14,7 @@
 from ..platform import wire
 from ..policies.endpointchoice import EndpointChoice
 from ..policies.retrybudget import SharedRetryBudget
+from .endpointanswers import EndpointAnswers
 from .endpointgate import ENDPOINT_LIMITED, Admission, EndpointGate
 from .exchange import CallerDisconnectedError, Exchange, refuse, seconds_until
 from .registry import Registry
@@ -101,6 +102,8 @@
         Bounds repeated requests.
     gate : EndpointGate
         Whether an endpoint may receive a request now.
+    answers : EndpointAnswers
+        Records what endpoints state in their answers.
     """
 
     def __init__(
@@ -111,12 +114,14 @@
         choice: EndpointChoice,
         budget: SharedRetryBudget,
         gate: EndpointGate,
+        answers: EndpointAnswers,
     ) -> None:
         self._client = client
         self._registry = registry
         self._choice = choice
         self._budget = budget
         self._gate = gate
+        self._answers = answers
         self.n_open = 0
 
     async def relay(self, ex: Exchange) -> None:
@@ -143,6 +148,7 @@
                 await ex.res.send(res.status, res.body, headers)
             case NotExecuted(reason=reason, retry_at=retry_at):
                 ex.log("refused", reason=reason)
+                retry_at = retry_at or self._return_at(ex)
                 await refuse(
                     ex.res,
                     503,
@@ -285,13 +291,19 @@
 
     def _unsent(self, ex: Exchange) -> NotExecuted:
         """Return the outcome of a request for which there was no endpoint."""
-        usable = self._registry.usable_endpoints(ex.service)
-        seconds = self._gate.seconds_until_open(usable)
-        if seconds is None:
+        retry_at = self._return_at(ex)
+        if retry_at is None:
             return NotExecuted(reason="no_endpoint")
-        retry_at = asyncio.get_running_loop().time() + seconds
         return NotExecuted(reason=ENDPOINT_LIMITED, retry_at=retry_at)
 
+    def _return_at(self, ex: Exchange) -> float | None:
+        """Return when a caller should return if all endpoints are closed now."""
+        usable = self._registry.usable_endpoints(ex.service)
+        seconds = self._gate.return_seconds(usable)
+        if seconds is None:
+            return None
+        return asyncio.get_running_loop().time() + seconds
+
     async def _attempt(self, ex: Exchange, admission: Admission) -> Outcome:
         reg = admission.reg
         began_at = asyncio.get_running_loop().time()
@@ -344,22 +356,13 @@
                 return NotExecuted(reason=exc.reason)
             return Failed(reason=exc.reason)
         stream = opened.ok_value
-        stated = wire.decode_statements(stream.status, stream.headers)
-        self._gate.record_statements(reg, stated, sent_at)
-        if stated.requests_per_second is not None:
-            ex.log("limit_stated", endpoint=reg.endpoint, sent_at=round(sent_at, 3))
+        is_not_run = self._answers.read(ex, reg, stream, sent_at)
         body = await stream.read(ex.loop_deadline)
         if isinstance(body, Err):
             lost: RequestLost = body.err_value
             ex.log("attempt_failed", endpoint=reg.endpoint, reason=lost.reason)
             return Failed(reason=lost.reason)
-        if wire.is_not_run(stream.status, stream.headers):
-            ex.log(
-                "attempt_refused",
-                endpoint=reg.endpoint,
-                status=stream.status,
-                pause_seconds=stated.pause_seconds,
-            )
+        if is_not_run:
             return NotExecuted(reason="endpoint_refused", was_sent=True)
         if not wire.is_sealed_answer(stream.headers):
             ex.log("attempt_failed", endpoint=reg.endpoint, reason="unsealed")
--- a/celerytrail/relay/endpointaccess.py
+++ b/celerytrail/relay/endpointaccess.py
@@ -20,6 +20,7 @@
 from ..policies.peerchoice import DomainPeers, PeerChoice
 from ..policies.reach import STATEMENT_PERIOD_SECONDS, CutOffNodes, Reach
 from ..types import Address
+from .endpointanswers import EndpointAnswers
 from .engineapi import EngineApi
 from .paths import EndpointPaths
 from .registry import Registry
@@ -41,6 +42,8 @@
         The known nodes.
     registry : Registry
         Lists the endpoints.
+    answers : EndpointAnswers
+        Records what endpoints state in their answers.
     keys : PeerKeys
         The keys that nodes share.
     metrics : Metrics
@@ -62,6 +65,7 @@
         network: Network,
         nodes: Nodes,
         registry: Registry,
+        answers: EndpointAnswers,
         keys: PeerKeys,
         metrics: Metrics,
         rng: random.Random,
@@ -87,6 +91,7 @@
             keys=keys,
             metrics=metrics,
             on_silent=self._on_path_silent,
+            on_told=answers.record_told,
         )
         self.tunnels = TunnelServer(
             network=network,
@@ -95,6 +100,8 @@
             keys=keys,
             metrics=metrics,
             on_unreached=self.paths.suspect,
+            told=answers.told,
+            on_answer=answers.record_at,
         )
         self.client = HttpClient(
             process=me.node,
@@ -105,7 +112,8 @@
             silence_seconds=SILENCE_SECONDS,
         )
         self.engine_api = EngineApi(
-            client=HttpClient(network=self.paths, id_header=None)
+            client=HttpClient(network=self.paths, id_header=None),
+            on_answer=answers.record_at,
         )
 
     def add_routes(self, router: Router) -> None:
@@ -129,7 +137,6 @@
     def update(self, now: float) -> None:
         """Find out which services this node is cut off from, and announce changes."""
         if self.paths.has_retired:
-            # A node in the middle stops once the tunnels through it are closed.
             self.paths.has_retired = False
             self.client.close_retired()
             self.engine_api.close_retired()
@@ -159,15 +166,6 @@
         now = asyncio.get_running_loop().time()
         return self.cut_off_nodes.is_cut_off(member.node, now)
 
-    def on_members_changed(self) -> None:
-        """Use no connection through nodes that leave or are gone."""
-        in_use = self.paths.peers_in_use
-        if not in_use:
-            return
-        alive = {m.node for m in self._nodes.members() if m.state is State.ALIVE}
-        for node in in_use - alive:
-            self.paths.retire_peer(node)
-
     def _peers(self, address: Address) -> list[Member]:
         """Return the nodes that may reach an endpoint which this one doesn't."""
         reg = self._registry.find_address(address)
--- a/celerytrail/relay/endpointgate.py
+++ b/celerytrail/relay/endpointgate.py
@@ -7,10 +7,11 @@
 from dataclasses import dataclass
 
 from ..http.client import MAX_IDLE_PER_ADDRESS
-from ..model import EndpointStatements, Registration
+from ..model import Registration
 from ..policies.coldlimits import ColdEndpoints, ColdShares, NodePosition, RankedShares
 from ..policies.evacuations import Evacuations
 from ..policies.homes import is_allowed
+from ..policies.statedpauses import StatedPauses
 from .endpointlimits import EndpointLimits
 from .placebroker import Place
 from .tokenbroker import RequestToken
@@ -28,11 +29,15 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Admission:
-    """An endpoint that a request may be sent to, with its token and its place."""
+    """An endpoint that a request may be sent to, with its token and its place.
+
+    ``is_probe`` says that it is the first request after a pause.
+    """
 
     reg: Registration
     token: RequestToken | None
     place: Place
+    is_probe: bool = False
 
 
 class EndpointGate:
@@ -40,7 +45,8 @@
 
     Endpoints are chosen before a connection is opened; by the time the first byte is
     sent, the operator may have evacuated their failure domain, this node may have used
-    its share of a cold endpoint's requests, and the endpoint may have stated a limit.
+    its share of a cold endpoint's requests, and the endpoint may have stated a limit,
+    asked for a pause or said that it leaves.
 
     Parameters
     ----------
@@ -56,6 +62,10 @@
         together; None if unknown.
     limits : EndpointLimits
         What endpoints state for all nodes together.
+    pauses : StatedPauses
+        The pauses that endpoints asked this node for.
+    is_leaving : callable
+        Returns whether an endpoint said that it leaves.
     position : callable
         Returns this node's position in the order that belongs to an endpoint.
     domain_regions : mapping or None
@@ -72,6 +82,8 @@
         cold_limit: Callable[[str], float | None],
         connection_limit: Callable[[str], int | None],
         limits: EndpointLimits,
+        pauses: StatedPauses,
+        is_leaving: Callable[[Registration], bool],
         position: Callable[[str], NodePosition],
         domain_regions: Mapping[str, str] | None = None,
         shares: ColdShares | None = None,
@@ -81,6 +93,8 @@
         self._cold_limit = cold_limit
         self._connection_limit = connection_limit
         self._limits = limits
+        self._pauses = pauses
+        self._is_leaving = is_leaving
         self._position = position
         self._domain_regions = domain_regions or {}
         self._shares = shares or RankedShares()
@@ -97,26 +111,60 @@
         ``can_wait`` is for runs that continue, which wait for room within its limit.
         """
         is_home = is_allowed(reg.failure_domain, home_regions, self._domain_regions)
-        has_room = can_wait or self._limits.seconds_until_open(reg.endpoint) == 0
+        has_room = can_wait or self._seconds_until_open(reg) == 0
         return is_home and has_room and self._is_open(reg)
 
     def seconds_until_open(self, regs: Iterable[Registration]) -> float | None:
-        """Return the time until one of several endpoints has room within its limits.
+        """Return the time until one of several endpoints may get a request.
 
-        None unless all of them are closed because of their limits.
+        None unless all of them are closed because of their limits and pauses.
         """
-        waits = [self._limits.seconds_until_open(reg.endpoint) for reg in regs]
+        waits = [self._seconds_until_open(reg) for reg in regs]
+        return min(waits, default=0.0) or None
+
+    def return_seconds(self, regs: Iterable[Registration]) -> float | None:
+        """Return after which time a caller should return that found all of them closed.
+
+        None unless all are; callers that come in a pause return in order, spread.
+        """
+        now = _now()
+        waits = [
+            max(
+                self._limits.seconds_until_open(reg.endpoint),
+                self._pauses.return_seconds(reg.incarnation, now),
+            )
+            for reg in regs
+        ]
         return min(waits, default=0.0) or None
 
     def is_limited(self, reg: Registration) -> bool:
-        """Return whether an endpoint states a limit for all nodes together."""
-        return self._limits.is_limited(reg.endpoint)
+        """Return whether an endpoint states a limit, or wants no requests now."""
+        return self._limits.is_limited(reg.endpoint) or self.is_paused(reg)
+
+    def is_paused(self, reg: Registration) -> bool:
+        """Return whether an endpoint wants no requests from this node now."""
+        return self._pauses.is_paused(reg.incarnation, _now())
 
     async def admit(self, reg: Registration) -> Admission | None:
-        """Return the admission of a request to an endpoint, None if its limit forbids.
+        """Return the admission of a request to an endpoint, None if it is closed.
 
         An endpoint that refused is closed until it may have room again.
         """
+        incarnation = reg.incarnation
+        if self._pauses.seconds_until_open(incarnation, _now()) > 0:
+            return None
+        is_probe = self._pauses.begin_probe(incarnation, _now())
+        admission = None
+        try:
+            admission = await self._admit_within_limits(reg, is_probe=is_probe)
+        finally:
+            if is_probe and admission is None:
+                self._pauses.end_probe(incarnation)
+        return admission
+
+    async def _admit_within_limits(
+        self, reg: Registration, *, is_probe: bool = False
+    ) -> Admission | None:
         place = await self._limits.places.take(reg.endpoint, reg.n_slots)
         if place is None:
             return None
@@ -129,7 +177,7 @@
                     self._limits.places.end(place, is_refused=False)
             if token is None:
                 return None
-        return Admission(reg=reg, token=token, place=place)
+        return Admission(reg=reg, token=token, place=place, is_probe=is_probe)
 
     def end(self, admission: Admission, *, is_refused: bool = False) -> None:
         """Record that an admitted request has ended, or wasn't sent.
@@ -137,17 +185,34 @@
         ``is_refused`` says that its endpoint had no room for it.
         """
         self._limits.places.end(admission.place, is_refused=is_refused)
+        if admission.is_probe:
+            self._pauses.end_probe(admission.reg.incarnation)
 
     async def admit_until(self, reg: Registration, deadline: float) -> Admission | None:
         """Return the admission of a run that continues; wait until a deadline."""
-        while (admission := await self.admit(reg)) is None:
-            seconds = max(
-                self._limits.seconds_until_open(reg.endpoint), MIN_WAIT_SECONDS
-            )
+        while True:
+            admission = None
+            if self._may_continue_now(reg):
+                admission = await self._admit_within_limits(reg)
+            if admission is not None:
+                return admission
+            seconds = max(self._seconds_until_open(reg), MIN_WAIT_SECONDS)
             if _now() + seconds >= deadline:
                 return None
             await asyncio.sleep(seconds)
-        return admission
+
+    def take_continuation(self, reg: Registration) -> bool:
+        """Return whether a request for work in progress may be sent in a pause."""
+        return self._pauses.take_continuation(reg.incarnation, _now())
+
+    def _may_continue_now(self, reg: Registration) -> bool:
+        return not self.is_paused(reg) or self.take_continuation(reg)
+
+    def _seconds_until_open(self, reg: Registration) -> float:
+        return max(
+            self._limits.seconds_until_open(reg.endpoint),
+            self._pauses.seconds_until_open(reg.incarnation, _now()),
+        )
 
     def _is_open(self, reg: Registration) -> bool:
         if self._evacuations.is_evacuated(reg.failure_domain):
@@ -157,7 +222,10 @@
     def may_begin(self, admission: Admission) -> bool:
         """Return whether a request may be sent to an endpoint now, and count it."""
         reg = admission.reg
-        if not self._is_open(reg):
+        if not self._is_open(reg) or self._is_leaving(reg):
+            return False
+        is_probe = admission.is_probe
+        if not self._pauses.admits(reg.incarnation, _now(), is_probe=is_probe):
             return False
         if not self._limits.tokens.admits(reg.endpoint, admission.token):
             return False
@@ -199,25 +267,6 @@
         """Return for how long an endpoint stays cold."""
         return self._cold.remaining_seconds(reg.endpoint, _now())
 
-    def record_statements(
-        self, reg: Registration, stated: EndpointStatements, sent_at: float
-    ) -> None:
-        """Record what an endpoint states in the answer to a request.
-
-        Parameters
-        ----------
-        reg : Registration
-            The endpoint.
-        stated : EndpointStatements
-            Its statements.
-        sent_at : float
-            Loop time at which the request was about to be sent.
-        """
-        now = _now()
-        if stated.cold_seconds > 0:
-            self._cold.record(reg.endpoint, now + stated.cold_seconds)
-        self._limits.record_statements(reg, stated, sent_at, now)
-
     def _has_share(self, reg: Registration, now: float) -> bool:
         if not self._cold.is_cold(reg.endpoint, now):
             return True
--- a/celerytrail/relay/endpointstate.py
+++ b/celerytrail/relay/endpointstate.py
@@ -9,6 +9,8 @@
 from ..platform.nodesettings import RelaySettings
 from ..policies.coldlimits import ColdEndpoints
 from ..policies.evacuations import Evacuations
+from ..policies.statedpauses import StatedPauses
+from .endpointanswers import EndpointAnswers
 from .endpointgate import EndpointGate
 from .endpointlimits import EndpointLimits
 from .nodeorder import NodeOrder
@@ -37,6 +39,8 @@
         What endpoints state for all nodes together.
     on_leaving : callable
         Called once for each incarnation of an endpoint that leaves or is removed.
+    announce_leaving : callable
+        Announces an endpoint that leaves to the other nodes.
     """
 
     def __init__(
@@ -47,6 +51,7 @@
         node_order: NodeOrder,
         limits: EndpointLimits,
         on_leaving: Callable[[Registration], None],
+        announce_leaving: Callable[[Registration], None],
     ) -> None:
         self._cfg = cfg
         self._find_service = find_service
@@ -55,6 +60,7 @@
             continue_seconds=EVACUATION_CONTINUE_SHARE * spare_seconds
         )
         self.cold = ColdEndpoints()
+        self.pauses = StatedPauses()
         self.limits = limits
         self.registry = Registry(on_leaving=on_leaving, evacuations=self.evacuations)
         self.gate = EndpointGate(
@@ -63,9 +69,18 @@
             cold_limit=self._cold_limit,
             connection_limit=self._connection_limit,
             limits=limits,
+            pauses=self.pauses,
+            is_leaving=self.registry.is_leaving,
             position=node_order.position,
             domain_regions=cfg.domain_regions,
         )
+        self.answers = EndpointAnswers(
+            registry=self.registry,
+            cold=self.cold,
+            pauses=self.pauses,
+            limits=limits,
+            announce_leaving=announce_leaving,
+        )
 
     def set_evacuated(self, domains: frozenset[str]) -> None:
         """Set the evacuated failure domains.
@@ -88,6 +103,7 @@
         self.registry.expire(now)
         self.cold.expire(now)
         self.limits.expire(now, self.registry.has)
+        self.pauses.expire(now, self.registry.has)
 
     def _cold_limit(self, name: str) -> float | None:
         """Return the requests per second for a cold endpoint, None without a limit."""
--- a/celerytrail/relay/engineapi.py
+++ b/celerytrail/relay/engineapi.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+import asyncio
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from eliot import log_message
 from result import Err, Ok, Result
 
-from ..http.client import HttpClient
+from ..http.client import ClientError, HttpClient
+from ..http.messages import JSON_TYPE, Response
 from ..model import EngineReport, Registration
 from ..platform import wire
 from ..types import Address
 
 REPORT_SECONDS = 0.5
 
+# Called with an engine's address, the head of its answer, and when it was asked.
+AnswerRecorder = Callable[[Address, int, Mapping[str, str], float], None]
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CopyFailed:
@@ -35,10 +41,13 @@
     ----------
     client : HttpClient
         Sends the requests; engines return no attempt id on these.
+    on_answer : callable
+        Called with each answer, which may state something of its engine.
     """
 
-    def __init__(self, *, client: HttpClient) -> None:
+    def __init__(self, *, client: HttpClient, on_answer: AnswerRecorder) -> None:
         self._client = client
+        self._on_answer = on_answer
         self.n_reports = 0
 
     def close_retired(self) -> None:
@@ -50,9 +59,7 @@
     ) -> Result[EngineReport, str]:
         """Read an engine's load report."""
         self.n_reports += 1
-        answered = await self._client.request(
-            reg.address, "GET", wire.REPORT_PATH, deadline=deadline
-        )
+        answered = await self._request(reg.address, "GET", wire.REPORT_PATH, deadline)
         if isinstance(answered, Err):
             return Err(answered.err_value.reason)
         if answered.ok_value.status != 200:
@@ -69,14 +76,8 @@
         deadline: float,
     ) -> Result[wire.CompletedMove, CopyFailed]:
         """Copy a run's memory to another engine; the last copy stops the run."""
-        answered = await self._client.request(
-            source,
-            "POST",
-            wire.MOVE_PATH,
-            body=wire.encode_move(attempt_id, target, is_last),
-            headers={"content-type": "application/json"},
-            deadline=deadline,
-        )
+        body = wire.encode_move(attempt_id, target, is_last)
+        answered = await self._request(source, "POST", wire.MOVE_PATH, deadline, body)
         if isinstance(answered, Err):
             return Err(CopyFailed(reason=answered.err_value.reason))
         res = answered.ok_value
@@ -88,10 +89,27 @@
 
     async def free_copy(self, source: Address, handle: str, deadline: float) -> None:
         """Free a copy that won't be used, at both engines."""
-        answered = await self._client.request(
-            source, "DELETE", wire.free_copy_path(handle), deadline=deadline
-        )
+        path = wire.free_copy_path(handle)
+        answered = await self._request(source, "DELETE", path, deadline)
         status = None if isinstance(answered, Err) else answered.ok_value.status
         log_message(
             "relay:copy:freed", engine=str(source), handle=handle, status=status
         )
+
+    async def _request(
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        deadline: float,
+        body: bytes = b"",
+    ) -> Result[Response, ClientError]:
+        sent_at = asyncio.get_running_loop().time()
+        headers = {"content-type": JSON_TYPE} if body else None
+        answered = await self._client.request(
+            address, method, path, body=body, headers=headers, deadline=deadline
+        )
+        if isinstance(answered, Ok):
+            res = answered.ok_value
+            self._on_answer(address, res.status, res.headers, sent_at)
+        return answered
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -9,6 +9,7 @@
 from ..http.client import HttpClient, NotSent, Stream
 from ..model import Registration
 from ..platform import wire
+from .endpointanswers import EndpointAnswers
 from .endpointgate import ENDPOINT_CLOSED, ENDPOINT_LIMITED, Admission, EndpointGate
 from .liverun import Failed, LiveRun, Refused
 
@@ -30,11 +31,16 @@
         Sends requests to engines.
     gate : EndpointGate
         Whether an engine may receive a request now.
+    answers : EndpointAnswers
+        Records what engines state in their answers.
     """
 
-    def __init__(self, *, client: HttpClient, gate: EndpointGate) -> None:
+    def __init__(
+        self, *, client: HttpClient, gate: EndpointGate, answers: EndpointAnswers
+    ) -> None:
         self._client = client
         self._gate = gate
+        self._answers = answers
 
     async def open_copy(
         self, live: LiveRun, reg: Registration, copy_name: str
@@ -86,6 +92,10 @@
                 )
                 self._gate.end(admission, is_refused=is_refused)
 
+    def is_paused(self, reg: Registration) -> bool:
+        """Return whether an engine wants no requests from this node now."""
+        return self._gate.is_paused(reg)
+
     def discard(self, admission: Admission) -> None:
         """Give back an admission that isn't used."""
         self._gate.end(admission)
@@ -148,17 +158,7 @@
                 return Err(Refused(reason=reason))
             return Err(Failed(reason=exc.reason))
         stream = opened.ok_value
-        stated = wire.decode_statements(stream.status, stream.headers)
-        self._gate.record_statements(reg, stated, sent_at)
-        if stated.requests_per_second is not None:
-            ex.log("limit_stated", endpoint=reg.endpoint, sent_at=round(sent_at, 3))
-        if wire.is_not_run(stream.status, stream.headers):
-            ex.log(
-                "attempt_refused",
-                endpoint=reg.endpoint,
-                status=stream.status,
-                pause_seconds=stated.pause_seconds,
-            )
+        if self._answers.read(ex, reg, stream, sent_at):
             await stream.read(ex.loop_deadline)
             return Err(Refused(reason="engine_refused", was_sent=True))
         live.n_runs += 1
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -109,12 +109,19 @@
         return self._registry.is_service_evacuated(service)
 
     def seconds_until_open(self, service: str) -> float | None:
-        """Return the time until an engine has room within the limit that it states.
+        """Return the time until an engine may get a request.
 
-        None unless all engines of the service are closed because of their limits.
+        None unless all engines of the service are closed by their limits or pauses.
         """
         return self._gate.seconds_until_open(self._registry.usable_endpoints(service))
 
+    def return_at(self, service: str) -> float | None:
+        """Return when a caller should return if all engines are closed now."""
+        seconds = self._gate.return_seconds(self._registry.usable_endpoints(service))
+        if seconds is None:
+            return None
+        return asyncio.get_running_loop().time() + seconds
+
     def _usable(
         self, ex: Exchange, excluded: set[str], *, can_wait: bool
     ) -> list[Registration]:
--- a/celerytrail/relay/enginewatch.py
+++ b/celerytrail/relay/enginewatch.py
@@ -11,6 +11,7 @@
 from ..model import Registration
 from ..nodes.nodes import Nodes
 from ..policies.rendezvous import RendezvousHomes
+from .endpointgate import EndpointGate
 from .engineapi import EngineApi
 from .peerupdates import PeerUpdates
 from .registry import Registry
@@ -31,6 +32,9 @@
     One node polls each engine and announces the report to the others, so that the
     number of requests doesn't grow with the number of nodes.
 
+    An engine that asked for a pause is not polled in it, except once while the store is
+    unavailable.
+
     Nodes that are out of service poll as well: in a long outage of the store all of
     them are, and the runs of an engine that no node polls are lost when it shuts down.
 
@@ -48,6 +52,8 @@
         Returns whether the store's data on leaving engines is stale.
     is_engine_service : callable
         Returns whether a service's endpoints are engines.
+    gate : EndpointGate
+        Which engines want no requests from this node now.
     on_leaving : callable
         Called with an engine whose report states that it leaves.
     """
@@ -61,6 +67,7 @@
         nodes: Nodes,
         is_store_stale: Callable[[], bool],
         is_engine_service: Callable[[str], bool],
+        gate: EndpointGate,
         on_leaving: Callable[[Registration], None],
     ) -> None:
         self._api = api
@@ -69,6 +76,7 @@
         self._nodes = nodes
         self._is_store_stale = is_store_stale
         self._is_engine_service = is_engine_service
+        self._gate = gate
         self._on_leaving = on_leaving
         self._pending: set[str] = set()
         self._homes = RendezvousHomes()
@@ -76,11 +84,16 @@
     async def run(self) -> None:
         """Poll until cancelled."""
         while True:
-            for reg in self._homed_engines():
-                if reg.endpoint not in self._pending:
-                    self._pending.add(reg.endpoint)
-                    asyncio.ensure_future(self._read_report(reg))
             is_stale = self._is_store_stale()
+            for reg in self._homed_engines():
+                if reg.endpoint in self._pending:
+                    continue
+                if self._gate.is_paused(reg) and not (
+                    is_stale and self._gate.take_continuation(reg)
+                ):
+                    continue
+                self._pending.add(reg.endpoint)
+                asyncio.ensure_future(self._read_report(reg))
             await asyncio.sleep(STALE_REPORT_SECONDS if is_stale else REPORT_SECONDS)
 
     def _homed_engines(self) -> list[Registration]:
--- a/celerytrail/relay/gauges.py
+++ b/celerytrail/relay/gauges.py
@@ -35,6 +35,7 @@
         "cold_endpoints": endpoints.cold.n_cold(now),
         "limited_endpoints": len(endpoints.limits.rates.in_force()),
         "brittle_endpoints": len(endpoints.limits.brittle.in_force()),
+        "paused_endpoints": endpoints.pauses.n_paused(now),
         "lost_paths": access.reach.n_lost,
         "cut_off_services": len(access.cut_off_services),
         "cut_off_nodes": access.cut_off_nodes.n_cut_off(now),
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -214,16 +214,16 @@
                 return Err(refused)
             if refused.reason != "connect_refused":
                 n_tries += 1
-        return Err(Refused(reason="engines_refused"))
+        retry_at = self._placer.return_at(ex.service)
+        return Err(Refused(reason="engines_refused", retry_at=retry_at))
 
     def _unplaced(self, ex: Exchange) -> Refused:
         """Return the refusal of a generation for which there was no engine."""
         if self._placer.is_evacuated(ex.service):
             return Refused(reason=EVACUATED)
-        seconds = self._placer.seconds_until_open(ex.service)
-        if seconds is None:
+        retry_at = self._placer.return_at(ex.service)
+        if retry_at is None:
             return Refused(reason="no_room")
-        retry_at = asyncio.get_running_loop().time() + seconds
         return Refused(reason=ENDPOINT_LIMITED, retry_at=retry_at)
 
     async def _resume_unanswered(
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -150,6 +150,7 @@
             node_order=self._node_order,
             limits=self._limits,
             on_leaving=self._on_leaving,
+            announce_leaving=lambda reg: self.peer_updates.announce_leaving(reg),
         )
         self.registry = state.registry
         self._decode_times = DecodeTimes()
@@ -236,7 +237,7 @@
             on_run=self._on_run,
             on_ended=self._prefills.forget,
             peers=self._update_addresses,
-            on_leaving=self.registry.record_leaving,
+            on_leaving=self.registry.record_leaving_at_peer,
             on_retried=self._on_retried,
             on_aborted=self._on_aborted,
             on_limit=self._limits.record_rate,
@@ -255,13 +256,13 @@
             network=self._network,
             nodes=self.nodes,
             registry=self.registry,
+            answers=self._endpoint_state.answers,
             keys=self._keys,
             metrics=self._metrics,
             rng=self._rng,
             announce=self.peer_updates.announce_cut_off,
             on_silent=lambda reg: self.generations.on_path_silent(reg),
         )
-        self.nodes.on_change(self.access.on_members_changed)
         gate = self._endpoint_state.gate
         placer = EnginePlacer(
             registry=self.registry,
@@ -276,7 +277,8 @@
             backups=self._backups,
             move_targets=self._move_targets,
         )
-        opener = EngineOpener(client=self.access.client, gate=gate)
+        answers = self._endpoint_state.answers
+        opener = EngineOpener(client=self.access.client, gate=gate, answers=answers)
         run_mover = RunMover(
             api=self.access.engine_api,
             registry=self.registry,
@@ -305,6 +307,7 @@
             choice=self._choice,
             budget=budget,
             gate=gate,
+            answers=answers,
         )
         self._engine_watch = EngineWatch(
             api=self.access.engine_api,
@@ -313,7 +316,8 @@
             nodes=self.nodes,
             is_store_stale=lambda: self._tables.has_stale_registrations,
             is_engine_service=self._is_engine_service,
-            on_leaving=self._on_engine_leaving,
+            gate=gate,
+            on_leaving=answers.record_leaving,
         )
         handler = RelayHandler(
             config=lambda: self.configs.cfg,
@@ -486,11 +490,6 @@
         self._endpoint_state.set_evacuated(domains)
         self.generations.on_evacuated(domains)
 
-    def _on_engine_leaving(self, reg: Registration) -> None:
-        """Record that an engine leaves, and announce it to the other nodes."""
-        self.registry.record_leaving(reg.endpoint)
-        self.peer_updates.announce_leaving(reg.endpoint)
-
     def _on_leaving(self, reg: Registration) -> None:
         log_message("relay:endpoint:leaving", endpoint=reg.endpoint)
         self.loads.discard_report(reg.endpoint)
--- a/celerytrail/relay/paths.py
+++ b/celerytrail/relay/paths.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine, Iterable, Iterator
-from typing import Any, TypeVar
+from collections.abc import Callable, Coroutine, Iterable, Iterator, Mapping
+from typing import Any, Protocol, TypeVar
 from weakref import WeakSet
 
 import h11
@@ -20,7 +20,7 @@
 from ..policies.peerchoice import PeerChoice
 from ..policies.reach import Reach
 from ..types import Address
-from .tunnelserver import TUNNEL_PATH, TunnelRequest
+from .tunnelserver import TUNNEL_PATH, TunnelRequest, decode_told
 
 P = TypeVar("P", bound=asyncio.BaseProtocol)
 
@@ -44,6 +44,15 @@
 N_PROBED = 4
 
 
+class StatementRecorder(Protocol):
+    """Records what an endpoint has stated to another node."""
+
+    def __call__(
+        self, address: Address, *, pause_seconds: float, is_leaving: bool
+    ) -> None:
+        """Record the rest of its pause in seconds, and whether it leaves."""
+
+
 class EndpointPaths(Network):
     """Connects to endpoints, through another node if this one has lost the path.
 
@@ -69,6 +78,9 @@
         Counts connections by way.
     on_silent : callable
         Called with an endpoint when the path to it has fallen silent.
+    on_told : callable
+        Called with an endpoint and what it has stated to the node that connects to it,
+        before anything is sent there.
     """
 
     def __init__(
@@ -82,6 +94,7 @@
         keys: PeerKeys,
         metrics: Metrics,
         on_silent: Callable[[Address], None],
+        on_told: StatementRecorder,
     ) -> None:
         self._network = network
         self._reach = reach
@@ -91,10 +104,10 @@
         self._keys = keys
         self._metrics = metrics
         self._on_silent = on_silent
-        # Open connections by endpoint: those on the own path, and those by node.
+        self._on_told = on_told
+        # Open connections by endpoint: on the own path, and through other nodes.
         self._direct: dict[Address, WeakSet[Connection]] = {}
         self._tunnelled: dict[Address, WeakSet[Connection]] = {}
-        self._by_peer: dict[str, WeakSet[Connection]] = {}
         self._avoid_until: dict[tuple[str, Address], float] = {}
         # When a connection on the own path was last refused.
         self._refused_at: dict[Address, float] = {}
@@ -171,15 +184,6 @@
 
         self._start(check())
 
-    @property
-    def peers_in_use(self) -> set[str]:
-        """Return the nodes through which connections were made."""
-        return set(self._by_peer)
-
-    def retire_peer(self, node: str) -> None:
-        """Use no connection through a node again."""
-        self._retire(self._by_peer.pop(node, ()))
-
     # Internals.
 
     def _ways(
@@ -262,6 +266,7 @@
                 body,
                 self._keys.headers("POST", TUNNEL_PATH, body),
                 factory,
+                on_accepted=lambda headers: self._on_accepted(address, headers),
             )
         except OSError as exc:
             self._on_tunnel_failed(member, address, exc)
@@ -269,15 +274,22 @@
         except asyncio.CancelledError:
             # Another way was faster: the node may have died, with its connections.
             self._avoid(member, address)
-            self.retire_peer(member.node)
             raise
         self._metrics.count("endpoint_tunnels", outcome="opened")
         self._record_lost(address, member)
         if isinstance(protocol, Connection):
             self._tunnelled.setdefault(address, WeakSet()).add(protocol)
-            self._by_peer.setdefault(member.node, WeakSet()).add(protocol)
+            # The node in the middle reads and tells what the endpoint states once for
+            # each tunnel, so each carries one request.
+            protocol.is_retired = True
         return protocol
 
+    def _on_accepted(self, address: Address, headers: Mapping[str, str]) -> None:
+        told = decode_told(headers)
+        self._on_told(
+            address, pause_seconds=told.pause_seconds, is_leaving=told.is_leaving
+        )
+
     def _on_tunnel_failed(self, member: Member, address: Address, exc: OSError) -> None:
         self._avoid(member, address)
         reason = exc.reason if isinstance(exc, TunnelRefusedError) else repr(exc)
@@ -300,7 +312,7 @@
         if not self._reach.record_reached(address, _now()):
             return
         log_message("relay:path:back", address=str(address))
-        self._retire(self._tunnelled.pop(address, ()))
+        self._tunnelled.pop(address, None)
 
     def _record_lost(self, address: Address, member: Member) -> None:
         if not self._reach.record_lost(address, _now()):
--- a/celerytrail/relay/peerupdates.py
+++ b/celerytrail/relay/peerupdates.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 from collections.abc import Callable, Iterable, Iterator, Sequence
 
@@ -10,7 +11,7 @@
 from eliot import log_message
 
 from ..http.network import Network
-from ..model import EngineReport
+from ..model import EngineReport, Registration
 from ..nodes.gossip import DATAGRAM_HEADER_BYTES
 from ..policies.decodetimes import DecodeTimes
 from ..policies.engineloads import EngineLoads, Run
@@ -65,12 +66,13 @@
     """One node's update: its runs, and events at engines and endpoints.
 
     ``is_complete`` says that ``runs`` are all runs of the sender. ``ended`` holds run
-    ids, ``leaving`` engines that are about to leave, ``retried`` services at which the
-    sender made a retry, and ``aborted`` endpoints that aborted its requests.
+    ids, ``leaving`` endpoints that are about to leave, ``retried`` services at which
+    the sender made a retry, and ``aborted`` endpoints that aborted its requests.
     ``period_seconds`` is the time to the sender's next run list. ``limits`` are limits
     that endpoints state for all nodes together. ``cut_off`` are all services that the
     sender is cut off from, None if it says nothing of them. ``brittle`` are endpoints
-    that fall over, with the refusals per second that they bear.
+    that fall over, with the refusals per second that they bear. ``leaving_starts``
+    are the starts of the endpoints in ``leaving``; earlier versions don't send them.
     """
 
     node: str
@@ -85,6 +87,7 @@
     limits: list[LimitEntry] = []
     cut_off: list[str] | None = None
     brittle: list[LimitEntry] = []
+    leaving_starts: list[int] = []
 
 
 class PeerUpdates(asyncio.DatagramProtocol):
@@ -105,7 +108,8 @@
     peers : callable
         Returns the addresses at which the other nodes receive updates.
     on_leaving : callable
-        Called with an engine that another node announced as leaving.
+        Called with an endpoint that another node announced as leaving, and its start
+        if the node stated it.
     on_retried : callable
         Called with a service at which another node made a retry.
     on_aborted : callable
@@ -129,7 +133,7 @@
         on_run: Callable[[Run], None],
         on_ended: Callable[[str], None],
         peers: Callable[[], Iterable[Address]],
-        on_leaving: Callable[[str], None],
+        on_leaving: Callable[[str, int | None], None],
         on_retried: Callable[[str], None],
         on_aborted: Callable[[str, str], None],
         on_limit: Callable[[LimitStatement], object],
@@ -201,9 +205,15 @@
         self._decode_times.forget(run_id)
         self._send(NodeUpdate(node=self._node, ended=[run_id]))
 
-    def announce_leaving(self, endpoint: str) -> None:
-        """Announce that an engine is leaving."""
-        self._send(NodeUpdate(node=self._node, leaving=[endpoint]))
+    def announce_leaving(self, reg: Registration) -> None:
+        """Announce that an endpoint is leaving."""
+        self._send(
+            NodeUpdate(
+                node=self._node,
+                leaving=[reg.endpoint],
+                leaving_starts=[reg.started_at],
+            )
+        )
 
     def announce_retry(self, service: str) -> None:
         """Announce that this node made a retry at a service."""
@@ -282,8 +292,9 @@
             self._on_ended(run_id)
             self._loads.remove_run(update.node, run_id, now)
             self._decode_times.forget(run_id)
-        for endpoint in update.leaving:
-            self._on_leaving(endpoint)
+        starts = itertools.chain(update.leaving_starts, itertools.repeat(None))
+        for endpoint, started_at in zip(update.leaving, starts, strict=False):
+            self._on_leaving(endpoint, started_at)
         for report in update.reports:
             self._loads.record_report(report.endpoint, _report_from(report))
         for service in update.retried:
--- a/celerytrail/relay/registry.py
+++ b/celerytrail/relay/registry.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from ..model import EndpointState, Registration
+from ..model import EndpointState, Incarnation, Registration
 from ..policies.evacuations import Evacuations
 from ..types import Address
 
@@ -41,7 +41,7 @@
         self._evacuations = evacuations or Evacuations()
         self._known: dict[str, Registration] = {}
         self._lapsed: dict[str, _Lapsed] = {}
-        self._announced_leaving: set[tuple[str, int]] = set()
+        self._announced_leaving: set[Incarnation] = set()
         # By service, cached as it is read for each request.
         self._accepting: dict[str, list[Registration]] = {}
         self._on_leaving = on_leaving
@@ -82,11 +82,29 @@
         for reg in found.values():
             self.put(reg)
 
-    def record_leaving(self, endpoint: str) -> None:
-        """Record that an endpoint announced by its answers or report that it leaves."""
+    def record_leaving(self, reg: Registration) -> bool:
+        """Record that an endpoint stated in an answer or its report that it leaves.
+
+        This holds for its present start, whatever its row says and whether it has one.
+
+        Returns
+        -------
+        bool
+            Whether this is news.
+        """
+        is_news = reg.incarnation not in self._announced_leaving
+        self._set_leaving(reg)
+        return is_news
+
+    def record_leaving_at_peer(self, endpoint: str, started_at: int | None) -> None:
+        """Record what another node announced; None means the last known start."""
         reg = self._known.get(endpoint)
-        if reg is not None:
+        if reg is None and endpoint in self._lapsed:
+            reg = self._lapsed[endpoint].reg
+        if reg is not None and started_at in (None, reg.started_at):
             self._set_leaving(reg)
+        elif started_at is not None:
+            self._announced_leaving.add((endpoint, started_at))
 
     def expire(self, now: float) -> None:
         """Remove lapsed endpoints whose rows were not restored in time."""
@@ -109,7 +127,7 @@
 
     def is_leaving(self, reg: Registration) -> bool:
         """Return whether the endpoint announced that it leaves, or was removed."""
-        return (reg.endpoint, reg.started_at) in self._announced_leaving
+        return reg.incarnation in self._announced_leaving
 
     def usable_endpoints(self, service: str) -> list[Registration]:
         """Return a service's endpoints that may get new work.
@@ -144,7 +162,7 @@
         return [
             lapsed.reg
             for lapsed in self._lapsed.values()
-            if lapsed.reg.service == service
+            if lapsed.reg.service == service and not self._is_leaving(lapsed.reg)
         ]
 
     def leaving_endpoints(self, service: str) -> list[str]:
@@ -184,8 +202,7 @@
         return self.is_leaving(reg)
 
     def _set_leaving(self, reg: Registration) -> None:
-        incarnation = (reg.endpoint, reg.started_at)
-        if incarnation not in self._announced_leaving:
-            self._announced_leaving.add(incarnation)
+        if reg.incarnation not in self._announced_leaving:
+            self._announced_leaving.add(reg.incarnation)
             self._accepting.clear()
             self._on_leaving(reg)
--- a/celerytrail/relay/runmover.py
+++ b/celerytrail/relay/runmover.py
@@ -194,6 +194,8 @@
         for _ in range(MAX_SWITCH_TRIES):
             if live.backup is None or not self._registry.is_usable(live.backup):
                 break
+            if self._opener.is_paused(live.backup):
+                break
             # A backup is built up while the run progresses; right after the first event
             # there is none yet.
             await asyncio.sleep(BACKUP_READY_SECONDS - live.age_seconds)
--- a/celerytrail/relay/tunnelserver.py
+++ b/celerytrail/relay/tunnelserver.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 
 import msgspec
 from eliot import log_message
@@ -12,14 +13,26 @@
 from ..http.network import Network
 from ..http.routes import Params, Router, send_error
 from ..http.server import Responder
-from ..http.tunnels import END_HEADER, UPGRADE_HEADERS, Pipe, accept_tunnel, new_end
+from ..http.tunnels import (
+    END_HEADER,
+    UPGRADE_HEADERS,
+    AnswerPipe,
+    Pipe,
+    accept_tunnel,
+    new_end,
+)
 from ..metrics import Metrics
 from ..nodes.exchange import refuse_signature
 from ..nodes.signing import PeerKeys
 from ..policies.reach import Reach
 from ..types import Address
+from .engineapi import AnswerRecorder
 
 TUNNEL_PATH = "/peer/v1/tunnel"
+# In the answer to a tunnel's request, what the endpoint has stated to this node: the
+# rest of its pause in seconds, and that it leaves.
+PAUSE_HEADER = "x-endpoint-pause"
+LEAVING_HEADER = "x-endpoint-leaving"
 # Reasons why a node makes no connection: it doesn't reach the endpoint either, knows no
 # such endpoint, has no room, or is about to stop.
 UNREACHED = "unreached"
@@ -40,11 +53,29 @@
     endpoint: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Told:
+    """What an endpoint has stated to the node through which it is reached."""
+
+    pause_seconds: float
+    is_leaving: bool
+
+
+def decode_told(headers: Mapping[str, str]) -> Told:
+    """Decode what a node tells of an endpoint; nothing from earlier versions."""
+    try:
+        pause_seconds = float(headers.get(PAUSE_HEADER, "0"))
+    except ValueError:
+        pause_seconds = 0.0
+    return Told(pause_seconds=pause_seconds, is_leaving=LEAVING_HEADER in headers)
+
+
 class TunnelServer:
     """Makes connections to endpoints for nodes that have lost the path to them.
 
     They are made on this node's own path only, so that no tunnel leads through another
-    one.
+    one. The endpoint sees this node, and what it states of itself in an answer is for
+    this node too: it is read on the way, and told to the next node that asks.
 
     Parameters
     ----------
@@ -60,6 +91,10 @@
         Counts requests by outcome.
     on_unreached : callable
         Called with an endpoint that this node doesn't reach either.
+    told : callable
+        Returns the rest of an endpoint's pause in seconds, and whether it leaves.
+    on_answer : callable
+        Called with an endpoint, the head of its answer, and when it was asked.
     """
 
     def __init__(
@@ -71,6 +106,8 @@
         keys: PeerKeys,
         metrics: Metrics,
         on_unreached: Callable[[Address], None],
+        told: Callable[[Address], tuple[float, bool]],
+        on_answer: AnswerRecorder,
     ) -> None:
         self._network = network
         self._reach = reach
@@ -78,6 +115,8 @@
         self._keys = keys
         self._metrics = metrics
         self._on_unreached = on_unreached
+        self._told = told
+        self._on_answer = on_answer
         self._is_stopping = False
         self.n_open = 0
 
@@ -126,9 +165,16 @@
         return None
 
     async def _connect(self, res: Responder, address: Address, end: bytes) -> None:
+        sent_at = asyncio.get_running_loop().time()
+
+        def on_head(status: int, headers: Mapping[str, str]) -> None:
+            self._on_answer(address, status, headers, sent_at)
+
         try:
             async with asyncio.timeout(CONNECT_SECONDS):
-                other = await self._network.connect(lambda: Pipe(end=end), address)
+                other = await self._network.connect(
+                    lambda: AnswerPipe(end=end, on_head=on_head), address
+                )
         except (OSError, TimeoutError):
             self._on_unreached(address)
             await self._refuse(res, address, UNREACHED)
@@ -137,9 +183,18 @@
             other.abort()
             return
         self._metrics.count("tunnels_served", outcome="opened")
-        headers = {**UPGRADE_HEADERS, END_HEADER: end.hex()}
+        headers = {**UPGRADE_HEADERS, END_HEADER: end.hex(), **self._told_of(address)}
         await accept_tunnel(res.switch_protocols(headers), Pipe(), other)
 
+    def _told_of(self, address: Address) -> dict[str, str]:
+        pause_seconds, is_leaving = self._told(address)
+        headers = {}
+        if pause_seconds > 0:
+            headers[PAUSE_HEADER] = f"{pause_seconds:.3f}"
+        if is_leaving:
+            headers[LEAVING_HEADER] = "1"
+        return headers
+
     async def _refuse(self, res: Responder, address: Address, reason: str) -> None:
         self._metrics.count("tunnels_served", outcome=reason)
         log_message("relay:tunnel:refused", address=str(address), reason=reason)
--- a/tests/test_relay_moving.py
+++ b/tests/test_relay_moving.py
@@ -70,7 +70,7 @@
         await wait_until(lambda: any(engine.running for engine in engines.values()))
         first = next(name for name, engine in engines.items() if engine.running)
         await engines[first].tick(2)
-        node.registry.record_leaving(first)
+        node.registry.record_leaving(node.registry.find(first))
         second = next(engine for name, engine in engines.items() if name != first)
         await wait_until(lambda: second.running)
         await second.tick(6)
@@ -96,7 +96,7 @@
                     n for n, engine in engines.items() if engine.address == target
                 )
                 leaving.append(name)
-                node.registry.record_leaving(name)
+                node.registry.record_leaving(node.registry.find(name))
             return copied
 
         node.access.engine_api.copy = copy_and_leave
@@ -104,7 +104,7 @@
         await wait_until(lambda: any(engine.running for engine in engines.values()))
         leaving = [next(name for name, engine in engines.items() if engine.running)]
         await engines[leaving[0]].tick(2)
-        node.registry.record_leaving(leaving[0])
+        node.registry.record_leaving(node.registry.find(leaving[0]))
         await wait_until(lambda: len(leaving) == 2 and engines[leaving[1]].running)
         await engines[leaving[1]].tick(2)
         third = next(engine for name, engine in engines.items() if name not in leaving)
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -362,7 +362,7 @@
             on_run=lambda run: None,
             on_ended=lambda run_id: None,
             peers=lambda: [],
-            on_leaving=events["leaving"].append,
+            on_leaving=lambda *leaving: events["leaving"].append(leaving),
             on_retried=events["retried"].append,
             on_aborted=lambda *abort: events["aborted"].append(abort),
             on_limit=events["limits"].append,
@@ -417,7 +417,7 @@
         receiver, _, events = self.make()
         former = ["other", False, [], [], ["e1"], [], [], [], 0.5]
         receiver.datagram_received(msgspec.msgpack.encode(former), ("10.0.0.1", 1))
-        assert events["leaving"] == ["e1"]
+        assert events["leaving"] == [("e1", None)]
         assert events["limits"] == []
 
     async def test_many_runs_are_split_across_datagrams(self):
@@ -485,11 +485,15 @@
     async def test_events_at_engines_and_services_are_passed_on(self):
         receiver, _, events = self.make()
         update = NodeUpdate(
-            node="other", leaving=["e1"], retried=["desk"], aborted=["d1"]
+            node="other",
+            leaving=["e1"],
+            retried=["desk"],
+            aborted=["d1"],
+            leaving_starts=[7],
         )
         receiver.datagram_received(msgspec.msgpack.encode(update), ("10.0.0.1", 1))
         assert events == {
-            "leaving": ["e1"],
+            "leaving": [("e1", 7)],
             "retried": ["desk"],
             "aborted": [("d1", "other")],
             "limits": [],
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -28,8 +28,10 @@
     TUNNEL_PATH,
     UNKNOWN,
     UNREACHED,
+    Told,
     TunnelRequest,
     TunnelServer,
+    decode_told,
 )
 from celerytrail.types import Address
 from tests.relayrig import wait_until
@@ -60,6 +62,10 @@
             )
             self.n_waiting -= 1
             transport.close()
+        elif req.path == "/slow-head":
+            transport.write(b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 No\r\nx-sta")
+            await asyncio.sleep(0.01)
+            transport.write(b"ted: it\r\ncontent-length: 1\r\n\r\nx")
         elif req.path == "/reset":
             transport.write(b"HTTP/1.1 200 OK\r\n\r\npart")
             await asyncio.sleep(0.01)
@@ -76,12 +82,19 @@
 
     def __init__(self, peer: Address) -> None:
         self.peer = peer
+        self.told: list[Told] = []
 
     async def connect(self, factory: Callable, address: Address):
         body = msgspec.json.encode(TunnelRequest(endpoint=str(address)))
         headers = KEYS.headers("POST", TUNNEL_PATH, body)
         return await open_tunnel(
-            SystemNetwork(), self.peer, TUNNEL_PATH, body, headers, factory
+            SystemNetwork(),
+            self.peer,
+            TUNNEL_PATH,
+            body,
+            headers,
+            factory,
+            on_accepted=lambda answered: self.told.append(decode_told(answered)),
         )
 
 
@@ -96,7 +109,9 @@
     tunnels: TunnelServer
     middle: HttpServer
     client: HttpClient
+    network: ThroughPeer
     unreached: list[Address]
+    answers: list[tuple[Address, int, str | None]]
 
     async def get(self, path: str):
         return await self.client.request(self.address, "GET", path, deadline=None)
@@ -109,6 +124,7 @@
     address = await endpoint.start(LOOPBACK)
     reach = Reach()
     unreached: list[Address] = []
+    answers: list[tuple[Address, int, str | None]] = []
     tunnels = TunnelServer(
         network=SystemNetwork(),
         reach=reach,
@@ -116,12 +132,17 @@
         keys=KEYS,
         metrics=Metrics(process="middle"),
         on_unreached=unreached.append,
+        told=lambda found: (1.5, True),
+        on_answer=lambda found, status, headers, sent_at: answers.append(
+            (found, status, headers.get("x-stated"))
+        ),
     )
     router = Router()
     tunnels.add_routes(router)
     middle = HttpServer(handler=router)
     peer = await middle.start(LOOPBACK)
-    client = HttpClient(network=ThroughPeer(peer), id_header=None, allows_unframed=True)
+    network = ThroughPeer(peer)
+    client = HttpClient(network=network, id_header=None, allows_unframed=True)
     yield TunnelRig(
         handler=handler,
         endpoint=endpoint,
@@ -130,7 +151,9 @@
         tunnels=tunnels,
         middle=middle,
         client=client,
+        network=network,
         unreached=unreached,
+        answers=answers,
     )
     client.close()
     await middle.close()
@@ -179,6 +202,24 @@
         await wait_until(lambda: rig.tunnels.n_open == 0)
 
 
+class TestStatements:
+    async def test_the_node_in_the_middle_reads_the_head_of_an_answer(self, rig):
+        # It passed bytes on unread; the endpoint had spoken to it.
+        answered = await rig.get("/slow-head")
+        assert answered.ok_value.status == 503
+        assert rig.answers == [(rig.address, 503, "it")]
+
+    async def test_it_tells_what_it_knows_before_anything_is_sent(self, rig):
+        # The caller's node hadn't heard that the endpoint wants no requests.
+        await rig.get("/")
+        assert rig.network.told == [Told(pause_seconds=1.5, is_leaving=True)]
+
+    def test_a_node_of_an_earlier_version_tells_nothing(self):
+        told = Told(pause_seconds=0.0, is_leaving=False)
+        assert decode_told({}) == told
+        assert decode_told({"x-endpoint-pause": "soon"}) == told
+
+
 class TestRefusals:
     async def refusal(self, rig) -> str:
         with pytest.raises(TunnelRefusedError) as raised:
