Soak pauses and leaving endpoints beside other faults, and test the decisions alone

Random pauses (fractions, long ones, of some or all endpoints), endpoints that leave with a late row, a row gone first, a lapsed row or back under the same id, beside cuts, frozen and restarted nodes, lost datagrams, changes of the configuration and a store that refuses.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,9 @@
 fuzz-limits: install  ## Random faults around endpoints with limits: make fuzz-limits SEEDS=100-160.
 	CELERYTRAIL_LIMIT_SEEDS=$(SEEDS) $(PY) -m pytest -q tests/test_relay_limit_fuzz.py
 
+fuzz-pauses: install  ## Random pauses of endpoints: make fuzz-pauses SEEDS=100-160.
+	CELERYTRAIL_PAUSE_SEEDS=$(SEEDS) $(PY) -m pytest -q tests/test_relay_pauses_fuzz.py
+
 fuzz-reach: install  ## Random cuts between nodes and endpoints: make fuzz-reach SEEDS=100-160.
 	CELERYTRAIL_REACH_SEEDS=$(SEEDS) $(PY) -m pytest -q tests/test_relay_reach_fuzz.py
 
@@ -74,5 +77,5 @@
 bench-relay: install  ## Measure what a relayed token costs, next to h11's floor.
 	$(PY) -m bench.relay
 
-.PHONY: help install test demo run scenarios fuzz fuzz-relay fuzz-limits fuzz-reach test-large format check
+.PHONY: help install test demo run scenarios fuzz fuzz-relay fuzz-limits fuzz-pauses fuzz-reach test-large format check
 .PHONY: bench bench-quick bench-capacity bench-membership bench-fleet bench-cost bench-relay
--- a/tests/statementrig.py
+++ b/tests/statementrig.py
@@ -105,9 +105,37 @@
 
     fleet: Any
     endpoints: list[PlainWorker] = field(default_factory=list)
+    # Endpoints that were taken away; their records still count.
+    former: list[PlainWorker] = field(default_factory=list)
+    # By id, the number of an endpoint's last start.
+    born: dict[str, int] = field(default_factory=dict)
     engines: dict[str, ModelWorker] = field(default_factory=dict)
     excuses: list[Excuse] = field(default_factory=list)
 
+    async def add_endpoint(self, limit: float | None = None) -> PlainWorker:
+        """Start an endpoint; its id is new, also after others were taken away."""
+        name = f"d{len(self.endpoints) + len(self.former)}"
+        return await self.start_endpoint(name, born=1)
+
+    async def start_endpoint(self, name: str, born: int) -> PlainWorker:
+        """Start an endpoint of an id, and wait until its row can be known."""
+        endpoint = PlainWorker(
+            worker_id=name, network=self.fleet.wires.network_of(name)
+        )
+        await endpoint.start()
+        self.endpoints.append(endpoint)
+        self.born[name] = born
+        self.fleet.store.put("servers", name, endpoint.row("desk", born=born))
+        await asyncio.sleep(1.0)
+        return endpoint
+
+    async def take_away(self, endpoint: PlainWorker) -> None:
+        """Kill an endpoint; its row stays."""
+        self.fleet.wires.kill(endpoint.worker_id)
+        await endpoint.close()
+        self.endpoints.remove(endpoint)
+        self.former.append(endpoint)
+
     async def add_engine(self) -> ModelWorker:
         """Start an engine, and write its row."""
         name = f"e{len(self.engines)}"
@@ -131,7 +159,7 @@
     @property
     def workers(self) -> list[Worker]:
         """Return all endpoints and engines."""
-        return [*self.endpoints, *self.engines.values()]
+        return [*self.endpoints, *self.former, *self.engines.values()]
 
     async def shed(
         self,
