--- a/celerytrail/policies/statedpauses.py
+++ b/celerytrail/policies/statedpauses.py
@@ -21,9 +21,8 @@
 PROBE_POLL_SECONDS = 0.02
 # How long a pause that has ended is remembered without a request, in seconds.
 RETENTION_SECONDS = 30.0
-# Share of the time that a caller came after a pause's beginning, by which it is asked
-# to return after the pause's end: in the order of arrival, and not all at once.
-SPREAD_SHARE = 0.25
+# Longest time over which the callers that came in a pause return, in seconds.
+MAX_SPREAD_SECONDS = 10.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -86,12 +85,18 @@
         return PROBE_POLL_SECONDS if known.is_probed else 0.0
 
     def return_seconds(self, incarnation: Incarnation, now: float) -> float:
-        """Return when a caller that comes now should return, from now."""
+        """Return after which time a caller that comes now should return.
+
+        Callers that come in a pause return after its end in the same order, as spread
+        as they came.
+        """
         known = self._pauses.get(incarnation)
         seconds = self.seconds_until_open(incarnation, now)
         if known is None or now >= known.ends_at:
             return seconds
-        return seconds + SPREAD_SHARE * (now - known.began_at)
+        length = known.ends_at - known.began_at
+        spread = min(length, MAX_SPREAD_SECONDS)
+        return seconds + spread * (now - known.began_at) / length
 
     def begin_probe(self, incarnation: Incarnation, now: float) -> bool:
         """Return whether a request is the first one after a pause, and count it."""
--- a/tests/test_relay_pauses_fuzz.py
+++ b/tests/test_relay_pauses_fuzz.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from standins.worker import PlainWorker, Shedding
+from standins.worker import Shedding
 from tests.fuzzseeds import seeds
 from tests.limitrig import now
 from tests.reachrig import CutKind
--- a/tests/test_stated_pauses.py
+++ b/tests/test_stated_pauses.py
@@ -6,9 +6,9 @@
 
 from celerytrail.model import EndpointState, Registration
 from celerytrail.policies.statedpauses import (
+    MAX_SPREAD_SECONDS,
     N_CONTINUED,
     PROBE_POLL_SECONDS,
-    SPREAD_SHARE,
     StatedPauses,
 )
 from celerytrail.relay.registry import LAPSE_GRACE_SECONDS, Registry
@@ -96,7 +96,12 @@
         returns = [at + pauses.return_seconds(D1, at) for at in (10.0, 11.0, 13.0)]
         assert returns == sorted(returns)
         assert returns[0] == 14.0
-        assert returns[-1] - returns[0] == pytest.approx(3.0 * SPREAD_SHARE)
+        assert returns[-1] - returns[0] == pytest.approx(3.0)
+
+    def test_a_long_pause_spreads_them_over_some_seconds(self):
+        pauses = StatedPauses()
+        pauses.record(D1, 10.0, 600.0)
+        assert 609.0 + pauses.return_seconds(D1, 609.0) < 610.0 + MAX_SPREAD_SECONDS
 
     def test_ended_pauses_and_gone_endpoints_are_forgotten(self):
         pauses = StatedPauses()
