Make no calls to a store that asked for a pause

The pause is held for the address that stated it, for a minute at most, as the store is the only source of the configuration; 429 and 503 count, as both say that nothing was applied.

The test fails without the change (three calls instead of one, for both statuses).

--- a/celerytrail/platform/client.py
+++ b/celerytrail/platform/client.py
@@ -24,6 +24,9 @@
 # seconds.
 PROGRESS_SECONDS = 0.6
 MAX_TRANSFER_SECONDS = 10.0
+# Longest time for which no calls are made because the platform asked for it, in
+# seconds: it is the only source of the configuration.
+MAX_HELD_SECONDS = 60.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -171,6 +174,8 @@
         self._try_seconds = try_seconds
         self._budget = budget or RetryBudget()
         self._breaker = breaker or Breaker(rng=rng)
+        # By address, the monotonic time until which it asked for no calls.
+        self._held_until: dict[Address, float] = {}
 
     @property
     def address(self) -> Address:
@@ -246,6 +251,16 @@
             wait = self._breaker.wait_seconds(self._clock.monotonic())
             if wait is not None:
                 return Err(Unavailable(reason="platform_down", retry_after=wait))
+            held = self._held_until.get(self.address, 0.0) - self._clock.monotonic()
+            if held > 0:
+                self._breaker.record_abandoned()
+                return Err(
+                    Unavailable(
+                        reason="platform_paused",
+                        retry_after=held,
+                        is_retry_after_stated=True,
+                    )
+                )
             try_deadline = min(deadline, self._clock.monotonic() + self._try_seconds)
             result = await attempt(try_deadline)
             if not isinstance(result, Err):
@@ -278,9 +293,10 @@
                 seconds=PROGRESS_SECONDS,
                 deadline=self._clock.monotonic() + MAX_TRANSFER_SECONDS,
             )
+        address = self.address
         try:
             result = await self._http.request(
-                self.address,
+                address,
                 method,
                 path,
                 body=body,
@@ -290,6 +306,8 @@
         except BaseException:
             self._breaker.record_abandoned()
             raise
+        if isinstance(result, Ok):
+            self._record_pause(address, result.ok_value)
         if isinstance(result, Ok) and result.ok_value.status < 500:
             self._breaker.record_success()
             return Ok(result.ok_value)
@@ -302,6 +320,15 @@
             return Err(Unavailable(reason=error.reason, detail=error.detail))
         return Err(InDoubt(reason=error.reason, detail=error.detail))
 
+    def _record_pause(self, address: Address, res: Response) -> None:
+        """Record until when a platform that turned a call away wants no others."""
+        retry_after = _retry_after(res)
+        if res.status not in storewire.NOT_APPLIED_STATUSES or retry_after is None:
+            return
+        seconds = min(clamp_retry_after(retry_after), MAX_HELD_SECONDS)
+        self._held_until[address] = self._clock.monotonic() + seconds
+        log_message("platform:paused", address=str(address), seconds=seconds)
+
     def _count_outcome(
         self, kind: str, result: Result[Response, Unavailable | InDoubt]
     ) -> Result[Response, Unavailable | InDoubt]:
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -39,6 +39,20 @@
         await res.send(200, b"<html>It works!</html>")
 
 
+class BusyPlatform(Handler):
+    """Turns calls away and asks for a pause."""
+
+    def __init__(self, status, retry_after):
+        self.status = status
+        self.retry_after = retry_after
+        self.n_calls = 0
+
+    async def handle(self, req, res):
+        self.n_calls += 1
+        headers = {"retry-after": self.retry_after} if self.retry_after else {}
+        await res.send(self.status, b"{}", headers)
+
+
 def make_client(address):
     return PlatformClient(
         addresses=(address,),
@@ -302,3 +316,23 @@
         assert reasons.count("queue_full") == 2
         assert reasons.count("queue_deadline") == 2
         standin.faults.clear()
+
+
+class TestPauses:
+    @pytest.mark.parametrize(
+        ("status", "retry_after", "is_held"),
+        [(503, "30", True), (429, "30", True), (429, "", False), (500, "30", False)],
+    )
+    async def test_no_call_is_made_in_a_pause_that_the_store_asked_for(
+        self, status, retry_after, is_held
+    ):
+        # A stated pause ended one call, and the next one went out at once.
+        platform = BusyPlatform(status, retry_after)
+        server = HttpServer(handler=platform)
+        client = make_client(await server.start(LOOPBACK))
+        for _ in range(3):
+            await client.exchange(
+                "read", "GET", "/", deadline=soon(), is_repeatable=False
+            )
+        await server.close()
+        assert (platform.n_calls == 1) is is_held
