Have one copy of the outcomes of sending a request to an endpoint

Plain calls and generations each had the same two classes, one under another name. They stand in one module now. No behaviour changes; tests of relay, moves and pauses pass.

--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -17,6 +17,7 @@
 from .endpointanswers import EndpointAnswers
 from .endpointgate import ENDPOINT_LIMITED, Admission, EndpointGate
 from .exchange import CallerDisconnectedError, Exchange, refuse, seconds_until
+from .outcomes import Failed, NotExecuted
 from .registry import Registry
 
 # Share of the target after which a repeatable request is also sent to a second
@@ -42,26 +43,6 @@
     res: Response
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class NotExecuted:
-    """The endpoint hasn't executed the request.
-
-    ``was_sent`` is True if the endpoint received it. ``retry_at`` is the loop time at
-    which there is room again, if that is known.
-    """
-
-    reason: str
-    was_sent: bool = False
-    retry_at: float | None = None
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Failed:
-    """The endpoint may have executed the request, but gave no usable answer."""
-
-    reason: str
-
-
 Outcome = Answered | NotExecuted | Failed
 
 
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -11,7 +11,8 @@
 from ..platform import wire
 from .endpointanswers import EndpointAnswers
 from .endpointgate import ENDPOINT_CLOSED, ENDPOINT_LIMITED, Admission, EndpointGate
-from .liverun import Failed, LiveRun, Refused
+from .liverun import LiveRun
+from .outcomes import Failed, NotExecuted
 
 # Connect timeout before another engine is tried, in seconds.
 CONNECT_SECONDS = 0.25
@@ -44,7 +45,7 @@
 
     async def open_copy(
         self, live: LiveRun, reg: Registration, copy_name: str
-    ) -> Result[Stream, Refused | Failed]:
+    ) -> Result[Stream, NotExecuted | Failed]:
         """Resume a generation from a copy, once its engine may receive it."""
         now = asyncio.get_running_loop().time()
         await self._gate.wait_for_share(reg, now + COLD_WAIT_SECONDS)
@@ -53,7 +54,7 @@
             live.ex.log(
                 "attempt_failed", endpoint=reg.endpoint, reason=ENDPOINT_LIMITED
             )
-            return Err(Refused(reason=ENDPOINT_LIMITED))
+            return Err(NotExecuted(reason=ENDPOINT_LIMITED))
         return await self.open(live, admission, None, copy_name)
 
     async def open(
@@ -62,7 +63,7 @@
         admission: Admission,
         backup: Registration | None,
         copy_name: str | None = None,
-    ) -> Result[Stream, Refused | Failed]:
+    ) -> Result[Stream, NotExecuted | Failed]:
         """Send a generation to an engine, to begin it or to resume it from a copy.
 
         Parameters
@@ -76,7 +77,7 @@
         copy_name : str or None
             The copy to resume from; None begins a new run.
         """
-        opened: Result[Stream, Refused | Failed] | None = None
+        opened: Result[Stream, NotExecuted | Failed] | None = None
         try:
             opened = await self._send(live, admission, backup, copy_name)
             return opened
@@ -87,7 +88,7 @@
             else:
                 is_refused = (
                     opened is not None
-                    and isinstance(opened.err_value, Refused)
+                    and isinstance(opened.err_value, NotExecuted)
                     and opened.err_value.was_sent
                 )
                 self._gate.end(admission, is_refused=is_refused)
@@ -112,7 +113,7 @@
         admission: Admission,
         backup: Registration | None,
         copy_name: str | None,
-    ) -> Result[Stream, Refused | Failed]:
+    ) -> Result[Stream, NotExecuted | Failed]:
         ex = live.ex
         reg = admission.reg
         if ex.seconds_left <= 0:
@@ -155,12 +156,12 @@
             reason = ENDPOINT_CLOSED if is_closed else exc.reason
             ex.log("attempt_failed", endpoint=reg.endpoint, reason=reason)
             if isinstance(exc, NotSent):
-                return Err(Refused(reason=reason))
+                return Err(NotExecuted(reason=reason))
             return Err(Failed(reason=exc.reason))
         stream = opened.ok_value
         if self._answers.read(ex, reg, stream, sent_at):
             await stream.read(ex.loop_deadline)
-            return Err(Refused(reason="engine_refused", was_sent=True))
+            return Err(NotExecuted(reason="engine_refused", was_sent=True))
         live.n_runs += 1
         ex.log(
             "placed",
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -20,7 +20,8 @@
 from .engineplacer import EnginePlacer
 from .events import EventSplitter, StreamEvent
 from .exchange import CallerDisconnectedError, Exchange, refuse, seconds_until
-from .liverun import Copied, Failed, LiveRun, Refused, Switched
+from .liverun import Copied, LiveRun, Switched
+from .outcomes import Failed, NotExecuted
 from .peerupdates import PeerUpdates
 from .runmover import RunMover
 
@@ -156,10 +157,12 @@
             return
         await self._relay_events(live)
 
-    async def _refuse_unstarted(self, live: LiveRun, outcome: Refused | Failed) -> None:
+    async def _refuse_unstarted(
+        self, live: LiveRun, outcome: NotExecuted | Failed
+    ) -> None:
         ex = live.ex
         attempt = ex.facts.attempt_id
-        if isinstance(outcome, Refused):
+        if isinstance(outcome, NotExecuted):
             ex.log("refused", reason=outcome.reason)
             await refuse(
                 ex.res,
@@ -179,7 +182,7 @@
 
     async def _open_first_stream(
         self, live: LiveRun
-    ) -> Result[Stream, Refused | Failed]:
+    ) -> Result[Stream, NotExecuted | Failed]:
         """Open a stream at an engine that accepts the generation.
 
         The registration of a crashed engine remains for seconds, and to every node it
@@ -197,7 +200,7 @@
             now = asyncio.get_running_loop().time()
             if n_sent and not self._budget.take(ex.service, now):
                 self._opener.discard(admission)
-                return Err(Refused(reason="retry_denied"))
+                return Err(NotExecuted(reason="retry_denied"))
             opened = await self._opener.open(live, admission, live.backup)
             if isinstance(opened, Ok):
                 return opened
@@ -215,20 +218,20 @@
             if refused.reason != "connect_refused":
                 n_tries += 1
         retry_at = self._placer.return_at(ex.service)
-        return Err(Refused(reason="engines_refused", retry_at=retry_at))
+        return Err(NotExecuted(reason="engines_refused", retry_at=retry_at))
 
-    def _unplaced(self, ex: Exchange) -> Refused:
+    def _unplaced(self, ex: Exchange) -> NotExecuted:
         """Return the refusal of a generation for which there was no engine."""
         if self._placer.is_evacuated(ex.service):
-            return Refused(reason=EVACUATED)
+            return NotExecuted(reason=EVACUATED)
         retry_at = self._placer.return_at(ex.service)
         if retry_at is None:
-            return Refused(reason="no_room")
-        return Refused(reason=ENDPOINT_LIMITED, retry_at=retry_at)
+            return NotExecuted(reason="no_room")
+        return NotExecuted(reason=ENDPOINT_LIMITED, retry_at=retry_at)
 
     async def _resume_unanswered(
         self, live: LiveRun, failed: Failed
-    ) -> Result[Stream, Refused | Failed]:
+    ) -> Result[Stream, NotExecuted | Failed]:
         """Resume a run whose engine failed before its answer began."""
         resumed = await self._resume(live, failed.reason)
         if resumed is None:
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -1,4 +1,4 @@
-"""A generation in progress, and the outcomes of sending or moving it."""
+"""A generation in progress, and the outcomes of moving it."""
 
 from __future__ import annotations
 
@@ -29,26 +29,6 @@
     stream: Stream
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Refused:
-    """An engine hasn't run the request.
-
-    ``was_sent`` is True if the engine received it. ``retry_at`` is the loop time at
-    which there is room again, if that is known.
-    """
-
-    reason: str
-    was_sent: bool = False
-    retry_at: float | None = None
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Failed:
-    """An engine may have run the request, and it can't be continued there."""
-
-    reason: str
-
-
 class LiveRun:
     """A generation in progress, with the state needed to move it to another engine.
 
--- /dev/null
+++ b/celerytrail/relay/outcomes.py
@@ -0,0 +1,25 @@
+"""Outcomes of sending a request to an endpoint that gave no usable answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NotExecuted:
+    """The endpoint hasn't executed the request.
+
+    ``was_sent`` is True if the endpoint received it. ``retry_at`` is the loop time at
+    which there is room again, if that is known.
+    """
+
+    reason: str
+    was_sent: bool = False
+    retry_at: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Failed:
+    """The endpoint may have executed the request, but gave no usable answer."""
+
+    reason: str
