Ask owners of endpoints for tokens and places in one way

Both brokers signed, sent, checked and decoded the same messages by themselves. PeerRequests does so for both.

--- a/celerytrail/relay/endpointlimits.py
+++ b/celerytrail/relay/endpointlimits.py
@@ -16,6 +16,7 @@
 from ..nodes.signing import PeerKeys
 from ..policies.statedlimits import LimitStatement, StatedLimits
 from .nodeorder import NodeOrder
+from .peerrequests import PeerRequests
 from .placebroker import PlaceBroker
 from .tokenbroker import TokenBroker
 
@@ -58,14 +59,16 @@
         self._announce_rates = announce_rates
         self._announce_brittle = announce_brittle
         # The requests per second that endpoints take, and the refusals that they bear.
+        requests = PeerRequests(
+            client=HttpClient(process=node, network=network), keys=keys, metrics=metrics
+        )
         self.rates = StatedLimits()
         self.brittle = StatedLimits()
         self.tokens = TokenBroker(
             node=node,
             limits=self.rates,
             node_order=node_order,
-            client=HttpClient(process=node, network=network),
-            keys=keys,
+            requests=requests,
             announce=announce_rates,
             clock=clock,
             metrics=metrics,
@@ -74,8 +77,7 @@
             node=node,
             brittle=self.brittle,
             node_order=node_order,
-            client=HttpClient(process=node, network=network),
-            keys=keys,
+            requests=requests,
             announce=announce_brittle,
             metrics=metrics,
         )
--- a/celerytrail/relay/placebroker.py
+++ b/celerytrail/relay/placebroker.py
@@ -7,26 +7,21 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import TypeVar
 
 import msgspec
 from eliot import log_message
 from result import Err, Ok, Result
 
-from ..http.client import HttpClient
 from ..http.messages import Request
-from ..http.routes import Params, Router, send_error
+from ..http.routes import Params, Router
 from ..http.server import Responder
 from ..metrics import Metrics
-from ..nodes.exchange import refuse_signature
 from ..nodes.member import Member
-from ..nodes.signing import PeerKeys
 from ..policies.brittleplaces import BrittlePlaces
 from ..policies.requesttokens import Decision
 from ..policies.statedlimits import LimitStatement, StatedLimits
 from .nodeorder import NodeOrder
-
-S = TypeVar("S", bound=msgspec.Struct)
+from .peerrequests import PeerRequests
 
 PLACE_PATH = "/peer/v1/place"
 ENDED_PATH = "/peer/v1/place-ended"
@@ -76,6 +71,10 @@
     seconds: float
 
 
+class Acknowledged(msgspec.Struct, frozen=True, kw_only=True):
+    """The owner's answer to such a word."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Place:
     """A request's place at an endpoint, since loop time ``taken_at``."""
@@ -95,10 +94,8 @@
         The refusals a second that endpoints state to bear.
     node_order : NodeOrder
         The owner of each endpoint, and this node's position.
-    client : HttpClient
-        Sends requests to owners.
-    keys : PeerKeys
-        Sign requests, and verify those of other nodes.
+    requests : PeerRequests
+        Sends requests to owners, and decodes those of other nodes.
     announce : callable
         Announces the brittle endpoints that this node owns to all nodes.
     metrics : Metrics
@@ -111,16 +108,14 @@
         node: str,
         brittle: StatedLimits,
         node_order: NodeOrder,
-        client: HttpClient,
-        keys: PeerKeys,
+        requests: PeerRequests,
         announce: Callable[[list[LimitStatement]], None],
         metrics: Metrics,
     ) -> None:
         self._node = node
         self._brittle = brittle
         self._node_order = node_order
-        self._client = client
-        self._keys = keys
+        self._requests = requests
         self._announce = announce
         self._metrics = metrics
         self._places = BrittlePlaces()
@@ -258,44 +253,24 @@
         self, owner: Member, asked: PlaceRequest
     ) -> Result[PlaceAnswer, str]:
         deadline = _now() + ANSWER_SECONDS
-        body = msgspec.json.encode(asked)
-        answered = await self._post(owner, PLACE_PATH, body, deadline)
-        if isinstance(answered, Err):
-            return Err(answered.err_value)
-        try:
-            return Ok(msgspec.json.decode(answered.ok_value, type=PlaceAnswer))
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            return Err(str(exc))
+        return await self._requests.post(
+            owner, PLACE_PATH, asked, PlaceAnswer, deadline
+        )
 
     async def _tell_owner(self, owner: Member, ended: PlaceEnded) -> None:
-        body = msgspec.json.encode(ended)
-        told = await self._post(owner, ENDED_PATH, body, _now() + ENDED_SECONDS)
+        deadline = _now() + ENDED_SECONDS
+        told = await self._requests.post(
+            owner, ENDED_PATH, ended, Acknowledged, deadline
+        )
         if isinstance(told, Err):
             log_message(
                 "relay:place:untold", endpoint=ended.endpoint, reason=told.err_value
             )
 
-    async def _post(
-        self, owner: Member, path: str, body: bytes, deadline: float
-    ) -> Result[bytes, str]:
-        answered = await self._client.request(
-            owner.peer,
-            "POST",
-            path,
-            body=body,
-            headers=self._keys.headers("POST", path, body),
-            deadline=deadline,
-        )
-        if isinstance(answered, Err):
-            return Err(answered.err_value.reason)
-        if answered.ok_value.status != 200:
-            return Err(f"status {answered.ok_value.status}")
-        return Ok(answered.ok_value.body)
-
     # Granting.
 
     async def _on_request(self, req: Request, res: Responder, _: Params) -> None:
-        asked = await self._decode(req, res, PlaceRequest)
+        asked = await self._requests.decode(req, res, PlaceRequest)
         if asked is None:
             return
         heard_at = _now() - asked.heard_seconds_ago
@@ -314,22 +289,11 @@
         await res.send_json(200, msgspec.to_builtins(answer))
 
     async def _on_ended(self, req: Request, res: Responder, _: Params) -> None:
-        ended = await self._decode(req, res, PlaceEnded)
+        ended = await self._requests.decode(req, res, PlaceEnded)
         if ended is not None:
             self._record_ended(ended)
             await res.send_json(200, {})
 
-    async def _decode(self, req: Request, res: Responder, kind: type[S]) -> S | None:
-        """Decode a signed request of another node, or refuse it."""
-        if not self._keys.accepts(req):
-            await refuse_signature(res, self._metrics)
-            return None
-        try:
-            return msgspec.json.decode(req.body, type=kind)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            await send_error(res, 400, "bad_request", place="body", message=str(exc))
-            return None
-
     def _decide(self, asked: PlaceRequest) -> Decision:
         return self._places.decide(
             asked.endpoint,
--- a/celerytrail/relay/tokenbroker.py
+++ b/celerytrail/relay/tokenbroker.py
@@ -11,17 +11,15 @@
 from result import Err, Ok, Result
 
 from ..clock import Clock
-from ..http.client import HttpClient
 from ..http.messages import Request
-from ..http.routes import Params, Router, send_error
+from ..http.routes import Params, Router
 from ..http.server import Responder
 from ..metrics import Metrics
-from ..nodes.exchange import refuse_signature
 from ..nodes.member import Member
-from ..nodes.signing import PeerKeys
 from ..policies.requesttokens import Decision, RequestTokens
 from ..policies.statedlimits import LimitStatement, StatedLimits
 from .nodeorder import NodeOrder
+from .peerrequests import PeerRequests
 
 TOKEN_PATH = "/peer/v1/request-token"
 # Longest time for the owner's answer, in seconds: a request has to be answered within
@@ -70,10 +68,8 @@
         The limits that endpoints state.
     node_order : NodeOrder
         The owner of each endpoint, and this node's position.
-    client : HttpClient
-        Sends requests to owners.
-    keys : PeerKeys
-        Sign requests, and verify those of other nodes.
+    requests : PeerRequests
+        Sends requests to owners, and decodes those of other nodes.
     announce : callable
         Announces the limits of endpoints that this node owns to all nodes.
     clock : Clock
@@ -88,8 +84,7 @@
         node: str,
         limits: StatedLimits,
         node_order: NodeOrder,
-        client: HttpClient,
-        keys: PeerKeys,
+        requests: PeerRequests,
         announce: Callable[[list[LimitStatement]], None],
         clock: Clock,
         metrics: Metrics,
@@ -97,8 +92,7 @@
         self._node = node
         self._limits = limits
         self._node_order = node_order
-        self._client = client
-        self._keys = keys
+        self._requests = requests
         self._announce = announce
         self._clock = clock
         self._metrics = metrics
@@ -179,41 +173,20 @@
     async def _ask_owner(
         self, owner: Member, statement: LimitStatement
     ) -> Result[TokenAnswer, str]:
-        loop = asyncio.get_running_loop()
-        body = msgspec.json.encode(
-            TokenRequest(
-                node=self._node,
-                endpoint=statement.endpoint,
-                requests_per_second=statement.rate,
-                heard_seconds_ago=max(0.0, loop.time() - statement.heard_at),
-            )
+        now = asyncio.get_running_loop().time()
+        asked = TokenRequest(
+            node=self._node,
+            endpoint=statement.endpoint,
+            requests_per_second=statement.rate,
+            heard_seconds_ago=max(0.0, now - statement.heard_at),
         )
-        answered = await self._client.request(
-            owner.peer,
-            "POST",
-            TOKEN_PATH,
-            body=body,
-            headers=self._keys.headers("POST", TOKEN_PATH, body),
-            deadline=loop.time() + ANSWER_SECONDS,
+        return await self._requests.post(
+            owner, TOKEN_PATH, asked, TokenAnswer, now + ANSWER_SECONDS
         )
-        if isinstance(answered, Err):
-            return Err(answered.err_value.reason)
-        res = answered.ok_value
-        if res.status != 200:
-            return Err(f"status {res.status}")
-        try:
-            return Ok(msgspec.json.decode(res.body, type=TokenAnswer))
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            return Err(str(exc))
 
     async def _on_request(self, req: Request, res: Responder, _: Params) -> None:
-        if not self._keys.accepts(req):
-            await refuse_signature(res, self._metrics)
-            return
-        try:
-            asked = msgspec.json.decode(req.body, type=TokenRequest)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            await send_error(res, 400, "bad_request", place="body", message=str(exc))
+        asked = await self._requests.decode(req, res, TokenRequest)
+        if asked is None:
             return
         heard_at = asyncio.get_running_loop().time() - asked.heard_seconds_ago
         self._limits.record(
