Take a node's servers into a class of their own

What listens where, and is closed with the node, stood in three places of relay/node.py. No behaviour changes; tests of the node, its daemon and its moves pass.

--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -14,7 +14,7 @@
 from ..http.messages import Request
 from ..http.network import Network, SystemNetwork
 from ..http.routes import Params, Router
-from ..http.server import HttpServer, Responder, ServerLimits
+from ..http.server import Responder, ServerLimits
 from ..metrics import Metrics
 from ..model import Registration, RelayConfig, Service
 from ..nodes.member import Member, State
@@ -54,6 +54,7 @@
 from .nodeorder import NodeOrder
 from .peerupdates import PeerUpdates
 from .runmover import RunMover
+from .servers import NodeServers
 from .sharedrows import SharedRows
 from .storeclient import make_rows
 from .tablesinks import ConfigSink, EvacuationSink, RegistrationSink, SinkGroup
@@ -332,38 +333,33 @@
             rng=self._rng,
             metrics=self._metrics,
         )
-        self._front = HttpServer(handler=handler, network=self._network)
         directory = DirectoryHandler(
             nodes=self.nodes,
             max_seconds=cfg.max_address_seconds,
             rng=self._rng,
             is_cut_off=self.access.is_node_cut_off,
         )
-        self._directory = HttpServer(handler=directory, network=self._network)
-        readiness = ReadinessHandler(is_ready=lambda: self.is_ready)
-        self._readiness = HttpServer(handler=readiness, network=self._network)
         router = Router()
         self.nodes.add_routes(router)
         self.shared_rows.add_routes(router)
         self._limits.add_routes(router)
         self.access.add_routes(router)
         router.add("GET", "/metrics", self._answer_metrics)
-        self._peers = HttpServer(handler=router, network=self._network)
+        self._servers = NodeServers(
+            cfg=cfg,
+            network=self._network,
+            callers=handler,
+            peers=router,
+            directory=directory,
+            readiness=ReadinessHandler(is_ready=lambda: self.is_ready),
+        )
 
     # Starting and stopping.
 
     async def start(self) -> None:
         """Listen, join the other nodes, and serve once a configuration is known."""
         cfg = self.cfg
-        listeners = (
-            (self._peers, cfg.peers),
-            (self._front, cfg.callers),
-            (self._readiness, cfg.readiness),
-            (self._directory, cfg.directory),
-        )
-        for server, address in listeners:
-            if address is not None:
-                await server.start(address)
+        await self._servers.start()
         await self.nodes.start()
         assert cfg.callers is not None
         await self.peer_updates.start(
@@ -384,14 +380,18 @@
         loop = asyncio.get_running_loop()
         self.is_stopping = True
         self._killed_at = loop.time() + self.cfg.grace_seconds
-        log_message("relay:node:stopping", node=self.node_id, n_busy=self._front.n_busy)
+        log_message(
+            "relay:node:stopping",
+            node=self.node_id,
+            n_busy=self._servers.callers.n_busy,
+        )
         self.nodes.set_serving(False)
-        self._front.retire()
+        self._servers.callers.retire()
         accept_until = loop.time() + STOP_ACCEPT_SECONDS
         while loop.time() < accept_until:
             await asyncio.sleep(STOP_POLL_SECONDS)
-            self._front.retire()
-        await self._front.drain()
+            self._servers.callers.retire()
+        await self._servers.callers.drain()
         await self.access.tunnels.stop(self._killed_at - STOP_MARGIN_SECONDS)
         await self._node_rows.leave()
         for task in self._tasks:
@@ -402,8 +402,7 @@
 
     async def close(self) -> None:
         """Stop at once, aborting what is in progress; for tests."""
-        for server in (self._front, self._readiness, self._directory, self._peers):
-            await server.close()
+        await self._servers.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.wait(self._tasks)
@@ -477,7 +476,7 @@
 
     def _on_config(self, cfg: RelayConfig) -> None:
         bounds = cfg.bounds
-        self._front.set_limits(
+        self._servers.set_limits(
             ServerLimits(
                 max_head_bytes=bounds.max_head_bytes,
                 max_body_bytes=bounds.max_body_bytes,
