Move no run off an engine for what its former start said

A late answer of an engine's former start, read after its new row, took the runs off the engine under the same id: runs were compared by id only. Now by id and start; the new test fails without the change.

--- a/celerytrail/relay/runmover.py
+++ b/celerytrail/relay/runmover.py
@@ -87,9 +87,10 @@
         """Move the runs of a leaving engine to others, the most advanced ones first."""
         leaving = []
         for live in runs:
-            if live.backup is not None and live.backup.endpoint == reg.endpoint:
+            backup = live.backup
+            if backup is not None and backup.incarnation == reg.incarnation:
                 self._placer.clear_backup(live)
-            if live.reg is not None and live.reg.endpoint == reg.endpoint:
+            if live.reg is not None and live.reg.incarnation == reg.incarnation:
                 leaving.append(live)
         leaving.sort(key=lambda live: live.n_events, reverse=True)
         if leaving:
--- a/tests/test_relay_moving.py
+++ b/tests/test_relay_moving.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from dataclasses import replace
 
 import pytest_asyncio
 
@@ -43,6 +44,20 @@
         assert split_events(res.body) == expected_events(6)
         assert not first.running
 
+    async def test_a_late_word_of_a_former_start_moves_no_run(self, rig):
+        # The engine is back under the same id; its former start had said that it leaves.
+        engines = {name: await rig.add_engine(name) for name in ("e1", "e2")}
+        node = await rig.add_node()
+        pending = asyncio.ensure_future(rig.request("/draft/1"))
+        await wait_until(lambda: any(engine.running for engine in engines.values()))
+        first = next(name for name, engine in engines.items() if engine.running)
+        await engines[first].tick(2)
+        reg = node.registry.find(first)
+        node.registry.record_leaving(replace(reg, started_at=reg.started_at - 1))
+        await engines[first].tick(4)
+        assert split_events((await pending).body) == expected_events(6)
+        assert [len(engine.seen) for engine in engines.values()].count(0) == 1
+
     async def test_a_run_that_is_being_moved_is_not_moved_again(self, rig):
         # The last copy of a run waits on a link while its engine leaves. A check during
         # that time sent the run to the same engine under another name as well; that
