--- a/celerytrail/relay/endpointaccess.py
+++ b/celerytrail/relay/endpointaccess.py
@@ -91,7 +91,7 @@
             keys=keys,
             metrics=metrics,
             on_silent=self._on_path_silent,
-            on_told=answers.record_told,
+            on_stated=answers.record_relayed,
         )
         self.tunnels = TunnelServer(
             network=network,
@@ -100,7 +100,7 @@
             keys=keys,
             metrics=metrics,
             on_unreached=self.paths.suspect,
-            told=answers.told,
+            statements_at=answers.statements_at,
             on_answer=answers.record_at,
         )
         self.client = HttpClient(
--- a/celerytrail/relay/endpointanswers.py
+++ b/celerytrail/relay/endpointanswers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 
 from eliot import log_message
 
@@ -21,6 +22,17 @@
 MISDIRECTED = 421
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RelayedStatements:
+    """What an endpoint has stated to the node through which it is reached.
+
+    ``pause_seconds`` is the rest of the pause that it asked for.
+    """
+
+    pause_seconds: float = 0.0
+    is_leaving: bool = False
+
+
 class EndpointAnswers:
     """Records statements by endpoint and start, from any answer to this node.
 
@@ -111,9 +123,7 @@
         if reg is not None:
             self.record(reg, status, headers, sent_at)
 
-    def record_told(
-        self, address: Address, *, pause_seconds: float, is_leaving: bool
-    ) -> None:
+    def record_relayed(self, address: Address, stated: RelayedStatements) -> None:
         """Record what an endpoint has stated to the node through which it is reached.
 
         The endpoint sees that node, so its pause is also one for requests of this node.
@@ -121,21 +131,22 @@
         reg = self._registry.find_address(address)
         if reg is None:
             return
-        if pause_seconds > 0:
-            self._record_pause(reg, pause_seconds)
-        if is_leaving:
+        if stated.pause_seconds > 0:
+            self._record_pause(reg, stated.pause_seconds)
+        if stated.is_leaving:
             self.record_leaving(reg)
 
-    def told(self, address: Address) -> tuple[float, bool]:
-        """Return the rest of an endpoint's pause in seconds, and whether it leaves."""
+    def statements_at(self, address: Address) -> RelayedStatements:
+        """Return what the endpoint at an address has stated to this node."""
         reg = self._registry.find_address(address)
         if reg is None:
-            return 0.0, False
+            return RelayedStatements()
         now = _now()
         seconds = 0.0
         if self._pauses.is_paused(reg.incarnation, now):
             seconds = self._pauses.seconds_until_open(reg.incarnation, now)
-        return seconds, self._registry.is_leaving(reg)
+        is_leaving = self._registry.is_leaving(reg)
+        return RelayedStatements(pause_seconds=seconds, is_leaving=is_leaving)
 
     def record_leaving(self, reg: Registration) -> None:
         """Record that an endpoint leaves, and announce it once."""
--- a/celerytrail/relay/paths.py
+++ b/celerytrail/relay/paths.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable, Iterator, Mapping
-from typing import Any, Protocol, TypeVar
+from typing import Any, TypeVar
 from weakref import WeakSet
 
 import h11
@@ -20,7 +20,8 @@
 from ..policies.peerchoice import PeerChoice
 from ..policies.reach import Reach
 from ..types import Address
-from .tunnelserver import TUNNEL_PATH, TunnelRequest, decode_told
+from .endpointanswers import RelayedStatements
+from .tunnelserver import TUNNEL_PATH, TunnelRequest, decode_statements
 
 P = TypeVar("P", bound=asyncio.BaseProtocol)
 
@@ -44,15 +45,6 @@
 N_PROBED = 4
 
 
-class StatementRecorder(Protocol):
-    """Records what an endpoint has stated to another node."""
-
-    def __call__(
-        self, address: Address, *, pause_seconds: float, is_leaving: bool
-    ) -> None:
-        """Record the rest of its pause in seconds, and whether it leaves."""
-
-
 class EndpointPaths(Network):
     """Connects to endpoints, through another node if this one has lost the path.
 
@@ -78,7 +70,7 @@
         Counts connections by way.
     on_silent : callable
         Called with an endpoint when the path to it has fallen silent.
-    on_told : callable
+    on_stated : callable
         Called with an endpoint and what it has stated to the node that connects to it,
         before anything is sent there.
     """
@@ -94,7 +86,7 @@
         keys: PeerKeys,
         metrics: Metrics,
         on_silent: Callable[[Address], None],
-        on_told: StatementRecorder,
+        on_stated: Callable[[Address, RelayedStatements], None],
     ) -> None:
         self._network = network
         self._reach = reach
@@ -104,7 +96,7 @@
         self._keys = keys
         self._metrics = metrics
         self._on_silent = on_silent
-        self._on_told = on_told
+        self._on_stated = on_stated
         # Open connections by endpoint: on the own path, and through other nodes.
         self._direct: dict[Address, WeakSet[Connection]] = {}
         self._tunnelled: dict[Address, WeakSet[Connection]] = {}
@@ -285,10 +277,7 @@
         return protocol
 
     def _on_accepted(self, address: Address, headers: Mapping[str, str]) -> None:
-        told = decode_told(headers)
-        self._on_told(
-            address, pause_seconds=told.pause_seconds, is_leaving=told.is_leaving
-        )
+        self._on_stated(address, decode_statements(headers))
 
     def _on_tunnel_failed(self, member: Member, address: Address, exc: OSError) -> None:
         self._avoid(member, address)
--- a/celerytrail/relay/tunnelserver.py
+++ b/celerytrail/relay/tunnelserver.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 
 import msgspec
 from eliot import log_message
@@ -26,6 +25,7 @@
 from ..nodes.signing import PeerKeys
 from ..policies.reach import Reach
 from ..types import Address
+from .endpointanswers import RelayedStatements
 from .engineapi import AnswerRecorder
 
 TUNNEL_PATH = "/peer/v1/tunnel"
@@ -53,21 +53,15 @@
     endpoint: str
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Told:
-    """What an endpoint has stated to the node through which it is reached."""
-
-    pause_seconds: float
-    is_leaving: bool
-
-
-def decode_told(headers: Mapping[str, str]) -> Told:
+def decode_statements(headers: Mapping[str, str]) -> RelayedStatements:
     """Decode what a node tells of an endpoint; nothing from earlier versions."""
     try:
         pause_seconds = float(headers.get(PAUSE_HEADER, "0"))
     except ValueError:
         pause_seconds = 0.0
-    return Told(pause_seconds=pause_seconds, is_leaving=LEAVING_HEADER in headers)
+    return RelayedStatements(
+        pause_seconds=pause_seconds, is_leaving=LEAVING_HEADER in headers
+    )
 
 
 class TunnelServer:
@@ -91,8 +85,8 @@
         Counts requests by outcome.
     on_unreached : callable
         Called with an endpoint that this node doesn't reach either.
-    told : callable
-        Returns the rest of an endpoint's pause in seconds, and whether it leaves.
+    statements_at : callable
+        Returns what the endpoint at an address has stated to this node.
     on_answer : callable
         Called with an endpoint, the head of its answer, and when it was asked.
     """
@@ -106,7 +100,7 @@
         keys: PeerKeys,
         metrics: Metrics,
         on_unreached: Callable[[Address], None],
-        told: Callable[[Address], tuple[float, bool]],
+        statements_at: Callable[[Address], RelayedStatements],
         on_answer: AnswerRecorder,
     ) -> None:
         self._network = network
@@ -115,7 +109,7 @@
         self._keys = keys
         self._metrics = metrics
         self._on_unreached = on_unreached
-        self._told = told
+        self._statements_at = statements_at
         self._on_answer = on_answer
         self._is_stopping = False
         self.n_open = 0
@@ -183,15 +177,19 @@
             other.abort()
             return
         self._metrics.count("tunnels_served", outcome="opened")
-        headers = {**UPGRADE_HEADERS, END_HEADER: end.hex(), **self._told_of(address)}
+        headers = {
+            **UPGRADE_HEADERS,
+            END_HEADER: end.hex(),
+            **self._statement_headers(address),
+        }
         await accept_tunnel(res.switch_protocols(headers), Pipe(), other)
 
-    def _told_of(self, address: Address) -> dict[str, str]:
-        pause_seconds, is_leaving = self._told(address)
+    def _statement_headers(self, address: Address) -> dict[str, str]:
+        stated = self._statements_at(address)
         headers = {}
-        if pause_seconds > 0:
-            headers[PAUSE_HEADER] = f"{pause_seconds:.3f}"
-        if is_leaving:
+        if stated.pause_seconds > 0:
+            headers[PAUSE_HEADER] = f"{stated.pause_seconds:.3f}"
+        if stated.is_leaving:
             headers[LEAVING_HEADER] = "1"
         return headers
 
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -21,6 +21,7 @@
 from celerytrail.metrics import Metrics
 from celerytrail.nodes.signing import PeerKeys
 from celerytrail.policies.reach import Reach
+from celerytrail.relay.endpointanswers import RelayedStatements
 from celerytrail.relay.tunnelserver import (
     MAX_TUNNELS,
     NO_ROOM,
@@ -28,16 +29,16 @@
     TUNNEL_PATH,
     UNKNOWN,
     UNREACHED,
-    Told,
     TunnelRequest,
     TunnelServer,
-    decode_told,
+    decode_statements,
 )
 from celerytrail.types import Address
 from tests.relayrig import wait_until
 
 LOOPBACK = Address(host="127.0.0.1", port=0)
 KEYS = PeerKeys(keys=[b"key"])
+STATED = RelayedStatements(pause_seconds=1.5, is_leaving=True)
 
 
 class EndpointHandler(Handler):
@@ -82,7 +83,7 @@
 
     def __init__(self, peer: Address) -> None:
         self.peer = peer
-        self.told: list[Told] = []
+        self.told: list[RelayedStatements] = []
 
     async def connect(self, factory: Callable, address: Address):
         body = msgspec.json.encode(TunnelRequest(endpoint=str(address)))
@@ -94,7 +95,7 @@
             body,
             headers,
             factory,
-            on_accepted=lambda answered: self.told.append(decode_told(answered)),
+            on_accepted=lambda answered: self.told.append(decode_statements(answered)),
         )
 
 
@@ -132,7 +133,7 @@
         keys=KEYS,
         metrics=Metrics(process="middle"),
         on_unreached=unreached.append,
-        told=lambda found: (1.5, True),
+        statements_at=lambda found: STATED,
         on_answer=lambda found, status, headers, sent_at: answers.append(
             (found, status, headers.get("x-stated"))
         ),
@@ -212,12 +213,12 @@
     async def test_it_tells_what_it_knows_before_anything_is_sent(self, rig):
         # The caller's node hadn't heard that the endpoint wants no requests.
         await rig.get("/")
-        assert rig.network.told == [Told(pause_seconds=1.5, is_leaving=True)]
+        assert rig.network.told == [STATED]
 
     def test_a_node_of_an_earlier_version_tells_nothing(self):
-        told = Told(pause_seconds=0.0, is_leaving=False)
-        assert decode_told({}) == told
-        assert decode_told({"x-endpoint-pause": "soon"}) == told
+        nothing = RelayedStatements()
+        assert decode_statements({}) == nothing
+        assert decode_statements({"x-endpoint-pause": "soon"}) == nothing
 
 
 class TestRefusals:
