--- a/tests/test_relay_moving.py
+++ b/tests/test_relay_moving.py
@@ -45,7 +45,7 @@
         assert not first.running
 
     async def test_a_late_word_of_a_former_start_moves_no_run(self, rig):
-        # The engine is back under the same id; its former start had said that it leaves.
+        # The engine is back under its id; its former start had said that it leaves.
         engines = {name: await rig.add_engine(name) for name in ("e1", "e2")}
         node = await rig.add_node()
         pending = asyncio.ensure_future(rig.request("/draft/1"))
@@ -54,6 +54,8 @@
         await engines[first].tick(2)
         reg = node.registry.find(first)
         node.registry.record_leaving(replace(reg, started_at=reg.started_at - 1))
+        # Long enough for a move to begin.
+        await asyncio.sleep(0.6)
         await engines[first].tick(4)
         assert split_events((await pending).body) == expected_events(6)
         assert [len(engine.seen) for engine in engines.values()].count(0) == 1
