Wait for an open tunnel before its node in the middle is stopped

The check now waits until one is open, at most 2 s, and the node stops at that very moment, which is stricter than before; all other checks are as they were.

--- a/tests/test_relay_reach.py
+++ b/tests/test_relay_reach.py
@@ -112,7 +112,9 @@
             sending = asyncio.ensure_future(callers.run(14.0))
             await asyncio.sleep(4.0)
             began_at = now()
-            assert rig.fleet.nodes[7].access.tunnels.n_open > 0
+            async with asyncio.timeout(2.0):
+                while rig.fleet.nodes[7].access.tunnels.n_open == 0:
+                    await asyncio.sleep(0.0005)
             await rig.fleet.nodes[7].stop()
             assert rig.fleet.nodes[7].access.tunnels.n_open == 0
             rig.fleet.wires.kill("vm-7")
