Decode and log the software version of endpoints

Nothing in the package decoded a row's version or a caller's Resumes.

A caller's Resumes is decoded, and an empty Last-Event-Id counts as none. The version, the start and both headers are in the events placed, copied, switched, resumed and run_again. No decision reads them yet.

--- a/celerytrail/model.py
+++ b/celerytrail/model.py
@@ -236,6 +236,8 @@
         The remaining time for which it is slow after its start.
     started_at : int
         Unix milliseconds of its start; differs between processes.
+    version : str
+        The version of its software.
     """
 
     endpoint: str
@@ -246,6 +248,7 @@
     state: EndpointState
     cold_seconds: float = 0.0
     started_at: int = 0
+    version: str = ""
 
     @property
     def incarnation(self) -> Incarnation:
@@ -321,6 +324,8 @@
         The API key.
     last_event_id : str or None
         The event after which the caller resumes a stream.
+    resumed_attempt : str or None
+        The caller's attempt that brought the first event of the stream that it resumes.
     n_prompt_tokens, n_max_tokens : int
         Size of the prompt and limit of the output; 0 if not stated.
     n_hinted_tokens : int or None
@@ -333,6 +338,7 @@
     budget_seconds: float | None
     key: str | None
     last_event_id: str | None = None
+    resumed_attempt: str | None = None
     n_prompt_tokens: int = 0
     n_max_tokens: int = 0
     n_hinted_tokens: int | None = None
--- a/celerytrail/platform/registrations.py
+++ b/celerytrail/platform/registrations.py
@@ -19,6 +19,8 @@
     service: Text
     address: Text
     zone: Text
+    # Of its software, not of the weights that it serves.
+    version: Text
     slots: Annotated[int, msgspec.Meta(ge=0)]
     state: Literal["ready", "draining"]
     # Remaining time for which the endpoint is slow after its start.
@@ -45,5 +47,6 @@
             state=EndpointState.READY if is_ready else EndpointState.LEAVING,
             cold_seconds=raw.cold_remaining_ms * MS,
             started_at=raw.born,
+            version=raw.version,
         )
     )
--- a/celerytrail/platform/wire.py
+++ b/celerytrail/platform/wire.py
@@ -29,6 +29,7 @@
 _BACKUP = "x-kv-backup"
 _RESUME_FROM = "kv-from"
 _LAST_EVENT = "last-event-id"
+_RESUMED = "resumes"
 _NOT_RUN = "x-not-executed"
 _COLD = "x-cold-ms"
 _LIMIT = "server-limit"
@@ -127,7 +128,8 @@
         attempt_id=headers.get(ATTEMPT_HEADER, ""),
         budget_seconds=_milliseconds(headers.get(_BUDGET)),
         key=key.strip() if scheme.lower() == "bearer" and key.strip() else None,
-        last_event_id=headers.get(_LAST_EVENT),
+        last_event_id=headers.get(_LAST_EVENT) or None,
+        resumed_attempt=headers.get(_RESUMED) or None,
         n_prompt_tokens=_count(prompt),
         n_max_tokens=_count(output),
         n_hinted_tokens=_count(hint) if hint else None,
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -166,7 +166,12 @@
         ex.log(
             "placed",
             endpoint=reg.endpoint,
+            version=reg.version,
+            started_at=reg.started_at,
             backup=backup.endpoint if backup else "",
+            backup_version=backup.version if backup else "",
+            resumes=ex.facts.resumed_attempt,
+            last_event=live.last_event_id,
             copy=copy_name,
             status=stream.status,
             waited=round(live.waited_seconds, 3),
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -338,7 +338,12 @@
             self._on_moved(live, copied.reg)
             opened = await self._opener.open_copy(live, copied.reg, copied.name)
             if isinstance(opened, Ok):
-                ex.log("resumed", reason=reason, endpoint=copied.reg.endpoint)
+                ex.log(
+                    "resumed",
+                    reason=reason,
+                    endpoint=copied.reg.endpoint,
+                    version=copied.reg.version,
+                )
                 return opened.ok_value
             ex.log("copy_unusable", reason=reason, endpoint=copied.reg.endpoint)
         if not ex.route.is_resumable or live.n_runs >= ex.route.max_attempts:
@@ -354,7 +359,13 @@
         opened = await self._opener.open(live, admission, live.backup)
         if isinstance(opened, Err):
             return None
-        ex.log("run_again", reason=reason, endpoint=admission.reg.endpoint)
+        ex.log(
+            "run_again",
+            reason=reason,
+            endpoint=admission.reg.endpoint,
+            version=admission.reg.version,
+            n_events=live.n_events,
+        )
         return opened.ok_value
 
     async def _await_move(self, live: LiveRun) -> Copied | Switched | None:
--- a/celerytrail/relay/runmover.py
+++ b/celerytrail/relay/runmover.py
@@ -234,7 +234,12 @@
             return None
         if live.stream is not None:
             live.stream.close()
-        live.ex.log("switched", endpoint=backup.endpoint, n_events=live.n_events)
+        live.ex.log(
+            "switched",
+            endpoint=backup.endpoint,
+            version=backup.version,
+            n_events=live.n_events,
+        )
         return Switched(reg=backup, stream=opened.ok_value)
 
     async def _move_in_turn(self, live: LiveRun, source: Registration) -> Copied | None:
@@ -343,7 +348,9 @@
             live.ex.log(
                 "copied",
                 endpoint=source.endpoint,
+                version=source.version,
                 target=target.endpoint,
+                target_version=target.version,
                 seconds=round(seconds, 4),
                 n_tokens=live.run.n_tokens,
                 is_last=is_last,
--- a/tests/test_relay_platform.py
+++ b/tests/test_relay_platform.py
@@ -151,6 +151,7 @@
         "service": "desk",
         "address": "10.1.0.9:80",
         "zone": "a",
+        "version": "v1.2",
         "slots": 6,
         "state": "ready",
         "cold-remaining-ms": 1500,
@@ -163,6 +164,12 @@
         assert reg.state is EndpointState.READY
         assert reg.cold_seconds == 1.5
         assert reg.started_at == 42
+        assert reg.version == "v1.2"
+
+    def test_a_row_without_a_version_is_rejected(self):
+        # Any stream might go on at such an endpoint.
+        row = {name: value for name, value in self.ROW.items() if name != "version"}
+        assert isinstance(decode_registration("i-1", msgspec.json.encode(row)), Err)
 
     @pytest.mark.parametrize(
         "change",
@@ -173,6 +180,9 @@
             {"slots": "six"},
             {"service": 7},
             {"born": "once"},
+            {"version": ""},
+            {"version": 2},
+            {"version": None},
         ],
     )
     def test_a_row_with_an_invalid_field_is_rejected(self, change):
