Run the tests on four processes

Virtual time, not the machine's, decides all verdicts, so tests can run side by side. Which tests run doesn't change, nor how KNOWN-RED.txt is passed over and printed.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 SEED ?= 1
 SCALE ?= 1
 SEEDS ?= 1-40
+WORKERS ?= 4
 
 help:  ## List the chores.
 	@awk -F':.*## ' '/^[a-z-]+:.*## / {printf "  make %-14s %s\n", $$1, $$2}' $(MAKEFILE_LIST)
@@ -17,8 +18,8 @@
 
 install: $(STAMP)  ## Make the virtual environment with all that is needed.
 
-test: install  ## Run all tests.
-	$(PY) -m pytest
+test: install  ## Run all tests; WORKERS=0 runs them one after the other.
+	$(PY) -m pytest -n $(WORKERS) --dist worksteal
 
 demo: install  ## Run a whole system through failures; ends with "demo: ok".
 	$(PY) -m chores.demo
