--- a/standins/modelworker.py
+++ b/standins/modelworker.py
@@ -86,6 +86,8 @@
         self.is_closed = False
         # Attempts that started with a prefill, not from a copy.
         self.prefilled_ids: list[str] = []
+        # Whether its events name its id, its start and its software version.
+        self.signs_events = False
         self._find_engine = find_engine
         self._streams: dict[str, _Stream] = {}
         self._copies: dict[str, _Copy] = {}
@@ -93,9 +95,9 @@
         self._has_work = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
 
-    async def start(self) -> Address:
+    async def start(self, address: Address | None = None) -> Address:
         """Listen, and start the background tasks."""
-        address = await super().start()
+        address = await super().start(address)
         loop = asyncio.get_running_loop()
         for coroutine in (
             self._run_steps(),
@@ -156,6 +158,7 @@
                 "kv-used": model.n_used,
                 "kv-total": model.spec.n_memory_tokens,
                 "state": "ready" if self.leaving_at is None else "draining",
+                "born": self.born,
             }
             if self.leaving_at is not None:
                 seconds_left = max(0.0, self.leaving_at - loop.time())
@@ -338,7 +341,7 @@
                 if not is_begun:
                     res.start(200, headers)
                     is_begun = True
-                await res.write(event(attempt_id, number))
+                await res.write(event(attempt_id, number, self._signature))
                 number += 1
             if stream.is_ended:
                 break
@@ -351,6 +354,12 @@
             res.start(200, headers)
         await res.finish()
 
+    @property
+    def _signature(self) -> str:
+        if not self.signs_events:
+            return ""
+        return f"{self.worker_id} {self.born} {self.software}"
+
     @staticmethod
     async def _await_change(stream: _Stream, res: Responder) -> None:
         changed = asyncio.ensure_future(stream.changed.wait())
@@ -361,9 +370,20 @@
             changed.cancel()
 
 
-def event(attempt_id: str, number: int) -> bytes:
-    """Return the right event of a run at a position of its stream."""
-    return f"id: {number}\ndata: {attempt_id} {number}\n\n".encode()
+def event(attempt_id: str, number: int, signature: str = "") -> bytes:
+    """Return the right event of a run at a position of its stream.
+
+    Parameters
+    ----------
+    attempt_id : str
+        The caller's id.
+    number : int
+        The position, from 0.
+    signature : str
+        What names the engine that sends it; may be empty.
+    """
+    signed = f"sender: {signature}\n" if signature else ""
+    return f"id: {number}\ndata: {attempt_id} {number}\n{signed}\n".encode()
 
 
 def request_body(n_output: int) -> bytes:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -155,12 +155,16 @@
         # All that reached it, and what it said; for checks.
         self.arrivals: list[Arrival] = []
         self.statements: list[Statement] = []
+        # The version of its software, and its start in Unix milliseconds.
+        self.software = "v1"
+        self.born = 1
         self.address = Address(host="127.0.0.1", port=1)
         self._server = HttpServer(handler=self, network=network)
 
-    async def start(self) -> Address:
-        """Listen on a free port of the loopback address."""
-        self.address = await self._server.start(Address(host="127.0.0.1", port=0))
+    async def start(self, address: Address | None = None) -> Address:
+        """Listen on an address; by default a free port of the loopback address."""
+        free = Address(host="127.0.0.1", port=0)
+        self.address = await self._server.start(address or free)
         return self.address
 
     async def close(self) -> None:
@@ -174,7 +178,8 @@
 
     def row(self, service: str, state: str = "ready", **more: object) -> object:
         """Return the row by which it registers in the store."""
-        return worker_row(service, self.address, state, **more)
+        columns = {"version": self.software, "born": self.born, **more}
+        return worker_row(service, self.address, state, **columns)
 
     @property
     def max_requests_per_second(self) -> int:
@@ -427,6 +432,7 @@
             if self.leaves_ms is not None:
                 report["leaves_ms"] = self.leaves_ms  # type: ignore[assignment]
             report |= {"kv-total": 1, "state": "ready"}  # type: ignore[dict-item]
+            report["born"] = self.born
             await res.send_json(200, report, self.leaving_headers)
             return True
         if req.path == "/api/kv-move":
