Continue a run only at the software version that began it

Callers got streams with events of two software versions of a service. Cause: the engines of a service were taken as interchangeable for a run that has begun. Backups, targets of moves, the engine of a run that begins again and the first placing of a request that takes a stream up were each chosen without regard to the version, and nobody knew what began a stream once its run had ended.

Now a run carries the version it is bound to, none until its caller is about to get an event. One predicate, VersionBinding.allows, says where it may continue; every choice of an engine asks it, and the opener asks it again right before the first byte of whatever it sends, so that no way of changing the engine can do without. Memory of one version isn't used by another one, even before the first event.

What began a stream of a resumable route is told to three owners, chosen by the stream's key, before the first event goes to the caller, and asked of them when another node gets a request that takes it up. What can't be found isn't guessed: the stream may go on if the service has had one version for as long as it may be away, as this node or an owner has followed it. Else it is refused at once: 421 if it can't go on anywhere, so that the caller begins anew, and 503 with a short Retry-After if another node may know it.

--- a/celerytrail/model.py
+++ b/celerytrail/model.py
@@ -344,6 +344,11 @@
     n_hinted_tokens: int | None = None
     parts: tuple[tuple[str, int], ...] = ()
 
+    @property
+    def is_resumption(self) -> bool:
+        """Return whether it takes up a stream that another attempt began."""
+        return self.last_event_id is not None or self.resumed_attempt is not None
+
     @property
     def n_expected_tokens(self) -> int:
         """Return the expected number of output tokens."""
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -240,7 +240,7 @@
         loop = asyncio.get_running_loop()
         admission = None
         while admission is None:
-            usable = self._registry.usable_endpoints(ex.service)
+            usable = self._registry.usable_endpoints(ex.service, ex.binding)
             open_regs = [
                 reg for reg in usable if self._gate.is_open_for(reg, ex.home_regions)
             ]
@@ -279,7 +279,7 @@
 
     def _return_at(self, ex: Exchange) -> float | None:
         """Return when a caller should return if all endpoints are closed now."""
-        usable = self._registry.usable_endpoints(ex.service)
+        usable = self._registry.usable_endpoints(ex.service, ex.binding)
         seconds = self._gate.return_seconds(usable)
         if seconds is None:
             return None
@@ -328,7 +328,11 @@
             connect_seconds=CONNECT_SECONDS,
             max_idle=self._gate.max_idle_connections(reg),
             request_id=ex.facts.attempt_id,
-            may_send=lambda: ex.may_send() and self._gate.may_begin(admission),
+            may_send=lambda: (
+                ex.binding.allows(reg)
+                and ex.may_send()
+                and self._gate.may_begin(admission)
+            ),
         )
         if isinstance(opened, Err):
             exc = opened.err_value
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -11,9 +11,11 @@
 from ..platform import wire
 from .endpointanswers import EndpointAnswers
 from .endpointgate import ENDPOINT_CLOSED, ENDPOINT_LIMITED, Admission, EndpointGate
-from .liverun import LiveRun
+from .liverun import Copied, LiveRun
 from .outcomes import Failed, NotExecuted
 
+# Reason for which a request wasn't sent: it must not run at its engine's version.
+OTHER_VERSION = "other_version"
 # Connect timeout before another engine is tried, in seconds.
 CONNECT_SECONDS = 0.25
 # How long a run that continues at a cold engine waits until that may receive it, in
@@ -44,9 +46,10 @@
         self._answers = answers
 
     async def open_copy(
-        self, live: LiveRun, reg: Registration, copy_name: str
+        self, live: LiveRun, copied: Copied
     ) -> Result[Stream, NotExecuted | Failed]:
         """Resume a generation from a copy, once its engine may receive it."""
+        reg = copied.reg
         now = asyncio.get_running_loop().time()
         await self._gate.wait_for_share(reg, now + COLD_WAIT_SECONDS)
         admission = await self._gate.admit_until(reg, now + LIMIT_WAIT_SECONDS)
@@ -55,14 +58,14 @@
                 "attempt_failed", endpoint=reg.endpoint, reason=ENDPOINT_LIMITED
             )
             return Err(NotExecuted(reason=ENDPOINT_LIMITED))
-        return await self.open(live, admission, None, copy_name)
+        return await self.open(live, admission, None, copied)
 
     async def open(
         self,
         live: LiveRun,
         admission: Admission,
         backup: Registration | None,
-        copy_name: str | None = None,
+        copied: Copied | None = None,
     ) -> Result[Stream, NotExecuted | Failed]:
         """Send a generation to an engine, to begin it or to resume it from a copy.
 
@@ -74,12 +77,12 @@
             The engine, and what admits the request there.
         backup : Registration or None
             The engine that receives a growing copy of the run, if any.
-        copy_name : str or None
+        copied : Copied or None
             The copy to resume from; None begins a new run.
         """
         opened: Result[Stream, NotExecuted | Failed] | None = None
         try:
-            opened = await self._send(live, admission, backup, copy_name)
+            opened = await self._send(live, admission, backup, copied)
             return opened
         finally:
             if isinstance(opened, Ok):
@@ -112,7 +115,7 @@
         live: LiveRun,
         admission: Admission,
         backup: Registration | None,
-        copy_name: str | None,
+        copied: Copied | None,
     ) -> Result[Stream, NotExecuted | Failed]:
         ex = live.ex
         reg = admission.reg
@@ -124,20 +127,26 @@
             organisation=ex.organisation,
             priority=ex.priority,
             backup=backup.address if backup else None,
-            resume_from=copy_name,
+            resume_from=copied.name if copied else None,
             last_event_id=live.last_event_id,
         )
-        is_closed = False
+        obstacle = ""
         sent_at = asyncio.get_running_loop().time()
 
         def may_send() -> bool:
-            nonlocal is_closed
-            is_new = copy_name is None
+            nonlocal obstacle
+            is_new = copied is None
             if not (ex.may_send() if is_new else ex.can_continue()):
                 return False
+            source = copied.source if copied is not None else None
+            if not live.binding.allows(reg, copied_from=source):
+                obstacle = OTHER_VERSION
+                return False
             admits = self._gate.may_begin if is_new else self._gate.may_continue
-            is_closed = not admits(admission)
-            return not is_closed
+            if not admits(admission):
+                obstacle = ENDPOINT_CLOSED
+                return False
+            return True
 
         opened = await self._client.open(
             reg.address,
@@ -153,7 +162,7 @@
         )
         if isinstance(opened, Err):
             exc = opened.err_value
-            reason = ENDPOINT_CLOSED if is_closed else exc.reason
+            reason = obstacle or exc.reason
             ex.log("attempt_failed", endpoint=reg.endpoint, reason=reason)
             if isinstance(exc, NotSent):
                 return Err(NotExecuted(reason=reason))
@@ -172,7 +181,8 @@
             backup_version=backup.version if backup else "",
             resumes=ex.facts.resumed_attempt,
             last_event=live.last_event_id,
-            copy=copy_name,
+            copy=copied.name if copied else None,
+            bound_to=live.binding.version,
             status=stream.status,
             waited=round(live.waited_seconds, 3),
             n_queued_tokens=live.n_queued_tokens,
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -14,7 +14,6 @@
 from ..policies.movetargets import MoveTargets, OwnTargets
 from ..policies.prefillrates import PrefillRates
 from .endpointgate import Admission, EndpointGate
-from .exchange import Exchange
 from .liverun import LiveRun
 from .peerupdates import PeerUpdates
 from .registry import Registry
@@ -104,26 +103,33 @@
         }
         self._avoid_until[reg.endpoint] = now + AVOID_SECONDS
 
-    def is_evacuated(self, service: str) -> bool:
-        """Return whether all engines of a service are in evacuated domains."""
-        return self._registry.is_service_evacuated(service)
+    def is_evacuated(self, live: LiveRun) -> bool:
+        """Return whether all engines for a run are in evacuated domains."""
+        return self._registry.is_service_evacuated(live.ex.service, live.binding)
 
-    def seconds_until_open(self, service: str) -> float | None:
-        """Return the time until an engine may get a request.
+    def has_version(self, live: LiveRun) -> bool:
+        """Return whether an engine at which a run may continue doesn't leave."""
+        return self._registry.has_accepting(live.ex.service, live.binding)
 
-        None unless all engines of the service are closed by their limits or pauses.
+    def seconds_until_open(self, live: LiveRun) -> float | None:
+        """Return the time until an engine may get a run.
+
+        None unless all engines for it are closed by their limits or pauses.
         """
-        return self._gate.seconds_until_open(self._registry.usable_endpoints(service))
+        return self._gate.seconds_until_open(self._allowed(live))
 
-    def return_at(self, service: str) -> float | None:
+    def return_at(self, live: LiveRun) -> float | None:
         """Return when a caller should return if all engines are closed now."""
-        seconds = self._gate.return_seconds(self._registry.usable_endpoints(service))
+        seconds = self._gate.return_seconds(self._allowed(live))
         if seconds is None:
             return None
         return asyncio.get_running_loop().time() + seconds
 
+    def _allowed(self, live: LiveRun) -> list[Registration]:
+        return self._registry.usable_endpoints(live.ex.service, live.binding)
+
     def _usable(
-        self, ex: Exchange, excluded: set[str], *, can_wait: bool
+        self, live: LiveRun, excluded: set[str], *, can_wait: bool
     ) -> list[Registration]:
         """Return the engines to choose from; avoided ones only if there are no others.
 
@@ -134,10 +140,10 @@
 
         def is_usable(reg: Registration) -> bool:
             return reg.endpoint not in excluded and self._gate.is_open_for(
-                reg, ex.home_regions, can_wait=can_wait
+                reg, live.ex.home_regions, can_wait=can_wait
             )
 
-        regs = self._registry.usable_endpoints(ex.service)
+        regs = self._allowed(live)
         drawn = regs
         if len(regs) > MAX_COMPARED:
             drawn = self._rng.sample(regs, MAX_COMPARED)
@@ -159,7 +165,7 @@
                 n_slots=engine.n_slots,
                 n_memory_tokens=engine.n_memory_tokens,
             )
-            for reg in self._usable(live.ex, excluded, can_wait=can_wait)
+            for reg in self._usable(live, excluded, can_wait=can_wait)
         ]
         now = asyncio.get_running_loop().time()
         return [
@@ -214,8 +220,10 @@
                 ex.observe("relay_wait")
                 self._record_placement(live, load.reg, loads, demand)
                 return load.reg
-            is_hopeless = self.is_evacuated(ex.service) or (
-                not loads and self._opens_after(ex.service, wait_deadline)
+            is_hopeless = (
+                not self.has_version(live)
+                or self.is_evacuated(live)
+                or (not loads and self._opens_after(live, wait_deadline))
             )
             if loop.time() >= wait_deadline or is_hopeless:
                 obstacles = placing.count_obstacles(loads, demand)
@@ -223,9 +231,9 @@
                 return None
             await asyncio.sleep(POLL_SECONDS)
 
-    def _opens_after(self, service: str, deadline: float) -> bool:
+    def _opens_after(self, live: LiveRun, deadline: float) -> bool:
         """Return whether the limits of engines keep them closed past a deadline."""
-        seconds = self.seconds_until_open(service)
+        seconds = self.seconds_until_open(live)
         if seconds is None:
             return False
         return asyncio.get_running_loop().time() + seconds >= deadline
@@ -262,7 +270,9 @@
             if run.run_id != live.run.run_id
         ]
         is_needed = moving.needs_backup(live.run, others, live.engine)
-        loads = self._unlimited(loads)
+        loads = self._unlimited(
+            [load for load in loads if live.binding.allows(load.reg, copied_from=reg)]
+        )
         copy = self._backups.choose(loads, demand, reg, self._rng, is_needed=is_needed)
         return copy.reg if copy is not None else None
 
@@ -306,8 +316,14 @@
             memory_share=placing.MOVE_SHARE,
             cross_domain_cost=placing.CROSS_DOMAIN_MOVE_COST,
         )
-        loads = self._unlimited(self._engine_loads(live, excluded, can_wait=True))
-        leaving = self._registry.leaving_endpoints(live.ex.service)
+        loads = self._unlimited(
+            [
+                load
+                for load in self._engine_loads(live, excluded, can_wait=True)
+                if live.binding.allows(load.reg, copied_from=source)
+            ]
+        )
+        leaving = self._registry.leaving_endpoints(live.ex.service, source.version)
         preferred = self._move_targets.select(loads, source.endpoint, leaving)
         target = self._placing.choose(preferred, demand, self._rng)
         if target is None:
--- a/celerytrail/relay/exchange.py
+++ b/celerytrail/relay/exchange.py
@@ -15,6 +15,7 @@
 from ..metrics import Metrics
 from ..model import RequestMetadata, Route
 from ..platform import wire
+from ..policies.versionbinding import UNBOUND, VersionBinding
 
 T = TypeVar("T")
 
@@ -46,8 +47,12 @@
         Its priority; 0 is the most urgent.
     arrived_at, deadline : float
         Boot time of its arrival, and of its deadline.
+    gives_up_at : float
+        Boot time until which its caller waits, over all of the caller's attempts.
     home_regions : frozenset of str
         The regions whose endpoints may get it; all if empty.
+    binding : VersionBinding
+        The software version at which it must run, if it takes up a stream.
     is_allowed : callable
         Returns whether its route and key allow it to be sent on at this moment.
     metrics : Metrics
@@ -65,10 +70,12 @@
     priority: int
     arrived_at: float
     deadline: float
+    gives_up_at: float
     is_allowed: Callable[[], bool]
     metrics: Metrics
     clock: Clock
     home_regions: frozenset[str] = frozenset()
+    binding: VersionBinding = UNBOUND
 
     @property
     def seconds_left(self) -> float:
--- a/celerytrail/relay/followedtables.py
+++ b/celerytrail/relay/followedtables.py
@@ -123,6 +123,12 @@
             and self._clock.boottime() - confirmed_at > STALE_REGISTRATIONS_SECONDS
         )
 
+    @property
+    def has_current_registrations(self) -> bool:
+        """Return whether the endpoints' rows are known, and recently confirmed."""
+        is_known = self._registrations_confirmed_at is not None
+        return is_known and not self.has_stale_registrations
+
     def _watch(
         self,
         table: str,
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -15,14 +15,17 @@
 from ..platform import wire
 from ..policies.engineloads import Run
 from ..policies.retrybudget import SharedRetryBudget
+from ..policies.streamorigins import StreamOrigin, stream_key
 from .endpointgate import ENDPOINT_CLOSED, ENDPOINT_LIMITED
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
 from .events import EventSplitter, StreamEvent
 from .exchange import CallerDisconnectedError, Exchange, refuse, seconds_until
 from .liverun import Copied, LiveRun, Switched
+from .originbroker import OriginBroker
 from .outcomes import Failed, NotExecuted
 from .peerupdates import PeerUpdates
+from .resumption import VERSION_GONE
 from .runmover import RunMover
 
 # Engines that may refuse a generation before it is refused to the caller.
@@ -52,6 +55,8 @@
         Announces runs to the other nodes.
     budget : SharedRetryBudget
         Bounds repeated requests.
+    origins : OriginBroker
+        Told what begins streams that callers may take up.
     rng : random.Random
         Generates run ids.
     """
@@ -64,8 +69,10 @@
         run_mover: RunMover,
         peer_updates: PeerUpdates,
         budget: SharedRetryBudget,
+        origins: OriginBroker,
         rng: random.Random,
     ) -> None:
+        self._origins = origins
         self._placer = placer
         self._opener = opener
         self._run_mover = run_mover
@@ -163,7 +170,10 @@
         ex = live.ex
         attempt = ex.facts.attempt_id
         if isinstance(outcome, NotExecuted):
-            ex.log("refused", reason=outcome.reason)
+            ex.log("refused", reason=outcome.reason, bound_to=live.binding.version)
+            if outcome.reason == VERSION_GONE:
+                await refuse(ex.res, 421, VERSION_GONE, attempt_id=attempt)
+                return
             await refuse(
                 ex.res,
                 503,
@@ -195,7 +205,7 @@
         while n_tries < MAX_REFUSALS:
             admission = await self._placer.place_admitted(live, excluded)
             if admission is None:
-                return Err(self._unplaced(ex))
+                return Err(self._unplaced(live))
             reg = admission.reg
             now = asyncio.get_running_loop().time()
             if n_sent and not self._budget.take(ex.service, now):
@@ -217,14 +227,16 @@
                 return Err(refused)
             if refused.reason != "connect_refused":
                 n_tries += 1
-        retry_at = self._placer.return_at(ex.service)
+        retry_at = self._placer.return_at(live)
         return Err(NotExecuted(reason="engines_refused", retry_at=retry_at))
 
-    def _unplaced(self, ex: Exchange) -> NotExecuted:
+    def _unplaced(self, live: LiveRun) -> NotExecuted:
         """Return the refusal of a generation for which there was no engine."""
-        if self._placer.is_evacuated(ex.service):
+        if live.binding.version is not None and not self._placer.has_version(live):
+            return NotExecuted(reason=VERSION_GONE)
+        if self._placer.is_evacuated(live):
             return NotExecuted(reason=EVACUATED)
-        retry_at = self._placer.return_at(ex.service)
+        retry_at = self._placer.return_at(live)
         if retry_at is None:
             return NotExecuted(reason="no_room")
         return NotExecuted(reason=ENDPOINT_LIMITED, retry_at=retry_at)
@@ -301,12 +313,29 @@
             live.last_number = number
         if event.event_id is not None:
             live.last_event_id = event.event_id
+        if live.n_events == 0:
+            self._bind(live)
         if live.run.is_prefilling:
             self._placer.on_first_event(live)
             live.ex.observe("relay_first_event")
         live.record_event()
         await live.ex.res.write(event.data)
 
+    def _bind(self, live: LiveRun) -> None:
+        """Bind a run to its version, known elsewhere before its caller has an event."""
+        live.bind()
+        ex = live.ex
+        if not ex.route.is_resumable:
+            return
+        version = live.binding.version
+        assert version is not None
+        facts = ex.facts
+        self._origins.record(
+            stream_key(ex.organisation, facts.resumed_attempt or facts.attempt_id),
+            StreamOrigin(service=ex.service, version=version),
+            ex.gives_up_at,
+        )
+
     # Resuming at another engine.
 
     async def _resume(self, live: LiveRun, reason: str) -> Stream | None:
@@ -331,12 +360,12 @@
         copied = moved
         has_backup = live.backup is not None and live.backup != live.reg
         if copied is None and has_backup:
-            assert live.backup is not None
+            assert live.backup is not None and previous_reg is not None
             name = wire.copy_name(live.backup.address, ex.facts.attempt_id)
-            copied = Copied(reg=live.backup, name=name)
+            copied = Copied(source=previous_reg, reg=live.backup, name=name)
         if copied is not None:
             self._on_moved(live, copied.reg)
-            opened = await self._opener.open_copy(live, copied.reg, copied.name)
+            opened = await self._opener.open_copy(live, copied)
             if isinstance(opened, Ok):
                 ex.log(
                     "resumed",
--- a/celerytrail/relay/handler.py
+++ b/celerytrail/relay/handler.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from eliot import log_message
+from result import Err
 
 from ..clock import Clock
 from ..http.messages import Request
@@ -20,6 +21,7 @@
 from .calls import PlainCalls
 from .exchange import Exchange, refuse
 from .generations import Generations
+from .resumption import CannotResume, Resumptions
 
 # Retry-After when other nodes serve, in seconds: the caller can try another address at
 # once.
@@ -48,6 +50,8 @@
         Relays requests to plain services.
     generations : Generations
         Relays requests to model engines.
+    resumptions : Resumptions
+        Finds where streams may be taken up.
     has_others : callable
         Returns whether another node serves callers.
     killed_at : callable
@@ -68,6 +72,7 @@
         freshness: Freshness,
         calls: PlainCalls,
         generations: Generations,
+        resumptions: Resumptions,
         has_others: Callable[[], bool],
         killed_at: Callable[[], float | None],
         clock: Clock,
@@ -78,6 +83,7 @@
         self._freshness = freshness
         self._calls = calls
         self._generations = generations
+        self._resumptions = resumptions
         self._has_others = has_others
         self._killed_at = killed_at
         self._clock = clock
@@ -109,6 +115,14 @@
             if key_holder is None:
                 await self._deny(res, facts, 401, "unknown_key")
                 return
+        organisation = key_holder.organisation if key_holder else None
+        resolved = await self._resumptions.resolve(
+            facts, route, organisation, self._choose_service(route)
+        )
+        if isinstance(resolved, Err):
+            await self._refuse_resumption(res, facts, resolved.err_value)
+            return
+        resumption = resolved.ok_value
         budget = facts.budget_seconds
         if budget is None:
             budget = DEFAULT_BUDGET_SECONDS
@@ -117,16 +131,26 @@
             res=res,
             facts=facts,
             route=route,
-            service=self._choose_service(route),
-            organisation=key_holder.organisation if key_holder else None,
+            service=resumption.service,
+            organisation=organisation,
             priority=_priority(route, key_holder),
             arrived_at=arrived_at,
             deadline=arrived_at + min(budget, route.timeout_seconds),
+            gives_up_at=arrived_at + budget,
             is_allowed=self._make_allowed_check(route, facts),
             metrics=self._metrics,
             clock=self._clock,
             home_regions=allowed_regions(route, key_holder),
+            binding=resumption.binding,
         )
+        if resumption.source:
+            ex.log(
+                "taken_up",
+                resumes=facts.resumed_attempt,
+                last_event=facts.last_event_id,
+                version=resumption.binding.version,
+                source=resumption.source,
+            )
         service = cfg.services.get(ex.service)
         if service is not None and service.engine is not None:
             if self._is_killed_before_end(facts):
@@ -159,6 +183,18 @@
 
         return is_allowed
 
+    async def _refuse_resumption(
+        self, res: Responder, facts: RequestMetadata, refused: CannotResume
+    ) -> None:
+        """Refuse to take up a stream; the caller tries another node or begins anew."""
+        await self._refuse(
+            res,
+            facts,
+            503 if refused.may_elsewhere else 421,
+            refused.reason,
+            can_retry_elsewhere=refused.may_elsewhere,
+        )
+
     def _choose_service(self, route: Route) -> str:
         if len(route.shares) == 1:
             return route.shares[0].service
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -9,14 +9,16 @@
 from ..metrics import DurationCounts
 from ..model import EngineProfile, Registration
 from ..policies.engineloads import Run
+from ..policies.versionbinding import VersionBinding
 from .endpointgate import Admission
 from .exchange import Exchange
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Copied:
-    """A run's memory was copied: the engine to resume at, and the name of the copy."""
+    """A run's memory was copied: from which engine, where to, and the copy's name."""
 
+    source: Registration
     reg: Registration
     name: str
 
@@ -47,6 +49,7 @@
         self.engine = engine
         self.run = run
         self.reg: Registration | None = None
+        self.binding = ex.binding
         self.backup: Registration | None = None
         # What admitted it to its engine.
         self.admission: Admission | None = None
@@ -69,6 +72,12 @@
         self.longest_pause = 0.0
         self.pauses = DurationCounts()
 
+    def bind(self) -> None:
+        """Bind the run to its engine's version: its caller is about to get an event."""
+        assert self.reg is not None
+        if self.binding.version is None:
+            self.binding = VersionBinding(version=self.reg.version)
+
     def record_event(self) -> None:
         """Record the arrival of an event."""
         now = asyncio.get_running_loop().time()
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -5,7 +5,7 @@
 import asyncio
 import functools
 import random
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 
 from eliot import log_message
 
@@ -37,6 +37,7 @@
 from ..policies.placing import LeastCostPlacement, PlacementPolicy
 from ..policies.prefillrates import PrefillObserver, PrefillRates
 from ..policies.retrybudget import SharedRetryBudget
+from ..policies.versionhistory import VersionHistory
 from ..rowsource import RowSource
 from ..types import Address
 from .addresses import DirectoryHandler, ReadinessHandler
@@ -52,7 +53,10 @@
 from .generations import Generations
 from .handler import RelayHandler
 from .nodeorder import NodeOrder
-from .peerupdates import PeerUpdates
+from .originbroker import OriginBroker
+from .peerrequests import PeerRequests
+from .peerupdates import OriginEntry, PeerUpdates
+from .resumption import Resumptions
 from .runmover import RunMover
 from .servers import NodeServers
 from .sharedrows import SharedRows
@@ -154,6 +158,7 @@
             announce_leaving=lambda reg: self.peer_updates.announce_leaving(reg),
         )
         self.registry = state.registry
+        self._versions = VersionHistory()
         self._decode_times = DecodeTimes()
         self.loads = EngineLoads(token_seconds=self._decode_times.token_seconds)
         self.configs = ConfigSink(
@@ -168,7 +173,11 @@
             freshness=self._freshness,
             operator_rows=SinkGroup(sinks=(evacuated, self.configs)),
             registrations=RegistrationSink(
-                registry=state.registry, cold=state.cold, decode=decode_registration
+                registry=state.registry,
+                cold=state.cold,
+                versions=self._versions,
+                clock=self._clock,
+                decode=decode_registration,
             ),
             clock=self._clock,
             rng=self._rng,
@@ -244,6 +253,7 @@
             on_limit=self._limits.record_rate,
             on_brittle=self._limits.record_brittle,
             on_cut_off=self._on_node_cut_off,
+            on_origin=lambda entry: self.origins.record_told(entry),
             rng=self._rng,
         )
         self._budget = budget = SharedRetryBudget(
@@ -264,6 +274,20 @@
             announce=self.peer_updates.announce_cut_off,
             on_silent=lambda reg: self.generations.on_path_silent(reg),
         )
+        self.origins = OriginBroker(
+            node=self.node_id,
+            node_order=self._node_order,
+            requests=PeerRequests(
+                client=HttpClient(process=self.node_id, network=self._network),
+                keys=self._keys,
+                metrics=self._metrics,
+            ),
+            tell=self._tell_origin,
+            registry=self.registry,
+            versions=self._versions,
+            is_current=lambda: self._tables.has_current_registrations,
+            clock=self._clock,
+        )
         gate = self._endpoint_state.gate
         placer = EnginePlacer(
             registry=self.registry,
@@ -294,6 +318,7 @@
             run_mover=run_mover,
             peer_updates=self.peer_updates,
             budget=budget,
+            origins=self.origins,
             rng=self._rng,
         )
         self._choice = EndpointChoice(
@@ -325,6 +350,7 @@
             freshness=self._freshness,
             calls=self.calls,
             generations=self.generations,
+            resumptions=Resumptions(broker=self.origins, registry=self.registry),
             has_others=lambda: any(
                 member.node != self.node_id for member in self.nodes.live()
             ),
@@ -343,6 +369,7 @@
         self.nodes.add_routes(router)
         self.shared_rows.add_routes(router)
         self._limits.add_routes(router)
+        self.origins.add_routes(router)
         self.access.add_routes(router)
         router.add("GET", "/metrics", self._answer_metrics)
         self._servers = NodeServers(
@@ -521,10 +548,16 @@
         now = asyncio.get_running_loop().time()
         self.access.cut_off_nodes.record(node, services, now)
 
+    def _tell_origin(self, entry: OriginEntry, owners: Sequence[Member]) -> None:
+        addresses = [self._update_address(member) for member in owners]
+        self.peer_updates.tell_origin(entry, addresses)
+
+    def _update_address(self, member: Member) -> Address:
+        return Address(host=member.peer.host, port=self.cfg.peer_ports[0])
+
     def _update_addresses(self) -> list[Address]:
-        port = self.cfg.peer_ports[0]
         return [
-            Address(host=member.peer.host, port=port)
+            self._update_address(member)
             for member in self.nodes.members()
             if member.state is not State.DEAD and member.node != self.node_id
         ]
@@ -536,6 +569,7 @@
             self._endpoint_state.expire(now)
             self.access.update(now)
             self.loads.expire(now, self.node_id)
+            self.origins.expire()
             self.generations.report_progress()
             if self.is_ready != self._was_ready and not self.is_stopping:
                 self._was_ready = self.is_ready
--- a/celerytrail/relay/nodeorder.py
+++ b/celerytrail/relay/nodeorder.py
@@ -78,6 +78,14 @@
             self._owners[endpoint] = running[first] if first is not None else None
         return self._owners[endpoint]
 
+    def first(self, key: str, n: int) -> list[Member]:
+        """Return the first running nodes in the order of any key.
+
+        VMs are ranked, so a node that restarts keeps its place.
+        """
+        running = {member.vm: member for member in self._nodes.running_members()}
+        return [running[vm] for vm in rank(key, running)[:n]]
+
     def running_nodes(self) -> set[str]:
         """Return the names of the nodes that run, this one included."""
         running = {member.node for member in self._nodes.running_members()}
--- a/celerytrail/relay/peerupdates.py
+++ b/celerytrail/relay/peerupdates.py
@@ -62,6 +62,15 @@
     heard_seconds_ago: float
 
 
+class OriginEntry(msgspec.Struct, array_like=True, frozen=True):
+    """What began a stream as told to its owners, and for how many seconds it holds."""
+
+    key: bytes
+    service: str
+    version: str
+    seconds: float
+
+
 class NodeUpdate(msgspec.Struct, array_like=True, frozen=True):
     """One node's update: its runs, and events at engines and endpoints.
 
@@ -73,6 +82,7 @@
     sender is cut off from, None if it says nothing of them. ``brittle`` are endpoints
     that fall over, with the refusals per second that they bear. ``leaving_starts``
     are the starts of the endpoints in ``leaving``; earlier versions don't send them.
+    ``origins`` are those of streams that the receiver owns.
     """
 
     node: str
@@ -88,6 +98,7 @@
     cut_off: list[str] | None = None
     brittle: list[LimitEntry] = []
     leaving_starts: list[int] = []
+    origins: list[OriginEntry] = []
 
 
 class PeerUpdates(asyncio.DatagramProtocol):
@@ -120,6 +131,8 @@
         The same for the refusals that an endpoint bears.
     on_cut_off : callable
         Called with another node and all services that it is cut off from.
+    on_origin : callable
+        Called with each origin of a stream that another node told this one.
     rng : random.Random
         Source of the jitter between run lists.
     """
@@ -139,6 +152,7 @@
         on_limit: Callable[[LimitStatement], object],
         on_brittle: Callable[[LimitStatement], object],
         on_cut_off: Callable[[str, list[str]], None],
+        on_origin: Callable[[OriginEntry], None],
         rng: random.Random,
     ) -> None:
         self._node = node
@@ -153,6 +167,7 @@
         self._on_limit = on_limit
         self._on_brittle = on_brittle
         self._on_cut_off = on_cut_off
+        self._on_origin = on_origin
         self._rng = rng
         self._list_schedule = RunListSchedule()
         # Sent with each update, so that no run expires at a receiver before the next.
@@ -227,6 +242,10 @@
         """Announce all services that this node is cut off from."""
         self._send(NodeUpdate(node=self._node, cut_off=sorted(services)))
 
+    def tell_origin(self, entry: OriginEntry, addresses: Sequence[Address]) -> None:
+        """Tell the nodes at some addresses what began a stream."""
+        self._send_to(NodeUpdate(node=self._node, origins=[entry]), addresses)
+
     def announce_limits(self, statements: Sequence[LimitStatement]) -> None:
         """Announce limits that endpoints state for all nodes together."""
         for entries in self._limit_entries(statements):
@@ -305,6 +324,8 @@
             self._on_limit(_limit_from(entry, now))
         for entry in update.brittle:
             self._on_brittle(_limit_from(entry, now))
+        for origin in update.origins:
+            self._on_origin(origin)
         if update.cut_off is not None:
             self._on_cut_off(update.node, update.cut_off)
 
@@ -327,10 +348,12 @@
             self._send(self._make_update(runs[start : start + MAX_RUNS_PER_DATAGRAM]))
 
     def _send(self, update: NodeUpdate) -> None:
+        self._send_to(update, list(self._peers()))
+
+    def _send_to(self, update: NodeUpdate, addresses: Sequence[Address]) -> None:
         if self._transport is None or self._transport.is_closing():
             return
         data = msgspec.msgpack.encode(update)
-        addresses = list(self._peers())
         for address in addresses:
             self._transport.sendto(data, (address.host, address.port))
         self.n_sent += len(addresses)
--- a/celerytrail/relay/registry.py
+++ b/celerytrail/relay/registry.py
@@ -7,6 +7,7 @@
 
 from ..model import EndpointState, Incarnation, Registration
 from ..policies.evacuations import Evacuations
+from ..policies.versionbinding import UNBOUND, VersionBinding
 from ..types import Address
 
 # How long an endpoint whose row vanished around an outage of the store may still be
@@ -129,22 +130,43 @@
         """Return whether the endpoint announced that it leaves, or was removed."""
         return reg.incarnation in self._announced_leaving
 
-    def usable_endpoints(self, service: str) -> list[Registration]:
-        """Return a service's endpoints that may get new work.
+    def usable_endpoints(
+        self, service: str, binding: VersionBinding = UNBOUND
+    ) -> list[Registration]:
+        """Return a service's endpoints that may get a run's work.
 
         If none accepts any, return those whose rows vanished around an outage.
+
+        Parameters
+        ----------
+        service : str
+            The service.
+        binding : VersionBinding
+            The version that the run is bound to, if any.
         """
         return [
             reg
             for reg in self._accepting_endpoints(service)
-            if not self._is_evacuated(reg)
+            if binding.allows(reg) and not self._is_evacuated(reg)
         ]
 
-    def is_service_evacuated(self, service: str) -> bool:
-        """Return whether all endpoints of a service are in evacuated domains."""
-        accepting = self._accepting_endpoints(service)
+    def has_accepting(self, service: str, binding: VersionBinding) -> bool:
+        """Return whether an endpoint at which a run may continue doesn't leave."""
+        return any(map(binding.allows, self._accepting_endpoints(service)))
+
+    def is_service_evacuated(
+        self, service: str, binding: VersionBinding = UNBOUND
+    ) -> bool:
+        """Return whether all endpoints for a run are in evacuated domains."""
+        accepting = list(filter(binding.allows, self._accepting_endpoints(service)))
         return bool(accepting) and all(map(self._is_evacuated, accepting))
 
+    def versions(self, service: str) -> frozenset[str]:
+        """Return the software versions of a service's endpoints that have a row."""
+        return frozenset(
+            reg.version for reg in self._known.values() if reg.service == service
+        )
+
     def _accepting_endpoints(self, service: str) -> list[Registration]:
         found = self._accepting.get(service)
         if found is None:
@@ -165,12 +187,14 @@
             if lapsed.reg.service == service and not self._is_leaving(lapsed.reg)
         ]
 
-    def leaving_endpoints(self, service: str) -> list[str]:
-        """Return the ids of a service's endpoints that leave and still have a row."""
+    def leaving_endpoints(self, service: str, version: str) -> list[str]:
+        """Return the ids of a version's endpoints that leave and still have a row."""
         return [
             reg.endpoint
             for reg in self._known.values()
-            if reg.service == service and self._is_leaving(reg)
+            if reg.service == service
+            and reg.version == version
+            and self._is_leaving(reg)
         ]
 
     def find(self, endpoint: str) -> Registration | None:
--- /dev/null
+++ b/celerytrail/relay/resumption.py
@@ -0,0 +1,95 @@
+"""Decides where a request that takes up a stream may go on, or that it can't."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from result import Err, Ok, Result
+
+from ..model import RequestMetadata, Route, RouteKind
+from ..policies.streamorigins import stream_key
+from ..policies.versionbinding import UNBOUND, VersionBinding
+from .originbroker import OriginBroker
+from .registry import Registry
+
+# Reasons for which a stream can't be taken up.
+ORIGIN_UNKNOWN = "stream_unknown"
+VERSION_GONE = "version_gone"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Resumption:
+    """Where a request may run: its service, and the version it is bound to, if any.
+
+    ``source`` is how the version became known; empty for a request that begins anew.
+    """
+
+    service: str
+    binding: VersionBinding = UNBOUND
+    source: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CannotResume:
+    """A stream can't be taken up here; ``may_elsewhere`` says another node may."""
+
+    reason: str
+    may_elsewhere: bool = False
+
+
+class Resumptions:
+    """Finds where streams may be taken up.
+
+    Parameters
+    ----------
+    broker : OriginBroker
+        Finds what began streams.
+    registry : Registry
+        Lists the endpoints.
+    """
+
+    def __init__(self, *, broker: OriginBroker, registry: Registry) -> None:
+        self._broker = broker
+        self._registry = registry
+
+    async def resolve(
+        self,
+        facts: RequestMetadata,
+        route: Route,
+        organisation: str | None,
+        service: str,
+    ) -> Result[Resumption, CannotResume]:
+        """Return where a request may run.
+
+        Parameters
+        ----------
+        facts : RequestMetadata
+            What its head states.
+        route : Route
+            The route that it matches.
+        organisation : str or None
+            The organisation that sends it.
+        service : str
+            The service that it would begin at.
+        """
+        if route.kind is not RouteKind.STREAM or not facts.is_resumption:
+            return Ok(Resumption(service=service))
+        names = [share.service for share in route.shares]
+        found = await self._broker.find(
+            stream_key(organisation, facts.resumed_attempt or ""),
+            names[0] if len(names) == 1 else "",
+            max(route.timeout_seconds, facts.budget_seconds or 0.0),
+        )
+        if isinstance(found, Err):
+            may_elsewhere = found.err_value.may_be_known
+            return Err(CannotResume(reason=ORIGIN_UNKNOWN, may_elsewhere=may_elsewhere))
+        origin = found.ok_value.origin
+        binding = VersionBinding(version=origin.version)
+        is_there = self._registry.has_accepting(origin.service, binding)
+        if origin.service not in names or not is_there:
+            return Err(CannotResume(reason=VERSION_GONE))
+        return Ok(
+            Resumption(
+                service=origin.service, binding=binding, source=found.ok_value.source
+            )
+        )
--- a/celerytrail/relay/runmover.py
+++ b/celerytrail/relay/runmover.py
@@ -228,8 +228,10 @@
         lost; this way both engines run it for the few milliseconds until the head of
         the answer arrives.
         """
+        assert live.reg is not None
         name = wire.copy_name(backup.address, live.ex.facts.attempt_id)
-        opened = await self._opener.open_copy(live, backup, name)
+        copied = Copied(source=live.reg, reg=backup, name=name)
+        opened = await self._opener.open_copy(live, copied)
         if isinstance(opened, Err):
             return None
         if live.stream is not None:
@@ -357,7 +359,7 @@
             )
             if is_last:
                 name = wire.copy_name(source.address, moved.handle)
-                return Ok(Copied(reg=target, name=name))
+                return Ok(Copied(source=source, reg=target, name=name))
             n_copies += 1
             is_last = self._stopping.should_stop(
                 n_copies, seconds, self._remaining_seconds(source)
@@ -391,7 +393,7 @@
         )
         if is_last and exc.handle is not None:
             name = wire.copy_name(source.address, exc.handle)
-            return Ok(Copied(reg=source, name=name))
+            return Ok(Copied(source=source, reg=source, name=name))
         return Err(exc)
 
     def _remaining_seconds(self, reg: Registration) -> float | None:
--- a/celerytrail/relay/tablesinks.py
+++ b/celerytrail/relay/tablesinks.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 from eliot import log_message
 from result import Err, Result
 
+from ..clock import Clock
 from ..model import Registration, RelayConfig
 from ..policies.coldlimits import ColdEndpoints
+from ..policies.versionhistory import VersionHistory
 from ..rowsource import Row
 from .registry import Registry
 from .tablewatch import TableSink
@@ -167,21 +169,35 @@
         Holds the known endpoints.
     cold : ColdEndpoints
         Records until when endpoints are cold.
+    versions : VersionHistory
+        Records the versions that are seen.
+    clock : Clock
+        Dates them.
     decode : callable
         Decodes a row.
     """
 
     def __init__(
-        self, *, registry: Registry, cold: ColdEndpoints, decode: RegistrationDecoder
+        self,
+        *,
+        registry: Registry,
+        cold: ColdEndpoints,
+        versions: VersionHistory,
+        clock: Clock,
+        decode: RegistrationDecoder,
     ) -> None:
         self._registry = registry
         self._cold = cold
+        self._versions = versions
+        self._clock = clock
         self._decode = decode
 
     def replace(self, rows: Sequence[Row], *, is_after_outage: bool) -> None:
         """Replace the whole table."""
         now = asyncio.get_running_loop().time()
         regs = [reg for row in rows if (reg := self._decode_row(row)) is not None]
+        self._record_versions(self._registry.all())
+        self._record_versions(regs)
         self._registry.replace(regs, now, may_be_lapse=is_after_outage)
 
     def change(self, rows: Sequence[Row], *, is_after_outage: bool) -> None:
@@ -189,12 +205,19 @@
         now = asyncio.get_running_loop().time()
         for row in rows:
             reg = self._decode_row(row)
+            former = self._registry.find(row.key)
+            self._record_versions(one for one in (former, reg) if one is not None)
             if reg is not None:
                 self._registry.put(reg)
             else:
                 is_lapse = is_after_outage and row.value is None
                 self._registry.remove(row.key, now, may_be_lapse=is_lapse)
 
+    def _record_versions(self, regs: Iterable[Registration]) -> None:
+        now = self._clock.boottime()
+        for reg in regs:
+            self._versions.record(reg.service, reg.version, now)
+
     def _decode_row(self, row: Row) -> Registration | None:
         if row.value is None:
             return None
--- a/tests/test_relay_many_endpoints.py
+++ b/tests/test_relay_many_endpoints.py
@@ -8,6 +8,7 @@
 
 from celerytrail.clock import ManualClock
 from celerytrail.policies.placing import LeastCostPlacement
+from celerytrail.policies.versionbinding import UNBOUND
 from celerytrail.relay.engineplacer import MAX_COMPARED
 from celerytrail.relay.followedtables import RegistrationContent
 from celerytrail.relay.tablemirror import TableMirror
@@ -83,7 +84,11 @@
             service = "models"
             home_regions: frozenset[str] = frozenset()
 
-        usable = placer._usable(AnyExchange(), excluded, can_wait=False)
+        class AnyRun:
+            ex = AnyExchange()
+            binding = UNBOUND
+
+        usable = placer._usable(AnyRun(), excluded, can_wait=False)
         assert [reg.endpoint for reg in usable] == [f"e{N_ENGINES - 1}"]
         await rig.close()
 
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -356,6 +356,7 @@
             name: [] for name in ("leaving", "retried", "aborted", "limits", "cut_off")
         }
         peer_updates = PeerUpdates(
+            on_origin=lambda entry: None,
             node=name,
             loads=loads,
             decode_times=DecodeTimes(),
