Leave room for streams that are taken up while several versions serve

A new stream may begin at any engine, one that is taken up only at those of its version, and it arrives late in its caller's time. Both waited for the same bound on queued prompts, and new streams took each slot that became free.

A run that goes on isn't held back by queued prompts, and may use as much memory as one that is moved; and while several versions serve, new generations leave an eighth of an engine's slots free. With one version nothing changes.

--- a/celerytrail/policies/placing.py
+++ b/celerytrail/policies/placing.py
@@ -24,6 +24,10 @@
 # The same limit for a run that is moved off a leaving engine and would otherwise be
 # lost.
 MOVE_SHARE = 0.9
+# Share of an engine's slots that new generations leave free while engines of several
+# versions serve: a stream that is taken up may go on at few of them, and a new one
+# would else take each slot there that becomes free.
+SPARE_SLOT_SHARE = 0.125
 # Share of the target for the first token within which the queued prompts and the
 # generation's own must be read. The rest covers network latency, the decode of the
 # first token and engines that are slower than estimated.
@@ -74,6 +78,8 @@
         Prompt tokens that an engine reads per second.
     max_prefill_seconds : float
         Time within which the queued prompts and its own must be read.
+    spare_slot_share : float
+        Share of an engine's slots that it leaves free.
     """
 
     n_tokens: int
@@ -84,6 +90,7 @@
     cross_domain_cost: float = CROSS_DOMAIN_COST
     prefill_rate: float = DEFAULT_PREFILL_RATE
     max_prefill_seconds: float = math.inf
+    spare_slot_share: float = 0.0
 
 
 def peak_tokens(sizes: Iterable[tuple[int, int]]) -> int:
@@ -152,7 +159,8 @@
 
 def find_obstacle(load: EngineLoad, demand: Demand) -> Obstacle | None:
     """Return why a generation can't be placed on an engine, None if it can."""
-    if len(load.runs) >= load.n_slots:
+    n_spare = math.ceil(demand.spare_slot_share * load.n_slots)
+    if len(load.runs) >= load.n_slots - n_spare:
         return Obstacle.NO_SLOT
     if not can_prefill_in_time(load, demand):
         return Obstacle.PROMPTS_QUEUED
--- a/celerytrail/policies/versionhistory.py
+++ b/celerytrail/policies/versionhistory.py
@@ -48,7 +48,9 @@
         return next(iter(versions)) if len(versions) == 1 else None
 
     def expire(self, oldest: float) -> None:
-        """Forget the versions that were last seen before a time."""
+        """Forget what was last seen before a time; it isn't known from then on."""
+        if self._followed_since is not None:
+            self._followed_since = max(self._followed_since, oldest)
         for service, seen in list(self._seen_at.items()):
             kept = {name: at for name, at in seen.items() if at >= oldest}
             if kept:
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -190,6 +190,21 @@
             failure_domain=self._failure_domain,
         )
 
+    def _placing_demand(self, live: LiveRun, prefill_seconds: float) -> placing.Demand:
+        """Return what a run needs where it begins, or goes on without a copy.
+
+        A run that goes on would be lost, and only some of the engines may have it.
+        """
+        demand = self._demand(live)
+        if live.binding.version is not None:
+            return replace(demand, memory_share=placing.MOVE_SHARE)
+        has_several = len(self._registry.versions(live.ex.service)) > 1
+        return replace(
+            demand,
+            max_prefill_seconds=max(0.0, prefill_seconds),
+            spare_slot_share=placing.SPARE_SLOT_SHARE if has_several else 0.0,
+        )
+
     async def place_admitted(
         self, live: LiveRun, excluded: set[str]
     ) -> Admission | None:
@@ -211,10 +226,7 @@
         wait_deadline = min(loop.time() + WAIT_SHARE * target, ex.loop_deadline)
         while True:
             loads = self._engine_loads(live, excluded)
-            demand = replace(
-                self._demand(live),
-                max_prefill_seconds=max(0.0, prefill_deadline - loop.time()),
-            )
+            demand = self._placing_demand(live, prefill_deadline - loop.time())
             load = self._placing.choose(loads, demand, self._rng)
             if load is not None:
                 ex.observe("relay_wait")
