Find out which start of an engine runs a request

An engine that starts again under its id and address has its former row until it writes the next one, and a request names the id only.

A report names the start of the engine. It is asked for beside each request, once that is sent; requests of 10 ms share one. If it names the row's start, this start runs the request, as connections to a former one are gone. If it doesn't, the row's start is over: it counts as leaving, here and at the other nodes. A run that has just begun goes on at the other start, at an unknown version, until that start has a row; nothing else may take it over before. A run that goes on from elsewhere is closed before its first event reaches the caller. The answer comes during the prefill, so events don't wait for it.

Ruled out: heartbeats as proof (a row written before a crash may arrive after it), the wall time of the start (clocks differ and jump).

The wait for the report first leaked the stream of a caller that left meanwhile; test_the_engine_stops_when_the_caller_disconnects showed it, and the stream is closed now.

--- a/celerytrail/model.py
+++ b/celerytrail/model.py
@@ -237,7 +237,7 @@
     started_at : int
         Unix milliseconds of its start; differs between processes.
     version : str
-        The version of its software.
+        The version of its software; empty if its row isn't the one of this start.
     """
 
     endpoint: str
@@ -300,6 +300,8 @@
         Whether it takes no new work.
     leaves_in_seconds : float or None
         Time until it stops, if known.
+    started_at : int or None
+        Unix milliseconds of its start, if it says so.
     """
 
     n_queued: int
@@ -308,6 +310,7 @@
     n_memory_tokens: int
     is_leaving: bool = False
     leaves_in_seconds: float | None = None
+    started_at: int | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/celerytrail/platform/wire.py
+++ b/celerytrail/platform/wire.py
@@ -215,6 +215,8 @@
     state: str = "ready"
     # The platform's specification spells this field with an underscore.
     leaves_in_ms: float | None = msgspec.field(default=None, name="leaves_ms")
+    # Unix time of the start in milliseconds.
+    born: int | None = None
 
 
 def decode_report(body: bytes) -> Result[EngineReport, str]:
@@ -232,6 +234,7 @@
             n_memory_tokens=raw.kv_total,
             is_leaving=raw.state == "draining" or leaves is not None,
             leaves_in_seconds=None if leaves is None else leaves * MS,
+            started_at=raw.born,
         )
     )
 
--- a/celerytrail/policies/versionbinding.py
+++ b/celerytrail/policies/versionbinding.py
@@ -19,7 +19,7 @@
     ----------
     version : str or None
         That version; None while the caller holds no event, so that the run may still
-        begin anywhere.
+        begin anywhere, and empty if the version isn't known.
     """
 
     version: str | None = None
@@ -37,9 +37,16 @@
             The endpoint whose copy of the run's memory it would use, if any. Memory of
             one version isn't used by another one, even before the first event.
         """
-        if copied_from is not None and reg.version != copied_from.version:
+        if copied_from is not None and not _are_alike(reg, copied_from):
             return False
         return self.version is None or reg.version == self.version
 
 
 UNBOUND = VersionBinding()
+
+
+def _are_alike(reg: Registration, other: Registration) -> bool:
+    """Return whether two endpoints are known to run the same software."""
+    if reg.incarnation == other.incarnation:
+        return True
+    return bool(reg.version) and reg.version == other.version
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -13,6 +13,7 @@
 from .endpointgate import ENDPOINT_CLOSED, ENDPOINT_LIMITED, Admission, EndpointGate
 from .liverun import Copied, LiveRun
 from .outcomes import Failed, NotExecuted
+from .startchecks import StartChecks
 
 # Reason for which a request wasn't sent: it must not run at its engine's version.
 OTHER_VERSION = "other_version"
@@ -36,14 +37,22 @@
         Whether an engine may receive a request now.
     answers : EndpointAnswers
         Records what engines state in their answers.
+    starts : StartChecks
+        Finds out which start of an engine runs a request.
     """
 
     def __init__(
-        self, *, client: HttpClient, gate: EndpointGate, answers: EndpointAnswers
+        self,
+        *,
+        client: HttpClient,
+        gate: EndpointGate,
+        answers: EndpointAnswers,
+        starts: StartChecks,
     ) -> None:
         self._client = client
         self._gate = gate
         self._answers = answers
+        self._starts = starts
 
     async def open_copy(
         self, live: LiveRun, copied: Copied
@@ -131,10 +140,11 @@
             last_event_id=live.last_event_id,
         )
         obstacle = ""
+        check: asyncio.Task[int | None] | None = None
         sent_at = asyncio.get_running_loop().time()
 
         def may_send() -> bool:
-            nonlocal obstacle
+            nonlocal obstacle, check
             is_new = copied is None
             if not (ex.may_send() if is_new else ex.can_continue()):
                 return False
@@ -146,6 +156,7 @@
             if not admits(admission):
                 obstacle = ENDPOINT_CLOSED
                 return False
+            check = self._starts.begin(reg)
             return True
 
         opened = await self._client.open(
@@ -172,6 +183,16 @@
             await stream.read(ex.loop_deadline)
             return Err(NotExecuted(reason="engine_refused", was_sent=True))
         live.n_runs += 1
+        is_new = copied is None and live.binding.version is None
+        is_known = False
+        try:
+            is_known = check is None or await self._is_known(live, reg, check, is_new)
+        finally:
+            if not is_known:
+                stream.close()
+        if not is_known:
+            ex.log("attempt_failed", endpoint=reg.endpoint, reason=OTHER_VERSION)
+            return Err(Failed(reason=OTHER_VERSION))
         ex.log(
             "placed",
             endpoint=reg.endpoint,
@@ -188,3 +209,24 @@
             n_queued_tokens=live.n_queued_tokens,
         )
         return Ok(stream)
+
+    async def _is_known(
+        self,
+        live: LiveRun,
+        reg: Registration,
+        check: asyncio.Task[int | None],
+        is_new: bool,
+    ) -> bool:
+        """Return whether a run may go on at the start of an engine that runs it.
+
+        A new one may do so at any start; its version isn't known then before that start
+        has a row.
+        """
+        started_at = await asyncio.shield(check)
+        if started_at == reg.started_at:
+            return True
+        live.ex.log("start_unknown", endpoint=reg.endpoint, started_at=started_at)
+        if not is_new:
+            return False
+        live.set_unknown_version(started_at)
+        return True
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -125,6 +125,13 @@
             return None
         return asyncio.get_running_loop().time() + seconds
 
+    def find(self, reg: Registration) -> Registration | None:
+        """Return the row of an engine's start, None if it has none."""
+        found = self._registry.find(reg.endpoint)
+        if found is None or found.incarnation != reg.incarnation:
+            return None
+        return found
+
     def _allowed(self, live: LiveRun) -> list[Registration]:
         return self._registry.usable_endpoints(live.ex.service, live.binding)
 
--- a/celerytrail/relay/enginewatch.py
+++ b/celerytrail/relay/enginewatch.py
@@ -56,6 +56,8 @@
         Which engines want no requests from this node now.
     on_leaving : callable
         Called with an engine whose report states that it leaves.
+    on_started : callable
+        Called with an engine and the start that its report names, or None.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         is_engine_service: Callable[[str], bool],
         gate: EndpointGate,
         on_leaving: Callable[[Registration], None],
+        on_started: Callable[[Registration, int | None], None],
     ) -> None:
         self._api = api
         self._registry = registry
@@ -78,6 +81,7 @@
         self._is_engine_service = is_engine_service
         self._gate = gate
         self._on_leaving = on_leaving
+        self._on_started = on_started
         self._pending: set[str] = set()
         self._homes = RendezvousHomes()
 
@@ -119,6 +123,7 @@
             )
             return
         report = answered.ok_value
+        self._on_started(reg, report.started_at)
         self._sharing.announce_report(reg.endpoint, report)
         if report.is_leaving:
             log_message(
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -139,6 +139,7 @@
     def report_progress(self) -> None:
         """Report the progress of the runs and move those that need it."""
         for live in self._live:
+            self._learn_version(live)
             self._run_mover.move_if_needed(live)
             if live.run.endpoint:
                 n_made = live.n_events * live.engine.n_event_tokens
@@ -336,6 +337,17 @@
             ex.gives_up_at,
         )
 
+    def _learn_version(self, live: LiveRun) -> None:
+        """Take a run's version from the row of its engine's start, once it has one."""
+        if live.reg is None or live.reg.version:
+            return
+        reg = self._placer.find(live.reg)
+        if reg is None:
+            return
+        live.reg = reg
+        if live.n_events:
+            self._bind(live)
+
     # Resuming at another engine.
 
     async def _resume(self, live: LiveRun, reason: str) -> Stream | None:
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..http.client import Stream
 from ..metrics import DurationCounts
@@ -75,9 +75,18 @@
     def bind(self) -> None:
         """Bind the run to its engine's version: its caller is about to get an event."""
         assert self.reg is not None
-        if self.binding.version is None:
+        if not self.binding.version:
             self.binding = VersionBinding(version=self.reg.version)
 
+    def set_unknown_version(self, started_at: int | None) -> None:
+        """Record that its engine may be at another start than its row says."""
+        assert self.reg is not None
+        self.reg = replace(
+            self.reg,
+            version="",
+            started_at=self.reg.started_at if started_at is None else started_at,
+        )
+
     def record_event(self) -> None:
         """Record the arrival of an event."""
         now = asyncio.get_running_loop().time()
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -60,6 +60,7 @@
 from .runmover import RunMover
 from .servers import NodeServers
 from .sharedrows import SharedRows
+from .startchecks import StartChecks
 from .storeclient import make_rows
 from .tablesinks import ConfigSink, EvacuationSink, RegistrationSink, SinkGroup
 
@@ -303,7 +304,12 @@
             move_targets=self._move_targets,
         )
         answers = self._endpoint_state.answers
-        opener = EngineOpener(client=self.access.client, gate=gate, answers=answers)
+        starts = StartChecks(
+            api=self.access.engine_api, on_superseded=answers.record_leaving
+        )
+        opener = EngineOpener(
+            client=self.access.client, gate=gate, answers=answers, starts=starts
+        )
         run_mover = RunMover(
             api=self.access.engine_api,
             registry=self.registry,
@@ -344,6 +350,7 @@
             is_engine_service=self._is_engine_service,
             gate=gate,
             on_leaving=answers.record_leaving,
+            on_started=starts.record,
         )
         handler = RelayHandler(
             config=lambda: self.configs.cfg,
--- a/celerytrail/relay/originbroker.py
+++ b/celerytrail/relay/originbroker.py
@@ -27,6 +27,8 @@
 N_OWNERS = 3
 # Longest time for the owners' answers, in seconds.
 ANSWER_SECONDS = 0.15
+# How long versions of a service are remembered, in seconds.
+HISTORY_SECONDS = 3_600.0
 # Interval at which expired records are removed, in seconds.
 EXPIRE_SECONDS = 5.0
 
@@ -183,6 +185,7 @@
         if now >= self._expire_at:
             self._expire_at = now + EXPIRE_SECONDS
             self.origins.expire(now)
+            self._versions.expire(now - HISTORY_SECONDS)
 
     # Internals.
 
--- /dev/null
+++ b/celerytrail/relay/startchecks.py
@@ -0,0 +1,88 @@
+"""Finds out which start of an engine runs a request."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from eliot import log_message
+from result import Err
+
+from ..model import Incarnation, Registration
+from .engineapi import EngineApi
+
+# Requests that are sent to an engine within this time share one check, in seconds.
+GATHER_SECONDS = 0.01
+# Longest time for a check, in seconds. An event that waits for it is still on time.
+CHECK_SECONDS = 0.3
+# Pause before an engine is asked again, in seconds.
+RETRY_SECONDS = 0.03
+
+
+class StartChecks:
+    """Asks engines for their start, beside the requests that they have just got.
+
+    An engine that starts again under its id and address has its former row, and so its
+    former version, until it writes the next one. A request names the id only, so either
+    start runs it. A report that is asked for after the request was sent, and that names
+    the row's start, shows that this start runs it: connections to a former one are
+    gone.
+
+    Parameters
+    ----------
+    api : EngineApi
+        Reads reports, which name the start.
+    on_superseded : callable
+        Called with the registration of a start that another one has followed.
+    """
+
+    def __init__(
+        self, *, api: EngineApi, on_superseded: Callable[[Registration], None]
+    ) -> None:
+        self._api = api
+        self._on_superseded = on_superseded
+        self._gathering: dict[Incarnation, asyncio.Task[int | None]] = {}
+
+    def begin(self, reg: Registration) -> asyncio.Task[int | None]:
+        """Begin to ask an engine for its start; called once a request is sent.
+
+        Returns
+        -------
+        asyncio.Task
+            Its result is the start, in Unix milliseconds, or None if it isn't known.
+        """
+        check = self._gathering.get(reg.incarnation)
+        if check is None:
+            check = asyncio.ensure_future(self._check(reg))
+            self._gathering[reg.incarnation] = check
+        return check
+
+    def record(self, reg: Registration, started_at: int | None) -> None:
+        """Record the start that an engine's report names."""
+        if started_at is not None and started_at > reg.started_at:
+            log_message(
+                "relay:engine:superseded",
+                endpoint=reg.endpoint,
+                started_at=started_at,
+                former=reg.started_at,
+            )
+            self._on_superseded(reg)
+
+    async def _check(self, reg: Registration) -> int | None:
+        deadline = asyncio.get_running_loop().time() + CHECK_SECONDS
+        try:
+            await asyncio.sleep(GATHER_SECONDS)
+        finally:
+            del self._gathering[reg.incarnation]
+        answered = await self._api.report(reg, deadline)
+        while isinstance(answered, Err):
+            log_message(
+                "relay:start:unknown", endpoint=reg.endpoint, reason=answered.err_value
+            )
+            if asyncio.get_running_loop().time() + RETRY_SECONDS >= deadline:
+                return None
+            await asyncio.sleep(RETRY_SECONDS)
+            answered = await self._api.report(reg, deadline)
+        started_at = answered.ok_value.started_at
+        self.record(reg, started_at)
+        return started_at
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -47,6 +47,16 @@
         source = registration("v2", "e2")
         assert not binding.allows(registration("v1"), copied_from=source)
 
+    def test_memory_of_an_unknown_version_is_used_at_its_own_start_only(self):
+        # The engine started again under its id, and has no row of that start yet.
+        source = registration("", started_at=2)
+        assert not UNBOUND.allows(registration("v1", "e2"), copied_from=source)
+        assert not UNBOUND.allows(registration("v1"), copied_from=source)
+        assert UNBOUND.allows(registration("v2", started_at=2), copied_from=source)
+
+    def test_a_run_of_an_unknown_version_goes_on_nowhere_else(self):
+        assert not VersionBinding(version="").allows(registration("v1"))
+
     def test_memory_of_the_same_version_is_used(self):
         source = registration("v1")
         assert UNBOUND.allows(registration("v1", "e2"), copied_from=source)
