Soak releases of engines beside other faults, and test what take-ups state

A seeded soak draws releases of engines under new ids and under their own with late rows, crashes, notices in pairs, rows that lapse, cuts, restarts and freezes of nodes, lost datagrams, changes of the configuration and a store that refuses. It checks both rules, the order of events and that what was called not run hasn't run.

Further tests: Resumes without Last-Event-Id and the reverse, unknown, repeated, overlong and empty names, names of another organisation, a version that has left, a node that has just started, one that reaches no owner, and messages of the last release.

--- a/Makefile
+++ b/Makefile
@@ -42,11 +42,14 @@
 fuzz-pauses: install  ## Random pauses of endpoints: make fuzz-pauses SEEDS=100-160.
 	CELERYTRAIL_PAUSE_SEEDS=$(SEEDS) $(PY) -m pytest -q tests/test_relay_pauses_fuzz.py
 
+fuzz-versions: install  ## Random releases of engines: make fuzz-versions SEEDS=100-160.
+	CELERYTRAIL_VERSION_SEEDS=$(SEEDS) $(PY) -m pytest -q -n $(WORKERS) tests/test_relay_versions_fuzz.py
+
 fuzz-reach: install  ## Random cuts between nodes and endpoints: make fuzz-reach SEEDS=100-160.
 	CELERYTRAIL_REACH_SEEDS=$(SEEDS) $(PY) -m pytest -q tests/test_relay_reach_fuzz.py
 
-test-large: install  ## Tests of cut nodes and brittle endpoints at 330 nodes.
-	CELERYTRAIL_SIZES=330 $(PY) -m pytest -q tests/test_relay_reach.py tests/test_relay_brittle.py -k "330"
+test-large: install  ## Tests of cut nodes, brittle endpoints and versions at 330 nodes.
+	CELERYTRAIL_SIZES=330 $(PY) -m pytest -q tests/test_relay_reach.py tests/test_relay_brittle.py tests/test_relay_versions.py -k "330"
 
 format: install  ## Format the code and sort its imports.
 	$(PY) -m ruff check --fix --exit-zero .
@@ -78,5 +81,5 @@
 bench-relay: install  ## Measure what a relayed token costs, next to h11's floor.
 	$(PY) -m bench.relay
 
-.PHONY: help install test demo run scenarios fuzz fuzz-relay fuzz-limits fuzz-pauses fuzz-reach test-large format check
+.PHONY: help install test demo run scenarios fuzz fuzz-relay fuzz-limits fuzz-pauses fuzz-versions fuzz-reach test-large format check
 .PHONY: bench bench-quick bench-capacity bench-membership bench-fleet bench-cost bench-relay
--- a/tests/versionrig.py
+++ b/tests/versionrig.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections import Counter
 from collections.abc import Awaitable, Callable, Collection, Iterable, Sequence
@@ -301,6 +302,16 @@
         self._in_touch_at[number] = now() + CONTACT_SECONDS
         await self.fleet.restart_node(number)
 
+    def freeze_node(self, number: int) -> None:
+        """Freeze a node, which is out of touch from then on."""
+        self._in_touch_at[number] = math.inf
+        self.fleet.freeze(number)
+
+    def thaw_node(self, number: int) -> None:
+        """Let a frozen node go on."""
+        self._in_touch_at[number] = now() + CONTACT_SECONDS
+        self.fleet.thaw(number)
+
     def is_in_touch(self, number: int) -> bool:
         """Return whether a node is in touch now."""
         if number in self._out_since:
