Show operators the software versions, and what is known of take-ups

Neither metrics nor `celerytrail status` named a version, so a roll of engines could be followed in logs only. A node on a platform answers at the status path now, to signed requests: members, versions by service with how many endpoints are ready and leaving, evacuated domains, streams. The gauges endpoint_versions and known_streams and the counter resumptions, by outcome (own, owner, only_version, stream_unknown, version_gone), are in its metrics.

The status module loads the configuration's and the leaving modules for type checks only, so a node on a platform still loads neither.

--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -137,11 +137,14 @@
     "membership_changes": "Changes of other nodes' states, by state.",
     "orders": "Orders sent to engines, by outcome.",
     "request_tokens": "Requests for tokens of limited endpoints, by outcome.",
+    "resumptions": "Streams that callers take up, by what was known of them.",
     "relay_events": "Events of relayed requests, by event and cause.",
 }
 GAUGES = {
     "brittle_endpoints": "Endpoints that fall over when they refuse too much.",
     "paused_endpoints": "Endpoints that want no requests from this node at present.",
+    "endpoint_versions": "Endpoints with a row, by service and software version.",
+    "known_streams": "Streams whose origin this node holds for take-ups.",
     "lost_paths": "Endpoints that only other nodes reach at present.",
     "cut_off_services": "Services that this node is cut off from at present.",
     "cut_off_nodes": "Nodes that say that they are cut off from a service.",
--- a/celerytrail/relay/gauges.py
+++ b/celerytrail/relay/gauges.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 
 from ..metrics import Metrics
 from ..model import RelayConfig
@@ -11,6 +12,7 @@
 from .endpointaccess import EndpointAccess
 from .endpointstate import EndpointState
 from .generations import Generations
+from .originbroker import OriginBroker
 from .peerupdates import PeerUpdates
 
 
@@ -23,6 +25,7 @@
     endpoints: EndpointState,
     access: EndpointAccess,
     generations: Generations,
+    origins: OriginBroker,
     peer_updates: PeerUpdates,
 ) -> None:
     """Set the gauges to the node's present state."""
@@ -41,9 +44,13 @@
         "cut_off_nodes": access.cut_off_nodes.n_cut_off(now),
         "open_tunnels": access.tunnels.n_open,
         "streams": generations.n_live,
+        "known_streams": len(origins.origins),
         "news_sent": peer_updates.n_sent,
         "news_sent_bytes": peer_updates.n_sent_bytes,
         "news_period_seconds": peer_updates.period_seconds,
     }
     for name, value in values.items():
         metrics.set(name, float(value))
+    counts = Counter((reg.service, reg.version) for reg in endpoints.registry.all())
+    for (service, version), n in counts.items():
+        metrics.set("endpoint_versions", n, service=service, version=version)
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -61,6 +61,7 @@
 from .servers import NodeServers
 from .sharedrows import SharedRows
 from .startchecks import StartChecks
+from .status import RelayStatus
 from .storeclient import make_rows
 from .tablesinks import ConfigSink, EvacuationSink, RegistrationSink, SinkGroup
 
@@ -357,7 +358,9 @@
             freshness=self._freshness,
             calls=self.calls,
             generations=self.generations,
-            resumptions=Resumptions(broker=self.origins, registry=self.registry),
+            resumptions=Resumptions(
+                broker=self.origins, registry=self.registry, metrics=self._metrics
+            ),
             has_others=lambda: any(
                 member.node != self.node_id for member in self.nodes.live()
             ),
@@ -378,6 +381,15 @@
         self._limits.add_routes(router)
         self.origins.add_routes(router)
         self.access.add_routes(router)
+        RelayStatus(
+            nodes=self.nodes,
+            config=lambda: self.configs.cfg,
+            endpoints=self._endpoint_state,
+            generations=self.generations,
+            origins=self.origins,
+            keys=self._keys,
+            metrics=self._metrics,
+        ).add_routes(router)
         router.add("GET", "/metrics", self._answer_metrics)
         self._servers = NodeServers(
             cfg=cfg,
@@ -495,6 +507,7 @@
             endpoints=self._endpoint_state,
             access=self.access,
             generations=self.generations,
+            origins=self.origins,
             peer_updates=self.peer_updates,
         )
         body, headers = self._metrics.render()
--- a/celerytrail/relay/resumption.py
+++ b/celerytrail/relay/resumption.py
@@ -6,6 +6,7 @@
 
 from result import Err, Ok, Result
 
+from ..metrics import Metrics
 from ..model import RequestMetadata, Route, RouteKind
 from ..policies.streamorigins import stream_key
 from ..policies.versionbinding import UNBOUND, VersionBinding
@@ -46,11 +47,16 @@
         Finds what began streams.
     registry : Registry
         Lists the endpoints.
+    metrics : Metrics
+        Counts streams that are taken up, by what was known of them.
     """
 
-    def __init__(self, *, broker: OriginBroker, registry: Registry) -> None:
+    def __init__(
+        self, *, broker: OriginBroker, registry: Registry, metrics: Metrics
+    ) -> None:
         self._broker = broker
         self._registry = registry
+        self._metrics = metrics
 
     async def resolve(
         self,
@@ -74,6 +80,18 @@
         """
         if route.kind is not RouteKind.STREAM or not facts.is_resumption:
             return Ok(Resumption(service=service))
+        resolved = await self._resolve(facts, route, organisation)
+        outcome = (
+            resolved.err_value.reason
+            if isinstance(resolved, Err)
+            else resolved.ok_value.source
+        )
+        self._metrics.count("resumptions", outcome=outcome)
+        return resolved
+
+    async def _resolve(
+        self, facts: RequestMetadata, route: Route, organisation: str | None
+    ) -> Result[Resumption, CannotResume]:
         names = [share.service for share in route.shares]
         found = await self._broker.find(
             stream_key(organisation, facts.resumed_attempt or ""),
--- a/celerytrail/status.py
+++ b/celerytrail/status.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Mapping
+from typing import TYPE_CHECKING
 
-from .configuration.sync import ConfigSync
 from .http.messages import Request
 from .http.routes import Params, Router, send_error
 from .http.server import Responder
-from .leaving import LeavingTracker
 from .nodes.nodes import Nodes
 from .nodes.signing import PeerKeys
 
+if TYPE_CHECKING:
+    # A node on a platform loads neither.
+    from .configuration.sync import ConfigSync
+    from .leaving import LeavingTracker
+
 STATUS_PATH = "/peer/v1/status"
 
 StatusPart = Callable[[], Mapping[str, object]]
--- a/tests/test_relay_resumption.py
+++ b/tests/test_relay_resumption.py
@@ -9,8 +9,11 @@
 import pytest
 
 from celerytrail.http.messages import Response
+from celerytrail.nodes.signing import PeerKeys
 from celerytrail.relay.peerupdates import NodeUpdate, OriginEntry, RunEntry
 from celerytrail.relay.resumption import ORIGIN_UNKNOWN, VERSION_GONE
+from celerytrail.settings import SigningKey
+from celerytrail.status import STATUS_PATH
 from standins.modelworker import request_body
 from tests.relayrig import HOST, KEY, config, error_type
 from tests.versionrig import EngineFleet, run_engine_fleet
@@ -237,3 +240,30 @@
         entry = OriginEntry(key=b"k", service="models", version="v1", seconds=1.0)
         data = msgspec.msgpack.encode(NodeUpdate(node="vm-1", origins=[entry]))
         assert msgspec.msgpack.decode(data, type=Former).node == "vm-1"
+
+
+class TestWhatOperatorsSee:
+    def test_status_and_metrics_name_the_versions(self):
+        async def steps(desk: Desk) -> None:
+            attempt, _ = await desk.begin()
+            await desk.send(1, last_event_id="2", resumes=attempt)
+            node = desk.rig.fleet.nodes[1]
+            assert node.cfg.peers is not None
+            key = SigningKey(key_id="k", secret=f"nodes of {node.cfg.store}".encode())
+            client = desk.rig.fleet.client
+            headers = PeerKeys(keys=[key.secret]).headers("GET", STATUS_PATH, b"")
+            answered = await client.request(
+                node.cfg.peers, "GET", STATUS_PATH, headers=headers
+            )
+            status = msgspec.json.decode(answered.unwrap().body)
+            assert status["software_versions"] == {
+                "models": {"v1": {"ready": 1}, "v2": {"ready": 1}}
+            }
+            unsigned = await client.request(node.cfg.peers, "GET", STATUS_PATH)
+            assert unsigned.unwrap().status == 403
+            answered = await client.request(node.cfg.peers, "GET", "/metrics")
+            text = answered.unwrap().body.decode()
+            assert 'service="models",version="v2"' in text
+            assert "celerytrail_resumptions_total{" in text
+
+        run_desk(steps, "v1", "v2")
