Simulate engines of several versions, and callers that take streams up, in fleets

The fleet tool had engines of one version and callers that never came back to a stream, so neither new rule could be seen there. Workload files name versions, releases under new ids and starts under the same id; callers break off a share of their resumable streams and take them up at another node, and check every event's number, attempt and sender. The comparison counts streams of two versions, take-ups and those that went on. A caller's sleep after its last try isn't part of its time, as before.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -34,6 +34,10 @@
 SERVICE = "models"
 # One-way network delay between two processes, in seconds.
 DELAY_SECONDS = 0.001
+# Notice of an engine that a release replaces, and by how much the row of one that
+# starts again is late, in seconds.
+RELEASE_NOTICE_SECONDS = 2.0
+ROW_DELAY_SECONDS = 0.1
 # Time for nodes to discover each other and read the configuration before traffic, in
 # seconds.
 WARM_UP_SECONDS = 6.0
@@ -278,11 +282,24 @@
             "tenants": [{"name": "org", "api-keys": [KEY]}],
         }
 
-    async def _add_engine(self, zone: str, *, is_cold: bool = False) -> None:
-        slowness = self._load.engines.slowness
+    async def _add_engine(
+        self, zone: str, *, version: str = "", is_cold: bool = False
+    ) -> None:
+        versions = self._load.engines.versions
         number = self._n_engines
         self._n_engines += 1
-        name = f"engine-{number}"
+        engine = await self._start_engine(
+            f"engine-{number}", zone, version or versions[number % len(versions)]
+        )
+        self._write_engine_row(
+            engine, "ready", self._load.engines.cold if is_cold else 0.0
+        )
+
+    async def _start_engine(
+        self, name: str, zone: str, version: str, address: Address | None = None
+    ) -> ModelWorker:
+        slowness = self._load.engines.slowness
+        number = int(name.rpartition("-")[2])
         spec = replace(self._spec, slowness=slowness[number % len(slowness)])
         engine = ModelWorker(
             worker_id=name,
@@ -291,11 +308,12 @@
             find_engine=self._find_engine,
             network=self._network.network_of(name),
         )
-        await engine.start()
+        engine.software = version
+        engine.born = 1 + round(asyncio.get_running_loop().time() * 1_000)
+        engine.signs_events = True
+        await engine.start(address)
         self._engines[name] = engine
-        self._write_engine_row(
-            engine, "ready", self._load.engines.cold if is_cold else 0.0
-        )
+        return engine
 
     def _write_engine_row(
         self, engine: ModelWorker, state: str, cold_seconds: float = 0.0
@@ -349,15 +367,18 @@
     async def _send_request(self, arrival: Arrival, started_at: float) -> RequestResult:
         loop = asyncio.get_running_loop()
         await asyncio.sleep(started_at + arrival.at - loop.time())
-        node = self._rng.choice(self._nodes)
-        assert node.cfg.callers is not None
         caller = Caller(
             arrival=arrival,
             network=self._network.network_of("callers"),
             host=HOST,
             key=KEY,
         )
-        return await caller.send(node.cfg.callers)
+        return await caller.send(self._pick_node)
+
+    def _pick_node(self) -> Address:
+        node = self._rng.choice(self._nodes)
+        assert node.cfg.callers is not None
+        return node.cfg.callers
 
     async def _reclaim_engines(self) -> None:
         """Reclaim random engines at regular intervals; replacements follow."""
@@ -380,9 +401,36 @@
                 await self._lose_domain(event)
             case "big_config":
                 self._store.put("op", "config", self._config(2, event.n_routes))
-
             case "cut_nodes":
                 await self._cut_nodes(event)
+            case "release":
+                await self._release(event)
+            case "start_again":
+                await self._start_again(event)
+
+    async def _release(self, event: FleetEvent) -> None:
+        """Replace the engines one by one by others of another version."""
+        engines = list(self._engines.values())
+        for engine in engines:
+            await self._add_engine(
+                engine.failure_domain, version=event.version, is_cold=True
+            )
+            await asyncio.sleep(event.seconds / len(engines))
+            asyncio.ensure_future(self._leave(engine, RELEASE_NOTICE_SECONDS))
+
+    async def _start_again(self, event: FleetEvent) -> None:
+        """Start the engines again one by one, under their ids."""
+        engines = list(self._engines.values())
+        for engine in engines:
+            self._network.kill(engine.worker_id)
+            await engine.close()
+            self._reclaimed.append(engine)
+            again = await self._start_engine(
+                engine.worker_id, engine.failure_domain, event.version, engine.address
+            )
+            await asyncio.sleep(ROW_DELAY_SECONDS)
+            self._write_engine_row(again, "ready", self._load.engines.cold)
+            await asyncio.sleep(event.seconds / len(engines))
 
     async def _cut_nodes(self, event: FleetEvent) -> None:
         """Cut nodes off from the engines that there are, and mend that."""
@@ -434,18 +482,26 @@
     async def _reclaim_engine(self, engine: ModelWorker) -> None:
         engines = self._load.engines
         notice = self._rng.uniform(*engines.notice)
+        if not await self._leave(engine, notice):
+            return
+        await asyncio.sleep(max(0.0, engines.replace_after - notice))
+        await self._add_engine(
+            engine.failure_domain, version=engine.software, is_cold=True
+        )
+
+    async def _leave(self, engine: ModelWorker, notice: float) -> bool:
+        """Let an engine stop after its notice; return whether it was still there."""
         engine.leaving_at = asyncio.get_running_loop().time() + notice
         if notice:
             self._write_engine_row(engine, "draining")
             await asyncio.sleep(notice)
-        if engine.worker_id not in self._engines:
-            return
+        if self._engines.get(engine.worker_id) is not engine:
+            return False
         self._network.kill(engine.worker_id)
         await engine.close()
         self._reclaimed.append(self._engines.pop(engine.worker_id))
         self._store.drop("servers", engine.worker_id)
-        await asyncio.sleep(max(0.0, engines.replace_after - notice))
-        await self._add_engine(engine.failure_domain, is_cold=True)
+        return True
 
 
 def simulate(load: FleetLoad, variation: Variation, seed: int) -> FleetResult:
--- a/bench/fleetcallers.py
+++ b/bench/fleetcallers.py
@@ -1,8 +1,13 @@
-"""Simulated callers: they send a request, read its events and retry once."""
+"""Simulated callers: they send a request, read its events and retry.
+
+Some break their stream off and take it up again at another node.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from result import Err
@@ -11,12 +16,16 @@
 from celerytrail.http.client import HttpClient
 from celerytrail.http.network import Network
 from celerytrail.types import Address
-from standins.modelworker import event, request_body
+from standins.modelworker import request_body
 
 N_EVENT_TOKENS = 4
 # A caller retries once after a refusal, after the Retry-After delay if that is at most
 # a third of its timeout.
 N_ATTEMPTS = 2
+# The same once it has events; it names the last one of them.
+N_RESUMPTIONS = 4
+# Pause before a broken stream is taken up, in seconds.
+RESUME_SECONDS = 0.2
 MAX_WAIT_SHARE = 1 / 3
 
 
@@ -37,6 +46,12 @@
     first_seconds, longest_pause, seconds : float
         Time to the first event, longest pause between two events, and time to the end
         of the response, in seconds.
+    versions : frozenset of str
+        Software versions of the engines that sent the events it got.
+    n_resumptions : int
+        How often it took its stream up.
+    has_resumed : bool
+        Whether one of these brought events.
     """
 
     kind: RequestKind
@@ -46,6 +61,9 @@
     first_seconds: float = 0.0
     longest_pause: float = 0.0
     seconds: float = 0.0
+    versions: frozenset[str] = frozenset()
+    n_resumptions: int = 0
+    has_resumed: bool = False
 
 
 def format_attempt_id(arrival: int, number: int) -> str:
@@ -58,6 +76,13 @@
     return int(attempt_id[1:].partition("t")[0])
 
 
+@dataclass(frozen=True, kw_only=True)
+class _Event:
+    number: int
+    attempt_id: str
+    version: str
+
+
 class Caller:
     """Sends one request and checks its response.
 
@@ -79,28 +104,44 @@
         self._host = host
         self._key = key
         self._started_at = 0.0
-
-    async def send(self, address: Address) -> RequestResult:
-        """Send the request to a node; retry once if it is refused."""
+        self._first_at = self._last_at = 0.0
+        self._longest_pause = 0.0
+        self._events: list[_Event] = []
+        self._is_wrong = False
+        self._n_resumptions = 0
+        self._has_resumed = False
+        rng = random.Random(f"break {arrival.number}")
+        self._breaks_at: int | None = None
+        if arrival.kind.resumable and rng.random() < arrival.kind.break_share:
+            self._breaks_at = max(1, rng.randrange(arrival.n_events))
+
+    async def send(self, pick: Callable[[], Address]) -> RequestResult:
+        """Send the request to a node; retry or resume it at others."""
         loop = asyncio.get_running_loop()
         self._started_at = loop.time()
-        result = self._result("failed")
-        for number in range(N_ATTEMPTS):
+        outcome = "failed"
+        number = 0
+        while True:
             attempt_id = format_attempt_id(self._arrival.number, number)
             client = HttpClient(network=self._network, id_header=None)
-            result, wait_seconds = await self._attempt(client, address, attempt_id)
+            outcome, wait_seconds = await self._attempt(client, pick(), attempt_id)
             client.close()
             max_wait_seconds = MAX_WAIT_SHARE * self._arrival.kind.timeout
+            number += 1
             if wait_seconds is None or wait_seconds > max_wait_seconds:
-                break
+                return self._result(outcome)
+            if number >= (N_RESUMPTIONS if self._events else N_ATTEMPTS):
+                return self._result(outcome)
             await asyncio.sleep(wait_seconds)
-        return result
 
     async def _attempt(
         self, client: HttpClient, address: Address, attempt_id: str
-    ) -> tuple[RequestResult, float | None]:
+    ) -> tuple[str, float | None]:
+        """Return the outcome, and after which time to try again; None for never."""
         kind = self._arrival.kind
         deadline = self._started_at + kind.timeout
+        is_resumption = bool(self._events)
+        self._n_resumptions += is_resumption
         opened = await client.open(
             address,
             "POST",
@@ -111,47 +152,68 @@
             fresh=True,
         )
         if isinstance(opened, Err):
-            return self._result("failed"), None
+            return "failed", None
         stream = opened.ok_value
         if stream.status != 200:
             await stream.read(deadline)
             if stream.status != 503:
-                return self._result("failed"), None
-            return self._result("refused"), float(
-                stream.headers.get("retry-after", 1.0)
-            )
-        body = bytearray()
+                return "failed", None
+            return "refused", float(stream.headers.get("retry-after", 1.0))
         loop = asyncio.get_running_loop()
-        first_at = last_at = 0.0
-        longest_pause = 0.0
+        buffer = b""
         while True:
             chunk = await stream.next_chunk(deadline)
             if isinstance(chunk, Err):
-                return self._result("cut"), None
+                return "cut", RESUME_SECONDS if kind.resumable else None
             if chunk.ok_value is None:
                 break
-            now = loop.time()
-            longest_pause = max(longest_pause, now - last_at) if first_at else 0.0
-            first_at = first_at or now
-            last_at = now
-            body += chunk.ok_value
-        first_seconds = first_at - self._started_at
-        is_late = first_seconds > kind.target or longest_pause > kind.pause
-        outcome = "late" if is_late else "on time"
-        if bytes(body) != self._expected_body(attempt_id):
-            outcome = "wrong"
-        return self._result(outcome, first_seconds, longest_pause), None
-
-    def _expected_body(self, attempt_id: str) -> bytes:
-        numbers = range(self._arrival.n_events)
-        return b"".join(event(attempt_id, number) for number in numbers)
+            *events, buffer = (buffer + chunk.ok_value).split(b"\n\n")
+            if events:
+                self._record_time(loop.time())
+            for event in events:
+                self._record_event(event, attempt_id)
+                self._has_resumed = self._has_resumed or is_resumption
+                if len(self._events) == self._breaks_at:
+                    self._breaks_at = None
+                    stream.close()
+                    return "cut", RESUME_SECONDS
+        return self._whole_outcome(), None
+
+    def _whole_outcome(self) -> str:
+        kind = self._arrival.kind
+        if self._is_wrong or len(self._events) != self._arrival.n_events:
+            return "wrong"
+        is_late = self._first_seconds > kind.target or self._longest_pause > kind.pause
+        return "late" if is_late else "on time"
+
+    def _record_time(self, now: float) -> None:
+        if self._first_at:
+            self._longest_pause = max(self._longest_pause, now - self._last_at)
+        self._first_at = self._first_at or now
+        self._last_at = now
+
+    def _record_event(self, raw: bytes, attempt_id: str) -> None:
+        """Record an event; a missing, doubled or foreign one makes it all wrong."""
+        fields = dict(line.split(": ", 1) for line in raw.decode().split("\n"))
+        number = int(fields["id"])
+        is_next = number == len(self._events)
+        if not is_next or fields["data"] != f"{attempt_id} {number}":
+            self._is_wrong = True
+        version = fields["sender"].rpartition(" ")[2]
+        self._events.append(
+            _Event(number=number, attempt_id=attempt_id, version=version)
+        )
+
+    @property
+    def _first_seconds(self) -> float:
+        return self._first_at - self._started_at if self._first_at else 0.0
 
     def _headers(self, attempt_id: str) -> dict[str, str]:
         arrival = self._arrival
         kind = arrival.kind
         n_own = arrival.n_prompt - kind.shared
         n_max_output = round(kind.events.max * N_EVENT_TOKENS)
-        return {
+        headers = {
             "host": self._host,
             "authorization": f"Bearer {self._key}",
             "x-attempt-id": attempt_id,
@@ -161,16 +223,21 @@
             "x-prompt-prefix": f"{len(kind.name):x}:{kind.shared},"
             f"{arrival.number + 16:x}:{n_own}",
         }
+        if self._events:
+            headers["last-event-id"] = str(self._events[-1].number)
+            headers["resumes"] = self._events[0].attempt_id
+        return headers
 
-    def _result(
-        self, outcome: str, first_seconds: float = 0.0, longest_pause: float = 0.0
-    ) -> RequestResult:
+    def _result(self, outcome: str) -> RequestResult:
         return RequestResult(
             kind=self._arrival.kind,
             at=self._arrival.at,
             outcome=outcome,
             n_events=self._arrival.n_events,
-            first_seconds=first_seconds,
-            longest_pause=longest_pause,
+            first_seconds=self._first_seconds,
+            longest_pause=self._longest_pause,
             seconds=asyncio.get_running_loop().time() - self._started_at,
+            versions=frozenset(event.version for event in self._events),
+            n_resumptions=self._n_resumptions,
+            has_resumed=self._has_resumed,
         )
--- a/bench/fleetcompare.py
+++ b/bench/fleetcompare.py
@@ -40,6 +40,9 @@
         Earned share of the total worth of all requests.
     n_asked, n_late, n_refused, n_lost, n_wrong : int
         All requests, and those that were late, refused, lost (cut or failed) or wrong.
+    n_mixed, n_resumed, n_went_on : int
+        Streams with events of two versions, streams that callers took up, and those of
+        them that went on.
     first_p95, gap_p99 : float
         95th percentile of the time to the first event, and 99th percentile of the
         longest pause of a response.
@@ -64,6 +67,9 @@
     n_refused: int
     n_lost: int
     n_wrong: int
+    n_mixed: int
+    n_resumed: int
+    n_went_on: int
     first_p95: float
     gap_p99: float
     stall_seconds: float
@@ -78,6 +84,9 @@
     ("n_late", "{:.1f}"),
     ("n_refused", "{:.1f}"),
     ("n_lost", "{:.1f}"),
+    ("n_mixed", "{:.1f}"),
+    ("n_resumed", "{:.1f}"),
+    ("n_went_on", "{:.1f}"),
     ("first_p95", "{:.2f}"),
     ("gap_p99", "{:.3f}"),
     ("stall_seconds", "{:.2f}"),
@@ -111,6 +120,9 @@
         n_refused=counts["refused"],
         n_lost=counts["cut"] + counts["failed"],
         n_wrong=counts["wrong"],
+        n_mixed=sum(len(res.versions) > 1 for res in results),
+        n_resumed=sum(res.n_resumptions > 0 for res in results),
+        n_went_on=sum(res.has_resumed for res in results),
         first_p95=_percentile([res.first_seconds for res in completed], 0.95),
         gap_p99=_percentile([res.longest_pause for res in completed], 0.99),
         stall_seconds=sum(
--- a/bench/fleetload.py
+++ b/bench/fleetload.py
@@ -47,6 +47,8 @@
     hint_spread: float = 0.0
     resumable: bool = False
     priority: int = 1
+    # Share of the requests whose callers break the stream off and take it up again.
+    break_share: float = 0.0
     burst: Burst | None = None
 
     def rate(self, at: float) -> float:
@@ -70,6 +72,8 @@
     n_reclaimed: int = 1
     # How long a new engine is cold.
     cold: float = 0.0
+    # The software versions of the engines, in turn.
+    versions: tuple[str, ...] = ("v1",)
 
 
 class FleetEvent(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -77,17 +81,22 @@
 
     ``kind`` is one of "evacuate" (the operator evacuates a domain), "cold_return" (a
     domain's engines are down, and others come back cold), "big_config" (the operator
-    adds ``n_routes`` routes) and "cut_nodes" (the first ``n_nodes`` nodes lose the path
-    to all engines; ``how`` their connections end).
+    adds ``n_routes`` routes), "cut_nodes" (the first ``n_nodes`` nodes lose the path to
+    all engines; ``how`` their connections end), "release" (the engines are replaced one
+    by one by others of ``version``) and "start_again" (they start again one by one at
+    ``version``, under their ids, with their rows 0.1 s late).
     """
 
-    kind: Literal["evacuate", "cold_return", "big_config", "cut_nodes"]
+    kind: Literal[
+        "evacuate", "cold_return", "big_config", "cut_nodes", "release", "start_again"
+    ]
     at: float
     seconds: float = 0.0
     domain: str = ""
     n_routes: int = 0
     n_nodes: int = 0
     how: Literal["silent", "reset", "refused"] = "silent"
+    version: str = ""
 
 
 class FleetLoad(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -238,3 +238,15 @@
             measures_of("office-thin", policy) for policy in ("shipped", "no moves")
         ]
         assert len(table(all_measures)) == 3
+
+
+class TestSeveralVersions:
+    def test_no_stream_holds_events_of_two_versions(self):
+        """Engines are replaced by another version, or start again at it under their
+        ids. A stream that goes on there doesn't fit together.
+        """
+        for name in ("rolling-versions", "same-id-versions"):
+            measures = measures_of(name, "shipped")
+            assert measures.n_mixed == 0
+            assert measures.n_wrong == 0
+            assert 2 * measures.n_went_on >= measures.n_resumed > 0
