Begin runs at versions that stay

While a release rolls, a run that begins at the former version has to be moved soon, to ever fewer engines, and its caller may find none left to take its stream up at. A version of which an engine has begun to leave in the last 10 s gets new runs only if no engine of another version has room; if engines of all versions leave, none is avoided.

--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -11,6 +11,7 @@
 from ..policies.backups import BackupPolicy, SameDomainBackup
 from ..policies.decodetimes import DecodeTimes
 from ..policies.engineloads import EngineLoad, EngineLoads
+from ..policies.leavingversions import LeavingVersions
 from ..policies.movetargets import MoveTargets, OwnTargets
 from ..policies.prefillrates import PrefillRates
 from .endpointgate import Admission, EndpointGate
@@ -92,6 +93,7 @@
         self._move_targets = move_targets or OwnTargets()
         # By endpoint, the loop time until which an unreachable engine is avoided.
         self._avoid_until: dict[str, float] = {}
+        self._leaving_versions = LeavingVersions()
 
     def record_unreachable(self, reg: Registration) -> None:
         """Avoid an engine for a while after a failed connection."""
@@ -103,6 +105,11 @@
         }
         self._avoid_until[reg.endpoint] = now + AVOID_SECONDS
 
+    def record_leaving(self, reg: Registration) -> None:
+        """Record that an engine leaves, and that its version may be leaving."""
+        now = asyncio.get_running_loop().time()
+        self._leaving_versions.record(reg.service, reg.version, now)
+
     def is_evacuated(self, live: LiveRun) -> bool:
         """Return whether all engines for a run are in evacuated domains."""
         return self._registry.is_service_evacuated(live.ex.service, live.binding)
@@ -197,6 +204,21 @@
             failure_domain=self._failure_domain,
         )
 
+    def _choose(
+        self, live: LiveRun, loads: list[EngineLoad], demand: placing.Demand
+    ) -> EngineLoad | None:
+        """Return an engine, of a version that stays if one of these has room."""
+        if live.binding.version is None:
+            versions = {load.reg.version for load in loads}
+            now = asyncio.get_running_loop().time()
+            avoided = self._leaving_versions.avoided(live.ex.service, versions, now)
+            if avoided:
+                staying = [load for load in loads if load.reg.version not in avoided]
+                load = self._placing.choose(staying, demand, self._rng)
+                if load is not None:
+                    return load
+        return self._placing.choose(loads, demand, self._rng)
+
     def _placing_demand(self, live: LiveRun, prefill_seconds: float) -> placing.Demand:
         """Return what a run needs where it begins, or goes on without a copy.
 
@@ -234,7 +256,7 @@
         while True:
             loads = self._engine_loads(live, excluded)
             demand = self._placing_demand(live, prefill_deadline - loop.time())
-            load = self._placing.choose(loads, demand, self._rng)
+            load = self._choose(live, loads, demand)
             if load is not None:
                 ex.observe("relay_wait")
                 self._record_placement(live, load.reg, loads, demand)
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -126,6 +126,7 @@
 
     def on_leaving(self, reg: Registration) -> None:
         """Move the runs of a leaving engine to others."""
+        self._placer.record_leaving(reg)
         self._run_mover.on_leaving(reg, self._live)
 
     def on_path_silent(self, reg: Registration) -> None:
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -5,6 +5,7 @@
 import pytest
 
 from celerytrail.model import EndpointState, Registration
+from celerytrail.policies.leavingversions import LeavingVersions
 from celerytrail.policies.streamorigins import StreamOrigin, StreamOrigins, stream_key
 from celerytrail.policies.versionbinding import UNBOUND, VersionBinding
 from celerytrail.policies.versionhistory import VersionHistory
@@ -111,6 +112,28 @@
         assert history.only_version("models", frozenset({"v2"}), 151.0) == "v2"
 
 
+class TestLeavingVersions:
+    VERSIONS = ("v1", "v2")
+
+    def test_a_version_of_which_an_engine_leaves_is_avoided_for_a_while(self):
+        leaving = LeavingVersions()
+        leaving.record("models", "v1", 100.0)
+        assert leaving.avoided("models", self.VERSIONS, 101.0) == {"v1"}
+        assert leaving.avoided("models", self.VERSIONS, 110.0) == frozenset()
+        assert leaving.avoided("desk", self.VERSIONS, 101.0) == frozenset()
+
+    def test_not_all_versions_are_avoided(self):
+        # New runs would find no engine, though all of them serve.
+        leaving = LeavingVersions()
+        leaving.record("models", "v1", 100.0)
+        assert leaving.avoided("models", ("v1",), 101.0) == frozenset()
+        leaving.record("models", "v2", 101.0)
+        assert leaving.avoided("models", self.VERSIONS, 102.0) == frozenset()
+
+    def test_none_is_avoided_before_any_leaves(self):
+        assert LeavingVersions().avoided("models", self.VERSIONS, 1.0) == frozenset()
+
+
 class TestStreamOrigins:
     def test_a_stream_is_known_until_its_caller_gives_up(self):
         origins = StreamOrigins()
