Move runs whose engine named its start late

A run's start was asked for once, for 0.3 s. On a busy machine the answer came later; then a run that goes on from a copy was closed and lost, and one that had just begun took the version of the row unproved a moment later. test_a_run_is_moved_off_a_leaving_engine showed the first, once, beside eight simulations.

The engine is asked until it answers, for 10 s. The first event of a run that begins still waits for 0.3 s at most, then the version counts as unknown until the answer comes; one that goes on waits for 1.5 s. An unknown start is none that a row has.

--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -17,6 +17,10 @@
 
 # Reason for which a request wasn't sent: it must not run at its engine's version.
 OTHER_VERSION = "other_version"
+# Longest wait of a run's first event for the start of its engine, in seconds: where it
+# begins, and where it goes on, which it must not do at another version.
+BEGIN_CHECK_SECONDS = 0.3
+CONTINUE_CHECK_SECONDS = 1.5
 # Connect timeout before another engine is tried, in seconds.
 CONNECT_SECONDS = 0.25
 # How long a run that continues at a cold engine waits until that may receive it, in
@@ -222,11 +226,20 @@
         A new one may do so at any start; its version isn't known then before that start
         has a row.
         """
-        started_at = await asyncio.shield(check)
+        seconds = BEGIN_CHECK_SECONDS if is_new else CONTINUE_CHECK_SECONDS
+        await asyncio.wait({check}, timeout=seconds)
+        started_at = check.result() if check.done() else None
         if started_at == reg.started_at:
             return True
         live.ex.log("start_unknown", endpoint=reg.endpoint, started_at=started_at)
         if not is_new:
             return False
-        live.set_unknown_version(started_at)
+        live.set_unknown_version(reg, started_at)
+        check.add_done_callback(lambda done: _confirm(live, reg, done))
         return True
+
+
+def _confirm(live: LiveRun, reg: Registration, check: asyncio.Task[int | None]) -> None:
+    """Take the version from the row of an engine whose late report names its start."""
+    if not check.cancelled() and check.result() == reg.started_at:
+        live.confirm_version(reg)
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -339,14 +339,12 @@
         )
 
     def _learn_version(self, live: LiveRun) -> None:
-        """Take a run's version from the row of its engine's start, once it has one."""
-        if live.reg is None or live.reg.version:
+        """Bind a run whose version wasn't known at its first event, once it is."""
+        if live.reg is None or live.binding.version:
             return
-        reg = self._placer.find(live.reg)
-        if reg is None:
-            return
-        live.reg = reg
-        if live.n_events:
+        if not live.reg.version:
+            live.reg = self._placer.find(live.reg) or live.reg
+        if live.reg.version and live.n_events:
             self._bind(live)
 
     # Resuming at another engine.
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -13,6 +13,9 @@
 from .endpointgate import Admission
 from .exchange import Exchange
 
+# The start of an engine that doesn't answer; no row has it.
+UNKNOWN_START = -1
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Copied:
@@ -78,15 +81,22 @@
         if not self.binding.version:
             self.binding = VersionBinding(version=self.reg.version)
 
-    def set_unknown_version(self, started_at: int | None) -> None:
+    def set_unknown_version(self, reg: Registration, started_at: int | None) -> None:
         """Record that its engine may be at another start than its row says."""
-        assert self.reg is not None
         self.reg = replace(
-            self.reg,
+            reg,
             version="",
-            started_at=self.reg.started_at if started_at is None else started_at,
+            started_at=UNKNOWN_START if started_at is None else started_at,
         )
 
+    def confirm_version(self, reg: Registration) -> None:
+        """Record that its engine is at the start of a row after all."""
+        if self.reg is not None and self.reg.incarnation == (
+            reg.endpoint,
+            UNKNOWN_START,
+        ):
+            self.reg = reg
+
     def record_event(self) -> None:
         """Record the arrival of an event."""
         now = asyncio.get_running_loop().time()
--- a/celerytrail/relay/startchecks.py
+++ b/celerytrail/relay/startchecks.py
@@ -13,10 +13,11 @@
 
 # Requests that are sent to an engine within this time share one check, in seconds.
 GATHER_SECONDS = 0.01
-# Longest time for a check, in seconds. An event that waits for it is still on time.
-CHECK_SECONDS = 0.3
-# Pause before an engine is asked again, in seconds.
+# Timeout of one request for a report, the pause before the next one, and the time after
+# which an engine isn't asked any more, in seconds.
+REPORT_SECONDS = 0.5
 RETRY_SECONDS = 0.03
+GIVE_UP_SECONDS = 10.0
 
 
 class StartChecks:
@@ -69,20 +70,21 @@
             self._on_superseded(reg)
 
     async def _check(self, reg: Registration) -> int | None:
-        deadline = asyncio.get_running_loop().time() + CHECK_SECONDS
+        loop = asyncio.get_running_loop()
+        gives_up_at = loop.time() + GIVE_UP_SECONDS
         try:
             await asyncio.sleep(GATHER_SECONDS)
         finally:
             del self._gathering[reg.incarnation]
-        answered = await self._api.report(reg, deadline)
+        answered = await self._api.report(reg, loop.time() + REPORT_SECONDS)
         while isinstance(answered, Err):
             log_message(
                 "relay:start:unknown", endpoint=reg.endpoint, reason=answered.err_value
             )
-            if asyncio.get_running_loop().time() + RETRY_SECONDS >= deadline:
+            if loop.time() >= gives_up_at:
                 return None
             await asyncio.sleep(RETRY_SECONDS)
-            answered = await self._api.report(reg, deadline)
+            answered = await self._api.report(reg, loop.time() + REPORT_SECONDS)
         started_at = answered.ok_value.started_at
         self.record(reg, started_at)
         return started_at
--- a/standins/modelworker.py
+++ b/standins/modelworker.py
@@ -88,6 +88,8 @@
         self.prefilled_ids: list[str] = []
         # Whether its events name its id, its start and its software version.
         self.signs_events = False
+        # How long its answers to requests for reports take, in seconds.
+        self.report_seconds = 0.0
         self._find_engine = find_engine
         self._streams: dict[str, _Stream] = {}
         self._copies: dict[str, _Copy] = {}
@@ -256,6 +258,7 @@
 
     async def _answer_other(self, req: Request, res: Responder) -> bool:
         if req.path == "/api/report":
+            await asyncio.sleep(self.report_seconds)
             latest_at = asyncio.get_running_loop().time() - REPORT_LAG_SECONDS
             stale = [report for at, report in self._reports if at <= latest_at]
             report = stale[-1] if stale else self._reports[0][1]
--- a/tests/test_relay_versions.py
+++ b/tests/test_relay_versions.py
@@ -92,6 +92,24 @@
         run_engine_fleet(12, steps)
 
 
+class TestSlowReports:
+    def test_runs_go_on_elsewhere_once_their_start_is_known(self):
+        # A run whose engine didn't name its start in time was never moved, and lost.
+        async def steps(rig: EngineFleet) -> None:
+            await add_engines(rig, *["v1"] * 4)
+            for engine in rig.engines.values():
+                engine.report_seconds = 0.45
+            callers = rig.callers(
+                6.0, routes=("draft",), break_share=0.0, n_mean_events=120.0
+            )
+            leaving = list(rig.engines.values())[0]
+            await run_while(callers, 6.0, asyncio.sleep(2.0), rig.leave(leaving))
+            check(rig, callers)
+            assert all(stream.is_complete for stream in callers.streams)
+
+        run_engine_fleet(12, steps)
+
+
 class TestTakenUpStreams:
     @pytest.mark.parametrize("n_nodes", SIZES)
     def test_half_of_the_engines_have_another_version(self, n_nodes: int):
