Take a node's peers and its engine relay into classes of their own

relay/node.py had grown to 603 lines, most of them the creation of components that only know one another. NodePeers holds membership, the node order, the store's rows and requests to other nodes; EngineRelay connects what places, opens, moves and resumes generations, and its four replaceable decisions are one frozen EnginePolicies. node.py is at 491 lines. No behaviour changes; a test reads the node order at its new place.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -20,7 +20,8 @@
 from celerytrail.policies.backups import BackupPolicy
 from celerytrail.policies.movetargets import MoveTargets
 from celerytrail.policies.moving import StopPolicy
-from celerytrail.policies.placing import PlacementPolicy
+from celerytrail.policies.placing import LeastCostPlacement, PlacementPolicy
+from celerytrail.relay.enginerelay import EnginePolicies
 from celerytrail.relay.node import RelayNode
 from celerytrail.types import Address
 from scenarios.memorynetwork import MemoryFabric
@@ -354,10 +355,12 @@
             network=self._network.network_of(name),
             rng=random.Random(f"{self._seed}:{name}"),
             clock=LoopClock(),
-            placing=self._variation.placing,
-            backups=self._variation.backups,
-            move_targets=self._variation.move_targets,
-            stopping=self._variation.stopping,
+            policies=EnginePolicies(
+                placing=self._variation.placing or LeastCostPlacement(),
+                backups=self._variation.backups,
+                move_targets=self._variation.move_targets,
+                stopping=self._variation.stopping,
+            ),
         )
         await node.start()
         self._nodes.append(node)
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -10,31 +10,23 @@
 from eliot import log_message
 
 from ..clock import Clock, SystemClock
-from ..http.client import HttpClient
 from ..http.messages import Request
 from ..http.network import Network, SystemNetwork
 from ..http.routes import Params, Router
 from ..http.server import Responder, ServerLimits
 from ..metrics import Metrics
 from ..model import Registration, RelayConfig, Service
-from ..nodes.member import Member, State
-from ..nodes.nodes import Nodes
-from ..nodes.signing import PeerKeys
+from ..nodes.member import Member
 from ..platform import storewire
-from ..platform.noderows import NodeRows
 from ..platform.nodesettings import RelaySettings
 from ..platform.operatorconfig import decode_config
 from ..platform.registrations import decode_registration
-from ..policies.backups import BackupPolicy
 from ..policies.coldlimits import ColdEndpoints
 from ..policies.decodetimes import DecodeTimes
 from ..policies.endpointchoice import EndpointChoice
 from ..policies.engineloads import EngineLoads, Run
 from ..policies.evacuations import Evacuations
 from ..policies.freshness import Freshness
-from ..policies.movetargets import MoveTargets
-from ..policies.moving import StopPolicy
-from ..policies.placing import LeastCostPlacement, PlacementPolicy
 from ..policies.prefillrates import PrefillObserver, PrefillRates
 from ..policies.retrybudget import SharedRetryBudget
 from ..policies.versionhistory import VersionHistory
@@ -45,27 +37,18 @@
 from .endpointaccess import EndpointAccess
 from .endpointlimits import EndpointLimits
 from .endpointstate import EndpointState
-from .engineopener import EngineOpener
-from .engineplacer import EnginePlacer
+from .enginerelay import EnginePolicies, EngineRelay
 from .enginewatch import EngineWatch
 from .followedtables import FollowedTables
 from .gauges import set_gauges
-from .generations import Generations
 from .handler import RelayHandler
-from .nodeorder import NodeOrder
+from .nodepeers import NodePeers
 from .originbroker import OriginBroker
-from .peerrequests import PeerRequests
 from .peerupdates import OriginEntry, PeerUpdates
-from .resumption import Resumptions
-from .runmover import RunMover
 from .servers import NodeServers
-from .sharedrows import SharedRows
-from .startchecks import StartChecks
 from .status import RelayStatus
-from .storeclient import make_rows
 from .tablesinks import ConfigSink, EvacuationSink, RegistrationSink, SinkGroup
 
-MILLISECONDS = 1_000
 HOUSEKEEPING_SECONDS = 0.25
 # How long a stopping node still accepts new connections, in seconds: callers cache an
 # address answer for up to three times its lifetime.
@@ -91,14 +74,8 @@
         The platform's tables; the store that the settings name by default.
     clock : Clock or None
         The clocks; the VM's by default.
-    placing : PlacementPolicy or None
-        Chooses the engine for a generation; by cost by default.
-    backups : BackupPolicy or None
-        Chooses the engine that keeps a generation's copy.
-    move_targets : MoveTargets or None
-        See `EnginePlacer`.
-    stopping : StopPolicy or None
-        See `RunMover`.
+    policies : EnginePolicies or None
+        The decisions on engines; the product's own by default.
     """
 
     def __init__(
@@ -109,17 +86,10 @@
         rng: random.Random | None = None,
         store: RowSource | None = None,
         clock: Clock | None = None,
-        placing: PlacementPolicy | None = None,
-        backups: BackupPolicy | None = None,
-        move_targets: MoveTargets | None = None,
-        stopping: StopPolicy | None = None,
+        policies: EnginePolicies | None = None,
     ) -> None:
         self.cfg = cfg
-        self._store = store
-        self._placing = placing or LeastCostPlacement()
-        self._backups = backups
-        self._move_targets = move_targets
-        self._stopping = stopping
+        self._policies = policies or EnginePolicies()
         self._network = network or SystemNetwork()
         self._rng = rng or random.Random()
         self._clock = clock or SystemClock()
@@ -136,14 +106,26 @@
             is_strict=cfg.is_revocation_strict,
             clock=self._clock.boottime,
         )
-        self._make_peers()
+        self._peers = peers = NodePeers(
+            cfg=cfg,
+            node=self.node_id,
+            network=self._network,
+            store=store,
+            clock=self._clock,
+            rng=self._rng,
+            metrics=self._metrics,
+        )
+        self.nodes = peers.nodes
+        self.rows = peers.rows
+        self.shared_rows = peers.shared_rows
+        self._keys = peers.keys
         self._make_tables()
         self._make_serving()
 
     def _make_tables(self) -> None:
         self._limits = EndpointLimits(
             node=self.node_id,
-            node_order=self._node_order,
+            node_order=self._peers.node_order,
             network=self._network,
             keys=self._keys,
             announce_rates=lambda found: self.peer_updates.announce_limits(found),
@@ -154,7 +136,7 @@
         self._endpoint_state = state = EndpointState(
             cfg=self.cfg,
             find_service=self._find_service,
-            node_order=self._node_order,
+            node_order=self._peers.node_order,
             limits=self._limits,
             on_leaving=self._on_leaving,
             announce_leaving=lambda reg: self.peer_updates.announce_leaving(reg),
@@ -186,58 +168,6 @@
             metrics=self._metrics,
         )
 
-    def _make_peers(self) -> None:
-        cfg = self.cfg
-        assert cfg.callers is not None and cfg.peers is not None
-        # All nodes of a deployment share its store. A key derived from its address
-        # rejects datagrams of another deployment that reach a reused address.
-        self._keys = keys = PeerKeys(keys=[f"nodes of {cfg.store}".encode()])
-        me = Member(
-            node=self.node_id,
-            incarnation=int(self._clock.wall() * MILLISECONDS),
-            caller=cfg.callers,
-            peer=cfg.peers,
-            state=State.LEAVING,
-            vm=cfg.node,
-            failure_domain=cfg.failure_domain,
-            region=cfg.region,
-            link_mbps=round(cfg.link_mbps),
-        )
-        self.nodes = Nodes(
-            me=me,
-            keys=keys,
-            client=HttpClient(process=self.node_id, network=self._network),
-            clock=self._clock,
-            metrics=self._metrics,
-            rng=self._rng,
-            seeds=cfg.seeds,
-            answer_seconds=cfg.max_address_seconds,
-            network=self._network,
-        )
-        self._node_order = NodeOrder(nodes=self.nodes, clock=self._clock)
-        assert cfg.store is not None
-        self.rows = self._store or make_rows(
-            cfg.store,
-            network=self._network,
-            clock=self._clock,
-            rng=self._rng,
-            metrics=self._metrics,
-        )
-        self._node_rows = NodeRows(
-            rows=self.rows,
-            caller=cfg.callers,
-            peer=cfg.peers,
-            rng=self._rng,
-            is_first_start=cfg.is_first_start,
-        )
-        self.shared_rows = SharedRows(
-            store=self.rows,
-            nodes=self.nodes,
-            client=HttpClient(process=self.node_id, network=self._network),
-            keys=keys,
-            metrics=self._metrics,
-        )
-
     def _make_serving(self) -> None:
         cfg = self.cfg
         rates = PrefillRates()
@@ -262,7 +192,7 @@
             ratio=cfg.retry_ratio,
             allowance=cfg.retry_slack,
             window_seconds=cfg.retry_window_seconds,
-            received_share=self._node_order.running_share,
+            received_share=self._peers.node_order.running_share,
             tell=self.peer_updates.announce_retry,
         )
         self.access = EndpointAccess(
@@ -278,56 +208,30 @@
         )
         self.origins = OriginBroker(
             node=self.node_id,
-            node_order=self._node_order,
-            requests=PeerRequests(
-                client=HttpClient(process=self.node_id, network=self._network),
-                keys=self._keys,
-                metrics=self._metrics,
-            ),
+            node_order=self._peers.node_order,
+            requests=self._peers.requests,
             tell=self._tell_origin,
             registry=self.registry,
             versions=self._versions,
             is_current=lambda: self._tables.has_current_registrations,
             clock=self._clock,
         )
-        gate = self._endpoint_state.gate
-        placer = EnginePlacer(
-            registry=self.registry,
-            loads=self.loads,
+        relay = EngineRelay(
+            failure_domain=cfg.failure_domain,
+            endpoints=self._endpoint_state,
+            access=self.access,
             peer_updates=self.peer_updates,
+            loads=self.loads,
             decode_times=self._decode_times,
-            failure_domain=cfg.failure_domain,
-            rng=self._rng,
-            gate=gate,
-            policy=self._placing,
             rates=rates,
-            backups=self._backups,
-            move_targets=self._move_targets,
-        )
-        answers = self._endpoint_state.answers
-        starts = StartChecks(
-            api=self.access.engine_api, on_superseded=answers.record_leaving
-        )
-        opener = EngineOpener(
-            client=self.access.client, gate=gate, answers=answers, starts=starts
-        )
-        run_mover = RunMover(
-            api=self.access.engine_api,
-            registry=self.registry,
-            loads=self.loads,
-            placer=placer,
-            opener=opener,
-            stopping=self._stopping,
-        )
-        self.generations = Generations(
-            placer=placer,
-            opener=opener,
-            run_mover=run_mover,
-            peer_updates=self.peer_updates,
             budget=budget,
             origins=self.origins,
+            policies=self._policies,
             rng=self._rng,
+            metrics=self._metrics,
         )
+        self.generations = relay.generations
+        gate, answers = self._endpoint_state.gate, self._endpoint_state.answers
         self._choice = EndpointChoice(
             failure_domain=cfg.failure_domain,
             rng=self._rng,
@@ -351,16 +255,14 @@
             is_engine_service=self._is_engine_service,
             gate=gate,
             on_leaving=answers.record_leaving,
-            on_started=starts.record,
+            on_started=relay.starts.record,
         )
         handler = RelayHandler(
             config=lambda: self.configs.cfg,
             freshness=self._freshness,
             calls=self.calls,
             generations=self.generations,
-            resumptions=Resumptions(
-                broker=self.origins, registry=self.registry, metrics=self._metrics
-            ),
+            resumptions=relay.resumptions,
             has_others=lambda: any(
                 member.node != self.node_id for member in self.nodes.live()
             ),
@@ -418,7 +320,7 @@
         self._run(self._limits.run())
         self._run(self.access.run())
         self._run(self._run_housekeeping())
-        self._run(self._enter_store())
+        self._run(self._peers.enter_store())
         log_message("relay:node:started", node=self.node_id, callers=str(cfg.callers))
 
     async def stop(self) -> None:
@@ -439,7 +341,7 @@
             self._servers.callers.retire()
         await self._servers.callers.drain()
         await self.access.tunnels.stop(self._killed_at - STOP_MARGIN_SECONDS)
-        await self._node_rows.leave()
+        await self._peers.node_rows.leave()
         for task in self._tasks:
             task.cancel()
         await self.nodes.stop()
@@ -569,18 +471,10 @@
         self.access.cut_off_nodes.record(node, services, now)
 
     def _tell_origin(self, entry: OriginEntry, owners: Sequence[Member]) -> None:
-        addresses = [self._update_address(member) for member in owners]
-        self.peer_updates.tell_origin(entry, addresses)
-
-    def _update_address(self, member: Member) -> Address:
-        return Address(host=member.peer.host, port=self.cfg.peer_ports[0])
+        self.peer_updates.tell_origin(entry, self._peers.update_addresses(owners))
 
     def _update_addresses(self) -> list[Address]:
-        return [
-            self._update_address(member)
-            for member in self.nodes.members()
-            if member.state is not State.DEAD and member.node != self.node_id
-        ]
+        return self._peers.update_addresses(self._peers.others())
 
     async def _run_housekeeping(self) -> None:
         while True:
@@ -595,9 +489,3 @@
                 self._was_ready = self.is_ready
                 log_message("relay:node:ready", is_ready=self.is_ready)
                 self.nodes.set_serving(self.is_ready)
-
-    async def _enter_store(self) -> None:
-        """Write this node's row to the store, and read the other nodes' addresses."""
-        addresses = await self._node_rows.enter()
-        self._node_order.set_n_listed(len(addresses))
-        self.nodes.set_vm_addresses(addresses)
--- a/tests/test_relay_node.py
+++ b/tests/test_relay_node.py
@@ -553,7 +553,7 @@
         )
         rig.store.faults.is_silent = True
         await wait_until(lambda: not first.nodes.live())
-        assert first._node_order.running_share() == 1.0
+        assert first._peers.node_order.running_share() == 1.0
 
 
 class UnavailableStore(RowSource):
