Ask an engine that doesn't answer ever less often for its start

An engine that crashes while its start is asked for was asked again each 30 ms for 10 s, and each of these requests may be tried through other nodes as well; and one that asked for a pause was asked again in it. The pauses double now, to a second at most, and a pause ends the check. The checks have tests of their own; the one of an engine that is gone counts under 20 requests in its 10 s.

--- a/celerytrail/relay/enginerelay.py
+++ b/celerytrail/relay/enginerelay.py
@@ -97,7 +97,9 @@
     ) -> None:
         registry, gate, answers = endpoints.registry, endpoints.gate, endpoints.answers
         self.starts = StartChecks(
-            api=access.engine_api, on_superseded=answers.record_leaving
+            api=access.engine_api,
+            is_paused=gate.is_paused,
+            on_superseded=answers.record_leaving,
         )
         placer = EnginePlacer(
             registry=registry,
--- a/celerytrail/relay/startchecks.py
+++ b/celerytrail/relay/startchecks.py
@@ -13,10 +13,12 @@
 
 # Requests that are sent to an engine within this time share one check, in seconds.
 GATHER_SECONDS = 0.01
-# Timeout of one request for a report, the pause before the next one, and the time after
-# which an engine isn't asked any more, in seconds.
+# Timeout of one request for a report, in seconds.
 REPORT_SECONDS = 0.5
+# Pauses before the first and at most before a later further request, and the time after
+# which an engine isn't asked any more, in seconds.
 RETRY_SECONDS = 0.03
+MAX_RETRY_SECONDS = 1.0
 GIVE_UP_SECONDS = 10.0
 
 
@@ -33,14 +35,21 @@
     ----------
     api : EngineApi
         Reads reports, which name the start.
+    is_paused : callable
+        Returns whether an engine wants no requests from this node now.
     on_superseded : callable
         Called with the registration of a start that another one has followed.
     """
 
     def __init__(
-        self, *, api: EngineApi, on_superseded: Callable[[Registration], None]
+        self,
+        *,
+        api: EngineApi,
+        is_paused: Callable[[Registration], bool],
+        on_superseded: Callable[[Registration], None],
     ) -> None:
         self._api = api
+        self._is_paused = is_paused
         self._on_superseded = on_superseded
         self._gathering: dict[Incarnation, asyncio.Task[int | None]] = {}
 
@@ -76,14 +85,16 @@
             await asyncio.sleep(GATHER_SECONDS)
         finally:
             del self._gathering[reg.incarnation]
+        pause_seconds = RETRY_SECONDS
         answered = await self._api.report(reg, loop.time() + REPORT_SECONDS)
         while isinstance(answered, Err):
             log_message(
                 "relay:start:unknown", endpoint=reg.endpoint, reason=answered.err_value
             )
-            if loop.time() >= gives_up_at:
+            await asyncio.sleep(pause_seconds)
+            if loop.time() >= gives_up_at or self._is_paused(reg):
                 return None
-            await asyncio.sleep(RETRY_SECONDS)
+            pause_seconds = min(2 * pause_seconds, MAX_RETRY_SECONDS)
             answered = await self._api.report(reg, loop.time() + REPORT_SECONDS)
         started_at = answered.ok_value.started_at
         self.record(reg, started_at)
