Let the tests of leases wait until a lease is free

Virtual time starts at the machine's uptime and advances in steps of a microsecond, so the test's sleep ended up to that much before the moment. What is checked then is the same.

--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -126,4 +126,6 @@
 
 
 async def sleep_until(pair, at):
-    await asyncio.sleep(max(at - pair.clock.monotonic(), 0.0))
+    # Virtual time advances in steps of a microsecond, so a sleep may end just before.
+    while pair.clock.monotonic() < at:
+        await asyncio.sleep(max(at - pair.clock.monotonic(), 1e-5))
