Log what became of engines that broke off answers, and whose prompts they held

`cut` stood alike for a crash, a reset, a lost path and an engine that left, and nothing named a prompt's parts. Change: CrashWatch asks an engine that broke off an answer for its report, on every path, and logs relay:engine:lost with its fate (crashed, alive, left, unknown) and the prompts of the runs that had not begun; counter engines_lost by fate. The adapter decodes a prompt's parts into shared ones and the request's own (case and sizes don't count, entries that can't be read are skipped, ids of over 32 characters become digests). No decision reads either yet. Before: parts decoded as (id, size) pairs that nothing read. Conclusion: hypotheses 1 and 3 differ in the prompts of crashed engines, 2 in their absence.

--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -119,6 +119,7 @@
 # Help texts of all metrics; using a name that is not declared here is a bug.
 COUNTERS = {
     "places": "Requests for places at brittle endpoints, by outcome.",
+    "engines_lost": "Engines that broke off answers, by what became of them.",
     "endpoint_paths_lost": "Endpoints to which this node lost the path.",
     "endpoint_tunnels": "Connections to endpoints through other nodes, by outcome.",
     "tunnels_served": "Connections made for other nodes, by outcome.",
--- a/celerytrail/model.py
+++ b/celerytrail/model.py
@@ -313,6 +313,25 @@
     started_at: int | None = None
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Prompt:
+    """What the prompt of a request to a service consists of.
+
+    Parameters
+    ----------
+    service : str
+        The service.
+    shared_parts : tuple of str
+        Ids of the parts that other requests may share, in order, each once.
+    own_part : str
+        Id of the part that belongs to the request or its session; empty if not stated.
+    """
+
+    service: str
+    shared_parts: tuple[str, ...] = ()
+    own_part: str = ""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RequestMetadata:
     """What a caller states in a request's head besides its method and path.
@@ -333,8 +352,10 @@
         Size of the prompt and limit of the output; 0 if not stated.
     n_hinted_tokens : int or None
         The caller's estimate of the output.
-    parts : tuple of (str, int)
-        Ids and sizes of the prompt's parts, in order.
+    shared_parts : tuple of str
+        Ids of the prompt's parts that other requests may share, in order, each once.
+    own_part : str
+        Id of the part that belongs to the request or its session; empty if not stated.
     """
 
     attempt_id: str
@@ -345,7 +366,8 @@
     n_prompt_tokens: int = 0
     n_max_tokens: int = 0
     n_hinted_tokens: int | None = None
-    parts: tuple[tuple[str, int], ...] = ()
+    shared_parts: tuple[str, ...] = ()
+    own_part: str = ""
 
     @property
     def is_resumption(self) -> bool:
--- a/celerytrail/platform/wire.py
+++ b/celerytrail/platform/wire.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import math
 import re
 from collections.abc import Mapping
@@ -76,7 +77,10 @@
 REPORT_PATH = "/api/report"
 MOVE_PATH = "/api/kv-move"
 
-_PREFIX_PART = re.compile(r"([0-9a-fA-F]+):(\d+)")
+_PREFIX_PART = re.compile(r"\s*([0-9a-fA-F]+):\d+\s*")
+# Longer ids of prompt parts are replaced by digests of this many bytes.
+MAX_PART_LENGTH = 32
+PART_DIGEST_BYTES = 12
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -124,6 +128,7 @@
     scheme, _, key = headers.get("authorization", "").partition(" ")
     prompt, _, output = headers.get("x-token-count", "").partition(",")
     hint = headers.get("x-length-hint", "")
+    shared_parts, own_part = _decode_parts(headers.get("x-prompt-prefix", ""))
     return RequestMetadata(
         attempt_id=headers.get(ATTEMPT_HEADER, ""),
         budget_seconds=_milliseconds(headers.get(_BUDGET)),
@@ -133,15 +138,29 @@
         n_prompt_tokens=_count(prompt),
         n_max_tokens=_count(output),
         n_hinted_tokens=_count(hint) if hint else None,
-        parts=tuple(
-            (part, int(n_tokens))
-            for part, n_tokens in _PREFIX_PART.findall(
-                headers.get("x-prompt-prefix", "")
-            )
-        ),
+        shared_parts=shared_parts,
+        own_part=own_part,
     )
 
 
+def _decode_parts(text: str) -> tuple[tuple[str, ...], str]:
+    """Decode the ids of a prompt's parts: the shared ones, and the last, its own.
+
+    Entries that can't be decoded are skipped. Case and sizes don't distinguish parts.
+    """
+    matches = [_PREFIX_PART.fullmatch(entry) for entry in text.split(",")]
+    ids = [_part_id(match[1]) if match else "" for match in matches]
+    shared = dict.fromkeys(part for part in ids[:-1] if part)
+    return tuple(shared), ids[-1]
+
+
+def _part_id(text: str) -> str:
+    if len(text) <= MAX_PART_LENGTH:
+        return text.lower()
+    digest = hashlib.blake2b(text.lower().encode(), digest_size=PART_DIGEST_BYTES)
+    return f"~{digest.hexdigest()}"
+
+
 def forward_headers(req: Request, facts: ForwardMetadata) -> list[tuple[str, str]]:
     """Return the headers for an endpoint: the caller's and the system's."""
     connection_headers = {
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -9,6 +9,7 @@
 from ..http.client import HttpClient, NotSent, Stream
 from ..model import Registration
 from ..platform import wire
+from .crashwatch import CrashWatch, LostRun
 from .endpointanswers import EndpointAnswers
 from .endpointgate import ENDPOINT_CLOSED, ENDPOINT_LIMITED, Admission, EndpointGate
 from .liverun import Copied, LiveRun
@@ -17,6 +18,8 @@
 
 # Reason for which a request wasn't sent: it must not run at its engine's version.
 OTHER_VERSION = "other_version"
+# The client's reason when an endpoint closed the connection before its answer's end.
+BROKEN_OFF = "cut"
 # Longest wait of a run's first event for the start of its engine, in seconds: where it
 # begins, and where it goes on, which it must not do at another version.
 BEGIN_CHECK_SECONDS = 0.3
@@ -43,6 +46,8 @@
         Records what engines state in their answers.
     starts : StartChecks
         Finds out which start of an engine runs a request.
+    crashes : CrashWatch
+        Finds out why an engine broke off an answer.
     """
 
     def __init__(
@@ -52,11 +57,13 @@
         gate: EndpointGate,
         answers: EndpointAnswers,
         starts: StartChecks,
+        crashes: CrashWatch,
     ) -> None:
         self._client = client
         self._gate = gate
         self._answers = answers
         self._starts = starts
+        self._crashes = crashes
 
     async def open_copy(
         self, live: LiveRun, copied: Copied
@@ -109,6 +116,12 @@
                 )
                 self._gate.end(admission, is_refused=is_refused)
 
+    def record_lost(self, live: LiveRun, reg: Registration, reason: str) -> None:
+        """Record that an engine's answer to a run broke off."""
+        if reason == BROKEN_OFF:
+            run = LostRun(prompt=live.ex.prompt, sent_at=live.sent_at)
+            self._crashes.record_lost(reg, run, live.n_events)
+
     def is_paused(self, reg: Registration) -> bool:
         """Return whether an engine wants no requests from this node now."""
         return self._gate.is_paused(reg)
@@ -161,6 +174,7 @@
                 obstacle = ENDPOINT_CLOSED
                 return False
             check = self._starts.begin(reg)
+            live.sent_at = asyncio.get_running_loop().time()
             return True
 
         opened = await self._client.open(
@@ -181,6 +195,7 @@
             ex.log("attempt_failed", endpoint=reg.endpoint, reason=reason)
             if isinstance(exc, NotSent):
                 return Err(NotExecuted(reason=reason))
+            self.record_lost(live, reg, exc.reason)
             return Err(Failed(reason=exc.reason))
         stream = opened.ok_value
         if self._answers.read(ex, reg, stream, sent_at):
--- a/celerytrail/relay/enginerelay.py
+++ b/celerytrail/relay/enginerelay.py
@@ -14,6 +14,7 @@
 from ..policies.placing import LeastCostPlacement, PlacementPolicy
 from ..policies.prefillrates import PrefillRates
 from ..policies.retrybudget import SharedRetryBudget
+from .crashwatch import CrashWatch
 from .endpointaccess import EndpointAccess
 from .endpointstate import EndpointState
 from .engineopener import EngineOpener
@@ -114,8 +115,18 @@
             backups=policies.backups,
             move_targets=policies.move_targets,
         )
+        crashes = CrashWatch(
+            api=access.engine_api,
+            registry=registry,
+            on_crash=lambda crash: None,
+            metrics=metrics,
+        )
         opener = EngineOpener(
-            client=access.client, gate=gate, answers=answers, starts=self.starts
+            client=access.client,
+            gate=gate,
+            answers=answers,
+            starts=self.starts,
+            crashes=crashes,
         )
         run_mover = RunMover(
             api=access.engine_api,
--- a/celerytrail/relay/exchange.py
+++ b/celerytrail/relay/exchange.py
@@ -13,7 +13,7 @@
 from ..http.messages import Request
 from ..http.server import Responder
 from ..metrics import Metrics
-from ..model import RequestMetadata, Route
+from ..model import Prompt, RequestMetadata, Route
 from ..platform import wire
 from ..policies.versionbinding import UNBOUND, VersionBinding
 
@@ -92,6 +92,15 @@
         """Return the deadline on the event loop's clock."""
         return asyncio.get_running_loop().time() + self.seconds_left
 
+    @property
+    def prompt(self) -> Prompt:
+        """Return what its prompt consists of."""
+        return Prompt(
+            service=self.service,
+            shared_parts=self.facts.shared_parts,
+            own_part=self.facts.own_part,
+        )
+
     @property
     def target(self) -> str:
         """Return the path with its query, as the caller sent it."""
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -258,6 +258,7 @@
         body = await stream.read(ex.loop_deadline)
         attempt = ex.facts.attempt_id
         if isinstance(body, Err):
+            self._record_lost(live, body.err_value.reason)
             ex.log("failed", reason=body.err_value.reason)
             await refuse(ex.res, 502, body.err_value.reason, attempt_id=attempt)
             return
@@ -280,9 +281,11 @@
                     await self._relay_event(live, event)
                 continue
             splitter.clear()
-            resumed = await self._resume(live, chunk.err_value.reason)
+            reason = chunk.err_value.reason
+            self._record_lost(live, reason)
+            resumed = await self._resume(live, reason)
             if resumed is None or resumed.status != 200:
-                ex.log("cut", reason=chunk.err_value.reason, n_events=live.n_events)
+                ex.log("cut", reason=reason, n_events=live.n_events)
                 ex.res.abort()
                 return
             live.stream = resumed
@@ -303,6 +306,10 @@
             longest_pause=round(live.longest_pause, 3),
         )
 
+    def _record_lost(self, live: LiveRun, reason: str) -> None:
+        if live.reg is not None:
+            self._opener.record_lost(live, live.reg, reason)
+
     async def _relay_event(self, live: LiveRun, event: StreamEvent) -> None:
         number = event.number
         if number is not None:
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -64,6 +64,8 @@
         self.n_queued_tokens = 0
         self.n_events = 0
         self.n_runs = 0
+        # When its current engine was sent it, in loop time.
+        self.sent_at = 0.0
         # True between the end of one stream and the start of the next.
         self.is_resuming = False
         self.is_complete = False
