Let a run that begins again pass over engines that refuse connections

What callers saw: of several engines that are lost together, a run went from the first to one of the others, whose row is still there, and was given up: 502, or a cut stream. Cause: a run's first engine is chosen in a loop in which refused connections aren't tries; a run that begins again had one try of its own beside that loop. Class: the same choice made twice. Change: one loop begins runs, first ones and those that begin again.

--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -195,14 +195,22 @@
     async def _open_first_stream(
         self, live: LiveRun
     ) -> Result[Stream, NotExecuted | Failed]:
-        """Open a stream at an engine that accepts the generation.
+        """Open the first stream of a generation."""
+        opened = await self._begin_run(live, set())
+        if isinstance(opened, Err) and isinstance(opened.err_value, Failed):
+            return await self._resume_unanswered(live, opened.err_value)
+        return opened
+
+    async def _begin_run(
+        self, live: LiveRun, excluded: set[str]
+    ) -> Result[Stream, NotExecuted | Failed]:
+        """Begin a run at an engine that accepts it, none of those excluded.
 
         The registration of a crashed engine remains for seconds, and to every node it
         looks like the least loaded one. If refused connections counted as tries, three
         such engines would make a generation fail while others are free.
         """
         ex = live.ex
-        excluded: set[str] = set()
         n_sent = n_tries = 0
         while n_tries < MAX_REFUSALS:
             admission = await self._placer.place_admitted(live, excluded)
@@ -214,10 +222,8 @@
                 self._opener.discard(admission)
                 return Err(NotExecuted(reason="retry_denied"))
             opened = await self._opener.open(live, admission, live.backup)
-            if isinstance(opened, Ok):
+            if isinstance(opened, Ok) or isinstance(opened.err_value, Failed):
                 return opened
-            if isinstance(opened.err_value, Failed):
-                return await self._resume_unanswered(live, opened.err_value)
             refused = opened.err_value
             excluded.add(reg.endpoint)
             if refused.was_sent:
@@ -398,19 +404,16 @@
         now = asyncio.get_running_loop().time()
         if not self._budget.take(ex.service, now):
             return None
-        admission = await self._placer.place_admitted(
-            live, {previous_reg.endpoint} if previous_reg else set()
-        )
-        if admission is None:
-            return None
-        opened = await self._opener.open(live, admission, live.backup)
+        excluded = {previous_reg.endpoint} if previous_reg else set()
+        opened = await self._begin_run(live, excluded)
         if isinstance(opened, Err):
             return None
+        assert live.reg is not None
         ex.log(
             "run_again",
             reason=reason,
-            endpoint=admission.reg.endpoint,
-            version=admission.reg.version,
+            endpoint=live.reg.endpoint,
+            version=live.reg.version,
             n_events=live.n_events,
         )
         return opened.ok_value
