Keep prompts that crash engines from all engines

Cause: what a request does to its engine was forgotten with the attempt. A run whose engine crashed went on at its backup, at a copy, by beginning again, by its caller's repeat; the next request with the part was new at any node. Class: query of death, with the culprit one part among shared ones. Ruled out: load or faults of engines (ends follow requests with the part, whatever else runs; only other crashes, lost domains and cut paths end no more); whole requests or callers (the rig's differ in all but the part). Change: CrashWatch tells crashes from resets, lost paths and engines that leave by the engine's own report. Nodes announce crashes with the prompts that had not begun, and answers on suspected parts; each decides by itself (policies/crashsuspects): three crashes in a row without an answer on a part, of two requests, each sent after the crash before; parts with answers before need five, and answers to requests without them; what stronger suspects explain doesn't count. Blocks are announced, passed on to two random nodes a second, and kept in the store in case all nodes restart. EndpointGate asks for them last before the first byte; an Admission can't be made without the prompt, and nothing is sent to an endpoint without an Admission. Refused at once with 503 and the end of the block as Retry-After. An answer on a blocked prompt lifts its block.

--- a/bench/crashparts.py
+++ b/bench/crashparts.py
@@ -107,15 +107,11 @@
 def cut_paths(load: FleetLoad) -> FleetLoad:
     """A third of the nodes lose the path to all engines; no part crashes any."""
     load = _with_engines(load, crash_parts=())
+    cut = FleetEvent(kind="cut_nodes", at=8.0, n_nodes=load.n_nodes // 3, seconds=3.0)
     events = [
-        FleetEvent(
-            kind="cut_nodes",
-            at=8.0 + 6.0 * n,
-            seconds=3.0,
-            n_nodes=max(1, load.n_nodes // 3),
-            how=how,
-        )
-        for n, how in enumerate(("reset", "refused", "silent"))
+        replace(cut, how="reset"),
+        replace(cut, at=14.0, how="refused"),
+        replace(cut, at=20.0, how="silent"),
     ]
     return replace(load, requests=[load.requests[0]], events=events)
 
--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -119,6 +119,7 @@
 # Help texts of all metrics; using a name that is not declared here is a bug.
 COUNTERS = {
     "places": "Requests for places at brittle endpoints, by outcome.",
+    "prompt_blocks": "Blocks on prompts that this node learned of, by state.",
     "engines_lost": "Engines that broke off answers, by what became of them.",
     "endpoint_paths_lost": "Endpoints to which this node lost the path.",
     "endpoint_tunnels": "Connections to endpoints through other nodes, by outcome.",
@@ -142,6 +143,8 @@
     "relay_events": "Events of relayed requests, by event and cause.",
 }
 GAUGES = {
+    "blocked_prompts": "Blocks on prompts in force.",
+    "suspected_crashes": "Crashes of engines whose cause isn't known.",
     "brittle_endpoints": "Endpoints that fall over when they refuse too much.",
     "paused_endpoints": "Endpoints that want no requests from this node at present.",
     "endpoint_versions": "Endpoints with a row, by service and software version.",
--- a/celerytrail/platform/storewire.py
+++ b/celerytrail/platform/storewire.py
@@ -36,6 +36,8 @@
 REGISTRATION_TABLE = "servers"
 # A row for each node with its peer address, written by the nodes.
 NODES_TABLE = "nodes"
+# A row for each block on prompts, written by the nodes.
+PROMPT_BLOCKS_TABLE = "prompt-blocks"
 
 _DECODE_ERRORS = (
     msgspec.DecodeError,
--- /dev/null
+++ b/celerytrail/policies/crashsuspects.py
@@ -0,0 +1,330 @@
+"""Which prompt parts crash engines, by the evidence of crashes and answers.
+
+The load pattern: engines crash one after the other, each with several runs, of which
+one may hold the part that causes it. Its other parts are shared with sound requests,
+most of which are answered all the time; engines also crash for other reasons, at times
+several of them together.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from ..model import Incarnation, Prompt
+
+# Crashes in a row, without an answer on a part, after which the part is the cause.
+N_CRASHES = 3
+# The same for a part on which answers were written before. Requests without it must
+# have been answered meanwhile: while none are, all of them may have one other cause.
+N_CRASHES_ANSWERED = 5
+N_OTHER_ANSWERS = 3
+# Crashes after which even parts of different requests that fit equally are blocked.
+N_CRASHES_TIED = 5
+# Requests, told apart by their own parts, that must have been lost: what only one
+# request was lost by may be something else in it.
+N_REQUESTS = 2
+# A run sent up to this long before a crash may have been sent because of it, in
+# seconds: nodes learn of a crash at slightly different times.
+SLACK_SECONDS = 0.05
+# Crashes and answered parts held at most, and how long crashes count, in seconds.
+MAX_CRASHES = 64
+MAX_ANSWERED = 4_096
+MAX_RUNS = 32
+RETENTION_SECONDS = 600.0
+
+# A part of a service's prompts: the service and the part's id.
+Part = tuple[str, str]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LostRun:
+    """A run that an engine broke off before it had evidently begun its answer.
+
+    ``sent_at`` is the loop time at which the engine was sent the request.
+    """
+
+    prompt: Prompt
+    sent_at: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Crash:
+    """An engine's crash, and runs lost by it before their answers.
+
+    ``crashed_at`` is the loop time at which the first answer was broken off.
+    """
+
+    incarnation: Incarnation
+    runs: tuple[LostRun, ...]
+    crashed_at: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Finding:
+    """Prompts of a service with all of these parts crash engines.
+
+    ``crashes`` are the starts of the engines that show it.
+    """
+
+    service: str
+    parts: frozenset[str]
+    crashes: tuple[Incarnation, ...]
+
+
+@dataclass(kw_only=True, slots=True)
+class _Crash:
+    """A crash as all nodes together reported it."""
+
+    crashed_at: float
+    # By the ids of all parts, the latest runs that were lost.
+    runs: dict[tuple[frozenset[Part], str], float] = field(default_factory=dict)
+    # Whether a part that was found explains it.
+    is_explained: bool = False
+
+    def parts(self) -> set[Part]:
+        """Return the parts of the runs that were lost."""
+        return {part for parts, _ in self.runs for part in parts}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Suspicion:
+    """The crashes that a part may have caused.
+
+    ``n_in_row`` counts those of which each one's run was sent after the one before.
+    """
+
+    part: Part
+    crashes: frozenset[Incarnation]
+    n_in_row: int
+    n_requests: int
+    is_answered: bool
+
+    @property
+    def rank(self) -> tuple[bool, int]:
+        """Return how strong the suspicion is, the strongest first."""
+        return (self.is_answered, -len(self.crashes))
+
+
+class CrashSuspects:
+    """Collects crashes and answers, and finds the parts that crash engines.
+
+    An answer clears its parts of all crashes before it. Crashes that a found part
+    explains accuse no other one.
+    """
+
+    def __init__(self) -> None:
+        self._crashes: dict[Incarnation, _Crash] = {}
+        self._answered: dict[Part, float] = {}
+        # The times and parts of the latest answers, for comparison.
+        self._answers: list[tuple[float, frozenset[Part]]] = []
+
+    @property
+    def n_crashes(self) -> int:
+        """Return the number of crashes without a known cause."""
+        return sum(not crash.is_explained for crash in self._crashes.values())
+
+    def answered_at(self, part: Part) -> float | None:
+        """Return the loop time of the latest known answer on a part."""
+        return self._answered.get(part)
+
+    def record_answer(
+        self, prompt: Prompt, at: float, *, is_whole: bool = True
+    ) -> bool:
+        """Record that an answer was written on a prompt.
+
+        ``is_whole`` is whether these are all shared parts of the prompt.
+
+        Returns
+        -------
+        bool
+            Whether it clears a part of a crash.
+        """
+        parts = parts_of(prompt)
+        suspected = self._suspected()
+        clears = any(
+            part in suspected and self._answered.get(part, 0.0) < suspected[part] <= at
+            for part in parts
+        )
+        for part in parts:
+            known = self._answered.pop(part, at)
+            self._answered[part] = max(at, known)
+        while len(self._answered) > MAX_ANSWERED:
+            del self._answered[next(iter(self._answered))]
+        if self._crashes and is_whole:
+            self._answers.append((at, parts))
+            del self._answers[:-MAX_CRASHES]
+        return clears
+
+    def record_crash(
+        self, crash: Crash, now: float, formerly_found: Iterable[Part] = ()
+    ) -> list[Finding]:
+        """Record a crash, or more of its runs; return what it shows.
+
+        Parameters
+        ----------
+        crash : Crash
+            The crash, as one node reports it.
+        now : float
+            The loop time.
+        formerly_found : iterable of Part
+            Parts that crashed engines earlier; one more crash is enough.
+        """
+        self._expire(now)
+        known = self._crashes.get(crash.incarnation)
+        if known is None:
+            known = self._crashes[crash.incarnation] = _Crash(
+                crashed_at=crash.crashed_at
+            )
+        known.crashed_at = min(known.crashed_at, crash.crashed_at)
+        for run in crash.runs:
+            key = (parts_of(run.prompt), run.prompt.own_part)
+            if len(known.runs) < MAX_RUNS or key in known.runs:
+                known.runs[key] = max(known.runs.get(key, 0.0), run.sent_at)
+        return self._find(set(formerly_found))
+
+    def explain(self, service: str, parts: frozenset[str]) -> None:
+        """Record that prompts with all of these parts crash engines."""
+        cause = frozenset((service, part) for part in parts)
+        for crash in self._crashes.values():
+            if any(cause <= held for held, _ in crash.runs):
+                crash.is_explained = True
+
+    # Internals.
+
+    def _expire(self, now: float) -> None:
+        while len(self._crashes) >= MAX_CRASHES:
+            del self._crashes[next(iter(self._crashes))]
+        for incarnation, crash in list(self._crashes.items()):
+            if now - crash.crashed_at > RETENTION_SECONDS:
+                del self._crashes[incarnation]
+
+    def _suspected(self) -> dict[Part, float]:
+        """Return when engines last crashed under each part that may be a cause."""
+        found: dict[Part, float] = {}
+        for crash in self._crashes.values():
+            if not crash.is_explained:
+                for part in crash.parts():
+                    found[part] = max(found.get(part, 0.0), crash.crashed_at)
+        return found
+
+    def _find(self, formerly_found: set[Part]) -> list[Finding]:
+        findings: list[Finding] = []
+        while True:
+            found = self._strongest(formerly_found)
+            if not found:
+                return findings
+            findings += found
+            for finding in found:
+                self.explain(finding.service, finding.parts)
+
+    def _strongest(self, formerly_found: set[Part]) -> list[Finding]:
+        """Return the strongest sufficient suspicion with parts that fit equally."""
+        suspicions = sorted(
+            map(self._suspicion, self._suspected()), key=lambda one: one.rank
+        )
+        for index, one in enumerate(suspicions):
+            if one.part in formerly_found and one.crashes and not one.is_answered:
+                return [_finding(one.part[0], [one.part], one.crashes)]
+            if not self._is_sufficient(one, suspicions[:index]):
+                continue
+            tied = [
+                other
+                for other in suspicions
+                if other.crashes == one.crashes and other.rank == one.rank
+            ]
+            return self._resolve_tie(one, [other.part for other in tied])
+        return []
+
+    def _suspicion(self, part: Part) -> _Suspicion:
+        since = self._answered.get(part)
+        found: list[tuple[float, Incarnation, float, set[str]]] = []
+        for incarnation, crash in self._crashes.items():
+            if crash.is_explained or (since is not None and crash.crashed_at <= since):
+                continue
+            runs = {
+                own: sent_at
+                for (parts, own), sent_at in crash.runs.items()
+                if part in parts
+            }
+            if runs:
+                sent_at = max(runs.values())
+                found.append((crash.crashed_at, incarnation, sent_at, set(runs)))
+        found.sort()
+        n_in_row = 0
+        last_at = float("-inf")
+        for crashed_at, _, sent_at, _ in found:
+            if sent_at >= last_at - SLACK_SECONDS:
+                n_in_row += 1
+                last_at = crashed_at
+        own_parts = set().union(*(owns for *_, owns in found)) if found else set()
+        return _Suspicion(
+            part=part,
+            crashes=frozenset(incarnation for _, incarnation, _, _ in found),
+            n_in_row=n_in_row,
+            n_requests=len(own_parts),
+            is_answered=since is not None,
+        )
+
+    def _is_sufficient(self, one: _Suspicion, stronger: Sequence[_Suspicion]) -> bool:
+        """Return whether a part is the cause if no other part fits equally well."""
+        if one.n_requests < N_REQUESTS:
+            return False
+        if not one.is_answered:
+            return one.n_in_row >= N_CRASHES and not _is_explained(one, stronger)
+        if one.n_in_row < N_CRASHES_ANSWERED or _is_explained(one, stronger):
+            return False
+        first_at = min(self._crashes[key].crashed_at for key in one.crashes)
+        n_others = sum(
+            at > first_at and one.part not in parts and _has_service(parts, one.part[0])
+            for at, parts in self._answers
+        )
+        return n_others >= N_OTHER_ANSWERS
+
+    def _resolve_tie(self, one: _Suspicion, tied: list[Part]) -> list[Finding]:
+        """Return the parts that fit equally well as one cause, if one request had all.
+
+        Parts of different requests wait for a crash that tells them apart.
+        """
+        cause = set(tied)
+        if all(
+            any(cause <= parts for parts, _ in self._crashes[key].runs)
+            for key in one.crashes
+        ):
+            return [_finding(one.part[0], tied, one.crashes)]
+        if one.n_in_row < N_CRASHES_TIED:
+            return []
+        return [_finding(part[0], [part], one.crashes) for part in tied]
+
+
+def parts_of(prompt: Prompt) -> frozenset[Part]:
+    """Return the parts of a prompt that other requests may share."""
+    return frozenset((prompt.service, part) for part in prompt.shared_parts)
+
+
+def _is_explained(one: _Suspicion, stronger: Sequence[_Suspicion]) -> bool:
+    """Return whether stronger suspects leave a part too few crashes of its own.
+
+    A stronger one counts if it was there at several crashes.
+    """
+    shared = [
+        other.crashes
+        for other in stronger
+        if len(other.crashes) > 1 and other.rank < one.rank
+    ]
+    n_own = len(one.crashes - frozenset().union(*shared))
+    return n_own < (N_CRASHES_ANSWERED if one.is_answered else N_CRASHES)
+
+
+def _has_service(parts: frozenset[Part], service: str) -> bool:
+    return any(known == service for known, _ in parts)
+
+
+def _finding(
+    service: str, parts: Iterable[Part], crashes: Iterable[Incarnation]
+) -> Finding:
+    return Finding(
+        service=service,
+        parts=frozenset(part for _, part in parts),
+        crashes=tuple(sorted(crashes)),
+    )
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -249,7 +249,7 @@
                 continue
             if reg is None:
                 return None
-            admission = await self._gate.admit(reg)
+            admission = await self._gate.admit(reg, ex.prompt)
         if is_repeat and not self._budget.take(ex.service, loop.time()):
             self._gate.end(admission)
             ex.log("retry_denied")
--- a/celerytrail/relay/crashwatch.py
+++ b/celerytrail/relay/crashwatch.py
@@ -5,13 +5,13 @@
 import asyncio
 import enum
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from eliot import log_message
 from result import Err
 
 from ..metrics import Metrics
-from ..model import Incarnation, Prompt, Registration
+from ..model import Incarnation, Registration
+from ..policies.crashsuspects import Crash, LostRun
 from .engineapi import EngineApi
 from .liverun import UNKNOWN_START
 from .registry import Registry
@@ -39,29 +39,6 @@
     UNKNOWN = "unknown"
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class LostRun:
-    """A run that an engine broke off before it had evidently begun its answer.
-
-    ``sent_at`` is the loop time at which the engine was sent the request.
-    """
-
-    prompt: Prompt
-    sent_at: float
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Crash:
-    """An engine's crash, and the runs that this node lost by it before their answers.
-
-    ``crashed_at`` is the loop time at which the first of its answers was broken off.
-    """
-
-    incarnation: Incarnation
-    runs: tuple[LostRun, ...]
-    crashed_at: float
-
-
 class CrashWatch:
     """Tells crashes from other causes that break off an engine's answers.
 
--- a/celerytrail/relay/endpointgate.py
+++ b/celerytrail/relay/endpointgate.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass
 
 from ..http.client import MAX_IDLE_PER_ADDRESS
-from ..model import Registration
+from ..model import Prompt, Registration
+from ..policies.blockedprompts import Block, BlockedPrompts
 from ..policies.coldlimits import ColdEndpoints, ColdShares, NodePosition, RankedShares
 from ..policies.evacuations import Evacuations
 from ..policies.homes import is_allowed
@@ -20,6 +21,8 @@
 ENDPOINT_CLOSED = "endpoint_closed"
 # The same, because of the limit that its endpoint states.
 ENDPOINT_LIMITED = "endpoint_limited"
+# Reason for which a request isn't sent anywhere: prompts like its own crash engines.
+PROMPT_BLOCKED = "prompt_blocked"
 # Interval at which a run that continues checks whether its engine may receive it, in
 # seconds.
 POLL_SECONDS = 0.05
@@ -31,10 +34,12 @@
 class Admission:
     """An endpoint that a request may be sent to, with its token and its place.
 
-    ``is_probe`` says that it is the first request after a pause.
+    ``prompt`` is what the request's prompt consists of. ``is_probe`` says that it is
+    the first request after a pause.
     """
 
     reg: Registration
+    prompt: Prompt
     token: RequestToken | None
     place: Place
     is_probe: bool = False
@@ -70,6 +75,8 @@
         Returns this node's position in the order that belongs to an endpoint.
     domain_regions : mapping or None
         The region of each failure domain.
+    blocked : BlockedPrompts
+        The prompts that no endpoint gets.
     shares : ColdShares or None
         Divides these requests among the nodes; by rank by default.
     """
@@ -85,6 +92,7 @@
         pauses: StatedPauses,
         is_leaving: Callable[[Registration], bool],
         position: Callable[[str], NodePosition],
+        blocked: BlockedPrompts,
         domain_regions: Mapping[str, str] | None = None,
         shares: ColdShares | None = None,
     ) -> None:
@@ -96,9 +104,14 @@
         self._pauses = pauses
         self._is_leaving = is_leaving
         self._position = position
+        self._blocked = blocked
         self._domain_regions = domain_regions or {}
         self._shares = shares or RankedShares()
 
+    def find_block(self, prompt: Prompt) -> Block | None:
+        """Return what keeps requests with a prompt from all endpoints, if anything."""
+        return self._blocked.find(prompt, _now())
+
     def is_open_for(
         self,
         reg: Registration,
@@ -145,7 +158,7 @@
         """Return whether an endpoint wants no requests from this node now."""
         return self._pauses.is_paused(reg.incarnation, _now())
 
-    async def admit(self, reg: Registration) -> Admission | None:
+    async def admit(self, reg: Registration, prompt: Prompt) -> Admission | None:
         """Return the admission of a request to an endpoint, None if it is closed.
 
         An endpoint that refused is closed until it may have room again.
@@ -156,14 +169,14 @@
         is_probe = self._pauses.begin_probe(incarnation, _now())
         admission = None
         try:
-            admission = await self._admit_within_limits(reg, is_probe=is_probe)
+            admission = await self._admit_within_limits(reg, prompt, is_probe=is_probe)
         finally:
             if is_probe and admission is None:
                 self._pauses.end_probe(incarnation)
         return admission
 
     async def _admit_within_limits(
-        self, reg: Registration, *, is_probe: bool = False
+        self, reg: Registration, prompt: Prompt, *, is_probe: bool = False
     ) -> Admission | None:
         place = await self._limits.places.take(reg.endpoint, reg.n_slots)
         if place is None:
@@ -177,7 +190,9 @@
                     self._limits.places.end(place, is_refused=False)
             if token is None:
                 return None
-        return Admission(reg=reg, token=token, place=place, is_probe=is_probe)
+        return Admission(
+            reg=reg, prompt=prompt, token=token, place=place, is_probe=is_probe
+        )
 
     def end(self, admission: Admission, *, is_refused: bool = False) -> None:
         """Record that an admitted request has ended, or wasn't sent.
@@ -188,12 +203,14 @@
         if admission.is_probe:
             self._pauses.end_probe(admission.reg.incarnation)
 
-    async def admit_until(self, reg: Registration, deadline: float) -> Admission | None:
+    async def admit_until(
+        self, reg: Registration, prompt: Prompt, deadline: float
+    ) -> Admission | None:
         """Return the admission of a run that continues; wait until a deadline."""
         while True:
             admission = None
             if self._may_continue_now(reg):
-                admission = await self._admit_within_limits(reg)
+                admission = await self._admit_within_limits(reg, prompt)
             if admission is not None:
                 return admission
             seconds = max(self._seconds_until_open(reg), MIN_WAIT_SECONDS)
@@ -222,6 +239,8 @@
     def may_begin(self, admission: Admission) -> bool:
         """Return whether a request may be sent to an endpoint now, and count it."""
         reg = admission.reg
+        if self.find_block(admission.prompt) is not None:
+            return False
         if not self._is_open(reg) or self._is_leaving(reg):
             return False
         is_probe = admission.is_probe
@@ -236,6 +255,8 @@
         """Return whether a run may continue from its copy now, and count it."""
         reg = admission.reg
         now = _now()
+        if self.find_block(admission.prompt) is not None:
+            return False
         if not self._limits.tokens.admits(reg.endpoint, admission.token):
             return False
         if not self._evacuations.may_continue(reg.failure_domain, now):
--- a/celerytrail/relay/endpointstate.py
+++ b/celerytrail/relay/endpointstate.py
@@ -7,6 +7,7 @@
 
 from ..model import Registration, Service
 from ..platform.nodesettings import RelaySettings
+from ..policies.blockedprompts import BlockedPrompts
 from ..policies.coldlimits import ColdEndpoints
 from ..policies.evacuations import Evacuations
 from ..policies.statedpauses import StatedPauses
@@ -37,6 +38,8 @@
         This node's position among all nodes.
     limits : EndpointLimits
         What endpoints state for all nodes together.
+    blocked : BlockedPrompts
+        The prompts that no endpoint gets.
     on_leaving : callable
         Called once for each incarnation of an endpoint that leaves or is removed.
     announce_leaving : callable
@@ -50,6 +53,7 @@
         find_service: Callable[[str], Service | None],
         node_order: NodeOrder,
         limits: EndpointLimits,
+        blocked: BlockedPrompts,
         on_leaving: Callable[[Registration], None],
         announce_leaving: Callable[[Registration], None],
     ) -> None:
@@ -72,6 +76,7 @@
             pauses=self.pauses,
             is_leaving=self.registry.is_leaving,
             position=node_order.position,
+            blocked=blocked,
             domain_regions=cfg.domain_regions,
         )
         self.answers = EndpointAnswers(
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -9,9 +9,16 @@
 from ..http.client import HttpClient, NotSent, Stream
 from ..model import Registration
 from ..platform import wire
-from .crashwatch import CrashWatch, LostRun
+from ..policies.crashsuspects import LostRun
+from .crashwatch import CrashWatch
 from .endpointanswers import EndpointAnswers
-from .endpointgate import ENDPOINT_CLOSED, ENDPOINT_LIMITED, Admission, EndpointGate
+from .endpointgate import (
+    ENDPOINT_CLOSED,
+    ENDPOINT_LIMITED,
+    PROMPT_BLOCKED,
+    Admission,
+    EndpointGate,
+)
 from .liverun import Copied, LiveRun
 from .outcomes import Failed, NotExecuted
 from .startchecks import StartChecks
@@ -72,7 +79,9 @@
         reg = copied.reg
         now = asyncio.get_running_loop().time()
         await self._gate.wait_for_share(reg, now + COLD_WAIT_SECONDS)
-        admission = await self._gate.admit_until(reg, now + LIMIT_WAIT_SECONDS)
+        admission = await self._gate.admit_until(
+            reg, live.ex.prompt, now + LIMIT_WAIT_SECONDS
+        )
         if admission is None:
             live.ex.log(
                 "attempt_failed", endpoint=reg.endpoint, reason=ENDPOINT_LIMITED
@@ -126,6 +135,11 @@
         """Return whether an engine wants no requests from this node now."""
         return self._gate.is_paused(reg)
 
+    def blocked_until(self, live: LiveRun) -> float | None:
+        """Return the loop time until which a run's prompt is blocked, if it is."""
+        block = self._gate.find_block(live.ex.prompt)
+        return block.ends_at if block is not None else None
+
     def discard(self, admission: Admission) -> None:
         """Give back an admission that isn't used."""
         self._gate.end(admission)
@@ -171,7 +185,8 @@
                 return False
             admits = self._gate.may_begin if is_new else self._gate.may_continue
             if not admits(admission):
-                obstacle = ENDPOINT_CLOSED
+                is_blocked = self._gate.find_block(admission.prompt) is not None
+                obstacle = PROMPT_BLOCKED if is_blocked else ENDPOINT_CLOSED
                 return False
             check = self._starts.begin(reg)
             live.sent_at = asyncio.get_running_loop().time()
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -243,7 +243,7 @@
             reg = await self.place(live, excluded)
             if reg is None:
                 return None
-            admission = await self._gate.admit(reg)
+            admission = await self._gate.admit(reg, live.ex.prompt)
         return admission
 
     async def place(self, live: LiveRun, excluded: set[str]) -> Registration | None:
@@ -263,6 +263,7 @@
                 return load.reg
             is_hopeless = (
                 not self.has_version(live)
+                or self._gate.find_block(live.ex.prompt) is not None
                 or self.is_evacuated(live)
                 or (not loads and self._opens_after(live, wait_deadline))
             )
--- a/celerytrail/relay/enginerelay.py
+++ b/celerytrail/relay/enginerelay.py
@@ -22,6 +22,7 @@
 from .generations import Generations
 from .originbroker import OriginBroker
 from .peerupdates import PeerUpdates
+from .promptbroker import PromptBroker
 from .resumption import Resumptions
 from .runmover import RunMover
 from .startchecks import StartChecks
@@ -72,6 +73,8 @@
         Bounds repeated requests.
     origins : OriginBroker
         What began the streams that callers may take up.
+    prompts : PromptBroker
+        Told of crashes and answers.
     policies : EnginePolicies
         The decisions.
     rng : random.Random
@@ -92,6 +95,7 @@
         rates: PrefillRates,
         budget: SharedRetryBudget,
         origins: OriginBroker,
+        prompts: PromptBroker,
         policies: EnginePolicies,
         rng: random.Random,
         metrics: Metrics,
@@ -118,7 +122,7 @@
         crashes = CrashWatch(
             api=access.engine_api,
             registry=registry,
-            on_crash=lambda crash: None,
+            on_crash=prompts.record_crash,
             metrics=metrics,
         )
         opener = EngineOpener(
@@ -143,6 +147,7 @@
             peer_updates=peer_updates,
             budget=budget,
             origins=origins,
+            on_answer=prompts.record_answer,
             rng=rng,
         )
         self.resumptions = Resumptions(
--- a/celerytrail/relay/gauges.py
+++ b/celerytrail/relay/gauges.py
@@ -14,6 +14,7 @@
 from .generations import Generations
 from .originbroker import OriginBroker
 from .peerupdates import PeerUpdates
+from .promptbroker import PromptBroker
 
 
 def set_gauges(
@@ -26,6 +27,7 @@
     access: EndpointAccess,
     generations: Generations,
     origins: OriginBroker,
+    prompts: PromptBroker,
     peer_updates: PeerUpdates,
 ) -> None:
     """Set the gauges to the node's present state."""
@@ -45,6 +47,8 @@
         "open_tunnels": access.tunnels.n_open,
         "streams": generations.n_live,
         "known_streams": len(origins.origins),
+        "blocked_prompts": len(prompts.blocked.in_force(now)),
+        "suspected_crashes": prompts.suspects.n_crashes,
         "news_sent": peer_updates.n_sent,
         "news_sent_bytes": peer_updates.n_sent_bytes,
         "news_period_seconds": peer_updates.period_seconds,
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -4,19 +4,20 @@
 
 import asyncio
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import replace
 
 from result import Err, Ok, Result
 
 from ..exceptions import PeerError
 from ..http.client import Stream
-from ..model import EngineProfile, Registration
+from ..model import EngineProfile, Prompt, Registration
 from ..platform import wire
 from ..policies.engineloads import Run
 from ..policies.retrybudget import SharedRetryBudget
 from ..policies.streamorigins import StreamOrigin, stream_key
-from .endpointgate import ENDPOINT_CLOSED, ENDPOINT_LIMITED
+from .crashwatch import N_BEGUN_EVENTS
+from .endpointgate import ENDPOINT_CLOSED, ENDPOINT_LIMITED, PROMPT_BLOCKED
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
 from .events import EventSplitter, StreamEvent
@@ -57,6 +58,8 @@
         Bounds repeated requests.
     origins : OriginBroker
         Told what begins streams that callers may take up.
+    on_answer : callable
+        Called with a prompt once an engine has evidently begun its answer.
     rng : random.Random
         Generates run ids.
     """
@@ -70,9 +73,11 @@
         peer_updates: PeerUpdates,
         budget: SharedRetryBudget,
         origins: OriginBroker,
+        on_answer: Callable[[Prompt], None],
         rng: random.Random,
     ) -> None:
         self._origins = origins
+        self._on_answer = on_answer
         self._placer = placer
         self._opener = opener
         self._run_mover = run_mover
@@ -230,6 +235,8 @@
                 n_sent += 1
             elif refused.reason in UNREACHABLE_REASONS:
                 self._placer.record_unreachable(reg)
+            elif refused.reason == PROMPT_BLOCKED:
+                return Err(self._unplaced(live))
             elif refused.reason != ENDPOINT_CLOSED:
                 # The key was revoked, or the caller's deadline has passed.
                 return Err(refused)
@@ -240,6 +247,9 @@
 
     def _unplaced(self, live: LiveRun) -> NotExecuted:
         """Return the refusal of a generation for which there was no engine."""
+        blocked_until = self._opener.blocked_until(live)
+        if blocked_until is not None:
+            return NotExecuted(reason=PROMPT_BLOCKED, retry_at=blocked_until)
         if live.binding.version is not None and not self._placer.has_version(live):
             return NotExecuted(reason=VERSION_GONE)
         if self._placer.is_evacuated(live):
@@ -300,6 +310,8 @@
             ex.res.abort()
             return
         live.is_complete = True
+        if live.n_events < N_BEGUN_EVENTS:
+            self._on_answer(ex.prompt)
         await ex.res.finish()
         ex.observe("relay_answer")
         ex.observe_seconds("relay_longest_pause", live.longest_pause)
@@ -334,6 +346,8 @@
             self._placer.on_first_event(live)
             live.ex.observe("relay_first_event")
         live.record_event()
+        if live.n_events == N_BEGUN_EVENTS:
+            self._on_answer(live.ex.prompt)
         await live.ex.res.write(event.data)
 
     def _bind(self, live: LiveRun) -> None:
--- a/celerytrail/relay/handler.py
+++ b/celerytrail/relay/handler.py
@@ -15,11 +15,13 @@
 from ..metrics import Metrics
 from ..model import OrganisationKey, RelayConfig, RequestMetadata, Route
 from ..platform import wire
+from ..policies.blockedprompts import BLOCK_SECONDS, BlockedPrompts
 from ..policies.freshness import Freshness
 from ..policies.homes import allowed_regions
 from ..policies.stopping import can_finish
 from .calls import PlainCalls
-from .exchange import Exchange, refuse
+from .endpointgate import PROMPT_BLOCKED
+from .exchange import Exchange, refuse, seconds_until
 from .generations import Generations
 from .resumption import CannotResume, Resumptions
 
@@ -50,6 +52,8 @@
         Relays requests to plain services.
     generations : Generations
         Relays requests to model engines.
+    blocked : BlockedPrompts
+        The prompts that no endpoint gets.
     resumptions : Resumptions
         Finds where streams may be taken up.
     has_others : callable
@@ -73,6 +77,7 @@
         calls: PlainCalls,
         generations: Generations,
         resumptions: Resumptions,
+        blocked: BlockedPrompts,
         has_others: Callable[[], bool],
         killed_at: Callable[[], float | None],
         clock: Clock,
@@ -84,6 +89,7 @@
         self._calls = calls
         self._generations = generations
         self._resumptions = resumptions
+        self._blocked = blocked
         self._has_others = has_others
         self._killed_at = killed_at
         self._clock = clock
@@ -151,6 +157,8 @@
                 version=resumption.binding.version,
                 source=resumption.source,
             )
+        if await self._refuse_blocked(ex):
+            return
         service = cfg.services.get(ex.service)
         if service is not None and service.engine is not None:
             if self._is_killed_before_end(facts):
@@ -162,6 +170,22 @@
         else:
             await self._calls.relay(ex)
 
+    async def _refuse_blocked(self, ex: Exchange) -> bool:
+        """Refuse a request whose prompt is blocked; return whether it was."""
+        now = asyncio.get_running_loop().time()
+        block = self._blocked.find(ex.prompt, now)
+        if block is None:
+            return False
+        ex.log("refused", reason=PROMPT_BLOCKED, parts=sorted(block.parts))
+        await refuse(
+            ex.res,
+            503,
+            PROMPT_BLOCKED,
+            attempt_id=ex.facts.attempt_id,
+            retry_after=seconds_until(block.ends_at, BLOCK_SECONDS),
+        )
+        return True
+
     def _is_killed_before_end(self, facts: RequestMetadata) -> bool:
         killed_at = self._killed_at()
         if killed_at is None:
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -44,7 +44,8 @@
 from .handler import RelayHandler
 from .nodepeers import NodePeers
 from .originbroker import OriginBroker
-from .peerupdates import OriginEntry, PeerUpdates
+from .peerupdates import OriginEntry, PeerUpdates, PromptNews
+from .promptbroker import PromptBroker
 from .servers import NodeServers
 from .status import RelayStatus
 from .tablesinks import ConfigSink, EvacuationSink, RegistrationSink, SinkGroup
@@ -133,11 +134,22 @@
             clock=self._clock,
             metrics=self._metrics,
         )
+        self.prompts = PromptBroker(
+            node=self.node_id,
+            node_order=self._peers.node_order,
+            announce=lambda news: self.peer_updates.announce_prompts(news),
+            tell=self._tell_prompts,
+            others=self._peers.others,
+            rows=self.rows,
+            rng=self._rng,
+            metrics=self._metrics,
+        )
         self._endpoint_state = state = EndpointState(
             cfg=self.cfg,
             find_service=self._find_service,
             node_order=self._peers.node_order,
             limits=self._limits,
+            blocked=self.prompts.blocked,
             on_leaving=self._on_leaving,
             announce_leaving=lambda reg: self.peer_updates.announce_leaving(reg),
         )
@@ -186,6 +198,7 @@
             on_brittle=self._limits.record_brittle,
             on_cut_off=self._on_node_cut_off,
             on_origin=lambda entry: self.origins.record_told(entry),
+            on_prompt_news=self.prompts.record_news,
             rng=self._rng,
         )
         self._budget = budget = SharedRetryBudget(
@@ -226,6 +239,7 @@
             rates=rates,
             budget=budget,
             origins=self.origins,
+            prompts=self.prompts,
             policies=self._policies,
             rng=self._rng,
             metrics=self._metrics,
@@ -263,6 +277,7 @@
             calls=self.calls,
             generations=self.generations,
             resumptions=relay.resumptions,
+            blocked=self.prompts.blocked,
             has_others=lambda: any(
                 member.node != self.node_id for member in self.nodes.live()
             ),
@@ -319,6 +334,7 @@
         self._run(self._engine_watch.run())
         self._run(self._limits.run())
         self._run(self.access.run())
+        self._run(self.prompts.run())
         self._run(self._run_housekeeping())
         self._run(self._peers.enter_store())
         log_message("relay:node:started", node=self.node_id, callers=str(cfg.callers))
@@ -346,6 +362,7 @@
             task.cancel()
         await self.nodes.stop()
         self.peer_updates.close()
+        self.prompts.close()
         log_message("relay:node:stopped", node=self.node_id)
 
     async def close(self) -> None:
@@ -357,6 +374,7 @@
         await self.nodes.stop()
         self.peer_updates.close()
         self.access.close()
+        self.prompts.close()
 
     @property
     def evacuations(self) -> Evacuations:
@@ -410,6 +428,7 @@
             access=self.access,
             generations=self.generations,
             origins=self.origins,
+            prompts=self.prompts,
             peer_updates=self.peer_updates,
         )
         body, headers = self._metrics.render()
@@ -473,6 +492,10 @@
     def _tell_origin(self, entry: OriginEntry, owners: Sequence[Member]) -> None:
         self.peer_updates.tell_origin(entry, self._peers.update_addresses(owners))
 
+    def _tell_prompts(self, news: PromptNews, members: Sequence[Member]) -> None:
+        addresses = self._peers.update_addresses(members)
+        self.peer_updates.tell_prompts(news, addresses)
+
     def _update_addresses(self) -> list[Address]:
         return self._peers.update_addresses(self._peers.others())
 
--- a/celerytrail/relay/peerupdates.py
+++ b/celerytrail/relay/peerupdates.py
@@ -71,6 +71,54 @@
     seconds: float
 
 
+class LostRunEntry(msgspec.Struct, array_like=True, frozen=True):
+    """A run that was lost by a crash, as sent between nodes."""
+
+    service: str
+    parts: list[str]
+    own_part: str
+    sent_seconds_ago: float
+
+
+class CrashEntry(msgspec.Struct, array_like=True, frozen=True):
+    """An engine's crash as sent between nodes, with the runs that the sender lost."""
+
+    endpoint: str
+    started_at: int
+    seconds_ago: float
+    runs: list[LostRunEntry]
+
+
+class AnswerEntry(msgspec.Struct, array_like=True, frozen=True):
+    """An answer to a prompt with some parts, as sent between nodes.
+
+    ``is_whole`` says that these are all shared parts of the prompt.
+    """
+
+    service: str
+    parts: list[str]
+    seconds_ago: float
+    is_whole: bool = True
+
+
+class BlockEntry(msgspec.Struct, array_like=True, frozen=True):
+    """A statement on prompts with all of some parts; it holds for some seconds."""
+
+    service: str
+    parts: list[str]
+    revision: int
+    seconds: float
+    is_lifted: bool = False
+
+
+class PromptNews(msgspec.Struct, array_like=True, frozen=True):
+    """News of prompts that crash engines."""
+
+    crashes: list[CrashEntry] = []
+    answers: list[AnswerEntry] = []
+    blocks: list[BlockEntry] = []
+
+
 class NodeUpdate(msgspec.Struct, array_like=True, frozen=True):
     """One node's update: its runs, and events at engines and endpoints.
 
@@ -82,7 +130,8 @@
     sender is cut off from, None if it says nothing of them. ``brittle`` are endpoints
     that fall over, with the refusals per second that they bear. ``leaving_starts``
     are the starts of the endpoints in ``leaving``; earlier versions don't send them.
-    ``origins`` are those of streams that the receiver owns.
+    ``origins`` are those of streams that the receiver owns. ``prompts`` are news of
+    prompts that crash engines.
     """
 
     node: str
@@ -99,6 +148,7 @@
     brittle: list[LimitEntry] = []
     leaving_starts: list[int] = []
     origins: list[OriginEntry] = []
+    prompts: PromptNews | None = None
 
 
 class PeerUpdates(asyncio.DatagramProtocol):
@@ -133,6 +183,8 @@
         Called with another node and all services that it is cut off from.
     on_origin : callable
         Called with each origin of a stream that another node told this one.
+    on_prompt_news : callable
+        Called with other nodes' news of prompts that crash engines.
     rng : random.Random
         Source of the jitter between run lists.
     """
@@ -153,6 +205,7 @@
         on_brittle: Callable[[LimitStatement], object],
         on_cut_off: Callable[[str, list[str]], None],
         on_origin: Callable[[OriginEntry], None],
+        on_prompt_news: Callable[[PromptNews], None],
         rng: random.Random,
     ) -> None:
         self._node = node
@@ -168,6 +221,7 @@
         self._on_brittle = on_brittle
         self._on_cut_off = on_cut_off
         self._on_origin = on_origin
+        self._on_prompt_news = on_prompt_news
         self._rng = rng
         self._list_schedule = RunListSchedule()
         # Sent with each update, so that no run expires at a receiver before the next.
@@ -246,6 +300,14 @@
         """Tell the nodes at some addresses what began a stream."""
         self._send_to(NodeUpdate(node=self._node, origins=[entry]), addresses)
 
+    def announce_prompts(self, news: PromptNews) -> None:
+        """Announce news of prompts that crash engines."""
+        self._send(NodeUpdate(node=self._node, prompts=news))
+
+    def tell_prompts(self, news: PromptNews, addresses: Sequence[Address]) -> None:
+        """Tell the nodes at some addresses of prompts that crash engines."""
+        self._send_to(NodeUpdate(node=self._node, prompts=news), addresses)
+
     def announce_limits(self, statements: Sequence[LimitStatement]) -> None:
         """Announce limits that endpoints state for all nodes together."""
         for entries in self._limit_entries(statements):
@@ -326,6 +388,8 @@
             self._on_brittle(_limit_from(entry, now))
         for origin in update.origins:
             self._on_origin(origin)
+        if update.prompts is not None:
+            self._on_prompt_news(update.prompts)
         if update.cut_off is not None:
             self._on_cut_off(update.node, update.cut_off)
 
--- a/standins/modelworker.py
+++ b/standins/modelworker.py
@@ -97,6 +97,11 @@
     torn_share: float = 0.0
     rng: random.Random = field(default_factory=lambda: random.Random(1))
 
+    def draw_tear(self) -> int:
+        """Draw the number of the event that is torn, -1 for none."""
+        is_torn = self.rng.random() < self.torn_share
+        return self.rng.randrange(1, 6) if is_torn else -1
+
 
 class ModelWorker(Worker):
     """Runs the engine's model in steps, and speaks the platform's protocol.
@@ -403,8 +408,7 @@
         is_unframed = ends is not None and ends.rng.random() < ends.unframed_share
         tears_at = -1
         if ends is not None and is_unframed and not first_event:
-            if ends.rng.random() < ends.torn_share:
-                tears_at = ends.rng.randrange(1, 6)
+            tears_at = ends.draw_tear()
         # The headers are sent with the first event: a waiting request hasn't started.
         is_begun = False
         number = first_event
