Resume streams that end inside an event at another engine

What callers saw: a stream without length and chunks that its engine closed inside an event was cut; they had to take it up themselves. Cause: such a stream ends properly by its framing, so its end was looked at only after the loop that resumes broken ones; the remains of an event there ended the answer. Change: an end with an incomplete event is treated in the loop like any broken stream.

--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -18,7 +18,7 @@
 from ..policies.streamorigins import StreamOrigin, stream_key
 from .crashwatch import N_BEGUN_EVENTS
 from .endpointgate import ENDPOINT_CLOSED, ENDPOINT_LIMITED, PROMPT_BLOCKED
-from .engineopener import EngineOpener
+from .engineopener import BROKEN_OFF, EngineOpener
 from .engineplacer import EnginePlacer
 from .events import EventSplitter, StreamEvent
 from .exchange import CallerDisconnectedError, Exchange, refuse, seconds_until
@@ -290,14 +290,15 @@
         splitter = EventSplitter()
         while True:
             chunk = await live.stream.next_chunk(ex.loop_deadline)
-            if isinstance(chunk, Ok):
-                if chunk.ok_value is None:
-                    break
+            if isinstance(chunk, Ok) and chunk.ok_value is not None:
                 for event in splitter.feed(chunk.ok_value):
                     await self._relay_event(live, event)
                 continue
+            if isinstance(chunk, Ok) and splitter.is_empty:
+                break
+            # A stream may end properly by its framing and yet inside an event.
+            reason = BROKEN_OFF if isinstance(chunk, Ok) else chunk.err_value.reason
             splitter.clear()
-            reason = chunk.err_value.reason
             self._record_lost(live, reason)
             resumed = await self._resume(live, reason)
             if resumed is None or resumed.status != 200:
@@ -305,10 +306,6 @@
                 ex.res.abort()
                 return
             live.stream = resumed
-        if not splitter.is_empty:
-            ex.log("cut", reason="torn_event", n_events=live.n_events)
-            ex.res.abort()
-            return
         live.is_complete = True
         if live.n_events < N_BEGUN_EVENTS:
             self._on_answer(ex.prompt)
--- a/tests/test_relay_crashes.py
+++ b/tests/test_relay_crashes.py
@@ -9,7 +9,7 @@
 
 class TestRunsThatBeginAgain:
     def test_the_next_engine_is_down_as_well(self):
-        # A run was given up once one engine refused the connection, its row still there.
+        # A run was given up once one engine refused the connection.
         async def steps(rig: EngineFleet) -> None:
             for _ in range(5):
                 await rig.add_engine()
