Narrow a found cause down when a crash shows which of its parts it was

Cause: crashes that a found set of parts explained were dropped for each of them, so a set that had only been found together needed three further crashes until the part at fault was known alone. Change: such crashes go on counting for the parts of the set; a finding that is known isn't made again; a block that is lifted forgets its evidence. Tests of the decision by itself. Before: {new, bad}, then a crash with bad alone, showed nothing. After: it shows bad.

--- a/celerytrail/policies/crashsuspects.py
+++ b/celerytrail/policies/crashsuspects.py
@@ -77,14 +77,15 @@
     """A crash as all nodes together reported it."""
 
     crashed_at: float
-    # By the ids of all parts, the latest runs that were lost.
+    # By shared parts and own part, when the latest of the lost runs was sent.
     runs: dict[tuple[frozenset[Part], str], float] = field(default_factory=dict)
-    # Whether a part that was found explains it.
-    is_explained: bool = False
+    # The parts that were found to cause it, if they were.
+    cause: frozenset[Part] | None = None
 
-    def parts(self) -> set[Part]:
-        """Return the parts of the runs that were lost."""
-        return {part for parts, _ in self.runs for part in parts}
+    def suspects(self) -> set[Part]:
+        """Return the parts that may have caused it."""
+        held = {part for parts, _ in self.runs for part in parts}
+        return held if self.cause is None else held & self.cause
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -116,13 +117,14 @@
     def __init__(self) -> None:
         self._crashes: dict[Incarnation, _Crash] = {}
         self._answered: dict[Part, float] = {}
+        self._found: set[frozenset[Part]] = set()
         # The times and parts of the latest answers, for comparison.
         self._answers: list[tuple[float, frozenset[Part]]] = []
 
     @property
     def n_crashes(self) -> int:
         """Return the number of crashes without a known cause."""
-        return sum(not crash.is_explained for crash in self._crashes.values())
+        return sum(crash.cause is None for crash in self._crashes.values())
 
     def answered_at(self, part: Part) -> float | None:
         """Return the loop time of the latest known answer on a part."""
@@ -186,9 +188,18 @@
     def explain(self, service: str, parts: frozenset[str]) -> None:
         """Record that prompts with all of these parts crash engines."""
         cause = frozenset((service, part) for part in parts)
+        self._found.add(cause)
         for crash in self._crashes.values():
             if any(cause <= held for held, _ in crash.runs):
-                crash.is_explained = True
+                crash.cause = cause
+
+    def forget(self, service: str, parts: frozenset[str]) -> None:
+        """Forget that prompts with all of these parts crash engines, and why."""
+        cause = frozenset((service, part) for part in parts)
+        self._found.discard(cause)
+        for incarnation, crash in list(self._crashes.items()):
+            if crash.cause == cause:
+                del self._crashes[incarnation]
 
     # Internals.
 
@@ -203,9 +214,8 @@
         """Return when engines last crashed under each part that may be a cause."""
         found: dict[Part, float] = {}
         for crash in self._crashes.values():
-            if not crash.is_explained:
-                for part in crash.parts():
-                    found[part] = max(found.get(part, 0.0), crash.crashed_at)
+            for part in crash.suspects():
+                found[part] = max(found.get(part, 0.0), crash.crashed_at)
         return found
 
     def _find(self, formerly_found: set[Part]) -> list[Finding]:
@@ -224,32 +234,36 @@
             map(self._suspicion, self._suspected()), key=lambda one: one.rank
         )
         for index, one in enumerate(suspicions):
-            if one.part in formerly_found and one.crashes and not one.is_answered:
-                return [_finding(one.part[0], [one.part], one.crashes)]
-            if not self._is_sufficient(one, suspicions[:index]):
-                continue
-            tied = [
-                other
+            tied = frozenset(
+                other.part
                 for other in suspicions
                 if other.crashes == one.crashes and other.rank == one.rank
-            ]
-            return self._resolve_tie(one, [other.part for other in tied])
+            )
+            if one.crashes and one.part in formerly_found and not one.is_answered:
+                tied = frozenset({one.part})
+            elif not self._is_sufficient(one, suspicions[:index]):
+                continue
+            causes = self._resolve_tie(one, tied)
+            found = [cause for cause in causes if cause not in self._found]
+            if found:
+                return [_finding(cause, one.crashes) for cause in found]
         return []
 
     def _suspicion(self, part: Part) -> _Suspicion:
         since = self._answered.get(part)
         found: list[tuple[float, Incarnation, float, set[str]]] = []
         for incarnation, crash in self._crashes.items():
-            if crash.is_explained or (since is not None and crash.crashed_at <= since):
+            if since is not None and crash.crashed_at <= since:
+                continue
+            if part not in crash.suspects():
                 continue
             runs = {
                 own: sent_at
                 for (parts, own), sent_at in crash.runs.items()
                 if part in parts
             }
-            if runs:
-                sent_at = max(runs.values())
-                found.append((crash.crashed_at, incarnation, sent_at, set(runs)))
+            sent_at = max(runs.values())
+            found.append((crash.crashed_at, incarnation, sent_at, set(runs)))
         found.sort()
         n_in_row = 0
         last_at = float("-inf")
@@ -281,20 +295,21 @@
         )
         return n_others >= N_OTHER_ANSWERS
 
-    def _resolve_tie(self, one: _Suspicion, tied: list[Part]) -> list[Finding]:
+    def _resolve_tie(
+        self, one: _Suspicion, tied: frozenset[Part]
+    ) -> list[frozenset[Part]]:
         """Return the parts that fit equally well as one cause, if one request had all.
 
         Parts of different requests wait for a crash that tells them apart.
         """
-        cause = set(tied)
         if all(
-            any(cause <= parts for parts, _ in self._crashes[key].runs)
+            any(tied <= parts for parts, _ in self._crashes[key].runs)
             for key in one.crashes
         ):
-            return [_finding(one.part[0], tied, one.crashes)]
+            return [tied]
         if one.n_in_row < N_CRASHES_TIED:
             return []
-        return [_finding(part[0], [part], one.crashes) for part in tied]
+        return [frozenset({part}) for part in tied]
 
 
 def parts_of(prompt: Prompt) -> frozenset[Part]:
@@ -320,11 +335,10 @@
     return any(known == service for known, _ in parts)
 
 
-def _finding(
-    service: str, parts: Iterable[Part], crashes: Iterable[Incarnation]
-) -> Finding:
+def _finding(cause: frozenset[Part], crashes: Iterable[Incarnation]) -> Finding:
+    service = next(iter(cause))[0]
     return Finding(
         service=service,
-        parts=frozenset(part for _, part in parts),
+        parts=frozenset(part for _, part in cause),
         crashes=tuple(sorted(crashes)),
     )
--- a/celerytrail/relay/promptbroker.py
+++ b/celerytrail/relay/promptbroker.py
@@ -254,7 +254,9 @@
     def _put(self, block: Block) -> bool:
         if not self.blocked.put(block):
             return False
-        if not block.is_lifted:
+        if block.is_lifted:
+            self.suspects.forget(block.service, block.parts)
+        else:
             self.suspects.explain(block.service, block.parts)
         state = "lifted" if block.is_lifted else "blocked"
         self._metrics.count("prompt_blocks", state=state)
