Hold requests back that have lost two engines in a row

Cause: a request and its one repeat, each begun again once, ended four engines before a second request could show which part it was: what only one request was lost by accuses no shared part. Change: a request's own part is a suspect as well, marked apart from shared parts; two crashes in a row without an answer block that request only, for a minute, and not in the store. Its crashes stay evidence against the parts that it shares. Ruled out: own parts in the memory of answers (they would crowd out the shared ones).

--- a/celerytrail/model.py
+++ b/celerytrail/model.py
@@ -8,6 +8,9 @@
 
 from .types import Address
 
+# Marks a prompt's own part among the others: it tells nothing of a shared part with the
+# same id.
+OWN_MARK = "="
 # One start of an endpoint: its id and when it started.
 Incarnation = tuple[str, int]
 
@@ -331,6 +334,12 @@
     shared_parts: tuple[str, ...] = ()
     own_part: str = ""
 
+    @property
+    def parts(self) -> frozenset[str]:
+        """Return the ids of all parts; that of its own part is marked."""
+        own = {OWN_MARK + self.own_part} if self.own_part else set()
+        return frozenset(own.union(self.shared_parts))
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RequestMetadata:
--- a/celerytrail/policies/blockedprompts.py
+++ b/celerytrail/policies/blockedprompts.py
@@ -7,11 +7,13 @@
 
 from dataclasses import dataclass
 
-from ..model import Prompt
+from ..model import OWN_MARK, Prompt
 
 # How long a block lasts unless it is lifted, in seconds. A part may be sound again with
 # the next software version; if it isn't, one more crash blocks it again.
 BLOCK_SECONDS = 3_600.0
+# The same for a block on a single request: as long as its caller may repeat it.
+OWN_BLOCK_SECONDS = 60.0
 # Blocks held at most, those lifted or ended included; the oldest are dropped.
 MAX_BLOCKS = 256
 
@@ -27,7 +29,7 @@
     service : str
         The service.
     parts : frozenset of str
-        Ids of the parts, at least one.
+        Ids of the parts, at least one, marked as in `Prompt.parts`.
     revision : int
         Orders the statements on the same parts; the highest holds.
     ends_at : float
@@ -47,6 +49,11 @@
         """Return what the block is on."""
         return (self.service, self.parts)
 
+    @property
+    def is_on_one_request(self) -> bool:
+        """Return whether it blocks one request or session only."""
+        return any(part.startswith(OWN_MARK) for part in self.parts)
+
     @property
     def _precedence(self) -> tuple[int, bool]:
         return (self.revision, not self.is_lifted)
@@ -88,7 +95,7 @@
         """Return a block that a prompt meets at a loop time, if there is one."""
         if not self._blocks:
             return None
-        parts = frozenset(prompt.shared_parts)
+        parts = prompt.parts
         for block in self._blocks.values():
             if (
                 block.service == prompt.service
--- a/celerytrail/policies/crashsuspects.py
+++ b/celerytrail/policies/crashsuspects.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from ..model import Incarnation, Prompt
+from ..model import OWN_MARK, Incarnation, Prompt
 
 # Crashes in a row, without an answer on a part, after which the part is the cause.
 N_CRASHES = 3
@@ -21,6 +21,8 @@
 N_OTHER_ANSWERS = 3
 # Crashes after which even parts of different requests that fit equally are blocked.
 N_CRASHES_TIED = 5
+# The same for a request's own part, which blocks nothing but its repeats.
+N_CRASHES_OWN = 2
 # Requests, told apart by their own parts, that must have been lost: what only one
 # request was lost by may be something else in it.
 N_REQUESTS = 2
@@ -77,14 +79,14 @@
     """A crash as all nodes together reported it."""
 
     crashed_at: float
-    # By shared parts and own part, when the latest of the lost runs was sent.
-    runs: dict[tuple[frozenset[Part], str], float] = field(default_factory=dict)
+    # By the parts of a prompt, when the latest of its lost runs was sent.
+    runs: dict[frozenset[Part], float] = field(default_factory=dict)
     # The parts that were found to cause it, if they were.
     cause: frozenset[Part] | None = None
 
     def suspects(self) -> set[Part]:
         """Return the parts that may have caused it."""
-        held = {part for parts, _ in self.runs for part in parts}
+        held = {part for parts in self.runs for part in parts}
         return held if self.cause is None else held & self.cause
 
 
@@ -142,8 +144,11 @@
         bool
             Whether it clears a part of a crash.
         """
-        parts = parts_of(prompt)
         suspected = self._suspected()
+        # Own parts are no other request's, and would crowd out the others.
+        parts = frozenset(
+            part for part in parts_of(prompt) if not _is_own(part) or part in suspected
+        )
         clears = any(
             part in suspected and self._answered.get(part, 0.0) < suspected[part] <= at
             for part in parts
@@ -180,17 +185,20 @@
             )
         known.crashed_at = min(known.crashed_at, crash.crashed_at)
         for run in crash.runs:
-            key = (parts_of(run.prompt), run.prompt.own_part)
-            if len(known.runs) < MAX_RUNS or key in known.runs:
-                known.runs[key] = max(known.runs.get(key, 0.0), run.sent_at)
+            parts = parts_of(run.prompt)
+            if len(known.runs) < MAX_RUNS or parts in known.runs:
+                known.runs[parts] = max(known.runs.get(parts, 0.0), run.sent_at)
         return self._find(set(formerly_found))
 
     def explain(self, service: str, parts: frozenset[str]) -> None:
         """Record that prompts with all of these parts crash engines."""
         cause = frozenset((service, part) for part in parts)
         self._found.add(cause)
+        if any(map(_is_own, cause)):
+            # What crashed engines may as well be a part that other requests share.
+            return
         for crash in self._crashes.values():
-            if any(cause <= held for held, _ in crash.runs):
+            if any(cause <= held for held in crash.runs):
                 crash.cause = cause
 
     def forget(self, service: str, parts: frozenset[str]) -> None:
@@ -251,37 +259,37 @@
 
     def _suspicion(self, part: Part) -> _Suspicion:
         since = self._answered.get(part)
-        found: list[tuple[float, Incarnation, float, set[str]]] = []
+        found: list[tuple[float, Incarnation, float]] = []
+        requests: set[frozenset[Part]] = set()
         for incarnation, crash in self._crashes.items():
             if since is not None and crash.crashed_at <= since:
                 continue
             if part not in crash.suspects():
                 continue
             runs = {
-                own: sent_at
-                for (parts, own), sent_at in crash.runs.items()
-                if part in parts
+                held: sent_at for held, sent_at in crash.runs.items() if part in held
             }
-            sent_at = max(runs.values())
-            found.append((crash.crashed_at, incarnation, sent_at, set(runs)))
+            requests.update(frozenset(filter(_is_own, held)) for held in runs)
+            found.append((crash.crashed_at, incarnation, max(runs.values())))
         found.sort()
         n_in_row = 0
         last_at = float("-inf")
-        for crashed_at, _, sent_at, _ in found:
+        for crashed_at, _, sent_at in found:
             if sent_at >= last_at - SLACK_SECONDS:
                 n_in_row += 1
                 last_at = crashed_at
-        own_parts = set().union(*(owns for *_, owns in found)) if found else set()
         return _Suspicion(
             part=part,
-            crashes=frozenset(incarnation for _, incarnation, _, _ in found),
+            crashes=frozenset(incarnation for _, incarnation, _ in found),
             n_in_row=n_in_row,
-            n_requests=len(own_parts),
+            n_requests=len(requests),
             is_answered=since is not None,
         )
 
     def _is_sufficient(self, one: _Suspicion, stronger: Sequence[_Suspicion]) -> bool:
         """Return whether a part is the cause if no other part fits equally well."""
+        if _is_own(one.part):
+            return one.n_in_row >= N_CRASHES_OWN and not one.is_answered
         if one.n_requests < N_REQUESTS:
             return False
         if not one.is_answered:
@@ -303,18 +311,24 @@
         Parts of different requests wait for a crash that tells them apart.
         """
         if all(
-            any(tied <= parts for parts, _ in self._crashes[key].runs)
+            any(tied <= parts for parts in self._crashes[key].runs)
             for key in one.crashes
         ):
             return [tied]
+        if _is_own(one.part):
+            return [frozenset({one.part})]
         if one.n_in_row < N_CRASHES_TIED:
             return []
         return [frozenset({part}) for part in tied]
 
 
 def parts_of(prompt: Prompt) -> frozenset[Part]:
-    """Return the parts of a prompt that other requests may share."""
-    return frozenset((prompt.service, part) for part in prompt.shared_parts)
+    """Return the parts of a prompt, its own one marked."""
+    return frozenset((prompt.service, part) for part in prompt.parts)
+
+
+def _is_own(part: Part) -> bool:
+    return part[1].startswith(OWN_MARK)
 
 
 def _is_explained(one: _Suspicion, stronger: Sequence[_Suspicion]) -> bool:
@@ -325,7 +339,7 @@
     shared = [
         other.crashes
         for other in stronger
-        if len(other.crashes) > 1 and other.rank < one.rank
+        if len(other.crashes) > 1 and other.rank < one.rank and not _is_own(other.part)
     ]
     n_own = len(one.crashes - frozenset().union(*shared))
     return n_own < (N_CRASHES_ANSWERED if one.is_answered else N_CRASHES)
--- a/celerytrail/relay/peerupdates.py
+++ b/celerytrail/relay/peerupdates.py
@@ -97,6 +97,7 @@
 
     service: str
     parts: list[str]
+    own_part: str
     seconds_ago: float
     is_whole: bool = True
 
--- a/celerytrail/relay/promptbroker.py
+++ b/celerytrail/relay/promptbroker.py
@@ -6,6 +6,7 @@
 import hashlib
 import random
 from collections.abc import Callable, Coroutine, Iterable, Sequence
+from dataclasses import replace
 from typing import Any
 
 import msgspec
@@ -18,6 +19,7 @@
 from ..platform import storewire
 from ..policies.blockedprompts import (
     BLOCK_SECONDS,
+    OWN_BLOCK_SECONDS,
     Block,
     BlockedPrompts,
     BlockKey,
@@ -136,7 +138,10 @@
         now = _now()
         if self.suspects.record_answer(prompt, now):
             entry = AnswerEntry(
-                service=prompt.service, parts=list(prompt.shared_parts), seconds_ago=0.0
+                service=prompt.service,
+                parts=list(prompt.shared_parts),
+                own_part=prompt.own_part,
+                seconds_ago=0.0,
             )
             self._announce(PromptNews(answers=[entry]))
         block = self.blocked.find(prompt, now)
@@ -147,7 +152,11 @@
         """Record what another node announces."""
         now = _now()
         for answer in news.answers:
-            prompt = Prompt(service=answer.service, shared_parts=tuple(answer.parts))
+            prompt = Prompt(
+                service=answer.service,
+                shared_parts=tuple(answer.parts),
+                own_part=answer.own_part,
+            )
             self.suspects.record_answer(
                 prompt, now - answer.seconds_ago, is_whole=answer.is_whole
             )
@@ -206,7 +215,11 @@
 
     def _tell_answers_later(self, crash: Crash) -> None:
         """Tell which parts of a crash were answered on, unless another node does."""
-        parts = {part for run in crash.runs for part in parts_of(run.prompt)}
+        parts = {
+            (run.prompt.service, part)
+            for run in crash.runs
+            for part in run.prompt.shared_parts
+        }
         known = [part for part in parts if self.suspects.answered_at(part) is not None]
         if known:
             delay = self._rng.uniform(0.0, ANSWER_JITTER_SECONDS)
@@ -224,6 +237,7 @@
                 AnswerEntry(
                     service=service,
                     parts=[name],
+                    own_part="",
                     seconds_ago=round(now - answered_at, 3),
                     is_whole=False,
                 )
@@ -243,13 +257,16 @@
     def _new_block(
         self, service: str, parts: frozenset[str], *, is_lifted: bool = False
     ) -> Block:
-        return Block(
+        block = Block(
             service=service,
             parts=parts,
             revision=self.blocked.next_revision((service, parts)),
             ends_at=_now() + BLOCK_SECONDS,
             is_lifted=is_lifted,
         )
+        if block.is_on_one_request:
+            return replace(block, ends_at=_now() + OWN_BLOCK_SECONDS)
+        return block
 
     def _put(self, block: Block) -> bool:
         if not self.blocked.put(block):
@@ -326,6 +343,7 @@
             block
             for block in self.blocked.all()
             if self._stored.get(block.key, 0) < block.revision
+            and not block.is_on_one_request
             and self._is_writer(block)
         ]
         if missing:
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -115,6 +115,21 @@
         assert line.crash(prompt("bad", own="y", service="other")) == []
 
 
+class TestOwnParts:
+    def test_a_shared_part_is_found_after_one_request_was_blocked(self):
+        line = Timeline()
+        line.answer("first")
+        line.crash(prompt("first", "bad", own="x"))
+        assert line.crash(prompt("first", "bad", own="x")) == [{"bad", "=x"}]
+        assert line.crash(prompt("first", "bad", own="y")) == [{"bad"}]
+
+    def test_an_own_part_is_not_a_shared_part_of_the_same_id(self):
+        line = Timeline()
+        line.crash(prompt("first", own="bad"))
+        line.crash(prompt("bad", own="y"))
+        assert line.crash(prompt("bad", own="z")) == []
+
+
 class TestInnocents:
     def test_an_answer_clears_a_part_of_the_crashes_before_it(self):
         line = Timeline()
@@ -125,10 +140,13 @@
         assert not line.answer("never", "suspected")
 
     def test_one_request_alone_accuses_no_part(self):
-        # Its own part, or its body, may be the cause.
+        # Its own part, or its body, may be the cause; its repeats are blocked.
         line = Timeline()
+        line.answer("first")
+        assert line.crash(prompt("first", "rare", own="same")) == []
+        assert line.crash(prompt("first", "rare", own="same")) == [{"rare", "=same"}]
         for _ in range(10):
-            assert line.crash(prompt("first", own="same")) == []
+            assert line.crash(prompt("first", own="same")) in ([], [{"=same"}])
 
     def test_engines_that_crash_together_count_once(self):
         # A lost failure domain crashes many engines, whose requests are sound.
