--- a/celerytrail/cmdline.py
+++ b/celerytrail/cmdline.py
@@ -120,6 +120,28 @@
         _fail(findings)
 
 
+@app.command()
+def prompts(
+    node: Annotated[str, typer.Argument(help="IP:PORT of a node's peer address.")],
+    service: Annotated[str, typer.Argument(help="The service.")],
+    parts: Annotated[list[str], typer.Argument(help="Ids of prompt parts.")],
+    peer_keys: Annotated[
+        str, typer.Option(envvar="CELERYTRAIL_PEER_KEYS", help="ID:HEX keys.")
+    ],
+    allow: Annotated[bool, typer.Option("--allow", help="Allow them again.")] = False,
+) -> None:
+    """Block prompts that hold all of some parts at all nodes, or allow them again."""
+    from .tools import order_prompt_block
+
+    address = _parse("NODE", settings.parse_addresses, node)[0]
+    keys = _parse("--peer-keys", settings.parse_keys, peer_keys)
+    findings = asyncio.run(
+        order_prompt_block(address, keys, service, parts, is_blocked=not allow)
+    )
+    if findings:
+        _fail(findings)
+
+
 @app.command()
 def status(
     nodes: Annotated[list[str], typer.Argument(help="IP:PORT of peer addresses.")],
--- a/celerytrail/policies/crashsuspects.py
+++ b/celerytrail/policies/crashsuspects.py
@@ -128,6 +128,20 @@
         """Return the number of crashes without a known cause."""
         return sum(crash.cause is None for crash in self._crashes.values())
 
+    def counts(self) -> dict[str, dict[str, int]]:
+        """Return by service and part under how many crashes without an answer it was.
+
+        Crashes whose cause is known aren't counted.
+        """
+        found: dict[str, dict[str, int]] = {}
+        for crash in self._crashes.values():
+            for service, part in crash.suspects() if crash.cause is None else ():
+                answered_at = self._answered.get((service, part))
+                if answered_at is None or answered_at < crash.crashed_at:
+                    counts = found.setdefault(service, {})
+                    counts[part] = counts.get(part, 0) + 1
+        return found
+
     def answered_at(self, part: Part) -> float | None:
         """Return the loop time of the latest known answer on a part."""
         return self._answered.get(part)
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -141,6 +141,7 @@
             tell=self._tell_prompts,
             others=self._peers.others,
             rows=self.rows,
+            requests=self._peers.requests,
             rng=self._rng,
             metrics=self._metrics,
         )
@@ -297,6 +298,7 @@
         self.shared_rows.add_routes(router)
         self._limits.add_routes(router)
         self.origins.add_routes(router)
+        self.prompts.add_routes(router)
         self.access.add_routes(router)
         RelayStatus(
             nodes=self.nodes,
@@ -304,6 +306,7 @@
             endpoints=self._endpoint_state,
             generations=self.generations,
             origins=self.origins,
+            prompts=self.prompts,
             keys=self._keys,
             metrics=self._metrics,
         ).add_routes(router)
--- a/celerytrail/relay/promptbroker.py
+++ b/celerytrail/relay/promptbroker.py
@@ -13,6 +13,9 @@
 from eliot import log_message
 from result import Err
 
+from ..http.messages import Request
+from ..http.routes import Params, Router, send_error
+from ..http.server import Responder
 from ..metrics import Metrics
 from ..model import Prompt
 from ..nodes.member import Member
@@ -32,7 +35,9 @@
     parts_of,
 )
 from ..rowsource import Row, RowSource
+from ..status import PROMPT_BLOCKS_PATH
 from .nodeorder import NodeOrder
+from .peerrequests import PeerRequests
 from .peerupdates import AnswerEntry, BlockEntry, CrashEntry, LostRunEntry, PromptNews
 
 # Pauses before a crash or a block is announced again, in seconds: datagrams get lost.
@@ -64,6 +69,14 @@
     is_lifted: bool = False
 
 
+class BlockOrder(msgspec.Struct, frozen=True, kw_only=True):
+    """An operator's order to block prompts with all of some parts, or to allow them."""
+
+    service: str
+    parts: list[str]
+    is_blocked: bool
+
+
 class PromptBroker:
     """Collects the evidence of all nodes, and decides which prompts are blocked.
 
@@ -86,6 +99,8 @@
         Returns the other nodes.
     rows : RowSource
         The platform's tables.
+    requests : PeerRequests
+        Decodes operators' orders.
     rng : random.Random
         Source of jitter.
     metrics : Metrics
@@ -101,6 +116,7 @@
         tell: Callable[[PromptNews, Sequence[Member]], None],
         others: Callable[[], list[Member]],
         rows: RowSource,
+        requests: PeerRequests,
         rng: random.Random,
         metrics: Metrics,
     ) -> None:
@@ -110,6 +126,7 @@
         self._tell = tell
         self._others = others
         self._rows = rows
+        self._requests = requests
         self._rng = rng
         self._metrics = metrics
         self.suspects = CrashSuspects()
@@ -121,6 +138,10 @@
         self._told_until: dict[Part, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
+    def add_routes(self, router: Router) -> None:
+        """Add the route for operators' orders."""
+        router.add("POST", PROMPT_BLOCKS_PATH, self._on_order)
+
     def record_crash(self, crash: Crash) -> None:
         """Record a crash by which this node lost runs, and announce it."""
         now = _now()
@@ -190,6 +211,19 @@
         for task in list(self._tasks):
             task.cancel()
 
+    async def _on_order(self, req: Request, res: Responder, _: Params) -> None:
+        order = await self._requests.decode(req, res, BlockOrder)
+        if order is None:
+            return
+        parts = [part.lower() for part in order.parts]
+        if not order.service or not parts or not all(parts):
+            await send_error(
+                res, 400, "bad_request", place="parts", message="name service and parts"
+            )
+            return
+        block = self.set_blocked(order.service, parts, is_blocked=order.is_blocked)
+        await res.send_json(200, {"revision": block.revision})
+
     # Evidence.
 
     def _apply_crash(self, crash: Crash, now: float) -> list[Block]:
--- a/celerytrail/relay/status.py
+++ b/celerytrail/relay/status.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
 from collections.abc import Callable
 
@@ -17,6 +18,7 @@
 from .endpointstate import EndpointState
 from .generations import Generations
 from .originbroker import OriginBroker
+from .promptbroker import PromptBroker
 
 
 class RelayStatus:
@@ -34,6 +36,8 @@
         The generations in progress.
     origins : OriginBroker
         What is known of streams that may be taken up.
+    prompts : PromptBroker
+        Which prompts crash engines.
     keys : PeerKeys
         Verify the signatures of requests.
     metrics : Metrics
@@ -48,6 +52,7 @@
         endpoints: EndpointState,
         generations: Generations,
         origins: OriginBroker,
+        prompts: PromptBroker,
         keys: PeerKeys,
         metrics: Metrics,
     ) -> None:
@@ -56,6 +61,7 @@
         self._endpoints = endpoints
         self._generations = generations
         self._origins = origins
+        self._prompts = prompts
         self._keys = keys
         self._metrics = metrics
 
@@ -82,8 +88,21 @@
             "evacuated_domains": sorted(self._endpoints.evacuations.domains),
             "streams": self._generations.n_live,
             "known_streams": len(self._origins.origins),
+            "blocked_prompts": self._blocked_prompts(),
+            "suspected_prompt_parts": self._prompts.suspects.counts(),
         }
 
+    def _blocked_prompts(self) -> list[dict[str, object]]:
+        now = asyncio.get_running_loop().time()
+        return [
+            {
+                "service": block.service,
+                "parts": sorted(block.parts),
+                "seconds_left": round(block.ends_at - now),
+            }
+            for block in self._prompts.blocked.in_force(now)
+        ]
+
     def _software_versions(self) -> dict[str, dict[str, dict[str, int]]]:
         """Return the endpoints by service, software version and state."""
         registry = self._endpoints.registry
--- a/celerytrail/status.py
+++ b/celerytrail/status.py
@@ -17,6 +17,8 @@
     from .leaving import LeavingTracker
 
 STATUS_PATH = "/peer/v1/status"
+# Where operators block prompts, or allow them again.
+PROMPT_BLOCKS_PATH = "/peer/v1/prompt-blocks"
 
 StatusPart = Callable[[], Mapping[str, object]]
 
--- a/celerytrail/tools.py
+++ b/celerytrail/tools.py
@@ -16,7 +16,7 @@
 from .platform.table import HttpTable
 from .services.sweeper import ClaimSweeper, OpenClaim, Verdict
 from .settings import SigningKey
-from .status import STATUS_PATH
+from .status import PROMPT_BLOCKS_PATH, STATUS_PATH
 from .types import Address, Finding
 
 ANSWER_TIMEOUT_SECONDS = 5.0
@@ -49,6 +49,39 @@
     return statuses, findings
 
 
+async def order_prompt_block(
+    node: Address,
+    keys: Sequence[SigningKey],
+    service: str,
+    parts: Sequence[str],
+    *,
+    is_blocked: bool,
+) -> list[Finding]:
+    """Block prompts with all of some parts at all nodes, or allow them again.
+
+    One node is told, which tells the others. Returns what went wrong.
+    """
+    client = HttpClient(process="prompts")
+    order = {"service": service, "parts": list(parts), "is_blocked": is_blocked}
+    body = msgspec.json.encode(order)
+    peer_keys = PeerKeys(keys=[key.secret for key in keys])
+    answer = await client.request(
+        node,
+        "POST",
+        PROMPT_BLOCKS_PATH,
+        body=body,
+        headers=peer_keys.headers("POST", PROMPT_BLOCKS_PATH, body),
+        deadline=SystemClock().monotonic() + ANSWER_TIMEOUT_SECONDS,
+    )
+    client.close()
+    if isinstance(answer, Err):
+        return [Finding(place=str(node), problem=answer.err_value.reason)]
+    if answer.ok_value.status != 200:
+        problem = f"status {answer.ok_value.status}; are the peer keys the same?"
+        return [Finding(place=str(node), problem=problem)]
+    return []
+
+
 class ClaimSettler:
     """Lists the claims whose outcome is unknown, and settles them.
 
--- a/tests/test_relay_platform.py
+++ b/tests/test_relay_platform.py
@@ -276,6 +276,28 @@
         assert facts.shared_parts == ("5c1e07a2",)
         assert facts.own_part == "91bd3f06"
 
+    @pytest.mark.parametrize(
+        "text, shared, own",
+        [
+            ("", (), ""),
+            ("aa:1", (), "aa"),
+            ("AA:1,aa:2,Bb:3,cc:4", ("aa", "bb"), "cc"),
+            (" aa:1 , bb:2 ", ("aa",), "bb"),
+            ("aa:1,x,:3,bb,cc:,dd:2,ee:1", ("aa", "dd"), "ee"),
+            ("aa:1,bb:2,torn", ("aa", "bb"), ""),
+            ("aa:1,xaa:2,ee:1", ("aa",), "ee"),
+        ],
+    )
+    def test_parts_of_a_prompt_are_told_by_their_ids(self, text, shared, own):
+        facts = wire.decode_request_metadata(request({"x-prompt-prefix": text}))
+        assert (facts.shared_parts, facts.own_part) == (shared, own)
+
+    def test_long_ids_of_parts_take_bounded_room(self):
+        text = f"{'a' * 5_000}:1,{'a' * 5_001}:1,bb:2"
+        facts = wire.decode_request_metadata(request({"x-prompt-prefix": text}))
+        assert len(set(facts.shared_parts)) == 2
+        assert max(map(len, facts.shared_parts)) <= wire.MAX_PART_LENGTH
+
     @pytest.mark.parametrize("text", ["", "x", "-5", "1e400", "nan"])
     def test_an_unreadable_budget_counts_as_not_stated(self, text):
         facts = wire.decode_request_metadata(request({"x-time-budget-ms": text}))
--- a/tests/test_relay_prompt_broker.py
+++ b/tests/test_relay_prompt_broker.py
@@ -8,11 +8,14 @@
 import pytest
 
 from celerytrail.model import Prompt
+from celerytrail.nodes.signing import PeerKeys
 from celerytrail.platform import storewire
 from celerytrail.policies.crashsuspects import Crash, LostRun
 from celerytrail.relay.peerupdates import NodeUpdate, PromptNews
-from celerytrail.relay.promptbroker import PromptBroker
+from celerytrail.relay.promptbroker import BlockOrder, PromptBroker
+from celerytrail.status import PROMPT_BLOCKS_PATH, STATUS_PATH
 from tests.limitrig import now
+from tests.relayrig import HOST, KEY
 from tests.sourcesrig import Fleet, run_fleet
 
 BAD = Prompt(service="models", shared_parts=("first", "bad"), own_part="1")
@@ -174,3 +177,61 @@
             assert all(knowing(fleet))
 
         run_fleet(1, steps, 8)
+
+    def test_an_order_reaches_all_nodes_and_shows_in_the_status(self):
+        async def steps(fleet: Fleet) -> None:
+            node = fleet.nodes[2]
+            address = node.cfg.peers
+            assert address is not None
+            keys = PeerKeys(keys=[f"nodes of {node.cfg.store}".encode()])
+            order = BlockOrder(service="models", parts=["BAD"], is_blocked=True)
+            body = msgspec.json.encode(order)
+            unsigned = await fleet.client.request(
+                address, "POST", PROMPT_BLOCKS_PATH, body=body
+            )
+            assert unsigned.unwrap().status == 403
+            assert not any(knowing(fleet))
+            signed = keys.headers("POST", PROMPT_BLOCKS_PATH, body)
+            answered = await fleet.client.request(
+                address, "POST", PROMPT_BLOCKS_PATH, body=body, headers=signed
+            )
+            assert answered.unwrap().status == 200
+            await asyncio.sleep(0.5)
+            assert all(knowing(fleet))
+            shown = await fleet.client.request(
+                address,
+                "GET",
+                STATUS_PATH,
+                headers=keys.headers("GET", STATUS_PATH, b""),
+            )
+            status = msgspec.json.decode(shown.unwrap().body)
+            assert status["blocked_prompts"][0]["parts"] == ["bad"]
+
+        run_fleet(1, steps, 4)
+
+
+class TestCallers:
+    def test_a_blocked_prompt_is_refused_at_once_as_not_run(self):
+        # Coming back before the end of the block helps nobody, so that is stated.
+        async def steps(fleet: Fleet) -> None:
+            fleet.nodes[0].prompts.set_blocked("models", ["bad"], is_blocked=True)
+            address = fleet.nodes[0].cfg.callers
+            assert address is not None
+            headers = {
+                "host": HOST,
+                "authorization": f"Bearer {KEY}",
+                "x-attempt-id": "a1",
+                "x-token-count": "100,10",
+                "x-prompt-prefix": "f1:10,BAD:20,c3:5",
+            }
+            sent_at = now()
+            answered = await fleet.client.request(
+                address, "POST", "/check/1", headers=headers
+            )
+            res = answered.unwrap()
+            assert (res.status, res.headers["x-attempt-id"]) == (503, "a1")
+            assert res.body == b'{"error":{"type":"prompt_blocked"}}'
+            assert float(res.headers["retry-after"]) > 3_500
+            assert now() - sent_at < 0.1
+
+        run_fleet(1, steps, 2)
