Let no path's freshness depend on garbage collection

Cause: connections to endpoints were held in weak sets, so a closed one told when something last arrived from its endpoint until it happened to be collected; whether a path was checked depended on that, in the product too. Found by running with collection off: equal.

--- a/celerytrail/relay/paths.py
+++ b/celerytrail/relay/paths.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Callable, Coroutine, Iterable, Iterator, Mapping
 from typing import Any, TypeVar
-from weakref import WeakSet
 
 import h11
 import msgspec
@@ -97,9 +96,10 @@
         self._metrics = metrics
         self._on_silent = on_silent
         self._on_stated = on_stated
-        # Open connections by endpoint: on the own path, and through other nodes.
-        self._direct: dict[Address, WeakSet[Connection]] = {}
-        self._tunnelled: dict[Address, WeakSet[Connection]] = {}
+        # Connections by endpoint, on the own path and through other nodes: open ones,
+        # and those that were closed a moment ago.
+        self._direct: dict[Address, list[Connection]] = {}
+        self._tunnelled: dict[Address, list[Connection]] = {}
         self._avoid_until: dict[tuple[str, Address], float] = {}
         # When a connection on the own path was last refused.
         self._refused_at: dict[Address, float] = {}
@@ -243,7 +243,7 @@
             raise
         self._record_reached(address)
         if isinstance(protocol, Connection):
-            self._direct.setdefault(address, WeakSet()).add(protocol)
+            _add_connection(self._direct, address, protocol)
         return protocol
 
     async def _connect_through(
@@ -270,7 +270,7 @@
         self._metrics.count("endpoint_tunnels", outcome="opened")
         self._record_lost(address, member)
         if isinstance(protocol, Connection):
-            self._tunnelled.setdefault(address, WeakSet()).add(protocol)
+            _add_connection(self._tunnelled, address, protocol)
             # The node in the middle reads and tells what the endpoint states once for
             # each tunnel, so each carries one request.
             protocol.is_retired = True
@@ -366,6 +366,19 @@
         return task
 
 
+def _add_connection(
+    conns: dict[Address, list[Connection]], address: Address, conn: Connection
+) -> None:
+    """Add a connection, and drop those closed so long ago that they tell nothing."""
+    fresh_since = _now() - FRESH_SECONDS
+    kept = [
+        other
+        for other in conns.get(address, ())
+        if not other.is_lost or other.received_at > fresh_since
+    ]
+    conns[address] = [*kept, conn]
+
+
 def _make_connection() -> Connection:
     return Connection(role=h11.CLIENT)
 
--- a/tests/test_relay_crash_parts.py
+++ b/tests/test_relay_crash_parts.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import gc
+
 import pytest
+from msgspec.structs import replace
 
-from bench.crashparts import part_outcome, play_case
+from bench.crashparts import CASES, base_load, part_outcome, play_case
 from bench.crashrules import N_ALLOWED
-from bench.fleet import FleetResult
+from bench.fleet import FleetResult, Variation, simulate
 from bench.fleetload import FleetLoad
 from tests.fuzzseeds import fleet_sizes
 
@@ -84,3 +87,18 @@
         assert len(result.torn) >= 20
         assert set(sound_outcomes(result)) <= {"on time", "late"}
         assert all(res.n_resumptions == 0 for res in result.request_results)
+
+
+class TestSimulations:
+    def test_garbage_collection_changes_no_result(self):
+        # Connections counted as fresh until they were collected, so a second run of one
+        # process gave other results.
+        load = replace(CASES["after one event"](base_load()), seconds=14.0)
+        results = []
+        for is_enabled in (False, True):
+            (gc.enable if is_enabled else gc.disable)()
+            try:
+                results.append(simulate(load, Variation(), 3).request_results)
+            finally:
+                gc.enable()
+        assert results[0] == results[1]
