Correct what reading the broker and the decision showed

Causes and changes, each with a test: a crash of a run in flight when its part was found accused the runs beside it (known causes explain new crashes now); an answer of such a run lifted what an operator had ordered (ordered blocks are marked); an answer that crossed the news of a block left the block in force (each node lifts what an answer refutes); a request that was held back stayed so after the part was known (lifted then); what had been found once was kept without bound (256, and a request's own part isn't kept at all); each answer walked all crashes (kept until one changes it).

--- a/celerytrail/policies/blockedprompts.py
+++ b/celerytrail/policies/blockedprompts.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..model import OWN_MARK, Prompt
 
@@ -36,6 +36,8 @@
         Loop time at which it ends.
     is_lifted : bool
         Whether such prompts are allowed again.
+    is_ordered : bool
+        Whether an operator ordered it; no evidence changes it then.
     """
 
     service: str
@@ -43,6 +45,7 @@
     revision: int
     ends_at: float
     is_lifted: bool = False
+    is_ordered: bool = False
 
     @property
     def key(self) -> BlockKey:
@@ -111,6 +114,15 @@
         known = self._blocks.get(key)
         return known is not None and not known.is_lifted and now >= known.ends_at
 
+    def lift_on_requests(self, service: str, now: float) -> None:
+        """Lift the blocks on single requests of a service.
+
+        Each node does so when it learns which part it was, so nobody needs to be told.
+        """
+        for block in self.in_force(now):
+            if block.service == service and block.is_on_one_request:
+                self.put(replace(block, revision=block.revision + 1, is_lifted=True))
+
     def in_force(self, now: float) -> list[Block]:
         """Return the blocks that hold at a loop time."""
         return [
--- a/celerytrail/policies/crashsuspects.py
+++ b/celerytrail/policies/crashsuspects.py
@@ -33,6 +33,7 @@
 MAX_CRASHES = 64
 MAX_ANSWERED = 4_096
 MAX_RUNS = 32
+MAX_FOUND = 256
 RETENTION_SECONDS = 600.0
 
 # A part of a service's prompts: the service and the part's id.
@@ -84,6 +85,11 @@
     # The parts that were found to cause it, if they were.
     cause: frozenset[Part] | None = None
 
+    def explain_by(self, cause: frozenset[Part]) -> None:
+        """Record a known cause, if a lost run had it."""
+        if any(cause <= held for held in self.runs):
+            self.cause = cause
+
     def suspects(self) -> set[Part]:
         """Return the parts that may have caused it."""
         held = {part for parts in self.runs for part in parts}
@@ -119,7 +125,10 @@
     def __init__(self) -> None:
         self._crashes: dict[Incarnation, _Crash] = {}
         self._answered: dict[Part, float] = {}
-        self._found: set[frozenset[Part]] = set()
+        # The known causes; the oldest first.
+        self._found: dict[frozenset[Part], None] = {}
+        # What `_suspected` returns, until a crash or a cause changes it.
+        self._last_crashes: dict[Part, float] | None = None
         # The times and parts of the latest answers, for comparison.
         self._answers: list[tuple[float, frozenset[Part]]] = []
 
@@ -192,6 +201,7 @@
             Parts that crashed engines earlier; one more crash is enough.
         """
         self._expire(now)
+        self._last_crashes = None
         known = self._crashes.get(crash.incarnation)
         if known is None:
             known = self._crashes[crash.incarnation] = _Crash(
@@ -202,23 +212,28 @@
             parts = parts_of(run.prompt)
             if len(known.runs) < MAX_RUNS or parts in known.runs:
                 known.runs[parts] = max(known.runs.get(parts, 0.0), run.sent_at)
-        return self._find(set(formerly_found))
+        for cause in self._found:
+            known.explain_by(cause)
+        return self._find(crash.incarnation, set(formerly_found))
 
     def explain(self, service: str, parts: frozenset[str]) -> None:
         """Record that prompts with all of these parts crash engines."""
         cause = frozenset((service, part) for part in parts)
-        self._found.add(cause)
         if any(map(_is_own, cause)):
             # What crashed engines may as well be a part that other requests share.
             return
+        self._found[cause] = None
+        self._last_crashes = None
+        while len(self._found) > MAX_FOUND:
+            del self._found[next(iter(self._found))]
         for crash in self._crashes.values():
-            if any(cause <= held for held in crash.runs):
-                crash.cause = cause
+            crash.explain_by(cause)
 
     def forget(self, service: str, parts: frozenset[str]) -> None:
         """Forget that prompts with all of these parts crash engines, and why."""
         cause = frozenset((service, part) for part in parts)
-        self._found.discard(cause)
+        self._found.pop(cause, None)
+        self._last_crashes = None
         for incarnation, crash in list(self._crashes.items()):
             if crash.cause == cause:
                 del self._crashes[incarnation]
@@ -234,41 +249,57 @@
 
     def _suspected(self) -> dict[Part, float]:
         """Return when engines last crashed under each part that may be a cause."""
-        found: dict[Part, float] = {}
+        found = self._last_crashes
+        if found is not None:
+            return found
+        found = self._last_crashes = {}
         for crash in self._crashes.values():
             for part in crash.suspects():
                 found[part] = max(found.get(part, 0.0), crash.crashed_at)
         return found
 
-    def _find(self, formerly_found: set[Part]) -> list[Finding]:
+    def _find(
+        self, incarnation: Incarnation, formerly_found: set[Part]
+    ) -> list[Finding]:
+        """Return the causes that a crash shows and that weren't known."""
         findings: list[Finding] = []
+        known = set(self._found)
         while True:
-            found = self._strongest(formerly_found)
+            found = self._strongest(incarnation, formerly_found, known)
             if not found:
                 return findings
-            findings += found
-            for finding in found:
+            for cause, crashes in found:
+                finding = _finding(cause, crashes)
+                findings.append(finding)
+                known.add(cause)
                 self.explain(finding.service, finding.parts)
 
-    def _strongest(self, formerly_found: set[Part]) -> list[Finding]:
+    def _strongest(
+        self,
+        incarnation: Incarnation,
+        formerly_found: set[Part],
+        known: set[frozenset[Part]],
+    ) -> list[tuple[frozenset[Part], frozenset[Incarnation]]]:
         """Return the strongest sufficient suspicion with parts that fit equally."""
         suspicions = sorted(
             map(self._suspicion, self._suspected()), key=lambda one: one.rank
         )
         for index, one in enumerate(suspicions):
+            if incarnation not in one.crashes:
+                continue
             tied = frozenset(
                 other.part
                 for other in suspicions
                 if other.crashes == one.crashes and other.rank == one.rank
             )
-            if one.crashes and one.part in formerly_found and not one.is_answered:
+            if one.part in formerly_found and not one.is_answered:
                 tied = frozenset({one.part})
             elif not self._is_sufficient(one, suspicions[:index]):
                 continue
             causes = self._resolve_tie(one, tied)
-            found = [cause for cause in causes if cause not in self._found]
+            found = [(cause, one.crashes) for cause in causes if cause not in known]
             if found:
-                return [_finding(cause, one.crashes) for cause in found]
+                return found
         return []
 
     def _suspicion(self, part: Part) -> _Suspicion:
--- a/celerytrail/relay/peerupdates.py
+++ b/celerytrail/relay/peerupdates.py
@@ -110,6 +110,7 @@
     revision: int
     seconds: float
     is_lifted: bool = False
+    is_ordered: bool = False
 
 
 class PromptNews(msgspec.Struct, array_like=True, frozen=True):
--- a/celerytrail/relay/promptbroker.py
+++ b/celerytrail/relay/promptbroker.py
@@ -67,6 +67,7 @@
     parts: list[str]
     revision: int
     is_lifted: bool = False
+    is_ordered: bool = False
 
 
 class BlockOrder(msgspec.Struct, frozen=True, kw_only=True):
@@ -165,9 +166,9 @@
                 seconds_ago=0.0,
             )
             self._announce(PromptNews(answers=[entry]))
-        block = self.blocked.find(prompt, now)
-        if block is not None:
-            self.set_blocked(block.service, block.parts, is_blocked=False)
+        lifted = self._lift_found(prompt, now)
+        if lifted is not None:
+            self._announce_block(lifted)
 
     def record_news(self, news: PromptNews) -> None:
         """Record what another node announces."""
@@ -182,6 +183,8 @@
                 prompt, now - answer.seconds_ago, is_whole=answer.is_whole
             )
             self._record_told(parts_of(prompt), now)
+            if answer.is_whole:
+                self._lift_found(prompt, now)
         for entry in news.crashes:
             crash = _crash_from(entry, now)
             self._apply_crash(crash, now)
@@ -192,8 +195,9 @@
     def set_blocked(
         self, service: str, parts: Iterable[str], *, is_blocked: bool
     ) -> Block:
-        """Block prompts with all of some parts, or allow them again."""
+        """Block prompts with all of some parts, or allow them again, by order."""
         block = self._new_block(service, frozenset(parts), is_lifted=not is_blocked)
+        block = replace(block, is_ordered=is_blocked)
         self._put(block)
         self._announce_block(block)
         return block
@@ -224,6 +228,15 @@
         block = self.set_blocked(order.service, parts, is_blocked=order.is_blocked)
         await res.send_json(200, {"revision": block.revision})
 
+    def _lift_found(self, prompt: Prompt, now: float) -> Block | None:
+        """Lift the block that an answered prompt meets, unless it was ordered."""
+        block = self.blocked.find(prompt, now)
+        if block is None or block.is_ordered:
+            return None
+        lifted = self._new_block(block.service, block.parts, is_lifted=True)
+        self._put(lifted)
+        return lifted
+
     # Evidence.
 
     def _apply_crash(self, crash: Crash, now: float) -> list[Block]:
@@ -309,6 +322,8 @@
             self.suspects.forget(block.service, block.parts)
         else:
             self.suspects.explain(block.service, block.parts)
+            if not block.is_on_one_request:
+                self.blocked.lift_on_requests(block.service, _now())
         state = "lifted" if block.is_lifted else "blocked"
         self._metrics.count("prompt_blocks", state=state)
         log_message(
@@ -365,6 +380,7 @@
             revision=entry.revision,
             ends_at=_now() + BLOCK_SECONDS,
             is_lifted=entry.is_lifted,
+            is_ordered=entry.is_ordered,
         )
         self._put(block)
         self._stored[block.key] = block.revision
@@ -398,6 +414,7 @@
                     parts=sorted(block.parts),
                     revision=block.revision,
                     is_lifted=block.is_lifted,
+                    is_ordered=block.is_ordered,
                 )
                 put = await self._rows.put(
                     storewire.PROMPT_BLOCKS_TABLE,
@@ -473,6 +490,7 @@
         revision=block.revision,
         seconds=round(max(0.0, block.ends_at - now), 2),
         is_lifted=block.is_lifted,
+        is_ordered=block.is_ordered,
     )
 
 
@@ -483,6 +501,7 @@
         revision=entry.revision,
         ends_at=now + min(entry.seconds, BLOCK_SECONDS),
         is_lifted=entry.is_lifted,
+        is_ordered=entry.is_ordered,
     )
 
 
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -176,6 +176,13 @@
         assert line.crash(prompt("rare")) == []
         assert line.crash(prompt("rare")) == []
 
+    def test_runs_that_were_in_flight_when_a_part_was_found_accuse_no_other(self):
+        line = Timeline()
+        for _ in range(3):
+            line.crash(prompt("bad"))
+        for _ in range(5):
+            assert line.crash(prompt("bad"), prompt("rare")) == []
+
     def test_crashes_long_ago_do_not_count(self):
         line = Timeline()
         line.crash(prompt("bad"))
@@ -214,6 +221,14 @@
 
 
 class TestBlockedPrompts:
+    def test_requests_that_were_held_back_are_allowed_once_the_part_is_known(self):
+        blocked = BlockedPrompts()
+        blocked.put(block("first", "=1"))
+        blocked.put(block("bad"))
+        blocked.lift_on_requests("models", 1.0)
+        assert blocked.find(prompt("first", own="1"), 1.0) is None
+        assert blocked.find(prompt("bad"), 1.0) is not None
+
     def test_a_prompt_with_all_parts_is_blocked(self):
         blocked = BlockedPrompts()
         blocked.put(block("a", "b"))
--- a/tests/test_relay_prompt_broker.py
+++ b/tests/test_relay_prompt_broker.py
@@ -170,6 +170,21 @@
 
         run_fleet(1, steps, 8)
 
+    def test_an_answer_lifts_what_was_found_but_no_order(self):
+        async def steps(fleet: Fleet) -> None:
+            await crash_three(fleet)
+            # It crosses the news of the block, which some nodes hear after it.
+            fleet.nodes[1].prompts.record_answer(bad("other"))
+            await asyncio.sleep(4.0)
+            assert not any(knowing(fleet))
+            fleet.nodes[0].prompts.set_blocked("models", ["bad"], is_blocked=True)
+            await asyncio.sleep(0.5)
+            fleet.nodes[1].prompts.record_answer(bad("other"))
+            await asyncio.sleep(0.5)
+            assert all(knowing(fleet))
+
+        run_fleet(1, steps, 4)
+
     def test_a_block_that_an_operator_sets_holds_everywhere(self):
         async def steps(fleet: Fleet) -> None:
             fleet.nodes[0].prompts.set_blocked("models", ["bad"], is_blocked=True)
