Give the tests of updates between nodes the new callback

I had run the files of the relay that I thought touched, not this one. No check is eased. Before: 11 failed. After: all of the file pass.

--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -17,8 +17,10 @@
 from celerytrail.policies.statedlimits import LimitStatement
 from celerytrail.relay.peerupdates import (
     MAX_RUNS_PER_DATAGRAM,
+    BlockEntry,
     NodeUpdate,
     PeerUpdates,
+    PromptNews,
     _run_entry,
 )
 from celerytrail.relay.tablemirror import MAX_CHANGES, TableMirror
@@ -353,7 +355,15 @@
     ) -> tuple[PeerUpdates, EngineLoads, dict[str, list]]:
         loads = EngineLoads()
         events: dict[str, list] = {
-            name: [] for name in ("leaving", "retried", "aborted", "limits", "cut_off")
+            name: []
+            for name in (
+                "leaving",
+                "retried",
+                "aborted",
+                "limits",
+                "cut_off",
+                "prompts",
+            )
         }
         peer_updates = PeerUpdates(
             on_origin=lambda entry: None,
@@ -369,6 +379,7 @@
             on_limit=events["limits"].append,
             on_brittle=lambda statement: None,
             on_cut_off=lambda *statement: events["cut_off"].append(statement),
+            on_prompt_news=events["prompts"].append,
             rng=random.Random(1),
         )
         return peer_updates, loads, events
@@ -384,6 +395,16 @@
             n_generated_tokens=3,
         )
 
+    async def test_news_of_prompts_are_passed_on(self):
+        sender, _, _ = self.make("other")
+        receiver, _, events = self.make()
+        sent: list[NodeUpdate] = []
+        sender._send = sent.append  # type: ignore[method-assign]
+        block = BlockEntry(service="models", parts=["bad"], revision=1, seconds=9.0)
+        sender.announce_prompts(PromptNews(blocks=[block]))
+        receiver.datagram_received(msgspec.msgpack.encode(sent[0]), ("10.0.0.1", 1))
+        assert events["prompts"] == [PromptNews(blocks=[block])]
+
     async def test_a_sent_run_is_received_unchanged(self):
         sender, _, _ = self.make("other")
         receiver, loads, _ = self.make()
@@ -499,6 +520,7 @@
             "aborted": [("d1", "other")],
             "limits": [],
             "cut_off": [],
+            "prompts": [],
         }
 
     async def test_the_services_that_a_node_is_cut_off_from_are_passed_on(self):
