Let runs go on whose engine failed before it named its start

Callers saw: an answer cut off although a copy of its run was there, if the engine failed before its report had named its start.

Cause: the version of such a run isn't known, so neither its memory could be used nor could it begin again at any engine, also where the service has had one version only. Streams that callers take up have long gone on in that case.

Ruled out: the silence timeout and the switch to a backup (both end at the backup, which the test accepts); prompts that crash engines (no crash was reported).

Change: when the stream of a run whose engine named no start breaks off, the only version that its service has had since the request arrived is taken. An engine that named another start than its row's gets no such word, and a service with two versions neither: both cases stay as strict as before.

Before: the new test of a late report times out; after: it passes, and the one with a second version shows that memory stays unused in a release.

--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -22,7 +22,7 @@
 from .engineplacer import EnginePlacer
 from .events import EventSplitter, StreamEvent
 from .exchange import CallerDisconnectedError, Exchange, refuse, seconds_until
-from .liverun import Copied, LiveRun, Switched
+from .liverun import UNKNOWN_START, Copied, LiveRun, Switched
 from .originbroker import OriginBroker
 from .outcomes import Failed, NotExecuted
 from .peerupdates import PeerUpdates
@@ -371,6 +371,21 @@
         if live.reg.version and live.n_events:
             self._bind(live)
 
+    def _assume_version(self, live: LiveRun) -> None:
+        """Take the only version of its service for a run whose engine named no start.
+
+        The engine has failed, so that it can't be asked any more.
+        """
+        if live.reg is None or live.reg.started_at != UNKNOWN_START:
+            return
+        version = self._origins.only_version(live.ex.service, live.ex.age_seconds)
+        if not version:
+            return
+        live.ex.log("version_assumed", endpoint=live.reg.endpoint, version=version)
+        live.reg = replace(live.reg, version=version)
+        if live.n_events:
+            self._bind(live)
+
     # Resuming at another engine.
 
     async def _resume(self, live: LiveRun, reason: str) -> Stream | None:
@@ -387,6 +402,7 @@
         Without a usable copy, a resumable request runs again at another engine.
         """
         ex = live.ex
+        self._assume_version(live)
         previous_reg = live.reg
         moved = await self._await_move(live)
         if isinstance(moved, Switched):
--- a/celerytrail/relay/originbroker.py
+++ b/celerytrail/relay/originbroker.py
@@ -178,6 +178,15 @@
         may_be_known = n_silent > 0 or not self._is_current()
         return Err(UnknownOrigin(may_be_known=may_be_known))
 
+    def only_version(self, service: str, seconds: float) -> str | None:
+        """Return the only version that a service has had for some time.
+
+        None if it has had others, or if this isn't known here.
+        """
+        if not self._is_current():
+            return None
+        return self._own_only_version(service, seconds)
+
     def expire(self) -> None:
         """Forget what can't be asked for any more; called periodically."""
         now = self._clock.boottime()
@@ -258,8 +267,8 @@
             return
         origin = self.origins.find(asked.key, self._clock.boottime())
         only = None
-        if origin is None and asked.service and self._is_current():
-            only = self._own_only_version(asked.service, asked.away_seconds)
+        if origin is None and asked.service:
+            only = self.only_version(asked.service, asked.away_seconds)
         answer = OriginAnswer(
             service=origin.service if origin else "",
             version=origin.version if origin else "",
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -24,6 +24,8 @@
 from celerytrail.types import Address
 
 SEAL_HEADER = "x-response-seal"
+# Delay of a report with this fault, in seconds: longer than a test waits for it.
+REPORT_DELAY_SECONDS = 30.0
 
 
 def worker_row(
@@ -68,6 +70,7 @@
     has_extra: bool = False
     is_unsealed: bool = False
     echoes_other_id: bool = False
+    delays_report: bool = False
     status: int = 200
 
 
@@ -428,6 +431,8 @@
 
     async def _answer_other(self, req: Request, res: Responder) -> bool:
         if req.path == "/api/report":
+            if self.faults.delays_report:
+                await asyncio.sleep(REPORT_DELAY_SECONDS)
             report = {"queued": 0, "in-flight": len(self._runs), "kv-used": 0}
             if self.leaves_ms is not None:
                 report["leaves_ms"] = self.leaves_ms  # type: ignore[assignment]
--- a/tests/test_relay_moving.py
+++ b/tests/test_relay_moving.py
@@ -6,7 +6,9 @@
 from collections.abc import AsyncIterator
 from dataclasses import replace
 
+import pytest
 import pytest_asyncio
+from result import UnwrapError
 
 from tests.relayrig import Rig, config, expected_events, split_events, wait_until
 
@@ -147,6 +149,50 @@
         res = await pending
         assert split_events(res.body) == expected_events(6)
 
+    async def test_a_run_goes_on_when_its_engine_fails_before_it_named_its_start(
+        self, rig
+    ):
+        # The engine's report came too late, so the version of its memory wasn't known,
+        # and the backup wasn't used. The service has one version only.
+        engine_1, engine_2 = await rig.add_engine("e1"), await rig.add_engine("e2")
+        engine_1.faults.delays_report = engine_2.faults.delays_report = True
+        node = await rig.add_node()
+        await wait_until(lambda: node.origins.only_version("models", 0.0))
+        pending = asyncio.ensure_future(rig.request("/draft/1"))
+        await wait_until(lambda: engine_1.running or engine_2.running)
+        first, second = (
+            (engine_1, engine_2) if engine_1.running else (engine_2, engine_1)
+        )
+        second.faults.delays_report = False
+        await first.tick(3)
+        await wait_until(lambda: second.backups)
+        await first.close()
+        await wait_until(lambda: second.running)
+        await second.tick(6)
+        assert split_events((await pending).body) == expected_events(6)
+
+    async def test_memory_of_an_engine_that_named_no_start_is_not_used_in_a_release(
+        self, rig
+    ):
+        engine_1, engine_2 = await rig.add_engine("e1"), await rig.add_engine("e2")
+        engine_1.faults.delays_report = engine_2.faults.delays_report = True
+        node = await rig.add_node()
+        pending = asyncio.ensure_future(rig.request("/draft/1"))
+        await wait_until(lambda: engine_1.running or engine_2.running)
+        first, second = (
+            (engine_1, engine_2) if engine_1.running else (engine_2, engine_1)
+        )
+        await first.tick(3)
+        await wait_until(lambda: second.backups)
+        newer = await rig.add_engine("e3")
+        newer.software = "v2"
+        rig.store.put("servers", "e3", newer.row("models"))
+        await wait_until(lambda: len(node.registry.versions("models")) == 2)
+        await first.close()
+        with pytest.raises(UnwrapError):
+            await pending
+        assert not second.ran
+
     async def test_a_resumed_run_gets_no_new_backup(self, rig):
         # An engine leaves, and its runs resume at their backups. When each of them was
         # copied in full again at that moment, the links were busy for seconds, and runs
