Press on the limited endpoint in the test of nodes that hear nobody

Cause: not the tokens. A node that has an idle connection to the other endpoint doesn't choose an unconnected one as long as the other is idle and fast, as that costs less (endpointchoice).

Change: the other endpoint takes 0.15 s for an answer, and the nodes use the limited one as far as its limit lets them. Both bounds and the share of callers served stay as they are; the upper one is now under pressure.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -312,13 +312,17 @@
     """Answers each request with its own id and the request's body.
 
     If it is brittle, it falls over when it has to refuse more than it states.
+    ``answer_seconds`` is how long it takes for an answer otherwise.
     """
 
     brittleness: Brittleness | None = None
+    answer_seconds: float = 0.0
 
     async def _run(self, req: Request, res: Responder, attempt_id: str) -> None:
         brittle = self.brittleness
         if brittle is None:
+            if self.answer_seconds:
+                await asyncio.sleep(self.answer_seconds)
             await self._answer(req, res, attempt_id)
             return
         now = asyncio.get_running_loop().time()
--- a/tests/test_relay_limit.py
+++ b/tests/test_relay_limit.py
@@ -146,7 +146,10 @@
     def test_nodes_that_hear_nobody(self, n_isolated: int):
         async def steps(rig: EndpointFleet) -> None:
             limited = await rig.add_endpoint(1.0)
-            await rig.add_endpoint()
+            # Nodes with a connection to an idle endpoint choose no other one, and would
+            # leave the limited one unused.
+            other = await rig.add_endpoint()
+            other.answer_seconds = 0.15
             traffic = rig.traffic(36.0)
             stated_at = now()
             await traffic.run(4.0)
