Split the prompt broker: messages, the store's rows, and the decision

relay/promptbroker.py had grown to 509 lines with four subjects: evidence, what nodes send one another, rows of the store, and blocks. The messages and their conversion are now in relay/promptnews.py (with the structs that stood in relay/peerupdates.py), the rows in relay/promptblockstore.py.

No decision changes, nor the order in which random numbers are drawn. Tests of the broker, updates between nodes, suspects and crashing parts (12 and 119 nodes) pass; their edits are imports and the place of the rows.

--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -44,8 +44,9 @@
 from .handler import RelayHandler
 from .nodepeers import NodePeers
 from .originbroker import OriginBroker
-from .peerupdates import OriginEntry, PeerUpdates, PromptNews
+from .peerupdates import OriginEntry, PeerUpdates
 from .promptbroker import PromptBroker
+from .promptnews import PromptNews
 from .servers import NodeServers
 from .status import RelayStatus
 from .tablesinks import ConfigSink, EvacuationSink, RegistrationSink, SinkGroup
--- a/celerytrail/relay/peerupdates.py
+++ b/celerytrail/relay/peerupdates.py
@@ -18,6 +18,7 @@
 from ..policies.runlistschedule import MIN_LIST_PERIOD_SECONDS, RunListSchedule
 from ..policies.statedlimits import LimitStatement
 from ..types import Address
+from .promptnews import PromptNews
 
 # Largest relative deviation of the time to the next run list from its period, so
 # that nodes that started together don't send at the same moments.
@@ -71,56 +72,6 @@
     seconds: float
 
 
-class LostRunEntry(msgspec.Struct, array_like=True, frozen=True):
-    """A run that was lost by a crash, as sent between nodes."""
-
-    service: str
-    parts: list[str]
-    own_part: str
-    sent_seconds_ago: float
-
-
-class CrashEntry(msgspec.Struct, array_like=True, frozen=True):
-    """An engine's crash as sent between nodes, with the runs that the sender lost."""
-
-    endpoint: str
-    started_at: int
-    seconds_ago: float
-    runs: list[LostRunEntry]
-
-
-class AnswerEntry(msgspec.Struct, array_like=True, frozen=True):
-    """An answer to a prompt with some parts, as sent between nodes.
-
-    ``is_whole`` says that these are all shared parts of the prompt.
-    """
-
-    service: str
-    parts: list[str]
-    own_part: str
-    seconds_ago: float
-    is_whole: bool = True
-
-
-class BlockEntry(msgspec.Struct, array_like=True, frozen=True):
-    """A statement on prompts with all of some parts; it holds for some seconds."""
-
-    service: str
-    parts: list[str]
-    revision: int
-    seconds: float
-    is_lifted: bool = False
-    is_ordered: bool = False
-
-
-class PromptNews(msgspec.Struct, array_like=True, frozen=True):
-    """News of prompts that crash engines."""
-
-    crashes: list[CrashEntry] = []
-    answers: list[AnswerEntry] = []
-    blocks: list[BlockEntry] = []
-
-
 class NodeUpdate(msgspec.Struct, array_like=True, frozen=True):
     """One node's update: its runs, and events at engines and endpoints.
 
--- a/celerytrail/relay/promptbroker.py
+++ b/celerytrail/relay/promptbroker.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import random
 from collections.abc import Callable, Coroutine, Iterable, Sequence
 from dataclasses import replace
@@ -11,7 +10,6 @@
 
 import msgspec
 from eliot import log_message
-from result import Err
 
 from ..http.messages import Request
 from ..http.routes import Params, Router, send_error
@@ -19,26 +17,29 @@
 from ..metrics import Metrics
 from ..model import Prompt
 from ..nodes.member import Member
-from ..platform import storewire
 from ..policies.blockedprompts import (
     BLOCK_SECONDS,
     OWN_BLOCK_SECONDS,
     Block,
     BlockedPrompts,
-    BlockKey,
 )
-from ..policies.crashsuspects import (
-    Crash,
-    CrashSuspects,
-    LostRun,
-    Part,
-    parts_of,
-)
-from ..rowsource import Row, RowSource
+from ..policies.crashsuspects import Crash, CrashSuspects, Part, parts_of
+from ..rowsource import RowSource
 from ..status import PROMPT_BLOCKS_PATH
 from .nodeorder import NodeOrder
 from .peerrequests import PeerRequests
-from .peerupdates import AnswerEntry, BlockEntry, CrashEntry, LostRunEntry, PromptNews
+from .promptblockstore import PromptBlockStore
+from .promptnews import (
+    MAX_PARTS_PER_DATAGRAM,
+    PromptNews,
+    answer_entry,
+    answered_prompt,
+    block_entry,
+    block_from,
+    crash_entry,
+    crash_from,
+    part_entry,
+)
 
 # Pauses before a crash or a block is announced again, in seconds: datagrams get lost.
 REPEAT_SECONDS = (0.2, 0.5)
@@ -52,22 +53,6 @@
 TOLD_SECONDS = 0.5
 # Keep a datagram of usual prompts below 1,200 bytes.
 MAX_BLOCKS_PER_DATAGRAM = 10
-MAX_RUNS_PER_CRASH = 8
-MAX_PARTS_PER_DATAGRAM = 12
-ROW_KEY_BYTES = 12
-# Timeout of a call to the store, and the mean pause after one that failed, in seconds.
-STORE_SECONDS = 1.0
-STORE_RETRY_SECONDS = 1.0
-
-
-class BlockRow(msgspec.Struct, frozen=True, kw_only=True, rename="kebab"):
-    """The value of a block's row in the store."""
-
-    service: str
-    parts: list[str]
-    revision: int
-    is_lifted: bool = False
-    is_ordered: bool = False
 
 
 class BlockOrder(msgspec.Struct, frozen=True, kw_only=True):
@@ -121,20 +106,23 @@
         rng: random.Random,
         metrics: Metrics,
     ) -> None:
-        self._node = node
-        self._node_order = node_order
         self._announce = announce
         self._tell = tell
         self._others = others
-        self._rows = rows
         self._requests = requests
         self._rng = rng
         self._metrics = metrics
         self.suspects = CrashSuspects()
         self.blocked = BlockedPrompts()
-        # The statements that the store has, by their revisions.
-        self._stored: dict[BlockKey, int] = {}
-        self._is_writing = False
+        self._store = PromptBlockStore(
+            node=node,
+            node_order=node_order,
+            rows=rows,
+            blocked=self.blocked,
+            on_block=self._put,
+            rng=rng,
+        )
+        self._writing: asyncio.Task[None] | None = None
         # By part, until when nobody needs to tell again that it was answered on.
         self._told_until: dict[Part, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -146,10 +134,10 @@
     def record_crash(self, crash: Crash) -> None:
         """Record a crash by which this node lost runs, and announce it."""
         now = _now()
-        self._announce(PromptNews(crashes=[_crash_entry(crash, now)]))
+        self._announce(PromptNews(crashes=[crash_entry(crash, now)]))
         self._later(
             REPEAT_SECONDS,
-            lambda: self._announce(PromptNews(crashes=[_crash_entry(crash, _now())])),
+            lambda: self._announce(PromptNews(crashes=[crash_entry(crash, _now())])),
         )
         self._tell_answers_later(crash)
         for block in self._apply_crash(crash, now):
@@ -159,13 +147,7 @@
         """Record that an engine has evidently begun an answer to a prompt."""
         now = _now()
         if self.suspects.record_answer(prompt, now):
-            entry = AnswerEntry(
-                service=prompt.service,
-                parts=list(prompt.shared_parts),
-                own_part=prompt.own_part,
-                seconds_ago=0.0,
-            )
-            self._announce(PromptNews(answers=[entry]))
+            self._announce(PromptNews(answers=[answer_entry(prompt)]))
         lifted = self._lift_found(prompt, now)
         if lifted is not None:
             self._announce_block(lifted)
@@ -174,23 +156,18 @@
         """Record what another node announces."""
         now = _now()
         for answer in news.answers:
-            prompt = Prompt(
-                service=answer.service,
-                shared_parts=tuple(answer.parts),
-                own_part=answer.own_part,
-            )
+            prompt = answered_prompt(answer)
             self.suspects.record_answer(
                 prompt, now - answer.seconds_ago, is_whole=answer.is_whole
             )
             self._record_told(parts_of(prompt), now)
             if answer.is_whole:
                 self._lift_found(prompt, now)
-        for entry in news.crashes:
-            crash = _crash_from(entry, now)
+        for crash in [crash_from(entry, now) for entry in news.crashes]:
             self._apply_crash(crash, now)
             self._tell_answers_later(crash)
-        for block_entry in news.blocks:
-            self._put(_block_from(block_entry, now))
+        for block in [block_from(entry, now) for entry in news.blocks]:
+            self._put(block)
 
     def set_blocked(
         self, service: str, parts: Iterable[str], *, is_blocked: bool
@@ -204,11 +181,11 @@
 
     async def run(self) -> None:
         """Read the blocks that the store has, and pass them on, until cancelled."""
-        self._start(self._read_store())
+        self._start(self._store.read())
         while True:
             await asyncio.sleep(PASS_ON_SECONDS * self._rng.uniform(0.8, 1.2))
             self._pass_on()
-            self._write_store()
+            self._write_missing()
 
     def close(self) -> None:
         """Cancel what is in progress."""
@@ -279,16 +256,7 @@
             answered_at = self.suspects.answered_at(part)
             if answered_at is None or now < self._told_until.get(part, 0.0):
                 continue
-            service, name = part
-            entries.append(
-                AnswerEntry(
-                    service=service,
-                    parts=[name],
-                    own_part="",
-                    seconds_ago=round(now - answered_at, 3),
-                    is_whole=False,
-                )
-            )
+            entries.append(part_entry(part, now - answered_at))
         if entries:
             self._record_told(parts, now)
             self._announce(PromptNews(answers=entries[:MAX_PARTS_PER_DATAGRAM]))
@@ -336,7 +304,7 @@
 
     def _announce_block(self, block: Block) -> None:
         def announce() -> None:
-            self._announce(PromptNews(blocks=[_block_entry(block, _now())]))
+            self._announce(PromptNews(blocks=[block_entry(block, _now())]))
 
         announce()
         self._later(REPEAT_SECONDS, announce)
@@ -350,84 +318,16 @@
             return
         told = self._rng.sample(blocks, min(len(blocks), MAX_BLOCKS_PER_DATAGRAM))
         members = self._rng.sample(others, min(len(others), N_PASSED_TO))
-        news = PromptNews(blocks=[_block_entry(block, now) for block in told])
+        news = PromptNews(blocks=[block_entry(block, now) for block in told])
         self._tell(news, members)
 
-    # The store.
-
-    async def _read_store(self) -> None:
-        while True:
-            found = await self._rows.read(
-                storewire.PROMPT_BLOCKS_TABLE, _now() + STORE_SECONDS
-            )
-            if not isinstance(found, Err):
-                break
-            await asyncio.sleep(STORE_RETRY_SECONDS * self._rng.uniform(0.5, 1.5))
-        for row in found.ok_value.rows:
-            self._apply_row(row)
-
-    def _apply_row(self, row: Row) -> None:
-        if row.value is None:
-            return
-        try:
-            entry = msgspec.json.decode(row.value, type=BlockRow)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            log_message("relay:prompt:unreadable", row=row.key, problem=str(exc))
-            return
-        block = Block(
-            service=entry.service,
-            parts=frozenset(entry.parts),
-            revision=entry.revision,
-            ends_at=_now() + BLOCK_SECONDS,
-            is_lifted=entry.is_lifted,
-            is_ordered=entry.is_ordered,
-        )
-        self._put(block)
-        self._stored[block.key] = block.revision
-
-    def _write_store(self) -> None:
+    def _write_missing(self) -> None:
         """Write the statements that the store lacks, if this node writes them."""
-        if self._is_writing:
+        if self._writing is not None and not self._writing.done():
             return
-        missing = [
-            block
-            for block in self.blocked.all()
-            if self._stored.get(block.key, 0) < block.revision
-            and not block.is_on_one_request
-            and self._is_writer(block)
-        ]
+        missing = self._store.missing()
         if missing:
-            self._is_writing = True
-            self._start(self._write(missing))
-
-    def _is_writer(self, block: Block) -> bool:
-        key = f"prompt block {_row_key(block)}"
-        return any(
-            member.node == self._node for member in self._node_order.first(key, 1)
-        )
-
-    async def _write(self, blocks: Sequence[Block]) -> None:
-        try:
-            for block in blocks:
-                row = BlockRow(
-                    service=block.service,
-                    parts=sorted(block.parts),
-                    revision=block.revision,
-                    is_lifted=block.is_lifted,
-                    is_ordered=block.is_ordered,
-                )
-                put = await self._rows.put(
-                    storewire.PROMPT_BLOCKS_TABLE,
-                    _row_key(block),
-                    msgspec.json.encode(row),
-                    _now() + STORE_SECONDS,
-                )
-                if isinstance(put, Err):
-                    log_message("relay:prompt:not_stored", reason=str(put.err_value))
-                else:
-                    self._stored[block.key] = block.revision
-        finally:
-            self._is_writing = False
+            self._writing = self._start(self._store.write(missing))
 
     # Tasks.
 
@@ -436,73 +336,11 @@
         for seconds in delays:
             loop.call_later(seconds, action)
 
-    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+    def _start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-
-
-def _row_key(block: Block) -> str:
-    text = f"{block.service} {' '.join(sorted(block.parts))}"
-    return hashlib.blake2b(text.encode(), digest_size=ROW_KEY_BYTES).hexdigest()
-
-
-def _crash_entry(crash: Crash, now: float) -> CrashEntry:
-    endpoint, started_at = crash.incarnation
-    return CrashEntry(
-        endpoint=endpoint,
-        started_at=started_at,
-        seconds_ago=round(now - crash.crashed_at, 4),
-        runs=[
-            LostRunEntry(
-                service=run.prompt.service,
-                parts=list(run.prompt.shared_parts[:MAX_PARTS_PER_DATAGRAM]),
-                own_part=run.prompt.own_part,
-                sent_seconds_ago=round(now - run.sent_at, 4),
-            )
-            for run in crash.runs[:MAX_RUNS_PER_CRASH]
-        ],
-    )
-
-
-def _crash_from(entry: CrashEntry, now: float) -> Crash:
-    return Crash(
-        incarnation=(entry.endpoint, entry.started_at),
-        runs=tuple(
-            LostRun(
-                prompt=Prompt(
-                    service=run.service,
-                    shared_parts=tuple(run.parts),
-                    own_part=run.own_part,
-                ),
-                sent_at=now - run.sent_seconds_ago,
-            )
-            for run in entry.runs
-        ),
-        crashed_at=now - entry.seconds_ago,
-    )
-
-
-def _block_entry(block: Block, now: float) -> BlockEntry:
-    return BlockEntry(
-        service=block.service,
-        parts=sorted(block.parts),
-        revision=block.revision,
-        seconds=round(max(0.0, block.ends_at - now), 2),
-        is_lifted=block.is_lifted,
-        is_ordered=block.is_ordered,
-    )
-
-
-def _block_from(entry: BlockEntry, now: float) -> Block:
-    return Block(
-        service=entry.service,
-        parts=frozenset(entry.parts),
-        revision=entry.revision,
-        ends_at=now + min(entry.seconds, BLOCK_SECONDS),
-        is_lifted=entry.is_lifted,
-        is_ordered=entry.is_ordered,
-    )
+        return task
 
 
 def _now() -> float:
--- a/tests/test_relay_prompt_broker.py
+++ b/tests/test_relay_prompt_broker.py
@@ -11,8 +11,9 @@
 from celerytrail.nodes.signing import PeerKeys
 from celerytrail.platform import storewire
 from celerytrail.policies.crashsuspects import Crash, LostRun
-from celerytrail.relay.peerupdates import NodeUpdate, PromptNews
+from celerytrail.relay.peerupdates import NodeUpdate
 from celerytrail.relay.promptbroker import BlockOrder, PromptBroker
+from celerytrail.relay.promptnews import PromptNews
 from celerytrail.status import PROMPT_BLOCKS_PATH, STATUS_PATH
 from tests.limitrig import now
 from tests.relayrig import HOST, KEY
@@ -46,8 +47,8 @@
 
     def __init__(self, broker: PromptBroker) -> None:
         self.n_puts = 0
-        self._put = broker._rows.put
-        broker._rows.put = self.put
+        self._put = broker._store._rows.put
+        broker._store._rows.put = self.put
 
     async def put(self, *args):
         self.n_puts += 1
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -17,12 +17,11 @@
 from celerytrail.policies.statedlimits import LimitStatement
 from celerytrail.relay.peerupdates import (
     MAX_RUNS_PER_DATAGRAM,
-    BlockEntry,
     NodeUpdate,
     PeerUpdates,
-    PromptNews,
     _run_entry,
 )
+from celerytrail.relay.promptnews import BlockEntry, PromptNews
 from celerytrail.relay.tablemirror import MAX_CHANGES, TableMirror
 from celerytrail.relay.tablewatch import OUTAGE_SECONDS, TableSink, TableWatch
 from celerytrail.rowsource import (
