Split the node's construction, and move metrics and draining out of it

RelayNode._make_serving was 130 lines, and the node also served its metrics and drained its servers. Construction is six short methods now, each with one subject; relay/gauges.py serves the metrics (RelayMetrics), and NodeServers drains.

Tests of nodes, metrics, moves, versions, cold endpoints and crashes pass.

--- a/celerytrail/relay/gauges.py
+++ b/celerytrail/relay/gauges.py
@@ -1,10 +1,14 @@
-"""Gauges of a node on a platform, set when its metrics are read."""
+"""The metrics of a node on a platform, with gauges that are set when they are read."""
 
 from __future__ import annotations
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 
+from ..http.messages import Request
+from ..http.routes import Params, Router
+from ..http.server import Responder
 from ..metrics import Metrics
 from ..model import RelayConfig
 from ..nodes.nodes import Nodes
@@ -17,44 +21,98 @@
 from .promptbroker import PromptBroker
 
 
-def set_gauges(
-    metrics: Metrics,
-    *,
-    cfg: RelayConfig | None,
-    nodes: Nodes,
-    freshness: Freshness,
-    endpoints: EndpointState,
-    access: EndpointAccess,
-    generations: Generations,
-    origins: OriginBroker,
-    prompts: PromptBroker,
-    peer_updates: PeerUpdates,
-) -> None:
-    """Set the gauges to the node's present state."""
-    now = asyncio.get_running_loop().time()
-    nodes.update_member_gauge()
-    values = {
-        "configuration_version": cfg.version if cfg else 0,
-        "knowledge_age_seconds": freshness.age_seconds or 0.0,
-        "evacuated_domains": len(endpoints.evacuations.domains),
-        "cold_endpoints": endpoints.cold.n_cold(now),
-        "limited_endpoints": len(endpoints.limits.rates.in_force()),
-        "brittle_endpoints": len(endpoints.limits.brittle.in_force()),
-        "paused_endpoints": endpoints.pauses.n_paused(now),
-        "lost_paths": access.reach.n_lost,
-        "cut_off_services": len(access.cut_off_services),
-        "cut_off_nodes": access.cut_off_nodes.n_cut_off(now),
-        "open_tunnels": access.tunnels.n_open,
-        "streams": generations.n_live,
-        "known_streams": len(origins.origins),
-        "blocked_prompts": len(prompts.blocked.in_force(now)),
-        "suspected_crashes": prompts.suspects.n_crashes,
-        "news_sent": peer_updates.n_sent,
-        "news_sent_bytes": peer_updates.n_sent_bytes,
-        "news_period_seconds": peer_updates.period_seconds,
-    }
-    for name, value in values.items():
-        metrics.set(name, float(value))
-    counts = Counter((reg.service, reg.version) for reg in endpoints.registry.all())
-    for (service, version), n in counts.items():
-        metrics.set("endpoint_versions", n, service=service, version=version)
+class RelayMetrics:
+    """Serves the metrics of a node.
+
+    Parameters
+    ----------
+    metrics : Metrics
+        The metrics.
+    config : callable
+        Returns the configuration in force, None before the first.
+    nodes : Nodes
+        The known nodes.
+    freshness : Freshness
+        How old this node's knowledge is.
+    endpoints : EndpointState
+        What is known of the endpoints.
+    access : EndpointAccess
+        Reaches them.
+    generations : Generations
+        The generations in progress.
+    origins : OriginBroker
+        What is known of streams that may be taken up.
+    prompts : PromptBroker
+        Which prompts crash engines.
+    peer_updates : PeerUpdates
+        The updates that nodes send one another.
+    """
+
+    def __init__(
+        self,
+        *,
+        metrics: Metrics,
+        config: Callable[[], RelayConfig | None],
+        nodes: Nodes,
+        freshness: Freshness,
+        endpoints: EndpointState,
+        access: EndpointAccess,
+        generations: Generations,
+        origins: OriginBroker,
+        prompts: PromptBroker,
+        peer_updates: PeerUpdates,
+    ) -> None:
+        self._metrics = metrics
+        self._config = config
+        self._nodes = nodes
+        self._freshness = freshness
+        self._endpoints = endpoints
+        self._access = access
+        self._generations = generations
+        self._origins = origins
+        self._prompts = prompts
+        self._peer_updates = peer_updates
+
+    def add_routes(self, router: Router) -> None:
+        """Add the route at which the metrics are read."""
+        router.add("GET", "/metrics", self._answer)
+
+    async def _answer(self, req: Request, res: Responder, _: Params) -> None:
+        self._set_gauges()
+        body, headers = self._metrics.render()
+        await res.send(200, body, headers)
+
+    def _set_gauges(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self._nodes.update_member_gauge()
+        for name, value in self._values(now).items():
+            self._metrics.set(name, float(value))
+        counts = Counter(
+            (reg.service, reg.version) for reg in self._endpoints.registry.all()
+        )
+        for (service, version), n in counts.items():
+            self._metrics.set("endpoint_versions", n, service=service, version=version)
+
+    def _values(self, now: float) -> dict[str, float]:
+        cfg = self._config()
+        endpoints, access = self._endpoints, self._access
+        return {
+            "configuration_version": cfg.version if cfg else 0,
+            "knowledge_age_seconds": self._freshness.age_seconds or 0.0,
+            "evacuated_domains": len(endpoints.evacuations.domains),
+            "cold_endpoints": endpoints.cold.n_cold(now),
+            "limited_endpoints": len(endpoints.limits.rates.in_force()),
+            "brittle_endpoints": len(endpoints.limits.brittle.in_force()),
+            "paused_endpoints": endpoints.pauses.n_paused(now),
+            "lost_paths": access.reach.n_lost,
+            "cut_off_services": len(access.cut_off_services),
+            "cut_off_nodes": access.cut_off_nodes.n_cut_off(now),
+            "open_tunnels": access.tunnels.n_open,
+            "streams": self._generations.n_live,
+            "known_streams": len(self._origins.origins),
+            "blocked_prompts": len(self._prompts.blocked.in_force(now)),
+            "suspected_crashes": self._prompts.suspects.n_crashes,
+            "news_sent": self._peer_updates.n_sent,
+            "news_sent_bytes": self._peer_updates.n_sent_bytes,
+            "news_period_seconds": self._peer_updates.period_seconds,
+        }
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -10,10 +10,9 @@
 from eliot import log_message
 
 from ..clock import Clock, SystemClock
-from ..http.messages import Request
 from ..http.network import Network, SystemNetwork
-from ..http.routes import Params, Router
-from ..http.server import Responder, ServerLimits
+from ..http.routes import Router
+from ..http.server import ServerLimits
 from ..metrics import Metrics
 from ..model import Registration, RelayConfig, Service
 from ..nodes.member import Member
@@ -40,7 +39,7 @@
 from .enginerelay import EnginePolicies, EngineRelay
 from .enginewatch import EngineWatch
 from .followedtables import FollowedTables
-from .gauges import set_gauges
+from .gauges import RelayMetrics
 from .handler import RelayHandler
 from .nodepeers import NodePeers
 from .originbroker import OriginBroker
@@ -57,8 +56,6 @@
 STOP_ACCEPT_SECONDS = 6.0
 # Time before it is killed at which a stopping node ends the last tunnels, in seconds.
 STOP_MARGIN_SECONDS = 0.5
-# Interval at which a stopping node closes idle connections, in seconds.
-STOP_POLL_SECONDS = 0.1
 
 
 class RelayNode:
@@ -121,10 +118,15 @@
         self.rows = peers.rows
         self.shared_rows = peers.shared_rows
         self._keys = peers.keys
+        self._make_endpoints()
         self._make_tables()
-        self._make_serving()
+        self._make_updates()
+        self._make_access()
+        self._make_relay()
+        self._make_servers()
 
-    def _make_tables(self) -> None:
+    def _make_endpoints(self) -> None:
+        """Create what is known of endpoints, and of prompts that crash them."""
         self._limits = EndpointLimits(
             node=self.node_id,
             node_order=self._peers.node_order,
@@ -146,7 +148,7 @@
             rng=self._rng,
             metrics=self._metrics,
         )
-        self._endpoint_state = state = EndpointState(
+        self._endpoint_state = EndpointState(
             cfg=self.cfg,
             find_service=self._find_service,
             node_order=self._peers.node_order,
@@ -155,10 +157,12 @@
             on_leaving=self._on_leaving,
             announce_leaving=lambda reg: self.peer_updates.announce_leaving(reg),
         )
-        self.registry = state.registry
+        self.registry = self._endpoint_state.registry
+
+    def _make_tables(self) -> None:
+        """Create what follows the platform's tables."""
+        state = self._endpoint_state
         self._versions = VersionHistory()
-        self._decode_times = DecodeTimes()
-        self.loads = EngineLoads(token_seconds=self._decode_times.token_seconds)
         self.configs = ConfigSink(
             key=storewire.CONFIG_KEY, decode=decode_config, on_change=self._on_config
         )
@@ -182,10 +186,12 @@
             metrics=self._metrics,
         )
 
-    def _make_serving(self) -> None:
-        cfg = self.cfg
-        rates = PrefillRates()
-        self._prefills = PrefillObserver(rates=rates)
+    def _make_updates(self) -> None:
+        """Create what nodes tell one another of runs, endpoints and retries."""
+        self._decode_times = DecodeTimes()
+        self.loads = EngineLoads(token_seconds=self._decode_times.token_seconds)
+        self._prefill_rates = PrefillRates()
+        self._prefills = PrefillObserver(rates=self._prefill_rates)
         self.peer_updates = PeerUpdates(
             node=self.node_id,
             loads=self.loads,
@@ -203,13 +209,16 @@
             on_prompt_news=self.prompts.record_news,
             rng=self._rng,
         )
-        self._budget = budget = SharedRetryBudget(
-            ratio=cfg.retry_ratio,
-            allowance=cfg.retry_slack,
-            window_seconds=cfg.retry_window_seconds,
+        self._budget = SharedRetryBudget(
+            ratio=self.cfg.retry_ratio,
+            allowance=self.cfg.retry_slack,
+            window_seconds=self.cfg.retry_window_seconds,
             received_share=self._peers.node_order.running_share,
             tell=self.peer_updates.announce_retry,
         )
+
+    def _make_access(self) -> None:
+        """Create what reaches endpoints, and the owners' records of streams."""
         self.access = EndpointAccess(
             network=self._network,
             nodes=self.nodes,
@@ -231,15 +240,19 @@
             is_current=lambda: self._tables.has_current_registrations,
             clock=self._clock,
         )
+
+    def _make_relay(self) -> None:
+        """Create what sends requests to endpoints."""
+        failure_domain = self.cfg.failure_domain
         relay = EngineRelay(
-            failure_domain=cfg.failure_domain,
+            failure_domain=failure_domain,
             endpoints=self._endpoint_state,
             access=self.access,
             peer_updates=self.peer_updates,
             loads=self.loads,
             decode_times=self._decode_times,
-            rates=rates,
-            budget=budget,
+            rates=self._prefill_rates,
+            budget=self._budget,
             origins=self.origins,
             prompts=self.prompts,
             policies=self._policies,
@@ -247,9 +260,10 @@
             metrics=self._metrics,
         )
         self.generations = relay.generations
+        self._resumptions = relay.resumptions
         gate, answers = self._endpoint_state.gate, self._endpoint_state.answers
         self._choice = EndpointChoice(
-            failure_domain=cfg.failure_domain,
+            failure_domain=failure_domain,
             rng=self._rng,
             tell=self._announce_abort,
             is_connected=self.access.client.is_connected,
@@ -258,7 +272,7 @@
             client=self.access.client,
             registry=self.registry,
             choice=self._choice,
-            budget=budget,
+            budget=self._budget,
             gate=gate,
             answers=answers,
         )
@@ -273,12 +287,15 @@
             on_leaving=answers.record_leaving,
             on_started=relay.starts.record,
         )
+
+    def _make_servers(self) -> None:
+        """Create the servers of callers and of other nodes."""
         handler = RelayHandler(
             config=lambda: self.configs.cfg,
             freshness=self._freshness,
             calls=self.calls,
             generations=self.generations,
-            resumptions=relay.resumptions,
+            resumptions=self._resumptions,
             blocked=self.prompts.blocked,
             has_others=lambda: any(
                 member.node != self.node_id for member in self.nodes.live()
@@ -290,10 +307,21 @@
         )
         directory = DirectoryHandler(
             nodes=self.nodes,
-            max_seconds=cfg.max_address_seconds,
+            max_seconds=self.cfg.max_address_seconds,
             rng=self._rng,
             is_cut_off=self.access.is_node_cut_off,
         )
+        self._servers = NodeServers(
+            cfg=self.cfg,
+            network=self._network,
+            callers=handler,
+            peers=self._make_router(),
+            directory=directory,
+            readiness=ReadinessHandler(is_ready=lambda: self.is_ready),
+        )
+
+    def _make_router(self) -> Router:
+        """Return the routes for other nodes and for operators."""
         router = Router()
         self.nodes.add_routes(router)
         self.shared_rows.add_routes(router)
@@ -311,15 +339,19 @@
             keys=self._keys,
             metrics=self._metrics,
         ).add_routes(router)
-        router.add("GET", "/metrics", self._answer_metrics)
-        self._servers = NodeServers(
-            cfg=cfg,
-            network=self._network,
-            callers=handler,
-            peers=router,
-            directory=directory,
-            readiness=ReadinessHandler(is_ready=lambda: self.is_ready),
-        )
+        RelayMetrics(
+            metrics=self._metrics,
+            config=lambda: self.configs.cfg,
+            nodes=self.nodes,
+            freshness=self._freshness,
+            endpoints=self._endpoint_state,
+            access=self.access,
+            generations=self.generations,
+            origins=self.origins,
+            prompts=self.prompts,
+            peer_updates=self.peer_updates,
+        ).add_routes(router)
+        return router
 
     # Starting and stopping.
 
@@ -354,12 +386,7 @@
             n_busy=self._servers.callers.n_busy,
         )
         self.nodes.set_serving(False)
-        self._servers.callers.retire()
-        accept_until = loop.time() + STOP_ACCEPT_SECONDS
-        while loop.time() < accept_until:
-            await asyncio.sleep(STOP_POLL_SECONDS)
-            self._servers.callers.retire()
-        await self._servers.callers.drain()
+        await self._servers.drain(loop.time() + STOP_ACCEPT_SECONDS)
         await self.access.tunnels.stop(self._killed_at - STOP_MARGIN_SECONDS)
         await self._peers.node_rows.leave()
         for task in self._tasks:
@@ -420,24 +447,6 @@
     def _run(self, work: Coroutine[object, object, None]) -> None:
         self._tasks.append(asyncio.get_running_loop().create_task(work))
 
-    async def _answer_metrics(
-        self, req: Request, res: Responder, params: Params
-    ) -> None:
-        set_gauges(
-            self._metrics,
-            cfg=self.configs.cfg,
-            nodes=self.nodes,
-            freshness=self._freshness,
-            endpoints=self._endpoint_state,
-            access=self.access,
-            generations=self.generations,
-            origins=self.origins,
-            prompts=self.prompts,
-            peer_updates=self.peer_updates,
-        )
-        body, headers = self._metrics.render()
-        await res.send(200, body, headers)
-
     def _find_service(self, name: str) -> Service | None:
         cfg = self.configs.cfg
         return cfg.services.get(name) if cfg else None
--- a/celerytrail/relay/servers.py
+++ b/celerytrail/relay/servers.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from ..http.network import Network
 from ..http.server import Handler, HttpServer, ServerLimits
 from ..platform.nodesettings import RelaySettings
 
+# Interval at which a stopping node closes idle connections, in seconds.
+STOP_POLL_SECONDS = 0.1
+
 
 class NodeServers:
     """Listens on the addresses that the settings name.
@@ -44,6 +49,15 @@
             if address is not None:
                 await server.start(address)
 
+    async def drain(self, accept_until: float) -> None:
+        """Accept connections until a loop time, and let all answers end."""
+        loop = asyncio.get_running_loop()
+        self.callers.retire()
+        while loop.time() < accept_until:
+            await asyncio.sleep(STOP_POLL_SECONDS)
+            self.callers.retire()
+        await self.callers.drain()
+
     async def close(self) -> None:
         """Stop at once, aborting what is in progress."""
         for server, _ in self._listeners:
