Split the sending of a run in the engine opener

_send was over 100 lines with a nested function that wrote two variables of the outer one. What belongs to one send is now a small class, and its steps are methods: what keeps it from being sent, an answer that didn't begin, and whether its start is known. The order of the checks is as before.

Tests of moves, versions, crashes, cold endpoints and nodes pass.

--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass
 
 from result import Err, Ok, Result
 
-from ..http.client import HttpClient, NotSent, Stream
+from ..http.client import ClientError, HttpClient, NotSent, Stream
 from ..model import Registration
 from ..platform import wire
 from ..policies.crashsuspects import LostRun
@@ -40,6 +41,26 @@
 LIMIT_WAIT_SECONDS = 4.0
 
 
+@dataclass(kw_only=True, slots=True)
+class _Sending:
+    """A run that is being sent to an engine.
+
+    ``obstacle`` is why it wasn't sent, None if it was, and ``check`` finds out which
+    start of the engine runs it.
+    """
+
+    live: LiveRun
+    admission: Admission
+    copied: Copied | None
+    obstacle: str | None = None
+    check: asyncio.Task[int | None] | None = None
+
+    @property
+    def is_new(self) -> bool:
+        """Return whether the run may begin at any version."""
+        return self.copied is None and self.live.binding.version is None
+
+
 class EngineOpener:
     """Opens the streams of runs.
 
@@ -161,6 +182,7 @@
         reg = admission.reg
         if ex.seconds_left <= 0:
             return Err(Failed(reason="timeout"))
+        sending = _Sending(live=live, admission=admission, copied=copied)
         facts = wire.ForwardMetadata(
             endpoint=reg.endpoint,
             budget_seconds=ex.seconds_left,
@@ -170,28 +192,7 @@
             resume_from=copied.name if copied else None,
             last_event_id=live.last_event_id,
         )
-        obstacle = ""
-        check: asyncio.Task[int | None] | None = None
-        sent_at = asyncio.get_running_loop().time()
-
-        def may_send() -> bool:
-            nonlocal obstacle, check
-            is_new = copied is None
-            if not (ex.may_send() if is_new else ex.can_continue()):
-                return False
-            source = copied.source if copied is not None else None
-            if not live.binding.allows(reg, copied_from=source):
-                obstacle = OTHER_VERSION
-                return False
-            admits = self._gate.may_begin if is_new else self._gate.may_continue
-            if not admits(admission):
-                is_blocked = self._gate.find_block(admission.prompt) is not None
-                obstacle = PROMPT_BLOCKED if is_blocked else ENDPOINT_CLOSED
-                return False
-            check = self._starts.begin(reg)
-            live.sent_at = asyncio.get_running_loop().time()
-            return True
-
+        asked_at = asyncio.get_running_loop().time()
         opened = await self._client.open(
             reg.address,
             ex.req.method,
@@ -202,47 +203,69 @@
             connect_seconds=CONNECT_SECONDS,
             max_idle=self._gate.max_idle_connections(reg),
             request_id=ex.facts.attempt_id,
-            may_send=may_send,
+            may_send=lambda: self._begin_sending(sending),
         )
         if isinstance(opened, Err):
-            exc = opened.err_value
-            reason = obstacle or exc.reason
-            ex.log("attempt_failed", endpoint=reg.endpoint, reason=reason)
-            if isinstance(exc, NotSent):
-                return Err(NotExecuted(reason=reason))
-            self.record_lost(live, reg, exc.reason)
-            return Err(Failed(reason=exc.reason))
+            return Err(self._on_unopened(sending, opened.err_value))
         stream = opened.ok_value
-        if self._answers.read(ex, reg, stream, sent_at):
+        if self._answers.read(ex, reg, stream, asked_at):
             await stream.read(ex.loop_deadline)
             return Err(NotExecuted(reason="engine_refused", was_sent=True))
         live.n_runs += 1
-        is_new = copied is None and live.binding.version is None
+        if not await self._may_use(sending, stream):
+            ex.log("attempt_failed", endpoint=reg.endpoint, reason=OTHER_VERSION)
+            return Err(Failed(reason=OTHER_VERSION))
+        _log_placed(sending, backup, stream.status)
+        return Ok(stream)
+
+    def _begin_sending(self, sending: _Sending) -> bool:
+        """Return whether a run may be sent now, and begin to check its engine's start.
+
+        Called right before the first byte.
+        """
+        sending.obstacle = self._find_obstacle(sending)
+        if sending.obstacle is not None:
+            return False
+        sending.check = self._starts.begin(sending.admission.reg)
+        sending.live.sent_at = asyncio.get_running_loop().time()
+        return True
+
+    def _find_obstacle(self, sending: _Sending) -> str | None:
+        """Return why a run may not be sent now; empty if its own request forbids it."""
+        live, admission, copied = sending.live, sending.admission, sending.copied
+        may_send = live.ex.may_send if copied is None else live.ex.can_continue
+        if not may_send():
+            return ""
+        source = copied.source if copied is not None else None
+        if not live.binding.allows(admission.reg, copied_from=source):
+            return OTHER_VERSION
+        gate = self._gate
+        if (gate.may_begin if copied is None else gate.may_continue)(admission):
+            return None
+        is_blocked = gate.find_block(admission.prompt) is not None
+        return PROMPT_BLOCKED if is_blocked else ENDPOINT_CLOSED
+
+    def _on_unopened(self, sending: _Sending, exc: ClientError) -> NotExecuted | Failed:
+        """Return the outcome of a run whose engine sent no head of an answer."""
+        live, reg = sending.live, sending.admission.reg
+        reason = sending.obstacle or exc.reason
+        live.ex.log("attempt_failed", endpoint=reg.endpoint, reason=reason)
+        if isinstance(exc, NotSent):
+            return NotExecuted(reason=reason)
+        self.record_lost(live, reg, exc.reason)
+        return Failed(reason=exc.reason)
+
+    async def _may_use(self, sending: _Sending, stream: Stream) -> bool:
+        """Return whether the caller may get an engine's answer; close it otherwise."""
         is_known = False
         try:
-            is_known = check is None or await self._is_known(live, reg, check, is_new)
+            is_known = sending.check is None or await self._is_known(
+                sending.live, sending.admission.reg, sending.check, sending.is_new
+            )
         finally:
             if not is_known:
                 stream.close()
-        if not is_known:
-            ex.log("attempt_failed", endpoint=reg.endpoint, reason=OTHER_VERSION)
-            return Err(Failed(reason=OTHER_VERSION))
-        ex.log(
-            "placed",
-            endpoint=reg.endpoint,
-            version=reg.version,
-            started_at=reg.started_at,
-            backup=backup.endpoint if backup else "",
-            backup_version=backup.version if backup else "",
-            resumes=ex.facts.resumed_attempt,
-            last_event=live.last_event_id,
-            copy=copied.name if copied else None,
-            bound_to=live.binding.version,
-            status=stream.status,
-            waited=round(live.waited_seconds, 3),
-            n_queued_tokens=live.n_queued_tokens,
-        )
-        return Ok(stream)
+        return is_known
 
     async def _is_known(
         self,
@@ -269,6 +292,25 @@
         return True
 
 
+def _log_placed(sending: _Sending, backup: Registration | None, status: int) -> None:
+    live, reg, copied = sending.live, sending.admission.reg, sending.copied
+    live.ex.log(
+        "placed",
+        endpoint=reg.endpoint,
+        version=reg.version,
+        started_at=reg.started_at,
+        backup=backup.endpoint if backup else "",
+        backup_version=backup.version if backup else "",
+        resumes=live.ex.facts.resumed_attempt,
+        last_event=live.last_event_id,
+        copy=copied.name if copied else None,
+        bound_to=live.binding.version,
+        status=status,
+        waited=round(live.waited_seconds, 3),
+        n_queued_tokens=live.n_queued_tokens,
+    )
+
+
 def _confirm(live: LiveRun, reg: Registration, check: asyncio.Task[int | None]) -> None:
     """Take the version from the row of an engine whose late report names its start."""
     if not check.cancelled() and check.result() == reg.started_at:
