Rank suspected prompt parts only for crashes that could show a cause

At each report of a crash all parts of all crashes were ranked, each against each crash.

A node that computes for seconds serves nobody and is out of touch, all nodes at the same moment.

Change: crashes are found by part; a report ranks parts only if one of the crash's own could be a cause by its count, and parts of a single crash aren't ranked. Among parts that fit equally the order of names decides; it hung on Python's hash seed.

Remaining: what reports cost to send and read when hundreds of engines are lost at once isn't measured.

--- a/celerytrail/policies/crashsuspects.py
+++ b/celerytrail/policies/crashsuspects.py
@@ -82,9 +82,26 @@
     crashed_at: float
     # By the parts of a prompt, when the latest of its lost runs was sent.
     runs: dict[frozenset[Part], float] = field(default_factory=dict)
+    # By part, when the latest lost run with it was sent, and the requests that had it,
+    # told apart by their own parts.
+    sent_at: dict[Part, float] = field(default_factory=dict)
+    requests: dict[Part, set[frozenset[Part]]] = field(default_factory=dict)
     # The parts that were found to cause it, if they were.
     cause: frozenset[Part] | None = None
 
+    def add_run(self, parts: frozenset[Part], sent_at: float) -> bool:
+        """Add a lost run; return whether it adds to what is known."""
+        if sent_at <= self.runs.get(parts, float("-inf")):
+            return False
+        if len(self.runs) >= MAX_RUNS and parts not in self.runs:
+            return False
+        self.runs[parts] = sent_at
+        request = frozenset(filter(_is_own, parts))
+        for part in parts:
+            self.sent_at[part] = max(self.sent_at.get(part, 0.0), sent_at)
+            self.requests.setdefault(part, set()).add(request)
+        return True
+
     def explain_by(self, cause: frozenset[Part]) -> None:
         """Record a known cause, if a lost run had it."""
         if any(cause <= held for held in self.runs):
@@ -92,8 +109,11 @@
 
     def suspects(self) -> set[Part]:
         """Return the parts that may have caused it."""
-        held = {part for parts in self.runs for part in parts}
-        return held if self.cause is None else held & self.cause
+        return {part for part in self.sent_at if self.is_suspect(part)}
+
+    def is_suspect(self, part: Part) -> bool:
+        """Return whether a part of a lost run may have caused it."""
+        return self.cause is None or part in self.cause
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -124,11 +144,11 @@
 
     def __init__(self) -> None:
         self._crashes: dict[Incarnation, _Crash] = {}
+        # By part, the crashes by which runs with it were lost.
+        self._lost_with: dict[Part, set[Incarnation]] = {}
         self._answered: dict[Part, float] = {}
         # The known causes; the oldest first.
         self._found: dict[frozenset[Part], None] = {}
-        # What `_suspected` returns, until a crash or a cause changes it.
-        self._last_crashes: dict[Part, float] | None = None
         # The times and parts of the latest answers, for comparison.
         self._answers: list[tuple[float, frozenset[Part]]] = []
 
@@ -167,14 +187,19 @@
         bool
             Whether it clears a part of a crash.
         """
-        suspected = self._suspected()
+        # When engines last crashed under each part that may be the cause.
+        suspected: dict[Part, float] = {}
+        for part in parts_of(prompt):
+            last_at = self._last_crash_at(part)
+            if last_at is not None:
+                suspected[part] = last_at
         # Own parts are no other request's, and would crowd out the others.
         parts = frozenset(
             part for part in parts_of(prompt) if not _is_own(part) or part in suspected
         )
         clears = any(
-            part in suspected and self._answered.get(part, 0.0) < suspected[part] <= at
-            for part in parts
+            self._answered.get(part, 0.0) < last_at <= at
+            for part, last_at in suspected.items()
         )
         for part in parts:
             known = self._answered.pop(part, at)
@@ -201,7 +226,6 @@
             Parts that crashed engines earlier; one more crash is enough.
         """
         self._expire(now)
-        self._last_crashes = None
         known = self._crashes.get(crash.incarnation)
         if known is None:
             known = self._crashes[crash.incarnation] = _Crash(
@@ -210,8 +234,9 @@
         known.crashed_at = min(known.crashed_at, crash.crashed_at)
         for run in crash.runs:
             parts = parts_of(run.prompt)
-            if len(known.runs) < MAX_RUNS or parts in known.runs:
-                known.runs[parts] = max(known.runs.get(parts, 0.0), run.sent_at)
+            if known.add_run(parts, run.sent_at):
+                for part in parts:
+                    self._lost_with.setdefault(part, set()).add(crash.incarnation)
         for cause in self._found:
             known.explain_by(cause)
         return self._find(crash.incarnation, set(formerly_found))
@@ -223,7 +248,6 @@
             # What crashed engines may as well be a part that other requests share.
             return
         self._found[cause] = None
-        self._last_crashes = None
         while len(self._found) > MAX_FOUND:
             del self._found[next(iter(self._found))]
         for crash in self._crashes.values():
@@ -233,30 +257,33 @@
         """Forget that prompts with all of these parts crash engines, and why."""
         cause = frozenset((service, part) for part in parts)
         self._found.pop(cause, None)
-        self._last_crashes = None
         for incarnation, crash in list(self._crashes.items()):
             if crash.cause == cause:
-                del self._crashes[incarnation]
+                self._discard(incarnation)
 
     # Internals.
 
     def _expire(self, now: float) -> None:
         while len(self._crashes) >= MAX_CRASHES:
-            del self._crashes[next(iter(self._crashes))]
+            self._discard(next(iter(self._crashes)))
         for incarnation, crash in list(self._crashes.items()):
             if now - crash.crashed_at > RETENTION_SECONDS:
-                del self._crashes[incarnation]
-
-    def _suspected(self) -> dict[Part, float]:
-        """Return when engines last crashed under each part that may be a cause."""
-        found = self._last_crashes
-        if found is not None:
-            return found
-        found = self._last_crashes = {}
-        for crash in self._crashes.values():
-            for part in crash.suspects():
-                found[part] = max(found.get(part, 0.0), crash.crashed_at)
-        return found
+                self._discard(incarnation)
+
+    def _discard(self, incarnation: Incarnation) -> None:
+        for part in self._crashes.pop(incarnation).sent_at:
+            lost_with = self._lost_with[part]
+            lost_with.discard(incarnation)
+            if not lost_with:
+                del self._lost_with[part]
+
+    def _last_crash_at(self, part: Part) -> float | None:
+        """Return when an engine last crashed under a part that may be the cause."""
+        crashes = map(self._crashes.__getitem__, self._lost_with.get(part, ()))
+        return max(
+            (crash.crashed_at for crash in crashes if crash.is_suspect(part)),
+            default=None,
+        )
 
     def _find(
         self, incarnation: Incarnation, formerly_found: set[Part]
@@ -264,15 +291,31 @@
         """Return the causes that a crash shows and that weren't known."""
         findings: list[Finding] = []
         known = set(self._found)
-        while True:
+        while self._may_show(incarnation, formerly_found):
             found = self._strongest(incarnation, formerly_found, known)
             if not found:
-                return findings
+                break
             for cause, crashes in found:
                 finding = _finding(cause, crashes)
                 findings.append(finding)
                 known.add(cause)
                 self.explain(finding.service, finding.parts)
+        return findings
+
+    def _may_show(self, incarnation: Incarnation, formerly_found: set[Part]) -> bool:
+        """Return whether a crash could show a cause, as its parts stand by themselves.
+
+        Most crashes show none. Ranking all parts for each of them would take seconds
+        when many engines are lost together.
+        """
+        parts = self._crashes[incarnation].suspects()
+        if parts & formerly_found:
+            return True
+        return any(
+            self._is_frequent(self._suspicion(part))
+            for part in parts
+            if len(self._lost_with[part]) > 1
+        )
 
     def _strongest(
         self,
@@ -281,8 +324,14 @@
         known: set[frozenset[Part]],
     ) -> list[tuple[frozenset[Part], frozenset[Incarnation]]]:
         """Return the strongest sufficient suspicion with parts that fit equally."""
+        # A part of one crash is neither a cause nor a reason to clear others.
+        parts = [
+            part
+            for part, crashes in self._lost_with.items()
+            if len(crashes) > 1 or part in formerly_found
+        ]
         suspicions = sorted(
-            map(self._suspicion, self._suspected()), key=lambda one: one.rank
+            map(self._suspicion, parts), key=lambda one: (one.rank, one.part)
         )
         for index, one in enumerate(suspicions):
             if incarnation not in one.crashes:
@@ -306,16 +355,14 @@
         since = self._answered.get(part)
         found: list[tuple[float, Incarnation, float]] = []
         requests: set[frozenset[Part]] = set()
-        for incarnation, crash in self._crashes.items():
+        for incarnation in self._lost_with[part]:
+            crash = self._crashes[incarnation]
             if since is not None and crash.crashed_at <= since:
                 continue
-            if part not in crash.suspects():
+            if not crash.is_suspect(part):
                 continue
-            runs = {
-                held: sent_at for held, sent_at in crash.runs.items() if part in held
-            }
-            requests.update(frozenset(filter(_is_own, held)) for held in runs)
-            found.append((crash.crashed_at, incarnation, max(runs.values())))
+            requests |= crash.requests[part]
+            found.append((crash.crashed_at, incarnation, crash.sent_at[part]))
         found.sort()
         n_in_row = 0
         last_at = float("-inf")
@@ -331,16 +378,24 @@
             is_answered=since is not None,
         )
 
+    @staticmethod
+    def _is_frequent(one: _Suspicion) -> bool:
+        """Return whether engines crashed under a part often enough for a cause."""
+        if _is_own(one.part):
+            return one.n_in_row >= N_CRASHES_OWN and not one.is_answered
+        n_required = N_CRASHES_ANSWERED if one.is_answered else N_CRASHES
+        return one.n_requests >= N_REQUESTS and one.n_in_row >= n_required
+
     def _is_sufficient(self, one: _Suspicion, stronger: Sequence[_Suspicion]) -> bool:
         """Return whether a part is the cause if no other part fits equally well."""
+        if not self._is_frequent(one):
+            return False
         if _is_own(one.part):
-            return one.n_in_row >= N_CRASHES_OWN and not one.is_answered
-        if one.n_requests < N_REQUESTS:
+            return True
+        if _is_explained(one, stronger):
             return False
         if not one.is_answered:
-            return one.n_in_row >= N_CRASHES and not _is_explained(one, stronger)
-        if one.n_in_row < N_CRASHES_ANSWERED or _is_explained(one, stronger):
-            return False
+            return True
         first_at = min(self._crashes[key].crashed_at for key in one.crashes)
         n_others = sum(
             at > first_at and one.part not in parts and _has_service(parts, one.part[0])
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -202,6 +202,20 @@
         assert len(line.suspects._answered) <= MAX_ANSWERED
         assert len(line.suspects._crashes) <= MAX_CRASHES
         assert all(len(one.runs) <= 32 for one in line.suspects._crashes.values())
+        held = {part for one in line.suspects._crashes.values() for part in one.sent_at}
+        assert set(line.suspects._lost_with) == held
+
+    def test_engines_lost_together_cost_no_ranking_of_all_parts(self, monkeypatch):
+        # Each report of 64 lost engines ranked thousands of parts, for seconds in all,
+        # and the node served nobody meanwhile.
+        line = Timeline()
+        line.answer("first")
+        ranked = []
+        monkeypatch.setattr(line.suspects, "_strongest", ranked.append)
+        for n in range(MAX_CRASHES):
+            runs = (prompt("first", f"p{k}") for k in range(8))
+            assert line.crash(*runs, sent_ago=5.0 + n) == []
+        assert not ranked
 
     def test_blocks_are_bounded(self):
         blocked = BlockedPrompts()
