Report a connection that the network gave up as not sent again

Cause: asserted that a connection which timed out had a deadline. The kernel's own timeout is a TimeoutError too, and without a deadline the assertion failed instead of the request being called not sent. Seen in the read-through, not in a run.

Test: fails with the assertion before, passes now.

--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -497,9 +497,11 @@
                     )
             except TimeoutError:
                 now = loop.time()
-                assert connect_deadline is not None
-                has_stalled = now - connect_deadline >= STALL_SECONDS
-                if not has_stalled or (deadline is not None and now >= deadline):
+                if (
+                    connect_deadline is None
+                    or now - connect_deadline < STALL_SECONDS
+                    or (deadline is not None and now >= deadline)
+                ):
                     return Err(NotSent(reason="connect_timeout", detail=str(address)))
                 connect_deadline = now + (connect_deadline - begun_at)
                 if deadline is not None:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -120,6 +120,13 @@
         return await super().connect(factory, address)
 
 
+class GivingUpNetwork(SystemNetwork):
+    """Fails to connect as the kernel does after its own retransmissions."""
+
+    async def connect(self, factory, address):
+        raise TimeoutError("connection timed out")
+
+
 class TestConnecting:
     async def test_a_connection_in_progress_outlives_a_stall_of_the_process(self, echo):
         # The node stood still for longer than its connect timeout, and refused requests
@@ -154,6 +161,14 @@
         assert answer.err_value.reason == "connect_timeout"
         assert network.n_attempts >= 2
 
+    async def test_a_timeout_of_the_network_itself_is_not_sent(self, echo):
+        # The kernel gives up connecting by itself, where no deadline is set.
+        _, address, _, _ = echo
+        client = HttpClient(network=GivingUpNetwork())
+        answer = await client.open(address, "POST", "/")
+        client.close()
+        assert answer.err_value.reason == "connect_timeout"
+
 
 class TestBadInput:
     async def test_body_over_the_limit_is_refused(self, echo):
