Forget an old crash only for a new one

Cause: with 64 crashes held, a further report of one of them, which several nodes make three times each, dropped the oldest as well, and a report of the oldest itself dropped what was known of it. Seen in the read-through.

Test: 64 crashes and a further report of the last one: 63 held before, 64 now.

--- a/celerytrail/policies/crashsuspects.py
+++ b/celerytrail/policies/crashsuspects.py
@@ -228,6 +228,8 @@
         self._expire(now)
         known = self._crashes.get(crash.incarnation)
         if known is None:
+            while len(self._crashes) >= MAX_CRASHES:
+                self._discard(next(iter(self._crashes)))
             known = self._crashes[crash.incarnation] = _Crash(
                 crashed_at=crash.crashed_at
             )
@@ -264,8 +266,6 @@
     # Internals.
 
     def _expire(self, now: float) -> None:
-        while len(self._crashes) >= MAX_CRASHES:
-            self._discard(next(iter(self._crashes)))
         for incarnation, crash in list(self._crashes.items()):
             if now - crash.crashed_at > RETENTION_SECONDS:
                 self._discard(incarnation)
--- a/tests/test_crash_suspects.py
+++ b/tests/test_crash_suspects.py
@@ -205,6 +205,14 @@
         held = {part for one in line.suspects._crashes.values() for part in one.sent_at}
         assert set(line.suspects._lost_with) == held
 
+    def test_a_report_of_a_known_crash_forgets_no_other(self):
+        suspects = CrashSuspects()
+        for n in [*range(MAX_CRASHES), MAX_CRASHES - 1]:
+            run = LostRun(prompt=prompt("sound", own=f"o{n}"), sent_at=1.0)
+            crash = Crash(incarnation=(f"e{n}", 1), runs=(run,), crashed_at=2.0)
+            suspects.record_crash(crash, 2.0)
+        assert suspects.n_crashes == MAX_CRASHES
+
     def test_engines_lost_together_cost_no_ranking_of_all_parts(self, monkeypatch):
         # Each report of 64 lost engines ranked thousands of parts, for seconds in all,
         # and the node served nobody meanwhile.
