Let a late connect timeout end soon after what has arrived is read

Cause: after a stall the connection was tried anew for as long again, and again after the next late timeout. Where the loop is late all the time, as on nodes that get too little processor time, a dead endpoint cost a request several timeouts of 0.25 s.

Change: the attempt in progress goes on for 0.1 s after a late timeout, never beyond the request's deadline.

Tests of the client and of cold endpoints pass.

--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -29,6 +29,8 @@
 # A timeout that passes later than this after its time shows that the process stood
 # still, in seconds.
 STALL_SECONDS = 0.05
+# How long a connection may still take after such a timeout, in seconds.
+GRACE_SECONDS = 0.1
 # Share of the peer's keep-alive timeout after which an idle connection is dropped. A
 # peer may close slightly early, and a request must not cross with the close.
 IDLE_SHARE = 0.7
@@ -483,36 +485,37 @@
     async def _connect(
         self, address: Address, connect_deadline: float | None, deadline: float | None
     ) -> Result[Connection, NotSent]:
-        """Make a connection; the time for which the process stands still doesn't count.
+        """Make a connection, unless its timeout passes first.
 
-        What arrives meanwhile is read only afterwards, when the timeout has passed.
+        What arrived while the process stood still is read only after the timeout has
+        passed, so a late timeout allows a moment for that.
         """
         loop = asyncio.get_running_loop()
-        begun_at = loop.time()
-        while True:
-            try:
-                async with asyncio.timeout_at(connect_deadline):
-                    conn = await self._network.connect(
-                        lambda: Connection(role=h11.CLIENT), address
-                    )
-            except TimeoutError:
-                now = loop.time()
-                if (
-                    connect_deadline is None
-                    or now - connect_deadline < STALL_SECONDS
-                    or (deadline is not None and now >= deadline)
-                ):
-                    return Err(NotSent(reason="connect_timeout", detail=str(address)))
-                connect_deadline = now + (connect_deadline - begun_at)
-                if deadline is not None:
-                    connect_deadline = min(connect_deadline, deadline)
-                begun_at = now
-            except OSError as exc:
-                detail = f"{address}: {exc}"
-                return Err(NotSent(reason="connect_refused", detail=detail))
-            else:
-                self.n_connections_made += 1
-                return Ok(conn)
+        handle: asyncio.TimerHandle | None = None
+
+        def expire() -> None:
+            assert connect_deadline is not None
+            now = loop.time()
+            is_late = now - connect_deadline >= STALL_SECONDS
+            ends_at = now + GRACE_SECONDS if is_late else now
+            timeout.reschedule(ends_at if deadline is None else min(ends_at, deadline))
+
+        try:
+            async with asyncio.timeout(None) as timeout:
+                if connect_deadline is not None:
+                    handle = loop.call_at(connect_deadline, expire)
+                conn = await self._network.connect(
+                    lambda: Connection(role=h11.CLIENT), address
+                )
+        except TimeoutError:
+            return Err(NotSent(reason="connect_timeout", detail=str(address)))
+        except OSError as exc:
+            return Err(NotSent(reason="connect_refused", detail=f"{address}: {exc}"))
+        finally:
+            if handle is not None:
+                handle.cancel()
+        self.n_connections_made += 1
+        return Ok(conn)
 
     def _send_request(
         self,
