--- a/tests/relayrig.py
+++ b/tests/relayrig.py
@@ -202,6 +202,14 @@
             await asyncio.sleep(0.01)
 
 
+async def running_first(
+    engine_1: EngineWorker, engine_2: EngineWorker
+) -> tuple[EngineWorker, EngineWorker]:
+    """Wait until one of two engines has a run; return that one and the other."""
+    await wait_until(lambda: engine_1.running or engine_2.running)
+    return (engine_1, engine_2) if engine_1.running else (engine_2, engine_1)
+
+
 def split_events(body: bytes) -> list[bytes]:
     """Split the body of a stream into its events."""
     return [event for event in body.split(b"\n\n") if event]
--- a/tests/test_relay_moving.py
+++ b/tests/test_relay_moving.py
@@ -10,7 +10,14 @@
 import pytest_asyncio
 from result import UnwrapError
 
-from tests.relayrig import Rig, config, expected_events, split_events, wait_until
+from tests.relayrig import (
+    Rig,
+    config,
+    expected_events,
+    running_first,
+    split_events,
+    wait_until,
+)
 
 
 @pytest_asyncio.fixture
@@ -137,10 +144,7 @@
         engine_1, engine_2 = await rig.add_engine("e1"), await rig.add_engine("e2")
         await rig.add_node()
         pending = asyncio.ensure_future(rig.request("/draft/1"))
-        await wait_until(lambda: engine_1.running or engine_2.running)
-        first, second = (
-            (engine_1, engine_2) if engine_1.running else (engine_2, engine_1)
-        )
+        first, second = await running_first(engine_1, engine_2)
         await first.tick(3)
         await wait_until(lambda: second.backups)
         await first.close()
@@ -159,10 +163,7 @@
         node = await rig.add_node()
         await wait_until(lambda: node.origins.only_version("models", 0.0))
         pending = asyncio.ensure_future(rig.request("/draft/1"))
-        await wait_until(lambda: engine_1.running or engine_2.running)
-        first, second = (
-            (engine_1, engine_2) if engine_1.running else (engine_2, engine_1)
-        )
+        first, second = await running_first(engine_1, engine_2)
         second.faults.delays_report = False
         await first.tick(3)
         await wait_until(lambda: second.backups)
@@ -178,10 +179,7 @@
         engine_1.faults.delays_report = engine_2.faults.delays_report = True
         node = await rig.add_node()
         pending = asyncio.ensure_future(rig.request("/draft/1"))
-        await wait_until(lambda: engine_1.running or engine_2.running)
-        first, second = (
-            (engine_1, engine_2) if engine_1.running else (engine_2, engine_1)
-        )
+        first, second = await running_first(engine_1, engine_2)
         await first.tick(3)
         await wait_until(lambda: second.backups)
         newer = await rig.add_engine("e3")
@@ -218,10 +216,7 @@
         engine_1, engine_2 = await rig.add_engine("e1"), await rig.add_engine("e2")
         await rig.add_node()
         pending = asyncio.ensure_future(rig.request("/draft/1"))
-        await wait_until(lambda: engine_1.running or engine_2.running)
-        first, second = (
-            (engine_1, engine_2) if engine_1.running else (engine_2, engine_1)
-        )
+        first, second = await running_first(engine_1, engine_2)
         await first.tick(2)
         await wait_until(lambda: second.running)
         await second.tick(6)
--- a/tests/test_relay_node.py
+++ b/tests/test_relay_node.py
@@ -23,6 +23,7 @@
     expected_events,
     node_host,
     route,
+    running_first,
     split_events,
     wait_until,
 )
@@ -299,10 +300,7 @@
         engine_1, engine_2 = await rig.add_engine("e1"), await rig.add_engine("e2")
         await rig.add_node()
         pending = asyncio.ensure_future(rig.request("/check/1"))
-        await wait_until(lambda: engine_1.running or engine_2.running)
-        first, second = (
-            (engine_1, engine_2) if engine_1.running else (engine_2, engine_1)
-        )
+        first, second = await running_first(engine_1, engine_2)
         await first.tick(2)
         await first.close()
         await wait_until(lambda: second.running)
