--- a/celerytrail/__main__.py
+++ b/celerytrail/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import sys
 
@@ -18,6 +19,9 @@
     path = os.environ.get(SETTINGS_VARIABLE)
     if path is not None and sys.argv[1:] == ["node"]:
         leave_out_unused()
+        # What imports create stays until the end. Collections meanwhile free nothing
+        # and take a tenth of the processor time of a start.
+        gc.disable()
         from .relay.daemon import run_relay_node
 
         sys.exit(run_relay_node(path))
--- a/celerytrail/relay/daemon.py
+++ b/celerytrail/relay/daemon.py
@@ -54,6 +54,7 @@
         return EXIT_FINDINGS
     log_to_output(cfg.node)
     gc.freeze()
+    gc.enable()
     asyncio.run(_run(cfg, path))
     return 0
 
--- a/celerytrail/relay/followedtables.py
+++ b/celerytrail/relay/followedtables.py
@@ -37,6 +37,11 @@
 # many times a second, and each request is a priced call. An engine announces in its
 # row, two seconds ahead, that it leaves.
 REGISTRATION_PAUSE_SECONDS = 0.1
+# The same where most nodes get the rows over two others, as a share of the staleness
+# bound. While engines come and go, the rows change several times a second, and each
+# change would cost every node a request. What can't wait, that an endpoint leaves, the
+# reader announces.
+RELAYED_PAUSE_SHARE = 0.1
 # The same until a node has found a reader to follow, in seconds. After a loss of all
 # VMs every node calls the store itself for a second or two.
 UNSETTLED_PAUSE_SECONDS = 0.6
@@ -98,7 +103,7 @@
                 lambda confirmation: freshness.confirm(
                     confirmation.confirmed_at, source=confirmation.source
                 ),
-                CONFIG_PAUSE_SECONDS,
+                lambda: CONFIG_PAUSE_SECONDS,
                 lambda: settings().config_seconds,
             ),
             self._watch(
@@ -109,7 +114,7 @@
                     clock=clock,
                 ),
                 self._on_registrations_confirmed,
-                REGISTRATION_PAUSE_SECONDS,
+                lambda: self._registration_pause_seconds(settings().drain_seconds),
                 lambda: settings().drain_seconds,
             ),
         )
@@ -134,7 +139,7 @@
         table: str,
         mirror: TableMirror,
         on_confirmed: Callable[[Confirmation], None],
-        pause_seconds: float,
+        pause_seconds: Callable[[], float],
         bound_seconds: Callable[[], float],
     ) -> TableWatch:
         def confirm(confirmation: Confirmation) -> None:
@@ -152,7 +157,7 @@
             wait=lambda: bound().wait_seconds(
                 mirror.age_seconds, self._longest_wait_seconds(bound())
             ),
-            pause=lambda: self._pause_seconds(pause_seconds, bound_seconds()),
+            pause=lambda: self._pause_seconds(pause_seconds(), bound_seconds()),
             on_confirmed=confirm,
             on_renewed=lambda age: self._on_renewed(table, age, bound_seconds()),
             bound_seconds=bound_seconds,
@@ -175,6 +180,13 @@
             longest = MANY_NODES_WAIT_SECONDS if sources.is_relayed else WAIT_SECONDS
         return min(longest, WAIT_SHARE * self._freshness.usable_seconds)
 
+    def _registration_pause_seconds(self, bound_seconds: float) -> float:
+        """Return the pause between two requests for the endpoints' rows, in seconds."""
+        sources = self._shared_rows.sources
+        if sources.is_reader or not sources.is_relayed:
+            return REGISTRATION_PAUSE_SECONDS
+        return max(REGISTRATION_PAUSE_SECONDS, RELAYED_PAUSE_SHARE * bound_seconds)
+
     def _pause_seconds(self, usual: float, bound_seconds: float) -> float:
         """Return the pause between two requests for a table, in seconds."""
         if self._shared_rows.sources.is_settled:
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -180,6 +180,7 @@
                 versions=self._versions,
                 clock=self._clock,
                 decode=decode_registration,
+                on_leaving_row=self._announce_leaving_row,
             ),
             clock=self._clock,
             rng=self._rng,
@@ -475,6 +476,12 @@
         self.loads.discard_report(reg.endpoint)
         self.generations.on_leaving(reg)
 
+    def _announce_leaving_row(self, reg: Registration) -> None:
+        """Announce a leaving endpoint that this node reads of before most others."""
+        sources = self.shared_rows.sources
+        if sources.is_reader and sources.is_relayed:
+            self.peer_updates.announce_leaving(reg)
+
     def _on_run(self, run: Run) -> None:
         reg = self.registry.find(run.endpoint)
         if reg is not None:
--- a/celerytrail/relay/tablesinks.py
+++ b/celerytrail/relay/tablesinks.py
@@ -9,7 +9,7 @@
 from result import Err, Result
 
 from ..clock import Clock
-from ..model import Registration, RelayConfig
+from ..model import EndpointState, Registration, RelayConfig
 from ..policies.coldlimits import ColdEndpoints
 from ..policies.versionhistory import VersionHistory
 from ..rowsource import Row
@@ -175,6 +175,9 @@
         Dates them.
     decode : callable
         Decodes a row.
+    on_leaving_row : callable
+        Called with an endpoint before a changed row is applied that is the first to
+        say that it leaves.
     """
 
     def __init__(
@@ -185,12 +188,14 @@
         versions: VersionHistory,
         clock: Clock,
         decode: RegistrationDecoder,
+        on_leaving_row: Callable[[Registration], None],
     ) -> None:
         self._registry = registry
         self._cold = cold
         self._versions = versions
         self._clock = clock
         self._decode = decode
+        self._on_leaving_row = on_leaving_row
 
     def replace(self, rows: Sequence[Row], *, is_after_outage: bool) -> None:
         """Replace the whole table."""
@@ -208,6 +213,9 @@
             former = self._registry.find(row.key)
             self._record_versions(one for one in (former, reg) if one is not None)
             if reg is not None:
+                is_leaving = reg.state is EndpointState.LEAVING
+                if is_leaving and not self._registry.is_leaving(reg):
+                    self._on_leaving_row(reg)
                 self._registry.put(reg)
             else:
                 is_lapse = is_after_outage and row.value is None
