--- a/celerytrail/policies/engineloads.py
+++ b/celerytrail/policies/engineloads.py
@@ -11,6 +11,12 @@
 # The runs of a node expire after this many seconds without an update from it, or later
 # if its lists are less frequent.
 NODE_EXPIRY_SECONDS = 4.0
+# A report expires after this many seconds: three periods of the reports, of which up to
+# two may be lost.
+REPORT_EXPIRY_SECONDS = 3.0
+# Share of an engine's memory by which a report may exceed what the announced runs
+# explain. Reports are half a second old, in which a run makes some fifty tokens.
+UNEXPLAINED_SHARE = 0.05
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -177,7 +183,8 @@
     def __init__(self, *, token_seconds: Callable[[str], float] | None = None) -> None:
         self._token_seconds = token_seconds
         self._nodes: dict[str, _NodeRuns] = {}
-        self._reports: dict[str, EngineReport] = {}
+        # By endpoint, the last report and the time at which it expires.
+        self._reports: dict[str, tuple[EngineReport, float]] = {}
 
     @property
     def n_active_nodes(self) -> int:
@@ -245,8 +252,11 @@
     def expire(self, now: float, own: str) -> None:
         """Remove the runs of silent nodes, and runs that are no longer listed.
 
-        The runs of ``own``, this node, never expire.
+        The runs of ``own``, this node, never expire. Reports do, also this node's own.
         """
+        self._reports = {
+            endpoint: kept for endpoint, kept in self._reports.items() if now < kept[1]
+        }
         for node, node_runs in list(self._nodes.items()):
             if node == own:
                 continue
@@ -254,9 +264,22 @@
             if not node_runs.listed or now > node_runs.expires_at:
                 del self._nodes[node]
 
-    def record_report(self, endpoint: str, report: EngineReport) -> None:
+    def is_unexplained(self, endpoint: str, report: EngineReport, now: float) -> bool:
+        """Return whether a report shows load that the announced runs don't explain.
+
+        Requests wait at the engine, or memory is in use by runs that no node lists.
+        """
+        n_known = 0
+        for node_runs in self._nodes.values():
+            for listed in node_runs.listed.values():
+                if endpoint in (listed.run.endpoint, listed.run.backup):
+                    n_known += self._projected(listed, now).n_tokens
+        n_allowed = n_known + UNEXPLAINED_SHARE * report.n_memory_tokens
+        return report.n_queued > 0 or report.n_used_tokens > n_allowed
+
+    def record_report(self, endpoint: str, report: EngineReport, now: float) -> None:
         """Record the last report of an engine."""
-        self._reports[endpoint] = report
+        self._reports[endpoint] = report, now + REPORT_EXPIRY_SECONDS
 
     def discard_report(self, endpoint: str) -> None:
         """Discard the last report of an engine that was removed."""
@@ -277,7 +300,7 @@
                 load,
                 runs=tuple(runs.get(load.reg.endpoint, ())),
                 copies=tuple(copies.get(load.reg.endpoint, ())),
-                report=self._reports.get(load.reg.endpoint),
+                report=self._reports.get(load.reg.endpoint, (None,))[0],
             )
             for load in empty
         ]
--- a/celerytrail/relay/peerupdates.py
+++ b/celerytrail/relay/peerupdates.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections.abc import Callable, Iterable, Iterator, Sequence
 
@@ -14,7 +15,7 @@
 from ..model import EngineReport, Registration
 from ..nodes.gossip import DATAGRAM_HEADER_BYTES
 from ..policies.decodetimes import DecodeTimes
-from ..policies.engineloads import EngineLoads, Run
+from ..policies.engineloads import REPORT_EXPIRY_SECONDS, EngineLoads, Run
 from ..policies.runlistschedule import MIN_LIST_PERIOD_SECONDS, RunListSchedule
 from ..policies.statedlimits import LimitStatement
 from ..types import Address
@@ -179,6 +180,8 @@
         self._list_schedule = RunListSchedule()
         # Sent with each update, so that no run expires at a receiver before the next.
         self._period_seconds = MIN_LIST_PERIOD_SECONDS
+        # By engine, when a report with unexplained load was last announced.
+        self._announced_reports: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._decoder = msgspec.msgpack.Decoder(NodeUpdate)
         self.n_sent = 0
@@ -288,8 +291,20 @@
             ]
 
     def announce_report(self, endpoint: str, report: EngineReport) -> None:
-        """Announce the load that an engine reported."""
-        self._loads.record_report(endpoint, report)
+        """Record the load that an engine reported, and announce it if it is news.
+
+        Most reports only confirm what the announced runs explain. Announcing them all
+        would make a fifth of the datagrams that a node of a large fleet receives.
+        """
+        now = self._now()
+        is_news = self._loads.is_unexplained(endpoint, report, now)
+        self._loads.record_report(endpoint, report, now)
+        former = self._announced_reports.pop(endpoint, -math.inf)
+        if is_news:
+            self._announced_reports[endpoint] = now
+        elif now - former > REPORT_EXPIRY_SECONDS:
+            # The other nodes no longer act on the last one that was news.
+            return
         entry = ReportEntry(
             endpoint=endpoint,
             n_queued=report.n_queued,
@@ -330,7 +345,7 @@
         for endpoint, started_at in zip(update.leaving, starts, strict=False):
             self._on_leaving(endpoint, started_at)
         for report in update.reports:
-            self._loads.record_report(report.endpoint, _report_from(report))
+            self._loads.record_report(report.endpoint, _report_from(report), now)
         for service in update.retried:
             self._on_retried(service)
         for endpoint in update.aborted:
