--- a/celerytrail/model.py
+++ b/celerytrail/model.py
@@ -289,6 +289,30 @@
     is_leaving: bool = False
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LoadHeader:
+    """The load and speed that an endpoint states in the head of an answer.
+
+    Parameters
+    ----------
+    n_running, n_waiting, n_slots : int
+        Requests that run and that wait at the endpoint, and its slots.
+    slowness : float or None
+        Time that work takes there now as a multiple of the usual time; None if the
+        endpoint doesn't state it.
+    """
+
+    n_running: int
+    n_waiting: int
+    n_slots: int
+    slowness: float | None = None
+
+    @property
+    def is_free(self) -> bool:
+        """Return whether it claims to have a free slot."""
+        return self.n_running < self.n_slots and self.n_waiting == 0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EngineReport:
     """An engine's report of its load, some hundred milliseconds old.
--- a/celerytrail/platform/wire.py
+++ b/celerytrail/platform/wire.py
@@ -13,7 +13,7 @@
 from result import Err, Ok, Result
 
 from ..http.messages import Request
-from ..model import EndpointStatements, EngineReport, RequestMetadata
+from ..model import EndpointStatements, EngineReport, LoadHeader, RequestMetadata
 from ..types import Address
 
 MS = 0.001
@@ -37,9 +37,15 @@
 _BRITTLE = "server-brittle"
 _LEAVING = "server-leaving"
 _RETRY_AFTER = "retry-after"
+_LOAD = "x-worker-load"
 
 # Longest pause that an endpoint may ask for, in seconds.
 MAX_PAUSE_SECONDS = 3_600.0
+# Bounds of the values in a load header: larger ones are faults of the endpoint, and
+# would distort the estimates for seconds.
+MAX_LOAD_COUNT = 100_000
+MAX_LOAD_PERCENT = 10_000
+MAX_LOAD_DIGITS = 9
 
 # Headers that concern one connection only (RFC 9110, section 7.6.1).
 _HOP_BY_HOP = frozenset(
@@ -77,6 +83,7 @@
 REPORT_PATH = "/api/report"
 MOVE_PATH = "/api/kv-move"
 
+_INTEGER = re.compile(r"-?[0-9]+")
 _PREFIX_PART = re.compile(r"\s*([0-9a-fA-F]+):\d+\s*")
 # Longer ids of prompt parts are replaced by digests of this many bytes.
 MAX_PART_LENGTH = 32
@@ -225,6 +232,44 @@
     return SEAL_HEADER in headers and "content-encoding" not in headers
 
 
+def decode_load(headers: Mapping[str, str]) -> Result[LoadHeader, str] | None:
+    """Decode the load that an endpoint states.
+
+    Returns
+    -------
+    Result or None
+        The load, or why the header is ignored; None if there is no header.
+    """
+    text = headers.get(_LOAD)
+    if text is None:
+        return None
+    parts = [part.strip(" \t") for part in text.split(",")]
+    if not all(map(_INTEGER.fullmatch, parts)):
+        return Err("malformed")
+    if len(parts) not in (3, 4):
+        return Err("wrong_count")
+    if any(part.startswith("-") for part in parts):
+        return Err("negative")
+    bounds = (MAX_LOAD_COUNT, MAX_LOAD_COUNT, MAX_LOAD_COUNT, MAX_LOAD_PERCENT)
+    # The length is compared first: the conversion of a long text takes much time.
+    if any(
+        len(part) > MAX_LOAD_DIGITS or int(part) > bound
+        for part, bound in zip(parts, bounds, strict=False)
+    ):
+        return Err("huge")
+    n_running, n_waiting, n_slots, *percent = map(int, parts)
+    if n_slots == 0 or 0 in percent:
+        return Err("zero")
+    return Ok(
+        LoadHeader(
+            n_running=n_running,
+            n_waiting=n_waiting,
+            n_slots=n_slots,
+            slowness=percent[0] / 100 if percent else None,
+        )
+    )
+
+
 class _Report(msgspec.Struct, rename="kebab"):
     queued: int = 0
     in_flight: int = 0
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -77,6 +77,7 @@
             "x-target-instance",
             "kv-from",
             "x-kv-backup",
+            "x-worker-load",
             "/api/",
         )
         occurrences = [
