--- a/tests/test_endpointspeeds.py
+++ b/tests/test_endpointspeeds.py
@@ -2,11 +2,28 @@
 
 from __future__ import annotations
 
+import random
+
 import pytest
 from result import Err, Ok
 
 from celerytrail.model import LoadHeader
 from celerytrail.platform import wire
+from celerytrail.policies.endpointspeeds import (
+    MIN_SAMPLES,
+    NEWS_SECONDS,
+    EndpointSpeeds,
+    News,
+)
+
+
+def header(slowness: float | None = 1.0, n_running: int = 1, **more: int) -> LoadHeader:
+    return LoadHeader(
+        n_running=n_running,
+        n_waiting=more.get("n_waiting", 0),
+        n_slots=more.get("n_slots", 6),
+        slowness=slowness,
+    )
 
 
 class TestDecoding:
@@ -59,3 +76,193 @@
     def test_bad_headers_are_rejected_with_a_reason(self, text: str, reason: str):
         # Guards against a fault of one endpoint that distorts or ends choices.
         assert wire.decode_load({"x-worker-load": text}) == Err(reason)
+
+
+class TestPhases:
+    """The load: an endpoint takes 2.5 times as long for 0.6 s, 15% of the time."""
+
+    def observe(
+        self, speeds: EndpointSpeeds, *, mean_seconds: float, gap_seconds: float
+    ) -> None:
+        """Let endpoints be slow in random phases and observe them at random times."""
+        rng = random.Random(7)
+        for endpoint in ("e0", "e1", "e2", "e3"):
+            now, is_slow, changes_at = 0.0, False, 0.0
+            while now < 600.0:
+                now += rng.expovariate(1 / gap_seconds)
+                while changes_at <= now:
+                    is_slow = not is_slow
+                    seconds = mean_seconds if is_slow else 5.7 * mean_seconds
+                    changes_at += rng.expovariate(1 / seconds)
+                stated = header(2.5 if is_slow else 1.0)
+                speeds.record_stated(endpoint, stated, now)
+
+    @pytest.mark.parametrize("mean_seconds", [0.2, 0.6, 3.0])
+    def test_their_length_is_learned(self, mean_seconds: float):
+        # Guards against a constant length that suits only one deployment.
+        speeds = EndpointSpeeds()
+        self.observe(speeds, mean_seconds=mean_seconds, gap_seconds=0.1)
+        learned = speeds.phase_seconds("e0")
+        assert 0.6 * mean_seconds < learned < 1.6 * mean_seconds
+
+    def test_rare_observations_teach_little(self):
+        # Guards against a length as long as the time between two observations: a node
+        # of ninety gets an answer of an endpoint every six seconds.
+        speeds = EndpointSpeeds()
+        self.observe(speeds, mean_seconds=0.6, gap_seconds=6.0)
+        assert 0.25 < speeds.phase_seconds("e0") < 1.5
+
+    def test_a_short_request_feels_one_and_a_long_stream_does_not(self):
+        # Guards against streams of seconds that shun a machine for its slow 0.6 s.
+        speeds = EndpointSpeeds()
+        speeds.record_stated("e0", header(2.5), 0.0)
+        assert speeds.slowness("e0", 0.0, 0.02) > 2.3
+        assert speeds.slowness("e0", 0.0, 8.0) < 1.15
+
+    def test_one_ends_without_news(self):
+        # Guards against an endpoint that gets no requests, and so is never heard again.
+        speeds = EndpointSpeeds()
+        speeds.record_stated("e0", header(2.5), 0.0)
+        assert speeds.slowness("e0", 0.3, 0.02) > 1.5
+        assert speeds.slowness("e0", 5.0, 0.02) == pytest.approx(1.0, abs=0.01)
+
+
+class TestLastingSpeed:
+    """The load: a third of the machines permanently takes 1.7 times the usual time, the
+    others 0.7, and each has passing slow phases.
+    """
+
+    def learned(self, lasting: float, n: int = 40) -> EndpointSpeeds:
+        rng = random.Random(3)
+        speeds = EndpointSpeeds()
+        for second in range(n):
+            factor = 2.5 if rng.random() < 0.15 else 1.0
+            speeds.record_stated("e0", header(lasting * factor), 1.1 * second)
+        return speeds
+
+    @pytest.mark.parametrize("lasting", [0.7, 1.0, 1.7])
+    def test_it_stays_known_without_news(self, lasting: float):
+        # Guards against a slow machine that counts as usual after a pause.
+        speeds = self.learned(lasting)
+        assert speeds.slowness("e0", 500.0, 0.02) == pytest.approx(lasting, rel=0.01)
+        assert speeds.slowness("e0", 500.0, 8.0) == pytest.approx(lasting, rel=0.01)
+
+    def test_a_slow_phase_comes_on_top(self):
+        # Guards against a slow phase that is taken for the machine's own speed.
+        speeds = self.learned(1.7)
+        speeds.record_stated("e0", header(4.25), 100.0)
+        assert speeds.slowness("e0", 100.0, 0.02) > 3.8
+        assert speeds.slowness("e0", 100.0, 8.0) < 2.2
+        assert speeds.lasting_slowness("e0") == pytest.approx(1.7)
+
+    def test_many_answers_in_one_slow_phase_count_once(self):
+        # Guards against a burst within one slow phase that marks a machine for long.
+        speeds = EndpointSpeeds()
+        for number in range(50):
+            speeds.record_stated("e0", header(2.5), 0.01 * number)
+        assert speeds.lasting_slowness("e0") == 1.0
+
+    def test_a_machine_that_changes_is_learned_anew(self):
+        # Guards against a speed from long ago that is kept forever.
+        speeds = self.learned(0.7)
+        for second in range(30):
+            speeds.record_stated("e0", header(1.7), 100.0 + 1.1 * second)
+        assert speeds.lasting_slowness("e0") == pytest.approx(1.7)
+
+    def test_an_endpoint_that_is_gone_is_forgotten(self):
+        # Guards against records of replaced endpoints that pile up.
+        speeds = self.learned(1.7)
+        speeds.expire(lambda endpoint: False)
+        assert speeds.lasting_slowness("e0") == 1.0
+        assert not speeds.is_stated("e0")
+
+
+class TestLoad:
+    """The load: requests of 22 ms at an endpoint, of which a node sends a few."""
+
+    def test_a_statement_counts_as_long_as_an_answer_takes(self):
+        # Guards against a load that is believed after its requests have ended.
+        speeds = EndpointSpeeds()
+        speeds.record_stated("e0", header(n_running=5, n_waiting=1), 0.0)
+        for _ in range(5):
+            speeds.record_answer("e0", 0.022, 0.0)
+        assert speeds.n_elsewhere("e0", 0.0) == pytest.approx(6.0)
+        assert speeds.n_elsewhere("e0", 0.022) == pytest.approx(6.0 / 2.718, rel=0.01)
+        assert speeds.n_elsewhere("e0", 0.3) < 0.01
+
+    def test_an_endpoint_without_statements_has_none(self):
+        # Guards against an effect on services that send no header.
+        speeds = EndpointSpeeds()
+        speeds.record_answer("e0", 0.02, 0.0)
+        speeds.record_refusal("e0")
+        assert speeds.n_elsewhere("e0", 0.0) == 0.0
+        assert speeds.slowness("e0", 0.0, 0.02) == 1.0
+
+
+class TestFalseStatements:
+    """The load: an endpoint states that it is idle or fast, and isn't."""
+
+    def test_one_that_refuses_while_it_states_free_slots_is_not_believed(self):
+        # Guards against an endpoint that attracts requests only to refuse them.
+        speeds = EndpointSpeeds()
+        speeds.record_stated("e0", header(0.5, n_running=0), 0.0)
+        speeds.record_refusal("e0")
+        assert not speeds.is_stated("e0")
+        assert speeds.slowness("e0", 0.0, 0.02) == 1.0
+        speeds.record_stated("e0", header(0.5, n_running=0), 1.0)
+        assert not speeds.is_stated("e0")
+        speeds.record_answer("e0", 0.02, 1.0)
+        assert speeds.is_stated("e0")
+
+    def test_one_that_is_full_and_refuses_is_believed(self):
+        # Guards against a load that is ignored when it matters most.
+        speeds = EndpointSpeeds()
+        speeds.record_stated("e0", header(n_running=6), 0.0)
+        speeds.record_refusal("e0")
+        assert speeds.n_elsewhere("e0", 0.0) == 6.0
+
+    def test_one_that_claims_to_be_fast_is_measured_by_its_answers(self):
+        # Guards against a false value of 20 percent that attracts all requests.
+        speeds = EndpointSpeeds()
+        for second in range(MIN_SAMPLES):
+            speeds.record_stated("e0", header(0.2), 1.1 * second)
+            speeds.record_answer("e0", 0.02, 1.1 * second)
+        assert speeds.slowness("e0", 6.0, 0.02) == pytest.approx(1.0)
+
+
+class TestNews:
+    """The load: 330 nodes, one of which gets an answer of an endpoint every 20 s."""
+
+    def test_one_value_a_second_and_changes_are_announced(self):
+        # Guards against 62 announcements a second to 330 nodes.
+        speeds = EndpointSpeeds()
+        news = [
+            speeds.record_stated("e0", header(2.5 if 500 <= n < 560 else 1.0), n / 100)
+            for n in range(1_000)
+        ]
+        assert 9 <= news.count(News.SAMPLE) <= 11
+        assert 1 <= news.count(News.CHANGE) <= 6
+
+    def test_an_endpoint_that_states_other_values_each_time_is_bounded(self):
+        # Guards against a faulty endpoint that fills the links of all nodes.
+        speeds = EndpointSpeeds()
+        news = [
+            speeds.record_stated("e0", header(4.0 if n % 2 else 1.0), n / 100)
+            for n in range(1_000)
+        ]
+        assert len(news) - news.count(News.NONE) <= 10.0 / NEWS_SECONDS + 1
+
+    def test_a_value_that_was_told_is_not_announced_again(self):
+        # Guards against each node announcing the same change.
+        teller, other = EndpointSpeeds(), EndpointSpeeds()
+        for speeds in (teller, other):
+            speeds.record_stated("e0", header(1.0), 0.0)
+        assert teller.record_stated("e0", header(2.5), 0.5) is News.CHANGE
+        other.record_told("e0", header(2.5), 0.5, is_sample=False)
+        assert other.slowness("e0", 0.5, 0.02) > 2.3
+        assert other.record_stated("e0", header(2.5), 0.51) is News.NONE
+
+    def test_no_slowness_is_no_news(self):
+        # Guards against messages for services that state no slowness.
+        speeds = EndpointSpeeds()
+        assert speeds.record_stated("e0", header(None), 0.0) is News.NONE
