--- a/celerytrail/policies/endpointchoice.py
+++ b/celerytrail/policies/endpointchoice.py
@@ -7,12 +7,16 @@
 
 from __future__ import annotations
 
+import math
 import random
+import statistics
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 
 from ..model import Registration
 from ..types import Address
+from .endpointspeeds import DEFAULT_ANSWER_SECONDS, EndpointSpeeds
+from .loadshares import Server, fair_shares, fill_shares
 
 # Weight of one outcome in an endpoint's failure rate, a moving average that covers
 # about the last ten.
@@ -34,6 +38,20 @@
 # Half-life of the failure rate, in seconds. Through the decay an endpoint that was
 # avoided gets a request now and then and can recover.
 HALF_LIFE_SECONDS = 3.0
+# Cost that separates two endpoints of which one should get 2.7 times the requests of
+# the other, where an endpoint should get none. It is scaled down as the shares become
+# equal, so that equal endpoints are chosen as those without statements. It is as large
+# as the cost of a connection, or open connections would decide.
+SHARE_COST = 0.1
+# Smallest share, which bounds the cost: failures matter more.
+MIN_SHARE = 1e-4
+# Fewest requests in progress that are assumed, as a share of all slots. With fewer, a
+# difference of some percent would leave an endpoint without requests; with these, one
+# of a quarter does.
+MIN_LOAD_SHARE = 0.2
+# Share of the stated requests that count beside those to come. Within the time of one
+# answer the ones are replaced by the others.
+STATED_SHARE = 0.5
 MAX_RECORDS = 5_000
 # Minimum time between two announcements of one broken endpoint by a node, in seconds.
 # Announcements by three of ten nodes already make the endpoint the last choice.
@@ -66,6 +84,8 @@
         Called with an endpoint that aborted a request, to announce it to other nodes.
     is_connected : callable
         Returns whether an idle connection to an address is open.
+    speeds : EndpointSpeeds or None
+        Load and speed of endpoints that state them; none by default.
     """
 
     def __init__(
@@ -75,11 +95,13 @@
         rng: random.Random,
         tell: Callable[[str], None],
         is_connected: Callable[[Address], bool],
+        speeds: EndpointSpeeds | None = None,
     ) -> None:
         self._failure_domain = failure_domain
         self._rng = rng
         self._tell = tell
         self._is_connected = is_connected
+        self._speeds = speeds or EndpointSpeeds()
         self._records: dict[str, _Record] = {}
 
     def choose(
@@ -89,7 +111,38 @@
         choices = [reg for reg in regs if reg.endpoint not in excluded]
         if not choices:
             return None
-        return min(choices, key=lambda reg: self._cost(reg, now))
+        shares = self._shares(choices, now)
+        if shares is None:
+            return min(choices, key=lambda reg: self._cost(reg, now))
+        # The endpoint with the greatest sum of the logarithm of its share and a Gumbel
+        # variate is chosen with the probability that its share states.
+        scale = SHARE_COST * self._inequality(choices, shares)
+        costs = []
+        for reg, share in zip(choices, shares, strict=True):
+            draw = self._rng.random()
+            # The same draw as for endpoints without statements. The noise is lowest
+            # where the variate is greatest, so it doesn't make the shares more unequal.
+            gumbel = -math.log(-math.log(max(1.0 - draw, 1e-12)))
+            bonus = math.log(max(share, MIN_SHARE)) + gumbel
+            costs.append(self._cost_without_noise(reg, now) + 0.04 * draw)
+            costs[-1] -= scale * bonus
+        return choices[costs.index(min(costs))]
+
+    def inputs(self, endpoint: str, now: float) -> dict[str, float]:
+        """Return what an endpoint stated, as used in a choice, and its age.
+
+        Empty for an endpoint that states nothing.
+        """
+        speeds = self._speeds
+        if not speeds.is_stated(endpoint):
+            return {}
+        seconds = speeds.usual_seconds(endpoint) or DEFAULT_ANSWER_SECONDS
+        return {
+            "slowness": round(speeds.slowness(endpoint, now, seconds), 3),
+            "lasting_slowness": round(speeds.lasting_slowness(endpoint), 3),
+            "n_elsewhere": round(speeds.n_elsewhere(endpoint, now), 2),
+            "stated_age": round(speeds.age_seconds(endpoint, now), 4),
+        }
 
     def begin(self, endpoint: str, now: float) -> None:
         """Count a request that is sent to an endpoint as in progress."""
@@ -103,9 +156,15 @@
         is_failed: bool,
         is_broken: bool,
         now: float,
+        is_answered: bool = False,
+        is_refused: bool = False,
     ) -> None:
         """Record how a request that began at ``began_at`` ended at an endpoint.
 
+        ``is_answered`` says that it brought a complete answer without an error, and
+        ``is_refused`` that the endpoint refused to run it. Neither holds for a request
+        that was cancelled.
+
         An aborted request is announced to the other nodes. An endpoint may reset all
         requests while its row reports it healthy. Without the announcement each of a
         dozen nodes would find out by a request of its own, which may have run and can't
@@ -120,6 +179,10 @@
         record.answer_seconds += change
         record.answered_at = now
         self._observe(record, 1.0 if is_failed else 0.0, now)
+        if is_answered:
+            self._speeds.record_answer(endpoint, now - began_at, now)
+        if is_refused:
+            self._speeds.record_refusal(endpoint)
         if is_broken and now >= record.next_announcement_at:
             record.next_announcement_at = now + ANNOUNCE_SECONDS
             self._tell(endpoint)
@@ -141,7 +204,54 @@
         record.failure_rate = rate + OUTCOME_WEIGHT * (outcome - rate)
         record.updated_at = now
 
+    def _shares(
+        self, choices: Sequence[Registration], now: float
+    ) -> list[float] | None:
+        """Return the shares of all nodes' requests that endpoints should get.
+
+        None if no endpoint states its load. Those that don't count as usual ones.
+        """
+        speeds = self._speeds
+        stated = [reg.endpoint for reg in choices if speeds.is_stated(reg.endpoint)]
+        if not stated:
+            return None
+        found = (speeds.usual_seconds(endpoint) for endpoint in stated)
+        times = [seconds for seconds in found if seconds is not None]
+        work_seconds = statistics.median(times) if times else DEFAULT_ANSWER_SECONDS
+        servers = [self._server(reg, now, work_seconds) for reg in choices]
+        n_slots = sum(server.n_slots for server in servers)
+        n_running = sum(
+            speeds.mean_load(endpoint) / speeds.lasting_slowness(endpoint)
+            for endpoint in stated
+        )
+        n_running *= len(choices) / len(stated)
+        n_running = max(n_running, MIN_LOAD_SHARE * n_slots)
+        n_counted = sum(server.n_busy / server.slowness for server in servers)
+        n_to_come = max(n_running - n_counted, (1 - STATED_SHARE) * n_running)
+        return fill_shares(servers, n_to_come)
+
+    def _server(self, reg: Registration, now: float, work_seconds: float) -> Server:
+        speeds = self._speeds
+        n_own = len(self._record(reg.endpoint).began_at)
+        n_others = max(0.0, speeds.n_elsewhere(reg.endpoint, now) - n_own)
+        return Server(
+            n_slots=max(1, reg.n_slots),
+            slowness=speeds.slowness(reg.endpoint, now, work_seconds),
+            n_busy=STATED_SHARE * n_others,
+        )
+
+    @staticmethod
+    def _inequality(choices: Sequence[Registration], shares: Sequence[float]) -> float:
+        """Return how far shares are from fair ones: 0 if they are, 1 if one is 0."""
+        fair = fair_shares([Server(n_slots=max(1, reg.n_slots)) for reg in choices])
+        return 1 - min(
+            share / fair_share for share, fair_share in zip(shares, fair, strict=True)
+        )
+
     def _cost(self, reg: Registration, now: float) -> float:
+        return self._cost_without_noise(reg, now) + 0.04 * self._rng.random()
+
+    def _cost_without_noise(self, reg: Registration, now: float) -> float:
         record = self._record(reg.endpoint)
         is_cross_domain = reg.failure_domain != self._failure_domain
         return (
@@ -150,7 +260,6 @@
             + ANSWER_COST * self._answer_seconds(record, now)
             + (CROSS_DOMAIN_COST if is_cross_domain else 0.0)
             + (0.0 if self._is_connected(reg.address) else CONNECT_COST)
-            + 0.04 * self._rng.random()
         )
 
     @staticmethod
--- a/tests/test_endpointspeeds.py
+++ b/tests/test_endpointspeeds.py
@@ -15,6 +15,7 @@
     EndpointSpeeds,
     News,
 )
+from celerytrail.policies.loadshares import Server, fill_shares
 
 
 def header(slowness: float | None = 1.0, n_running: int = 1, **more: int) -> LoadHeader:
@@ -266,3 +267,52 @@
         # Guards against messages for services that state no slowness.
         speeds = EndpointSpeeds()
         assert speeds.record_stated("e0", header(None), 0.0) is News.NONE
+
+
+class TestShares:
+    """The load: servers that differ in speed and load get the requests of many nodes
+    that know nothing of one another's choices.
+    """
+
+    def test_equal_servers_get_equal_shares(self):
+        # Guards against a preference without a reason.
+        servers = [Server(n_slots=6) for _ in range(4)]
+        assert fill_shares(servers, 3.0) == pytest.approx([0.25] * 4)
+
+    def test_a_slow_server_gets_nothing_at_low_load(self):
+        # Guards against requests at a slow machine while others idle.
+        servers = [Server(n_slots=6, slowness=slowness) for slowness in (1, 1, 1, 2.5)]
+        assert fill_shares(servers, 2.0) == pytest.approx([1 / 3] * 3 + [0.0])
+
+    @pytest.mark.parametrize("n_requests", [2.0, 6.0, 9.0, 12.0, 13.1, 100.0])
+    def test_no_server_gets_more_than_it_can_run(self, n_requests: float):
+        # Guards against a fast machine that gets more requests than it can ever run.
+        servers = [Server(n_slots=6, slowness=slowness) for slowness in (1, 2.5, 2.5)]
+        shares = fill_shares(servers, n_requests)
+        assert sum(shares) == pytest.approx(1.0)
+        n_possible = min(n_requests, 0.95 * 6 * 1.8)
+        for server, share in zip(servers, shares, strict=True):
+            assert share * n_possible * server.slowness < server.n_slots
+
+    def test_servers_without_a_free_slot_share_by_capacity(self):
+        # Guards against a division by zero when all servers are full.
+        servers = [
+            Server(n_slots=6, slowness=slowness, n_busy=9.0) for slowness in (1, 2)
+        ]
+        assert fill_shares(servers, 5.0) == pytest.approx([2 / 3, 1 / 3])
+
+    def test_random_servers_get_shares_that_sum_to_one(self):
+        # Guards against shares that lose or add requests for some combination.
+        rng = random.Random(5)
+        for _ in range(500):
+            servers = [
+                Server(
+                    n_slots=rng.randint(1, 24),
+                    slowness=rng.choice([0.2, 0.7, 1.0, 1.7, 4.0, 100.0]),
+                    n_busy=rng.choice([0.0, rng.uniform(0, 30)]),
+                )
+                for _ in range(rng.randint(1, 30))
+            ]
+            shares = fill_shares(servers, rng.uniform(0.01, 200))
+            assert sum(shares) == pytest.approx(1.0)
+            assert min(shares) >= 0.0
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -7,11 +7,18 @@
 
 import pytest
 
-from celerytrail.model import EndpointState, EngineProfile, EngineReport, Registration
+from celerytrail.model import (
+    EndpointState,
+    EngineProfile,
+    EngineReport,
+    LoadHeader,
+    Registration,
+)
 from celerytrail.policies import moving, placing
 from celerytrail.policies.backups import SameDomainBackup
 from celerytrail.policies.decodetimes import DEFAULT_TOKEN_SECONDS, DecodeTimes
 from celerytrail.policies.endpointchoice import EndpointChoice
+from celerytrail.policies.endpointspeeds import EndpointSpeeds
 from celerytrail.policies.engineloads import EngineLoad, EngineLoads, Run
 from celerytrail.policies.movetargets import OwnTargets
 from celerytrail.policies.prefillrates import (
@@ -686,6 +693,164 @@
         assert self.make().choose(self.REGS, {"e0", "e1", "e2"}, 0.0) is None
 
 
+class TestChoiceByStatedLoad:
+    """The load: endpoints of six slots state their load and slowness in each answer.
+    They are slow for 0.6 s now and then, and up to 330 nodes read the same values.
+    """
+
+    REGS = [registration(f"e{n}", n_slots=6) for n in range(4)]
+
+    def make(self, seed: int = 3) -> tuple[EndpointChoice, EndpointSpeeds]:
+        speeds = EndpointSpeeds()
+        choice = EndpointChoice(
+            failure_domain="a",
+            rng=random.Random(seed),
+            tell=lambda endpoint: None,
+            is_connected=lambda address: True,
+            speeds=speeds,
+        )
+        return choice, speeds
+
+    def state(
+        self,
+        speeds: EndpointSpeeds,
+        endpoint: str,
+        slowness: float | None = 1.0,
+        n_running: int = 1,
+        now: float = 0.0,
+    ) -> None:
+        header = LoadHeader(
+            n_running=n_running, n_waiting=0, n_slots=6, slowness=slowness
+        )
+        speeds.record_told(endpoint, header, now, is_sample=False)
+
+    def shares(self, choice: EndpointChoice, now: float = 0.0) -> dict[str, float]:
+        counts = {reg.endpoint: 0 for reg in self.REGS}
+        for _ in range(1_000):
+            reg = choice.choose(self.REGS, (), now)
+            assert reg is not None
+            counts[reg.endpoint] += 1
+        return {endpoint: n / 1_000 for endpoint, n in counts.items()}
+
+    def names(self, choice: EndpointChoice, now: float) -> list[str]:
+        chosen = [choice.choose(self.REGS, (), now) for _ in range(200)]
+        return [reg.endpoint for reg in chosen if reg is not None]
+
+    def test_endpoints_without_statements_are_chosen_as_before(self):
+        # Guards against an effect on services that send no header.
+        choice, speeds = self.make()
+        self.state(speeds, "another service's", 4.0, 6)
+        rng = random.Random(3)
+        for _ in range(200):
+            draws = [rng.random() for _ in self.REGS]
+            expected = self.REGS[draws.index(min(draws))]
+            assert choice.choose(self.REGS, (), 0.0) == expected
+
+    def test_equal_statements_change_nothing(self):
+        # Guards against nodes that give up open connections for no gain.
+        choice, speeds = self.make()
+        for reg in self.REGS:
+            self.state(speeds, reg.endpoint)
+        assert self.names(choice, 0.0) == self.names(self.make()[0], 0.0)
+
+    def test_stale_statements_change_nothing(self):
+        # Guards against old values after a lost node or a cut link: none arrive then.
+        choice, speeds = self.make()
+        for number, reg in enumerate(self.REGS):
+            self.state(speeds, reg.endpoint, 1.0 + number, number)
+        assert self.names(choice, 30.0) == self.names(self.make()[0], 30.0)
+
+    def test_a_slow_endpoint_gets_no_request_and_returns_without_news(self):
+        # Guards against requests at an endpoint that is known to be slow, and against
+        # one that is avoided for longer than it is slow.
+        choice, speeds = self.make()
+        for reg in self.REGS:
+            self.state(speeds, reg.endpoint, 2.5 if reg.endpoint == "e1" else 1.0)
+        assert self.shares(choice)["e1"] < 0.02
+        assert self.shares(choice, 4.0)["e1"] > 0.15
+
+    def test_a_full_endpoint_is_avoided_while_the_statement_is_fresh(self):
+        # Guards against requests that queue at a full endpoint beside idle ones.
+        choice, speeds = self.make()
+        for reg in self.REGS:
+            self.state(speeds, reg.endpoint, None, 6 if reg.endpoint == "e1" else 0)
+        assert self.shares(choice)["e1"] < 0.05
+        assert self.shares(choice, 1.0)["e1"] > 0.15
+
+    def test_one_fast_endpoint_is_not_flooded_under_load(self):
+        # Guards against three slow endpoints that idle beside a full one.
+        choice, speeds = self.make()
+        for reg in self.REGS:
+            self.state(speeds, reg.endpoint, 1.0, 3)
+        for reg in self.REGS:
+            is_fast = reg.endpoint == "e1"
+            self.state(speeds, reg.endpoint, 1.0 if is_fast else 2.5, 3, 1.0)
+        # At half load the fast one can run half of all requests.
+        assert 0.3 < self.shares(choice, 1.0)["e1"] < 0.6
+        assert 0.3 < self.shares(choice, 1.2)["e1"] < 0.6
+
+    @pytest.mark.parametrize("n_nodes", [12, 100, 330])
+    def test_nodes_that_read_one_idle_endpoint_do_not_all_choose_it(self, n_nodes: int):
+        # Guards against a herd: least loaded by stated value sends all requests to the
+        # idle one, power of two choices half of them. Its share of the free slots is
+        # a half, too; three standard deviations are allowed beyond it.
+        n_chosen = 0
+        for seed in range(n_nodes):
+            choice, speeds = self.make(seed)
+            for reg in self.REGS:
+                n_running = 0 if reg.endpoint == "e1" else 4
+                self.state(speeds, reg.endpoint, 1.0, n_running)
+            reg = choice.choose(self.REGS, (), 0.001)
+            n_chosen += reg is not None and reg.endpoint == "e1"
+        assert n_chosen / n_nodes <= 0.5 + 3 * 0.5 / n_nodes**0.5
+
+    def test_one_that_states_to_be_idle_and_refuses_all_is_avoided(self):
+        # Guards against a false statement that outweighs refusals.
+        choice, speeds = self.make()
+        for number in range(20):
+            now = 0.2 * number
+            for reg in self.REGS:
+                n_running = 0 if reg.endpoint == "e1" else 4
+                self.state(speeds, reg.endpoint, 0.5, n_running, now)
+            reg = choice.choose(self.REGS, (), now)
+            assert reg is not None
+            choice.begin(reg.endpoint, now)
+            is_refused = reg.endpoint == "e1"
+            choice.end(
+                reg.endpoint,
+                now,
+                is_failed=is_refused,
+                is_broken=False,
+                now=now + 0.02,
+                is_answered=not is_refused,
+                is_refused=is_refused,
+            )
+            if is_refused:
+                break
+        assert is_refused
+        assert self.shares(choice, now + 0.02)["e1"] < 0.02
+
+    def test_failures_outweigh_a_favourable_statement(self):
+        # Guards against requests at an endpoint that fails as fast as it says.
+        choice, speeds = self.make()
+        for _ in range(4):
+            choice.begin("e1", 0.0)
+            choice.end("e1", 0.0, is_failed=True, is_broken=False, now=0.01)
+        for reg in self.REGS:
+            self.state(speeds, reg.endpoint, 0.5 if reg.endpoint == "e1" else 2.0)
+        assert self.shares(choice)["e1"] < 0.2
+
+    def test_the_inputs_are_reported_with_their_age(self):
+        # Guards against log lines that don't explain a choice.
+        choice, speeds = self.make()
+        assert choice.inputs("e1", 0.0) == {}
+        self.state(speeds, "e1", 2.5, 3)
+        inputs = choice.inputs("e1", 0.1)
+        assert inputs["stated_age"] == 0.1
+        assert inputs["slowness"] > 2.0
+        assert 0 < inputs["n_elsewhere"] < 3
+
+
 class TestEventSplitter:
     def test_only_complete_events_are_returned(self):
         # An engine stops in the middle of an event. If the first half were forwarded,
