--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import functools
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from result import Err
 
@@ -41,6 +41,8 @@
 
     endpoint: str
     res: Response
+    # What the endpoint had stated when it was chosen.
+    inputs: dict[str, float] = field(default_factory=dict)
 
 
 Outcome = Answered | NotExecuted | Failed
@@ -122,8 +124,8 @@
     async def _send_answer(self, ex: Exchange, outcome: Outcome) -> None:
         attempt = ex.facts.attempt_id
         match outcome:
-            case Answered(endpoint=endpoint, res=res):
-                ex.log("answered", endpoint=endpoint, status=res.status)
+            case Answered(endpoint=endpoint, res=res, inputs=inputs):
+                ex.log("answered", endpoint=endpoint, status=res.status, **inputs)
                 ex.observe("relay_answer")
                 headers = wire.answer_headers(res.headers)
                 await ex.res.send(res.status, res.body, headers)
@@ -288,24 +290,27 @@
     async def _attempt(self, ex: Exchange, admission: Admission) -> Outcome:
         reg = admission.reg
         began_at = asyncio.get_running_loop().time()
+        inputs = self._choice.inputs(reg.endpoint, began_at)
         self._choice.begin(reg.endpoint, began_at)
         self.n_open += 1
         outcome: Outcome | None = None
         try:
             outcome = await self._send(ex, admission)
+            if isinstance(outcome, Answered):
+                outcome = replace(outcome, inputs=inputs)
             return outcome
         finally:
             self.n_open -= 1
-            is_failed = outcome is not None and not (
-                isinstance(outcome, Answered) and outcome.res.status < 500
-            )
+            is_answered = isinstance(outcome, Answered) and outcome.res.status < 500
             now = asyncio.get_running_loop().time()
             self._choice.end(
                 reg.endpoint,
                 began_at,
-                is_failed=is_failed,
+                is_failed=outcome is not None and not is_answered,
                 is_broken=isinstance(outcome, Failed),
                 now=now,
+                is_answered=is_answered,
+                is_refused=isinstance(outcome, NotExecuted) and outcome.was_sent,
             )
 
     async def _send(self, ex: Exchange, admission: Admission) -> Outcome:
--- a/celerytrail/relay/endpointanswers.py
+++ b/celerytrail/relay/endpointanswers.py
@@ -7,11 +7,14 @@
 from dataclasses import dataclass
 
 from eliot import log_message
+from result import Err
 
 from ..http.client import Stream
-from ..model import EndpointStatements, Registration
+from ..metrics import Metrics
+from ..model import EndpointStatements, LoadHeader, Registration
 from ..platform import wire
 from ..policies.coldlimits import ColdEndpoints
+from ..policies.endpointspeeds import EndpointSpeeds, News
 from ..policies.statedpauses import StatedPauses
 from ..types import Address
 from .endpointlimits import EndpointLimits
@@ -46,8 +49,14 @@
         The pauses that endpoints asked for.
     limits : EndpointLimits
         What endpoints state for all nodes together.
+    speeds : EndpointSpeeds
+        Load and speed of the endpoints.
     announce_leaving : callable
         Announces an endpoint that leaves to the other nodes.
+    announce_load : callable
+        Announces the load that an endpoint states to the other nodes.
+    metrics : Metrics
+        Counts load headers by outcome.
     """
 
     def __init__(
@@ -57,13 +66,19 @@
         cold: ColdEndpoints,
         pauses: StatedPauses,
         limits: EndpointLimits,
+        speeds: EndpointSpeeds,
         announce_leaving: Callable[[Registration], None],
+        announce_load: Callable[[Registration, LoadHeader, News], None],
+        metrics: Metrics,
     ) -> None:
         self._registry = registry
         self._cold = cold
         self._pauses = pauses
         self._limits = limits
+        self._speeds = speeds
         self._announce_leaving = announce_leaving
+        self._announce_load = announce_load
+        self._metrics = metrics
 
     def read(
         self, ex: Exchange, reg: Registration, stream: Stream, sent_at: float
@@ -113,6 +128,8 @@
             log_message("relay:endpoint:resumed", endpoint=reg.endpoint)
         if stated.is_leaving and status != MISDIRECTED:
             self.record_leaving(reg)
+        if status != MISDIRECTED:
+            self._record_load(reg, headers, now)
         return stated
 
     def record_at(
@@ -153,6 +170,21 @@
         if self._registry.record_leaving(reg):
             self._announce_leaving(reg)
 
+    def _record_load(
+        self, reg: Registration, headers: Mapping[str, str], now: float
+    ) -> None:
+        decoded = wire.decode_load(headers)
+        if decoded is None:
+            return
+        if isinstance(decoded, Err):
+            self._metrics.count("load_headers", outcome=decoded.err_value)
+            return
+        self._metrics.count("load_headers", outcome="read")
+        header = decoded.ok_value
+        news = self._speeds.record_stated(reg.endpoint, header, now)
+        if news is not News.NONE:
+            self._announce_load(reg, header, news)
+
     def _record_pause(self, reg: Registration, seconds: float) -> None:
         if self._pauses.record(reg.incarnation, _now(), seconds):
             log_message(
--- a/celerytrail/relay/endpointstate.py
+++ b/celerytrail/relay/endpointstate.py
@@ -5,10 +5,12 @@
 import asyncio
 from collections.abc import Callable
 
-from ..model import Registration, Service
+from ..metrics import Metrics
+from ..model import LoadHeader, Registration, Service
 from ..platform.nodesettings import RelaySettings
 from ..policies.blockedprompts import BlockedPrompts
 from ..policies.coldlimits import ColdEndpoints
+from ..policies.endpointspeeds import EndpointSpeeds, News
 from ..policies.evacuations import Evacuations
 from ..policies.statedpauses import StatedPauses
 from .endpointanswers import EndpointAnswers
@@ -44,6 +46,10 @@
         Called once for each incarnation of an endpoint that leaves or is removed.
     announce_leaving : callable
         Announces an endpoint that leaves to the other nodes.
+    announce_load : callable
+        Announces the load that an endpoint states to the other nodes.
+    metrics : Metrics
+        Counts load headers by outcome.
     """
 
     def __init__(
@@ -56,6 +62,8 @@
         blocked: BlockedPrompts,
         on_leaving: Callable[[Registration], None],
         announce_leaving: Callable[[Registration], None],
+        announce_load: Callable[[Registration, LoadHeader, News], None],
+        metrics: Metrics,
     ) -> None:
         self._cfg = cfg
         self._find_service = find_service
@@ -65,6 +73,7 @@
         )
         self.cold = ColdEndpoints()
         self.pauses = StatedPauses()
+        self.speeds = EndpointSpeeds()
         self.limits = limits
         self.registry = Registry(on_leaving=on_leaving, evacuations=self.evacuations)
         self.gate = EndpointGate(
@@ -84,7 +93,10 @@
             cold=self.cold,
             pauses=self.pauses,
             limits=limits,
+            speeds=self.speeds,
             announce_leaving=announce_leaving,
+            announce_load=announce_load,
+            metrics=metrics,
         )
 
     def set_evacuated(self, domains: frozenset[str]) -> None:
@@ -109,6 +121,7 @@
         self.cold.expire(now)
         self.limits.expire(now, self.registry.has)
         self.pauses.expire(now, self.registry.has)
+        self.speeds.expire(self.registry.has)
 
     def _cold_limit(self, name: str) -> float | None:
         """Return the requests per second for a cold endpoint, None without a limit."""
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -14,7 +14,7 @@
 from ..http.routes import Router
 from ..http.server import ServerLimits
 from ..metrics import Metrics
-from ..model import Registration, RelayConfig, Service
+from ..model import LoadHeader, Registration, RelayConfig, Service
 from ..nodes.member import Member
 from ..platform import storewire
 from ..platform.nodesettings import RelaySettings
@@ -23,6 +23,7 @@
 from ..policies.coldlimits import ColdEndpoints
 from ..policies.decodetimes import DecodeTimes
 from ..policies.endpointchoice import EndpointChoice
+from ..policies.endpointspeeds import News
 from ..policies.engineloads import EngineLoads, Run
 from ..policies.evacuations import Evacuations
 from ..policies.freshness import Freshness
@@ -156,6 +157,8 @@
             blocked=self.prompts.blocked,
             on_leaving=self._on_leaving,
             announce_leaving=lambda reg: self.peer_updates.announce_leaving(reg),
+            announce_load=self._announce_load,
+            metrics=self._metrics,
         )
         self.registry = self._endpoint_state.registry
 
@@ -207,6 +210,7 @@
             on_cut_off=self._on_node_cut_off,
             on_origin=lambda entry: self.origins.record_told(entry),
             on_prompt_news=self.prompts.record_news,
+            on_load=self._on_load_told,
             rng=self._rng,
         )
         self._budget = SharedRetryBudget(
@@ -267,6 +271,7 @@
             rng=self._rng,
             tell=self._announce_abort,
             is_connected=self.access.client.is_connected,
+            speeds=self._endpoint_state.speeds,
         )
         self.calls = PlainCalls(
             client=self.access.client,
@@ -498,6 +503,24 @@
             announce = functools.partial(self.peer_updates.announce_abort, endpoint)
             self.access.paths.check_then(reg.address, announce)
 
+    def _announce_load(self, reg: Registration, header: LoadHeader, news: News) -> None:
+        """Announce the load of a plain endpoint to the other nodes.
+
+        Those of engines are not announced: streams of seconds aren't affected by slow
+        phases, and the lists of runs show the engines' load.
+        """
+        if not self._is_engine_service(reg.service):
+            self.peer_updates.announce_load(
+                reg.endpoint, header, is_sample=news is News.SAMPLE
+            )
+
+    def _on_load_told(self, endpoint: str, header: LoadHeader, is_sample: bool) -> None:
+        if self.registry.has(endpoint):
+            now = asyncio.get_running_loop().time()
+            self._endpoint_state.speeds.record_told(
+                endpoint, header, now, is_sample=is_sample
+            )
+
     def _on_node_cut_off(self, node: str, services: list[str]) -> None:
         now = asyncio.get_running_loop().time()
         self.access.cut_off_nodes.record(node, services, now)
--- a/celerytrail/relay/peerupdates.py
+++ b/celerytrail/relay/peerupdates.py
@@ -11,8 +11,9 @@
 from eliot import log_message
 
 from ..http.network import Network
-from ..model import EngineReport, Registration
+from ..model import EngineReport, LoadHeader, Registration
 from ..nodes.gossip import DATAGRAM_HEADER_BYTES
+from ..platform.wire import MAX_LOAD_COUNT, MAX_LOAD_PERCENT
 from ..policies.decodetimes import DecodeTimes
 from ..policies.engineloads import EngineLoads, Run
 from ..policies.runlistschedule import MIN_LIST_PERIOD_SECONDS, RunListSchedule
@@ -72,6 +73,20 @@
     seconds: float
 
 
+class LoadEntry(msgspec.Struct, array_like=True, frozen=True):
+    """What an endpoint states of its load and speed, as sent between nodes.
+
+    ``is_sample`` says that the value was due by time and not chosen as a change.
+    """
+
+    endpoint: str
+    n_running: int
+    n_waiting: int
+    n_slots: int
+    slowness: float
+    is_sample: bool
+
+
 class NodeUpdate(msgspec.Struct, array_like=True, frozen=True):
     """One node's update: its runs, and events at engines and endpoints.
 
@@ -84,7 +99,8 @@
     that fall over, with the refusals per second that they bear. ``leaving_starts``
     are the starts of the endpoints in ``leaving``; earlier versions don't send them.
     ``origins`` are those of streams that the receiver owns. ``prompts`` are news of
-    prompts that crash engines.
+    prompts that crash engines. ``stated_loads`` are loads that plain endpoints have
+    just stated to the sender.
     """
 
     node: str
@@ -102,6 +118,7 @@
     leaving_starts: list[int] = []
     origins: list[OriginEntry] = []
     prompts: PromptNews | None = None
+    stated_loads: list[LoadEntry] = []
 
 
 class PeerUpdates(asyncio.DatagramProtocol):
@@ -138,6 +155,9 @@
         Called with each origin of a stream that another node told this one.
     on_prompt_news : callable
         Called with other nodes' news of prompts that crash engines.
+    on_load : callable
+        Called with an endpoint, the load that it stated to another node, and whether
+        that is a sample.
     rng : random.Random
         Source of the jitter between run lists.
     """
@@ -159,6 +179,7 @@
         on_cut_off: Callable[[str, list[str]], None],
         on_origin: Callable[[OriginEntry], None],
         on_prompt_news: Callable[[PromptNews], None],
+        on_load: Callable[[str, LoadHeader, bool], None],
         rng: random.Random,
     ) -> None:
         self._node = node
@@ -175,6 +196,7 @@
         self._on_cut_off = on_cut_off
         self._on_origin = on_origin
         self._on_prompt_news = on_prompt_news
+        self._on_load = on_load
         self._rng = rng
         self._list_schedule = RunListSchedule()
         # Sent with each update, so that no run expires at a receiver before the next.
@@ -271,6 +293,20 @@
         for entries in self._limit_entries(statements):
             self._send(NodeUpdate(node=self._node, brittle=entries))
 
+    def announce_load(
+        self, endpoint: str, header: LoadHeader, *, is_sample: bool
+    ) -> None:
+        """Announce the load and speed that an endpoint has just stated."""
+        entry = LoadEntry(
+            endpoint=endpoint,
+            n_running=header.n_running,
+            n_waiting=header.n_waiting,
+            n_slots=header.n_slots,
+            slowness=header.slowness or 1.0,
+            is_sample=is_sample,
+        )
+        self._send(NodeUpdate(node=self._node, stated_loads=[entry]))
+
     def _limit_entries(
         self, statements: Sequence[LimitStatement]
     ) -> Iterator[list[LimitEntry]]:
@@ -343,6 +379,10 @@
             self._on_origin(origin)
         if update.prompts is not None:
             self._on_prompt_news(update.prompts)
+        for stated in update.stated_loads:
+            header = _header_from(stated)
+            if header is not None:
+                self._on_load(stated.endpoint, header, stated.is_sample)
         if update.cut_off is not None:
             self._on_cut_off(update.node, update.cut_off)
 
@@ -412,6 +452,21 @@
     )
 
 
+def _header_from(entry: LoadEntry) -> LoadHeader | None:
+    """Return the stated load, or None if no endpoint's header may state it."""
+    counts = (entry.n_running, entry.n_waiting, entry.n_slots)
+    if not all(0 <= n <= MAX_LOAD_COUNT for n in counts) or entry.n_slots == 0:
+        return None
+    if not 0 < entry.slowness <= MAX_LOAD_PERCENT / 100:
+        return None
+    return LoadHeader(
+        n_running=entry.n_running,
+        n_waiting=entry.n_waiting,
+        n_slots=entry.n_slots,
+        slowness=entry.slowness,
+    )
+
+
 def _run_from(entry: RunEntry) -> Run:
     return Run(
         run_id=entry.run_id,
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -152,6 +152,8 @@
         self.cold_ms = 0
         # The requests per second that it states to take from all nodes together.
         self.request_limit: float | None = None
+        # The load that it states in its answers; several values are used in turn.
+        self.load_headers: tuple[str, ...] = ()
         self.shedding: Shedding | None = None
         # Whether it says in all its answers that it leaves.
         self.is_leaving = False
@@ -264,6 +266,9 @@
             headers["x-cold-ms"] = str(self.cold_ms)
         if self.request_limit is not None:
             headers["server-limit"] = f"{self.request_limit:g}"
+        if self.load_headers:
+            position = len(self.arrivals) % len(self.load_headers)
+            headers["x-worker-load"] = self.load_headers[position]
         if not self.faults.is_unsealed:
             headers[SEAL_HEADER] = f"seal of {self.worker_id}"
         return headers
--- a/tests/test_endpointspeeds.py
+++ b/tests/test_endpointspeeds.py
@@ -16,6 +16,7 @@
     News,
 )
 from celerytrail.policies.loadshares import Server, fill_shares
+from tests.limitrig import EndpointFleet, run_endpoint_fleet
 
 
 def header(slowness: float | None = 1.0, n_running: int = 1, **more: int) -> LoadHeader:
@@ -316,3 +317,83 @@
             shares = fill_shares(servers, rng.uniform(0.01, 200))
             assert sum(shares) == pytest.approx(1.0)
             assert min(shares) >= 0.0
+
+
+def count(fleet: EndpointFleet, outcome: str) -> int:
+    """Return how many load headers all nodes counted by an outcome."""
+    total = 0
+    for node in fleet.fleet.nodes:
+        text = node._metrics.render()[0].decode()
+        for line in text.splitlines():
+            name, _, value = line.rpartition(" ")
+            if "load_headers_total{" in name and f'"{outcome}"' in name:
+                total += int(float(value))
+    return total
+
+
+class TestFleet:
+    """The load: twelve nodes and four endpoints; a node sends each of them few
+    requests. All of it runs in virtual time in one process.
+    """
+
+    def test_a_slow_endpoint_is_avoided_by_nodes_that_were_told(self):
+        # Guards against nodes that each find out by requests of their own.
+        async def steps(rig: EndpointFleet) -> None:
+            for _ in range(4):
+                endpoint = await rig.add_endpoint()
+                endpoint.load_headers = ("1,0,8,100",)
+                endpoint.answer_seconds = 0.02
+            traffic = rig.traffic(60.0)
+            await traffic.run(2.0)
+            slow = rig.endpoints[0]
+            # Its answers take no longer, so only the statements show that it is slow.
+            slow.load_headers = ("1,0,8,250",)
+            n_seen = [len(endpoint.seen) for endpoint in rig.endpoints]
+            await traffic.run(2.0)
+            n_new = [
+                len(endpoint.seen) - n
+                for endpoint, n in zip(rig.endpoints, n_seen, strict=True)
+            ]
+            assert traffic.n_served == len(traffic.answers)
+            # The nodes try it again when a slow phase should have ended.
+            assert n_new[0] <= 0.15 * sum(n_new)
+            speeds = [node._endpoint_state.speeds for node in rig.fleet.nodes]
+            assert all(one.is_stated(slow.worker_id) for one in speeds)
+
+        run_endpoint_fleet(12, steps)
+
+    def test_a_node_that_hears_nothing_serves_with_its_own_answers(self):
+        # Guards against a node that waits for others' news after a cut link.
+        async def steps(rig: EndpointFleet) -> None:
+            for number in range(3):
+                endpoint = await rig.add_endpoint()
+                endpoint.load_headers = ("1,0,8,250" if number == 0 else "1,0,8,100",)
+                endpoint.answer_seconds = 0.02
+            traffic = rig.traffic(20.0)
+            await traffic.run(4.0)
+            assert traffic.n_served == len(traffic.answers)
+            n_seen = [len(endpoint.seen) for endpoint in rig.endpoints]
+            assert n_seen[0] <= 0.2 * sum(n_seen)
+
+        run_endpoint_fleet(1, steps)
+
+    def test_bad_headers_are_counted_and_change_nothing(self):
+        # Guards against requests that fail on a header that can't be read.
+        async def steps(rig: EndpointFleet) -> None:
+            for _ in range(2):
+                endpoint = await rig.add_endpoint()
+                endpoint.load_headers = ("x", "-1,0,8", "1,0", "1,0,8,99999999")
+            traffic = rig.traffic(40.0)
+            await traffic.run(2.0)
+            assert traffic.n_served == len(traffic.answers)
+            for outcome in ("malformed", "negative", "wrong_count", "huge"):
+                assert count(rig, outcome) > 0
+            assert count(rig, "read") == 0
+            speeds = [node._endpoint_state.speeds for node in rig.fleet.nodes]
+            assert not any(
+                one.is_stated(endpoint.worker_id)
+                for one in speeds
+                for endpoint in rig.endpoints
+            )
+
+        run_endpoint_fleet(3, steps)
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from celerytrail.clock import ManualClock, SystemClock
+from celerytrail.model import LoadHeader
 from celerytrail.policies.decodetimes import DecodeTimes
 from celerytrail.policies.engineloads import EngineLoads, Run
 from celerytrail.policies.statedlimits import LimitStatement
@@ -362,6 +363,7 @@
                 "limits",
                 "cut_off",
                 "prompts",
+                "loads",
             )
         }
         peer_updates = PeerUpdates(
@@ -379,6 +381,7 @@
             on_brittle=lambda statement: None,
             on_cut_off=lambda *statement: events["cut_off"].append(statement),
             on_prompt_news=events["prompts"].append,
+            on_load=lambda *load: events["loads"].append(load),
             rng=random.Random(1),
         )
         return peer_updates, loads, events
@@ -433,6 +436,38 @@
         assert received.sent_at == pytest.approx(limit.sent_at, abs=0.1)
         assert received.heard_at == pytest.approx(limit.heard_at, abs=0.1)
 
+    async def test_a_stated_load_is_received_unchanged(self):
+        # Guards against a load that is told with another meaning than it was read.
+        sender, _, _ = self.make("other")
+        receiver, _, events = self.make()
+        sent: list[NodeUpdate] = []
+        sender._send = sent.append  # type: ignore[method-assign]
+        header = LoadHeader(n_running=3, n_waiting=1, n_slots=6, slowness=2.5)
+        sender.announce_load("d1", header, is_sample=True)
+        receiver.datagram_received(msgspec.msgpack.encode(sent[0]), ("10.0.0.1", 1))
+        assert events["loads"] == [("d1", header, True)]
+
+    @pytest.mark.parametrize(
+        "entry",
+        [
+            ["d1", -1, 0, 6, 1.0, True],
+            ["d1", 0, -1, 6, 1.0, True],
+            ["d1", 0, 0, 0, 1.0, True],
+            ["d1", 10**9, 0, 6, 1.0, True],
+            ["d1", 0, 0, 6, 0.0, True],
+            ["d1", 0, 0, 6, -1.0, True],
+            ["d1", 0, 0, 6, 1e9, True],
+            ["d1", 0, 0, 6, float("nan"), True],
+        ],
+    )
+    async def test_a_load_that_no_endpoint_may_state_is_ignored(self, entry):
+        # Guards against a faulty node whose values distort or end others' choices.
+        receiver, _, events = self.make()
+        update = ["other", *msgspec.to_builtins(NodeUpdate(node="other"))[1:]]
+        update[-1] = [entry]
+        receiver.datagram_received(msgspec.msgpack.encode(update), ("10.0.0.1", 1))
+        assert events["loads"] == []
+
     async def test_an_update_of_a_node_without_limits_is_read(self):
         # Nodes of the former version run beside new ones during a rolling restart.
         receiver, _, events = self.make()
@@ -520,6 +555,7 @@
             "limits": [],
             "cut_off": [],
             "prompts": [],
+            "loads": [],
         }
 
     async def test_the_services_that_a_node_is_cut_off_from_are_passed_on(self):
