--- a/celerytrail/policies/endpointspeeds.py
+++ b/celerytrail/policies/endpointspeeds.py
@@ -225,6 +225,24 @@
         share = (1 - math.exp(-covered)) / covered if covered > 1e-6 else 1.0
         return 1.0 + (ratio - 1.0) * share * math.exp(-age / seconds)
 
+    def present_rate(
+        self, endpoint: str, now: float, rate: float, n_units: float
+    ) -> float:
+        """Return the rate of work that begins now, from the endpoint's mean rate.
+
+        Parameters
+        ----------
+        endpoint : str
+            The endpoint.
+        now : float
+            The loop time.
+        rate : float
+            Units of work per second that the endpoint does at its permanent speed.
+        n_units : float
+            Size of the work.
+        """
+        return rate / self.passing_slowness(endpoint, now, n_units / rate)
+
     def lasting_slowness(self, endpoint: str) -> float:
         """Return the permanent slowness of an endpoint; 1.0 if it isn't known."""
         known = self._endpoints.get(endpoint)
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -10,6 +10,7 @@
 from ..policies import moving, placing
 from ..policies.backups import BackupPolicy, SameDomainBackup
 from ..policies.decodetimes import DecodeTimes
+from ..policies.endpointspeeds import EndpointSpeeds
 from ..policies.engineloads import EngineLoad, EngineLoads
 from ..policies.leavingversions import LeavingVersions
 from ..policies.movetargets import MoveTargets, OwnTargets
@@ -63,6 +64,8 @@
         engine, in seconds.
     rates : PrefillRates
         Prefill speed of each engine and of each service's engines.
+    speeds : EndpointSpeeds
+        The slowness that engines state.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
         gate: EndpointGate,
         policy: placing.PlacementPolicy,
         rates: PrefillRates,
+        speeds: EndpointSpeeds,
         backups: BackupPolicy | None = None,
         move_targets: MoveTargets | None = None,
     ) -> None:
@@ -89,6 +93,7 @@
         self._gate = gate
         self._placing = policy
         self._rates = rates
+        self._speeds = speeds
         self._backups = backups or SameDomainBackup()
         self._move_targets = move_targets or OwnTargets()
         # By endpoint, the loop time until which an unreachable engine is avoided.
@@ -187,11 +192,22 @@
                 load,
                 token_seconds=self._decode_times.token_seconds(load.reg.endpoint),
                 cold_seconds=self._gate.cold_seconds(load.reg),
-                prefill_rate=self._prefill_rate(load.reg),
+                prefill_rate=self._present_prefill_rate(live, load.reg, now),
             )
             for load in self._loads.estimate(idle_loads, now)
         ]
 
+    def _present_prefill_rate(
+        self, live: LiveRun, reg: Registration, now: float
+    ) -> float:
+        """Return the rate at which an engine reads a run's prompt if it begins now.
+
+        What is learned from first events holds its permanent speed already.
+        """
+        rate = self._prefill_rate(reg)
+        n_tokens = live.run.n_prompt_tokens
+        return self._speeds.present_rate(reg.endpoint, now, rate, n_tokens)
+
     def _prefill_rate(self, reg: Registration) -> float:
         return self._rates.rate(reg.endpoint, reg.service)
 
--- a/celerytrail/relay/enginerelay.py
+++ b/celerytrail/relay/enginerelay.py
@@ -116,6 +116,7 @@
             gate=gate,
             policy=policies.placing,
             rates=rates,
+            speeds=endpoints.speeds,
             backups=policies.backups,
             move_targets=policies.move_targets,
         )
--- a/tests/test_endpointspeeds.py
+++ b/tests/test_endpointspeeds.py
@@ -129,6 +129,30 @@
         assert speeds.slowness("e0", 5.0, 0.02) == pytest.approx(1.0, abs=0.01)
 
 
+class TestPrefillForecasts:
+    """The load: engines read prompts of 2,550 tokens in 0.2 s, and are slow for 0.6 s
+    now and then.
+    """
+
+    def test_a_prompt_that_begins_in_a_slow_phase_is_read_slowly(self):
+        # Guards against prompts that are placed behind queues longer than forecast.
+        speeds = EndpointSpeeds()
+        speeds.record_stated("e0", header(2.5), 0.0)
+        assert speeds.present_rate("e0", 0.0, 14_000.0, 2_550) < 0.5 * 14_000.0
+        assert speeds.present_rate("e0", 3.0, 14_000.0, 2_550) > 0.99 * 14_000.0
+
+    def test_a_permanent_difference_counts_once(self):
+        # Guards against a rate that is learned from first events and reduced again.
+        speeds = EndpointSpeeds()
+        for second in range(10):
+            speeds.record_stated("e0", header(1.7), 1.1 * second)
+        assert speeds.present_rate("e0", 10.0, 8_000.0, 2_550) == 8_000.0
+
+    def test_an_engine_without_the_header_keeps_its_rate(self):
+        # Guards against other forecasts where nothing is stated.
+        assert EndpointSpeeds().present_rate("e0", 0.0, 7_500.0, 0) == 7_500.0
+
+
 class TestLastingSpeed:
     """The load: a third of the machines permanently takes 1.7 times the usual time, the
     others 0.7, and each has passing slow phases.
