--- a/celerytrail/policies/engineloads.py
+++ b/celerytrail/policies/engineloads.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, replace
 
 from ..model import EngineReport, Registration
@@ -33,6 +34,10 @@
         Output made so far, as of the last update.
     is_moving : bool
         Whether ``backup`` is the target of a migration in progress.
+    organisation : str
+        Tag of its caller's organisation; empty if it has none or is not known.
+    priority : int
+        Its priority; 0 is the most urgent.
     """
 
     run_id: str
@@ -43,6 +48,8 @@
     is_prefilling: bool = True
     n_generated_tokens: int = 0
     is_moving: bool = False
+    organisation: str = ""
+    priority: int = 0
 
     @property
     def n_remaining_tokens(self) -> int:
@@ -234,6 +241,15 @@
             if run.endpoint == endpoint
         ]
 
+    def n_runs_by_organisation(self, endpoints: Collection[str]) -> dict[str, int]:
+        """Return the runs at some engines, by the tag of the organisation."""
+        return Counter(
+            listed.run.organisation
+            for node_runs in self._nodes.values()
+            for listed in node_runs.listed.values()
+            if listed.run.endpoint in endpoints
+        )
+
     def n_prefill_tokens(self, endpoint: str, *, excluded: str) -> int:
         """Return the prompt tokens queued at an engine, without one run's own."""
         return sum(
