--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -118,6 +118,10 @@
 
 # Help texts of all metrics; using a name that is not declared here is a bug.
 COUNTERS = {
+    "waits": "Generations that had to wait for an engine, by outcome.",
+    "overtakings": "Earlier requests that placements passed over, by reason.",
+    "unused_turns": "Requests that didn't take the capacity that this node left them.",
+    "returns": "Refused callers that returned and kept their position.",
     "places": "Requests for places at brittle endpoints, by outcome.",
     "prompt_blocks": "Blocks on prompts that this node learned of, by state.",
     "engines_lost": "Engines that broke off answers, by what became of them.",
@@ -143,6 +147,8 @@
     "relay_events": "Events of relayed requests, by event and cause.",
 }
 GAUGES = {
+    "waiting_requests": "Requests at this node that wait for an engine.",
+    "known_waiting_requests": "Requests at all nodes that wait, as known to this one.",
     "blocked_prompts": "Blocks on prompts in force.",
     "suspected_crashes": "Crashes of engines whose cause isn't known.",
     "brittle_endpoints": "Endpoints that fall over when they refuse too much.",
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -14,10 +14,12 @@
 from ..policies.leavingversions import LeavingVersions
 from ..policies.movetargets import MoveTargets, OwnTargets
 from ..policies.prefillrates import PrefillRates
+from ..policies.waiting import Returning, Waiting, return_key
 from .endpointgate import Admission, EndpointGate
 from .liverun import LiveRun
 from .peerupdates import PeerUpdates
 from .registry import Registry
+from .waitingroom import WaitingRoom
 
 # Share of the target for which a generation waits for an engine with capacity; the rest
 # is for the prefill.
@@ -25,11 +27,11 @@
 # Engines that are compared for one choice. With hundreds of engines, comparing all of
 # them takes tens of milliseconds, and some of these are nearly as good as the best.
 MAX_COMPARED = 64
-# Interval between two checks for capacity, in seconds.
-POLL_SECONDS = 0.02
 # How long an engine is avoided after a failed connection, in seconds. A crashed
 # engine's registration expires after three of its heartbeats, about 3.6 s.
 AVOID_SECONDS = 2.0
+# Largest share of its remaining time after which a refused caller returns.
+MAX_RETURN_SHARE = 1 / 3
 
 
 class EnginePlacer:
@@ -63,6 +65,8 @@
         engine, in seconds.
     rates : PrefillRates
         Prefill speed of each engine and of each service's engines.
+    waiting_room : WaitingRoom
+        The requests of all nodes that wait for engines.
     """
 
     def __init__(
@@ -77,6 +81,7 @@
         gate: EndpointGate,
         policy: placing.PlacementPolicy,
         rates: PrefillRates,
+        waiting_room: WaitingRoom,
         backups: BackupPolicy | None = None,
         move_targets: MoveTargets | None = None,
     ) -> None:
@@ -89,6 +94,7 @@
         self._gate = gate
         self._placing = policy
         self._rates = rates
+        self._waiting_room = waiting_room
         self._backups = backups or SameDomainBackup()
         self._move_targets = move_targets or OwnTargets()
         # By endpoint, the loop time until which an unreachable engine is avoided.
@@ -172,6 +178,20 @@
     def _engine_loads(
         self, live: LiveRun, excluded: set[str], *, can_wait: bool = False
     ) -> list[EngineLoad]:
+        return self._loads_of(live, self._usable(live, excluded, can_wait=can_wait))
+
+    def _service_loads(self, live: LiveRun) -> list[EngineLoad]:
+        """Return the engines that other requests for a run's service may get."""
+        regs = [
+            reg
+            for reg in self._registry.usable_endpoints(live.ex.service)
+            if self._gate.is_open_for(reg, frozenset())
+        ]
+        if len(regs) > MAX_COMPARED:
+            regs = self._rng.sample(regs, MAX_COMPARED)
+        return self._loads_of(live, regs)
+
+    def _loads_of(self, live: LiveRun, regs: list[Registration]) -> list[EngineLoad]:
         engine = live.engine
         idle_loads = [
             EngineLoad(
@@ -179,7 +199,7 @@
                 n_slots=engine.n_slots,
                 n_memory_tokens=engine.n_memory_tokens,
             )
-            for reg in self._usable(live, excluded, can_wait=can_wait)
+            for reg in regs
         ]
         now = asyncio.get_running_loop().time()
         return [
@@ -235,28 +255,66 @@
         )
 
     async def place_admitted(
-        self, live: LiveRun, excluded: set[str]
+        self, live: LiveRun, excluded: set[str], *, until: float | None = None
     ) -> Admission | None:
         """Wait for an engine with capacity that also admits the generation."""
         admission = None
         while admission is None:
-            reg = await self.place(live, excluded)
+            reg = await self.place(live, excluded, until=until)
             if reg is None:
                 return None
             admission = await self._gate.admit(reg, live.ex.prompt)
         return admission
 
-    async def place(self, live: LiveRun, excluded: set[str]) -> Registration | None:
-        """Wait for an engine with capacity; return None if none has any in time."""
+    async def place(
+        self, live: LiveRun, excluded: set[str], *, until: float | None = None
+    ) -> Registration | None:
+        """Wait for an engine with capacity; return None if none has any in time.
+
+        Runs that continue elsewhere, and those that begin again after a failure, take
+        capacity as soon as they find it. Others do so in the order that all nodes
+        share.
+
+        Parameters
+        ----------
+        live : LiveRun
+            The run.
+        excluded : set of str
+            Engines that it may not get.
+        until : float or None
+            Loop time until which it waits; for a share of its target by default.
+        """
+        if live.binding.version is not None or live.n_runs:
+            return await self._place(live, excluded, until, is_ordered=False)
+        outcome = "ended"
+        try:
+            reg = await self._place(live, excluded, until, is_ordered=True)
+            outcome = "placed" if reg is not None else "refused"
+            return reg
+        finally:
+            self._waiting_room.leave(live.run.run_id, outcome)
+
+    async def _place(
+        self,
+        live: LiveRun,
+        excluded: set[str],
+        until: float | None,
+        *,
+        is_ordered: bool,
+    ) -> Registration | None:
         ex = live.ex
         loop = asyncio.get_running_loop()
         target = ex.route.target_latency_seconds
         prefill_deadline = loop.time() + placing.PREFILL_SHARE * target
-        wait_deadline = min(loop.time() + WAIT_SHARE * target, ex.loop_deadline)
+        if until is None:
+            until = loop.time() + WAIT_SHARE * target
+        wait_deadline = min(until, ex.loop_deadline)
         while True:
             loads = self._engine_loads(live, excluded)
             demand = self._placing_demand(live, prefill_deadline - loop.time())
             load = self._choose(live, loads, demand)
+            if load is not None and is_ordered:
+                load = self._choose_in_turn(live, excluded, loads, demand, load)
             if load is not None:
                 ex.observe("relay_wait")
                 self._record_placement(live, load.reg, loads, demand)
@@ -271,7 +329,128 @@
                 obstacles = placing.count_obstacles(loads, demand)
                 ex.log("no_room", n_engines=len(loads), obstacles=obstacles)
                 return None
-            await asyncio.sleep(POLL_SECONDS)
+            if is_ordered:
+                self._enter(live, loads, demand)
+            await self._waiting_room.wait_for_change()
+
+    def _choose_in_turn(
+        self,
+        live: LiveRun,
+        excluded: set[str],
+        loads: list[EngineLoad],
+        demand: placing.Demand,
+        load: EngineLoad,
+    ) -> EngineLoad | None:
+        """Return the engine that a run may take now, None if others come first.
+
+        ``load`` is the engine that it would take if no other request waited.
+        """
+        room = self._waiting_room
+        if live.waiting is None and room.is_free(live.ex.service):
+            return load
+        own = self._waiting(live)
+        service_loads = loads
+        if excluded or live.ex.home_regions:
+            service_loads = self._service_loads(live)
+        endpoints = {load.reg.endpoint for load in loads}
+
+        def choose(left: list[EngineLoad]) -> EngineLoad | None:
+            usable = [load for load in left if load.reg.endpoint in endpoints]
+            return self._choose(live, usable, demand)
+
+        decision = room.find_turn(own, demand, service_loads, self._placing, choose)
+        turn = decision.turn
+        if turn.load is None:
+            return None
+        room.record_overtaken(decision)
+        now = asyncio.get_running_loop().time()
+        live.ex.log(
+            "queue_turn",
+            endpoint=turn.load.reg.endpoint,
+            n_waiting=decision.n_waiting,
+            n_ahead=turn.n_ahead,
+            n_assigned=len(turn.assigned),
+            overtaken=dict(decision.overtaken),
+            waited=round(now - own.waiting_since, 3),
+            information_age=round(now - decision.oldest_update, 3),
+        )
+        return turn.load
+
+    def _enter(
+        self, live: LiveRun, loads: list[EngineLoad], demand: placing.Demand
+    ) -> None:
+        """Announce that a run waits, unless the other nodes know it."""
+        own = self._waiting(live)
+        if live.run.endpoint:
+            # Its engine didn't admit it; it would be counted there while it waits.
+            self._sharing.announce_end(live.run.run_id)
+            live.run = replace(live.run, endpoint="")
+        if not self._waiting_room.enter(own):
+            return
+        now = asyncio.get_running_loop().time()
+        live.ex.log(
+            "queued",
+            priority=own.priority,
+            organisation=live.ex.organisation,
+            waited=round(now - own.waiting_since, 3),
+            has_returned=bool(own.return_key),
+            n_waiting=self._waiting_room.n_waiting(live.ex.service),
+            n_engines=len(loads),
+            obstacles=placing.count_obstacles(loads, demand),
+        )
+
+    def _waiting(self, live: LiveRun) -> Waiting:
+        """Return what the other nodes are told of a run that waits."""
+        if live.waiting is None:
+            ex, run = live.ex, live.run
+            now = asyncio.get_running_loop().time()
+            key = self._return_key(live)
+            returned = self._waiting_room.take_returned(key)
+            since = now - ex.age_seconds
+            if returned is not None:
+                since = min(since, returned.waiting_since)
+            live.waiting = Waiting(
+                request_id=run.run_id,
+                service=ex.service,
+                organisation=run.organisation,
+                priority=ex.priority,
+                waiting_since=since,
+                target_at=since + ex.route.target_latency_seconds,
+                gives_up_at=ex.loop_deadline,
+                n_tokens=run.n_tokens,
+                n_prefill_tokens=run.n_prompt_tokens,
+                n_remaining_tokens=run.n_remaining_tokens,
+                return_key=key if returned is not None else b"",
+            )
+        return live.waiting
+
+    @staticmethod
+    def _return_key(live: LiveRun) -> bytes:
+        ex = live.ex
+        return return_key(ex.organisation, ex.route.name, ex.prompt)
+
+    def record_refused(self, live: LiveRun, retry_after: float) -> None:
+        """Let a refused caller keep its position if it returns.
+
+        Callers return once, and only if they wait for a part of their remaining time.
+        """
+        ex = live.ex
+        seconds_left = ex.gives_up_at - ex.clock.boottime()
+        has_returned = live.waiting is not None and bool(live.waiting.return_key)
+        is_new = live.binding.version is None and not live.n_runs
+        if not is_new or has_returned or retry_after > MAX_RETURN_SHARE * seconds_left:
+            return
+        now = asyncio.get_running_loop().time()
+        since = now - ex.age_seconds
+        if live.waiting is not None:
+            since = live.waiting.waiting_since
+        self._waiting_room.remember_refused(
+            Returning(
+                key=self._return_key(live),
+                waiting_since=since,
+                returns_at=now + retry_after,
+            )
+        )
 
     def _opens_after(self, live: LiveRun, deadline: float) -> bool:
         """Return whether the limits of engines keep them closed past a deadline."""
--- a/celerytrail/relay/enginerelay.py
+++ b/celerytrail/relay/enginerelay.py
@@ -14,6 +14,7 @@
 from ..policies.placing import LeastCostPlacement, PlacementPolicy
 from ..policies.prefillrates import PrefillRates
 from ..policies.retrybudget import SharedRetryBudget
+from ..policies.waiting import WaitingOrder
 from .crashwatch import CrashWatch
 from .endpointaccess import EndpointAccess
 from .endpointstate import EndpointState
@@ -26,6 +27,7 @@
 from .resumption import Resumptions
 from .runmover import RunMover
 from .startchecks import StartChecks
+from .waitingroom import WaitingRoom
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -42,12 +44,15 @@
         See `EnginePlacer`.
     stopping : StopPolicy or None
         See `RunMover`.
+    order : WaitingOrder or None
+        See `WaitingRoom`.
     """
 
     placing: PlacementPolicy = field(default_factory=LeastCostPlacement)
     backups: BackupPolicy | None = None
     move_targets: MoveTargets | None = None
     stopping: StopPolicy | None = None
+    order: WaitingOrder | None = None
 
 
 class EngineRelay:
@@ -75,6 +80,8 @@
         What began the streams that callers may take up.
     prompts : PromptBroker
         Told of crashes and answers.
+    waiting_room : WaitingRoom
+        The requests of all nodes that wait for engines.
     policies : EnginePolicies
         The decisions.
     rng : random.Random
@@ -96,6 +103,7 @@
         budget: SharedRetryBudget,
         origins: OriginBroker,
         prompts: PromptBroker,
+        waiting_room: WaitingRoom,
         policies: EnginePolicies,
         rng: random.Random,
         metrics: Metrics,
@@ -116,6 +124,7 @@
             gate=gate,
             policy=policies.placing,
             rates=rates,
+            waiting_room=waiting_room,
             backups=policies.backups,
             move_targets=policies.move_targets,
         )
--- a/celerytrail/relay/gauges.py
+++ b/celerytrail/relay/gauges.py
@@ -19,6 +19,7 @@
 from .originbroker import OriginBroker
 from .peerupdates import PeerUpdates
 from .promptbroker import PromptBroker
+from .waitingroom import WaitingRoom
 
 
 class RelayMetrics:
@@ -46,6 +47,8 @@
         Which prompts crash engines.
     peer_updates : PeerUpdates
         The updates that nodes send one another.
+    waiting_room : WaitingRoom
+        The requests that wait for engines.
     """
 
     def __init__(
@@ -61,6 +64,7 @@
         origins: OriginBroker,
         prompts: PromptBroker,
         peer_updates: PeerUpdates,
+        waiting_room: WaitingRoom,
     ) -> None:
         self._metrics = metrics
         self._config = config
@@ -72,6 +76,7 @@
         self._origins = origins
         self._prompts = prompts
         self._peer_updates = peer_updates
+        self._waiting_room = waiting_room
 
     def add_routes(self, router: Router) -> None:
         """Add the route at which the metrics are read."""
@@ -112,6 +117,8 @@
             "known_streams": len(self._origins.origins),
             "blocked_prompts": len(self._prompts.blocked.in_force(now)),
             "suspected_crashes": self._prompts.suspects.n_crashes,
+            "waiting_requests": self._waiting_room.n_own,
+            "known_waiting_requests": len(self._waiting_room.table),
             "news_sent": self._peer_updates.n_sent,
             "news_sent_bytes": self._peer_updates.n_sent_bytes,
             "news_period_seconds": self._peer_updates.period_seconds,
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -16,6 +16,7 @@
 from ..policies.engineloads import Run
 from ..policies.retrybudget import SharedRetryBudget
 from ..policies.streamorigins import StreamOrigin, stream_key
+from ..policies.waiting import organisation_tag
 from .crashwatch import N_BEGUN_EVENTS
 from .endpointgate import ENDPOINT_CLOSED, ENDPOINT_LIMITED, PROMPT_BLOCKED
 from .engineopener import BROKEN_OFF, EngineOpener
@@ -102,6 +103,8 @@
             endpoint="",
             n_prompt_tokens=n_prompt,
             n_expected_tokens=max(1, facts.n_expected_tokens),
+            organisation=organisation_tag(ex.organisation),
+            priority=ex.priority,
         )
         live = LiveRun(ex=ex, engine=engine, run=run)
         self._live.add(live)
@@ -181,16 +184,18 @@
             if outcome.reason == VERSION_GONE:
                 await refuse(ex.res, 421, VERSION_GONE, attempt_id=attempt)
                 return
+            retry_after = (
+                EVACUATED_RETRY_SECONDS
+                if outcome.reason == EVACUATED
+                else seconds_until(outcome.retry_at, FULL_RETRY_SECONDS)
+            )
+            self._placer.record_refused(live, retry_after)
             await refuse(
                 ex.res,
                 503,
                 outcome.reason,
                 attempt_id=attempt,
-                retry_after=(
-                    EVACUATED_RETRY_SECONDS
-                    if outcome.reason == EVACUATED
-                    else seconds_until(outcome.retry_at, FULL_RETRY_SECONDS)
-                ),
+                retry_after=retry_after,
             )
             return
         status = 504 if outcome.reason in ("timeout", "stalled") else 502
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -10,6 +10,7 @@
 from ..model import EngineProfile, Registration
 from ..policies.engineloads import Run
 from ..policies.versionbinding import VersionBinding
+from ..policies.waiting import Waiting
 from .endpointgate import Admission
 from .exchange import Exchange
 
@@ -62,6 +63,8 @@
         # Time for which it waited for its first engine, and prompt tokens queued there.
         self.waited_seconds = 0.0
         self.n_queued_tokens = 0
+        # What the other nodes were told while it waited; None if it has not waited.
+        self.waiting: Waiting | None = None
         self.n_events = 0
         self.n_runs = 0
         # When its current engine was sent it, in loop time.
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -49,6 +49,7 @@
 from .servers import NodeServers
 from .status import RelayStatus
 from .tablesinks import ConfigSink, EvacuationSink, RegistrationSink, SinkGroup
+from .waitingroom import WaitingRoom
 
 HOUSEKEEPING_SECONDS = 0.25
 # How long a stopping node still accepts new connections, in seconds: callers cache an
@@ -192,12 +193,20 @@
         self.loads = EngineLoads(token_seconds=self._decode_times.token_seconds)
         self._prefill_rates = PrefillRates()
         self._prefills = PrefillObserver(rates=self._prefill_rates)
+        self.waiting_room = WaitingRoom(
+            node=self.node_id,
+            loads=self.loads,
+            peer_updates=lambda: self.peer_updates,
+            metrics=self._metrics,
+            rng=self._rng,
+            order=self._policies.order,
+        )
         self.peer_updates = PeerUpdates(
             node=self.node_id,
             loads=self.loads,
             decode_times=self._decode_times,
             on_run=self._on_run,
-            on_ended=self._prefills.forget,
+            on_ended=self._on_ended,
             peers=self._update_addresses,
             on_leaving=self.registry.record_leaving_at_peer,
             on_retried=self._on_retried,
@@ -207,6 +216,8 @@
             on_cut_off=self._on_node_cut_off,
             on_origin=lambda entry: self.origins.record_told(entry),
             on_prompt_news=self.prompts.record_news,
+            on_waiting=self.waiting_room.on_waiting,
+            on_returning=self.waiting_room.on_returning,
             rng=self._rng,
         )
         self._budget = SharedRetryBudget(
@@ -255,6 +266,7 @@
             budget=self._budget,
             origins=self.origins,
             prompts=self.prompts,
+            waiting_room=self.waiting_room,
             policies=self._policies,
             rng=self._rng,
             metrics=self._metrics,
@@ -350,6 +362,7 @@
             origins=self.origins,
             prompts=self.prompts,
             peer_updates=self.peer_updates,
+            waiting_room=self.waiting_room,
         ).add_routes(router)
         return router
 
@@ -367,6 +380,7 @@
         for watch in self._tables.watches:
             self._run(watch.run())
         self._run(self.peer_updates.run())
+        self._run(self.waiting_room.run())
         self._run(self._engine_watch.run())
         self._run(self._limits.run())
         self._run(self.access.run())
@@ -477,6 +491,7 @@
 
     def _on_run(self, run: Run) -> None:
         reg = self.registry.find(run.endpoint)
+        self.waiting_room.on_run(run, reg.service if reg is not None else "")
         if reg is not None:
             n_ahead = 0
             if run.is_prefilling:
@@ -484,6 +499,10 @@
             now = asyncio.get_running_loop().time()
             self._prefills.on_run(run, reg.service, n_ahead, now)
 
+    def _on_ended(self, run_id: str) -> None:
+        self._prefills.forget(run_id)
+        self.waiting_room.on_ended(run_id)
+
     def _on_retried(self, service: str) -> None:
         self._budget.record_peer_retry(service, asyncio.get_running_loop().time())
 
@@ -519,6 +538,7 @@
             self._endpoint_state.expire(now)
             self.access.update(now)
             self.loads.expire(now, self.node_id)
+            self.waiting_room.expire(now)
             self.origins.expire()
             self.generations.report_progress()
             if self.is_ready != self._was_ready and not self.is_stopping:
--- a/celerytrail/relay/peerupdates.py
+++ b/celerytrail/relay/peerupdates.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 from collections.abc import Callable, Iterable, Iterator, Sequence
 
@@ -17,6 +18,7 @@
 from ..policies.engineloads import EngineLoads, Run
 from ..policies.runlistschedule import MIN_LIST_PERIOD_SECONDS, RunListSchedule
 from ..policies.statedlimits import LimitStatement
+from ..policies.waiting import Returning, Waiting
 from ..types import Address
 from .promptnews import PromptNews
 
@@ -26,6 +28,7 @@
 # Keeps a datagram below 1,200 bytes.
 MAX_RUNS_PER_DATAGRAM = 12
 MAX_LIMITS_PER_DATAGRAM = 20
+MAX_WAITING_PER_DATAGRAM = 8
 
 
 class RunEntry(msgspec.Struct, array_like=True, frozen=True):
@@ -39,6 +42,8 @@
     is_prefilling: bool
     n_generated_tokens: int = 0
     is_moving: bool = False
+    organisation: str = ""
+    priority: int = 0
 
 
 class ReportEntry(msgspec.Struct, array_like=True, frozen=True):
@@ -72,6 +77,35 @@
     seconds: float
 
 
+class WaitingEntry(msgspec.Struct, array_like=True, frozen=True):
+    """A request that waits for an engine, as sent between nodes.
+
+    Times are in milliseconds from the sending. ``by_age_ms`` is None unless it has been
+    passed over.
+    """
+
+    request_id: str
+    service: str
+    organisation: str
+    priority: int
+    waited_ms: int
+    target_ms: int
+    gives_up_ms: int
+    n_tokens: int
+    n_prefill_tokens: int
+    n_remaining_tokens: int
+    by_age_ms: int | None = None
+    return_key: bytes = b""
+
+
+class ReturningEntry(msgspec.Struct, array_like=True, frozen=True):
+    """A refused caller that is expected to return, as sent between nodes."""
+
+    key: bytes
+    waited_ms: int
+    returns_ms: int
+
+
 class NodeUpdate(msgspec.Struct, array_like=True, frozen=True):
     """One node's update: its runs, and events at engines and endpoints.
 
@@ -84,7 +118,9 @@
     that fall over, with the refusals per second that they bear. ``leaving_starts``
     are the starts of the endpoints in ``leaving``; earlier versions don't send them.
     ``origins`` are those of streams that the receiver owns. ``prompts`` are news of
-    prompts that crash engines.
+    prompts that crash engines. ``waiting`` are requests that wait for an engine; their
+    ids are in ``ended``, or among ``runs``, once they don't. ``returning`` are callers
+    that the sender refused.
     """
 
     node: str
@@ -102,6 +138,8 @@
     leaving_starts: list[int] = []
     origins: list[OriginEntry] = []
     prompts: PromptNews | None = None
+    waiting: list[WaitingEntry] = []
+    returning: list[ReturningEntry] = []
 
 
 class PeerUpdates(asyncio.DatagramProtocol):
@@ -138,6 +176,10 @@
         Called with each origin of a stream that another node told this one.
     on_prompt_news : callable
         Called with other nodes' news of prompts that crash engines.
+    on_waiting : callable
+        Called with another node and each request of it that waits for an engine.
+    on_returning : callable
+        Called with each caller that another node refused and expects to return.
     rng : random.Random
         Source of the jitter between run lists.
     """
@@ -159,6 +201,8 @@
         on_cut_off: Callable[[str, list[str]], None],
         on_origin: Callable[[OriginEntry], None],
         on_prompt_news: Callable[[PromptNews], None],
+        on_waiting: Callable[[str, Waiting], None],
+        on_returning: Callable[[Returning], None],
         rng: random.Random,
     ) -> None:
         self._node = node
@@ -175,6 +219,8 @@
         self._on_cut_off = on_cut_off
         self._on_origin = on_origin
         self._on_prompt_news = on_prompt_news
+        self._on_waiting = on_waiting
+        self._on_returning = on_returning
         self._rng = rng
         self._list_schedule = RunListSchedule()
         # Sent with each update, so that no run expires at a receiver before the next.
@@ -227,6 +273,25 @@
         self._decode_times.forget(run_id)
         self._send(NodeUpdate(node=self._node, ended=[run_id]))
 
+    def announce_waiting(self, requests: Sequence[Waiting], ended: list[str]) -> None:
+        """Announce requests that wait for an engine, and the ids of some that don't."""
+        now = self._now()
+        entries = [_waiting_entry(waiting, now) for waiting in requests]
+        for start in range(0, max(1, len(entries)), MAX_WAITING_PER_DATAGRAM):
+            part = entries[start : start + MAX_WAITING_PER_DATAGRAM]
+            self._send(NodeUpdate(node=self._node, waiting=part, ended=ended))
+            ended = []
+
+    def announce_returning(self, returning: Returning) -> None:
+        """Announce a caller that this node refused and expects to return."""
+        now = self._now()
+        entry = ReturningEntry(
+            key=returning.key,
+            waited_ms=_milliseconds(now - returning.waiting_since),
+            returns_ms=_milliseconds(returning.returns_at - now),
+        )
+        self._send(NodeUpdate(node=self._node, returning=[entry]))
+
     def announce_leaving(self, reg: Registration) -> None:
         """Announce that an endpoint is leaving."""
         self._send(
@@ -326,6 +391,10 @@
             self._on_ended(run_id)
             self._loads.remove_run(update.node, run_id, now)
             self._decode_times.forget(run_id)
+        for waiting in update.waiting:
+            self._on_waiting(update.node, _waiting_from(waiting, now))
+        for returning in update.returning:
+            self._on_returning(_returning_from(returning, now))
         starts = itertools.chain(update.leaving_starts, itertools.repeat(None))
         for endpoint, started_at in zip(update.leaving, starts, strict=False):
             self._on_leaving(endpoint, started_at)
@@ -391,6 +460,8 @@
         is_prefilling=run.is_prefilling,
         n_generated_tokens=run.n_generated_tokens,
         is_moving=run.is_moving,
+        organisation=run.organisation,
+        priority=run.priority,
     )
 
 
@@ -422,4 +493,56 @@
         is_prefilling=entry.is_prefilling,
         n_generated_tokens=entry.n_generated_tokens,
         is_moving=entry.is_moving,
+        organisation=entry.organisation,
+        priority=entry.priority,
+    )
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(1_000 * seconds)
+
+
+def _waiting_entry(waiting: Waiting, now: float) -> WaitingEntry:
+    has_age = waiting.by_age_at < math.inf
+    return WaitingEntry(
+        request_id=waiting.request_id,
+        service=waiting.service,
+        organisation=waiting.organisation,
+        priority=waiting.priority,
+        waited_ms=_milliseconds(now - waiting.waiting_since),
+        target_ms=_milliseconds(waiting.target_at - now),
+        gives_up_ms=_milliseconds(waiting.gives_up_at - now),
+        n_tokens=waiting.n_tokens,
+        n_prefill_tokens=waiting.n_prefill_tokens,
+        n_remaining_tokens=waiting.n_remaining_tokens,
+        by_age_ms=_milliseconds(waiting.by_age_at - now) if has_age else None,
+        return_key=waiting.return_key,
+    )
+
+
+def _waiting_from(entry: WaitingEntry, now: float) -> Waiting:
+    by_age_at = math.inf
+    if entry.by_age_ms is not None:
+        by_age_at = now + entry.by_age_ms / 1_000
+    return Waiting(
+        request_id=entry.request_id,
+        service=entry.service,
+        organisation=entry.organisation,
+        priority=entry.priority,
+        waiting_since=now - entry.waited_ms / 1_000,
+        target_at=now + entry.target_ms / 1_000,
+        gives_up_at=now + entry.gives_up_ms / 1_000,
+        n_tokens=entry.n_tokens,
+        n_prefill_tokens=entry.n_prefill_tokens,
+        n_remaining_tokens=entry.n_remaining_tokens,
+        by_age_at=by_age_at,
+        return_key=entry.return_key,
+    )
+
+
+def _returning_from(entry: ReturningEntry, now: float) -> Returning:
+    return Returning(
+        key=entry.key,
+        waiting_since=now - entry.waited_ms / 1_000,
+        returns_at=now + entry.returns_ms / 1_000,
     )
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -379,6 +379,8 @@
             on_brittle=lambda statement: None,
             on_cut_off=lambda *statement: events["cut_off"].append(statement),
             on_prompt_news=events["prompts"].append,
+            on_waiting=lambda node, waiting: None,
+            on_returning=lambda returning: None,
             rng=random.Random(1),
         )
         return peer_updates, loads, events
