--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -382,6 +382,8 @@
             on_cut_off=lambda *statement: events["cut_off"].append(statement),
             on_prompt_news=events["prompts"].append,
             on_load=lambda *load: events["loads"].append(load),
+            on_waiting=lambda node, waiting: None,
+            on_returning=lambda returning: None,
             rng=random.Random(1),
         )
         return peer_updates, loads, events
