--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -140,6 +140,8 @@
     "orders": "Orders sent to engines, by outcome.",
     "request_tokens": "Requests for tokens of limited endpoints, by outcome.",
     "resumptions": "Streams that callers take up, by what was known of them.",
+    "waiting_decisions": "Decisions on waiting requests, by decision and reason.",
+    "waiting_hindsight": "Decisions on waiting requests as they turned out.",
     "relay_events": "Events of relayed requests, by event and cause.",
 }
 GAUGES = {
@@ -170,6 +172,7 @@
     "first_token": "Time from request to first token.",
     "between_tokens": "Time between two tokens of a stream.",
     "relay_wait": "Time from a request's arrival until an engine was chosen for it.",
+    "waiting_forecast": "Forecast time until there is capacity for a waiting request.",
     "relay_between_events": "Time between two events of a generation's stream.",
     "platform_call": "Time of a call to the platform, with its retries, by kind.",
     "knowledge_renewed": "Age of a node's copy of a table at its renewal, by table.",
