--- a/celerytrail/policies/roomforecast.py
+++ b/celerytrail/policies/roomforecast.py
@@ -9,30 +9,22 @@
 
 import abc
 import enum
-import hashlib
 import heapq
 import math
 import random
 from bisect import bisect_left
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
-from statistics import NormalDist, median
+from statistics import median
 
 from .decodetimes import DEFAULT_TOKEN_SECONDS
 from .engineloads import EngineLoad, Run
 from .placing import Demand, prefill_rate
 
-# Standard deviation of the logarithm of an output's length about its hint, which is
-# right at the median.
-LENGTH_SPREAD = 1.1
-# Quantiles of lengths are limited to this distance from 0 and 1. The extreme ones are
-# longer than any timeout.
-QUANTILE_MARGIN = 0.02
-# Mean further output of a run that is longer than these, as a share of its present
-# output. The tail of the log-normal distribution has about this mean there.
-TAIL_SHARE = 0.5
-# Fractional part of the golden ratio. Its multiples, modulo 1, are spread evenly.
-GOLDEN_FRACTION = 0.618034
+# Further output expected of a run that exceeded its hint, as a share of its present
+# output. With 0.5, forecasts have no bias at 1.6 times the capacity and hints that are
+# right at the median only.
+OVERDUE_SHARE = 0.5
 # Output assumed for runs of other nodes if no run is known, in tokens: a long stream of
 # the present deployments. Most of the memory in use belongs to these.
 LONG_STREAM_TOKENS = 750
@@ -52,8 +44,6 @@
 # of which is followed for 8 s at most.
 MAX_FOLLOWED = 256
 
-_NORMAL = NormalDist()
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WaitingDemand:
@@ -142,52 +132,19 @@
     def remaining_tokens(self, run: Run) -> float:
         """Return the further output that is expected of a run, in tokens."""
 
-    @abc.abstractmethod
-    def new_tokens(self, n_expected_tokens: int, index: int) -> float:
-        """Return the output expected of the ``index``-th request to be placed."""
-
-
-class SpreadEnds(RunEnds):
-    """Spreads the lengths of outputs about their hints.
 
-    Hints are right at the median only. If each run were expected to end at its hint,
-    many runs would seem to be about to end that go on for long, and the early ends of
-    others would be missed. Each run has a fixed quantile, derived from its id, of the
-    log-normal distribution of the lengths above its present one. A run that exceeded
-    its hint is so expected to make again 0.7 to 1.1 times its present output at the
-    median, and the ends of many runs come at the rate at which they really do. Nodes
-    agree on the quantiles without messages, and repeated forecasts don't vary.
+class HintedEnds(RunEnds):
+    """Expects runs to end at their hints, and overdue ones to go on for a while.
 
-    Parameters
-    ----------
-    spread : float
-        Standard deviation of the logarithm of the lengths.
+    A run that exceeded its hint may go on for long, the longer the further it got. It
+    is expected to make half of its present output again, so it doesn't count as about
+    to end in each of the repeated forecasts.
     """
 
-    def __init__(self, *, spread: float = LENGTH_SPREAD) -> None:
-        self._spread = spread
-
     def remaining_tokens(self, run: Run) -> float:
-        """Return the run's quantile of the lengths above its present one."""
-        digest = hashlib.blake2b(run.run_id.encode(), digest_size=4).digest()
-        quantile = (int.from_bytes(digest, "big") + 0.5) / 2**32
-        n_made = run.n_generated_tokens
-        n_expected = max(1, run.n_expected_tokens)
-        ended = 0.0
-        if n_made > 0:
-            ended = _NORMAL.cdf(math.log(n_made / n_expected) / self._spread)
-        if ended >= 1.0 - QUANTILE_MARGIN:
-            return max(1.0, -TAIL_SHARE * n_made * math.log(1.0 - quantile))
-        length = self._length(n_expected, ended + quantile * (1.0 - ended))
-        return max(1.0, length - n_made)
-
-    def new_tokens(self, n_expected_tokens: int, index: int) -> float:
-        """Return a length of which many are distributed as lengths are."""
-        return self._length(max(1, n_expected_tokens), index * GOLDEN_FRACTION % 1.0)
-
-    def _length(self, n_expected_tokens: int, quantile: float) -> float:
-        bounded = min(max(quantile, QUANTILE_MARGIN), 1.0 - QUANTILE_MARGIN)
-        return n_expected_tokens * math.exp(self._spread * _NORMAL.inv_cdf(bounded))
+        """Return what the hint leaves, or a share of the output of an overdue run."""
+        n_tokens = run.n_remaining_tokens or OVERDUE_SHARE * run.n_generated_tokens
+        return max(1.0, n_tokens)
 
 
 @dataclass(kw_only=True, slots=True, eq=False)
@@ -338,7 +295,7 @@
         n_tokens = max(self.peak, n_beside + demand.n_tokens)
         return n_tokens / self.load.n_memory_tokens <= limit
 
-    def place(self, demand: Demand, n_output_tokens: float, at: float) -> _Held:
+    def place(self, demand: Demand, at: float) -> _Held:
         """Add a request that fits."""
         prefill_seconds = demand.n_prefill_tokens / prefill_rate(self.load, demand)
         decodes_at = max(at, self.reads_until) + prefill_seconds
@@ -346,7 +303,7 @@
             n_tokens=demand.n_tokens,
             n_remaining_tokens=demand.n_remaining_tokens,
             decodes_at=decodes_at,
-            ends_at=decodes_at + n_output_tokens * self.token_seconds,
+            ends_at=decodes_at + demand.n_remaining_tokens * self.token_seconds,
             token_seconds=self.token_seconds,
             is_run=True,
         )
@@ -368,16 +325,18 @@
 
     At each end of a run or of the prefills of an engine, the waiting requests that fit
     there are placed in their order, by the rules of `placing.fits`. One that doesn't
-    fit doesn't hold up those behind it, and neither does it in the queue itself.
+    fit doesn't hold up those behind it, and neither does it in the queue itself. Those
+    ahead are not taken to leave when they are refused, as their callers retry and keep
+    their position.
 
     Parameters
     ----------
     run_ends : RunEnds or None
-        Estimates the further output of runs; `SpreadEnds` by default.
+        Estimates the further output of runs; `HintedEnds` by default.
     """
 
     def __init__(self, *, run_ends: RunEnds | None = None) -> None:
-        self._run_ends = run_ends or SpreadEnds()
+        self._run_ends = run_ends or HintedEnds()
 
     def forecast(
         self,
@@ -387,21 +346,20 @@
         now: float,
     ) -> Forecast:
         """Return when the replay finds an engine for the request."""
-        waiting = [*(other.demand for other in ahead), own.demand]
-        room_at = self._replay(waiting, loads, now, own.gives_up_at)
+        room_at = self._replay([*ahead, own], loads, now, own.gives_up_at)
         return Forecast(room_at=room_at, n_ahead=len(ahead))
 
     def _replay(
         self,
-        waiting: list[Demand],
+        waiting: list[WaitingDemand],
         loads: Sequence[EngineLoad],
         now: float,
         until: float,
     ) -> float | None:
         """Return when the last of the waiting requests is placed."""
-        engines = self._engines(loads, waiting[-1], now)
+        engines = self._engines(loads, waiting[-1].demand, now)
         # The position tells whether a request is the last one, which may equal others.
-        pending = list(enumerate(waiting))
+        pending = [(position, req.demand) for position, req in enumerate(waiting)]
         events: list[tuple[float, int]] = []
 
         def add_events(index: int, times: Iterator[float]) -> None:
@@ -412,11 +370,8 @@
             add_events(index, _event_times(engine))
         heapq.heapify(events)
 
-        def place(position: int, demand: Demand, index: int, at: float) -> None:
-            n_output_tokens = self._run_ends.new_tokens(
-                demand.n_remaining_tokens, position + 1
-            )
-            held = engines[index].place(demand, n_output_tokens, at)
+        def place(demand: Demand, index: int, at: float) -> None:
+            held = engines[index].place(demand, at)
             for event_at in (held.decodes_at, held.ends_at):
                 if event_at <= until:
                     heapq.heappush(events, (event_at, index))
@@ -434,7 +389,7 @@
             if position == len(waiting) - 1:
                 return now
             best = min(fitting, key=lambda i: engines[i].n_tokens)
-            place(position, demand, best, now)
+            place(demand, best, now)
             if not engines[best].may_fit(least, now, now):
                 roomy.remove(best)
         pending = left
@@ -462,7 +417,7 @@
                 position, demand = pending[found]
                 if position == len(waiting) - 1:
                     return at
-                place(position, demand, index, at)
+                place(demand, index, at)
                 del pending[found]
                 first = found
         return None
