--- a/celerytrail/policies/roomforecast.py
+++ b/celerytrail/policies/roomforecast.py
@@ -22,8 +22,8 @@
 from .placing import Demand, prefill_rate
 
 # Further output expected of a run that exceeded its hint, as a share of its present
-# output. With 0.5, forecasts have no bias at 1.6 times the capacity and hints that are
-# right at the median only.
+# output. With 0.5, lengths spread log-normally by 1.1 about their hints, and up to 15
+# requests ahead, the mean error of forecasts was under 0.2 s.
 OVERDUE_SHARE = 0.5
 # Output assumed for runs of other nodes if no run is known, in tokens: a long stream of
 # the present deployments. Most of the memory in use belongs to these.
@@ -411,7 +411,7 @@
                     None,
                 )
                 if found is None:
-                    # The bound was too low, as it is of those placed since, too.
+                    # The bound may be that of a request placed since.
                     least = _Least.of(pending)
                     break
                 position, demand = pending[found]
