--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -28,7 +28,7 @@
 from scenarios.memorynetwork import MemoryFabric
 from scenarios.virtualtime import close_loop, new_loop
 from standins.enginemodel import EngineSpec
-from standins.modelworker import AnswerEnds, ModelWorker, PromptCrashes
+from standins.modelworker import AnswerEnds, ModelWorker, PromptCrashes, SlowTimes
 from standins.rowstore import RowStore
 
 HOST = "desk.example"
@@ -40,6 +40,7 @@
 # starts again is late, in seconds.
 RELEASE_NOTICE_SECONDS = 2.0
 ROW_DELAY_SECONDS = 0.1
+BYTES_PER_MEGABIT = 125_000
 # Time for nodes to discover each other and read the configuration before traffic, in
 # seconds.
 WARM_UP_SECONDS = 6.0
@@ -184,7 +185,11 @@
         self._n_engines = 0
         self._started_at = 0.0
         self._store_address = Address(host="127.0.0.1", port=1)
-        self._spec = EngineSpec(n_memory_tokens=load.engines.n_memory_tokens)
+        self._spec = EngineSpec(
+            n_memory_tokens=load.engines.n_memory_tokens,
+            token_bytes=load.engines.token_bytes,
+            link_bytes_per_second=load.engines.link_mbps * BYTES_PER_MEGABIT,
+        )
         self.result = FleetResult()
 
     async def run(self) -> FleetResult:
@@ -192,7 +197,7 @@
         self._store_address = await self._store.start()
         self._store.put("op", "config", self._config())
         for zone in self._load.zones:
-            for _ in range(self._load.engines.n_per_zone):
+            for _ in range(self._load.n_engines(zone)):
                 await self._add_engine(zone)
         for number in range(self._load.n_nodes):
             self._nodes.append(await self._start_node(number))
@@ -357,6 +362,13 @@
                 torn_share=fleet.torn_share,
                 rng=random.Random(f"{self._seed}:{name}"),
             )
+        if fleet.slow_share:
+            engine.slow_times = SlowTimes(
+                share=fleet.slow_share,
+                factor=fleet.slow_factor,
+                seconds=fleet.slow_seconds,
+                rng=random.Random(f"{self._seed}:{name}:slow"),
+            )
         await engine.start(address)
         self._engines[name] = engine
         return engine
--- a/bench/fleetload.py
+++ b/bench/fleetload.py
@@ -87,7 +87,8 @@
 class EngineFleet(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The engines, their reclaiming and replacement; times are in seconds."""
 
-    n_per_zone: int
+    # In each domain, or by domain.
+    n_per_zone: int | list[int]
     slowness: list[float]
     reclaim_every: float
     notice: list[float]
@@ -105,6 +106,14 @@
     # How answers end; see `standins.modelworker.AnswerEnds`.
     unframed_share: float = 0.0
     torn_share: float = 0.0
+    # Memory of a token, and speed of an engine's link, in megabits a second.
+    token_bytes: float = 18_432.0
+    link_mbps: float = 2_700.0
+    # Share of the time in which an engine is slow, the factor on its steps then, and
+    # how long that lasts each time.
+    slow_share: float = 0.0
+    slow_factor: float = 1.0
+    slow_seconds: float = 0.6
 
 
 class FleetEvent(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -149,6 +158,13 @@
     requests: list[RequestKind]
     events: list[FleetEvent] = []
 
+    def n_engines(self, zone: str) -> int:
+        """Return the number of engines that a failure domain has at the start."""
+        n_per_zone = self.engines.n_per_zone
+        if isinstance(n_per_zone, int):
+            return n_per_zone
+        return n_per_zone[self.zones.index(zone)]
+
 
 @dataclass(frozen=True, kw_only=True)
 class Arrival:
--- a/standins/modelworker.py
+++ b/standins/modelworker.py
@@ -103,6 +103,33 @@
         return self.rng.randrange(1, 6) if is_torn else -1
 
 
+@dataclass(frozen=True, kw_only=True)
+class SlowTimes:
+    """When an engine is slow for a while.
+
+    Parameters
+    ----------
+    share : float
+        Share of the time in which it is slow.
+    factor : float
+        Factor on the duration of its steps then.
+    seconds : float
+        How long that lasts each time, in seconds.
+    rng : random.Random
+        Draws the times between, which are exponentially distributed.
+    """
+
+    share: float
+    factor: float
+    seconds: float
+    rng: random.Random
+
+    def draw_pause(self) -> float:
+        """Draw how long the engine is as usual before it is slow again, in seconds."""
+        mean = self.seconds * (1 - self.share) / self.share
+        return self.rng.expovariate(1 / mean)
+
+
 class ModelWorker(Worker):
     """Runs the engine's model in steps, and speaks the platform's protocol.
 
@@ -141,6 +168,9 @@
         self.report_seconds = 0.0
         self.prompt_crashes: PromptCrashes | None = None
         self.answer_ends: AnswerEnds | None = None
+        self.slow_times: SlowTimes | None = None
+        # Factor on the duration of its steps now.
+        self.slow_factor = 1.0
         # Attempts whose streams were closed inside an event.
         self.torn: list[str] = []
         self._find_engine = find_engine
@@ -160,6 +190,8 @@
             self._update_backups(),
         ):
             self._tasks.append(loop.create_task(coroutine))
+        if self.slow_times is not None:
+            self._tasks.append(loop.create_task(self._be_slow(self.slow_times)))
         return address
 
     async def close(self) -> None:
@@ -179,7 +211,7 @@
                 await self._has_work.wait()
             self._drop_expired_copies(loop.time())
             step = self.model.step()
-            await asyncio.sleep(step.seconds)
+            await asyncio.sleep(step.seconds * self.slow_factor)
             if self._crashes_by_prompt(step.decoded):
                 return
             for job in step.decoded:
@@ -187,6 +219,14 @@
                 if stream is not None and stream.job is job:
                     self._on_token(stream)
 
+    async def _be_slow(self, times: SlowTimes) -> None:
+        """Be slow from time to time."""
+        while True:
+            await asyncio.sleep(times.draw_pause())
+            self.slow_factor = times.factor
+            await asyncio.sleep(times.seconds)
+            self.slow_factor = 1.0
+
     def _crashes_by_prompt(self, decoded: Sequence[Job]) -> bool:
         """Crash if a run that has just made a token does so; return whether it did."""
         crashes = self.prompt_crashes
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -233,6 +233,10 @@
     def test_each_workload_file_can_be_read(self, path: Path):
         assert read_load(path).requests
 
+    def test_domains_have_their_own_numbers_of_engines(self):
+        load = read_load(LOADS / "wayfinding.toml")
+        assert [load.n_engines(zone) for zone in load.zones] == [8, 7, 7]
+
     def test_the_table_has_a_line_for_each_policy(self):
         all_measures = [
             measures_of("office-thin", policy) for policy in ("shipped", "no moves")
