--- a/celerytrail/policies/placing.py
+++ b/celerytrail/policies/placing.py
@@ -13,7 +13,7 @@
 import random
 from collections import Counter
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from .engineloads import EngineLoad
 from .prefillrates import DEFAULT_PREFILL_RATE
@@ -24,10 +24,6 @@
 # The same limit for a run that is moved off a leaving engine and would otherwise be
 # lost.
 MOVE_SHARE = 0.9
-# The same limit for the first choice of a moved run's target. Outputs are often far
-# longer than their hints; in the workloads `rendering` and `wayfinding` moved runs were
-# preempted at nearly full targets, or waited there for memory, for up to 3.8 s.
-ROOMY_MOVE_SHARE = 0.75
 # Share of an engine's slots that new generations leave free while engines of several
 # versions serve: a stream that is taken up may go on at few of them, and a new one
 # would else take each slot there that becomes free.
@@ -196,27 +192,6 @@
     )
 
 
-def choose_for_move(
-    policy: PlacementPolicy,
-    preferred: Sequence[EngineLoad],
-    loads: Sequence[EngineLoad],
-    demand: Demand,
-    rng: random.Random,
-) -> EngineLoad | None:
-    """Return the target of a run that is moved, None if no engine has room.
-
-    An engine with room to spare is better than a preferred one that is nearly full: a
-    longer copy delays other moves, but a lack of memory pauses runs for seconds.
-    """
-    for share in (ROOMY_MOVE_SHARE, MOVE_SHARE):
-        wanted = replace(demand, memory_share=share)
-        for candidates in (preferred, loads):
-            chosen = policy.choose(candidates, wanted, rng)
-            if chosen is not None:
-                return chosen
-    return choose_last_resort(loads, demand)
-
-
 def count_obstacles(loads: Iterable[EngineLoad], demand: Demand) -> dict[str, int]:
     """Return the number of engines by obstacle."""
     found = (find_obstacle(load, demand) for load in loads)
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -355,6 +355,7 @@
             self._demand(live),
             failure_domain=source.failure_domain,
             n_prefill_tokens=0,
+            memory_share=placing.MOVE_SHARE,
             cross_domain_cost=placing.CROSS_DOMAIN_MOVE_COST,
         )
         loads = self._unlimited(
@@ -366,7 +367,9 @@
         )
         leaving = self._registry.leaving(live.ex.service, source.version)
         preferred = self._move_targets.select(loads, source, leaving)
-        target = placing.choose_for_move(
-            self._placing, preferred, loads, demand, self._rng
-        )
+        target = self._placing.choose(preferred, demand, self._rng)
+        if target is None:
+            target = self._placing.choose(loads, demand, self._rng)
+        if target is None:
+            target = placing.choose_last_resort(loads, demand)
         return target.reg if target is not None else None
