--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -61,9 +61,6 @@
         default.
     move_targets : MoveTargets or None
         Selects the engines that get the runs of leaving ones.
-    incoming_cost : float
-        Cost, for a run that is moved, of each other one that is being moved to the same
-        engine, in seconds.
     rates : PrefillRates
         Prefill speed of each engine and of each service's engines.
     speeds : EndpointSpeeds
@@ -552,6 +549,8 @@
             n_prefill_tokens=0,
             memory_share=placing.MOVE_SHARE,
             cross_domain_cost=placing.CROSS_DOMAIN_MOVE_COST,
+            source=source.endpoint,
+            incoming_cost=placing.INCOMING_COST,
         )
         loads = self._unlimited(
             [
@@ -560,8 +559,8 @@
                 if live.binding.allows(load.reg, copied_from=source)
             ]
         )
-        leaving = self._registry.leaving_endpoints(live.ex.service, source.version)
-        preferred = self._move_targets.select(loads, source.endpoint, leaving)
+        leaving = self._registry.leaving(live.ex.service, source.version)
+        preferred = self._move_targets.select(loads, source, leaving)
         target = self._placing.choose(preferred, demand, self._rng)
         if target is None:
             target = self._placing.choose(loads, demand, self._rng)
