--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -33,6 +33,7 @@
 from ..rowsource import RowSource
 from ..types import Address
 from .addresses import DirectoryHandler, ReadinessHandler
+from .admissioncontrol import AdmissionControl
 from .calls import PlainCalls
 from .endpointaccess import EndpointAccess
 from .endpointlimits import EndpointLimits
@@ -205,6 +206,9 @@
             rng=self._rng,
             order=self._policies.order,
         )
+        self._admission = AdmissionControl(
+            room=self.waiting_room, metrics=self._metrics, rng=self._rng
+        )
         self.peer_updates = PeerUpdates(
             node=self.node_id,
             loads=self.loads,
@@ -272,6 +276,7 @@
             origins=self.origins,
             prompts=self.prompts,
             waiting_room=self.waiting_room,
+            admission=self._admission,
             policies=self._policies,
             rng=self._rng,
             metrics=self._metrics,
@@ -569,6 +574,7 @@
             self.access.update(now)
             self.loads.expire(now, self.node_id)
             self.waiting_room.expire(now)
+            self._admission.expire(now)
             self.origins.expire()
             self.generations.report_progress()
             if self.is_ready != self._was_ready and not self.is_stopping:
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -16,6 +16,7 @@
 from celerytrail.model import EndpointState, Prompt, Registration
 from celerytrail.policies import waiting as policy
 from celerytrail.policies.decodetimes import DecodeTimes
+from celerytrail.policies.endpointspeeds import EndpointSpeeds
 from celerytrail.policies.engineloads import EngineLoad, EngineLoads, Run
 from celerytrail.policies.placing import Demand, LeastCostPlacement
 from celerytrail.policies.prefillrates import PrefillRates
@@ -33,6 +34,7 @@
     overtaken,
     return_key,
 )
+from celerytrail.relay.admissioncontrol import AdmissionControl
 from celerytrail.relay.engineplacer import EnginePlacer
 from celerytrail.relay.liverun import LiveRun
 from celerytrail.relay.peerupdates import (
@@ -420,6 +422,7 @@
             on_cut_off=lambda *statement: None,
             on_origin=lambda entry: None,
             on_prompt_news=lambda news: None,
+            on_load=lambda *load: None,
             on_waiting=room.on_waiting,
             on_returning=room.on_returning,
             rng=random.Random(name),
@@ -820,7 +823,13 @@
             gate=gate,  # type: ignore[arg-type]
             policy=LeastCostPlacement(),
             rates=PrefillRates(),
+            speeds=EndpointSpeeds(),
             waiting_room=self.node.room,
+            admission=AdmissionControl(
+                room=self.node.room,
+                metrics=Metrics(process="node"),
+                rng=random.Random(1),
+            ),
         )
 
     def live(self, number: int, **fields: object) -> LiveRun:
