--- a/celerytrail/policies/roomforecast.py
+++ b/celerytrail/policies/roomforecast.py
@@ -162,13 +162,6 @@
     token_seconds: float
     is_run: bool
 
-    def size(self, at: float) -> tuple[int, int]:
-        """Return the tokens that it occupies, and those that nodes expect further."""
-        if at <= self.decodes_at:
-            return self.n_tokens, self.n_remaining_tokens
-        n_made = int((at - self.decodes_at) / self.token_seconds)
-        return self.n_tokens + n_made, max(0, self.n_remaining_tokens - n_made)
-
 
 @dataclass(kw_only=True, slots=True, eq=False)
 class _Least:
@@ -221,16 +214,27 @@
 
     def advance(self, at: float) -> None:
         """Remove what has ended by a later time."""
-        self.held = [held for held in self.held if held.ends_at > at]
-        self.n_runs = 0
-        self.n_tokens = 0
-        self.sizes = []
-        self.has_peaks = False
+        held_now = []
+        sizes = []
+        n_runs = n_tokens = 0
         for held in self.held:
-            size = held.size(at)
-            self.sizes.append(size)
-            self.n_tokens += size[0]
-            self.n_runs += held.is_run
+            if held.ends_at <= at:
+                continue
+            n_held = held.n_tokens
+            n_remaining = held.n_remaining_tokens
+            if at > held.decodes_at:
+                n_made = int((at - held.decodes_at) / held.token_seconds)
+                n_held += n_made
+                n_remaining = n_remaining - n_made if n_remaining > n_made else 0
+            held_now.append(held)
+            sizes.append((n_held, n_remaining))
+            n_tokens += n_held
+            n_runs += held.is_run
+        self.held = held_now
+        self.sizes = sizes
+        self.n_tokens = n_tokens
+        self.n_runs = n_runs
+        self.has_peaks = False
         if self.unlisted:
             self.unlisted = [(end, n) for end, n in self.unlisted if end > at]
             self.n_tokens += sum(n for _, n in self.unlisted)
@@ -309,7 +313,7 @@
         )
         self.reads_until = decodes_at
         self.held.append(held)
-        self.sizes.append(held.size(at))
+        self.sizes.append((held.n_tokens, held.n_remaining_tokens))
         self.n_tokens += held.n_tokens
         self.n_runs += 1
         self.has_peaks = False
