--- a/celerytrail/policies/roomforecast.py
+++ b/celerytrail/policies/roomforecast.py
@@ -246,15 +246,18 @@
         self.ends = [n_remaining for _, n_remaining in sizes]
         self.peaks = [0]
         self.totals = [total]
-        self.peak = peak = 0
+        highest = peak = 0
         for n_tokens, n_remaining in sizes:
             n_used = total + n_left * n_remaining
-            self.peak = max(self.peak, n_used)
-            peak = max(peak, n_used + n_remaining)
+            if n_used > highest:
+                highest = n_used
+            if n_used + n_remaining > peak:
+                peak = n_used + n_remaining
             total -= n_tokens
             n_left -= 1
             self.peaks.append(peak)
             self.totals.append(total)
+        self.peak = highest
         self.has_peaks = True
 
     def fits(self, demand: Demand, now: float, at: float) -> bool:
