--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -364,8 +364,8 @@
                 if live.binding.allows(load.reg, copied_from=source)
             ]
         )
-        leaving = self._registry.leaving(live.ex.service, source.version)
-        preferred = self._move_targets.select(loads, source, leaving)
+        leaving = self._registry.leaving_endpoints(live.ex.service, source.version)
+        preferred = self._move_targets.select(loads, source.endpoint, leaving)
         target = self._placing.choose(preferred, demand, self._rng)
         if target is None:
             target = self._placing.choose(loads, demand, self._rng)
--- a/celerytrail/relay/registry.py
+++ b/celerytrail/relay/registry.py
@@ -187,10 +187,10 @@
             if lapsed.reg.service == service and not self._is_leaving(lapsed.reg)
         ]
 
-    def leaving(self, service: str, version: str) -> list[Registration]:
-        """Return a version's endpoints that leave and still have a row."""
+    def leaving_endpoints(self, service: str, version: str) -> list[str]:
+        """Return the ids of a version's endpoints that leave and still have a row."""
         return [
-            reg
+            reg.endpoint
             for reg in self._known.values()
             if reg.service == service
             and reg.version == version
