--- a/tests/test_endpointspeeds.py
+++ b/tests/test_endpointspeeds.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 import pytest
 from result import Err, Ok
 
+from bench import endpointspeeds as bench
 from celerytrail.model import LoadHeader
 from celerytrail.platform import wire
 from celerytrail.policies.endpointspeeds import (
@@ -421,3 +423,32 @@
             )
 
         run_endpoint_fleet(3, steps)
+
+
+class TestHerd:
+    """The load: 530 requests a second at four endpoints of six slots, half of what they
+    can run; all nodes read the same values within a millisecond.
+    """
+
+    CASE = replace(bench.CASES["confirmations, half load"], seconds=8.0)
+
+    def share_in_time(self, way: type[bench.Way], n_nodes: int) -> float:
+        found = bench.Simulation(self.CASE, way, n_nodes, 1).run().seconds
+        return sum(one <= self.CASE.target_seconds for one in found) / len(found)
+
+    @pytest.mark.parametrize("n_nodes", [12, 100, 330])
+    def test_it_serves_no_fewer_than_the_usual_ways(self, n_nodes: int):
+        # Guards against nodes that together overload the endpoint that looks best.
+        chosen = self.share_in_time(bench.Chosen, n_nodes)
+        assert chosen >= self.share_in_time(bench.LeastLoaded, n_nodes)
+        # One answer in a hundred is within the spread of one seed.
+        assert chosen >= self.share_in_time(bench.TwoChoices, n_nodes) - 0.01
+        assert chosen >= self.share_in_time(bench.AsNow, n_nodes) - 0.01
+
+    def test_lost_announcements_leave_it_no_worse_than_now(self):
+        # Guards against harm from figures that arrive at some nodes only, as when a
+        # link is cut.
+        half_told = self.share_in_time(bench.ChosenHalfTold, 100)
+        alone = self.share_in_time(bench.ChosenAlone, 100)
+        as_now = self.share_in_time(bench.AsNow, 100)
+        assert min(half_told, alone) >= as_now - 0.01
