--- a/celerytrail/policies/waiting.py
+++ b/celerytrail/policies/waiting.py
@@ -16,6 +16,7 @@
 import base64
 import hashlib
 import heapq
+import itertools
 import math
 import random
 from collections import Counter, defaultdict, deque
@@ -500,6 +501,25 @@
         self._unfit: list[Demand] = []
         self._unfit_at_open: list[Demand] = []
 
+    def drop_full(self, demands: Sequence[Demand]) -> None:
+        """Drop the engines that have room for none of some demands.
+
+        While many requests wait, nearly all engines are full. Looking at each of them
+        for each request would take tens of milliseconds.
+        """
+        smallest = replace(
+            demands[0],
+            n_tokens=min(demand.n_tokens for demand in demands),
+            n_prefill_tokens=min(demand.n_prefill_tokens for demand in demands),
+            n_remaining_tokens=min(demand.n_remaining_tokens for demand in demands),
+            max_prefill_seconds=max(demand.max_prefill_seconds for demand in demands),
+        )
+        self._loads = [
+            load
+            for load in self._loads
+            if self._policy.choose([load], smallest, self._rng) is not None
+        ]
+
     def open_loads(self, waiting: Waiting, now: float) -> list[EngineLoad]:
         """Return the engines that a request may take, as they would be at its turn."""
         if waiting.by_age_at <= now:
@@ -601,17 +621,19 @@
     now : float
         Current loop time.
     """
-    n_ahead = 0
+    ahead = list(
+        itertools.takewhile(lambda other: other.request_id != own.request_id, ordered)
+    )
+    n_ahead = len(ahead)
+    demands = [demand_ahead(waiting, demand, now) for waiting in ahead]
+    assignment.drop_full([demand, *demands])
     assigned: list[str] = []
-    for waiting in ordered:
-        if waiting.request_id == own.request_id:
-            break
-        n_ahead += 1
+    for waiting, demand_then in zip(ahead, demands, strict=True):
         if is_ignored(waiting.request_id):
             continue
         if len(assigned) >= MAX_ASSIGNED:
             return Turn(load=None, n_ahead=n_ahead, assigned=tuple(assigned))
-        reg = assignment.assign(waiting, demand_ahead(waiting, demand, now), now)
+        reg = assignment.assign(waiting, demand_then, now)
         if reg is not None:
             assigned.append(waiting.request_id)
     load = choose(assignment.open_loads(own, now))
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -282,6 +282,42 @@
         assert turn.load is None
         assert len(turn.assigned) == policy.MAX_ASSIGNED
 
+    def test_full_engines_are_looked_at_once(self):
+        # Guards against decisions of tens of milliseconds while many requests wait.
+        class CountingPlacement(LeastCostPlacement):
+            n_looked_at = 0
+
+            def choose(self, loads, demand, rng):
+                self.n_looked_at += len(loads)
+                return super().choose(loads, demand, rng)
+
+        rng = random.Random(1)
+        counting = CountingPlacement()
+        requests = [
+            request(
+                number,
+                now=number / 100,
+                n_tokens=rng.randrange(2_000, 3_000),
+                n_remaining_tokens=rng.randrange(500, 700),
+            )
+            for number in range(60)
+        ]
+        engines = [
+            engine(f"e{n}", run_of(request(900 + n), f"e{n}", is_prefilling=False))
+            for n in range(30)
+        ]
+        turn = find_turn(
+            requests[-1],
+            requests,
+            demand_of(requests[-1]),
+            Assignment(loads=[*engines, engine()], policy=counting, rng=rng),
+            choose=lambda left: None,
+            is_ignored=lambda request_id: False,
+            now=0.6,
+        )
+        assert len(turn.assigned) == 1
+        assert counting.n_looked_at <= 31 + 60
+
     def test_capacity_is_not_kept_for_a_request_that_does_not_take_it(self):
         # Guards against capacity that is kept for a node which may not send there.
         unused = UnusedTurns()
