--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -305,7 +305,8 @@
         excluded : set of str
             Engines that it may not get.
         until : float or None
-            Loop time until which it waits; for a share of its target by default.
+            Loop time until which it waits at most. By default that is up to admission
+            control, or a share of its target if there is no engine that it may get.
         """
         if live.binding.version is not None or live.n_runs:
             return await self._place(live, excluded, until, is_ordered=False)
@@ -331,6 +332,7 @@
         loop = asyncio.get_running_loop()
         target = ex.route.target_latency_seconds
         prefill_deadline = loop.time() + placing.PREFILL_SHARE * target
+        is_bounded = until is not None
         if until is None:
             until = loop.time() + WAIT_SHARE * target
         wait_deadline = min(until, ex.loop_deadline)
@@ -364,7 +366,7 @@
                     is_hopeless = True
                 else:
                     decide_at = decision.decide_again_at
-            is_over = not is_decided and loop.time() >= wait_deadline
+            is_over = loop.time() >= wait_deadline and (is_bounded or not is_decided)
             if is_over or is_hopeless:
                 obstacles = placing.count_obstacles(loads, demand)
                 ex.log("no_room", n_engines=len(loads), obstacles=obstacles)
