--- a/celerytrail/policies/endpointchoice.py
+++ b/celerytrail/policies/endpointchoice.py
@@ -66,6 +66,10 @@
         Called with an endpoint that aborted a request, to announce it to other nodes.
     is_connected : callable
         Returns whether an idle connection to an address is open.
+    is_new : callable or None
+        Returns whether an endpoint started or recovered a short while ago. Until it has
+        answered, it is taken to be as fast as one of the others; it would attract the
+        requests of all nodes as the fastest one otherwise.
     """
 
     def __init__(
@@ -75,11 +79,13 @@
         rng: random.Random,
         tell: Callable[[str], None],
         is_connected: Callable[[Address], bool],
+        is_new: Callable[[str], bool] | None = None,
     ) -> None:
         self._failure_domain = failure_domain
         self._rng = rng
         self._tell = tell
         self._is_connected = is_connected
+        self._is_new = is_new or (lambda endpoint: False)
         self._records: dict[str, _Record] = {}
 
     def choose(
@@ -89,7 +95,33 @@
         choices = [reg for reg in regs if reg.endpoint not in excluded]
         if not choices:
             return None
-        return min(choices, key=lambda reg: self._cost(reg, now))
+        unknown = {
+            reg.endpoint
+            for reg in choices
+            if self._is_new(reg.endpoint) and not self._record(reg.endpoint).answered_at
+        }
+        if not unknown:
+            return min(choices, key=lambda reg: self._cost(reg, now))
+        assumed = self._drawn_seconds(choices, unknown, now)
+
+        def cost(reg: Registration) -> float:
+            extra = ANSWER_COST * assumed if reg.endpoint in unknown else 0.0
+            return self._cost(reg, now) + extra
+
+        return min(choices, key=cost)
+
+    def _drawn_seconds(
+        self, regs: Sequence[Registration], unknown: set[str], now: float
+    ) -> float:
+        """Return the expected time of an answer at one of the other endpoints.
+
+        With a drawn one, a new endpoint is chosen as often as each of the others. Their
+        average would be too high: many have no recent answer and are chosen first.
+        """
+        known = [reg.endpoint for reg in regs if reg.endpoint not in unknown]
+        if not known:
+            return 0.0
+        return self._answer_seconds(self._record(self._rng.choice(known)), now)
 
     def begin(self, endpoint: str, now: float) -> None:
         """Count a request that is sent to an endpoint as in progress."""
