--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -140,6 +140,8 @@
     "orders": "Orders sent to engines, by outcome.",
     "request_tokens": "Requests for tokens of limited endpoints, by outcome.",
     "resumptions": "Streams that callers take up, by what was known of them.",
+    "pace_changes": "Changes of endpoints' paces, by change and reason of the start.",
+    "pace_bypassed": "Requests for which only paced endpoints were left, by service.",
     "relay_events": "Events of relayed requests, by event and cause.",
 }
 GAUGES = {
@@ -147,6 +149,8 @@
     "suspected_crashes": "Crashes of engines whose cause isn't known.",
     "brittle_endpoints": "Endpoints that fall over when they refuse too much.",
     "paused_endpoints": "Endpoints that want no requests from this node at present.",
+    "paced_endpoints": "Endpoints with less than their full share, by reason.",
+    "least_endpoint_share": "The least share of an endpoint; 1 if none is paced.",
     "endpoint_versions": "Endpoints with a row, by service and software version.",
     "known_streams": "Streams whose origin this node holds for take-ups.",
     "lost_paths": "Endpoints that only other nodes reach at present.",
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -13,9 +13,11 @@
 from ..model import Registration, RouteKind
 from ..platform import wire
 from ..policies.endpointchoice import EndpointChoice
+from ..policies.pace import AnswerKind
 from ..policies.retrybudget import SharedRetryBudget
 from .endpointanswers import EndpointAnswers
 from .endpointgate import ENDPOINT_LIMITED, Admission, EndpointGate
+from .endpointpaces import EndpointPaces
 from .exchange import CallerDisconnectedError, Exchange, refuse, seconds_until
 from .outcomes import Failed, NotExecuted
 from .registry import Registry
@@ -29,6 +31,8 @@
 # the longest wait for the next chance, in seconds.
 WAIT_SHARE = 0.5
 MAX_POLL_SECONDS = 0.1
+# The HTTP client's reasons when it couldn't connect to an endpoint.
+UNREACHABLE_REASONS = ("connect_refused", "connect_timeout")
 # Endpoints that a request may be sent to while none has executed it.
 MAX_TRIED_ENDPOINTS = 3
 # Retry-After when all endpoints refused, in seconds.
@@ -85,6 +89,8 @@
         Whether an endpoint may receive a request now.
     answers : EndpointAnswers
         Records what endpoints state in their answers.
+    paces : EndpointPaces
+        Told how endpoints answer.
     """
 
     def __init__(
@@ -96,6 +102,7 @@
         budget: SharedRetryBudget,
         gate: EndpointGate,
         answers: EndpointAnswers,
+        paces: EndpointPaces,
     ) -> None:
         self._client = client
         self._registry = registry
@@ -103,6 +110,7 @@
         self._budget = budget
         self._gate = gate
         self._answers = answers
+        self._paces = paces
         self.n_open = 0
 
     async def relay(self, ex: Exchange) -> None:
@@ -244,7 +252,7 @@
             open_regs = [
                 reg for reg in usable if self._gate.is_open_for(reg, ex.home_regions)
             ]
-            reg = self._choice.choose(open_regs, tried, loop.time())
+            reg = self._choose_paced(ex, open_regs, usable, tried)
             if reg is None and await self._wait_for_room(ex, usable, tried):
                 continue
             if reg is None:
@@ -256,6 +264,30 @@
             return None
         return admission
 
+    def _choose_paced(
+        self,
+        ex: Exchange,
+        regs: list[Registration],
+        usable: list[Registration],
+        tried: set[str],
+    ) -> Registration | None:
+        """Return a request's endpoint, one that is held back if there is no other.
+
+        A request that was sent to another one already ignores the pace.
+        """
+        now = asyncio.get_running_loop().time()
+        if tried:
+            return self._choice.choose(regs, tried, now)
+        reg = self._choice.choose(self._gate.find_trial(regs, usable), (), now)
+        if reg is not None:
+            return reg
+        held = self._gate.held_back(regs, usable)
+        reg = self._choice.choose(regs, held, now)
+        if reg is None and held:
+            self._paces.count_bypassed(ex.service)
+            reg = self._choice.choose(regs, (), now)
+        return reg
+
     async def _wait_for_room(
         self, ex: Exchange, usable: list[Registration], tried: set[str]
     ) -> bool:
@@ -289,6 +321,7 @@
         reg = admission.reg
         began_at = asyncio.get_running_loop().time()
         self._choice.begin(reg.endpoint, began_at)
+        self._paces.begin(reg, began_at)
         self.n_open += 1
         outcome: Outcome | None = None
         try:
@@ -307,6 +340,11 @@
                 is_broken=isinstance(outcome, Failed),
                 now=now,
             )
+            kind = _answer_kind(outcome)
+            if kind is None:
+                self._paces.end(reg, began_at)
+            else:
+                self._paces.record_answer(reg, ex.route.name, began_at, kind)
 
     async def _send(self, ex: Exchange, admission: Admission) -> Outcome:
         reg = admission.reg
@@ -356,6 +394,23 @@
         return Answered(endpoint=reg.endpoint, res=res)
 
 
+def _answer_kind(outcome: Outcome | None) -> AnswerKind | None:
+    """Return what an outcome tells of its endpoint; None for nothing.
+
+    An attempt that was given up may have met its caller's deadline only.
+    """
+    match outcome:
+        case Answered(res=res):
+            return AnswerKind.ANSWERED if res.status < 500 else AnswerKind.FAILED
+        case NotExecuted(was_sent=True):
+            return AnswerKind.REFUSED
+        case NotExecuted(reason=reason):
+            return AnswerKind.FAILED if reason in UNREACHABLE_REASONS else None
+        case Failed(reason=reason) if reason != "timeout":
+            return AnswerKind.FAILED
+    return None
+
+
 def _more_informative(first: Outcome, second: Outcome) -> Outcome:
     """Return the outcome that is more informative to the caller."""
     order = (NotExecuted, Failed, Answered)
--- a/celerytrail/relay/endpointaccess.py
+++ b/celerytrail/relay/endpointaccess.py
@@ -54,6 +54,8 @@
         Announces to the other nodes all services that this one is cut off from.
     on_silent : callable
         Called with an endpoint when the path to it has fallen silent.
+    on_regained : callable
+        Called with an endpoint when this node reaches it again itself.
     choice : PeerChoice or None
         Chooses the nodes through which an endpoint is reached; those of this node's
         failure domain first by default.
@@ -71,12 +73,14 @@
         rng: random.Random,
         announce: Callable[[set[str]], None],
         on_silent: Callable[[Registration], None],
+        on_regained: Callable[[Registration], None],
         choice: PeerChoice | None = None,
     ) -> None:
         self._nodes = nodes
         self._registry = registry
         self._announce = announce
         self._on_silent = on_silent
+        self._on_regained = on_regained
         self.reach = Reach()
         self.cut_off_nodes = CutOffNodes()
         self._cut_off: set[str] = set()
@@ -92,6 +96,7 @@
             metrics=metrics,
             on_silent=self._on_path_silent,
             on_stated=answers.record_relayed,
+            on_regained=self._on_path_regained,
         )
         self.tunnels = TunnelServer(
             network=network,
@@ -188,6 +193,11 @@
         regs = self._registry.usable_endpoints(found.service)
         return [reg.address for reg in regs]
 
+    def _on_path_regained(self, address: Address) -> None:
+        reg = self._registry.find_address(address)
+        if reg is not None:
+            self._on_regained(reg)
+
     def _on_path_silent(self, address: Address) -> None:
         reg = self._registry.find_address(address)
         if reg is not None:
--- a/celerytrail/relay/endpointanswers.py
+++ b/celerytrail/relay/endpointanswers.py
@@ -12,9 +12,11 @@
 from ..model import EndpointStatements, Registration
 from ..platform import wire
 from ..policies.coldlimits import ColdEndpoints
+from ..policies.pace import StartReason
 from ..policies.statedpauses import StatedPauses
 from ..types import Address
 from .endpointlimits import EndpointLimits
+from .endpointpaces import EndpointPaces
 from .exchange import Exchange
 from .registry import Registry
 
@@ -46,6 +48,8 @@
         The pauses that endpoints asked for.
     limits : EndpointLimits
         What endpoints state for all nodes together.
+    paces : EndpointPaces
+        Told of the ends of pauses.
     announce_leaving : callable
         Announces an endpoint that leaves to the other nodes.
     """
@@ -57,12 +61,14 @@
         cold: ColdEndpoints,
         pauses: StatedPauses,
         limits: EndpointLimits,
+        paces: EndpointPaces,
         announce_leaving: Callable[[Registration], None],
     ) -> None:
         self._registry = registry
         self._cold = cold
         self._pauses = pauses
         self._limits = limits
+        self._paces = paces
         self._announce_leaving = announce_leaving
 
     def read(
@@ -154,7 +160,9 @@
             self._announce_leaving(reg)
 
     def _record_pause(self, reg: Registration, seconds: float) -> None:
-        if self._pauses.record(reg.incarnation, _now(), seconds):
+        now = _now()
+        if self._pauses.record(reg.incarnation, now, seconds):
+            self._paces.record_start(reg, StartReason.PAUSE_ENDED, now + seconds)
             log_message(
                 "relay:endpoint:paused",
                 endpoint=reg.endpoint,
--- a/celerytrail/relay/endpointgate.py
+++ b/celerytrail/relay/endpointgate.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from ..http.client import MAX_IDLE_PER_ADDRESS
@@ -14,6 +14,7 @@
 from ..policies.homes import is_allowed
 from ..policies.statedpauses import StatedPauses
 from .endpointlimits import EndpointLimits
+from .endpointpaces import EndpointPaces
 from .placebroker import Place
 from .tokenbroker import RequestToken
 
@@ -73,6 +74,8 @@
         Returns whether an endpoint said that it leaves.
     position : callable
         Returns this node's position in the order that belongs to an endpoint.
+    paces : EndpointPaces
+        The pace of endpoints that have started or recovered.
     domain_regions : mapping or None
         The region of each failure domain.
     blocked : BlockedPrompts
@@ -93,6 +96,7 @@
         is_leaving: Callable[[Registration], bool],
         position: Callable[[str], NodePosition],
         blocked: BlockedPrompts,
+        paces: EndpointPaces,
         domain_regions: Mapping[str, str] | None = None,
         shares: ColdShares | None = None,
     ) -> None:
@@ -105,6 +109,7 @@
         self._is_leaving = is_leaving
         self._position = position
         self._blocked = blocked
+        self._paces = paces
         self._domain_regions = domain_regions or {}
         self._shares = shares or RankedShares()
 
@@ -127,6 +132,31 @@
         has_room = can_wait or self._seconds_until_open(reg) == 0
         return is_home and has_room and self._is_open(reg)
 
+    def held_back(
+        self, regs: Sequence[Registration], usable: Sequence[Registration]
+    ) -> frozenset[str]:
+        """Return the endpoints that are closed to this node by their pace.
+
+        Callers choose among the others, and among these if they find none. Nothing is
+        held back if too many of the service's endpoints are paced.
+
+        Parameters
+        ----------
+        regs : sequence of Registration
+            The endpoints to choose from.
+        usable : sequence of Registration
+            All endpoints of the service that may get the request.
+        """
+        held = frozenset(reg.endpoint for reg in regs if self._paces.is_held_back(reg))
+        return held if held and self._paces.is_in_force(usable) else frozenset()
+
+    def find_trial(
+        self, regs: Sequence[Registration], usable: Sequence[Registration]
+    ) -> Sequence[Registration]:
+        """Return the endpoints of which one should get this node's next request."""
+        trials = [reg for reg in regs if self._paces.wants_trial(reg)]
+        return trials if trials and self._paces.is_in_force(usable) else ()
+
     def seconds_until_open(self, regs: Iterable[Registration]) -> float | None:
         """Return the time until one of several endpoints may get a request.
 
@@ -150,6 +180,10 @@
         ]
         return min(waits, default=0.0) or None
 
+    def is_leaving(self, reg: Registration) -> bool:
+        """Return whether an endpoint said that it leaves."""
+        return self._is_leaving(reg)
+
     def is_limited(self, reg: Registration) -> bool:
         """Return whether an endpoint states a limit, or wants no requests now."""
         return self._limits.is_limited(reg.endpoint) or self.is_paused(reg)
--- a/celerytrail/relay/endpointstate.py
+++ b/celerytrail/relay/endpointstate.py
@@ -5,15 +5,18 @@
 import asyncio
 from collections.abc import Callable
 
+from ..metrics import Metrics
 from ..model import Registration, Service
 from ..platform.nodesettings import RelaySettings
 from ..policies.blockedprompts import BlockedPrompts
 from ..policies.coldlimits import ColdEndpoints
 from ..policies.evacuations import Evacuations
+from ..policies.pace import StartReason
 from ..policies.statedpauses import StatedPauses
 from .endpointanswers import EndpointAnswers
 from .endpointgate import EndpointGate
 from .endpointlimits import EndpointLimits
+from .endpointpaces import EndpointPaces
 from .nodeorder import NodeOrder
 from .registry import Registry
 
@@ -44,6 +47,10 @@
         Called once for each incarnation of an endpoint that leaves or is removed.
     announce_leaving : callable
         Announces an endpoint that leaves to the other nodes.
+    announce_failing : callable
+        Announces an endpoint that fails after it started or recovered.
+    metrics : Metrics
+        Counts changes of paces.
     """
 
     def __init__(
@@ -56,6 +63,8 @@
         blocked: BlockedPrompts,
         on_leaving: Callable[[Registration], None],
         announce_leaving: Callable[[Registration], None],
+        announce_failing: Callable[[Registration], None],
+        metrics: Metrics,
     ) -> None:
         self._cfg = cfg
         self._find_service = find_service
@@ -66,7 +75,18 @@
         self.cold = ColdEndpoints()
         self.pauses = StatedPauses()
         self.limits = limits
-        self.registry = Registry(on_leaving=on_leaving, evacuations=self.evacuations)
+        self.registry = Registry(
+            on_leaving=on_leaving,
+            on_started=self._on_started,
+            evacuations=self.evacuations,
+        )
+        self.paces = EndpointPaces(
+            registry=self.registry,
+            position=node_order.live_position,
+            is_paused=lambda reg: self.gate.is_paused(reg),
+            announce=announce_failing,
+            metrics=metrics,
+        )
         self.gate = EndpointGate(
             evacuations=self.evacuations,
             cold=self.cold,
@@ -77,6 +97,7 @@
             is_leaving=self.registry.is_leaving,
             position=node_order.position,
             blocked=blocked,
+            paces=self.paces,
             domain_regions=cfg.domain_regions,
         )
         self.answers = EndpointAnswers(
@@ -84,6 +105,7 @@
             cold=self.cold,
             pauses=self.pauses,
             limits=limits,
+            paces=self.paces,
             announce_leaving=announce_leaving,
         )
 
@@ -96,6 +118,8 @@
         now = asyncio.get_running_loop().time()
         returned = self.evacuations.domains - domains
         for reg in self.registry.all():
+            if reg.failure_domain in returned:
+                self.paces.record_start(reg, StartReason.EVACUATION_ENDED)
             service = self._find_service(reg.service)
             if service is None or service.cold_seconds <= 0:
                 continue
@@ -109,6 +133,11 @@
         self.cold.expire(now)
         self.limits.expire(now, self.registry.has)
         self.pauses.expire(now, self.registry.has)
+        self.paces.expire(now)
+
+    def _on_started(self, reg: Registration, was_known: bool) -> None:
+        reason = StartReason.RESTARTED if was_known else StartReason.NEW
+        self.paces.record_start(reg, reason)
 
     def _cold_limit(self, name: str) -> float | None:
         """Return the requests per second for a cold endpoint, None without a limit."""
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -11,6 +11,7 @@
 from ..model import Registration
 from ..platform import wire
 from ..policies.crashsuspects import LostRun
+from ..policies.pace import AnswerKind
 from .crashwatch import CrashWatch
 from .endpointanswers import EndpointAnswers
 from .endpointgate import (
@@ -20,6 +21,7 @@
     Admission,
     EndpointGate,
 )
+from .endpointpaces import EndpointPaces
 from .liverun import Copied, LiveRun
 from .outcomes import Failed, NotExecuted
 from .startchecks import StartChecks
@@ -72,6 +74,8 @@
         Whether an engine may receive a request now.
     answers : EndpointAnswers
         Records what engines state in their answers.
+    paces : EndpointPaces
+        Told how engines answer.
     starts : StartChecks
         Finds out which start of an engine runs a request.
     crashes : CrashWatch
@@ -84,12 +88,14 @@
         client: HttpClient,
         gate: EndpointGate,
         answers: EndpointAnswers,
+        paces: EndpointPaces,
         starts: StartChecks,
         crashes: CrashWatch,
     ) -> None:
         self._client = client
         self._gate = gate
         self._answers = answers
+        self._paces = paces
         self._starts = starts
         self._crashes = crashes
 
@@ -139,6 +145,8 @@
                 self.end(live)
                 live.admission = admission
             else:
+                if live.is_unanswered:
+                    self._record_answer(live, admission.reg, None)
                 is_refused = (
                     opened is not None
                     and isinstance(opened.err_value, NotExecuted)
@@ -148,10 +156,31 @@
 
     def record_lost(self, live: LiveRun, reg: Registration, reason: str) -> None:
         """Record that an engine's answer to a run broke off."""
+        if live.is_unanswered or reason == BROKEN_OFF:
+            kind = AnswerKind.FAILED if reason == BROKEN_OFF else None
+            self._record_answer(live, reg, kind)
         if reason == BROKEN_OFF:
             run = LostRun(prompt=live.ex.prompt, sent_at=live.sent_at)
             self._crashes.record_lost(reg, run, live.n_events)
 
+    def record_first_event(self, live: LiveRun) -> None:
+        """Record that a run's engine has sent its first event."""
+        if live.is_unanswered and live.reg is not None:
+            self._record_answer(live, live.reg, AnswerKind.ANSWERED)
+
+    def _record_answer(
+        self, live: LiveRun, reg: Registration, kind: AnswerKind | None
+    ) -> None:
+        """Record how an engine answered a run; None tells nothing of the engine.
+
+        An engine that leaves may break off its runs.
+        """
+        live.is_unanswered = False
+        if kind is None or self._gate.is_leaving(reg):
+            self._paces.end(reg, live.sent_at)
+        else:
+            self._paces.record_answer(reg, live.ex.route.name, live.sent_at, kind)
+
     def is_paused(self, reg: Registration) -> bool:
         """Return whether an engine wants no requests from this node now."""
         return self._gate.is_paused(reg)
@@ -168,6 +197,8 @@
     def end(self, live: LiveRun) -> None:
         """Record that a run is no longer at its engine."""
         if live.admission is not None:
+            if live.is_unanswered:
+                self._record_answer(live, live.admission.reg, None)
             self._gate.end(live.admission)
             live.admission = None
 
@@ -209,9 +240,13 @@
             return Err(self._on_unopened(sending, opened.err_value))
         stream = opened.ok_value
         if self._answers.read(ex, reg, stream, asked_at):
+            self._record_answer(live, reg, AnswerKind.REFUSED)
             await stream.read(ex.loop_deadline)
             return Err(NotExecuted(reason="engine_refused", was_sent=True))
         live.n_runs += 1
+        if stream.status != 200:
+            is_failed = stream.status >= 500
+            self._record_answer(live, reg, AnswerKind.FAILED if is_failed else None)
         if not await self._may_use(sending, stream):
             ex.log("attempt_failed", endpoint=reg.endpoint, reason=OTHER_VERSION)
             return Err(Failed(reason=OTHER_VERSION))
@@ -227,7 +262,11 @@
         if sending.obstacle is not None:
             return False
         sending.check = self._starts.begin(sending.admission.reg)
-        sending.live.sent_at = asyncio.get_running_loop().time()
+        live = sending.live
+        live.sent_at = asyncio.get_running_loop().time()
+        if sending.copied is None:
+            live.is_unanswered = True
+            self._paces.begin(sending.admission.reg, live.sent_at)
         return True
 
     def _find_obstacle(self, sending: _Sending) -> str | None:
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -13,8 +13,10 @@
 from ..policies.engineloads import EngineLoad, EngineLoads
 from ..policies.leavingversions import LeavingVersions
 from ..policies.movetargets import MoveTargets, OwnTargets
+from ..policies.pace import StartReason
 from ..policies.prefillrates import PrefillRates
 from .endpointgate import Admission, EndpointGate
+from .endpointpaces import EndpointPaces
 from .liverun import LiveRun
 from .peerupdates import PeerUpdates
 from .registry import Registry
@@ -63,6 +65,8 @@
         engine, in seconds.
     rates : PrefillRates
         Prefill speed of each engine and of each service's engines.
+    paces : EndpointPaces
+        Told of engines that weren't reached.
     """
 
     def __init__(
@@ -77,6 +81,7 @@
         gate: EndpointGate,
         policy: placing.PlacementPolicy,
         rates: PrefillRates,
+        paces: EndpointPaces,
         backups: BackupPolicy | None = None,
         move_targets: MoveTargets | None = None,
     ) -> None:
@@ -89,6 +94,7 @@
         self._gate = gate
         self._placing = policy
         self._rates = rates
+        self._paces = paces
         self._backups = backups or SameDomainBackup()
         self._move_targets = move_targets or OwnTargets()
         # By endpoint, the loop time until which an unreachable engine is avoided.
@@ -104,6 +110,7 @@
             if until > now
         }
         self._avoid_until[reg.endpoint] = now + AVOID_SECONDS
+        self._paces.record_start(reg, StartReason.UNREACHABLE, now + AVOID_SECONDS)
 
     def record_leaving(self, reg: Registration) -> None:
         """Record that an engine leaves, and that its version may be leaving."""
@@ -204,6 +211,31 @@
             failure_domain=self._failure_domain,
         )
 
+    def _choose_paced(
+        self,
+        live: LiveRun,
+        loads: list[EngineLoad],
+        demand: placing.Demand,
+        excluded: set[str],
+    ) -> EngineLoad | None:
+        """Return a run's engine, one that the pace holds back if no other has room.
+
+        A run that goes on, or that another engine didn't take, ignores the pace.
+        """
+        if live.binding.version is not None or excluded:
+            return self._choose(live, loads, demand)
+        regs = [load.reg for load in loads]
+        held = self._gate.held_back(regs, self._allowed(live))
+        if not held:
+            return self._choose(live, loads, demand)
+        others = [load for load in loads if load.reg.endpoint not in held]
+        load = self._choose(live, others, demand)
+        if load is None:
+            load = self._choose(live, loads, demand)
+            if load is not None:
+                self._paces.count_bypassed(live.ex.service)
+        return load
+
     def _choose(
         self, live: LiveRun, loads: list[EngineLoad], demand: placing.Demand
     ) -> EngineLoad | None:
@@ -256,7 +288,7 @@
         while True:
             loads = self._engine_loads(live, excluded)
             demand = self._placing_demand(live, prefill_deadline - loop.time())
-            load = self._choose(live, loads, demand)
+            load = self._choose_paced(live, loads, demand, excluded)
             if load is not None:
                 ex.observe("relay_wait")
                 self._record_placement(live, load.reg, loads, demand)
--- a/celerytrail/relay/enginerelay.py
+++ b/celerytrail/relay/enginerelay.py
@@ -116,6 +116,7 @@
             gate=gate,
             policy=policies.placing,
             rates=rates,
+            paces=endpoints.paces,
             backups=policies.backups,
             move_targets=policies.move_targets,
         )
@@ -129,6 +130,7 @@
             client=access.client,
             gate=gate,
             answers=answers,
+            paces=endpoints.paces,
             starts=self.starts,
             crashes=crashes,
         )
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -339,6 +339,7 @@
             live.last_event_id = event.event_id
         if live.n_events == 0:
             self._bind(live)
+        self._opener.record_first_event(live)
         if live.run.is_prefilling:
             self._placer.on_first_event(live)
             live.ex.observe("relay_first_event")
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -64,8 +64,10 @@
         self.n_queued_tokens = 0
         self.n_events = 0
         self.n_runs = 0
-        # When its current engine was sent it, in loop time.
+        # When its current engine was sent it, in loop time, and whether that one hasn't
+        # answered yet; a run that continues from a copy counts as answered.
         self.sent_at = 0.0
+        self.is_unanswered = False
         # True between the end of one stream and the start of the next.
         self.is_resuming = False
         self.is_complete = False
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -26,6 +26,7 @@
 from ..policies.engineloads import EngineLoads, Run
 from ..policies.evacuations import Evacuations
 from ..policies.freshness import Freshness
+from ..policies.pace import StartReason
 from ..policies.prefillrates import PrefillObserver, PrefillRates
 from ..policies.retrybudget import SharedRetryBudget
 from ..policies.versionhistory import VersionHistory
@@ -156,6 +157,8 @@
             blocked=self.prompts.blocked,
             on_leaving=self._on_leaving,
             announce_leaving=lambda reg: self.peer_updates.announce_leaving(reg),
+            announce_failing=lambda reg: self._announce_abort(reg.endpoint),
+            metrics=self._metrics,
         )
         self.registry = self._endpoint_state.registry
 
@@ -229,6 +232,7 @@
             rng=self._rng,
             announce=self.peer_updates.announce_cut_off,
             on_silent=lambda reg: self.generations.on_path_silent(reg),
+            on_regained=self._on_path_regained,
         )
         self.origins = OriginBroker(
             node=self.node_id,
@@ -267,6 +271,7 @@
             rng=self._rng,
             tell=self._announce_abort,
             is_connected=self.access.client.is_connected,
+            is_new=self._endpoint_state.paces.is_new,
         )
         self.calls = PlainCalls(
             client=self.access.client,
@@ -275,6 +280,7 @@
             budget=self._budget,
             gate=gate,
             answers=answers,
+            paces=self._endpoint_state.paces,
         )
         self._engine_watch = EngineWatch(
             api=self.access.engine_api,
@@ -487,7 +493,12 @@
     def _on_retried(self, service: str) -> None:
         self._budget.record_peer_retry(service, asyncio.get_running_loop().time())
 
+    def _on_path_regained(self, reg: Registration) -> None:
+        self._endpoint_state.paces.record_start(reg, StartReason.PATH_REGAINED)
+
     def _on_aborted(self, endpoint: str, node: str) -> None:
+        if self._endpoint_state.paces.record_peer_report(endpoint, node):
+            return
         now = asyncio.get_running_loop().time()
         self._choice.record_peer_failure(endpoint, node, now)
 
--- a/celerytrail/relay/nodeorder.py
+++ b/celerytrail/relay/nodeorder.py
@@ -38,11 +38,13 @@
         self._n_listed: int | None = None
         # By endpoint and number of unknown nodes.
         self._positions: dict[tuple[str, int], NodePosition] = {}
+        self._live_positions: dict[tuple[str, int], NodePosition] = {}
         self._owners: dict[str, Member | None] = {}
         nodes.on_change(self._clear)
 
     def _clear(self) -> None:
         self._positions.clear()
+        self._live_positions.clear()
         self._owners.clear()
 
     def set_n_listed(self, n_nodes: int) -> None:
@@ -68,6 +70,25 @@
             )
         return position
 
+    def live_position(self, endpoint: str) -> NodePosition:
+        """Return this node's position among the running nodes, in the same order.
+
+        The rank of a lost node passes to the next one.
+        """
+        n_unknown = self._n_unknown(len(self._vms()))
+        key = (endpoint, n_unknown)
+        position = self._live_positions.get(key)
+        if position is None:
+            if len(self._live_positions) >= MAX_CACHED:
+                self._live_positions.clear()
+            me = self._nodes.me.vm
+            vms = {member.vm for member in self._nodes.running_members()} | {me}
+            position = self._live_positions[key] = NodePosition(
+                index=n_unknown + rank(_key(endpoint), vms).index(me),
+                n_nodes=n_unknown + len(vms),
+            )
+        return position
+
     def owner(self, endpoint: str) -> Member | None:
         """Return the first running node in an endpoint's order."""
         if endpoint not in self._owners:
--- a/celerytrail/relay/paths.py
+++ b/celerytrail/relay/paths.py
@@ -72,6 +72,8 @@
     on_stated : callable
         Called with an endpoint and what it has stated to the node that connects to it,
         before anything is sent there.
+    on_regained : callable
+        Called with an endpoint when this node reaches it again itself.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         metrics: Metrics,
         on_silent: Callable[[Address], None],
         on_stated: Callable[[Address, RelayedStatements], None],
+        on_regained: Callable[[Address], None],
     ) -> None:
         self._network = network
         self._reach = reach
@@ -96,6 +99,7 @@
         self._metrics = metrics
         self._on_silent = on_silent
         self._on_stated = on_stated
+        self._on_regained = on_regained
         # Connections by endpoint, on the own path and through other nodes: open ones,
         # and those that were closed a moment ago.
         self._direct: dict[Address, list[Connection]] = {}
@@ -301,6 +305,7 @@
         if not self._reach.record_reached(address, _now()):
             return
         log_message("relay:path:back", address=str(address))
+        self._on_regained(address)
         self._tunnelled.pop(address, None)
 
     def _record_lost(self, address: Address, member: Member) -> None:
--- a/celerytrail/relay/registry.py
+++ b/celerytrail/relay/registry.py
@@ -29,6 +29,9 @@
     ----------
     on_leaving : callable
         Called once for each incarnation of an endpoint that leaves or is removed.
+    on_started : callable or None
+        Called with an endpoint that has a new row or a new start, and with whether it
+        had a row before. Not called for the first rows that a node reads.
     evacuations : Evacuations or None
         The failure domains whose endpoints get no new work; none by default.
     """
@@ -37,6 +40,7 @@
         self,
         *,
         on_leaving: Callable[[Registration], None],
+        on_started: Callable[[Registration, bool], None] | None = None,
         evacuations: Evacuations | None = None,
     ) -> None:
         self._evacuations = evacuations or Evacuations()
@@ -46,6 +50,8 @@
         # By service, cached as it is read for each request.
         self._accepting: dict[str, list[Registration]] = {}
         self._on_leaving = on_leaving
+        self._on_started = on_started
+        self._has_read = False
 
     def put(self, reg: Registration) -> None:
         """Add or update an endpoint's registration, unless a later start is known."""
@@ -55,8 +61,11 @@
         if former is not None and reg.started_at > former.started_at:
             self._set_leaving(former)
         self._known[reg.endpoint] = reg
-        self._lapsed.pop(reg.endpoint, None)
+        lapsed = self._lapsed.pop(reg.endpoint, None)
         self._accepting.clear()
+        seen = former or (lapsed.reg if lapsed is not None else None)
+        if seen is None or seen.started_at != reg.started_at:
+            self._record_started(reg, was_known=seen is not None)
         if reg.state is EndpointState.LEAVING:
             self._set_leaving(reg)
 
@@ -82,6 +91,13 @@
             self.remove(endpoint, now, may_be_lapse=may_be_lapse)
         for reg in found.values():
             self.put(reg)
+        self._has_read = True
+
+    def _record_started(self, reg: Registration, *, was_known: bool) -> None:
+        if self._on_started is None or not self._has_read:
+            return
+        if reg.state is EndpointState.READY:
+            self._on_started(reg, was_known)
 
     def record_leaving(self, reg: Registration) -> bool:
         """Record that an endpoint stated in an answer or its report that it leaves.
