--- a/celerytrail/policies/pace.py
+++ b/celerytrail/policies/pace.py
@@ -570,6 +570,18 @@
             and not self.holds_back(endpoint, position, now)
         )
 
+    def takes_refused(self, endpoint: str, now: float) -> bool:
+        """Return whether a paced endpoint should get a request that others refused.
+
+        The others are full, so the request would be refused because of the pace. One
+        that was found faulty is no better place.
+        """
+        share = self.pace.share(endpoint, now)
+        n_allowed = self.pace.n_unanswered(endpoint)
+        n_sent = len(self._sent_at.get(endpoint, ()))
+        is_free = n_allowed is None or n_sent < n_allowed
+        return FIRST_SHARE <= share < 1.0 and is_free
+
     def _turn(self, endpoint: str, position: NodePosition) -> NodePosition:
         """Return a node's position, in which other nodes are the first after a hold.
 
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -273,11 +273,14 @@
     ) -> Registration | None:
         """Return a request's endpoint, one that is held back if there is no other.
 
-        A request that was sent to another one already ignores the pace.
+        A request that another one refused goes to a paced one first: the others may be
+        full, and the pace must not be the reason for a refusal.
         """
         now = asyncio.get_running_loop().time()
         if tried:
-            return self._choice.choose(regs, tried, now)
+            paced = [reg for reg in regs if self._paces.takes_refused(reg)]
+            reg = self._choice.choose(paced, tried, now)
+            return reg or self._choice.choose(regs, tried, now)
         reg = self._choice.choose(self._gate.find_trial(regs, usable), (), now)
         if reg is not None:
             return reg
--- a/celerytrail/relay/endpointpaces.py
+++ b/celerytrail/relay/endpointpaces.py
@@ -149,6 +149,10 @@
         position = self._position(reg.endpoint)
         return self._pace.wants_trial(reg.endpoint, position, _now())
 
+    def takes_refused(self, reg: Registration) -> bool:
+        """Return whether an endpoint should get a request that others refused."""
+        return self._pace.takes_refused(reg.endpoint, _now())
+
     def is_new(self, endpoint: str) -> bool:
         """Return whether an endpoint started or recovered a short while ago."""
         return self._pace.pace.is_watched(endpoint)
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -162,6 +162,13 @@
         n_unserved = measured.n_failed + measured.n_refused
         assert n_unserved <= unpaced.n_failed + unpaced.n_refused
 
+    @SIZES
+    def test_refused_requests_are_tried_at_a_paced_endpoint(self, n_nodes):
+        # Guards against a refusal while an endpoint is idle because of its pace.
+        measured = measure("adaptive", n_nodes, CASES["burst"])
+        assert measured.n_refused > 0
+        assert measured.n_held_untried == 0
+
 
 class TestFlapping:
     """The load: an endpoint comes and goes each second, and fails each time."""
