--- a/celerytrail/relay/gauges.py
+++ b/celerytrail/relay/gauges.py
@@ -87,6 +87,8 @@
         self._nodes.update_member_gauge()
         for name, value in self._values(now).items():
             self._metrics.set(name, float(value))
+        for reason, n in self._endpoints.paces.n_by_reason().items():
+            self._metrics.set("paced_endpoints", n, reason=reason.value)
         counts = Counter(
             (reg.service, reg.version) for reg in self._endpoints.registry.all()
         )
@@ -104,6 +106,7 @@
             "limited_endpoints": len(endpoints.limits.rates.in_force()),
             "brittle_endpoints": len(endpoints.limits.brittle.in_force()),
             "paused_endpoints": endpoints.pauses.n_paused(now),
+            "least_endpoint_share": endpoints.paces.least_share(),
             "lost_paths": access.reach.n_lost,
             "cut_off_services": len(access.cut_off_services),
             "cut_off_nodes": access.cut_off_nodes.n_cut_off(now),
--- a/celerytrail/relay/status.py
+++ b/celerytrail/relay/status.py
@@ -86,6 +86,7 @@
             },
             "software_versions": self._software_versions(),
             "evacuated_domains": sorted(self._endpoints.evacuations.domains),
+            "paces": self._paces(),
             "streams": self._generations.n_live,
             "known_streams": len(self._origins.origins),
             "blocked_prompts": self._blocked_prompts(),
@@ -103,6 +104,25 @@
             for block in self._prompts.blocked.in_force(now)
         ]
 
+    def _paces(self) -> list[dict[str, object]]:
+        """Return the endpoints that are watched after a start, and why."""
+        now = asyncio.get_running_loop().time()
+        paces = self._endpoints.paces
+        return [
+            {
+                "endpoint": one.endpoint,
+                "share": round(one.share, 3),
+                "reason": one.reason.value,
+                "is_held_back": paces.is_held_back_now(one.endpoint),
+                "seconds_since_start": round(now - one.started_at, 2),
+                "seconds_until_full": round(max(0.0, one.full_at - now), 2),
+                "good_answers": one.n_good,
+                "bad_answers": one.n_bad,
+                "holds": one.n_holds,
+            }
+            for one in paces.states()
+        ]
+
     def _software_versions(self) -> dict[str, dict[str, dict[str, int]]]:
         """Return the endpoints by service, software version and state."""
         registry = self._endpoints.registry
