--- a/celerytrail/policies/endpointchoice.py
+++ b/celerytrail/policies/endpointchoice.py
@@ -102,26 +102,29 @@
         }
         if not unknown:
             return min(choices, key=lambda reg: self._cost(reg, now))
-        assumed = self._drawn_seconds(choices, unknown, now)
+        known = [reg.endpoint for reg in choices if reg.endpoint not in unknown]
 
         def cost(reg: Registration) -> float:
-            extra = ANSWER_COST * assumed if reg.endpoint in unknown else 0.0
+            extra = 0.0
+            if reg.endpoint in unknown:
+                extra = ANSWER_COST * self._drawn_seconds(known, now)
             return self._cost(reg, now) + extra
 
         return min(choices, key=cost)
 
-    def _drawn_seconds(
-        self, regs: Sequence[Registration], unknown: set[str], now: float
-    ) -> float:
-        """Return the expected time of an answer at one of the other endpoints.
+    def _drawn_seconds(self, known: Sequence[str], now: float) -> float:
+        """Return the expected time of an answer at the better of two drawn endpoints.
 
-        With a drawn one, a new endpoint is chosen as often as each of the others. Their
-        average would be too high: many have no recent answer and are chosen first.
+        With it, a new endpoint is chosen about as often as each of the others: it ties
+        with the one that it was drawn from. The average of all would be too high, as
+        many have no recent answer and are chosen first.
         """
-        known = [reg.endpoint for reg in regs if reg.endpoint not in unknown]
         if not known:
             return 0.0
-        return self._answer_seconds(self._record(self._rng.choice(known)), now)
+        return min(
+            self._answer_seconds(self._record(self._rng.choice(known)), now)
+            for _ in range(2)
+        )
 
     def begin(self, endpoint: str, now: float) -> None:
         """Count a request that is sent to an endpoint as in progress."""
