--- a/celerytrail/policies/endpointchoice.py
+++ b/celerytrail/policies/endpointchoice.py
@@ -86,6 +86,10 @@
         Returns whether an idle connection to an address is open.
     speeds : EndpointSpeeds or None
         Load and speed of endpoints that state them; none by default.
+    is_new : callable or None
+        Returns whether an endpoint started or recovered a short while ago. Until it has
+        answered, it is taken to be as fast as one of the others; it would attract the
+        requests of all nodes as the fastest one otherwise.
     """
 
     def __init__(
@@ -96,12 +100,14 @@
         tell: Callable[[str], None],
         is_connected: Callable[[Address], bool],
         speeds: EndpointSpeeds | None = None,
+        is_new: Callable[[str], bool] | None = None,
     ) -> None:
         self._failure_domain = failure_domain
         self._rng = rng
         self._tell = tell
         self._is_connected = is_connected
         self._speeds = speeds or EndpointSpeeds()
+        self._is_new = is_new or (lambda endpoint: False)
         self._records: dict[str, _Record] = {}
 
     def choose(
@@ -111,9 +117,13 @@
         choices = [reg for reg in regs if reg.endpoint not in excluded]
         if not choices:
             return None
+        extra = self._unknown_costs(choices, now)
         shares = self._shares(choices, now)
         if shares is None:
-            return min(choices, key=lambda reg: self._cost(reg, now))
+            return min(
+                choices,
+                key=lambda reg: self._cost(reg, now) + extra.get(reg.endpoint, 0.0),
+            )
         # The endpoint with the greatest sum of the logarithm of its share and a Gumbel
         # variate is chosen with the probability that its share states.
         scale = SHARE_COST * self._inequality(choices, shares)
@@ -125,7 +135,7 @@
             gumbel = -math.log(-math.log(max(1.0 - draw, 1e-12)))
             bonus = math.log(max(share, MIN_SHARE)) + gumbel
             costs.append(self._cost_without_noise(reg, now) + 0.04 * draw)
-            costs[-1] -= scale * bonus
+            costs[-1] += extra.get(reg.endpoint, 0.0) - scale * bonus
         return choices[costs.index(min(costs))]
 
     def inputs(self, endpoint: str, now: float) -> dict[str, float]:
@@ -144,6 +154,37 @@
             "stated_age": round(speeds.age_seconds(endpoint, now), 4),
         }
 
+    def _unknown_costs(
+        self, choices: Sequence[Registration], now: float
+    ) -> dict[str, float]:
+        """Return, by new endpoint without an answer, the cost of its unknown speed."""
+        unknown = [
+            reg.endpoint
+            for reg in choices
+            if self._is_new(reg.endpoint) and not self._record(reg.endpoint).answered_at
+        ]
+        if not unknown:
+            return {}
+        known = [reg.endpoint for reg in choices if reg.endpoint not in unknown]
+        return {
+            endpoint: ANSWER_COST * self._drawn_seconds(known, now)
+            for endpoint in unknown
+        }
+
+    def _drawn_seconds(self, known: Sequence[str], now: float) -> float:
+        """Return the expected time of an answer at the better of two drawn endpoints.
+
+        With it, a new endpoint is chosen about as often as each of the others: it ties
+        with the one that it was drawn from. The average of all would be too high, as
+        many have no recent answer and are chosen first.
+        """
+        if not known:
+            return 0.0
+        return min(
+            self._answer_seconds(self._record(self._rng.choice(known)), now)
+            for _ in range(2)
+        )
+
     def begin(self, endpoint: str, now: float) -> None:
         """Count a request that is sent to an endpoint as in progress."""
         self._record(endpoint).began_at.append(now)
--- a/celerytrail/relay/endpointanswers.py
+++ b/celerytrail/relay/endpointanswers.py
@@ -15,9 +15,11 @@
 from ..platform import wire
 from ..policies.coldlimits import ColdEndpoints
 from ..policies.endpointspeeds import EndpointSpeeds, News
+from ..policies.pace import StartReason
 from ..policies.statedpauses import StatedPauses
 from ..types import Address
 from .endpointlimits import EndpointLimits
+from .endpointpaces import EndpointPaces
 from .exchange import Exchange
 from .registry import Registry
 
@@ -51,6 +53,8 @@
         What endpoints state for all nodes together.
     speeds : EndpointSpeeds
         Load and speed of the endpoints.
+    paces : EndpointPaces
+        Told of the ends of pauses.
     announce_leaving : callable
         Announces an endpoint that leaves to the other nodes.
     announce_load : callable
@@ -67,6 +71,7 @@
         pauses: StatedPauses,
         limits: EndpointLimits,
         speeds: EndpointSpeeds,
+        paces: EndpointPaces,
         announce_leaving: Callable[[Registration], None],
         announce_load: Callable[[Registration, LoadHeader, News], None],
         metrics: Metrics,
@@ -76,6 +81,7 @@
         self._pauses = pauses
         self._limits = limits
         self._speeds = speeds
+        self._paces = paces
         self._announce_leaving = announce_leaving
         self._announce_load = announce_load
         self._metrics = metrics
@@ -186,7 +192,9 @@
             self._announce_load(reg, header, news)
 
     def _record_pause(self, reg: Registration, seconds: float) -> None:
-        if self._pauses.record(reg.incarnation, _now(), seconds):
+        now = _now()
+        if self._pauses.record(reg.incarnation, now, seconds):
+            self._paces.record_start(reg, StartReason.PAUSE_ENDED, now + seconds)
             log_message(
                 "relay:endpoint:paused",
                 endpoint=reg.endpoint,
--- a/celerytrail/relay/endpointstate.py
+++ b/celerytrail/relay/endpointstate.py
@@ -12,10 +12,12 @@
 from ..policies.coldlimits import ColdEndpoints
 from ..policies.endpointspeeds import EndpointSpeeds, News
 from ..policies.evacuations import Evacuations
+from ..policies.pace import StartReason
 from ..policies.statedpauses import StatedPauses
 from .endpointanswers import EndpointAnswers
 from .endpointgate import EndpointGate
 from .endpointlimits import EndpointLimits
+from .endpointpaces import EndpointPaces
 from .nodeorder import NodeOrder
 from .registry import Registry
 
@@ -48,8 +50,10 @@
         Announces an endpoint that leaves to the other nodes.
     announce_load : callable
         Announces the load that an endpoint states to the other nodes.
+    announce_failing : callable
+        Announces an endpoint that fails after it started or recovered.
     metrics : Metrics
-        Counts load headers by outcome.
+        Counts load headers by outcome, and changes of paces.
     """
 
     def __init__(
@@ -63,6 +67,7 @@
         on_leaving: Callable[[Registration], None],
         announce_leaving: Callable[[Registration], None],
         announce_load: Callable[[Registration, LoadHeader, News], None],
+        announce_failing: Callable[[Registration], None],
         metrics: Metrics,
     ) -> None:
         self._cfg = cfg
@@ -75,7 +80,18 @@
         self.pauses = StatedPauses()
         self.speeds = EndpointSpeeds()
         self.limits = limits
-        self.registry = Registry(on_leaving=on_leaving, evacuations=self.evacuations)
+        self.registry = Registry(
+            on_leaving=on_leaving,
+            on_started=self._on_started,
+            evacuations=self.evacuations,
+        )
+        self.paces = EndpointPaces(
+            registry=self.registry,
+            position=node_order.live_position,
+            is_paused=lambda reg: self.gate.is_paused(reg),
+            announce=announce_failing,
+            metrics=metrics,
+        )
         self.gate = EndpointGate(
             evacuations=self.evacuations,
             cold=self.cold,
@@ -86,6 +102,7 @@
             is_leaving=self.registry.is_leaving,
             position=node_order.position,
             blocked=blocked,
+            paces=self.paces,
             domain_regions=cfg.domain_regions,
         )
         self.answers = EndpointAnswers(
@@ -94,6 +111,7 @@
             pauses=self.pauses,
             limits=limits,
             speeds=self.speeds,
+            paces=self.paces,
             announce_leaving=announce_leaving,
             announce_load=announce_load,
             metrics=metrics,
@@ -108,6 +126,8 @@
         now = asyncio.get_running_loop().time()
         returned = self.evacuations.domains - domains
         for reg in self.registry.all():
+            if reg.failure_domain in returned:
+                self.paces.record_start(reg, StartReason.EVACUATION_ENDED)
             service = self._find_service(reg.service)
             if service is None or service.cold_seconds <= 0:
                 continue
@@ -122,6 +142,11 @@
         self.limits.expire(now, self.registry.has)
         self.pauses.expire(now, self.registry.has)
         self.speeds.expire(self.registry.has)
+        self.paces.expire(now)
+
+    def _on_started(self, reg: Registration, was_known: bool) -> None:
+        reason = StartReason.RESTARTED if was_known else StartReason.NEW
+        self.paces.record_start(reg, reason)
 
     def _cold_limit(self, name: str) -> float | None:
         """Return the requests per second for a cold endpoint, None without a limit."""
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -14,11 +14,13 @@
 from ..policies.engineloads import EngineLoad, EngineLoads
 from ..policies.leavingversions import LeavingVersions
 from ..policies.movetargets import MoveTargets, OwnTargets
+from ..policies.pace import StartReason
 from ..policies.prefillrates import PrefillRates
 from ..policies.roomforecast import Refuse
 from ..policies.waiting import Returning, Waiting, return_key
 from .admissioncontrol import AdmissionControl
 from .endpointgate import Admission, EndpointGate
+from .endpointpaces import EndpointPaces
 from .liverun import LiveRun
 from .peerupdates import PeerUpdates
 from .registry import Registry
@@ -75,6 +77,8 @@
         The requests of all nodes that wait for engines.
     admission : AdmissionControl
         Decides whether requests wait on.
+    paces : EndpointPaces
+        Told of engines that weren't reached.
     """
 
     def __init__(
@@ -92,6 +96,7 @@
         speeds: EndpointSpeeds,
         waiting_room: WaitingRoom,
         admission: AdmissionControl,
+        paces: EndpointPaces,
         backups: BackupPolicy | None = None,
         move_targets: MoveTargets | None = None,
     ) -> None:
@@ -107,6 +112,7 @@
         self._speeds = speeds
         self._waiting_room = waiting_room
         self._admission = admission
+        self._paces = paces
         self._backups = backups or SameDomainBackup()
         self._move_targets = move_targets or OwnTargets()
         # By endpoint, the loop time until which an unreachable engine is avoided.
@@ -122,6 +128,7 @@
             if until > now
         }
         self._avoid_until[reg.endpoint] = now + AVOID_SECONDS
+        self._paces.record_start(reg, StartReason.UNREACHABLE, now + AVOID_SECONDS)
 
     def record_leaving(self, reg: Registration) -> None:
         """Record that an engine leaves, and that its version may be leaving."""
@@ -247,6 +254,31 @@
             failure_domain=self._failure_domain,
         )
 
+    def _choose_paced(
+        self,
+        live: LiveRun,
+        loads: list[EngineLoad],
+        demand: placing.Demand,
+        excluded: set[str],
+    ) -> EngineLoad | None:
+        """Return a run's engine, one that the pace holds back if no other has room.
+
+        A run that goes on, or that another engine didn't take, ignores the pace.
+        """
+        if live.binding.version is not None or excluded:
+            return self._choose(live, loads, demand)
+        regs = [load.reg for load in loads]
+        held = self._gate.held_back(regs, self._allowed(live))
+        if not held:
+            return self._choose(live, loads, demand)
+        others = [load for load in loads if load.reg.endpoint not in held]
+        load = self._choose(live, others, demand)
+        if load is None:
+            load = self._choose(live, loads, demand)
+            if load is not None:
+                self._paces.count_bypassed(live.ex.service)
+        return load
+
     def _choose(
         self, live: LiveRun, loads: list[EngineLoad], demand: placing.Demand
     ) -> EngineLoad | None:
@@ -342,7 +374,7 @@
             demand = self._placing_demand(live, prefill_deadline - loop.time())
             if is_ordered and loop.time() > prefill_deadline:
                 demand = placing.late_demand(demand)
-            load = self._choose(live, loads, demand)
+            load = self._choose_paced(live, loads, demand, excluded)
             if load is not None and is_ordered:
                 load = self._choose_in_turn(live, excluded, loads, demand, load)
             if load is not None:
@@ -394,7 +426,10 @@
         service_loads = loads
         if excluded or live.ex.home_regions:
             service_loads = self._service_loads(live)
-        endpoints = {load.reg.endpoint for load in loads}
+        endpoints = {load.reg.endpoint for load in (*loads, load)}
+        if all(one.reg.endpoint != load.reg.endpoint for one in service_loads):
+            # Only engines were left that have just started or recovered.
+            service_loads = [*service_loads, load]
 
         def choose(left: list[EngineLoad]) -> EngineLoad | None:
             usable = [load for load in left if load.reg.endpoint in endpoints]
--- a/celerytrail/relay/enginerelay.py
+++ b/celerytrail/relay/enginerelay.py
@@ -131,6 +131,7 @@
             speeds=endpoints.speeds,
             waiting_room=waiting_room,
             admission=admission,
+            paces=endpoints.paces,
             backups=policies.backups,
             move_targets=policies.move_targets,
         )
@@ -144,6 +145,7 @@
             client=access.client,
             gate=gate,
             answers=answers,
+            paces=endpoints.paces,
             starts=self.starts,
             crashes=crashes,
         )
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -27,6 +27,7 @@
 from ..policies.engineloads import EngineLoads, Run
 from ..policies.evacuations import Evacuations
 from ..policies.freshness import Freshness
+from ..policies.pace import StartReason
 from ..policies.prefillrates import PrefillObserver, PrefillRates
 from ..policies.retrybudget import SharedRetryBudget
 from ..policies.versionhistory import VersionHistory
@@ -160,6 +161,7 @@
             on_leaving=self._on_leaving,
             announce_leaving=lambda reg: self.peer_updates.announce_leaving(reg),
             announce_load=self._announce_load,
+            announce_failing=lambda reg: self._announce_abort(reg.endpoint),
             metrics=self._metrics,
         )
         self.registry = self._endpoint_state.registry
@@ -249,6 +251,7 @@
             rng=self._rng,
             announce=self.peer_updates.announce_cut_off,
             on_silent=lambda reg: self.generations.on_path_silent(reg),
+            on_regained=self._on_path_regained,
         )
         self.origins = OriginBroker(
             node=self.node_id,
@@ -290,6 +293,7 @@
             tell=self._announce_abort,
             is_connected=self.access.client.is_connected,
             speeds=self._endpoint_state.speeds,
+            is_new=self._endpoint_state.paces.is_new,
         )
         self.calls = PlainCalls(
             client=self.access.client,
@@ -298,6 +302,7 @@
             budget=self._budget,
             gate=gate,
             answers=answers,
+            paces=self._endpoint_state.paces,
         )
         self._engine_watch = EngineWatch(
             api=self.access.engine_api,
@@ -523,7 +528,12 @@
     def _on_retried(self, service: str) -> None:
         self._budget.record_peer_retry(service, asyncio.get_running_loop().time())
 
+    def _on_path_regained(self, reg: Registration) -> None:
+        self._endpoint_state.paces.record_start(reg, StartReason.PATH_REGAINED)
+
     def _on_aborted(self, endpoint: str, node: str) -> None:
+        if self._endpoint_state.paces.record_peer_report(endpoint, node):
+            return
         now = asyncio.get_running_loop().time()
         self._choice.record_peer_failure(endpoint, node, now)
 
