--- a/bench/waitingorder.py
+++ b/bench/waitingorder.py
@@ -39,6 +39,7 @@
     Waiting,
     WaitingOrder,
     find_turn,
+    repeat_seconds,
 )
 from celerytrail.relay.peerupdates import NodeUpdate, ReturningEntry, WaitingEntry
 from celerytrail.types import Address
@@ -547,7 +548,7 @@
     def _repeat(self, fleet: Fleet, request: Request, announced_at: float) -> None:
         if request.announced_at == announced_at and request.number in fleet.waiting:
             fleet.announce(WAITING_BYTES)
-            again_at = fleet.now + REPEAT_SECONDS
+            again_at = fleet.now + repeat_seconds(len(fleet.waiting))
             fleet.call_at(again_at, lambda: self._repeat(fleet, request, announced_at))
 
     def on_placed(self, fleet: Fleet, request: Request) -> None:
--- a/celerytrail/policies/waiting.py
+++ b/celerytrail/policies/waiting.py
@@ -28,11 +28,16 @@
 from .placing import PREFILL_SHARE, Demand, PlacementPolicy, expected_memory_share
 from .prefillrates import DEFAULT_PREFILL_RATE
 
-# Time between two announcements of a waiting request, in seconds.
+# Shortest time between two announcements of a waiting request, in seconds.
 REPEAT_SECONDS = 0.5
-# A request that isn't announced again expires after this time, in seconds: up to two of
-# three announcements may be lost.
-EXPIRY_SECONDS = 3.2 * REPEAT_SECONDS
+# Most announcements that one node receives again per second from all others together.
+# In a burst of 2.2 times the usual rate, repeating each one twice a second cost a node
+# 26 KB a second, where 11 are allowed for all messages.
+MAX_REPEATS_PER_SECOND = 32.0
+# Periods after which a request that isn't announced again expires. Up to two of three
+# announcements may be lost.
+EXPIRY_PERIODS = 3.2
+EXPIRY_SECONDS = EXPIRY_PERIODS * REPEAT_SECONDS
 # For how long announcements of a request whose end is known are ignored, in seconds.
 # The network may deliver a repeated announcement after the end.
 ENDED_SECONDS = 0.2
@@ -252,11 +257,17 @@
     waiting: Waiting
     updated_at: float
 
-    def expires_at(self, own: str) -> float:
+    def expires_at(self, own: str, period_seconds: float) -> float:
         """Return when it expires; a node's own requests do so with their callers."""
         if self.node == own:
             return self.waiting.gives_up_at
-        return min(self.waiting.gives_up_at, self.updated_at + EXPIRY_SECONDS)
+        expires_at = self.updated_at + EXPIRY_PERIODS * period_seconds
+        return min(self.waiting.gives_up_at, expires_at)
+
+
+def repeat_seconds(n_waiting: int) -> float:
+    """Return the time between two announcements of each of all nodes' requests."""
+    return max(REPEAT_SECONDS, n_waiting / MAX_REPEATS_PER_SECOND)
 
 
 class WaitingTable:
@@ -277,6 +288,11 @@
     def __len__(self) -> int:
         return len(self._announced)
 
+    @property
+    def period_seconds(self) -> float:
+        """Return the time between two announcements of a request, in seconds."""
+        return repeat_seconds(len(self._announced))
+
     def put(self, node: str, waiting: Waiting, now: float) -> None:
         """Add or update a waiting request of a node."""
         if node != self._own and self._ended.get(waiting.request_id, 0.0) > now:
@@ -308,11 +324,12 @@
 
     def of_service(self, service: str, now: float) -> list[Waiting]:
         """Return the requests that wait for a service."""
+        period = self.period_seconds
         return [
             announced.waiting
             for announced in self._announced.values()
             if announced.waiting.service == service
-            and announced.expires_at(self._own) > now
+            and announced.expires_at(self._own, period) > now
         ]
 
     def oldest_update(self, service: str, now: float) -> float:
@@ -328,10 +345,11 @@
 
     def expire(self, now: float) -> None:
         """Remove requests of silent nodes, and those whose callers have given up."""
+        period = self.period_seconds
         self._announced = {
             request_id: announced
             for request_id, announced in self._announced.items()
-            if announced.expires_at(self._own) > now
+            if announced.expires_at(self._own, period) > now
         }
         self._ended = {
             request_id: until
--- a/celerytrail/relay/waitingroom.py
+++ b/celerytrail/relay/waitingroom.py
@@ -12,7 +12,6 @@
 from ..policies.engineloads import EngineLoad, EngineLoads, Run
 from ..policies.placing import Demand, PlacementPolicy
 from ..policies.waiting import (
-    REPEAT_SECONDS,
     Assignment,
     Returning,
     ReturningCallers,
@@ -280,7 +279,7 @@
     async def run(self) -> None:
         """Repeat the announcements of this node's requests, until cancelled."""
         while True:
-            await asyncio.sleep(REPEAT_SECONDS)
+            await asyncio.sleep(self.table.period_seconds)
             self.repeat()
 
     def repeat(self) -> None:
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -345,6 +345,16 @@
         table.expire(1.7)
         assert len(table) == 1
 
+    def test_many_requests_are_repeated_less_often_and_live_longer(self):
+        # Guards against control messages that exceed a node's budget in a burst, and
+        # against requests that expire between two announcements then.
+        table = WaitingTable(own="me")
+        for number in range(64):
+            table.put("other", request(number), 0.0)
+        assert table.period_seconds == 64 / policy.MAX_REPEATS_PER_SECOND == 2.0
+        assert len(table.of_service(SERVICE, 6.3)) == 64
+        assert table.of_service(SERVICE, 6.5) == []
+
     def test_requests_whose_callers_gave_up_expire(self):
         # Guards against capacity for requests that nobody waits for.
         table = WaitingTable(own="me")
