--- a/celerytrail/policies/engineloads.py
+++ b/celerytrail/policies/engineloads.py
@@ -126,10 +126,6 @@
         """Return the memory in use now, in tokens."""
         return sum(run.n_tokens for run in (*self.runs, *self.copies))
 
-    def n_incoming(self, source: str) -> int:
-        """Return the number of runs that are moved here from others than ``source``."""
-        return sum(run.is_moving and run.endpoint != source for run in self.copies)
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _ListedRun:
--- a/celerytrail/policies/placing.py
+++ b/celerytrail/policies/placing.py
@@ -59,10 +59,6 @@
 # Cost of another failure domain for a run that is moved. The copy takes twice as long,
 # 0.2 s more, in which the next run could leave an engine that stops within two seconds.
 CROSS_DOMAIN_MOVE_COST = 1.5
-# Cost, for a run that is moved, of each run that another leaving engine moves to the
-# same target. A copy waits for both links, so each delays the whole queue of the other
-# engine by 0.2 s or more, as a copy to another failure domain does.
-INCOMING_COST = 1.5
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -89,10 +85,6 @@
         Time within which the queued prompts and its own must be read.
     spare_slot_share : float
         Share of an engine's slots that it leaves free.
-    source : str
-        The engine that it leaves; empty for a new generation.
-    incoming_cost : float
-        Cost of each run that other engines move to the same one, in seconds.
     """
 
     n_tokens: int
@@ -104,8 +96,6 @@
     prefill_rate: float = DEFAULT_PREFILL_RATE
     max_prefill_seconds: float = math.inf
     spare_slot_share: float = 0.0
-    source: str = ""
-    incoming_cost: float = 0.0
 
 
 def late_demand(demand: Demand) -> Demand:
@@ -239,7 +229,6 @@
         + QUEUE_COST * (load.report.n_queued if load.report else 0)
         + COLD_COST * load.cold_seconds
         + (demand.cross_domain_cost if is_cross_domain else 0.0)
-        + demand.incoming_cost * load.n_incoming(demand.source)
     )
 
 
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -69,6 +69,9 @@
         default.
     move_targets : MoveTargets or None
         Selects the engines that get the runs of leaving ones.
+    incoming_cost : float
+        Cost, for a run that is moved, of each other one that is being moved to the same
+        engine, in seconds.
     rates : PrefillRates
         Prefill speed of each engine and of each service's engines.
     speeds : EndpointSpeeds
@@ -617,8 +620,6 @@
             n_prefill_tokens=0,
             memory_share=placing.MOVE_SHARE,
             cross_domain_cost=placing.CROSS_DOMAIN_MOVE_COST,
-            source=source.endpoint,
-            incoming_cost=placing.INCOMING_COST,
         )
         loads = self._unlimited(
             [
--- a/celerytrail/relay/runmover.py
+++ b/celerytrail/relay/runmover.py
@@ -19,9 +19,8 @@
 from .liverun import Copied, LiveRun, Switched
 from .registry import Registry
 
-# Engines that may refuse a run before its move is abandoned until the next check. A
-# refusal takes 2 ms; with 3, a run was lost while another engine had room.
-MAX_REFUSALS = 8
+# Engines that may refuse a run before its move is abandoned.
+MAX_REFUSALS = 3
 # Timeout of the copies of a run, in seconds; copies that take longer aren't worth
 # waiting for.
 COPY_TIMEOUT_SECONDS = 4.0
@@ -115,18 +114,15 @@
         An engine may begin to leave while a run is being moved to it, so that
         ``on_leaving`` doesn't see the run; without this check the run would be lost
         with the engine. A run that is already being resumed is skipped: opened at a
-        second engine at the same time, it would run at both. A move that failed, as
-        when all targets refused, is tried again while the engine is still there.
+        second engine at the same time, it would run at both.
         """
         if live.is_resuming or not live.started.is_set():
             return
-        if live.reg is None:
+        if live.move is not None or live.reg is None:
             return
         if self._registry.is_leaving(live.reg):
             self._begin_move(live)
-        elif live.move is not None or live.backup is None:
-            return
-        elif live.silent_seconds > SILENCE_TIMEOUT_SECONDS:
+        elif live.backup is not None and live.silent_seconds > SILENCE_TIMEOUT_SECONDS:
             live.move = asyncio.ensure_future(self._leave_silent_engine(live))
 
     def on_path_silent(self, reg: Registration, runs: Iterable[LiveRun]) -> None:
@@ -289,9 +285,7 @@
             copied = await self._copy_and_stop(live, source, target, deadline)
             if isinstance(copied, Ok):
                 return copied.ok_value
-            # Announced as well. The other nodes would count the refused run's memory at
-            # the target, and leave the link to this move until it is overdue.
-            self._placer.clear_backup(live)
+            live.backup = None
             if copied.err_value.status != 503:
                 return None
             excluded.add(target.endpoint)
