--- a/celerytrail/policies/placing.py
+++ b/celerytrail/policies/placing.py
@@ -13,7 +13,7 @@
 import random
 from collections import Counter
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from .engineloads import EngineLoad
 from .prefillrates import DEFAULT_PREFILL_RATE
@@ -24,11 +24,6 @@
 # The same limit for a run that is moved off a leaving engine and would otherwise be
 # lost.
 MOVE_SHARE = 0.9
-# The same limit for a long output whose target has passed. It leaves room for another
-# long one that can be in time, which is worth several times as much to its caller.
-LATE_SHARE = 0.7
-# Further output up to which a run frees its memory in about a second, in tokens.
-N_SHORT_TOKENS = 100
 # Share of an engine's slots that new generations leave free while engines of several
 # versions serve: a stream that is taken up may go on at few of them, and a new one
 # would else take each slot there that becomes free.
@@ -98,17 +93,6 @@
     spare_slot_share: float = 0.0
 
 
-def late_demand(demand: Demand) -> Demand:
-    """Return what a request needs that can't be in time any more.
-
-    Any queue of prompts will do. Long outputs take only capacity that is left over.
-    """
-    share = demand.memory_share
-    if demand.n_remaining_tokens > N_SHORT_TOKENS:
-        share = min(share, LATE_SHARE)
-    return replace(demand, max_prefill_seconds=math.inf, memory_share=share)
-
-
 def peak_tokens(sizes: Iterable[tuple[int, int]]) -> int:
     """Return the peak memory that runs will occupy together, in tokens.
 
--- a/celerytrail/policies/waiting.py
+++ b/celerytrail/policies/waiting.py
@@ -25,14 +25,7 @@
 
 from ..model import Prompt, Registration
 from .engineloads import EngineLoad, Run
-from .placing import (
-    MEMORY_SHARE,
-    PREFILL_SHARE,
-    Demand,
-    PlacementPolicy,
-    expected_memory_share,
-    late_demand,
-)
+from .placing import PREFILL_SHARE, Demand, PlacementPolicy, expected_memory_share
 from .prefillrates import DEFAULT_PREFILL_RATE
 
 # Shortest time between two announcements of a waiting request, in seconds.
@@ -606,18 +599,15 @@
 
 def demand_ahead(waiting: Waiting, own: Demand, now: float) -> Demand:
     """Return what a request ahead needs, with the limits that hold for one's own."""
-    max_seconds = PREFILL_SHARE * (waiting.target_at - now)
-    demand = replace(
+    max_seconds = PREFILL_SHARE * max(0.0, waiting.target_at - now)
+    return replace(
         own,
         n_tokens=waiting.n_tokens,
         n_prefill_tokens=waiting.n_prefill_tokens,
         n_remaining_tokens=waiting.n_remaining_tokens,
         failure_domain="",
-        memory_share=MEMORY_SHARE,
         max_prefill_seconds=max_seconds,
     )
-    is_late = waiting.n_prefill_tokens > own.prefill_rate * (waiting.target_at - now)
-    return late_demand(demand) if is_late else demand
 
 
 def find_turn(
--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -16,9 +16,7 @@
 from ..policies.movetargets import MoveTargets, OwnTargets
 from ..policies.pace import StartReason
 from ..policies.prefillrates import PrefillRates
-from ..policies.roomforecast import Refuse
 from ..policies.waiting import Returning, Waiting, return_key
-from .admissioncontrol import AdmissionControl
 from .endpointgate import Admission, EndpointGate
 from .endpointpaces import EndpointPaces
 from .liverun import LiveRun
@@ -29,10 +27,6 @@
 # Share of the target for which a generation waits for an engine with capacity; the rest
 # is for the prefill.
 WAIT_SHARE = 0.5
-# For how long a caller waits for the first event: a multiple of the target, and at
-# least some seconds.
-PATIENCE_TARGETS = 4.0
-MIN_PATIENCE_SECONDS = 2.0
 # Engines that are compared for one choice. With hundreds of engines, comparing all of
 # them takes tens of milliseconds, and some of these are nearly as good as the best.
 MAX_COMPARED = 64
@@ -78,8 +72,6 @@
         The slowness that engines state.
     waiting_room : WaitingRoom
         The requests of all nodes that wait for engines.
-    admission : AdmissionControl
-        Decides whether requests wait on.
     paces : EndpointPaces
         Told of engines that weren't reached.
     """
@@ -98,7 +90,6 @@
         rates: PrefillRates,
         speeds: EndpointSpeeds,
         waiting_room: WaitingRoom,
-        admission: AdmissionControl,
         paces: EndpointPaces,
         backups: BackupPolicy | None = None,
         move_targets: MoveTargets | None = None,
@@ -114,7 +105,6 @@
         self._rates = rates
         self._speeds = speeds
         self._waiting_room = waiting_room
-        self._admission = admission
         self._paces = paces
         self._backups = backups or SameDomainBackup()
         self._move_targets = move_targets or OwnTargets()
@@ -340,8 +330,7 @@
         excluded : set of str
             Engines that it may not get.
         until : float or None
-            Loop time until which it waits at most. By default that is up to admission
-            control, or a share of its target if there is no engine that it may get.
+            Loop time until which it waits; for a share of its target by default.
         """
         if live.binding.version is not None or live.n_runs:
             return await self._place(live, excluded, until, is_ordered=False)
@@ -352,8 +341,6 @@
             return reg
         finally:
             self._waiting_room.leave(live.run.run_id, outcome)
-            if outcome == "ended":
-                self._admission.record_left(live.run.run_id)
 
     async def _place(
         self,
@@ -367,22 +354,17 @@
         loop = asyncio.get_running_loop()
         target = ex.route.target_latency_seconds
         prefill_deadline = loop.time() + placing.PREFILL_SHARE * target
-        is_bounded = until is not None
         if until is None:
             until = loop.time() + WAIT_SHARE * target
         wait_deadline = min(until, ex.loop_deadline)
-        decide_at = loop.time()
         while True:
             loads = self._engine_loads(live, excluded)
             demand = self._placing_demand(live, prefill_deadline - loop.time())
-            if is_ordered and loop.time() > prefill_deadline:
-                demand = placing.late_demand(demand)
             load = self._choose_paced(live, loads, demand, excluded)
             if load is not None and is_ordered:
                 load = self._choose_in_turn(live, excluded, loads, demand, load)
             if load is not None:
                 ex.observe("relay_wait")
-                self._admission.record_placed(live.run.run_id)
                 self._record_placement(live, load.reg, loads, demand)
                 return load.reg
             is_hopeless = (
@@ -391,18 +373,7 @@
                 or self.is_evacuated(live)
                 or (not loads and self._opens_after(live, wait_deadline))
             )
-            is_decided = is_ordered and bool(loads)
-            if is_decided and not is_hopeless and loop.time() >= decide_at:
-                decision = self._admission.decide(
-                    live, self._waiting(live), demand, loads
-                )
-                if isinstance(decision, Refuse):
-                    live.retry_at = decision.retry_at
-                    is_hopeless = True
-                else:
-                    decide_at = decision.decide_again_at
-            is_over = loop.time() >= wait_deadline and (is_bounded or not is_decided)
-            if is_over or is_hopeless:
+            if loop.time() >= wait_deadline or is_hopeless:
                 obstacles = placing.count_obstacles(loads, demand)
                 ex.log("no_room", n_engines=len(loads), obstacles=obstacles)
                 return None
@@ -484,10 +455,6 @@
         if live.waiting is None:
             ex, run = live.ex, live.run
             now = asyncio.get_running_loop().time()
-            patience = max(
-                MIN_PATIENCE_SECONDS,
-                PATIENCE_TARGETS * ex.route.target_latency_seconds,
-            )
             key = self._return_key(live)
             returned = self._waiting_room.take_returned(key)
             since = now - ex.age_seconds
@@ -500,7 +467,7 @@
                 priority=ex.priority,
                 waiting_since=since,
                 target_at=since + ex.route.target_latency_seconds,
-                gives_up_at=min(ex.loop_deadline, now - ex.age_seconds + patience),
+                gives_up_at=ex.loop_deadline,
                 n_tokens=run.n_tokens,
                 n_prefill_tokens=run.n_prompt_tokens,
                 n_remaining_tokens=run.n_remaining_tokens,
--- a/celerytrail/relay/enginerelay.py
+++ b/celerytrail/relay/enginerelay.py
@@ -15,7 +15,6 @@
 from ..policies.prefillrates import PrefillRates
 from ..policies.retrybudget import SharedRetryBudget
 from ..policies.waiting import WaitingOrder
-from .admissioncontrol import AdmissionControl
 from .crashwatch import CrashWatch
 from .endpointaccess import EndpointAccess
 from .endpointstate import EndpointState
@@ -83,8 +82,6 @@
         Told of crashes and answers.
     waiting_room : WaitingRoom
         The requests of all nodes that wait for engines.
-    admission : AdmissionControl
-        Decides whether requests wait on.
     policies : EnginePolicies
         The decisions.
     rng : random.Random
@@ -107,7 +104,6 @@
         origins: OriginBroker,
         prompts: PromptBroker,
         waiting_room: WaitingRoom,
-        admission: AdmissionControl,
         policies: EnginePolicies,
         rng: random.Random,
         metrics: Metrics,
@@ -130,7 +126,6 @@
             rates=rates,
             speeds=endpoints.speeds,
             waiting_room=waiting_room,
-            admission=admission,
             paces=endpoints.paces,
             backups=policies.backups,
             move_targets=policies.move_targets,
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -261,7 +261,7 @@
             return NotExecuted(reason=EVACUATED)
         retry_at = self._placer.return_at(live)
         if retry_at is None:
-            return NotExecuted(reason="no_room", retry_at=live.retry_at)
+            return NotExecuted(reason="no_room")
         return NotExecuted(reason=ENDPOINT_LIMITED, retry_at=retry_at)
 
     async def _resume_unanswered(
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -65,8 +65,6 @@
         self.n_queued_tokens = 0
         # What the other nodes were told while it waited; None if it has not waited.
         self.waiting: Waiting | None = None
-        # Loop time at which its caller may return, if it was refused.
-        self.retry_at: float | None = None
         self.n_events = 0
         self.n_runs = 0
         # When its current engine was sent it, in loop time, and whether that one hasn't
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -34,7 +34,6 @@
 from ..rowsource import RowSource
 from ..types import Address
 from .addresses import DirectoryHandler, ReadinessHandler
-from .admissioncontrol import AdmissionControl
 from .calls import PlainCalls
 from .endpointaccess import EndpointAccess
 from .endpointlimits import EndpointLimits
@@ -208,9 +207,6 @@
             rng=self._rng,
             order=self._policies.order,
         )
-        self._admission = AdmissionControl(
-            room=self.waiting_room, metrics=self._metrics, rng=self._rng
-        )
         self.peer_updates = PeerUpdates(
             node=self.node_id,
             loads=self.loads,
@@ -279,7 +275,6 @@
             origins=self.origins,
             prompts=self.prompts,
             waiting_room=self.waiting_room,
-            admission=self._admission,
             policies=self._policies,
             rng=self._rng,
             metrics=self._metrics,
@@ -507,8 +502,7 @@
 
     def _announce_leaving_row(self, reg: Registration) -> None:
         """Announce a leaving endpoint that this node reads of before most others."""
-        sources = self.shared_rows.sources
-        if sources.is_reader and sources.is_relayed:
+        if self.shared_rows.sources.is_first_reader:
             self.peer_updates.announce_leaving(reg)
 
     def _on_run(self, run: Run) -> None:
@@ -584,7 +578,6 @@
             self.access.update(now)
             self.loads.expire(now, self.node_id)
             self.waiting_room.expire(now)
-            self._admission.expire(now)
             self.origins.expire()
             self.generations.report_progress()
             if self.is_ready != self._was_ready and not self.is_stopping:
--- a/celerytrail/relay/rowsources.py
+++ b/celerytrail/relay/rowsources.py
@@ -72,6 +72,11 @@
         """Return whether this node is a reader."""
         return self._me in self.readers()
 
+    @property
+    def is_first_reader(self) -> bool:
+        """Return whether this node is the first of the readers."""
+        return self.readers()[:1] == [self._me]
+
     @property
     def is_relayed(self) -> bool:
         """Return whether most nodes get rows over two others."""
--- a/celerytrail/relay/waitingroom.py
+++ b/celerytrail/relay/waitingroom.py
@@ -186,7 +186,13 @@
             Chooses the request's engine among those given.
         """
         now = _now()
-        ordered = self._ordered(own, loads, now)
+        own = self.table.find(own.request_id) or own
+        waiting = self.table.of_service(own.service, now)
+        if all(other.request_id != own.request_id for other in waiting):
+            waiting.append(own)
+        endpoints = {load.reg.endpoint for load in loads}
+        running = self._loads.n_runs_by_organisation(endpoints)
+        ordered = self._order.order(waiting, running, now)
         unused = self._unused.get(own.request_id) or UnusedTurns()
         turn = find_turn(
             own,
@@ -207,24 +213,6 @@
             oldest_update=self.table.oldest_update(own.service, now),
         )
 
-    def ahead(self, own: Waiting, loads: Sequence[EngineLoad]) -> list[Waiting]:
-        """Return the requests that wait ahead of one of this node, in their order."""
-        ordered = self._ordered(own, loads, _now())
-        ids = [waiting.request_id for waiting in ordered]
-        return ordered[: ids.index(own.request_id)]
-
-    def _ordered(
-        self, own: Waiting, loads: Sequence[EngineLoad], now: float
-    ) -> list[Waiting]:
-        """Return the requests that wait for a service, one's own among them."""
-        own = self.table.find(own.request_id) or own
-        waiting = self.table.of_service(own.service, now)
-        if all(other.request_id != own.request_id for other in waiting):
-            waiting.append(own)
-        endpoints = {load.reg.endpoint for load in loads}
-        running = self._loads.n_runs_by_organisation(endpoints)
-        return self._order.order(waiting, running, now)
-
     def record_overtaken(self, decision: QueueTurn) -> None:
         """Count the requests that a placement passes over."""
         for reason, n in decision.overtaken.items():
