--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -12,10 +12,23 @@
 from result import Err, Ok, Result
 
 from celerytrail.clock import ManualClock, SystemClock
-from celerytrail.model import LoadHeader
+from celerytrail.model import (
+    EndpointState,
+    EngineReport,
+    LoadHeader,
+    Registration,
+)
+from celerytrail.platform.registrations import decode_registration
+from celerytrail.policies.coldlimits import ColdEndpoints
 from celerytrail.policies.decodetimes import DecodeTimes
-from celerytrail.policies.engineloads import EngineLoads, Run
+from celerytrail.policies.engineloads import (
+    REPORT_EXPIRY_SECONDS,
+    EngineLoad,
+    EngineLoads,
+    Run,
+)
 from celerytrail.policies.statedlimits import LimitStatement
+from celerytrail.policies.versionhistory import VersionHistory
 from celerytrail.relay.peerupdates import (
     MAX_RUNS_PER_DATAGRAM,
     NodeUpdate,
@@ -23,7 +36,9 @@
     _run_entry,
 )
 from celerytrail.relay.promptnews import BlockEntry, PromptNews
+from celerytrail.relay.registry import Registry
 from celerytrail.relay.tablemirror import MAX_CHANGES, TableMirror
+from celerytrail.relay.tablesinks import RegistrationSink
 from celerytrail.relay.tablewatch import OUTAGE_SECONDS, TableSink, TableWatch
 from celerytrail.rowsource import (
     Changes,
@@ -33,6 +48,7 @@
     StoreUnavailable,
 )
 from celerytrail.types import Address
+from standins.worker import worker_row
 
 CLOCK = SystemClock()
 
@@ -574,6 +590,107 @@
         assert events["leaving"] == []
 
 
+class TestReports:
+    """Each engine's report is read once a second by one node of hundreds."""
+
+    def make(self, runs: list[Run]) -> tuple[PeerUpdates, EngineLoads, list]:
+        peer_updates, loads, _ = TestPeerUpdates().make()
+        now = asyncio.get_running_loop().time()
+        loads.replace_runs("other", runs, now)
+        sent: list[NodeUpdate] = []
+        peer_updates._send = sent.append  # type: ignore[method-assign]
+        return peer_updates, loads, sent
+
+    @staticmethod
+    def report(n_used_tokens: int, n_queued: int = 0) -> EngineReport:
+        return EngineReport(
+            n_queued=n_queued,
+            n_running=1,
+            n_used_tokens=n_used_tokens,
+            n_memory_tokens=20_000,
+        )
+
+    @staticmethod
+    def run_of(n_tokens: int) -> Run:
+        return Run(
+            run_id="r1", endpoint="e1", n_prompt_tokens=n_tokens, n_expected_tokens=5
+        )
+
+    async def test_a_report_that_the_runs_explain_is_not_announced(self):
+        # Guards against datagrams to all nodes that tell them nothing.
+        peer_updates, loads, sent = self.make([self.run_of(4_000)])
+        peer_updates.announce_report("e1", self.report(4_900))
+        assert not sent
+
+    @pytest.mark.parametrize("report", [(5_100, 0), (4_000, 1)])
+    async def test_load_that_no_run_explains_is_announced(self, report):
+        # Guards against runs on memory that orphaned copies or unknown runs occupy.
+        peer_updates, loads, sent = self.make([self.run_of(4_000)])
+        peer_updates.announce_report("e1", self.report(*report))
+        assert [update.reports[0].endpoint for update in sent] == ["e1"]
+
+    @pytest.mark.looptime
+    async def test_the_end_of_unexplained_load_is_announced_once(self):
+        # Guards against engines that others keep taking for full.
+        peer_updates, loads, sent = self.make([])
+        peer_updates.announce_report("e1", self.report(9_000))
+        await asyncio.sleep(1.0)
+        peer_updates.announce_report("e1", self.report(0))
+        await asyncio.sleep(1.0)
+        peer_updates.announce_report("e1", self.report(0))
+        assert [update.reports[0].n_used_tokens for update in sent] == [9_000, 0]
+
+    async def test_a_report_expires(self):
+        # Guards against a last report that holds after its node was lost.
+        loads = EngineLoads()
+        loads.record_report("e1", self.report(9_000), 10.0)
+        reg = Registration(
+            endpoint="e1",
+            service="models",
+            address=Address(host="10.0.0.1", port=1),
+            failure_domain="a",
+            version="v1",
+            n_slots=8,
+            state=EndpointState.READY,
+        )
+        empty = [EngineLoad(reg=reg, n_slots=8, n_memory_tokens=20_000)]
+        assert loads.estimate(empty, 12.0)[0].report is not None
+        loads.expire(10.0 + REPORT_EXPIRY_SECONDS, "me")
+        assert loads.estimate(empty, 13.0)[0].report is None
+
+
+class TestLeavingRows:
+    """Endpoints say in their rows, two seconds ahead, that they leave."""
+
+    def change(self, *rows: Row) -> list[str]:
+        announced: list[str] = []
+        sink = RegistrationSink(
+            registry=Registry(on_leaving=lambda reg: None),
+            cold=ColdEndpoints(),
+            versions=VersionHistory(),
+            clock=CLOCK,
+            decode=decode_registration,
+            on_leaving_row=lambda reg: announced.append(reg.endpoint),
+        )
+        for row in rows:
+            sink.change([row], is_after_outage=False)
+        return announced
+
+    @staticmethod
+    def row(version: int, state: str) -> Row:
+        address = Address(host="10.0.0.1", port=1)
+        value = msgspec.json.encode(worker_row("models", address, state=state))
+        return Row(key="e1", value=value, version=version)
+
+    async def test_the_first_row_of_a_leaving_endpoint_is_announced(self):
+        # Guards against followers that hear of it a pause and two polls later.
+        rows = [self.row(1, "ready"), self.row(2, "draining"), self.row(3, "draining")]
+        assert self.change(*rows) == ["e1"]
+
+    async def test_the_row_of_one_that_stays_is_not_announced(self):
+        assert self.change(self.row(1, "ready"), self.row(2, "ready")) == []
+
+
 class TestAddresses:
     def test_only_serving_nodes_are_chosen_and_near_ones_first(self):
         from celerytrail.nodes.member import Member, State
