--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -253,24 +253,24 @@
         loads: list[EngineLoad],
         demand: placing.Demand,
         excluded: set[str],
-    ) -> EngineLoad | None:
-        """Return a run's engine, one that the pace holds back if no other has room.
+    ) -> tuple[EngineLoad | None, list[EngineLoad]]:
+        """Return a run's engine and those that it was chosen from.
 
-        A run that goes on, or that another engine didn't take, ignores the pace.
+        These include engines that the pace holds back only if no other has room. A run
+        that goes on, or that another engine didn't take, ignores the pace.
         """
-        if live.binding.version is not None or excluded:
-            return self._choose(live, loads, demand)
-        regs = [load.reg for load in loads]
-        held = self._gate.held_back(regs, self._allowed(live))
-        if not held:
-            return self._choose(live, loads, demand)
-        others = [load for load in loads if load.reg.endpoint not in held]
-        load = self._choose(live, others, demand)
-        if load is None:
+        if live.binding.version is None and not excluded:
+            regs = [load.reg for load in loads]
+            held = self._gate.held_back(regs, self._allowed(live))
+            open_loads = [load for load in loads if load.reg.endpoint not in held]
+            load = self._choose(live, open_loads, demand)
+            if load is not None or not held:
+                return load, open_loads
             load = self._choose(live, loads, demand)
             if load is not None:
                 self._paces.count_bypassed(live.ex.service)
-        return load
+            return load, loads
+        return self._choose(live, loads, demand), loads
 
     def _choose(
         self, live: LiveRun, loads: list[EngineLoad], demand: placing.Demand
@@ -360,9 +360,9 @@
         while True:
             loads = self._engine_loads(live, excluded)
             demand = self._placing_demand(live, prefill_deadline - loop.time())
-            load = self._choose_paced(live, loads, demand, excluded)
+            load, usable = self._choose_paced(live, loads, demand, excluded)
             if load is not None and is_ordered:
-                load = self._choose_in_turn(live, excluded, loads, demand, load)
+                load = self._choose_in_turn(live, excluded, loads, demand, load, usable)
             if load is not None:
                 ex.observe("relay_wait")
                 self._record_placement(live, load.reg, loads, demand)
@@ -388,10 +388,13 @@
         loads: list[EngineLoad],
         demand: placing.Demand,
         load: EngineLoad,
+        usable: list[EngineLoad],
     ) -> EngineLoad | None:
         """Return the engine that a run may take now, None if others come first.
 
-        ``load`` is the engine that it would take if no other request waited.
+        ``load`` is the engine that it would take if no other request waited, and
+        ``usable`` those that it may get. The requests ahead may get any of ``loads``:
+        at their own nodes the pace may hold back others.
         """
         room = self._waiting_room
         if live.waiting is None and room.is_free(live.ex.service):
@@ -400,14 +403,14 @@
         service_loads = loads
         if excluded or live.ex.home_regions:
             service_loads = self._service_loads(live)
-        endpoints = {load.reg.endpoint for load in (*loads, load)}
+        endpoints = {one.reg.endpoint for one in usable}
         if all(one.reg.endpoint != load.reg.endpoint for one in service_loads):
             # Only engines were left that have just started or recovered.
             service_loads = [*service_loads, load]
 
         def choose(left: list[EngineLoad]) -> EngineLoad | None:
-            usable = [load for load in left if load.reg.endpoint in endpoints]
-            return self._choose(live, usable, demand)
+            own_loads = [one for one in left if one.reg.endpoint in endpoints]
+            return self._choose(live, own_loads, demand)
 
         decision = room.find_turn(own, demand, service_loads, self._placing, choose)
         turn = decision.turn
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -846,6 +846,8 @@
         self.fleet = fleet
         self.node = fleet.nodes[0]
         self.logged: list[tuple[str, dict]] = []
+        # Engines that the pace holds back at this node.
+        self.held: set[str] = set()
         regs = [load.reg for load in fleet.engines]
         registry = SimpleNamespace(
             usable_endpoints=lambda service, binding=UNBOUND: regs,
@@ -857,7 +859,7 @@
             is_open_for=lambda reg, homes, can_wait=False: True,
             cold_seconds=lambda reg: 0.0,
             find_block=lambda prompt: None,
-            held_back=lambda regs, allowed: set(),
+            held_back=lambda regs, allowed: self.held,
         )
         self.placer = EnginePlacer(
             registry=registry,  # type: ignore[arg-type]
@@ -940,6 +942,25 @@
         assert rig.events() == ["queued", "queue_turn"]
         assert fleet.known(fleet.nodes[1]) == []
 
+    async def test_a_turn_respects_the_pace_of_an_engine(self):
+        # Guards against engines that get requests from all nodes when they return.
+        fleet = Fleet(n_nodes=2, engines=[engine("e1"), engine("e2")])
+        rig = PlacerRig(fleet)
+        rig.held = {"e2"}
+        # It makes e1 the better engine for the request ahead.
+        fleet.place(
+            fleet.nodes[0], request(3, n_tokens=500, n_remaining_tokens=100), "e2"
+        )
+        first = request(1, loop_now() - 0.5)
+        fleet.nodes[1].room.enter(first)
+        task = asyncio.create_task(rig.placer.place(rig.live(2), set()))
+        await asyncio.sleep(policy.UNUSED_SECONDS / 2)
+        assert not task.done()
+        fleet.nodes[1].room.leave(first.request_id, "ended")
+        reg = await task
+        assert reg is not None
+        assert reg.endpoint == "e1"
+
     async def test_a_request_waits_for_half_of_its_target_by_default(self):
         # Guards against callers that are refused too late to return.
         fleet = Fleet(n_nodes=2, engines=[engine()])
