--- a/celerytrail/policies/pace.py
+++ b/celerytrail/policies/pace.py
@@ -23,7 +23,7 @@
 # Time at the first share, and then until the full share without bad answers, in
 # seconds. The bound for both is 2 s, and nodes learn of a start up to 0.3 s apart. The
 # first part is long enough for a plain answer, or for finding that none comes.
-TRIAL_SECONDS = 0.8
+TRIAL_SECONDS = 0.5
 RAMP_SECONDS = 0.9
 # Share at which the increase begins, and the nodes that it is at least. With 96 nodes
 # and 64 requests a second, four nodes have the first request after 0.4 s.
