--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -33,6 +33,8 @@
 # How long an engine is avoided after a failed connection, in seconds. A crashed
 # engine's registration expires after three of its heartbeats, about 3.6 s.
 AVOID_SECONDS = 2.0
+# Interval between two checks for capacity without a queue order, in seconds.
+POLL_SECONDS = 0.02
 # Largest share of its remaining time after which a refused caller returns.
 MAX_RETURN_SHARE = 1 / 3
 
@@ -74,6 +76,9 @@
         The requests of all nodes that wait for engines.
     paces : EndpointPaces
         Told of engines that weren't reached.
+    uses_queue_order : bool
+        Whether new requests take capacity in the order that all nodes share. Off by
+        default: see docs/design/queue-order.md for what it cost.
     """
 
     def __init__(
@@ -93,6 +98,7 @@
         paces: EndpointPaces,
         backups: BackupPolicy | None = None,
         move_targets: MoveTargets | None = None,
+        uses_queue_order: bool = False,
     ) -> None:
         self._registry = registry
         self._loads = loads
@@ -108,6 +114,7 @@
         self._paces = paces
         self._backups = backups or SameDomainBackup()
         self._move_targets = move_targets or OwnTargets()
+        self._uses_queue_order = uses_queue_order
         # By endpoint, the loop time until which an unreachable engine is avoided.
         self._avoid_until: dict[str, float] = {}
         self._leaving_versions = LeavingVersions()
@@ -314,9 +321,9 @@
     ) -> Registration | None:
         """Wait for an engine with capacity; return None if none has any in time.
 
-        Runs that continue elsewhere, and those that begin again after a failure, take
-        capacity as soon as they find it. Others do so in the order that all nodes
-        share.
+        They take capacity as soon as they find it, or in the order that all nodes share
+        if that is used. Runs that continue elsewhere, and those that begin again after
+        a failure, don't wait for their turn.
 
         Parameters
         ----------
@@ -327,7 +334,8 @@
         until : float or None
             Loop time until which it waits; for a share of its target by default.
         """
-        if live.binding.version is not None or live.n_runs:
+        is_new = live.binding.version is None and not live.n_runs
+        if not is_new or not self._uses_queue_order:
             return await self._place(live, excluded, until, is_ordered=False)
         outcome = "ended"
         try:
@@ -374,7 +382,9 @@
                 return None
             if is_ordered:
                 self._enter(live, loads, demand)
-            await self._waiting_room.wait_for_change()
+                await self._waiting_room.wait_for_change()
+            else:
+                await asyncio.sleep(POLL_SECONDS)
 
     def _choose_in_turn(
         self,
@@ -482,7 +492,10 @@
         """Let a refused caller keep its position if it returns.
 
         Callers return once, and only if they wait for a part of their remaining time.
+        Without a queue order there are no positions.
         """
+        if not self._uses_queue_order:
+            return
         ex = live.ex
         seconds_left = ex.gives_up_at - ex.clock.boottime()
         has_returned = live.waiting is not None and bool(live.waiting.return_key)
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -842,7 +842,7 @@
 class PlacerRig:
     """An `EnginePlacer` at a node of a fleet, with an engine that admits everything."""
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: Fleet, *, uses_queue_order: bool = True) -> None:
         self.fleet = fleet
         self.node = fleet.nodes[0]
         self.logged: list[tuple[str, dict]] = []
@@ -874,6 +874,7 @@
             speeds=EndpointSpeeds(),
             paces=SimpleNamespace(count_bypassed=lambda service: None),  # type: ignore[arg-type]
             waiting_room=self.node.room,
+            uses_queue_order=uses_queue_order,
         )
 
     def live(self, number: int, **fields: object) -> LiveRun:
@@ -942,6 +943,23 @@
         assert rig.events() == ["queued", "queue_turn"]
         assert fleet.known(fleet.nodes[1]) == []
 
+    async def test_without_an_order_a_request_takes_what_it_finds(self):
+        # Guards against messages, and turns, where the order isn't used.
+        fleet = Fleet(n_nodes=2, engines=[engine()])
+        rig = PlacerRig(fleet, uses_queue_order=False)
+        fleet.fill()
+        task = asyncio.create_task(rig.placer.place(rig.live(2), set()))
+        await asyncio.sleep(0.1)
+        assert fleet.known(fleet.nodes[1]) == []
+        fleet.nodes[1].room.enter(request(1, loop_now() - 0.5))
+        fleet.free(0)
+        assert (await task) is not None
+        refused = rig.live(3)
+        assert await rig.placer.place(refused, set(), until=loop_now()) is None
+        rig.placer.record_refused(refused, 0.1)
+        assert rig.events() == ["no_room"]
+        assert len(fleet.nodes[1].room.returning) == 0
+
     async def test_a_turn_respects_the_pace_of_an_engine(self):
         # Guards against engines that get requests from all nodes when they return.
         fleet = Fleet(n_nodes=2, engines=[engine("e1"), engine("e2")])
