--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -50,7 +50,7 @@
     Fixtures run before virtual time begins, on the machine's clock, which counts from
     boot. If virtual time began at 0, all clocks would jump back between fixture and
     test by the machine's uptime; a test of sessions failed when that exceeded an hour.
-    From a fraction of a second, up to a fifth of all sleeps end 2e-12 s early, as the
+    From a fraction of a second, up to a quarter of the sleeps end 2e-12 s early, as the
     sum of start and delay is rounded; from full seconds, none of 4,200 did.
     """
     for item in items:
