--- a/standins/modelworker.py
+++ b/standins/modelworker.py
@@ -175,6 +175,8 @@
         self.torn: list[str] = []
         self._find_engine = find_engine
         self._streams: dict[str, _Stream] = {}
+        # The paths of the requests that it runs, by attempt.
+        self._paths: dict[str, str] = {}
         self._copies: dict[str, _Copy] = {}
         self._reports: deque[tuple[float, dict[str, object]]] = deque(maxlen=20)
         self._has_work = asyncio.Event()
@@ -214,6 +216,8 @@
             await asyncio.sleep(step.seconds * self.slow_factor)
             if self._crashes_by_prompt(step.decoded):
                 return
+            if self._crashes_by_request(step.decoded):
+                return
             for job in step.decoded:
                 stream = self._streams.get(job.attempt_id)
                 if stream is not None and stream.job is job:
@@ -240,6 +244,19 @@
                 return True
         return False
 
+    def _crashes_by_request(self, decoded: Sequence[Job]) -> bool:
+        """Crash if a request that has just made a token does so."""
+        crashes = self.request_crashes
+        if crashes is None:
+            return False
+        n_tokens = crashes.n_events * self.model.spec.n_event_tokens
+        for job in decoded:
+            path = self._paths.get(job.attempt_id, "")
+            if path in crashes.paths and job.n_generated > n_tokens:
+                crashes.on_crash(self, path)
+                return True
+        return False
+
     def _on_token(self, stream: _Stream) -> None:
         job = stream.job
         n_whole, n_rest = divmod(job.n_generated, self.model.spec.n_event_tokens)
@@ -390,6 +407,7 @@
             self.prefilled_ids.append(attempt_id)
         stream = _Stream(job=job, backup=req.headers.get("x-kv-backup"))
         self._streams[attempt_id] = stream
+        self._paths[attempt_id] = req.path
         self._has_work.set()
         first_event = 0
         if "last-event-id" in req.headers:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -23,6 +23,8 @@
 from celerytrail.platform import storewire
 from celerytrail.types import Address
 
+from .requestcrashes import AT_READING, RequestCrashes
+
 SEAL_HEADER = "x-response-seal"
 # Delay of a report with this fault, in seconds: longer than a test waits for it.
 REPORT_DELAY_SECONDS = 30.0
@@ -155,6 +157,7 @@
         # The load that it states in its answers; several values are used in turn.
         self.load_headers: tuple[str, ...] = ()
         self.shedding: Shedding | None = None
+        self.request_crashes: RequestCrashes | None = None
         # Whether it says in all its answers that it leaves.
         self.is_leaving = False
         # All that reached it, and what it said; for checks.
@@ -222,12 +225,27 @@
             await res.send(503, headers=headers)
         elif self.shedding is not None and self.shedding.refuses():
             await self._shed(res, attempt_id, peer, self.shedding)
+        elif self._crashes_at_reading(req):
+            await res.lost
         elif self.faults.is_mute:
             self.ran.append(attempt_id)
             await res.lost
         else:
             await self._run(req, res, attempt_id)
 
+    def crash_of(self, req: Request) -> RequestCrashes | None:
+        """Return how a request crashes this worker, None if it doesn't."""
+        crashes = self.request_crashes
+        return crashes if crashes is not None and req.path in crashes.paths else None
+
+    def _crashes_at_reading(self, req: Request) -> bool:
+        """Crash if a request does so as soon as it is read; return whether it did."""
+        crashes = self.crash_of(req)
+        if crashes is None or crashes.n_events != AT_READING:
+            return False
+        crashes.on_crash(self, req.path)
+        return True
+
     async def _shed(
         self, res: Responder, attempt_id: str, peer: str, shedding: Shedding
     ) -> None:
@@ -324,6 +342,10 @@
     answer_seconds: float = 0.0
 
     async def _run(self, req: Request, res: Responder, attempt_id: str) -> None:
+        crashes = self.crash_of(req)
+        if crashes is not None:
+            await self._crash(req, res, attempt_id, crashes)
+            return
         brittle = self.brittleness
         if brittle is None:
             if self.answer_seconds:
@@ -345,6 +367,21 @@
             brittle.n_running -= 1
         await self._answer(req, res, attempt_id)
 
+    async def _crash(
+        self, req: Request, res: Responder, attempt_id: str, crashes: RequestCrashes
+    ) -> None:
+        """Run a request up to the moment at which it crashes this worker."""
+        self.ran.append(attempt_id)
+        await asyncio.sleep(crashes.seconds)
+        if crashes.n_body_bytes is not None:
+            headers = {**self._headers(attempt_id), "content-length": "1000000"}
+            res.start(200, headers)
+            await res.write(b"x" * crashes.n_body_bytes)
+            # The bytes are on their way before the connections are closed.
+            await asyncio.sleep(0.01)
+        crashes.on_crash(self, req.path)
+        await res.lost
+
     async def _refuse(
         self, res: Responder, attempt_id: str, brittle: Brittleness, now: float
     ) -> None:
