Log what became of plain endpoints, and of all requests that they ran

An attempt's id is new each time, the fate of a plain endpoint isn't found out, and that of an engine is logged with the runs of fewer than four events only.

A request now has a digest of what all its caller's attempts have in common: method, host, path, query, key, model, parts and body. relay:endpoint:lost replaces relay:engine:lost, for engines and plain endpoints, with the digest and the events of each lost run; the counter endpoints_lost has the service. A plain endpoint is asked for a connection, which the next request uses; an idle one that is still open shows that its process lives.

No decision uses any of it.

--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -405,6 +405,26 @@
             return
         idle.append(_IdleConnection(conn=conn, drop_at=drop_at))
 
+    async def ensure_connected(
+        self, address: Address, deadline: float
+    ) -> Result[None, NotSent]:
+        """Make a connection to a peer that the next request can use, if there is none.
+
+        Parameters
+        ----------
+        address : Address
+            The peer.
+        deadline : float
+            Loop time by which it must be made.
+        """
+        if self.is_connected(address):
+            return Ok(None)
+        connected = await self._connect(address, deadline, deadline)
+        if isinstance(connected, Err):
+            return Err(connected.err_value)
+        self._add_idle(address, connected.ok_value, max_idle=MAX_IDLE_PER_ADDRESS)
+        return Ok(None)
+
     def is_connected(self, address: Address) -> bool:
         """Return whether a connection to a peer is likely to be reused."""
         now = asyncio.get_running_loop().time()
--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -125,7 +125,7 @@
     "places": "Requests for places at brittle endpoints, by outcome.",
     "prompt_blocks": "Blocks on prompts that this node learned of, by state.",
     "load_headers": "Load headers of endpoints, by outcome.",
-    "engines_lost": "Engines that broke off answers, by what became of them.",
+    "endpoints_lost": "Endpoints that broke off answers, by what became of them.",
     "endpoint_paths_lost": "Endpoints to which this node lost the path.",
     "endpoint_tunnels": "Connections to endpoints through other nodes, by outcome.",
     "tunnels_served": "Connections made for other nodes, by outcome.",
--- a/celerytrail/model.py
+++ b/celerytrail/model.py
@@ -352,11 +352,14 @@
         Ids of the parts that other requests may share, in order, each once.
     own_part : str
         Id of the part that belongs to the request or its session; empty if not stated.
+    digest : str
+        Names the request over its caller's attempts; see `RequestMetadata`.
     """
 
     service: str
     shared_parts: tuple[str, ...] = ()
     own_part: str = ""
+    digest: str = ""
 
     @property
     def parts(self) -> frozenset[str]:
@@ -389,6 +392,8 @@
         Ids of the prompt's parts that other requests may share, in order, each once.
     own_part : str
         Id of the part that belongs to the request or its session; empty if not stated.
+    digest : str
+        Of what the caller's attempts at the same request have in common.
     """
 
     attempt_id: str
@@ -401,6 +406,7 @@
     n_hinted_tokens: int | None = None
     shared_parts: tuple[str, ...] = ()
     own_part: str = ""
+    digest: str = ""
 
     @property
     def is_resumption(self) -> bool:
--- a/celerytrail/platform/wire.py
+++ b/celerytrail/platform/wire.py
@@ -78,6 +78,9 @@
     }
 )
 
+# Headers that distinguish requests, beside their method, path and body.
+_IDENTIFYING = ("host", "authorization", "x-model-name", "x-prompt-prefix")
+
 READINESS_PATH = "/api/readiness"
 ADDRESSES_PATH = "/api/resolve"
 REPORT_PATH = "/api/report"
@@ -88,6 +91,7 @@
 # Longer ids of prompt parts are replaced by digests of this many bytes.
 MAX_PART_LENGTH = 32
 PART_DIGEST_BYTES = 12
+REQUEST_DIGEST_BYTES = 12
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -147,9 +151,25 @@
         n_hinted_tokens=_count(hint) if hint else None,
         shared_parts=shared_parts,
         own_part=own_part,
+        digest=_request_digest(req),
     )
 
 
+def _request_digest(req: Request) -> str:
+    """Return a digest of what all attempts at a request have in common.
+
+    Attempts differ in their ids, their budgets, and in where they resume a stream.
+    """
+    digest = hashlib.blake2b(digest_size=REQUEST_DIGEST_BYTES)
+    fields = (req.method, req.path, req.query, *map(req.headers.get, _IDENTIFYING))
+    for field in fields:
+        data = (field or "").encode()
+        digest.update(b"%d " % len(data))
+        digest.update(data)
+    digest.update(req.body)
+    return digest.hexdigest()
+
+
 def _decode_parts(text: str) -> tuple[tuple[str, ...], str]:
     """Decode the ids of a prompt's parts: the shared ones, and the last, its own.
 
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -12,14 +12,16 @@
 from ..http.messages import Response
 from ..model import Registration, RouteKind
 from ..platform import wire
+from ..policies.crashsuspects import LostRun
 from ..policies.endpointchoice import EndpointChoice
 from ..policies.pace import AnswerKind
 from ..policies.retrybudget import SharedRetryBudget
+from .crashwatch import CrashWatch
 from .endpointanswers import EndpointAnswers
 from .endpointgate import ENDPOINT_LIMITED, Admission, EndpointGate
 from .endpointpaces import EndpointPaces
 from .exchange import CallerDisconnectedError, Exchange, refuse, seconds_until
-from .outcomes import Failed, NotExecuted
+from .outcomes import BROKEN_OFF, Failed, NotExecuted
 from .registry import Registry
 
 # Share of the target after which a repeatable request is also sent to a second
@@ -93,6 +95,8 @@
         Records what endpoints state in their answers.
     paces : EndpointPaces
         Told how endpoints answer.
+    crashes : CrashWatch
+        Finds out why an endpoint broke off an answer.
     """
 
     def __init__(
@@ -105,6 +109,7 @@
         gate: EndpointGate,
         answers: EndpointAnswers,
         paces: EndpointPaces,
+        crashes: CrashWatch,
     ) -> None:
         self._client = client
         self._registry = registry
@@ -113,6 +118,7 @@
         self._gate = gate
         self._answers = answers
         self._paces = paces
+        self._crashes = crashes
         self.n_open = 0
 
     async def relay(self, ex: Exchange) -> None:
@@ -382,25 +388,44 @@
         )
         if isinstance(opened, Err):
             exc = opened.err_value
-            ex.log("attempt_failed", endpoint=reg.endpoint, reason=exc.reason)
+            _log_failed(ex, reg, exc.reason)
             if isinstance(exc, NotSent):
                 return NotExecuted(reason=exc.reason)
+            self._record_lost(ex, reg, sent_at, exc.reason)
             return Failed(reason=exc.reason)
         stream = opened.ok_value
         is_not_run = self._answers.read(ex, reg, stream, sent_at)
         body = await stream.read(ex.loop_deadline)
         if isinstance(body, Err):
             lost: RequestLost = body.err_value
-            ex.log("attempt_failed", endpoint=reg.endpoint, reason=lost.reason)
+            _log_failed(ex, reg, lost.reason)
+            self._record_lost(ex, reg, sent_at, lost.reason)
             return Failed(reason=lost.reason)
         if is_not_run:
             return NotExecuted(reason="endpoint_refused", was_sent=True)
         if not wire.is_sealed_answer(stream.headers):
-            ex.log("attempt_failed", endpoint=reg.endpoint, reason="unsealed")
+            _log_failed(ex, reg, "unsealed")
             return Failed(reason="unsealed")
         res = Response(status=stream.status, headers=stream.headers, body=body.ok_value)
         return Answered(endpoint=reg.endpoint, res=res)
 
+    def _record_lost(
+        self, ex: Exchange, reg: Registration, sent_at: float, reason: str
+    ) -> None:
+        """Record that an endpoint's answer to a request broke off."""
+        if reason == BROKEN_OFF:
+            run = LostRun(prompt=ex.prompt, sent_at=sent_at)
+            self._crashes.record_lost(reg, run)
+
+
+def _log_failed(ex: Exchange, reg: Registration, reason: str) -> None:
+    ex.log(
+        "attempt_failed",
+        endpoint=reg.endpoint,
+        reason=reason,
+        digest=ex.facts.digest,
+    )
+
 
 def _answer_kind(outcome: Outcome | None) -> AnswerKind | None:
     """Return what an outcome tells of its endpoint; None for nothing.
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -23,13 +23,11 @@
 )
 from .endpointpaces import EndpointPaces
 from .liverun import Copied, LiveRun
-from .outcomes import Failed, NotExecuted
+from .outcomes import BROKEN_OFF, Failed, NotExecuted
 from .startchecks import StartChecks
 
 # Reason for which a request wasn't sent: it must not run at its engine's version.
 OTHER_VERSION = "other_version"
-# The client's reason when an endpoint closed the connection before its answer's end.
-BROKEN_OFF = "cut"
 # Longest wait of a run's first event for the start of its engine, in seconds: where it
 # begins, and where it goes on, which it must not do at another version.
 BEGIN_CHECK_SECONDS = 0.3
@@ -288,7 +286,12 @@
         """Return the outcome of a run whose engine sent no head of an answer."""
         live, reg = sending.live, sending.admission.reg
         reason = sending.obstacle or exc.reason
-        live.ex.log("attempt_failed", endpoint=reg.endpoint, reason=reason)
+        live.ex.log(
+            "attempt_failed",
+            endpoint=reg.endpoint,
+            reason=reason,
+            digest=live.ex.facts.digest,
+        )
         if isinstance(exc, NotSent):
             return NotExecuted(reason=reason)
         self.record_lost(live, reg, exc.reason)
--- a/celerytrail/relay/enginerelay.py
+++ b/celerytrail/relay/enginerelay.py
@@ -20,6 +20,7 @@
 from .endpointstate import EndpointState
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
+from .fates import ReportedFates
 from .generations import Generations
 from .originbroker import OriginBroker
 from .peerupdates import PeerUpdates
@@ -131,8 +132,7 @@
             move_targets=policies.move_targets,
         )
         crashes = CrashWatch(
-            api=access.engine_api,
-            registry=registry,
+            fates=ReportedFates(api=access.engine_api, registry=registry),
             on_crash=prompts.record_crash,
             metrics=metrics,
         )
--- a/celerytrail/relay/exchange.py
+++ b/celerytrail/relay/exchange.py
@@ -99,6 +99,7 @@
             service=self.service,
             shared_parts=self.facts.shared_parts,
             own_part=self.facts.own_part,
+            digest=self.facts.digest,
         )
 
     @property
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -19,13 +19,13 @@
 from ..policies.waiting import organisation_tag
 from .crashwatch import N_BEGUN_EVENTS
 from .endpointgate import ENDPOINT_CLOSED, ENDPOINT_LIMITED, PROMPT_BLOCKED
-from .engineopener import BROKEN_OFF, EngineOpener
+from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
 from .events import EventSplitter, StreamEvent
 from .exchange import CallerDisconnectedError, Exchange, refuse, seconds_until
 from .liverun import UNKNOWN_START, Copied, LiveRun, Switched
 from .originbroker import OriginBroker
-from .outcomes import Failed, NotExecuted
+from .outcomes import BROKEN_OFF, Failed, NotExecuted
 from .peerupdates import PeerUpdates
 from .resumption import VERSION_GONE
 from .runmover import RunMover
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -35,11 +35,13 @@
 from ..types import Address
 from .addresses import DirectoryHandler, ReadinessHandler
 from .calls import PlainCalls
+from .crashwatch import CrashWatch
 from .endpointaccess import EndpointAccess
 from .endpointlimits import EndpointLimits
 from .endpointstate import EndpointState
 from .enginerelay import EnginePolicies, EngineRelay
 from .enginewatch import EngineWatch
+from .fates import ConnectionFates
 from .followedtables import FollowedTables
 from .gauges import RelayMetrics
 from .handler import RelayHandler
@@ -298,6 +300,13 @@
             gate=gate,
             answers=answers,
             paces=self._endpoint_state.paces,
+            crashes=CrashWatch(
+                fates=ConnectionFates(
+                    client=self.access.client, registry=self.registry
+                ),
+                on_crash=lambda crash: None,
+                metrics=self._metrics,
+            ),
         )
         self._engine_watch = EngineWatch(
             api=self.access.engine_api,
--- a/celerytrail/relay/outcomes.py
+++ b/celerytrail/relay/outcomes.py
@@ -4,6 +4,9 @@
 
 from dataclasses import dataclass
 
+# The client's reason when an endpoint closed the connection before its answer's end.
+BROKEN_OFF = "cut"
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class NotExecuted:
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -11,6 +11,7 @@
 from celerytrail.model import EndpointState, EngineReport, Prompt, Registration
 from celerytrail.policies.crashsuspects import Crash, LostRun
 from celerytrail.relay.crashwatch import N_BEGUN_EVENTS, CrashWatch
+from celerytrail.relay.fates import ReportedFates
 from celerytrail.relay.liverun import UNKNOWN_START
 from celerytrail.relay.registry import Registry
 from celerytrail.types import Address
@@ -65,8 +66,7 @@
         self.api = FakeApi(*answers)
         self.crashes: list[Crash] = []
         self.watch = CrashWatch(
-            api=self.api,
-            registry=self.registry,
+            fates=ReportedFates(api=self.api, registry=self.registry),
             on_crash=self.crashes.append,
             metrics=Metrics(process="test"),
         )
