Remember which requests crash endpoints, of any kind and at any moment

Cause: the memory of crashes hung on what one kind of request states, parts of its prompt, and on one moment of its run, before the fourth event. Plain endpoints' ends were evidence of nothing, and a block on a request ended after a minute.

Change: a request is known over attempts, nodes and restarts by the digest of what its attempts have in common. RequestSuspects, fed by the same reports as the parts, counts the crashes under it since its last whole answer: blocked after two in a row under runs that had hardly begun, if no other request fits as well, and after three in any case. An answer that has only begun clears shared parts, not the request. Reports hold all runs that were lost, of engines and plain endpoints; blocks on requests last and are stored like those on parts, and rows of ended ones are dropped. A suspect is sent to one endpoint at a time, and waits for the cause of its last loss (0.2 s at most). The prompt's own part is no evidence any more: sessions share it, and the digest tells requests apart.

Two tests change what they ask, as own parts are no identity any more: a shared part and one request are no longer blocked together, and what one request does by itself accuses none of its parts at all. Runs that had begun are reported, and told apart.

--- a/celerytrail/policies/crashsuspects.py
+++ b/celerytrail/policies/crashsuspects.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
-from ..model import OWN_MARK, Incarnation, Prompt
+from ..model import Incarnation, Prompt
 
 # Crashes in a row, without an answer on a part, after which the part is the cause.
 N_CRASHES = 3
@@ -21,9 +21,7 @@
 N_OTHER_ANSWERS = 3
 # Crashes after which even parts of different requests that fit equally are blocked.
 N_CRASHES_TIED = 5
-# The same for a request's own part, which blocks nothing but its repeats.
-N_CRASHES_OWN = 2
-# Requests, told apart by their own parts, that must have been lost: what only one
+# Requests, told apart by their digests, that must have been lost: what only one
 # request was lost by may be something else in it.
 N_REQUESTS = 2
 # A run sent up to this long before a crash may have been sent because of it, in
@@ -42,18 +40,27 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LostRun:
-    """A run that an engine broke off before it had evidently begun its answer.
-
-    ``sent_at`` is the loop time at which the engine was sent the request.
+    """A run that an endpoint broke off.
+
+    Parameters
+    ----------
+    prompt : Prompt
+        What was sent.
+    sent_at : float
+        Loop time at which the endpoint was sent the request.
+    has_begun : bool
+        Whether the endpoint had evidently begun to answer: then no shared part of the
+        prompt is suspect, only the request itself.
     """
 
     prompt: Prompt
     sent_at: float
+    has_begun: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Crash:
-    """An engine's crash, and runs lost by it before their answers.
+    """An endpoint's crash, and runs lost by it before the ends of their answers.
 
     ``crashed_at`` is the loop time at which the first answer was broken off.
     """
@@ -82,24 +89,23 @@
     crashed_at: float
     # By the parts of a prompt, when the latest of its lost runs was sent.
     runs: dict[frozenset[Part], float] = field(default_factory=dict)
-    # By part, when the latest lost run with it was sent, and the requests that had it,
-    # told apart by their own parts.
+    # By part, when the latest lost run with it was sent, and the digests of requests
+    # that had it.
     sent_at: dict[Part, float] = field(default_factory=dict)
-    requests: dict[Part, set[frozenset[Part]]] = field(default_factory=dict)
+    requests: dict[Part, set[str]] = field(default_factory=dict)
     # The parts that were found to cause it, if they were.
     cause: frozenset[Part] | None = None
 
-    def add_run(self, parts: frozenset[Part], sent_at: float) -> bool:
+    def add_run(self, parts: frozenset[Part], sent_at: float, digest: str) -> bool:
         """Add a lost run; return whether it adds to what is known."""
         if sent_at <= self.runs.get(parts, float("-inf")):
             return False
         if len(self.runs) >= MAX_RUNS and parts not in self.runs:
             return False
         self.runs[parts] = sent_at
-        request = frozenset(filter(_is_own, parts))
         for part in parts:
             self.sent_at[part] = max(self.sent_at.get(part, 0.0), sent_at)
-            self.requests.setdefault(part, set()).add(request)
+            self.requests.setdefault(part, set()).add(digest)
         return True
 
     def explain_by(self, cause: frozenset[Part]) -> None:
@@ -157,6 +163,11 @@
         """Return the number of crashes without a known cause."""
         return sum(crash.cause is None for crash in self._crashes.values())
 
+    def is_explained(self, incarnation: Incarnation) -> bool:
+        """Return whether a part is known that caused a crash."""
+        crash = self._crashes.get(incarnation)
+        return crash is not None and crash.cause is not None
+
     def counts(self) -> dict[str, dict[str, int]]:
         """Return by service and part under how many crashes without an answer it was.
 
@@ -178,7 +189,7 @@
     def record_answer(
         self, prompt: Prompt, at: float, *, is_whole: bool = True
     ) -> bool:
-        """Record that an answer was written on a prompt.
+        """Record that an answer was begun on a prompt.
 
         ``is_whole`` is whether these are all shared parts of the prompt.
 
@@ -193,10 +204,7 @@
             last_at = self._last_crash_at(part)
             if last_at is not None:
                 suspected[part] = last_at
-        # Own parts are no other request's, and would crowd out the others.
-        parts = frozenset(
-            part for part in parts_of(prompt) if not _is_own(part) or part in suspected
-        )
+        parts = parts_of(prompt)
         clears = any(
             self._answered.get(part, 0.0) < last_at <= at
             for part, last_at in suspected.items()
@@ -226,6 +234,10 @@
             Parts that crashed engines earlier; one more crash is enough.
         """
         self._expire(now)
+        runs = [run for run in crash.runs if run.prompt.shared_parts]
+        runs = [run for run in runs if not run.has_begun]
+        if not runs:
+            return []
         known = self._crashes.get(crash.incarnation)
         if known is None:
             while len(self._crashes) >= MAX_CRASHES:
@@ -234,9 +246,9 @@
                 crashed_at=crash.crashed_at
             )
         known.crashed_at = min(known.crashed_at, crash.crashed_at)
-        for run in crash.runs:
+        for run in runs:
             parts = parts_of(run.prompt)
-            if known.add_run(parts, run.sent_at):
+            if known.add_run(parts, run.sent_at, run.prompt.digest):
                 for part in parts:
                     self._lost_with.setdefault(part, set()).add(crash.incarnation)
         for cause in self._found:
@@ -246,9 +258,6 @@
     def explain(self, service: str, parts: frozenset[str]) -> None:
         """Record that prompts with all of these parts crash engines."""
         cause = frozenset((service, part) for part in parts)
-        if any(map(_is_own, cause)):
-            # What crashed engines may as well be a part that other requests share.
-            return
         self._found[cause] = None
         while len(self._found) > MAX_FOUND:
             del self._found[next(iter(self._found))]
@@ -354,7 +363,7 @@
     def _suspicion(self, part: Part) -> _Suspicion:
         since = self._answered.get(part)
         found: list[tuple[float, Incarnation, float]] = []
-        requests: set[frozenset[Part]] = set()
+        requests: set[str] = set()
         for incarnation in self._lost_with[part]:
             crash = self._crashes[incarnation]
             if since is not None and crash.crashed_at <= since:
@@ -381,8 +390,6 @@
     @staticmethod
     def _is_frequent(one: _Suspicion) -> bool:
         """Return whether engines crashed under a part often enough for a cause."""
-        if _is_own(one.part):
-            return one.n_in_row >= N_CRASHES_OWN and not one.is_answered
         n_required = N_CRASHES_ANSWERED if one.is_answered else N_CRASHES
         return one.n_requests >= N_REQUESTS and one.n_in_row >= n_required
 
@@ -390,8 +397,6 @@
         """Return whether a part is the cause if no other part fits equally well."""
         if not self._is_frequent(one):
             return False
-        if _is_own(one.part):
-            return True
         if _is_explained(one, stronger):
             return False
         if not one.is_answered:
@@ -415,20 +420,14 @@
             for key in one.crashes
         ):
             return [tied]
-        if _is_own(one.part):
-            return [frozenset({one.part})]
         if one.n_in_row < N_CRASHES_TIED:
             return []
         return [frozenset({part}) for part in tied]
 
 
 def parts_of(prompt: Prompt) -> frozenset[Part]:
-    """Return the parts of a prompt, its own one marked."""
-    return frozenset((prompt.service, part) for part in prompt.parts)
-
-
-def _is_own(part: Part) -> bool:
-    return part[1].startswith(OWN_MARK)
+    """Return the shared parts of a prompt."""
+    return frozenset((prompt.service, part) for part in prompt.shared_parts)
 
 
 def _is_explained(one: _Suspicion, stronger: Sequence[_Suspicion]) -> bool:
@@ -439,7 +438,7 @@
     shared = [
         other.crashes
         for other in stronger
-        if len(other.crashes) > 1 and other.rank < one.rank and not _is_own(other.part)
+        if len(other.crashes) > 1 and other.rank < one.rank
     ]
     n_own = len(one.crashes - frozenset().union(*shared))
     return n_own < (N_CRASHES_ANSWERED if one.is_answered else N_CRASHES)
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import functools
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from result import Err
 
 from ..http.client import HttpClient, NotSent, RequestLost
 from ..http.messages import Response
-from ..model import Registration, RouteKind
+from ..model import Prompt, Registration, RouteKind
 from ..platform import wire
 from ..policies.crashsuspects import LostRun
 from ..policies.endpointchoice import EndpointChoice
@@ -18,7 +19,7 @@
 from ..policies.retrybudget import SharedRetryBudget
 from .crashwatch import CrashWatch
 from .endpointanswers import EndpointAnswers
-from .endpointgate import ENDPOINT_LIMITED, Admission, EndpointGate
+from .endpointgate import ENDPOINT_LIMITED, PROMPT_BLOCKED, Admission, EndpointGate
 from .endpointpaces import EndpointPaces
 from .exchange import CallerDisconnectedError, Exchange, refuse, seconds_until
 from .outcomes import BROKEN_OFF, Failed, NotExecuted
@@ -97,6 +98,8 @@
         Told how endpoints answer.
     crashes : CrashWatch
         Finds out why an endpoint broke off an answer.
+    on_begun, on_whole : callable
+        Called with the prompt of a request that was answered.
     """
 
     def __init__(
@@ -110,6 +113,8 @@
         answers: EndpointAnswers,
         paces: EndpointPaces,
         crashes: CrashWatch,
+        on_begun: Callable[[Prompt], None],
+        on_whole: Callable[[Prompt], None],
     ) -> None:
         self._client = client
         self._registry = registry
@@ -119,6 +124,8 @@
         self._answers = answers
         self._paces = paces
         self._crashes = crashes
+        self._on_begun = on_begun
+        self._on_whole = on_whole
         self.n_open = 0
 
     async def relay(self, ex: Exchange) -> None:
@@ -227,13 +234,16 @@
     ) -> set[asyncio.Task[Outcome]]:
         """Wait for attempts to end; begin a second one when they take long.
 
+        A request that may have crashed an endpoint is at one at a time.
+
         Returns
         -------
         set of asyncio.Task
             The ended attempts; empty when another one was begun.
         """
         timeout = None
-        if attempts.n_maybe_executed + len(attempts.pending) < ex.route.max_attempts:
+        n_attempts = attempts.n_maybe_executed + len(attempts.pending)
+        if n_attempts < ex.route.max_attempts and not self._gate.is_suspect(ex.prompt):
             timeout = HEDGE_SHARE * ex.route.target_latency_seconds
         done, _ = await asyncio.wait(
             attempts.pending, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
@@ -256,6 +266,8 @@
         loop = asyncio.get_running_loop()
         admission = None
         while admission is None:
+            if self._gate.find_block(ex.prompt) is not None:
+                return None
             usable = self._registry.usable_endpoints(ex.service, ex.binding)
             open_regs = [
                 reg for reg in usable if self._gate.is_open_for(reg, ex.home_regions)
@@ -315,6 +327,9 @@
 
     def _unsent(self, ex: Exchange) -> NotExecuted:
         """Return the outcome of a request for which there was no endpoint."""
+        block = self._gate.find_block(ex.prompt)
+        if block is not None:
+            return NotExecuted(reason=PROMPT_BLOCKED, retry_at=block.ends_at)
         retry_at = self._return_at(ex)
         if retry_at is None:
             return NotExecuted(reason="no_endpoint")
@@ -369,7 +384,17 @@
             budget_seconds=ex.seconds_left,
             organisation=ex.organisation,
         )
-        sent_at = asyncio.get_running_loop().time()
+        asked_at = sent_at = asyncio.get_running_loop().time()
+
+        def may_send() -> bool:
+            nonlocal sent_at
+            sent_at = asyncio.get_running_loop().time()
+            return (
+                ex.binding.allows(reg)
+                and ex.may_send()
+                and self._gate.may_begin(admission)
+            )
+
         opened = await self._client.open(
             reg.address,
             ex.req.method,
@@ -380,11 +405,7 @@
             connect_seconds=CONNECT_SECONDS,
             max_idle=self._gate.max_idle_connections(reg),
             request_id=ex.facts.attempt_id,
-            may_send=lambda: (
-                ex.binding.allows(reg)
-                and ex.may_send()
-                and self._gate.may_begin(admission)
-            ),
+            may_send=may_send,
         )
         if isinstance(opened, Err):
             exc = opened.err_value
@@ -394,7 +415,7 @@
             self._record_lost(ex, reg, sent_at, exc.reason)
             return Failed(reason=exc.reason)
         stream = opened.ok_value
-        is_not_run = self._answers.read(ex, reg, stream, sent_at)
+        is_not_run = self._answers.read(ex, reg, stream, asked_at)
         body = await stream.read(ex.loop_deadline)
         if isinstance(body, Err):
             lost: RequestLost = body.err_value
@@ -406,6 +427,9 @@
         if not wire.is_sealed_answer(stream.headers):
             _log_failed(ex, reg, "unsealed")
             return Failed(reason="unsealed")
+        if stream.status < 500:
+            self._on_begun(ex.prompt)
+            self._on_whole(ex.prompt)
         res = Response(status=stream.status, headers=stream.headers, body=body.ok_value)
         return Answered(endpoint=reg.endpoint, res=res)
 
--- a/celerytrail/relay/crashwatch.py
+++ b/celerytrail/relay/crashwatch.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from eliot import log_message
 
@@ -18,14 +18,6 @@
 N_BEGUN_EVENTS = 4
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _Loss:
-    """A run that an endpoint broke off after some events."""
-
-    run: LostRun
-    n_events: int
-
-
 class CrashWatch:
     """Reports the crashes of endpoints with the runs that were lost by them.
 
@@ -33,6 +25,8 @@
     ----------
     fates : FateFinder
         Tells crashes from other causes that break off answers.
+    on_lost : callable
+        Called with each lost run, and the task that finds out why.
     on_crash : callable
         Called with each crash by which runs were lost.
     metrics : Metrics
@@ -43,15 +37,17 @@
         self,
         *,
         fates: FateFinder,
+        on_lost: Callable[[LostRun, asyncio.Task[None]], None],
         on_crash: Callable[[Crash], None],
         metrics: Metrics,
     ) -> None:
         self._fates = fates
+        self._on_lost = on_lost
         self._on_crash = on_crash
         self._metrics = metrics
         # By start of an endpoint, the runs lost while its fate is being found out.
-        self._lost: dict[Incarnation, list[_Loss]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._lost: dict[Incarnation, list[LostRun]] = {}
+        self._tasks: dict[Incarnation, asyncio.Task[None]] = {}
 
     def record_lost(self, reg: Registration, run: LostRun, n_events: int = 0) -> None:
         """Record that an endpoint broke off its answer to a run.
@@ -62,24 +58,24 @@
         if known is None:
             known = self._lost[reg.incarnation] = []
             task = asyncio.ensure_future(self._find_out(reg, _now()))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-        known.append(_Loss(run=run, n_events=n_events))
+            self._tasks[reg.incarnation] = task
+        known.append(replace(run, has_begun=n_events >= N_BEGUN_EVENTS))
+        self._on_lost(run, self._tasks[reg.incarnation])
 
     async def _find_out(self, reg: Registration, lost_at: float) -> None:
         fate = Fate.UNKNOWN
         try:
             fate = await self._fates.find(reg, lost_at)
         finally:
-            losses = self._lost.pop(reg.incarnation)
-        self._log(reg, fate, lost_at, losses)
-        runs = tuple(one.run for one in losses if one.n_events < N_BEGUN_EVENTS)
-        if fate is Fate.CRASHED and runs:
+            runs = tuple(self._lost.pop(reg.incarnation))
+            del self._tasks[reg.incarnation]
+        self._log(reg, fate, lost_at, runs)
+        if fate is Fate.CRASHED:
             crash = Crash(incarnation=reg.incarnation, runs=runs, crashed_at=lost_at)
             self._on_crash(crash)
 
     def _log(
-        self, reg: Registration, fate: Fate, lost_at: float, losses: list[_Loss]
+        self, reg: Registration, fate: Fate, lost_at: float, runs: Iterable[LostRun]
     ) -> None:
         self._metrics.count("endpoints_lost", service=reg.service, fate=fate.value)
         log_message(
@@ -91,12 +87,12 @@
             seconds=round(_now() - lost_at, 3),
             runs=[
                 {
-                    "digest": one.run.prompt.digest,
-                    "parts": one.run.prompt.shared_parts,
-                    "n_events": one.n_events,
-                    "sent_before": round(lost_at - one.run.sent_at, 3),
+                    "digest": run.prompt.digest,
+                    "parts": run.prompt.shared_parts,
+                    "has_begun": run.has_begun,
+                    "sent_before": round(lost_at - run.sent_at, 3),
                 }
-                for one in losses
+                for run in runs
             ],
         )
 
--- a/celerytrail/relay/endpointgate.py
+++ b/celerytrail/relay/endpointgate.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from ..http.client import MAX_IDLE_PER_ADDRESS
@@ -22,7 +22,8 @@
 ENDPOINT_CLOSED = "endpoint_closed"
 # The same, because of the limit that its endpoint states.
 ENDPOINT_LIMITED = "endpoint_limited"
-# Reason for which a request isn't sent anywhere: prompts like its own crash engines.
+# Reason for which a request isn't sent anywhere: it, or prompts like its own, crash
+# endpoints.
 PROMPT_BLOCKED = "prompt_blocked"
 # Interval at which a run that continues checks whether its engine may receive it, in
 # seconds.
@@ -79,7 +80,11 @@
     domain_regions : mapping or None
         The region of each failure domain.
     blocked : BlockedPrompts
-        The prompts that no endpoint gets.
+        The requests that no endpoint gets.
+    is_suspect : callable
+        Returns whether a request may have crashed an endpoint.
+    await_causes : callable
+        Waits until it is known why a suspect was lost once more.
     shares : ColdShares or None
         Divides these requests among the nodes; by rank by default.
     """
@@ -96,6 +101,8 @@
         is_leaving: Callable[[Registration], bool],
         position: Callable[[str], NodePosition],
         blocked: BlockedPrompts,
+        is_suspect: Callable[[Prompt], bool],
+        await_causes: Callable[[Prompt], Awaitable[None]],
         paces: EndpointPaces,
         domain_regions: Mapping[str, str] | None = None,
         shares: ColdShares | None = None,
@@ -109,12 +116,14 @@
         self._is_leaving = is_leaving
         self._position = position
         self._blocked = blocked
+        self.is_suspect = is_suspect
+        self._await_causes = await_causes
         self._paces = paces
         self._domain_regions = domain_regions or {}
         self._shares = shares or RankedShares()
 
     def find_block(self, prompt: Prompt) -> Block | None:
-        """Return what keeps requests with a prompt from all endpoints, if anything."""
+        """Return what keeps a request from all endpoints, if anything does."""
         return self._blocked.find(prompt, _now())
 
     def is_open_for(
@@ -212,6 +221,7 @@
     async def _admit_within_limits(
         self, reg: Registration, prompt: Prompt, *, is_probe: bool = False
     ) -> Admission | None:
+        await self._await_causes(prompt)
         place = await self._limits.places.take(reg.endpoint, reg.n_slots)
         if place is None:
             return None
--- a/celerytrail/relay/endpointstate.py
+++ b/celerytrail/relay/endpointstate.py
@@ -8,7 +8,6 @@
 from ..metrics import Metrics
 from ..model import LoadHeader, Registration, Service
 from ..platform.nodesettings import RelaySettings
-from ..policies.blockedprompts import BlockedPrompts
 from ..policies.coldlimits import ColdEndpoints
 from ..policies.endpointspeeds import EndpointSpeeds, News
 from ..policies.evacuations import Evacuations
@@ -19,6 +18,7 @@
 from .endpointlimits import EndpointLimits
 from .endpointpaces import EndpointPaces
 from .nodeorder import NodeOrder
+from .promptbroker import PromptBroker
 from .registry import Registry
 
 # Share of the time between the bounds on configuration and on evacuations in which a
@@ -42,8 +42,8 @@
         This node's position among all nodes.
     limits : EndpointLimits
         What endpoints state for all nodes together.
-    blocked : BlockedPrompts
-        The prompts that no endpoint gets.
+    prompts : PromptBroker
+        Which requests no endpoint gets, and which may have crashed one.
     on_leaving : callable
         Called once for each incarnation of an endpoint that leaves or is removed.
     announce_leaving : callable
@@ -63,7 +63,7 @@
         find_service: Callable[[str], Service | None],
         node_order: NodeOrder,
         limits: EndpointLimits,
-        blocked: BlockedPrompts,
+        prompts: PromptBroker,
         on_leaving: Callable[[Registration], None],
         announce_leaving: Callable[[Registration], None],
         announce_load: Callable[[Registration, LoadHeader, News], None],
@@ -101,7 +101,9 @@
             pauses=self.pauses,
             is_leaving=self.registry.is_leaving,
             position=node_order.position,
-            blocked=blocked,
+            blocked=prompts.blocked,
+            is_suspect=prompts.is_suspect,
+            await_causes=prompts.await_causes,
             paces=self.paces,
             domain_regions=cfg.domain_regions,
         )
--- a/celerytrail/relay/enginerelay.py
+++ b/celerytrail/relay/enginerelay.py
@@ -133,6 +133,7 @@
         )
         crashes = CrashWatch(
             fates=ReportedFates(api=access.engine_api, registry=registry),
+            on_lost=prompts.record_lost,
             on_crash=prompts.record_crash,
             metrics=metrics,
         )
@@ -159,7 +160,8 @@
             peer_updates=peer_updates,
             budget=budget,
             origins=origins,
-            on_answer=prompts.record_answer,
+            on_begun=prompts.record_begun,
+            on_whole=prompts.record_whole,
             rng=rng,
         )
         self.resumptions = Resumptions(
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -59,8 +59,9 @@
         Bounds repeated requests.
     origins : OriginBroker
         Told what begins streams that callers may take up.
-    on_answer : callable
-        Called with a prompt once an engine has evidently begun its answer.
+    on_begun, on_whole : callable
+        Called with a prompt once an engine has evidently begun its answer, and once it
+        was answered to its end.
     rng : random.Random
         Generates run ids.
     """
@@ -74,11 +75,13 @@
         peer_updates: PeerUpdates,
         budget: SharedRetryBudget,
         origins: OriginBroker,
-        on_answer: Callable[[Prompt], None],
+        on_begun: Callable[[Prompt], None],
+        on_whole: Callable[[Prompt], None],
         rng: random.Random,
     ) -> None:
         self._origins = origins
-        self._on_answer = on_answer
+        self._on_begun = on_begun
+        self._on_whole = on_whole
         self._placer = placer
         self._opener = opener
         self._run_mover = run_mover
@@ -283,6 +286,8 @@
             ex.log("failed", reason=body.err_value.reason)
             await refuse(ex.res, 502, body.err_value.reason, attempt_id=attempt)
             return
+        if stream.status < 500:
+            self._on_whole(ex.prompt)
         ex.log("answered", endpoint=live.run.endpoint, status=stream.status)
         headers = wire.answer_headers(stream.headers)
         await ex.res.send(stream.status, body.ok_value, headers)
@@ -313,7 +318,8 @@
             live.stream = resumed
         live.is_complete = True
         if live.n_events < N_BEGUN_EVENTS:
-            self._on_answer(ex.prompt)
+            self._on_begun(ex.prompt)
+        self._on_whole(ex.prompt)
         await ex.res.finish()
         ex.observe("relay_answer")
         ex.observe_seconds("relay_longest_pause", live.longest_pause)
@@ -350,7 +356,7 @@
             live.ex.observe("relay_first_event")
         live.record_event()
         if live.n_events == N_BEGUN_EVENTS:
-            self._on_answer(live.ex.prompt)
+            self._on_begun(live.ex.prompt)
         await live.ex.res.write(event.data)
 
     def _bind(self, live: LiveRun) -> None:
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -158,7 +158,7 @@
             find_service=self._find_service,
             node_order=self._peers.node_order,
             limits=self._limits,
-            blocked=self.prompts.blocked,
+            prompts=self.prompts,
             on_leaving=self._on_leaving,
             announce_leaving=lambda reg: self.peer_updates.announce_leaving(reg),
             announce_load=self._announce_load,
@@ -304,9 +304,12 @@
                 fates=ConnectionFates(
                     client=self.access.client, registry=self.registry
                 ),
-                on_crash=lambda crash: None,
+                on_lost=self.prompts.record_lost,
+                on_crash=self.prompts.record_crash,
                 metrics=self._metrics,
             ),
+            on_begun=self.prompts.record_begun,
+            on_whole=self.prompts.record_whole,
         )
         self._engine_watch = EngineWatch(
             api=self.access.engine_api,
--- a/celerytrail/relay/promptblockstore.py
+++ b/celerytrail/relay/promptblockstore.py
@@ -86,17 +86,36 @@
 
     def missing(self) -> list[Block]:
         """Return the statements that the store lacks and that this node writes."""
+        now = _now()
         return [
             block
             for block in self._blocked.all()
             if self._stored.get(block.key, 0) < block.revision
-            and not block.is_on_one_request
+            and now < block.ends_at
             and self._is_writer(block)
         ]
 
-    async def write(self, blocks: Sequence[Block]) -> None:
-        """Write statements; those that can't be written stay missing."""
-        for block in blocks:
+    def ended(self, now: float) -> list[Block]:
+        """Return the statements that have ended, and whose rows this node drops."""
+        return [
+            block
+            for block in self._blocked.all()
+            if now >= block.ends_at
+            and block.key in self._stored
+            and self._is_writer(block)
+        ]
+
+    async def update(self, missing: Sequence[Block], ended: Sequence[Block]) -> None:
+        """Write statements and drop others; what fails is tried again later."""
+        for block in ended:
+            dropped = await self._rows.drop(
+                storewire.PROMPT_BLOCKS_TABLE, _row_key(block), _now() + STORE_SECONDS
+            )
+            if isinstance(dropped, Err):
+                log_message("relay:prompt:not_dropped", reason=str(dropped.err_value))
+            else:
+                del self._stored[block.key]
+        for block in missing:
             row = BlockRow(
                 service=block.service,
                 parts=sorted(block.parts),
--- a/celerytrail/relay/promptbroker.py
+++ b/celerytrail/relay/promptbroker.py
@@ -1,4 +1,4 @@
-"""Shares among all nodes which prompts crash engines, and keeps them from engines."""
+"""Shares among all nodes which requests crash endpoints, and keeps them from these."""
 
 from __future__ import annotations
 
@@ -15,15 +15,16 @@
 from ..http.routes import Params, Router, send_error
 from ..http.server import Responder
 from ..metrics import Metrics
-from ..model import Prompt
+from ..model import REQUEST_MARK, Incarnation, Prompt
 from ..nodes.member import Member
 from ..policies.blockedprompts import (
     BLOCK_SECONDS,
-    OWN_BLOCK_SECONDS,
     Block,
     BlockedPrompts,
+    BlockKey,
 )
-from ..policies.crashsuspects import Crash, CrashSuspects, Part, parts_of
+from ..policies.crashrequests import CrashingRequest, RequestKey, RequestSuspects
+from ..policies.crashsuspects import Crash, CrashSuspects, LostRun, Part, parts_of
 from ..rowsource import RowSource
 from ..status import PROMPT_BLOCKS_PATH
 from .nodeorder import NodeOrder
@@ -36,13 +37,19 @@
     answered_prompt,
     block_entry,
     block_from,
-    crash_entry,
+    crash_entries,
     crash_from,
     part_entry,
+    request_entry,
 )
 
 # Pauses before a crash or a block is announced again, in seconds: datagrams get lost.
 REPEAT_SECONDS = (0.2, 0.5)
+# Pause before requests are compared that ran at a crashed endpoint, in seconds: each
+# node reports those that it lost.
+REPORTS_SECONDS = 0.03
+# How long a suspect that was lost once more waits for the cause at most, in seconds.
+CAUSE_SECONDS = 0.2
 # Longest pause before a node tells that a suspected part was answered on, in seconds;
 # the others needn't once one has.
 ANSWER_JITTER_SECONDS = 0.03
@@ -56,7 +63,10 @@
 
 
 class BlockOrder(msgspec.Struct, frozen=True, kw_only=True):
-    """An operator's order to block prompts with all of some parts, or to allow them."""
+    """An operator's order to block prompts with all of some parts, or to allow them.
+
+    The only part may be a request's marked digest.
+    """
 
     service: str
     parts: list[str]
@@ -64,12 +74,12 @@
 
 
 class PromptBroker:
-    """Collects the evidence of all nodes, and decides which prompts are blocked.
+    """Collects the evidence of all nodes, and decides which requests are blocked.
 
-    Each node announces the crashes that it sees, and that suspected parts were answered
-    on; each one decides by itself what that shows. Blocks are passed on as long as they
-    hold, so that nodes that start or were out of touch learn of them. The store keeps
-    them in case all nodes start again.
+    Each node announces the crashes that it sees, and answers to suspected requests and
+    on suspected parts; each one decides by itself what that shows. Blocks are passed on
+    as long as they hold, so that nodes that start or were out of touch learn of them.
+    The store keeps them in case all nodes start again.
 
     Parameters
     ----------
@@ -109,10 +119,11 @@
         self._announce = announce
         self._tell = tell
         self._others = others
-        self._requests = requests
+        self._peer_requests = requests
         self._rng = rng
         self._metrics = metrics
         self.suspects = CrashSuspects()
+        self.requests = RequestSuspects(has_other_cause=self.suspects.is_explained)
         self.blocked = BlockedPrompts()
         self._store = PromptBlockStore(
             node=node,
@@ -125,47 +136,85 @@
         self._writing: asyncio.Task[None] | None = None
         # By part, until when nobody needs to tell again that it was answered on.
         self._told_until: dict[Part, float] = {}
+        # By request, the tasks that find out why runs of it were lost.
+        self._checks: dict[RequestKey, set[asyncio.Task[None]]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def add_routes(self, router: Router) -> None:
         """Add the route for operators' orders."""
         router.add("POST", PROMPT_BLOCKS_PATH, self._on_order)
 
+    def is_suspect(self, prompt: Prompt) -> bool:
+        """Return whether a request may have crashed an endpoint."""
+        return self.requests.is_suspect((prompt.service, prompt.digest))
+
+    async def await_causes(self, prompt: Prompt) -> None:
+        """Wait until it is known why a suspect was lost once more, if it was."""
+        key = (prompt.service, prompt.digest)
+        checks = self._checks.get(key)
+        if checks and self.is_suspect(prompt):
+            await asyncio.wait(checks, timeout=CAUSE_SECONDS)
+            await asyncio.sleep(REPORTS_SECONDS)
+
+    def record_lost(self, run: LostRun, check: asyncio.Task[None]) -> None:
+        """Record that a run was lost, and the task that finds out why."""
+        key = (run.prompt.service, run.prompt.digest)
+        checks = self._checks.setdefault(key, set())
+        checks.add(check)
+
+        def forget(check: asyncio.Task[None]) -> None:
+            checks.discard(check)
+            if not checks and self._checks.get(key) is checks:
+                del self._checks[key]
+
+        check.add_done_callback(forget)
+
     def record_crash(self, crash: Crash) -> None:
         """Record a crash by which this node lost runs, and announce it."""
-        now = _now()
-        self._announce(PromptNews(crashes=[crash_entry(crash, now)]))
-        self._later(
-            REPEAT_SECONDS,
-            lambda: self._announce(PromptNews(crashes=[crash_entry(crash, _now())])),
-        )
-        self._tell_answers_later(crash)
-        for block in self._apply_crash(crash, now):
-            self._announce_block(block)
+        crash = self.requests.in_order(crash)
 
-    def record_answer(self, prompt: Prompt) -> None:
-        """Record that an engine has evidently begun an answer to a prompt."""
+        def announce() -> None:
+            for entry in crash_entries(crash, _now()):
+                self._announce(PromptNews(crashes=[entry]))
+
+        announce()
+        self._later(REPEAT_SECONDS, announce)
+        self._apply_crash(crash, _now(), is_own=True)
+
+    def record_begun(self, prompt: Prompt) -> None:
+        """Record that an endpoint has evidently begun an answer to a prompt."""
+        if not prompt.shared_parts:
+            return
         now = _now()
         if self.suspects.record_answer(prompt, now):
             self._announce(PromptNews(answers=[answer_entry(prompt)]))
-        lifted = self._lift_found(prompt, now)
-        if lifted is not None:
-            self._announce_block(lifted)
+        self._lift_found(prompt, now)
+
+    def record_whole(self, prompt: Prompt) -> None:
+        """Record that a request was answered to its end."""
+        key = (prompt.service, prompt.digest)
+        if self.requests.record_answer(key, _now()):
+            self._announce(PromptNews(answers=[request_entry(key, 0.0)]))
+        block = self.blocked.get(_block_key(key))
+        if block is not None:
+            self._lift(block)
 
     def record_news(self, news: PromptNews) -> None:
         """Record what another node announces."""
         now = _now()
         for answer in news.answers:
+            answered_at = now - answer.seconds_ago
             prompt = answered_prompt(answer)
-            self.suspects.record_answer(
-                prompt, now - answer.seconds_ago, is_whole=answer.is_whole
-            )
+            if prompt.digest:
+                key = (prompt.service, prompt.digest)
+                self.requests.record_answer(key, answered_at)
+                continue
+            self.suspects.record_answer(prompt, answered_at, is_whole=answer.is_whole)
             self._record_told(parts_of(prompt), now)
             if answer.is_whole:
-                self._lift_found(prompt, now)
+                self._lift_found(prompt, now, is_told=True)
         for crash in [crash_from(entry, now) for entry in news.crashes]:
-            self._apply_crash(crash, now)
-            self._tell_answers_later(crash)
+            self._apply_crash(crash, now, is_own=False)
         for block in [block_from(entry, now) for entry in news.blocks]:
             self._put(block)
 
@@ -193,7 +242,7 @@
             task.cancel()
 
     async def _on_order(self, req: Request, res: Responder, _: Params) -> None:
-        order = await self._requests.decode(req, res, BlockOrder)
+        order = await self._peer_requests.decode(req, res, BlockOrder)
         if order is None:
             return
         parts = [part.lower() for part in order.parts]
@@ -202,40 +251,110 @@
                 res, 400, "bad_request", place="parts", message="name service and parts"
             )
             return
+        if len(parts) > 1 and any(part.startswith(REQUEST_MARK) for part in parts):
+            message = "a request's digest stands alone"
+            await send_error(res, 400, "bad_request", place="parts", message=message)
+            return
         block = self.set_blocked(order.service, parts, is_blocked=order.is_blocked)
         await res.send_json(200, {"revision": block.revision})
 
-    def _lift_found(self, prompt: Prompt, now: float) -> Block | None:
-        """Lift the block that an answered prompt meets, unless it was ordered."""
-        block = self.blocked.find(prompt, now)
-        if block is None or block.is_ordered:
-            return None
+    def _lift_found(self, prompt: Prompt, now: float, *, is_told: bool = False) -> None:
+        """Lift the block on parts that an answered prompt meets.
+
+        ``is_told`` says that another node saw the answer, and announces that.
+        """
+        block = self.blocked.find(replace(prompt, digest=""), now)
+        if block is not None:
+            self._lift(block, is_told=is_told)
+
+    def _lift(self, block: Block, *, is_told: bool = False) -> None:
+        """Lift a block that an answer disproves, unless it was ordered."""
+        if block.is_ordered or not block.is_in_force(_now()):
+            return
         lifted = self._new_block(block.service, block.parts, is_lifted=True)
         self._put(lifted)
-        return lifted
+        if not is_told:
+            self._announce_block(lifted)
 
     # Evidence.
 
-    def _apply_crash(self, crash: Crash, now: float) -> list[Block]:
-        """Record a crash of any node, and return the blocks that follow from it."""
-        ended = [
+    def _apply_crash(self, crash: Crash, now: float, *, is_own: bool) -> None:
+        """Record a crash, and block what it shows to be the cause.
+
+        ``is_own`` says that this node lost the runs; it announces the blocks.
+        """
+        for finding in self.suspects.record_crash(crash, now, self._ended_parts(now)):
+            log_message(
+                "relay:prompt:found",
+                service=finding.service,
+                parts=sorted(finding.parts),
+                crashes=_names(finding.crashes),
+            )
+            self._block(finding.service, finding.parts, is_announced=is_own)
+            self._lift_explained()
+        self._tell_answers_later(crash)
+        answered = self.requests.record_crash(crash, now)
+        if answered:
+            entries = [request_entry(key, now - at) for key, at in answered.items()]
+            self._announce(PromptNews(answers=entries[:MAX_PARTS_PER_DATAGRAM]))
+        self._block_requests(self.requests.overdue(crash.incarnation), is_own)
+        self._later(
+            (REPORTS_SECONDS,),
+            lambda: self._compare_requests(crash.incarnation, is_own),
+        )
+
+    def _ended_parts(self, now: float) -> list[Part]:
+        """Return the parts on which a block has ended."""
+        return [
             (block.service, part)
             for block in self.blocked.all()
             if len(block.parts) == 1 and self.blocked.has_ended(block.key, now)
             for part in block.parts
         ]
-        blocks = []
-        for finding in self.suspects.record_crash(crash, now, ended):
+
+    def _compare_requests(self, incarnation: Incarnation, is_own: bool) -> None:
+        """Find the requests that caused a crash, once all nodes had time to report."""
+        now = _now()
+        formerly_found = {
+            key
+            for key in self.requests.lost_by(incarnation)
+            if self.blocked.has_ended(_block_key(key), now)
+        }
+        found = self.requests.find(incarnation, formerly_found)
+        self._block_requests(found, is_own)
+
+    def _block_requests(self, found: Iterable[CrashingRequest], is_own: bool) -> None:
+        """Block requests, unless they are."""
+        now = _now()
+        for one in found:
+            known = self.blocked.get(_block_key(one.key))
+            if known is not None and known.is_in_force(now):
+                continue
+            service, digest = one.key
             log_message(
-                "relay:prompt:found",
-                service=finding.service,
-                parts=sorted(finding.parts),
-                crashes=[f"{name} {start}" for name, start in finding.crashes],
+                "relay:request:found",
+                service=service,
+                digest=digest,
+                crashes=_names(one.crashes),
             )
-            block = self._new_block(finding.service, finding.parts)
-            if self._put(block):
-                blocks.append(block)
-        return blocks
+            parts = frozenset({REQUEST_MARK + digest})
+            self._block(service, parts, is_announced=is_own)
+
+    def _block(
+        self, service: str, parts: frozenset[str], *, is_announced: bool
+    ) -> None:
+        block = self._new_block(service, parts)
+        if self._put(block) and is_announced:
+            self._announce_block(block)
+
+    def _lift_explained(self) -> None:
+        """Lift the blocks on requests whose crashes a part explains, known by now.
+
+        Each node does so when it learns which part it was, so nobody needs to be told.
+        """
+        for block in self.blocked.in_force(_now()):
+            if block.is_on_one_request and self.requests.is_explained(_key(block)):
+                self._put(replace(block, revision=block.revision + 1, is_lifted=True))
 
     def _tell_answers_later(self, crash: Crash) -> None:
         """Tell which parts of a crash were answered on, unless another node does."""
@@ -272,26 +391,27 @@
     def _new_block(
         self, service: str, parts: frozenset[str], *, is_lifted: bool = False
     ) -> Block:
-        block = Block(
+        return Block(
             service=service,
             parts=parts,
             revision=self.blocked.next_revision((service, parts)),
             ends_at=_now() + BLOCK_SECONDS,
             is_lifted=is_lifted,
         )
-        if block.is_on_one_request:
-            return replace(block, ends_at=_now() + OWN_BLOCK_SECONDS)
-        return block
 
     def _put(self, block: Block) -> bool:
         if not self.blocked.put(block):
             return False
-        if block.is_lifted:
+        if block.is_on_one_request:
+            if block.is_lifted:
+                self.requests.forget_cause(_key(block))
+            else:
+                self.requests.record_cause(_key(block))
+        elif block.is_lifted:
             self.suspects.forget(block.service, block.parts)
         else:
             self.suspects.explain(block.service, block.parts)
-            if not block.is_on_one_request:
-                self.blocked.lift_on_requests(block.service, _now())
+            self._lift_explained()
         state = "lifted" if block.is_lifted else "blocked"
         self._metrics.count("prompt_blocks", state=state)
         log_message(
@@ -322,12 +442,12 @@
         self._tell(news, members)
 
     def _write_missing(self) -> None:
-        """Write the statements that the store lacks, if this node writes them."""
+        """Bring the store's statements up to date, if this node writes them."""
         if self._writing is not None and not self._writing.done():
             return
-        missing = self._store.missing()
-        if missing:
-            self._writing = self._start(self._store.write(missing))
+        missing, ended = self._store.missing(), self._store.ended(_now())
+        if missing or ended:
+            self._writing = self._start(self._store.update(missing, ended))
 
     # Tasks.
 
@@ -343,5 +463,20 @@
         return task
 
 
+def _block_key(key: RequestKey) -> BlockKey:
+    service, digest = key
+    return (service, frozenset({REQUEST_MARK + digest}))
+
+
+def _key(block: Block) -> RequestKey:
+    """Return the request that a block is on."""
+    (part,) = block.parts
+    return (block.service, part.removeprefix(REQUEST_MARK))
+
+
+def _names(crashes: Iterable[Incarnation]) -> list[str]:
+    return [f"{endpoint} {started_at}" for endpoint, started_at in crashes]
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/celerytrail/relay/promptnews.py
+++ b/celerytrail/relay/promptnews.py
@@ -1,32 +1,39 @@
-"""News of prompts that crash engines, as nodes send them to one another.
+"""News of requests that crash endpoints, as nodes send them to one another.
 
 Nodes have no clock in common, so the news hold ages, not times.
 """
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Sequence
+
 import msgspec
 
 from ..model import Prompt
 from ..policies.blockedprompts import BLOCK_SECONDS, Block
+from ..policies.crashrequests import MAX_RUNS, RequestKey
 from ..policies.crashsuspects import Crash, LostRun, Part
 
 # Keep a datagram of usual prompts below 1,200 bytes.
-MAX_RUNS_PER_CRASH = 8
+MAX_RUNS_PER_ENTRY = 8
 MAX_PARTS_PER_DATAGRAM = 12
 
 
 class LostRunEntry(msgspec.Struct, array_like=True, frozen=True):
-    """A run that was lost by a crash, as sent between nodes."""
+    """A run that was lost by a crash, as sent between nodes.
+
+    Earlier versions have the id of the prompt's own part in place of the digest.
+    """
 
     service: str
     parts: list[str]
-    own_part: str
+    digest: str
     sent_seconds_ago: float
+    has_begun: bool = False
 
 
 class CrashEntry(msgspec.Struct, array_like=True, frozen=True):
-    """An engine's crash as sent between nodes, with the runs that the sender lost."""
+    """An endpoint's crash as sent between nodes, with runs that the sender lost."""
 
     endpoint: str
     started_at: int
@@ -37,12 +44,13 @@
 class AnswerEntry(msgspec.Struct, array_like=True, frozen=True):
     """An answer to a prompt with some parts, as sent between nodes.
 
-    ``is_whole`` says that these are all shared parts of the prompt.
+    ``digest`` names a request that was answered to its end. ``is_whole`` says that
+    these are all shared parts of the prompt.
     """
 
     service: str
     parts: list[str]
-    own_part: str
+    digest: str
     seconds_ago: float
     is_whole: bool = True
 
@@ -59,29 +67,39 @@
 
 
 class PromptNews(msgspec.Struct, array_like=True, frozen=True):
-    """News of prompts that crash engines."""
+    """News of requests that crash endpoints."""
 
     crashes: list[CrashEntry] = []
     answers: list[AnswerEntry] = []
     blocks: list[BlockEntry] = []
 
 
-def crash_entry(crash: Crash, now: float) -> CrashEntry:
-    """Return a crash as sent to other nodes."""
+def crash_entries(crash: Crash, now: float) -> list[CrashEntry]:
+    """Return a crash as sent to other nodes, with a few of its runs in each entry."""
     endpoint, started_at = crash.incarnation
-    return CrashEntry(
-        endpoint=endpoint,
-        started_at=started_at,
-        seconds_ago=round(now - crash.crashed_at, 4),
-        runs=[
-            LostRunEntry(
-                service=run.prompt.service,
-                parts=list(run.prompt.shared_parts[:MAX_PARTS_PER_DATAGRAM]),
-                own_part=run.prompt.own_part,
-                sent_seconds_ago=round(now - run.sent_at, 4),
-            )
-            for run in crash.runs[:MAX_RUNS_PER_CRASH]
-        ],
+    return [
+        CrashEntry(
+            endpoint=endpoint,
+            started_at=started_at,
+            seconds_ago=round(now - crash.crashed_at, 4),
+            runs=[_run_entry(run, now) for run in runs],
+        )
+        for runs in _split(crash.runs[:MAX_RUNS], MAX_RUNS_PER_ENTRY)
+    ]
+
+
+def _split(runs: Sequence[LostRun], n_most: int) -> Iterable[Sequence[LostRun]]:
+    return (runs[n : n + n_most] for n in range(0, len(runs), n_most))
+
+
+def _run_entry(run: LostRun, now: float) -> LostRunEntry:
+    parts = [] if run.has_begun else run.prompt.shared_parts[:MAX_PARTS_PER_DATAGRAM]
+    return LostRunEntry(
+        service=run.prompt.service,
+        parts=list(parts),
+        digest=run.prompt.digest,
+        sent_seconds_ago=round(now - run.sent_at, 4),
+        has_begun=run.has_begun,
     )
 
 
@@ -94,9 +112,10 @@
                 prompt=Prompt(
                     service=run.service,
                     shared_parts=tuple(run.parts),
-                    own_part=run.own_part,
+                    digest=run.digest,
                 ),
                 sent_at=now - run.sent_seconds_ago,
+                has_begun=run.has_begun,
             )
             for run in entry.runs
         ),
@@ -133,18 +152,30 @@
     return AnswerEntry(
         service=prompt.service,
         parts=list(prompt.shared_parts),
-        own_part=prompt.own_part,
+        digest="",
         seconds_ago=0.0,
     )
 
 
+def request_entry(key: RequestKey, seconds_ago: float) -> AnswerEntry:
+    """Return the whole answer to a request, as sent to other nodes."""
+    service, digest = key
+    return AnswerEntry(
+        service=service,
+        parts=[],
+        digest=digest,
+        seconds_ago=round(seconds_ago, 3),
+        is_whole=False,
+    )
+
+
 def part_entry(part: Part, seconds_ago: float) -> AnswerEntry:
     """Return an earlier answer on one shared part, as sent to other nodes."""
     service, name = part
     return AnswerEntry(
         service=service,
         parts=[name],
-        own_part="",
+        digest="",
         seconds_ago=round(seconds_ago, 3),
         is_whole=False,
     )
@@ -155,5 +186,5 @@
     return Prompt(
         service=entry.service,
         shared_parts=tuple(entry.parts),
-        own_part=entry.own_part,
+        digest=entry.digest,
     )
