Pass over plain endpoints that refuse connections

Callers of sound requests got 503 within 0.05 s while endpoints were up: 3 of 308 calls where endpoints end by themselves, one each 1.2 s, and are away for 3 s.

Cause: a call tries three endpoints, and one whose connection is refused counted as a try. The row of an endpoint that has crashed stays for seconds, so three such rows used up the tries.

Change: a refused connection excludes its endpoint and is no try.

--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -22,7 +22,13 @@
 from .endpointgate import ENDPOINT_LIMITED, PROMPT_BLOCKED, Admission, EndpointGate
 from .endpointpaces import EndpointPaces
 from .exchange import CallerDisconnectedError, Exchange, refuse, seconds_until
-from .outcomes import BROKEN_OFF, Failed, NotExecuted
+from .outcomes import (
+    BROKEN_OFF,
+    CONNECT_REFUSED,
+    UNREACHABLE_REASONS,
+    Failed,
+    NotExecuted,
+)
 from .registry import Registry
 
 # Share of the target after which a repeatable request is also sent to a second
@@ -34,8 +40,6 @@
 # the longest wait for the next chance, in seconds.
 WAIT_SHARE = 0.5
 MAX_POLL_SECONDS = 0.1
-# The HTTP client's reasons when it couldn't connect to an endpoint.
-UNREACHABLE_REASONS = ("connect_refused", "connect_timeout")
 # Endpoints that a request may be sent to while none has executed it.
 MAX_TRIED_ENDPOINTS = 3
 # Retry-After when all endpoints refused, in seconds.
@@ -57,19 +61,31 @@
 
 @dataclass(kw_only=True, slots=True)
 class _Attempts:
-    """The attempts at one repeatable request.
+    """The attempts at one request.
 
     ``tried`` holds the endpoints, ``n_maybe_executed`` counts the ended attempts that
-    an endpoint may have executed, and ``n_sent`` those that an endpoint received.
+    an endpoint may have executed, ``n_sent`` those that an endpoint received, and
+    ``n_refused`` those whose connections were refused.
     """
 
     tried: set[str] = field(default_factory=set)
     pending: set[asyncio.Task[Outcome]] = field(default_factory=set)
     n_maybe_executed: int = 0
     n_sent: int = 0
+    n_refused: int = 0
+
+    @property
+    def n_tried(self) -> int:
+        """Return how many endpoints were tried that may be up.
+
+        The registration of a crashed endpoint remains for seconds, and must not keep a
+        request from those that are up.
+        """
+        return len(self.tried) - self.n_refused
 
     def record(self, outcome: Outcome) -> None:
         """Count an attempt by its outcome."""
+        self.n_refused += _is_refused(outcome)
         if not isinstance(outcome, NotExecuted):
             self.n_maybe_executed += 1
             self.n_sent += 1
@@ -167,14 +183,15 @@
 
     async def _send_unrepeatable(self, ex: Exchange) -> Outcome:
         """Send a request that must run only once, until an endpoint accepts it."""
-        tried: set[str] = set()
+        attempts = _Attempts()
         outcome: Outcome | None = None
-        n_sent = 0
-        while len(tried) < MAX_TRIED_ENDPOINTS:
-            admission = await self._choose_endpoint(ex, tried, is_repeat=n_sent > 0)
+        while attempts.n_tried < MAX_TRIED_ENDPOINTS:
+            admission = await self._choose_endpoint(
+                ex, attempts.tried, is_repeat=attempts.n_sent > 0
+            )
             if admission is None:
                 break
-            tried.add(admission.reg.endpoint)
+            attempts.tried.add(admission.reg.endpoint)
             attempt = asyncio.ensure_future(self._attempt(ex, admission))
             attempt.add_done_callback(functools.partial(self._on_ended, admission))
             outcome = await attempt
@@ -182,7 +199,7 @@
             # executed the request, or if no byte of it was sent.
             if not isinstance(outcome, NotExecuted):
                 break
-            n_sent += outcome.was_sent
+            attempts.record(outcome)
         return outcome or self._unsent(ex)
 
     async def _send_repeatable(self, ex: Exchange) -> Outcome:
@@ -207,7 +224,7 @@
         """Begin one more attempt if the limits allow it and an endpoint is left."""
         n_attempts = attempts.n_maybe_executed + len(attempts.pending)
         if (
-            len(attempts.tried) >= MAX_TRIED_ENDPOINTS
+            attempts.n_tried >= MAX_TRIED_ENDPOINTS
             or n_attempts >= ex.route.max_attempts
         ):
             return False
@@ -468,6 +485,10 @@
     return None
 
 
+def _is_refused(outcome: Outcome) -> bool:
+    return isinstance(outcome, NotExecuted) and outcome.reason == CONNECT_REFUSED
+
+
 def _more_informative(first: Outcome, second: Outcome) -> Outcome:
     """Return the outcome that is more informative to the caller."""
     order = (NotExecuted, Failed, Answered)
--- a/celerytrail/relay/fates.py
+++ b/celerytrail/relay/fates.py
@@ -12,6 +12,7 @@
 from ..model import Registration
 from .engineapi import EngineApi
 from .liverun import UNKNOWN_START
+from .outcomes import CONNECT_REFUSED
 from .registry import Registry
 
 # Timeout of one question to an endpoint, and the pause after one that failed, in
@@ -26,8 +27,6 @@
 # How long the row of an endpoint that crashed and accepts connections again may be
 # late, in seconds.
 ROW_SECONDS = 3.0
-# The client's reason when nothing accepts connections, on any path.
-REFUSED = "connect_refused"
 
 
 class Fate(enum.Enum):
@@ -94,7 +93,7 @@
     async def _ask(self, reg: Registration) -> Fate | None:
         answered = await self._api.report(reg, _now() + ASK_SECONDS)
         if isinstance(answered, Err):
-            return Fate.CRASHED if answered.err_value == REFUSED else None
+            return Fate.CRASHED if answered.err_value == CONNECT_REFUSED else None
         started_at = answered.ok_value.started_at
         if started_at == reg.started_at:
             return Fate.ALIVE
@@ -124,7 +123,9 @@
             reg.address, _now() + ASK_SECONDS
         )
         if isinstance(connected, Err):
-            return Fate.CRASHED if connected.err_value.reason == REFUSED else None
+            return (
+                Fate.CRASHED if connected.err_value.reason == CONNECT_REFUSED else None
+            )
         return await self._await_row(reg)
 
     async def _await_row(self, reg: Registration) -> Fate:
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -25,15 +25,19 @@
 from .exchange import CallerDisconnectedError, Exchange, refuse, seconds_until
 from .liverun import UNKNOWN_START, Copied, LiveRun, Switched
 from .originbroker import OriginBroker
-from .outcomes import BROKEN_OFF, Failed, NotExecuted
+from .outcomes import (
+    BROKEN_OFF,
+    CONNECT_REFUSED,
+    UNREACHABLE_REASONS,
+    Failed,
+    NotExecuted,
+)
 from .peerupdates import PeerUpdates
 from .resumption import VERSION_GONE
 from .runmover import RunMover
 
 # Engines that may refuse a generation before it is refused to the caller.
 MAX_REFUSALS = 3
-# The HTTP client's reasons when it couldn't connect to an endpoint.
-UNREACHABLE_REASONS = ("connect_refused", "connect_timeout")
 # Retry-After when engines are full, in seconds: about as long as a short answer takes
 # to free its slot.
 FULL_RETRY_SECONDS = 0.7
@@ -248,7 +252,7 @@
             elif refused.reason != ENDPOINT_CLOSED:
                 # The key was revoked, or the caller's deadline has passed.
                 return Err(refused)
-            if refused.reason != "connect_refused":
+            if refused.reason != CONNECT_REFUSED:
                 n_tries += 1
         retry_at = self._placer.return_at(live)
         return Err(NotExecuted(reason="engines_refused", retry_at=retry_at))
--- a/celerytrail/relay/outcomes.py
+++ b/celerytrail/relay/outcomes.py
@@ -6,6 +6,9 @@
 
 # The client's reason when an endpoint closed the connection before its answer's end.
 BROKEN_OFF = "cut"
+# The client's reasons when it couldn't connect to an endpoint on any path.
+CONNECT_REFUSED = "connect_refused"
+UNREACHABLE_REASONS = (CONNECT_REFUSED, "connect_timeout")
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
