Bound events, and comments between events

Cause: the bound on an event's length was stated and not checked, the buffer was searched from its first byte at each chunk, and a comment counted as an event, so that four of them looked like a begun answer.

Change: over 128 KiB without an event a stream is given up at its engine and goes on elsewhere like any that breaks off; only new bytes are searched; comments are passed on and count for nothing.

--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -10,7 +10,7 @@
 from result import Err, Ok, Result
 
 from ..exceptions import PeerError
-from ..http.client import Stream
+from ..http.client import RequestLost, Stream
 from ..model import EngineProfile, Prompt, Registration
 from ..platform import wire
 from ..policies.engineloads import Run
@@ -44,6 +44,8 @@
 # Reason and Retry-After, in seconds, when all engines are in evacuated domains.
 EVACUATED = "evacuated"
 EVACUATED_RETRY_SECONDS = 2.0
+# Reason for which a stream is given up: its engine sends bytes that are no events.
+NO_EVENTS = "no_events"
 
 
 class Generations:
@@ -307,11 +309,12 @@
             if isinstance(chunk, Ok) and chunk.ok_value is not None:
                 for event in splitter.feed(chunk.ok_value):
                     await self._relay_event(live, event)
-                continue
-            if isinstance(chunk, Ok) and splitter.is_empty:
+                if not splitter.is_overlong:
+                    continue
+            elif isinstance(chunk, Ok) and splitter.is_empty:
                 break
-            # A stream may end properly by its framing and yet inside an event.
-            reason = BROKEN_OFF if isinstance(chunk, Ok) else chunk.err_value.reason
+            reason = _reason_of_break(chunk, splitter)
+            live.stream.close()
             splitter.clear()
             self._record_lost(live, reason)
             resumed = await self._resume(live, reason)
@@ -341,6 +344,9 @@
             self._opener.record_lost(live, live.reg, reason)
 
     async def _relay_event(self, live: LiveRun, event: StreamEvent) -> None:
+        if event.is_comment:
+            await live.ex.res.write(event.data)
+            return
         number = event.number
         if number is not None:
             if live.last_number is not None and number <= live.last_number:
@@ -480,3 +486,13 @@
         live.reg = reg
         live.on_engine_changed()
         self._placer.announce(live, is_prefilling=False)
+
+
+def _reason_of_break(
+    chunk: Result[bytes | None, RequestLost], splitter: EventSplitter
+) -> str:
+    """Return why a stream doesn't go on at its engine."""
+    if isinstance(chunk, Err):
+        return chunk.err_value.reason
+    # A stream may end properly by its framing and yet inside an event.
+    return NO_EVENTS if splitter.is_overlong else BROKEN_OFF
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -33,7 +33,7 @@
     N_EMPTY_LISTS,
     RunListSchedule,
 )
-from celerytrail.relay.events import EventSplitter
+from celerytrail.relay.events import MAX_EVENT_BYTES, EventSplitter
 from celerytrail.relay.registry import LAPSE_GRACE_SECONDS, Registry
 from celerytrail.types import Address
 
@@ -898,6 +898,31 @@
         assert [event.event_id for event in events] == ["7", None]
         assert events[1].number is None
 
+    def test_single_bytes_give_the_same_events(self):
+        data = b": hi\n\nid: 1\r\ndata: a\r\n\r\ndata: b\n\n"
+        whole, single = EventSplitter(), EventSplitter()
+        found = [one for byte in data for one in single.feed(bytes([byte]))]
+        assert found == whole.feed(data)
+        assert [event.is_comment for event in found] == [True, False, False]
+
+    def test_an_event_without_end_is_overlong(self):
+        # It was buffered without a bound, and searched from its first byte each time.
+        splitter = EventSplitter()
+        splitter.feed(b"data: " + b"x" * MAX_EVENT_BYTES)
+        assert splitter.is_overlong
+        splitter.clear()
+        assert not splitter.is_overlong
+
+    def test_comments_without_end_are_overlong(self):
+        # They are no events, so a stream of them never gets any further.
+        splitter = EventSplitter()
+        splitter.feed(b": x\n\n" * (MAX_EVENT_BYTES // 5))
+        splitter.feed(b"data: a\n\n")
+        splitter.feed(b": x\n\n" * (MAX_EVENT_BYTES // 5))
+        assert not splitter.is_overlong
+        splitter.feed(b": x\n\n")
+        assert splitter.is_overlong
+
 
 class TestPrefillInTime:
     """Prompts arrive faster than engines read them. Placed by free memory alone, they
