Keep deadlines, memory and connections while bytes come without end

Callers got nothing within 12 s where informational answers came over and over; eight bodies held 34 MB of the node, each up to its own bound of 4 MB; and bytes after a whole answer left its connection in the pool, unread, with full buffers.

Cause: a deadline was looked at only while no bytes came; the bound of a body was one for each body; an idle connection was watched by nobody.

Change: bytes are read for 0.1 s at most once the deadline has passed; after 16 informational answers the peer is given up; bodies share 16 MiB of a client beyond their first 64 KiB each, so that small answers are read however large others are; 64 KiB of a refusal's body are read, and one that is cut is still a refusal; bytes on an idle connection close it.

--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -24,6 +24,12 @@
 # Idle connections to one peer, unless a request states fewer.
 MAX_IDLE_PER_ADDRESS = 16
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+# Bodies that one client holds at most while it reads them, without the first bytes of
+# each: small answers are read however large others grow.
+MAX_HELD_BYTES = 16 * 1024 * 1024
+FREE_BODY_BYTES = 64 * 1024
+# Informational answers before the final one.
+MAX_INFORMATIONAL = 16
 # Lifetime of an idle connection if the peer announces no keep-alive timeout.
 IDLE_SECONDS = 30.0
 # A timeout that passes later than this after its time shows that the process stood
@@ -88,6 +94,32 @@
     drop_at: float
 
 
+class BodyMemory:
+    """Bounds the memory of all bodies that are being read at the same time.
+
+    Parameters
+    ----------
+    n_max_bytes : int
+        Bytes of all bodies together, without the first `FREE_BODY_BYTES` of each.
+    """
+
+    def __init__(self, *, n_max_bytes: int = MAX_HELD_BYTES) -> None:
+        self._n_max_bytes = n_max_bytes
+        self.n_held_bytes = 0
+
+    def resize(self, n_before: int, n_after: int) -> bool:
+        """Record a body's new size in bytes, unless there is no memory for it."""
+        n_more = _n_counted(n_after) - _n_counted(n_before)
+        if n_more > 0 and self.n_held_bytes + n_more > self._n_max_bytes:
+            return False
+        self.n_held_bytes += n_more
+        return True
+
+
+def _n_counted(n_bytes: int) -> int:
+    return max(0, n_bytes - FREE_BODY_BYTES)
+
+
 class Stream:
     """Reads the body of an answer and returns its connection to the pool.
 
@@ -150,25 +182,49 @@
         return Ok(None)
 
     async def read(
-        self, deadline: float | None = None, *, progress: Progress | None = None
+        self,
+        deadline: float | None = None,
+        *,
+        progress: Progress | None = None,
+        n_max_bytes: int = MAX_RESPONSE_BYTES,
     ) -> Result[bytes, RequestLost]:
-        """Return the remaining body; ``progress`` extends the deadline."""
-        loop = asyncio.get_running_loop()
+        """Return the remaining body; ``progress`` extends the deadline.
+
+        A larger body than ``n_max_bytes`` is abandoned, and so is one for which the
+        client has no memory.
+        """
         body = bytearray()
+        try:
+            return await self._read_into(body, deadline, progress, n_max_bytes)
+        finally:
+            self._client.memory.resize(len(body), 0)
+
+    async def _read_into(
+        self,
+        body: bytearray,
+        deadline: float | None,
+        progress: Progress | None,
+        n_max_bytes: int,
+    ) -> Result[bytes, RequestLost]:
+        loop = asyncio.get_running_loop()
         while True:
             match await self.next_chunk(deadline):
                 case Ok(None):
                     return Ok(bytes(body))
                 case Ok(chunk):
                     assert chunk is not None
-                    body += chunk
-                    if progress is not None and deadline is not None:
-                        deadline = progress.extend(deadline, loop.time())
                 case Err(lost):
                     return Err(lost)
-            if len(body) > MAX_RESPONSE_BYTES:
+            n_bytes = len(body) + len(chunk)
+            if n_bytes > n_max_bytes:
                 self.close()
                 return Err(RequestLost(reason="too_large"))
+            if not self._client.memory.resize(len(body), n_bytes):
+                self.close()
+                return Err(RequestLost(reason="no_memory"))
+            body += chunk
+            if progress is not None and deadline is not None:
+                deadline = progress.extend(deadline, loop.time())
 
     def close(self) -> None:
         """Abandon the answer and close its connection.
@@ -200,6 +256,8 @@
         ``silence_seconds`` after it was sent.
     silence_seconds : float
         See ``on_silence``.
+    memory : BodyMemory or None
+        Bounds the bodies that are being read; clients may share it.
     """
 
     def __init__(
@@ -211,6 +269,7 @@
         allows_unframed: bool = False,
         on_silence: Callable[[Address], None] | None = None,
         silence_seconds: float = 0.0,
+        memory: BodyMemory | None = None,
     ) -> None:
         self._process = process
         self._network = network or SystemNetwork()
@@ -218,6 +277,7 @@
         self._allows_unframed = allows_unframed
         self._on_silence = on_silence
         self._silence_seconds = silence_seconds
+        self.memory = memory or BodyMemory()
         self._exchange_numbers = itertools.count(1)
         self._idle: dict[Address, list[_IdleConnection]] = {}
         self.n_connections_made = 0
@@ -388,6 +448,7 @@
             conn.close()
             return
         conn.h11.start_next_cycle()
+        conn.mark_all_read()
         self._add_idle(address, conn, _idle_seconds(headers), max_idle=max_idle)
 
     def _add_idle(
@@ -403,6 +464,7 @@
         if conn.is_retired or len(idle) >= max_idle:
             conn.close()
             return
+        conn.is_pooled = True
         idle.append(_IdleConnection(conn=conn, drop_at=drop_at))
 
     async def ensure_connected(
@@ -498,6 +560,7 @@
             is_clean = conn.h11.trailing_data == (b"", False)
             is_usable = not conn.is_lost and not conn.is_retired and is_clean
             if is_usable and now < entry.drop_at:
+                conn.is_pooled = False
                 return Ok(conn)
             conn.abort()
         return await self._connect(address, connect_deadline, deadline)
@@ -562,10 +625,11 @@
 
 async def _read_final_head(conn: Connection, deadline: float | None) -> h11.Event:
     """Return the head of the final answer, skipping informational ones."""
-    event = await conn.next_event(deadline)
-    while isinstance(event, h11.InformationalResponse):
+    for _ in range(MAX_INFORMATIONAL + 1):
         event = await conn.next_event(deadline)
-    return event
+        if not isinstance(event, h11.InformationalResponse):
+            return event
+    raise PeerError("too many informational answers")
 
 
 def _idle_seconds(headers: Mapping[str, str]) -> float:
--- a/celerytrail/http/messages.py
+++ b/celerytrail/http/messages.py
@@ -8,6 +8,7 @@
 
 import h11
 import msgspec
+from eliot import log_message
 
 from ..exceptions import PeerError
 
@@ -16,6 +17,9 @@
 MAX_HEAD_BYTES = 16 * 1024
 READ_AHEAD_BYTES = 64 * 1024
 RECEIVE_BYTES = 64 * 1024
+# How long events are still returned after the deadline, in seconds: what has arrived by
+# then is read, but a peer that never stops sending must not keep a reader for ever.
+LATE_SECONDS = 0.1
 # h11 may keep the closing line break of a chunk whose data it has returned.
 CHUNK_TAIL_BYTES = 2
 
@@ -122,6 +126,8 @@
         self.is_eof = False
         # Whether it must not be used for another exchange.
         self.is_retired = False
+        # Whether it waits for its next exchange, in a client's pool.
+        self.is_pooled = False
         # Loop time at which bytes last arrived, or the connection was made.
         self.received_at = 0.0
         self._n_unread = 0
@@ -131,6 +137,7 @@
         self._is_discarding = False
         self._is_after_chunk = False
         self._deadline: float | None = None
+        self._late_until: float | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._loop = asyncio.get_running_loop()
         self.lost: asyncio.Future[None] = self._loop.create_future()
@@ -156,6 +163,12 @@
         self.received_at = self._loop.time()
         if self._is_discarding:
             return
+        if self.is_pooled:
+            # No request is waiting for these bytes, and the next one must not get them.
+            log_message("http:unrequested_bytes", peer=self.peer, n_bytes=len(data))
+            self.is_retired = True
+            self.abort()
+            return
         self.h11.receive_data(data)
         self._n_unread += len(data)
         if self._n_unread > READ_AHEAD_BYTES and self.transport is not None:
@@ -217,7 +230,7 @@
         except h11.RemoteProtocolError as exc:
             raise PeerError(str(exc)) from exc
         if event is h11.NEED_DATA:
-            self._on_all_read()
+            self.mark_all_read()
         self._is_after_chunk = isinstance(event, h11.Data) and event.chunk_end
         return event
 
@@ -232,8 +245,10 @@
             When the deadline passed.
         """
         while True:
+            if deadline is not None:
+                self._check_late(deadline)
             if self._is_empty_after_chunk():
-                self._on_all_read()
+                self.mark_all_read()
             else:
                 event = self.peek_event()
                 if event is h11.PAUSED:
@@ -303,6 +318,16 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _check_late(self, deadline: float) -> None:
+        """Raise TimeoutError once bytes have gone on for a while after the deadline."""
+        now = self._loop.time()
+        if now < deadline:
+            self._late_until = None
+        elif self._late_until is None:
+            self._late_until = now + LATE_SECONDS
+        elif now >= self._late_until:
+            raise TimeoutError
+
     async def _wait_for_data(self, deadline: float | None) -> None:
         """Wait until bytes arrive, or raise TimeoutError at the deadline.
 
@@ -341,7 +366,8 @@
         unread, is_closed = self.h11.trailing_data
         return len(unread) <= CHUNK_TAIL_BYTES and not is_closed
 
-    def _on_all_read(self) -> None:
+    def mark_all_read(self) -> None:
+        """Record that nothing is unread, so that more may be received."""
         if self._n_unread:
             self._n_unread = 0
             if self.transport is not None and not self.transport.is_closing():
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -18,7 +18,7 @@
 from ..policies.pace import AnswerKind
 from ..policies.retrybudget import SharedRetryBudget
 from .crashwatch import CrashWatch
-from .endpointanswers import EndpointAnswers
+from .endpointanswers import MAX_REFUSAL_BYTES, EndpointAnswers
 from .endpointgate import ENDPOINT_LIMITED, PROMPT_BLOCKED, Admission, EndpointGate
 from .endpointpaces import EndpointPaces
 from .exchange import CallerDisconnectedError, Exchange, refuse, seconds_until
@@ -433,14 +433,15 @@
             return Failed(reason=exc.reason)
         stream = opened.ok_value
         is_not_run = self._answers.read(ex, reg, stream, asked_at)
+        if is_not_run:
+            await stream.read(ex.loop_deadline, n_max_bytes=MAX_REFUSAL_BYTES)
+            return NotExecuted(reason="endpoint_refused", was_sent=True)
         body = await stream.read(ex.loop_deadline)
         if isinstance(body, Err):
             lost: RequestLost = body.err_value
             _log_failed(ex, reg, lost.reason)
             self._record_lost(ex, reg, sent_at, lost.reason)
             return Failed(reason=lost.reason)
-        if is_not_run:
-            return NotExecuted(reason="endpoint_refused", was_sent=True)
         if not wire.is_sealed_answer(stream.headers):
             _log_failed(ex, reg, "unsealed")
             return Failed(reason="unsealed")
--- a/celerytrail/relay/endpointaccess.py
+++ b/celerytrail/relay/endpointaccess.py
@@ -8,7 +8,7 @@
 
 from eliot import log_message
 
-from ..http.client import HttpClient
+from ..http.client import BodyMemory, HttpClient
 from ..http.network import Network
 from ..http.routes import Router
 from ..metrics import Metrics
@@ -108,6 +108,7 @@
             statements_at=answers.statements_at,
             on_answer=answers.record_at,
         )
+        memory = BodyMemory()
         self.client = HttpClient(
             process=me.node,
             network=self.paths,
@@ -115,9 +116,10 @@
             allows_unframed=True,
             on_silence=self.paths.suspect,
             silence_seconds=SILENCE_SECONDS,
+            memory=memory,
         )
         self.engine_api = EngineApi(
-            client=HttpClient(network=self.paths, id_header=None),
+            client=HttpClient(network=self.paths, id_header=None, memory=memory),
             on_answer=answers.record_at,
         )
 
--- a/celerytrail/relay/endpointanswers.py
+++ b/celerytrail/relay/endpointanswers.py
@@ -25,6 +25,8 @@
 
 # An endpoint's status for requests that were meant for another one.
 MISDIRECTED = 421
+# A larger body of a refusal isn't read.
+MAX_REFUSAL_BYTES = 64 * 1024
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -13,7 +13,7 @@
 from ..policies.crashsuspects import LostRun
 from ..policies.pace import AnswerKind
 from .crashwatch import CrashWatch
-from .endpointanswers import EndpointAnswers
+from .endpointanswers import MAX_REFUSAL_BYTES, EndpointAnswers
 from .endpointgate import (
     ENDPOINT_CLOSED,
     ENDPOINT_LIMITED,
@@ -239,7 +239,7 @@
         stream = opened.ok_value
         if self._answers.read(ex, reg, stream, asked_at):
             self._record_answer(live, reg, AnswerKind.REFUSED)
-            await stream.read(ex.loop_deadline)
+            await stream.read(ex.loop_deadline, n_max_bytes=MAX_REFUSAL_BYTES)
             return Err(NotExecuted(reason="engine_refused", was_sent=True))
         live.n_runs += 1
         if stream.status != 200:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -9,7 +9,13 @@
 from result import Err
 
 import celerytrail.http.client as client_module
-from celerytrail.http.client import HttpClient, NotSent, RequestLost
+from celerytrail.http.client import (
+    FREE_BODY_BYTES,
+    BodyMemory,
+    HttpClient,
+    NotSent,
+    RequestLost,
+)
 from celerytrail.http.messages import Request
 from celerytrail.http.network import SystemNetwork
 from celerytrail.http.server import Handler, HttpServer, Responder, ServerLimits
@@ -204,3 +210,26 @@
         handler.release.set()
         assert (await task).ok_value.body == b"x"
         await drain
+
+
+class TestBodyMemory:
+    async def test_large_bodies_share_the_memory(self):
+        memory = BodyMemory(n_max_bytes=100_000)
+        assert memory.resize(0, FREE_BODY_BYTES + 60_000)
+        assert not memory.resize(0, FREE_BODY_BYTES + 60_000)
+        assert memory.resize(0, FREE_BODY_BYTES + 40_000)
+        assert memory.n_held_bytes == 100_000
+
+    async def test_small_bodies_are_read_however_large_others_are(self):
+        memory = BodyMemory(n_max_bytes=0)
+        assert memory.resize(0, FREE_BODY_BYTES)
+        assert not memory.resize(FREE_BODY_BYTES, FREE_BODY_BYTES + 1)
+
+    async def test_memory_is_given_back_after_each_answer(self, echo):
+        _, address, _, _ = echo
+        client = HttpClient(memory=BodyMemory(n_max_bytes=1_000))
+        for _ in range(3):
+            answer = await client.request(address, "POST", "/", body=b"a" * 900)
+            assert len(answer.ok_value.body) == 900
+        assert client.memory.n_held_bytes == 0
+        client.close()
