Tell callers and operators of blocked requests

A request that crashes endpoints was refused as prompt_blocked, as if other prompts like it were refused too. The reason is request_blocked now, in the answer and the log. Status lists under how many crashes suspected requests ran, and a gauge counts them.

--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -154,8 +154,9 @@
 GAUGES = {
     "waiting_requests": "Requests at this node that wait for an engine.",
     "known_waiting_requests": "Requests at all nodes that wait, as known to this one.",
-    "blocked_prompts": "Blocks on prompts in force.",
+    "blocked_prompts": "Blocks on prompts and requests in force.",
     "suspected_crashes": "Crashes of engines whose cause isn't known.",
+    "suspected_requests": "Requests that ran at endpoints which crashed lately.",
     "brittle_endpoints": "Endpoints that fall over when they refuse too much.",
     "paused_endpoints": "Endpoints that want no requests from this node at present.",
     "paced_endpoints": "Endpoints with less than their full share, by reason.",
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -19,7 +19,7 @@
 from ..policies.retrybudget import SharedRetryBudget
 from .crashwatch import CrashWatch
 from .endpointanswers import MAX_REFUSAL_BYTES, EndpointAnswers
-from .endpointgate import ENDPOINT_LIMITED, PROMPT_BLOCKED, Admission, EndpointGate
+from .endpointgate import ENDPOINT_LIMITED, Admission, EndpointGate, reason_of
 from .endpointpaces import EndpointPaces
 from .exchange import CallerDisconnectedError, Exchange, refuse, seconds_until
 from .outcomes import (
@@ -346,7 +346,7 @@
         """Return the outcome of a request for which there was no endpoint."""
         block = self._gate.find_block(ex.prompt)
         if block is not None:
-            return NotExecuted(reason=PROMPT_BLOCKED, retry_at=block.ends_at)
+            return NotExecuted(reason=reason_of(block), retry_at=block.ends_at)
         retry_at = self._return_at(ex)
         if retry_at is None:
             return NotExecuted(reason="no_endpoint")
--- a/celerytrail/relay/endpointgate.py
+++ b/celerytrail/relay/endpointgate.py
@@ -22,9 +22,10 @@
 ENDPOINT_CLOSED = "endpoint_closed"
 # The same, because of the limit that its endpoint states.
 ENDPOINT_LIMITED = "endpoint_limited"
-# Reason for which a request isn't sent anywhere: it, or prompts like its own, crash
-# endpoints.
+# Reasons for which a request isn't sent anywhere: prompts like its own crash engines, or
+# it crashes endpoints by itself.
 PROMPT_BLOCKED = "prompt_blocked"
+REQUEST_BLOCKED = "request_blocked"
 # Interval at which a run that continues checks whether its engine may receive it, in
 # seconds.
 POLL_SECONDS = 0.05
@@ -343,5 +344,10 @@
         return self._cold.n_recent(reg.endpoint, now) < n_allowed
 
 
+def reason_of(block: Block) -> str:
+    """Return the reason for which requests that meet a block are refused."""
+    return REQUEST_BLOCKED if block.is_on_one_request else PROMPT_BLOCKED
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -10,6 +10,7 @@
 from ..http.client import ClientError, HttpClient, NotSent, Stream
 from ..model import Registration
 from ..platform import wire
+from ..policies.blockedprompts import Block
 from ..policies.crashsuspects import LostRun
 from ..policies.pace import AnswerKind
 from .crashwatch import CrashWatch
@@ -183,10 +184,9 @@
         """Return whether an engine wants no requests from this node now."""
         return self._gate.is_paused(reg)
 
-    def blocked_until(self, live: LiveRun) -> float | None:
-        """Return the loop time until which a run's prompt is blocked, if it is."""
-        block = self._gate.find_block(live.ex.prompt)
-        return block.ends_at if block is not None else None
+    def find_block(self, live: LiveRun) -> Block | None:
+        """Return what keeps a run from all engines, if anything does."""
+        return self._gate.find_block(live.ex.prompt)
 
     def discard(self, admission: Admission) -> None:
         """Give back an admission that isn't used."""
--- a/celerytrail/relay/gauges.py
+++ b/celerytrail/relay/gauges.py
@@ -120,6 +120,7 @@
             "known_streams": len(self._origins.origins),
             "blocked_prompts": len(self._prompts.blocked.in_force(now)),
             "suspected_crashes": self._prompts.suspects.n_crashes,
+            "suspected_requests": self._prompts.requests.n_suspects,
             "waiting_requests": self._waiting_room.n_own,
             "known_waiting_requests": len(self._waiting_room.table),
             "news_sent": self._peer_updates.n_sent,
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -18,7 +18,12 @@
 from ..policies.streamorigins import StreamOrigin, stream_key
 from ..policies.waiting import organisation_tag
 from .crashwatch import N_BEGUN_EVENTS
-from .endpointgate import ENDPOINT_CLOSED, ENDPOINT_LIMITED, PROMPT_BLOCKED
+from .endpointgate import (
+    ENDPOINT_CLOSED,
+    ENDPOINT_LIMITED,
+    PROMPT_BLOCKED,
+    reason_of,
+)
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
 from .events import EventSplitter, StreamEvent
@@ -261,9 +266,9 @@
 
     def _unplaced(self, live: LiveRun) -> NotExecuted:
         """Return the refusal of a generation for which there was no engine."""
-        blocked_until = self._opener.blocked_until(live)
-        if blocked_until is not None:
-            return NotExecuted(reason=PROMPT_BLOCKED, retry_at=blocked_until)
+        block = self._opener.find_block(live)
+        if block is not None:
+            return NotExecuted(reason=reason_of(block), retry_at=block.ends_at)
         if live.binding.version is not None and not self._placer.has_version(live):
             return NotExecuted(reason=VERSION_GONE)
         if self._placer.is_evacuated(live):
--- a/celerytrail/relay/handler.py
+++ b/celerytrail/relay/handler.py
@@ -20,7 +20,7 @@
 from ..policies.homes import allowed_regions
 from ..policies.stopping import can_finish
 from .calls import PlainCalls
-from .endpointgate import PROMPT_BLOCKED
+from .endpointgate import reason_of
 from .exchange import Exchange, refuse, seconds_until
 from .generations import Generations
 from .resumption import CannotResume, Resumptions
@@ -53,7 +53,7 @@
     generations : Generations
         Relays requests to model engines.
     blocked : BlockedPrompts
-        The prompts that no endpoint gets.
+        The requests that no endpoint gets.
     resumptions : Resumptions
         Finds where streams may be taken up.
     has_others : callable
@@ -171,16 +171,17 @@
             await self._calls.relay(ex)
 
     async def _refuse_blocked(self, ex: Exchange) -> bool:
-        """Refuse a request whose prompt is blocked; return whether it was."""
+        """Refuse a request if it, or its prompt, is blocked; return whether it was."""
         now = asyncio.get_running_loop().time()
         block = self._blocked.find(ex.prompt, now)
         if block is None:
             return False
-        ex.log("refused", reason=PROMPT_BLOCKED, parts=sorted(block.parts))
+        reason = reason_of(block)
+        ex.log("refused", reason=reason, parts=sorted(block.parts))
         await refuse(
             ex.res,
             503,
-            PROMPT_BLOCKED,
+            reason,
             attempt_id=ex.facts.attempt_id,
             retry_after=seconds_until(block.ends_at, BLOCK_SECONDS),
         )
--- a/celerytrail/relay/status.py
+++ b/celerytrail/relay/status.py
@@ -91,6 +91,7 @@
             "known_streams": len(self._origins.origins),
             "blocked_prompts": self._blocked_prompts(),
             "suspected_prompt_parts": self._prompts.suspects.counts(),
+            "suspected_requests": self._prompts.requests.counts(),
         }
 
     def _blocked_prompts(self) -> list[dict[str, object]]:
