--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -17,7 +17,7 @@
 from ..policies.endpointchoice import EndpointChoice
 from ..policies.pace import AnswerKind
 from ..policies.retrybudget import SharedRetryBudget
-from .crashwatch import CrashWatch
+from .crashes.watch import CrashWatch
 from .endpointanswers import MAX_REFUSAL_BYTES, EndpointAnswers
 from .endpointgate import ENDPOINT_LIMITED, Admission, EndpointGate, reason_of
 from .endpointpaces import EndpointPaces
@@ -112,7 +112,7 @@
         Records what endpoints state in their answers.
     paces : EndpointPaces
         Told how endpoints answer.
-    crashes : CrashWatch
+    watch : CrashWatch
         Finds out why an endpoint broke off an answer.
     on_begun, on_whole : callable
         Called with the prompt of a request that was answered.
@@ -128,7 +128,7 @@
         gate: EndpointGate,
         answers: EndpointAnswers,
         paces: EndpointPaces,
-        crashes: CrashWatch,
+        watch: CrashWatch,
         on_begun: Callable[[Prompt], None],
         on_whole: Callable[[Prompt], None],
     ) -> None:
@@ -139,7 +139,7 @@
         self._gate = gate
         self._answers = answers
         self._paces = paces
-        self._crashes = crashes
+        self._watch = watch
         self._on_begun = on_begun
         self._on_whole = on_whole
         self.n_open = 0
@@ -457,7 +457,7 @@
         """Record that an endpoint's answer to a request broke off."""
         if reason == BROKEN_OFF:
             run = LostRun(prompt=ex.prompt, sent_at=sent_at)
-            self._crashes.record_lost(reg, run)
+            self._watch.record_lost(reg, run)
 
 
 def _log_failed(ex: Exchange, reg: Registration, reason: str) -> None:
--- a/celerytrail/relay/promptblockstore.py
+++ b/celerytrail/relay/crashes/blockstore.py
@@ -11,10 +11,10 @@
 from eliot import log_message
 from result import Err
 
-from ..platform import storewire
-from ..policies.blockedprompts import BLOCK_SECONDS, Block, BlockedPrompts, BlockKey
-from ..rowsource import Row, RowSource
-from .nodeorder import NodeOrder
+from ...platform import storewire
+from ...policies.blockedprompts import BLOCK_SECONDS, Block, BlockedPrompts, BlockKey
+from ...rowsource import Row, RowSource
+from ..nodeorder import NodeOrder
 
 ROW_KEY_BYTES = 12
 # Timeout of a call to the store, and the mean pause after one that failed, in seconds.
@@ -32,7 +32,7 @@
     is_ordered: bool = False
 
 
-class PromptBlockStore:
+class BlockStore:
     """Reads the statements that the store has, and writes those that it lacks.
 
     Each statement is written by one node, the first in the statement's order of nodes.
--- a/celerytrail/relay/promptbroker.py
+++ b/celerytrail/relay/crashes/broker.py
@@ -11,28 +11,28 @@
 import msgspec
 from eliot import log_message
 
-from ..http.messages import Request
-from ..http.routes import Params, Router, send_error
-from ..http.server import Responder
-from ..metrics import Metrics
-from ..model import REQUEST_MARK, Incarnation, Prompt
-from ..nodes.member import Member
-from ..policies.blockedprompts import (
+from ...http.messages import Request
+from ...http.routes import Params, Router, send_error
+from ...http.server import Responder
+from ...metrics import Metrics
+from ...model import REQUEST_MARK, Incarnation, Prompt
+from ...nodes.member import Member
+from ...policies.blockedprompts import (
     BLOCK_SECONDS,
     Block,
     BlockedPrompts,
     BlockKey,
 )
-from ..policies.crashrequests import CrashingRequest, RequestKey, RequestSuspects
-from ..policies.crashsuspects import Crash, CrashSuspects, LostRun, Part, parts_of
-from ..rowsource import RowSource
-from ..status import PROMPT_BLOCKS_PATH
-from .nodeorder import NodeOrder
-from .peerrequests import PeerRequests
-from .promptblockstore import PromptBlockStore
-from .promptnews import (
+from ...policies.crashrequests import CrashingRequest, RequestKey, RequestSuspects
+from ...policies.crashsuspects import Crash, CrashSuspects, LostRun, Part, parts_of
+from ...rowsource import RowSource
+from ...status import PROMPT_BLOCKS_PATH
+from ..nodeorder import NodeOrder
+from ..peerrequests import PeerRequests
+from .blockstore import BlockStore
+from .news import (
     MAX_PARTS_PER_DATAGRAM,
-    PromptNews,
+    CrashNews,
     answer_entry,
     answered_prompt,
     block_entry,
@@ -73,7 +73,7 @@
     is_blocked: bool
 
 
-class PromptBroker:
+class CrashBroker:
     """Collects the evidence of all nodes, and decides which requests are blocked.
 
     Each node announces the crashes that it sees, and answers to suspected requests and
@@ -108,8 +108,8 @@
         *,
         node: str,
         node_order: NodeOrder,
-        announce: Callable[[PromptNews], None],
-        tell: Callable[[PromptNews, Sequence[Member]], None],
+        announce: Callable[[CrashNews], None],
+        tell: Callable[[CrashNews, Sequence[Member]], None],
         others: Callable[[], list[Member]],
         rows: RowSource,
         requests: PeerRequests,
@@ -125,7 +125,7 @@
         self.suspects = CrashSuspects()
         self.requests = RequestSuspects(has_other_cause=self.suspects.is_explained)
         self.blocked = BlockedPrompts()
-        self._store = PromptBlockStore(
+        self._store = BlockStore(
             node=node,
             node_order=node_order,
             rows=rows,
@@ -175,7 +175,7 @@
 
         def announce() -> None:
             for entry in crash_entries(crash, _now()):
-                self._announce(PromptNews(crashes=[entry]))
+                self._announce(CrashNews(crashes=[entry]))
 
         announce()
         self._later(REPEAT_SECONDS, announce)
@@ -187,19 +187,19 @@
             return
         now = _now()
         if self.suspects.record_answer(prompt, now):
-            self._announce(PromptNews(answers=[answer_entry(prompt)]))
+            self._announce(CrashNews(answers=[answer_entry(prompt)]))
         self._lift_found(prompt, now)
 
     def record_whole(self, prompt: Prompt) -> None:
         """Record that a request was answered to its end."""
         key = (prompt.service, prompt.digest)
         if self.requests.record_answer(key, _now()):
-            self._announce(PromptNews(answers=[request_entry(key, 0.0)]))
+            self._announce(CrashNews(answers=[request_entry(key, 0.0)]))
         block = self.blocked.get(_block_key(key))
         if block is not None:
             self._lift(block)
 
-    def record_news(self, news: PromptNews) -> None:
+    def record_news(self, news: CrashNews) -> None:
         """Record what another node announces."""
         now = _now()
         for answer in news.answers:
@@ -296,7 +296,7 @@
         answered = self.requests.record_crash(crash, now)
         if answered:
             entries = [request_entry(key, now - at) for key, at in answered.items()]
-            self._announce(PromptNews(answers=entries[:MAX_PARTS_PER_DATAGRAM]))
+            self._announce(CrashNews(answers=entries[:MAX_PARTS_PER_DATAGRAM]))
         self._block_requests(self.requests.overdue(crash.incarnation), is_own)
         self._later(
             (REPORTS_SECONDS,),
@@ -378,7 +378,7 @@
             entries.append(part_entry(part, now - answered_at))
         if entries:
             self._record_told(parts, now)
-            self._announce(PromptNews(answers=entries[:MAX_PARTS_PER_DATAGRAM]))
+            self._announce(CrashNews(answers=entries[:MAX_PARTS_PER_DATAGRAM]))
 
     def _record_told(self, parts: Iterable[Part], now: float) -> None:
         self._told_until = {
@@ -424,7 +424,7 @@
 
     def _announce_block(self, block: Block) -> None:
         def announce() -> None:
-            self._announce(PromptNews(blocks=[block_entry(block, _now())]))
+            self._announce(CrashNews(blocks=[block_entry(block, _now())]))
 
         announce()
         self._later(REPEAT_SECONDS, announce)
@@ -438,7 +438,7 @@
             return
         told = self._rng.sample(blocks, min(len(blocks), MAX_BLOCKS_PER_DATAGRAM))
         members = self._rng.sample(others, min(len(others), N_PASSED_TO))
-        news = PromptNews(blocks=[block_entry(block, now) for block in told])
+        news = CrashNews(blocks=[block_entry(block, now) for block in told])
         self._tell(news, members)
 
     def _write_missing(self) -> None:
--- a/celerytrail/relay/promptnews.py
+++ b/celerytrail/relay/crashes/news.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
-from ..model import Prompt
-from ..policies.blockedprompts import BLOCK_SECONDS, Block
-from ..policies.crashrequests import MAX_RUNS, RequestKey
-from ..policies.crashsuspects import Crash, LostRun, Part
+from ...model import Prompt
+from ...policies.blockedprompts import BLOCK_SECONDS, Block
+from ...policies.crashrequests import MAX_RUNS, RequestKey
+from ...policies.crashsuspects import Crash, LostRun, Part
 
 # Keep a datagram of usual prompts below 1,200 bytes.
 MAX_RUNS_PER_ENTRY = 8
@@ -66,7 +66,7 @@
     is_ordered: bool = False
 
 
-class PromptNews(msgspec.Struct, array_like=True, frozen=True):
+class CrashNews(msgspec.Struct, array_like=True, frozen=True):
     """News of requests that crash endpoints."""
 
     crashes: list[CrashEntry] = []
--- a/celerytrail/relay/crashwatch.py
+++ b/celerytrail/relay/crashes/watch.py
@@ -8,9 +8,9 @@
 
 from eliot import log_message
 
-from ..metrics import Metrics
-from ..model import Incarnation, Registration
-from ..policies.crashsuspects import Crash, LostRun
+from ...metrics import Metrics
+from ...model import Incarnation, Registration
+from ...policies.crashsuspects import Crash, LostRun
 from .fates import Fate, FateFinder
 
 # Events after which an engine has evidently begun a run's answer. One that crashes on a
--- a/celerytrail/relay/endpointgate.py
+++ b/celerytrail/relay/endpointgate.py
@@ -22,8 +22,8 @@
 ENDPOINT_CLOSED = "endpoint_closed"
 # The same, because of the limit that its endpoint states.
 ENDPOINT_LIMITED = "endpoint_limited"
-# Reasons for which a request isn't sent anywhere: prompts like its own crash engines, or
-# it crashes endpoints by itself.
+# Reasons for which a request isn't sent anywhere: prompts like its own crash engines,
+# or it crashes endpoints by itself.
 PROMPT_BLOCKED = "prompt_blocked"
 REQUEST_BLOCKED = "request_blocked"
 # Interval at which a run that continues checks whether its engine may receive it, in
--- a/celerytrail/relay/endpointstate.py
+++ b/celerytrail/relay/endpointstate.py
@@ -13,12 +13,12 @@
 from ..policies.evacuations import Evacuations
 from ..policies.pace import StartReason
 from ..policies.statedpauses import StatedPauses
+from .crashes.broker import CrashBroker
 from .endpointanswers import EndpointAnswers
 from .endpointgate import EndpointGate
 from .endpointlimits import EndpointLimits
 from .endpointpaces import EndpointPaces
 from .nodeorder import NodeOrder
-from .promptbroker import PromptBroker
 from .registry import Registry
 
 # Share of the time between the bounds on configuration and on evacuations in which a
@@ -42,7 +42,7 @@
         This node's position among all nodes.
     limits : EndpointLimits
         What endpoints state for all nodes together.
-    prompts : PromptBroker
+    crashes : CrashBroker
         Which requests no endpoint gets, and which may have crashed one.
     on_leaving : callable
         Called once for each incarnation of an endpoint that leaves or is removed.
@@ -63,7 +63,7 @@
         find_service: Callable[[str], Service | None],
         node_order: NodeOrder,
         limits: EndpointLimits,
-        prompts: PromptBroker,
+        crashes: CrashBroker,
         on_leaving: Callable[[Registration], None],
         announce_leaving: Callable[[Registration], None],
         announce_load: Callable[[Registration, LoadHeader, News], None],
@@ -101,9 +101,9 @@
             pauses=self.pauses,
             is_leaving=self.registry.is_leaving,
             position=node_order.position,
-            blocked=prompts.blocked,
-            is_suspect=prompts.is_suspect,
-            await_causes=prompts.await_causes,
+            blocked=crashes.blocked,
+            is_suspect=crashes.is_suspect,
+            await_causes=crashes.await_causes,
             paces=self.paces,
             domain_regions=cfg.domain_regions,
         )
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -13,7 +13,7 @@
 from ..policies.blockedprompts import Block
 from ..policies.crashsuspects import LostRun
 from ..policies.pace import AnswerKind
-from .crashwatch import CrashWatch
+from .crashes.watch import CrashWatch
 from .endpointanswers import MAX_REFUSAL_BYTES, EndpointAnswers
 from .endpointgate import (
     ENDPOINT_CLOSED,
@@ -77,7 +77,7 @@
         Told how engines answer.
     starts : StartChecks
         Finds out which start of an engine runs a request.
-    crashes : CrashWatch
+    watch : CrashWatch
         Finds out why an engine broke off an answer.
     """
 
@@ -89,14 +89,14 @@
         answers: EndpointAnswers,
         paces: EndpointPaces,
         starts: StartChecks,
-        crashes: CrashWatch,
+        watch: CrashWatch,
     ) -> None:
         self._client = client
         self._gate = gate
         self._answers = answers
         self._paces = paces
         self._starts = starts
-        self._crashes = crashes
+        self._watch = watch
 
     async def open_copy(
         self, live: LiveRun, copied: Copied
@@ -160,7 +160,7 @@
             self._record_answer(live, reg, kind)
         if reason == BROKEN_OFF:
             run = LostRun(prompt=live.ex.prompt, sent_at=live.sent_at)
-            self._crashes.record_lost(reg, run, live.n_events)
+            self._watch.record_lost(reg, run, live.n_events)
 
     def record_first_event(self, live: LiveRun) -> None:
         """Record that a run's engine has sent its first event."""
--- a/celerytrail/relay/enginerelay.py
+++ b/celerytrail/relay/enginerelay.py
@@ -15,16 +15,16 @@
 from ..policies.prefillrates import PrefillRates
 from ..policies.retrybudget import SharedRetryBudget
 from ..policies.waiting import WaitingOrder
-from .crashwatch import CrashWatch
+from .crashes.broker import CrashBroker
+from .crashes.fates import ReportedFates
+from .crashes.watch import CrashWatch
 from .endpointaccess import EndpointAccess
 from .endpointstate import EndpointState
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
-from .fates import ReportedFates
 from .generations import Generations
 from .originbroker import OriginBroker
 from .peerupdates import PeerUpdates
-from .promptbroker import PromptBroker
 from .resumption import Resumptions
 from .runmover import RunMover
 from .startchecks import StartChecks
@@ -79,7 +79,7 @@
         Bounds repeated requests.
     origins : OriginBroker
         What began the streams that callers may take up.
-    prompts : PromptBroker
+    crashes : CrashBroker
         Told of crashes and answers.
     waiting_room : WaitingRoom
         The requests of all nodes that wait for engines.
@@ -103,7 +103,7 @@
         rates: PrefillRates,
         budget: SharedRetryBudget,
         origins: OriginBroker,
-        prompts: PromptBroker,
+        crashes: CrashBroker,
         waiting_room: WaitingRoom,
         policies: EnginePolicies,
         rng: random.Random,
@@ -131,10 +131,10 @@
             backups=policies.backups,
             move_targets=policies.move_targets,
         )
-        crashes = CrashWatch(
+        watch = CrashWatch(
             fates=ReportedFates(api=access.engine_api, registry=registry),
-            on_lost=prompts.record_lost,
-            on_crash=prompts.record_crash,
+            on_lost=crashes.record_lost,
+            on_crash=crashes.record_crash,
             metrics=metrics,
         )
         opener = EngineOpener(
@@ -143,7 +143,7 @@
             answers=answers,
             paces=endpoints.paces,
             starts=self.starts,
-            crashes=crashes,
+            watch=watch,
         )
         run_mover = RunMover(
             api=access.engine_api,
@@ -160,8 +160,8 @@
             peer_updates=peer_updates,
             budget=budget,
             origins=origins,
-            on_begun=prompts.record_begun,
-            on_whole=prompts.record_whole,
+            on_begun=crashes.record_begun,
+            on_whole=crashes.record_whole,
             rng=rng,
         )
         self.resumptions = Resumptions(
--- a/celerytrail/relay/gauges.py
+++ b/celerytrail/relay/gauges.py
@@ -13,12 +13,12 @@
 from ..model import RelayConfig
 from ..nodes.nodes import Nodes
 from ..policies.freshness import Freshness
+from .crashes.broker import CrashBroker
 from .endpointaccess import EndpointAccess
 from .endpointstate import EndpointState
 from .generations import Generations
 from .originbroker import OriginBroker
 from .peerupdates import PeerUpdates
-from .promptbroker import PromptBroker
 from .waitingroom import WaitingRoom
 
 
@@ -43,8 +43,8 @@
         The generations in progress.
     origins : OriginBroker
         What is known of streams that may be taken up.
-    prompts : PromptBroker
-        Which prompts crash engines.
+    crashes : CrashBroker
+        Which requests crash endpoints.
     peer_updates : PeerUpdates
         The updates that nodes send one another.
     waiting_room : WaitingRoom
@@ -62,7 +62,7 @@
         access: EndpointAccess,
         generations: Generations,
         origins: OriginBroker,
-        prompts: PromptBroker,
+        crashes: CrashBroker,
         peer_updates: PeerUpdates,
         waiting_room: WaitingRoom,
     ) -> None:
@@ -74,7 +74,7 @@
         self._access = access
         self._generations = generations
         self._origins = origins
-        self._prompts = prompts
+        self._crashes = crashes
         self._peer_updates = peer_updates
         self._waiting_room = waiting_room
 
@@ -118,9 +118,9 @@
             "open_tunnels": access.tunnels.n_open,
             "streams": self._generations.n_live,
             "known_streams": len(self._origins.origins),
-            "blocked_prompts": len(self._prompts.blocked.in_force(now)),
-            "suspected_crashes": self._prompts.suspects.n_crashes,
-            "suspected_requests": self._prompts.requests.n_suspects,
+            "blocked_prompts": len(self._crashes.blocked.in_force(now)),
+            "suspected_crashes": self._crashes.suspects.n_crashes,
+            "suspected_requests": self._crashes.requests.n_suspects,
             "waiting_requests": self._waiting_room.n_own,
             "known_waiting_requests": len(self._waiting_room.table),
             "news_sent": self._peer_updates.n_sent,
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -17,7 +17,7 @@
 from ..policies.retrybudget import SharedRetryBudget
 from ..policies.streamorigins import StreamOrigin, stream_key
 from ..policies.waiting import organisation_tag
-from .crashwatch import N_BEGUN_EVENTS
+from .crashes.watch import N_BEGUN_EVENTS
 from .endpointgate import (
     ENDPOINT_CLOSED,
     ENDPOINT_LIMITED,
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -22,7 +22,6 @@
 from ..platform.registrations import decode_registration
 from ..policies.coldlimits import ColdEndpoints
 from ..policies.decodetimes import DecodeTimes
-from ..policies.endpointchoice import EndpointChoice
 from ..policies.endpointspeeds import News
 from ..policies.engineloads import EngineLoads, Run
 from ..policies.evacuations import Evacuations
@@ -34,22 +33,20 @@
 from ..rowsource import RowSource
 from ..types import Address
 from .addresses import DirectoryHandler, ReadinessHandler
-from .calls import PlainCalls
-from .crashwatch import CrashWatch
+from .crashes.broker import CrashBroker
+from .crashes.news import CrashNews
 from .endpointaccess import EndpointAccess
 from .endpointlimits import EndpointLimits
 from .endpointstate import EndpointState
 from .enginerelay import EnginePolicies, EngineRelay
 from .enginewatch import EngineWatch
-from .fates import ConnectionFates
 from .followedtables import FollowedTables
 from .gauges import RelayMetrics
 from .handler import RelayHandler
 from .nodepeers import NodePeers
 from .originbroker import OriginBroker
 from .peerupdates import OriginEntry, PeerUpdates
-from .promptbroker import PromptBroker
-from .promptnews import PromptNews
+from .plainrelay import PlainRelay
 from .servers import NodeServers
 from .status import RelayStatus
 from .tablesinks import ConfigSink, EvacuationSink, RegistrationSink, SinkGroup
@@ -131,7 +128,7 @@
         self._make_servers()
 
     def _make_endpoints(self) -> None:
-        """Create what is known of endpoints, and of prompts that crash them."""
+        """Create what is known of endpoints, and of requests that crash them."""
         self._limits = EndpointLimits(
             node=self.node_id,
             node_order=self._peers.node_order,
@@ -142,11 +139,11 @@
             clock=self._clock,
             metrics=self._metrics,
         )
-        self.prompts = PromptBroker(
+        self.crashes = CrashBroker(
             node=self.node_id,
             node_order=self._peers.node_order,
-            announce=lambda news: self.peer_updates.announce_prompts(news),
-            tell=self._tell_prompts,
+            announce=lambda news: self.peer_updates.announce_crash_news(news),
+            tell=self._tell_crash_news,
             others=self._peers.others,
             rows=self.rows,
             requests=self._peers.requests,
@@ -158,7 +155,7 @@
             find_service=self._find_service,
             node_order=self._peers.node_order,
             limits=self._limits,
-            prompts=self.prompts,
+            crashes=self.crashes,
             on_leaving=self._on_leaving,
             announce_leaving=lambda reg: self.peer_updates.announce_leaving(reg),
             announce_load=self._announce_load,
@@ -223,7 +220,7 @@
             on_brittle=self._limits.record_brittle,
             on_cut_off=self._on_node_cut_off,
             on_origin=lambda entry: self.origins.record_told(entry),
-            on_prompt_news=self.prompts.record_news,
+            on_crash_news=self.crashes.record_news,
             on_load=self._on_load_told,
             on_waiting=self.waiting_room.on_waiting,
             on_returning=self.waiting_room.on_returning,
@@ -275,7 +272,7 @@
             rates=self._prefill_rates,
             budget=self._budget,
             origins=self.origins,
-            prompts=self.prompts,
+            crashes=self.crashes,
             waiting_room=self.waiting_room,
             policies=self._policies,
             rng=self._rng,
@@ -283,34 +280,17 @@
         )
         self.generations = relay.generations
         self._resumptions = relay.resumptions
-        gate, answers = self._endpoint_state.gate, self._endpoint_state.answers
-        self._choice = EndpointChoice(
+        plain = PlainRelay(
             failure_domain=failure_domain,
-            rng=self._rng,
-            tell=self._announce_abort,
-            is_connected=self.access.client.is_connected,
-            speeds=self._endpoint_state.speeds,
-            is_new=self._endpoint_state.paces.is_new,
-        )
-        self.calls = PlainCalls(
-            client=self.access.client,
-            registry=self.registry,
-            choice=self._choice,
+            endpoints=self._endpoint_state,
+            access=self.access,
             budget=self._budget,
-            gate=gate,
-            answers=answers,
-            paces=self._endpoint_state.paces,
-            crashes=CrashWatch(
-                fates=ConnectionFates(
-                    client=self.access.client, registry=self.registry
-                ),
-                on_lost=self.prompts.record_lost,
-                on_crash=self.prompts.record_crash,
-                metrics=self._metrics,
-            ),
-            on_begun=self.prompts.record_begun,
-            on_whole=self.prompts.record_whole,
+            crashes=self.crashes,
+            announce_abort=self._announce_abort,
+            rng=self._rng,
+            metrics=self._metrics,
         )
+        self._choice, self.calls = plain.choice, plain.calls
         self._engine_watch = EngineWatch(
             api=self.access.engine_api,
             registry=self.registry,
@@ -318,8 +298,8 @@
             nodes=self.nodes,
             is_store_stale=lambda: self._tables.has_stale_registrations,
             is_engine_service=self._is_engine_service,
-            gate=gate,
-            on_leaving=answers.record_leaving,
+            gate=self._endpoint_state.gate,
+            on_leaving=self._endpoint_state.answers.record_leaving,
             on_started=relay.starts.record,
         )
 
@@ -331,7 +311,7 @@
             calls=self.calls,
             generations=self.generations,
             resumptions=self._resumptions,
-            blocked=self.prompts.blocked,
+            blocked=self.crashes.blocked,
             has_others=lambda: any(
                 member.node != self.node_id for member in self.nodes.live()
             ),
@@ -362,7 +342,7 @@
         self.shared_rows.add_routes(router)
         self._limits.add_routes(router)
         self.origins.add_routes(router)
-        self.prompts.add_routes(router)
+        self.crashes.add_routes(router)
         self.access.add_routes(router)
         RelayStatus(
             nodes=self.nodes,
@@ -370,7 +350,7 @@
             endpoints=self._endpoint_state,
             generations=self.generations,
             origins=self.origins,
-            prompts=self.prompts,
+            crashes=self.crashes,
             keys=self._keys,
             metrics=self._metrics,
         ).add_routes(router)
@@ -383,7 +363,7 @@
             access=self.access,
             generations=self.generations,
             origins=self.origins,
-            prompts=self.prompts,
+            crashes=self.crashes,
             peer_updates=self.peer_updates,
             waiting_room=self.waiting_room,
         ).add_routes(router)
@@ -407,7 +387,7 @@
         self._run(self._engine_watch.run())
         self._run(self._limits.run())
         self._run(self.access.run())
-        self._run(self.prompts.run())
+        self._run(self.crashes.run())
         self._run(self._run_housekeeping())
         self._run(self._peers.enter_store())
         log_message("relay:node:started", node=self.node_id, callers=str(cfg.callers))
@@ -430,7 +410,7 @@
             task.cancel()
         await self.nodes.stop()
         self.peer_updates.close()
-        self.prompts.close()
+        self.crashes.close()
         log_message("relay:node:stopped", node=self.node_id)
 
     async def close(self) -> None:
@@ -442,7 +422,7 @@
         await self.nodes.stop()
         self.peer_updates.close()
         self.access.close()
-        self.prompts.close()
+        self.crashes.close()
 
     @property
     def evacuations(self) -> Evacuations:
@@ -575,9 +555,9 @@
     def _tell_origin(self, entry: OriginEntry, owners: Sequence[Member]) -> None:
         self.peer_updates.tell_origin(entry, self._peers.update_addresses(owners))
 
-    def _tell_prompts(self, news: PromptNews, members: Sequence[Member]) -> None:
+    def _tell_crash_news(self, news: CrashNews, members: Sequence[Member]) -> None:
         addresses = self._peers.update_addresses(members)
-        self.peer_updates.tell_prompts(news, addresses)
+        self.peer_updates.tell_crash_news(news, addresses)
 
     def _update_addresses(self) -> list[Address]:
         return self._peers.update_addresses(self._peers.others())
--- a/celerytrail/relay/peerupdates.py
+++ b/celerytrail/relay/peerupdates.py
@@ -21,7 +21,7 @@
 from ..policies.statedlimits import LimitStatement
 from ..policies.waiting import Returning, Waiting
 from ..types import Address
-from .promptnews import PromptNews
+from .crashes.news import CrashNews
 
 # Largest relative deviation of the time to the next run list from its period, so
 # that nodes that started together don't send at the same moments.
@@ -158,7 +158,7 @@
     brittle: list[LimitEntry] = []
     leaving_starts: list[int] = []
     origins: list[OriginEntry] = []
-    prompts: PromptNews | None = None
+    prompts: CrashNews | None = None
     stated_loads: list[LoadEntry] = []
     waiting: list[WaitingEntry] = []
     returning: list[ReturningEntry] = []
@@ -196,7 +196,7 @@
         Called with another node and all services that it is cut off from.
     on_origin : callable
         Called with each origin of a stream that another node told this one.
-    on_prompt_news : callable
+    on_crash_news : callable
         Called with other nodes' news of prompts that crash engines.
     on_load : callable
         Called with an endpoint, the load that it stated to another node, and whether
@@ -225,7 +225,7 @@
         on_brittle: Callable[[LimitStatement], object],
         on_cut_off: Callable[[str, list[str]], None],
         on_origin: Callable[[OriginEntry], None],
-        on_prompt_news: Callable[[PromptNews], None],
+        on_crash_news: Callable[[CrashNews], None],
         on_load: Callable[[str, LoadHeader, bool], None],
         on_waiting: Callable[[str, Waiting], None],
         on_returning: Callable[[Returning], None],
@@ -244,7 +244,7 @@
         self._on_brittle = on_brittle
         self._on_cut_off = on_cut_off
         self._on_origin = on_origin
-        self._on_prompt_news = on_prompt_news
+        self._on_crash_news = on_crash_news
         self._on_load = on_load
         self._on_waiting = on_waiting
         self._on_returning = on_returning
@@ -360,11 +360,11 @@
         """Tell the nodes at some addresses what began a stream."""
         self._send_to(NodeUpdate(node=self._node, origins=[entry]), addresses)
 
-    def announce_prompts(self, news: PromptNews) -> None:
+    def announce_crash_news(self, news: CrashNews) -> None:
         """Announce news of prompts that crash engines."""
         self._send(NodeUpdate(node=self._node, prompts=news))
 
-    def tell_prompts(self, news: PromptNews, addresses: Sequence[Address]) -> None:
+    def tell_crash_news(self, news: CrashNews, addresses: Sequence[Address]) -> None:
         """Tell the nodes at some addresses of prompts that crash engines."""
         self._send_to(NodeUpdate(node=self._node, prompts=news), addresses)
 
@@ -479,7 +479,7 @@
         for origin in update.origins:
             self._on_origin(origin)
         if update.prompts is not None:
-            self._on_prompt_news(update.prompts)
+            self._on_crash_news(update.prompts)
         for stated in update.stated_loads:
             header = _header_from(stated)
             if header is not None:
--- a/celerytrail/relay/status.py
+++ b/celerytrail/relay/status.py
@@ -15,10 +15,10 @@
 from ..nodes.nodes import Nodes
 from ..nodes.signing import PeerKeys
 from ..status import STATUS_PATH
+from .crashes.broker import CrashBroker
 from .endpointstate import EndpointState
 from .generations import Generations
 from .originbroker import OriginBroker
-from .promptbroker import PromptBroker
 
 
 class RelayStatus:
@@ -36,8 +36,8 @@
         The generations in progress.
     origins : OriginBroker
         What is known of streams that may be taken up.
-    prompts : PromptBroker
-        Which prompts crash engines.
+    crashes : CrashBroker
+        Which requests crash endpoints.
     keys : PeerKeys
         Verify the signatures of requests.
     metrics : Metrics
@@ -52,7 +52,7 @@
         endpoints: EndpointState,
         generations: Generations,
         origins: OriginBroker,
-        prompts: PromptBroker,
+        crashes: CrashBroker,
         keys: PeerKeys,
         metrics: Metrics,
     ) -> None:
@@ -61,7 +61,7 @@
         self._endpoints = endpoints
         self._generations = generations
         self._origins = origins
-        self._prompts = prompts
+        self._crashes = crashes
         self._keys = keys
         self._metrics = metrics
 
@@ -90,8 +90,8 @@
             "streams": self._generations.n_live,
             "known_streams": len(self._origins.origins),
             "blocked_prompts": self._blocked_prompts(),
-            "suspected_prompt_parts": self._prompts.suspects.counts(),
-            "suspected_requests": self._prompts.requests.counts(),
+            "suspected_prompt_parts": self._crashes.suspects.counts(),
+            "suspected_requests": self._crashes.requests.counts(),
         }
 
     def _blocked_prompts(self) -> list[dict[str, object]]:
@@ -102,7 +102,7 @@
                 "parts": sorted(block.parts),
                 "seconds_left": round(block.ends_at - now),
             }
-            for block in self._prompts.blocked.in_force(now)
+            for block in self._crashes.blocked.in_force(now)
         ]
 
     def _paces(self) -> list[dict[str, object]]:
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -11,8 +11,8 @@
 from celerytrail.metrics import Metrics
 from celerytrail.model import EndpointState, EngineReport, Prompt, Registration
 from celerytrail.policies.crashsuspects import Crash, LostRun
-from celerytrail.relay.crashwatch import N_BEGUN_EVENTS, CrashWatch
-from celerytrail.relay.fates import ConnectionFates, Fate, ReportedFates
+from celerytrail.relay.crashes.fates import ConnectionFates, Fate, ReportedFates
+from celerytrail.relay.crashes.watch import N_BEGUN_EVENTS, CrashWatch
 from celerytrail.relay.liverun import UNKNOWN_START
 from celerytrail.relay.registry import Registry
 from celerytrail.types import Address
--- a/tests/test_relay_prompt_broker.py
+++ b/tests/test_relay_crash_broker.py
@@ -12,9 +12,9 @@
 from celerytrail.nodes.signing import PeerKeys
 from celerytrail.platform import storewire
 from celerytrail.policies.crashsuspects import Crash, LostRun
+from celerytrail.relay.crashes.broker import BlockOrder, CrashBroker
+from celerytrail.relay.crashes.news import CrashNews
 from celerytrail.relay.peerupdates import NodeUpdate
-from celerytrail.relay.promptbroker import BlockOrder, PromptBroker
-from celerytrail.relay.promptnews import PromptNews
 from celerytrail.status import PROMPT_BLOCKS_PATH, STATUS_PATH
 from tests.limitrig import now
 from tests.relayrig import HOST, KEY
@@ -36,17 +36,17 @@
 async def crash_three(fleet: Fleet) -> None:
     """Let three nodes see one crash each, of engines with a sound and a bad run."""
     for node in fleet.nodes:
-        node.prompts.record_begun(SOUND)
+        node.crashes.record_begun(SOUND)
     for number in range(3):
         await asyncio.sleep(0.5)
         node = fleet.nodes[number % len(fleet.nodes)]
-        node.prompts.record_crash(crash(number, bad(f"own{number}")))
+        node.crashes.record_crash(crash(number, bad(f"own{number}")))
 
 
 class CountingPuts:
     """Counts a broker's writes to the store."""
 
-    def __init__(self, broker: PromptBroker) -> None:
+    def __init__(self, broker: CrashBroker) -> None:
         self.n_puts = 0
         self._put = broker._store._rows.put
         broker._store._rows.put = self.put
@@ -57,7 +57,7 @@
 
 
 def knowing(fleet: Fleet) -> list[bool]:
-    return [node.prompts.blocked.find(BAD, now()) is not None for node in fleet.nodes]
+    return [node.crashes.blocked.find(BAD, now()) is not None for node in fleet.nodes]
 
 
 class TestNews:
@@ -67,7 +67,7 @@
             await asyncio.sleep(0.1)
             assert all(knowing(fleet))
             assert not any(
-                node.prompts.blocked.find(SOUND, now()) for node in fleet.nodes
+                node.crashes.blocked.find(SOUND, now()) for node in fleet.nodes
             )
 
         run_fleet(1, steps, 8)
@@ -107,11 +107,11 @@
         async def steps(fleet: Fleet) -> None:
             for number in range(2):
                 await asyncio.sleep(0.2)
-                fleet.nodes[0].prompts.record_crash(crash(number, bad(f"o{number}")))
+                fleet.nodes[0].crashes.record_crash(crash(number, bad(f"o{number}")))
             await asyncio.sleep(0.2)
-            fleet.nodes[1].prompts.record_begun(bad("other"))
+            fleet.nodes[1].crashes.record_begun(bad("other"))
             await asyncio.sleep(0.2)
-            fleet.nodes[2].prompts.record_crash(crash(2, bad("o2")))
+            fleet.nodes[2].crashes.record_crash(crash(2, bad("o2")))
             await asyncio.sleep(2.0)
             assert not any(knowing(fleet))
 
@@ -121,8 +121,8 @@
         data = msgspec.msgpack.encode(["vm-1", False, [], ["run"]])
         update = msgspec.msgpack.decode(data, type=NodeUpdate)
         assert update.prompts is None
-        data = msgspec.msgpack.encode(NodeUpdate(node="vm-1", prompts=PromptNews()))
-        assert msgspec.msgpack.decode(data, type=NodeUpdate).prompts == PromptNews()
+        data = msgspec.msgpack.encode(NodeUpdate(node="vm-1", prompts=CrashNews()))
+        assert msgspec.msgpack.decode(data, type=NodeUpdate).prompts == CrashNews()
 
 
 def request_crash(number: int, *digests: str) -> Crash:
@@ -133,7 +133,7 @@
 def blocking(fleet: Fleet, digest: str) -> list[bool]:
     prompt = Prompt(service="desk", digest=digest)
     return [
-        node.prompts.blocked.find(prompt, now()) is not None for node in fleet.nodes
+        node.crashes.blocked.find(prompt, now()) is not None for node in fleet.nodes
     ]
 
 
@@ -143,7 +143,7 @@
             for number in range(2):
                 await asyncio.sleep(0.5)
                 lost = request_crash(number, "bad", f"sound{number}")
-                fleet.nodes[number].prompts.record_crash(lost)
+                fleet.nodes[number].crashes.record_crash(lost)
             await asyncio.sleep(0.1)
             assert all(blocking(fleet, "bad"))
             assert not any(blocking(fleet, "sound0") + blocking(fleet, "sound1"))
@@ -156,11 +156,11 @@
             for number in range(2):
                 await asyncio.sleep(0.5)
                 for node, digest in zip(fleet.nodes, ("sound", "bad"), strict=False):
-                    node.prompts.record_crash(request_crash(number, digest))
+                    node.crashes.record_crash(request_crash(number, digest))
                     await asyncio.sleep(0.005)
             await asyncio.sleep(0.5)
             assert not any(blocking(fleet, "bad") + blocking(fleet, "sound"))
-            fleet.nodes[3].prompts.record_crash(request_crash(2, "bad"))
+            fleet.nodes[3].crashes.record_crash(request_crash(2, "bad"))
             await asyncio.sleep(0.1)
             assert all(blocking(fleet, "bad"))
             assert not any(blocking(fleet, "sound"))
@@ -172,12 +172,12 @@
             sound = Prompt(service="desk", digest="sound")
             for number in range(4):
                 await asyncio.sleep(0.2)
-                fleet.nodes[0].prompts.record_crash(request_crash(number, "sound"))
+                fleet.nodes[0].crashes.record_crash(request_crash(number, "sound"))
                 await asyncio.sleep(0.2)
-                fleet.nodes[1].prompts.record_whole(sound)
+                fleet.nodes[1].crashes.record_whole(sound)
             await asyncio.sleep(0.2)
             assert not any(blocking(fleet, "sound"))
-            assert not any(node.prompts.is_suspect(sound) for node in fleet.nodes)
+            assert not any(node.crashes.is_suspect(sound) for node in fleet.nodes)
 
         run_fleet(1, steps, 8)
 
@@ -187,11 +187,11 @@
             sound = Prompt(service="desk", digest="sound")
             late = request_crash(1, "sound")
             await asyncio.sleep(0.2)
-            fleet.nodes[1].prompts.record_whole(sound)
+            fleet.nodes[1].crashes.record_whole(sound)
             await asyncio.sleep(0.2)
-            fleet.nodes[0].prompts.record_crash(late)
+            fleet.nodes[0].crashes.record_crash(late)
             await asyncio.sleep(0.2)
-            assert not any(node.prompts.is_suspect(sound) for node in fleet.nodes)
+            assert not any(node.crashes.is_suspect(sound) for node in fleet.nodes)
 
         run_fleet(1, steps, 8)
 
@@ -200,10 +200,10 @@
         async def steps(fleet: Fleet) -> None:
             for number, digest in enumerate(("1", "1", "2", "3")):
                 await asyncio.sleep(0.5)
-                fleet.nodes[number].prompts.record_crash(crash(number, bad(digest)))
+                fleet.nodes[number].crashes.record_crash(crash(number, bad(digest)))
             await asyncio.sleep(0.2)
             assert all(knowing(fleet))
-            found = [node.prompts.blocked.in_force(now()) for node in fleet.nodes]
+            found = [node.crashes.blocked.in_force(now()) for node in fleet.nodes]
             assert all(len(blocks) == 1 for blocks in found), found
 
         run_fleet(1, steps, 8)
@@ -212,7 +212,7 @@
         async def steps(fleet: Fleet) -> None:
             for number in range(2):
                 await asyncio.sleep(0.5)
-                fleet.nodes[0].prompts.record_crash(request_crash(number, "bad"))
+                fleet.nodes[0].crashes.record_crash(request_crash(number, "bad"))
             await asyncio.sleep(3.0)
             await fleet.restart()
             await asyncio.sleep(3.0)
@@ -225,13 +225,13 @@
         async def steps(fleet: Fleet) -> None:
             for number in range(2):
                 await asyncio.sleep(0.5)
-                fleet.nodes[0].prompts.record_crash(request_crash(number, "bad"))
+                fleet.nodes[0].crashes.record_crash(request_crash(number, "bad"))
             await asyncio.sleep(5.0)
             assert len(fleet.store.keys(storewire.PROMPT_BLOCKS_TABLE)) == 1
             for node in fleet.nodes:
-                (block,) = node.prompts.blocked.in_force(now())
+                (block,) = node.crashes.blocked.in_force(now())
                 newer = replace(block, revision=2, ends_at=now() + 2.0)
-                node.prompts.blocked.put(newer)
+                node.crashes.blocked.put(newer)
             await asyncio.sleep(8.0)
             assert fleet.store.keys(storewire.PROMPT_BLOCKS_TABLE) == []
 
@@ -251,7 +251,7 @@
 
     def test_one_node_writes_each_block_once(self):
         async def steps(fleet: Fleet) -> None:
-            writers = [CountingPuts(node.prompts) for node in fleet.nodes]
+            writers = [CountingPuts(node.crashes) for node in fleet.nodes]
             await crash_three(fleet)
             await asyncio.sleep(6.0)
             assert len(fleet.store.keys(storewire.PROMPT_BLOCKS_TABLE)) == 1
@@ -277,7 +277,7 @@
             await crash_three(fleet)
             await asyncio.sleep(2.0)
             fleet.cut_off(3)
-            fleet.nodes[0].prompts.set_blocked("models", ["bad"], is_blocked=False)
+            fleet.nodes[0].crashes.set_blocked("models", ["bad"], is_blocked=False)
             await asyncio.sleep(2.0)
             fleet.wires.heal()
             await asyncio.sleep(8.0)
@@ -289,12 +289,12 @@
         async def steps(fleet: Fleet) -> None:
             await crash_three(fleet)
             # It crosses the news of the block, which some nodes hear after it.
-            fleet.nodes[1].prompts.record_begun(bad("other"))
+            fleet.nodes[1].crashes.record_begun(bad("other"))
             await asyncio.sleep(4.0)
             assert not any(knowing(fleet))
-            fleet.nodes[0].prompts.set_blocked("models", ["bad"], is_blocked=True)
+            fleet.nodes[0].crashes.set_blocked("models", ["bad"], is_blocked=True)
             await asyncio.sleep(0.5)
-            fleet.nodes[1].prompts.record_begun(bad("other"))
+            fleet.nodes[1].crashes.record_begun(bad("other"))
             await asyncio.sleep(0.5)
             assert all(knowing(fleet))
 
@@ -302,7 +302,7 @@
 
     def test_a_block_that_an_operator_sets_holds_everywhere(self):
         async def steps(fleet: Fleet) -> None:
-            fleet.nodes[0].prompts.set_blocked("models", ["bad"], is_blocked=True)
+            fleet.nodes[0].crashes.set_blocked("models", ["bad"], is_blocked=True)
             await asyncio.sleep(0.5)
             assert all(knowing(fleet))
 
@@ -344,7 +344,7 @@
     def test_a_blocked_prompt_is_refused_at_once_as_not_run(self):
         # Coming back before the end of the block helps nobody, so that is stated.
         async def steps(fleet: Fleet) -> None:
-            fleet.nodes[0].prompts.set_blocked("models", ["bad"], is_blocked=True)
+            fleet.nodes[0].crashes.set_blocked("models", ["bad"], is_blocked=True)
             address = fleet.nodes[0].cfg.callers
             assert address is not None
             headers = {
--- a/tests/test_relay_pace.py
+++ b/tests/test_relay_pace.py
@@ -78,7 +78,7 @@
             endpoints=node._endpoint_state,
             generations=node.generations,
             origins=node.origins,
-            prompts=node.prompts,
+            crashes=node.crashes,
             keys=node._keys,
             metrics=node._metrics,
         )
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -30,6 +30,7 @@
 )
 from celerytrail.policies.statedlimits import LimitStatement
 from celerytrail.policies.versionhistory import VersionHistory
+from celerytrail.relay.crashes.news import BlockEntry, CrashNews
 from celerytrail.relay.peerupdates import (
     MANY_PEERS,
     MAX_RUNS_PER_DATAGRAM,
@@ -38,7 +39,6 @@
     PeerUpdates,
     _run_entry,
 )
-from celerytrail.relay.promptnews import BlockEntry, PromptNews
 from celerytrail.relay.registry import Registry
 from celerytrail.relay.tablemirror import MAX_CHANGES, TableMirror
 from celerytrail.relay.tablesinks import RegistrationSink
@@ -399,7 +399,7 @@
             on_limit=events["limits"].append,
             on_brittle=lambda statement: None,
             on_cut_off=lambda *statement: events["cut_off"].append(statement),
-            on_prompt_news=events["prompts"].append,
+            on_crash_news=events["prompts"].append,
             on_load=lambda *load: events["loads"].append(load),
             on_waiting=lambda node, waiting: None,
             on_returning=lambda returning: None,
@@ -424,9 +424,9 @@
         sent: list[NodeUpdate] = []
         sender._send = sent.append  # type: ignore[method-assign]
         block = BlockEntry(service="models", parts=["bad"], revision=1, seconds=9.0)
-        sender.announce_prompts(PromptNews(blocks=[block]))
+        sender.announce_crash_news(CrashNews(blocks=[block]))
         receiver.datagram_received(msgspec.msgpack.encode(sent[0]), ("10.0.0.1", 1))
-        assert events["prompts"] == [PromptNews(blocks=[block])]
+        assert events["prompts"] == [CrashNews(blocks=[block])]
 
     async def test_a_sent_run_is_received_unchanged(self):
         sender, _, _ = self.make("other")
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -466,7 +466,7 @@
             on_brittle=lambda statement: None,
             on_cut_off=lambda *statement: None,
             on_origin=lambda entry: None,
-            on_prompt_news=lambda news: None,
+            on_crash_news=lambda news: None,
             on_load=lambda *load: None,
             on_waiting=room.on_waiting,
             on_returning=room.on_returning,
