--- a/celerytrail/policies/crashrequests.py
+++ b/celerytrail/policies/crashrequests.py
@@ -175,10 +175,12 @@
         sole = []
         for key in self.lost_by(incarnation):
             crashes = self._unexplained(key)
-            if incarnation not in crashes or self._has_rivals(key, crashes):
+            if incarnation not in crashes:
                 continue
-            is_likely = key in formerly_found or self._is_in_row(key, crashes)
-            if is_likely or key in found:
+            is_known = key in formerly_found or key in found
+            if not is_known and not self._is_in_row(key, crashes):
+                continue
+            if not self._has_rivals(key, crashes):
                 found.setdefault(key, _crashing(key, crashes))
                 sole.append((key, crashes))
         for key, crashes in sole:
