--- /dev/null
+++ b/review/__init__.py
@@ -0,0 +1,1 @@
+"""Cases of an independent review: each shows a rule that the system breaks."""
