Let the worker of the second case exit, and count what is lost with it

Adds the exit of the leaving worker 5 s after the store's acknowledgement, and longer answers, so that filings which it had begun by then are lost.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,6 +6,8 @@
 import sys
 from pathlib import Path
 
+from celerytrail.http.messages import Request
+from celerytrail.http.server import Responder
 from review.rig import (
     BOUNDS,
     BROKEN,
@@ -24,8 +26,12 @@
 N_NESTED = 3_000
 REQUESTS_PER_SECOND = 25
 DRAIN_SECONDS = float(str(BOUNDS["drain-ms"])) / 1_000
-# How long requests go on after the worker said that it leaves; it serves on meanwhile.
-WATCHED_SECONDS = 6.0
+# How long the worker serves on after it said that it leaves, at least `drain-ms`, and
+# how long requests go on after it has exited.
+SERVED_SECONDS = 5.0
+EXITED_SECONDS = 2.0
+ANSWER_SECONDS = 0.25
+SERVED = (200,)
 # How long the nodes are down at their restart, and have to read the rows after it.
 DOWN_SECONDS = 1.5
 RESTARTED_SECONDS = 3.0
@@ -59,7 +65,21 @@
     }
 
 
-async def send_requests(rig: Rig, seconds: float, prefix: str) -> list[int]:
+class LeavingWorker(PlainWorker):
+    """A plain worker that begins to work on a request as soon as it has read it."""
+
+    def __init__(self, *, worker_id: str) -> None:
+        super().__init__(worker_id=worker_id)
+        self.begun: list[str] = []
+
+    async def _run(self, req: Request, res: Responder, attempt_id: str) -> None:
+        self.begun.append(attempt_id)
+        await super()._run(req, res, attempt_id)
+
+
+async def send_requests(
+    rig: Rig, seconds: float, prefix: str, statuses: dict[str, int] | None = None
+) -> list[int]:
     """Send requests at a steady rate; return the statuses of the answers."""
     sending = []
     for number in range(int(seconds * REQUESTS_PER_SECOND)):
@@ -73,15 +93,18 @@
         )
         sending.append(asyncio.ensure_future(request))
         await asyncio.sleep(1 / REQUESTS_PER_SECOND)
-    return [answer.status for answer in await asyncio.gather(*sending)]
+    found = [answer.status for answer in await asyncio.gather(*sending)]
+    if statuses is not None:
+        statuses |= {f"{prefix}-{number}": one for number, one in enumerate(found)}
+    return found
 
 
 async def play(rig: Rig) -> int:
     """Let a worker leave after the foreign entry was written; watch what it gets."""
-    workers = [PlainWorker(worker_id=f"desk-{number}") for number in (1, 2, 3)]
+    workers = [LeavingWorker(worker_id=f"desk-{number}") for number in (1, 2, 3)]
     rig.store.put("op", "config", configuration())
     for worker in workers:
-        worker.answer_seconds = 0.06
+        worker.answer_seconds = ANSWER_SECONDS
         await worker.start()
         rig.store.put("servers", worker.worker_id, worker.row("desk", slots=6))
     await rig.start_nodes(2)
@@ -101,7 +124,15 @@
     rig.store.put("servers", leaving.worker_id, row)
     acknowledged_at = loop.time()
     rig.record("acknowledged", worker=leaving.worker_id, state="draining")
-    after = await send_requests(rig, WATCHED_SECONDS, "after")
+    statuses: dict[str, int] = {}
+    requests = asyncio.ensure_future(
+        send_requests(rig, SERVED_SECONDS + EXITED_SECONDS, "after", statuses)
+    )
+    await asyncio.sleep(SERVED_SECONDS)
+    await leaving.close()
+    rig.store.drop("servers", leaving.worker_id)
+    rig.record("exited", worker=leaving.worker_id)
+    after = await requests
     late = [
         (seen.attempt_id, round(seen.arrived_at - acknowledged_at, 3))
         for seen in leaving.seen
@@ -109,6 +140,10 @@
     ]
     for worker in workers:
         rig.record("ran", worker=worker.worker_id, n=len(worker.ran))
+    lost = [
+        attempt for attempt in leaving.begun if statuses.get(attempt, 200) not in SERVED
+    ]
+    rig.record("lost with the worker", attempts=lost)
     # Not part of the verdict: what nodes that start beside such an entry serve.
     await rig.kill_and_restart_nodes(DOWN_SECONDS)
     await asyncio.sleep(RESTARTED_SECONDS)
@@ -117,11 +152,12 @@
     for attempt, seconds in late:
         rig.record("late arrival", attempt=attempt, seconds_after=seconds)
     rig.record("statuses", before=sorted(set(before)), after=sorted(set(after)))
-    for worker in workers:
+    for worker in workers[1:]:
         await worker.close()
     print(
         f"{len(late)} requests reached the leaving worker more than "
-        f"{DRAIN_SECONDS:g} s after the store's acknowledgement"
+        f"{DRAIN_SECONDS:g} s after the store's acknowledgement; "
+        f"{len(lost)} that it had begun were lost as it exited"
     )
     return BROKEN if late else HELD
 
