--- a/review/2/case.py
+++ b/review/2/case.py
@@ -139,7 +139,7 @@
         if seen.arrived_at > acknowledged_at + DRAIN_SECONDS
     ]
     for worker in workers:
-        rig.record("ran", worker=worker.worker_id, n=len(worker.ran))
+        rig.record("ran", worker=worker.worker_id, attempts=worker.begun)
     lost = [
         attempt for attempt in leaving.begun if statuses.get(attempt, 200) not in SERVED
     ]
