Give the client's idle connections a class of their own

No change in behaviour: HttpClient kept, chose and dropped idle connections between its other 600 lines.

--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -20,9 +20,8 @@
 from ..types import Address
 from .messages import JSON_TYPE, REQUEST_ID_HEADER, Connection, Response, header_map
 from .network import Network, SystemNetwork
+from .pool import IDLE_SECONDS, MAX_IDLE_PER_ADDRESS, ConnectionPool
 
-# Idle connections to one peer, unless a request states fewer.
-MAX_IDLE_PER_ADDRESS = 16
 MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 # Bodies that one client holds at most while it reads them, without the first bytes of
 # each: small answers are read however large others grow.
@@ -30,8 +29,6 @@
 FREE_BODY_BYTES = 64 * 1024
 # Informational answers before the final one.
 MAX_INFORMATIONAL = 16
-# Lifetime of an idle connection if the peer announces no keep-alive timeout.
-IDLE_SECONDS = 30.0
 # A timeout that passes later than this after its time shows that the process stood
 # still, in seconds.
 STALL_SECONDS = 0.05
@@ -86,14 +83,6 @@
         return max(deadline, min(now + self.seconds, self.deadline))
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class _IdleConnection:
-    """Holds an idle connection that may be reused until loop time ``drop_at``."""
-
-    conn: Connection
-    drop_at: float
-
-
 class BodyMemory:
     """Bounds the memory of all bodies that are being read at the same time.
 
@@ -279,7 +268,7 @@
         self._silence_seconds = silence_seconds
         self.memory = memory or BodyMemory()
         self._exchange_numbers = itertools.count(1)
-        self._idle: dict[Address, list[_IdleConnection]] = {}
+        self._pool = ConnectionPool()
         self.n_connections_made = 0
 
     async def request(
@@ -398,7 +387,7 @@
             conn.abort()
             return Err(NotSent(reason="deadline", detail=str(address)))
         if may_send is not None and not may_send():
-            self._add_idle(address, conn, max_idle=max_idle)
+            self._pool.add(address, conn, max_idle=max_idle)
             return Err(NotSent(reason="withdrawn", detail=str(address)))
         request_id = request_id or f"{self._process}-{next(self._exchange_numbers)}"
         self._send_request(conn, address, method, path, body, headers or {}, request_id)
@@ -449,23 +438,7 @@
             return
         conn.h11.start_next_cycle()
         conn.mark_all_read()
-        self._add_idle(address, conn, _idle_seconds(headers), max_idle=max_idle)
-
-    def _add_idle(
-        self,
-        address: Address,
-        conn: Connection,
-        seconds: float = IDLE_SECONDS,
-        *,
-        max_idle: int,
-    ) -> None:
-        drop_at = asyncio.get_running_loop().time() + seconds
-        idle = self._idle.setdefault(address, [])
-        if conn.is_retired or len(idle) >= max_idle:
-            conn.close()
-            return
-        conn.is_pooled = True
-        idle.append(_IdleConnection(conn=conn, drop_at=drop_at))
+        self._pool.add(address, conn, _idle_seconds(headers), max_idle=max_idle)
 
     async def ensure_connected(
         self, address: Address, deadline: float
@@ -484,34 +457,24 @@
         connected = await self._connect(address, deadline, deadline)
         if isinstance(connected, Err):
             return Err(connected.err_value)
-        self._add_idle(address, connected.ok_value, max_idle=MAX_IDLE_PER_ADDRESS)
+        self._pool.add(address, connected.ok_value)
         return Ok(None)
 
     def is_connected(self, address: Address) -> bool:
         """Return whether a connection to a peer is likely to be reused."""
-        now = asyncio.get_running_loop().time()
-        return any(
-            now < entry.drop_at and not entry.conn.is_lost and not entry.conn.is_retired
-            for entry in self._idle.get(address, ())
-        )
+        return self._pool.has_usable(address)
 
     def close_retired(self) -> None:
         """Close the idle connections that must not be used again."""
-        for address, idle in list(self._idle.items()):
-            for entry in idle:
-                if entry.conn.is_retired:
-                    entry.conn.close()
-            self._idle[address] = [one for one in idle if not one.conn.is_retired]
+        self._pool.close_retired()
 
     def close_idle(self, address: Address) -> None:
         """Close the idle connections to a peer."""
-        for entry in self._idle.pop(address, []):
-            entry.conn.close()
+        self._pool.close_address(address)
 
     def close(self) -> None:
         """Close all idle connections."""
-        for address in list(self._idle):
-            self.close_idle(address)
+        self._pool.close()
 
     def _check_head(
         self,
@@ -552,17 +515,9 @@
         deadline: float | None,
         fresh: bool,
     ) -> Result[Connection, NotSent]:
-        idle = self._idle.get(address, [])
-        now = asyncio.get_running_loop().time()
-        while idle and not fresh:
-            entry = idle.pop()
-            conn = entry.conn
-            is_clean = conn.h11.trailing_data == (b"", False)
-            is_usable = not conn.is_lost and not conn.is_retired and is_clean
-            if is_usable and now < entry.drop_at:
-                conn.is_pooled = False
-                return Ok(conn)
-            conn.abort()
+        conn = None if fresh else self._pool.take(address)
+        if conn is not None:
+            return Ok(conn)
         return await self._connect(address, connect_deadline, deadline)
 
     async def _connect(
--- a/celerytrail/relay/endpointgate.py
+++ b/celerytrail/relay/endpointgate.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
-from ..http.client import MAX_IDLE_PER_ADDRESS
+from ..http.pool import MAX_IDLE_PER_ADDRESS
 from ..model import Prompt, Registration
 from ..policies.blockedprompts import Block, BlockedPrompts
 from ..policies.coldlimits import ColdEndpoints, ColdShares, NodePosition, RankedShares
--- a/tests/test_relay_http.py
+++ b/tests/test_relay_http.py
@@ -143,7 +143,7 @@
         client = HttpClient(id_header=None)
         assert (await client.request(address, "GET", "/")).unwrap().status == 200
         server.retire()
-        (idle,) = client._idle[address]
+        (idle,) = client._pool._idle[address]
         await idle.conn.lost
         res = (await client.request(address, "GET", "/")).unwrap()
         assert res.headers["connection"] == "close"
