Log the connection of a refusal, and whether a request was sent

The logs couldn't tell the hypotheses apart: attempt_refused named the endpoint, neither its address nor the connection that brought the answer, and attempt_failed didn't say whether the request had left. Both are logged now. No change in behaviour.

--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -133,6 +133,9 @@
         self._is_abandoned = False
         self.status = status
         self.headers = headers
+        # The connection of the answer, and its place among the answers there.
+        self.connection = conn.number
+        self.exchange = conn.n_exchanges
 
     async def next_chunk(
         self, deadline: float | None = None
@@ -553,6 +556,7 @@
             if handle is not None:
                 handle.cancel()
         self.n_connections_made += 1
+        conn.number = self.n_connections_made
         return Ok(conn)
 
     def _send_request(
@@ -572,6 +576,7 @@
             all_headers.insert(0, ("host", str(address)))
         if self._id_header and self._id_header not in names:
             all_headers.append((self._id_header, request_id))
+        conn.n_exchanges += 1
         conn.send(h11.Request(method=method, target=path, headers=all_headers))
         if body:
             conn.send(h11.Data(data=body))
--- a/celerytrail/http/messages.py
+++ b/celerytrail/http/messages.py
@@ -128,6 +128,9 @@
         self.is_retired = False
         # Whether it waits for its next exchange, in a client's pool.
         self.is_pooled = False
+        # A client's number for it, and the exchanges that it has carried.
+        self.number = 0
+        self.n_exchanges = 0
         # Loop time at which bytes last arrived, or the connection was made.
         self.received_at = 0.0
         self._n_unread = 0
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -426,8 +426,9 @@
         )
         if isinstance(opened, Err):
             exc = opened.err_value
-            _log_failed(ex, reg, exc.reason)
-            if isinstance(exc, NotSent):
+            was_sent = not isinstance(exc, NotSent)
+            _log_failed(ex, reg, exc.reason, was_sent=was_sent)
+            if not was_sent:
                 return NotExecuted(reason=exc.reason)
             self._record_lost(ex, reg, sent_at, exc.reason)
             return Failed(reason=exc.reason)
@@ -460,11 +461,15 @@
             self._watch.record_lost(reg, run)
 
 
-def _log_failed(ex: Exchange, reg: Registration, reason: str) -> None:
+def _log_failed(
+    ex: Exchange, reg: Registration, reason: str, *, was_sent: bool = True
+) -> None:
     ex.log(
         "attempt_failed",
         endpoint=reg.endpoint,
+        address=str(reg.address),
         reason=reason,
+        was_sent=was_sent,
         digest=ex.facts.digest,
     )
 
--- a/celerytrail/relay/endpointanswers.py
+++ b/celerytrail/relay/endpointanswers.py
@@ -108,6 +108,9 @@
                 endpoint=reg.endpoint,
                 status=stream.status,
                 pause_seconds=stated.pause_seconds,
+                address=str(reg.address),
+                connection=stream.connection,
+                exchange=stream.exchange,
             )
         return is_not_run
 
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -289,7 +289,9 @@
         live.ex.log(
             "attempt_failed",
             endpoint=reg.endpoint,
+            address=str(reg.address),
             reason=reason,
+            was_sent=not isinstance(exc, NotSent),
             digest=live.ex.facts.digest,
         )
         if isinstance(exc, NotSent):
