Show answers that are taken for those of a later sending

Callers saw calls that must run once run twice, and one that ran after a 503. A node that is refused sends the attempt again; two rows may have one address, so that the second sending uses the connection of the first one. A repeated 421 has the id that is expected there, as the id names the attempt.

The stand-ins can send answers late: of each kind, with the id of the sending before, of an earlier one, of another attempt, with none.

--- a/standins/worker.py
+++ b/standins/worker.py
@@ -23,6 +23,7 @@
 from celerytrail.platform import storewire
 from celerytrail.types import Address
 
+from .lateanswers import LateAnswers
 from .requestcrashes import AT_READING, RequestCrashes
 
 SEAL_HEADER = "x-response-seal"
@@ -158,6 +159,7 @@
         self.load_headers: tuple[str, ...] = ()
         self.shedding: Shedding | None = None
         self.request_crashes: RequestCrashes | None = None
+        self.late_answers: LateAnswers | None = None
         # Whether it says in all its answers that it leaves.
         self.is_leaving = False
         # All that reached it, and what it said; for checks.
@@ -212,6 +214,10 @@
         )
         if self.is_leaving:
             self.statements.append(Statement(peer=peer, at=arrived_at, is_leaving=True))
+        if self.late_answers is not None:
+            late = self.late_answers.draw(res._conn, attempt_id)
+            if late is not None:
+                await _write_raw(res, late)
         if await self._answer_other(req, res):
             return
         self.seen.append(
--- /dev/null
+++ b/tests/test_late_answers.py
@@ -0,0 +1,165 @@
+"""Answers of an earlier sending that arrive where the next answer is expected."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+from result import Err
+
+from celerytrail.http.client import HttpClient
+from celerytrail.types import Address
+from standins.lateanswers import LateAnswers, LateId, LateKind, late_answer
+from standins.worker import PlainWorker
+from tests.relayrig import Rig, wait_until
+
+ATTEMPT = "x-attempt-id"
+N_ADDRESSES = 6
+N_ROUNDS = 30
+
+
+class ScriptedPeer:
+    """Sends given bytes for each request, in the order of their arrival."""
+
+    def __init__(self, answers: list[bytes]) -> None:
+        self._answers = iter(answers)
+        self.n_requests = 0
+
+    async def start(self) -> Address:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        return Address(host="127.0.0.1", port=port)
+
+    async def _serve(self, reader, writer):
+        while await reader.read(65_536):
+            self.n_requests += 1
+            writer.write(next(self._answers))
+        writer.close()
+
+    async def close(self) -> None:
+        """Close, once the client has closed its connections."""
+        self._server.close()
+        await self._server.wait_closed()
+
+
+def sound_answer(attempt_id: str) -> bytes:
+    head = f"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n{ATTEMPT}: {attempt_id}\r\n"
+    return f"{head}x-response-seal: s\r\n\r\nsound".encode()
+
+
+async def play(
+    ids: list[str], answers: list[bytes]
+) -> tuple[list[tuple[int, bytes] | None], HttpClient]:
+    """Send attempts one after the other; None stands for a lost answer."""
+    peer = ScriptedPeer(answers)
+    address = await peer.start()
+    client = HttpClient(id_header=ATTEMPT, allows_unframed=True)
+    found: list[tuple[int, bytes] | None] = []
+    for attempt_id in ids:
+        opened = await client.open(
+            address, "POST", "/", headers={ATTEMPT: attempt_id}, request_id=attempt_id
+        )
+        if isinstance(opened, Err):
+            found.append(None)
+            continue
+        stream = opened.ok_value
+        found.append((stream.status, (await stream.read()).unwrap()))
+    client.close()
+    await peer.close()
+    return found, client
+
+
+class TestClient:
+    async def test_a_repeated_answer_is_not_taken_for_the_next_sending(self):
+        """Guards against a second answer to a sending being read as the next one's."""
+        for kind in LateKind:
+            first = late_answer(kind, "a1")
+            found, _ = await play(["a1", "a1"], [first, first + sound_answer("a1")])
+            assert found[1] in (None, (200, b"sound"))
+
+    async def test_an_answer_to_an_earlier_sending_is_not_taken_either(self):
+        """Guards against the same with another attempt's exchange between the two."""
+        for kind in LateKind:
+            first = late_answer(kind, "a1")
+            answers = [first, sound_answer("a2"), first + sound_answer("a1")]
+            found, _ = await play(["a1", "a2", "a1"], answers)
+            assert found[2] in (None, (200, b"sound"))
+
+    @pytest.mark.parametrize("named", ["a1", "other", None])
+    @pytest.mark.parametrize("kind", LateKind)
+    async def test_another_attempt_does_not_get_it(self, kind, named):
+        """Guards against an answer that reaches a request which it doesn't name."""
+        late = late_answer(kind, named)
+        answers = [sound_answer("a1"), late + sound_answer("a2")]
+        found, _ = await play(["a1", "a2"], answers)
+        assert found[1] is None
+
+    async def test_other_attempts_share_a_connection(self):
+        """Guards against a new connection for each request."""
+        ids = [f"a{number}" for number in range(20)]
+        found, client = await play(ids, list(map(sound_answer, ids)))
+        assert found == [(200, b"sound")] * 20
+        assert client.n_connections_made == 1
+
+
+async def restart_under_new_id(rig: Rig, former: PlainWorker, name: str) -> PlainWorker:
+    """Start an endpoint at the address of another, whose row remains."""
+    await former.close()
+    worker = PlainWorker(worker_id=name)
+    worker.born = former.born + 1
+    await worker.start(former.address)
+    rig.workers.append(worker)
+    rig.store.put("servers", name, worker.row("desk"))
+    return worker
+
+
+class TestNode:
+    async def play(self, *, n_sound: int) -> tuple[Rig, dict[str, int]]:
+        """Call a route that isn't idempotent while addresses have two rows.
+
+        Returns
+        -------
+        tuple of (Rig, dict of str to int)
+            The rig, and the callers' statuses by attempt.
+        """
+        rig = Rig()
+        await rig.start()
+        rng = random.Random(1)
+        for number in range(n_sound):
+            await rig.add_plain_worker(f"sound-{number}")
+        for number in range(N_ADDRESSES):
+            former = await rig.add_plain_worker(f"former-{number}")
+            worker = await restart_under_new_id(rig, former, f"present-{number}")
+            worker.late_answers = LateAnswers(
+                rng=rng, share=1.0, kinds=(LateKind.MISDIRECTED,), ids=(LateId.FORMER,)
+            )
+        node = await rig.add_node()
+        await wait_until(
+            lambda: len(node.registry.usable_endpoints("desk")) >= N_ADDRESSES + n_sound
+        )
+        statuses: dict[str, int] = {}
+
+        async def call() -> None:
+            headers = rig.headers()
+            res = await rig.request("/file/1", body=b"once", headers=headers)
+            statuses[headers["x-attempt-id"]] = res.status
+
+        for _ in range(N_ROUNDS):
+            await asyncio.gather(*(call() for _ in range(4)))
+        return rig, statuses
+
+    @pytest.mark.parametrize("n_sound", [0, 2])
+    async def test_what_ran_is_not_sent_on_or_refused(self, n_sound):
+        """Guards against a repeated 421 that is read as the refusal of a later sending.
+
+        The call ran twice, or its caller got a 503.
+        """
+        rig, statuses = await self.play(n_sound=n_sound)
+        try:
+            ran = [name for worker in rig.workers for name in worker.ran]
+            twice = {name for name in ran if ran.count(name) > 1}
+            refused = {name for name in ran if statuses[name] in (408, 421, 429, 503)}
+            assert (twice, refused) == (set(), set())
+        finally:
+            await rig.close()
