Send an attempt over a connection only once

Callers saw calls that must run once run twice, and calls that ran after a 503.

Cause: an answer was taken for the answer to this sending because it names the same attempt. A node that is refused sends the attempt again. Where two rows have one address, an endpoint's former and its present start, the second sending used the connection of the first one, the last one returned to the pool. An endpoint may repeat an answer where the next one is due; a repeated 421 has the right id there, and the node took the call that had just begun for not run. It sent it to a third endpoint, or answered 503.

So an id names one exchange on its connection, and a repeated answer is known by it, whatever it says: a refusal, an answer, the head of a stream. This holds for all senders of the client, plain calls and runs, as the pool decides.

The two tests of the client sent the late answer over whatever connection came; they send it over connections that had a request before now, as a new one can bring no late answer.

--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -380,7 +380,13 @@
                 if deadline is None
                 else min(connect_deadline, deadline)
             )
-        acquired = await self._acquire(address, connect_deadline, deadline, fresh)
+        request_id = request_id or f"{self._process}-{next(self._exchange_numbers)}"
+        pooled = None if fresh else self._pool.take(address, request_id)
+        acquired = (
+            Ok(pooled)
+            if pooled is not None
+            else await self._connect(address, connect_deadline, deadline)
+        )
         if isinstance(acquired, Err):
             return Err(acquired.err_value)
         conn = acquired.ok_value
@@ -392,7 +398,6 @@
         if may_send is not None and not may_send():
             self._pool.add(address, conn, max_idle=max_idle)
             return Err(NotSent(reason="withdrawn", detail=str(address)))
-        request_id = request_id or f"{self._process}-{next(self._exchange_numbers)}"
         self._send_request(conn, address, method, path, body, headers or {}, request_id)
         silence = self._start_silence_timer(address)
         try:
@@ -511,18 +516,6 @@
             )
         )
 
-    async def _acquire(
-        self,
-        address: Address,
-        connect_deadline: float | None,
-        deadline: float | None,
-        fresh: bool,
-    ) -> Result[Connection, NotSent]:
-        conn = None if fresh else self._pool.take(address)
-        if conn is not None:
-            return Ok(conn)
-        return await self._connect(address, connect_deadline, deadline)
-
     async def _connect(
         self, address: Address, connect_deadline: float | None, deadline: float | None
     ) -> Result[Connection, NotSent]:
@@ -577,6 +570,7 @@
         if self._id_header and self._id_header not in names:
             all_headers.append((self._id_header, request_id))
         conn.n_exchanges += 1
+        conn.carried.add(request_id)
         conn.send(h11.Request(method=method, target=path, headers=all_headers))
         if body:
             conn.send(h11.Data(data=body))
--- a/celerytrail/http/messages.py
+++ b/celerytrail/http/messages.py
@@ -11,6 +11,7 @@
 from eliot import log_message
 
 from ..exceptions import PeerError
+from .carriedids import CarriedIds
 
 REQUEST_ID_HEADER = "x-request-id"
 JSON_TYPE = "application/json"
@@ -131,6 +132,7 @@
         # A client's number for it, and the exchanges that it has carried.
         self.number = 0
         self.n_exchanges = 0
+        self.carried = CarriedIds()
         # Loop time at which bytes last arrived, or the connection was made.
         self.received_at = 0.0
         self._n_unread = 0
--- a/celerytrail/http/pool.py
+++ b/celerytrail/http/pool.py
@@ -28,7 +28,12 @@
 
 
 class ConnectionPool:
-    """Keeps idle connections until their next exchange."""
+    """Keeps idle connections until their next exchange.
+
+    A peer may send an answer twice, the second time where the next one is expected. The
+    id that it echoes shows this only if no other exchange on the connection had the
+    same id, so a connection carries each id once.
+    """
 
     def __init__(self) -> None:
         self._idle: dict[Address, list[_IdleConnection]] = {}
@@ -43,21 +48,25 @@
     ) -> None:
         """Keep a connection for ``seconds``, or close it if there are enough."""
         idle = self._idle.setdefault(address, [])
-        if conn.is_retired or len(idle) >= max_idle:
+        if conn.is_retired or conn.carried.is_full or len(idle) >= max_idle:
             conn.close()
             return
         conn.is_pooled = True
         drop_at = asyncio.get_running_loop().time() + seconds
         idle.append(_IdleConnection(conn=conn, drop_at=drop_at))
 
-    def take(self, address: Address) -> Connection | None:
-        """Return the connection that was used last, None if there is none."""
+    def take(self, address: Address, request_id: str) -> Connection | None:
+        """Return the connection that was used last and can carry an id, if any."""
         idle = self._idle.get(address, [])
         now = asyncio.get_running_loop().time()
-        while idle:
-            entry = idle.pop()
+        for position in range(len(idle) - 1, -1, -1):
+            entry = idle[position]
             is_clean = entry.conn.h11.trailing_data == (b"", False)
-            if is_clean and entry.is_usable(now):
+            is_usable = is_clean and entry.is_usable(now)
+            if is_usable and request_id in entry.conn.carried:
+                continue
+            del idle[position]
+            if is_usable:
                 entry.conn.is_pooled = False
                 return entry.conn
             entry.conn.abort()
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -8,6 +8,7 @@
 import pytest
 from result import Err
 
+from celerytrail.http.carriedids import MAX_IDS
 from celerytrail.http.client import HttpClient
 from celerytrail.types import Address
 from standins.lateanswers import LateAnswers, LateId, LateKind, late_answer
@@ -20,11 +21,13 @@
 
 
 class ScriptedPeer:
-    """Sends given bytes for each request, in the order of their arrival."""
+    """Sends a late answer and a due one for each request, in the order of arrival.
 
-    def __init__(self, answers: list[bytes]) -> None:
+    No answer is late on a connection that had no request before.
+    """
+
+    def __init__(self, answers: list[tuple[bytes, bytes]]) -> None:
         self._answers = iter(answers)
-        self.n_requests = 0
 
     async def start(self) -> Address:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -32,9 +35,11 @@
         return Address(host="127.0.0.1", port=port)
 
     async def _serve(self, reader, writer):
+        is_new = True
         while await reader.read(65_536):
-            self.n_requests += 1
-            writer.write(next(self._answers))
+            late, due = next(self._answers)
+            writer.write(due if is_new else late + due)
+            is_new = False
         writer.close()
 
     async def close(self) -> None:
@@ -49,7 +54,7 @@
 
 
 async def play(
-    ids: list[str], answers: list[bytes]
+    ids: list[str], answers: list[tuple[bytes, bytes]]
 ) -> tuple[list[tuple[int, bytes] | None], HttpClient]:
     """Send attempts one after the other; None stands for a lost answer."""
     peer = ScriptedPeer(answers)
@@ -75,14 +80,16 @@
         """Guards against a second answer to a sending being read as the next one's."""
         for kind in LateKind:
             first = late_answer(kind, "a1")
-            found, _ = await play(["a1", "a1"], [first, first + sound_answer("a1")])
+            answers = [(b"", first), (first, sound_answer("a1"))]
+            found, _ = await play(["a1", "a1"], answers)
             assert found[1] in (None, (200, b"sound"))
 
     async def test_an_answer_to_an_earlier_sending_is_not_taken_either(self):
         """Guards against the same with another attempt's exchange between the two."""
         for kind in LateKind:
             first = late_answer(kind, "a1")
-            answers = [first, sound_answer("a2"), first + sound_answer("a1")]
+            sound = [sound_answer("a2"), sound_answer("a1")]
+            answers = [(b"", first), (b"", sound[0]), (first, sound[1])]
             found, _ = await play(["a1", "a2", "a1"], answers)
             assert found[2] in (None, (200, b"sound"))
 
@@ -91,14 +98,14 @@
     async def test_another_attempt_does_not_get_it(self, kind, named):
         """Guards against an answer that reaches a request which it doesn't name."""
         late = late_answer(kind, named)
-        answers = [sound_answer("a1"), late + sound_answer("a2")]
+        answers = [(b"", sound_answer("a1")), (late, sound_answer("a2"))]
         found, _ = await play(["a1", "a2"], answers)
         assert found[1] is None
 
     async def test_other_attempts_share_a_connection(self):
         """Guards against a new connection for each request."""
         ids = [f"a{number}" for number in range(20)]
-        found, client = await play(ids, list(map(sound_answer, ids)))
+        found, client = await play(ids, [(b"", sound_answer(one)) for one in ids])
         assert found == [(200, b"sound")] * 20
         assert client.n_connections_made == 1
 
@@ -163,3 +170,12 @@
             assert (twice, refused) == (set(), set())
         finally:
             await rig.close()
+
+
+class TestCarriedIds:
+    async def test_a_connection_that_can_remember_no_more_ids_is_closed(self):
+        """Guards against ids that are forgotten while their connection is used."""
+        ids = [f"a{number}" for number in range(MAX_IDS + 1)]
+        found, client = await play(ids, [(b"", sound_answer(one)) for one in ids])
+        assert found == [(200, b"sound")] * len(ids)
+        assert client.n_connections_made == 2
