Ask engines over a connection of its own for each control request

A copy's answer that came twice named the copy of another run, and a run would have gone on from the memory of that run (MIXED); a report's counted as the next report.

Change: HttpClient takes keeps_connections; the client for control requests has it off.

--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -241,6 +241,9 @@
     id_header : str or None
         Header in which a peer echoes the exchange's id, in lower case; None if the
         peers don't echo it.
+    keeps_connections : bool
+        Whether connections are used again. Peers that echo no id need connections of
+        their own for each exchange where they may send an answer twice.
     allows_unframed : bool
         Whether an answer may lack a length and end with its connection.
     on_silence : callable or None
@@ -258,6 +261,7 @@
         process: str = "client",
         network: Network | None = None,
         id_header: str | None = REQUEST_ID_HEADER,
+        keeps_connections: bool = True,
         allows_unframed: bool = False,
         on_silence: Callable[[Address], None] | None = None,
         silence_seconds: float = 0.0,
@@ -266,6 +270,7 @@
         self._process = process
         self._network = network or SystemNetwork()
         self._id_header = id_header
+        self._keeps_connections = keeps_connections
         self._allows_unframed = allows_unframed
         self._on_silence = on_silence
         self._silence_seconds = silence_seconds
@@ -441,7 +446,8 @@
         # Bytes after a complete answer belong to no exchange, and the next request on
         # this connection would receive them.
         is_clean = conn.h11.trailing_data == (b"", False)
-        if conn.is_lost or conn.is_retired or not is_done or not is_clean:
+        is_reusable = self._keeps_connections and not conn.is_retired
+        if conn.is_lost or not is_reusable or not is_done or not is_clean:
             conn.close()
             return
         conn.h11.start_next_cycle()
--- a/celerytrail/relay/endpointaccess.py
+++ b/celerytrail/relay/endpointaccess.py
@@ -119,7 +119,12 @@
             memory=memory,
         )
         self.engine_api = EngineApi(
-            client=HttpClient(network=self.paths, id_header=None, memory=memory),
+            client=HttpClient(
+                network=self.paths,
+                id_header=None,
+                keeps_connections=False,
+                memory=memory,
+            ),
             on_answer=answers.record_at,
         )
 
--- a/celerytrail/relay/engineapi.py
+++ b/celerytrail/relay/engineapi.py
@@ -40,7 +40,8 @@
     Parameters
     ----------
     client : HttpClient
-        Sends the requests; engines return no attempt id on these.
+        Sends the requests, each over a connection of its own: engines return no attempt
+        id on these, which would show an answer to an earlier one.
     on_answer : callable
         Called with each answer, which may state something of its engine.
     """
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -10,9 +10,9 @@
 
 from celerytrail.http.carriedids import MAX_IDS
 from celerytrail.http.client import HttpClient
-from celerytrail.types import Address
 from standins.lateanswers import LateAnswers, LateId, LateKind, late_answer
 from standins.worker import PlainWorker
+from tests.latepeer import ScriptedPeer
 from tests.relayrig import Rig, wait_until
 
 ATTEMPT = "x-attempt-id"
@@ -20,34 +20,6 @@
 N_ROUNDS = 30
 
 
-class ScriptedPeer:
-    """Sends a late answer and a due one for each request, in the order of arrival.
-
-    No answer is late on a connection that had no request before.
-    """
-
-    def __init__(self, answers: list[tuple[bytes, bytes]]) -> None:
-        self._answers = iter(answers)
-
-    async def start(self) -> Address:
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        port = self._server.sockets[0].getsockname()[1]
-        return Address(host="127.0.0.1", port=port)
-
-    async def _serve(self, reader, writer):
-        is_new = True
-        while await reader.read(65_536):
-            late, due = next(self._answers)
-            writer.write(due if is_new else late + due)
-            is_new = False
-        writer.close()
-
-    async def close(self) -> None:
-        """Close, once the client has closed its connections."""
-        self._server.close()
-        await self._server.wait_closed()
-
-
 def sound_answer(attempt_id: str) -> bytes:
     head = f"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n{ATTEMPT}: {attempt_id}\r\n"
     return f"{head}x-response-seal: s\r\n\r\nsound".encode()
