Pass on a 421 that an endpoint has run

Any 421 counted as a refusal. A 421 that bears the endpoint's seal and lacks that statement is the endpoint's own answer; the node sent the call on, so that it ran twice, and told its caller 503.

The stand-in's 421 states it now too.

The test fails before: (503, 2 runs) where (421, 1 run) is due.

--- a/celerytrail/platform/wire.py
+++ b/celerytrail/platform/wire.py
@@ -231,8 +231,11 @@
 
 
 def is_not_run(status: int, headers: Mapping[str, str]) -> bool:
-    """Return whether an endpoint reports that it did not run the request."""
-    return _NOT_RUN in headers or status == 421
+    """Return whether an endpoint reports that it did not run the request.
+
+    A 421 with the endpoint's seal and without that statement is an answer of its own.
+    """
+    return _NOT_RUN in headers or (status == 421 and SEAL_HEADER not in headers)
 
 
 def decode_statements(status: int, headers: Mapping[str, str]) -> EndpointStatements:
@@ -241,7 +244,9 @@
         cold_seconds=_milliseconds(headers.get(_COLD)) or 0.0,
         requests_per_second=_rate(headers.get(_LIMIT)),
         refusals_per_second=_rate(headers.get(_BRITTLE)),
-        is_own=is_sealed_answer(headers) and not is_not_run(status, headers),
+        is_own=is_sealed_answer(headers)
+        and not is_not_run(status, headers)
+        and status != 421,
         pause_seconds=_pause_seconds(status, headers.get(_RETRY_AFTER)),
         is_leaving=headers.get(_LEAVING, "0").strip() not in ("", "0"),
     )
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -225,7 +225,8 @@
         )
         target_id = req.headers.get("x-target-instance", self.worker_id)
         if target_id != self.worker_id:
-            await res.send(421, headers=self._headers(attempt_id))
+            headers = {**self._headers(attempt_id), "x-not-executed": "1"}
+            await res.send(421, headers=headers)
         elif self.faults.refuses:
             headers = {**self._headers(attempt_id), "x-not-executed": "1"}
             await res.send(503, headers=headers)
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -144,6 +144,21 @@
             await rig.close()
 
 
+class TestOwnAnswers:
+    async def test_a_421_that_an_endpoint_has_run_is_not_sent_on(self):
+        """Guards against a call that runs twice, as its sealed 421 seems a refusal."""
+        rig = Rig()
+        await rig.start()
+        for name in ("d1", "d2"):
+            (await rig.add_plain_worker(name)).faults.status = 421
+        await rig.add_node()
+        res = await rig.request("/file/1", body=b"once")
+        n_runs = sum(len(worker.ran) for worker in rig.workers)
+        await rig.close()
+        assert (res.status, n_runs) == (421, 1)
+        assert "x-response-seal" in res.headers
+
+
 class TestCarriedIds:
     async def test_a_connection_that_can_remember_no_more_ids_is_closed(self):
         """Guards against ids that are forgotten while their connection is used."""
