--- a/tests/relayrig.py
+++ b/tests/relayrig.py
@@ -104,9 +104,17 @@
             await worker.close()
         await self.store.close()
 
-    async def add_engine(self, name: str, n_events: int = 6) -> EngineWorker:
+    async def add_engine(
+        self,
+        name: str,
+        n_events: int = 6,
+        *,
+        address: Address | None = None,
+        born: int = 1,
+    ) -> EngineWorker:
         engine = EngineWorker(worker_id=name, n_events=n_events)
-        await engine.start()
+        engine.born = born
+        await engine.start(address)
         for other in self.workers:
             if isinstance(other, EngineWorker):
                 other.add_peers(engine)
@@ -115,9 +123,12 @@
         self.store.put("servers", name, engine.row("models"))
         return engine
 
-    async def add_plain_worker(self, name: str) -> PlainWorker:
+    async def add_plain_worker(
+        self, name: str, *, address: Address | None = None, born: int = 1
+    ) -> PlainWorker:
         worker = PlainWorker(worker_id=name)
-        await worker.start()
+        worker.born = born
+        await worker.start(address)
         self.workers.append(worker)
         self.store.put("servers", name, worker.row("desk"))
         return worker
@@ -195,6 +206,18 @@
         return answered.unwrap().body.decode()
 
 
+async def restart_under_new_id(rig: Rig, former: Worker, name: str) -> Worker:
+    """Start an endpoint at the address of another one, whose row remains."""
+    await former.close()
+    if isinstance(former, EngineWorker):
+        return await rig.add_engine(
+            name, former.n_events, address=former.address, born=former.born + 1
+        )
+    return await rig.add_plain_worker(
+        name, address=former.address, born=former.born + 1
+    )
+
+
 async def wait_until(condition, *, seconds: float = PATIENCE_SECONDS) -> None:
     """Wait until a condition holds; raise ``TimeoutError`` after ``seconds``."""
     async with asyncio.timeout(seconds):
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -11,9 +11,8 @@
 from celerytrail.http.carriedids import MAX_IDS
 from celerytrail.http.client import HttpClient
 from standins.lateanswers import LateAnswers, LateId, LateKind, late_answer
-from standins.worker import PlainWorker
 from tests.latepeer import ScriptedPeer
-from tests.relayrig import Rig, wait_until
+from tests.relayrig import Rig, restart_under_new_id, wait_until
 
 ATTEMPT = "x-attempt-id"
 N_ADDRESSES = 6
@@ -82,17 +81,6 @@
         assert client.n_connections_made == 1
 
 
-async def restart_under_new_id(rig: Rig, former: PlainWorker, name: str) -> PlainWorker:
-    """Start an endpoint at the address of another, whose row remains."""
-    await former.close()
-    worker = PlainWorker(worker_id=name)
-    worker.born = former.born + 1
-    await worker.start(former.address)
-    rig.workers.append(worker)
-    rig.store.put("servers", name, worker.row("desk"))
-    return worker
-
-
 class TestNode:
     async def play(self, *, n_sound: int) -> tuple[Rig, dict[str, int]]:
         """Call a route that isn't idempotent while addresses have two rows.
--- a/tests/test_relay_fuzz.py
+++ b/tests/test_relay_fuzz.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import pytest
@@ -103,23 +104,25 @@
 
     # Faults.
 
+    def faults(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the faults that may be drawn."""
+        return [
+            self._engine_leaves,
+            self._engine_crashes,
+            self._engine_joins,
+            self._endpoint_fails,
+            self._endpoints_recover,
+            self._store_is_silent,
+            self._store_refuses,
+            self._store_loses_history,
+            self._store_recovers,
+            self._config_changes,
+            self._node_crashes,
+            self._node_joins,
+        ]
+
     async def inject_fault(self) -> None:
-        await self.rng.choice(
-            [
-                self._engine_leaves,
-                self._engine_crashes,
-                self._engine_joins,
-                self._endpoint_fails,
-                self._endpoints_recover,
-                self._store_is_silent,
-                self._store_refuses,
-                self._store_loses_history,
-                self._store_recovers,
-                self._config_changes,
-                self._node_crashes,
-                self._node_joins,
-            ]
-        )()
+        await self.rng.choice(self.faults())()
 
     async def _engine_leaves(self) -> None:
         if len(self.engines) > 1:
@@ -196,7 +199,12 @@
     # Guarantees.
 
     def check(self) -> None:
-        executed = Counter(name for endpoint in self.endpoints for name in endpoint.ran)
+        executed = Counter(
+            name
+            for worker in self.rig.workers
+            if isinstance(worker, PlainWorker)
+            for name in worker.ran
+        )
         started: Counter[str] = Counter()
         for worker in self.rig.workers:
             if isinstance(worker, EngineWorker):
@@ -204,6 +212,7 @@
                     seen.attempt_id
                     for seen in worker.seen
                     if "kv-from" not in seen.req.headers
+                    and seen.req.headers["x-target-instance"] == worker.worker_id
                 )
         for record in self.records:
             self._check_answer(record)
