Take only a peer's own close for the end of an answer

Cause: the end of a body without a length was any loss of its connection without an error, and asyncio reports none when this process closes the connection itself. A run that moves is closed at its former engine while its reader waits there, and the reader took that for the end. With a length the same close was told as the engine's fault ("cut"), which counted as evidence against the request and the engine.

Change: only eof_received, the peer's close, ends such a body. Whatever this process does to a connection reaches its reader, waiting or not, as ConnectionClosedError, and the client's reader as "abandoned". In a tunnel only the endpoint's own end is passed on as an end; a connection that the node in the middle loses or closes in another way is a reset.

The new tests fail with the former http package: the reader gets the end, and no ConnectionClosedError is raised.

--- a/celerytrail/exceptions.py
+++ b/celerytrail/exceptions.py
@@ -29,5 +29,9 @@
     """A peer violated its protocol; the connection to it must be closed."""
 
 
+class ConnectionClosedError(PeerError):
+    """The connection was closed by this process, which shows nothing of the peer."""
+
+
 class InternalError(CelerytrailError):
     """An impossible state was reached, which is a bug to report."""
--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -16,7 +16,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ..exceptions import PeerError
+from ..exceptions import ConnectionClosedError, PeerError
 from ..types import Address
 from .messages import JSON_TYPE, REQUEST_ID_HEADER, Connection, Response, header_map
 from .network import Network, SystemNetwork
@@ -164,7 +164,7 @@
         except PeerError as exc:
             # A truncated answer is an error, not a short answer.
             self.close()
-            return Err(RequestLost(reason="cut", detail=str(exc)))
+            return Err(_lost(exc))
         if isinstance(event, h11.Data):
             return Ok(bytes(event.data))
         self._is_ended = True
@@ -413,7 +413,7 @@
             return Err(RequestLost(reason="timeout"))
         except PeerError as exc:
             conn.abort()
-            return Err(RequestLost(reason="cut", detail=str(exc)))
+            return Err(_lost(exc))
         except BaseException:
             # The answer to a cancelled exchange may still arrive; if the connection
             # were pooled, the next request on it would receive that answer.
@@ -583,6 +583,12 @@
         conn.send(h11.EndOfMessage())
 
 
+def _lost(exc: PeerError) -> RequestLost:
+    """Return whether the peer broke off an answer, or this process did."""
+    is_own = isinstance(exc, ConnectionClosedError)
+    return RequestLost(reason="abandoned" if is_own else "cut", detail=str(exc))
+
+
 async def _read_final_head(conn: Connection, deadline: float | None) -> h11.Event:
     """Return the head of the final answer, skipping informational ones."""
     for _ in range(MAX_INFORMATIONAL + 1):
--- a/celerytrail/http/messages.py
+++ b/celerytrail/http/messages.py
@@ -10,7 +10,7 @@
 import msgspec
 from eliot import log_message
 
-from ..exceptions import PeerError
+from ..exceptions import ConnectionClosedError, PeerError
 from .carriedids import CarriedIds
 
 REQUEST_ID_HEADER = "x-request-id"
@@ -125,6 +125,7 @@
         self.request_id: str | None = None
         self.is_lost = False
         self.is_eof = False
+        self._is_closed_here = False
         # Whether it must not be used for another exchange.
         self.is_retired = False
         # Whether it waits for its next exchange, in a client's pool.
@@ -190,12 +191,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Record that the connection is closed and wake the waiting tasks."""
-        if not self.is_eof:
-            self.is_eof = True
-            # A body without a length ends with its connection. If a reset counted as
-            # that end, a truncated answer would look complete.
-            if exc is None:
-                self.h11.receive_data(b"")
+        # A body without a length ends with its connection. Only the peer's own close is
+        # that end; asyncio reports it by `eof_received`, and no exception here also
+        # after this process has closed the connection.
+        self.is_eof = True
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -246,6 +245,9 @@
         ------
         PeerError
             When the peer broke the protocol or closed in the middle of a message.
+        ConnectionClosedError
+            When this process has closed the connection, whether this task waited then
+            or not.
         TimeoutError
             When the deadline passed.
         """
@@ -260,6 +262,8 @@
                     raise PeerError("the other end sent more than one exchange at once")
                 if event is not h11.NEED_DATA:
                     return event  # type: ignore[return-value]
+            if self._is_closed_here:
+                raise ConnectionClosedError("this process closed the connection")
             if self.is_eof:
                 raise PeerError("the connection was closed in the middle")
             await self._wait_for_data(deadline)
@@ -315,11 +319,13 @@
 
     def close(self) -> None:
         """Close once all written bytes have been sent."""
+        self._is_closed_here = True
         if self.transport is not None:
             self.transport.close()
 
     def abort(self) -> None:
         """Close at once, dropping unsent bytes."""
+        self._is_closed_here = True
         if self.transport is not None:
             self.transport.abort()
 
--- a/celerytrail/http/server.py
+++ b/celerytrail/http/server.py
@@ -90,21 +90,15 @@
         all_headers = {"content-type": JSON_TYPE, **(headers or {})}
         await self.send(status, msgspec.json.encode(value), all_headers)
 
-    def start(
-        self, status: int, headers: Mapping[str, str], *, is_framed: bool = True
-    ) -> None:
-        """Send the head; a body without a length is sent in chunks.
-
-        If ``is_framed`` is False, the body ends with its connection instead.
-        """
+    def start(self, status: int, headers: Mapping[str, str]) -> None:
+        """Send the head; a body without a length is sent in chunks."""
         sent = dict(headers)
-        self.is_closing = self.is_closing or not is_framed
         if self._conn.request_id is not None:
             # The exchange's id is echoed so that the caller can check it.
             sent[REQUEST_ID_HEADER] = self._conn.request_id
         if self.is_closing:
             sent["connection"] = "close"
-        if is_framed and "content-length" not in sent:
+        if "content-length" not in sent:
             sent["transfer-encoding"] = "chunked"
         self.status = status
         self._conn.send(h11.Response(status_code=status, headers=header_list(sent)))
--- a/celerytrail/http/tunnels.py
+++ b/celerytrail/http/tunnels.py
@@ -67,6 +67,7 @@
     def __init__(self, *, end: bytes = b"") -> None:
         self._end = end
         self._other: Pipe | None = None
+        self._has_ended = False
         self._transport: asyncio.Transport | None = None
         self.closed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
@@ -86,14 +87,13 @@
 
     def eof_received(self) -> bool:
         """Close both ends behind what was received."""
+        self._has_ended = True
         self._close_other()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Close the other end in the same way."""
-        if exc is None:
-            self._close_other()
-        elif self._other is not None:
+        """Close the other end, as after a reset if the connection had no end."""
+        if self._other is not None and not self._has_ended:
             self._other.abort()
         if not self.closed.done():
             self.closed.set_result(None)
--- a/standins/modelworker.py
+++ b/standins/modelworker.py
@@ -17,6 +17,7 @@
 from celerytrail.types import Address
 
 from .enginemodel import EngineModel, EngineSpec, Job, Link
+from .unframed import UnframedResponder
 from .worker import Worker
 
 # Interval between two increments of a run's backup, in seconds.
@@ -464,6 +465,8 @@
         headers = {**self._headers(attempt_id), "content-type": "text/event-stream"}
         ends = self.answer_ends
         is_unframed = ends is not None and ends.rng.random() < ends.unframed_share
+        if is_unframed:
+            res = UnframedResponder(res=res)
         tears_at = -1
         if ends is not None and is_unframed and not first_event:
             tears_at = ends.draw_tear()
@@ -473,7 +476,7 @@
         while True:
             while number < stream.n_events:
                 if not is_begun:
-                    res.start(200, headers, is_framed=not is_unframed)
+                    res.start(200, headers)
                     is_begun = True
                 data = event(attempt_id, number, self._signature)
                 if number == tears_at:
@@ -491,7 +494,7 @@
             stream.changed.clear()
             await self._await_change(stream, res)
         if not is_begun:
-            res.start(200, headers, is_framed=not is_unframed)
+            res.start(200, headers)
         await res.finish()
 
     @property
--- a/tests/test_relay_http.py
+++ b/tests/test_relay_http.py
@@ -6,10 +6,14 @@
 import socket
 import struct
 
+import h11
 import pytest
 from result import Err
 
+from celerytrail.exceptions import ConnectionClosedError
 from celerytrail.http.client import HttpClient
+from celerytrail.http.messages import Connection
+from celerytrail.http.network import SystemNetwork
 from celerytrail.http.server import Handler, HttpServer
 from celerytrail.types import Address
 from standins.worker import unframed_answer
@@ -39,6 +43,21 @@
     return server, Address(host="127.0.0.1", port=server.sockets[0].getsockname()[1])
 
 
+async def held_server(answer: bytes):
+    """Start a server that sends raw bytes, and closes once an event is set."""
+    release = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.read(65_536)
+        writer.write(answer)
+        await release.wait()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    address = Address(host="127.0.0.1", port=server.sockets[0].getsockname()[1])
+    return server, address, release
+
+
 def worker_client() -> HttpClient:
     return HttpClient(id_header="x-attempt-id", allows_unframed=True)
 
@@ -94,6 +113,46 @@
         assert isinstance(await stream.next_chunk(), Err)
         server.close()
 
+    async def test_a_waiting_reader_gets_no_end_of_what_this_node_closes(self):
+        """Guards against a part of an answer without a length that looks whole."""
+        server, address, release = await held_server(unframed_answer("a1", b"half"))
+        opened = await worker_client().open(
+            address, "GET", "/", headers={"x-attempt-id": "a1"}, request_id="a1"
+        )
+        stream = opened.unwrap()
+        assert (await stream.next_chunk()).unwrap() == b"half"
+        reading = asyncio.ensure_future(stream.next_chunk())
+        await asyncio.sleep(0.01)
+        stream.close()
+        assert (await reading).err_value.reason == "abandoned"
+        release.set()
+        server.close()
+
+    @pytest.mark.parametrize("method", ["abort", "close"])
+    @pytest.mark.parametrize("head", ["", "content-length: 10\r\n"])
+    async def test_a_closed_connection_tells_its_reader_who_closed_it(
+        self, method, head
+    ):
+        """Guards against an end, or a fault of the peer, that is this node's doing."""
+        answer = f"HTTP/1.1 200 OK\r\n{head}\r\nhalf".encode()
+        server, address, release = await held_server(answer)
+        conn = await SystemNetwork().connect(
+            lambda: Connection(role=h11.CLIENT), address
+        )
+        conn.send(h11.Request(method="GET", target="/", headers=[("host", "h")]))
+        conn.send(h11.EndOfMessage())
+        assert isinstance(await conn.next_event(), h11.Response)
+        assert isinstance(await conn.next_event(), h11.Data)
+        reading = asyncio.ensure_future(conn.next_event())
+        await asyncio.sleep(0.01)
+        getattr(conn, method)()
+        with pytest.raises(ConnectionClosedError):
+            await reading
+        with pytest.raises(ConnectionClosedError):
+            await conn.next_event()
+        release.set()
+        server.close()
+
 
 class TestWithdrawnRequests:
     async def test_nothing_is_sent_after_the_request_is_withdrawn(self):
