Soak node processes beside late answers and reused addresses

The users ran real processes; our soak was the stand-ins' in one process and scenarios with one failure after the other. Node processes are stopped, killed, frozen and reloaded, the store falls silent and configurations change, in series and overlapping, while an endpoint a second starts again at its address under a new id and all endpoints repeat answers; callers keep their connections until these are closed. What callers received is compared with what the endpoints ran: TWICE, REFUSED, MIXED, ORDER, and nodes that don't get ready again.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,9 @@
 fuzz-late: install  ## Answers that come late, endpoints at former addresses: make fuzz-late SEEDS=100-160.
 	CELERYTRAIL_LATE_SEEDS=$(SEEDS) $(PY) -m pytest -q -n $(WORKERS) tests/test_relay_late_fuzz.py
 
+soak: install  ## Real processes under overlapping disruptions: make soak SEEDS=1-50.
+	CELERYTRAIL_SOAK_SEEDS=$(SEEDS) $(PY) -m pytest -q tests/test_soak.py
+
 fuzz-limits: install  ## Random faults around endpoints with limits: make fuzz-limits SEEDS=100-160.
 	CELERYTRAIL_LIMIT_SEEDS=$(SEEDS) $(PY) -m pytest -q tests/test_relay_limit_fuzz.py
 
@@ -90,5 +93,5 @@
 bench-relay: install  ## Measure what a relayed token costs, next to h11's floor.
 	$(PY) -m bench.relay
 
-.PHONY: help install test demo run scenarios fuzz fuzz-relay fuzz-late fuzz-limits fuzz-pauses fuzz-versions fuzz-crashes fuzz-crash-requests fuzz-reach test-large format check
+.PHONY: help install test demo run scenarios fuzz soak fuzz-relay fuzz-late fuzz-limits fuzz-pauses fuzz-versions fuzz-crashes fuzz-crash-requests fuzz-reach test-large format check
 .PHONY: bench bench-quick bench-capacity bench-membership bench-fleet bench-cost bench-relay
