Take a stream up at its only version for as long as callers wait

A report says that callers got answers joined from two versions (ORDER) after all nodes had been killed around a release.

Cause, found by reading and shown by two tests: after the kill a stream of which nobody knows the origin goes on if its service has had one version for as long as the stream may be away. That was the route's present time, or the rest of the caller's. A stream may have begun earlier: a caller's whole time may be longer than both, and the route's time may have been cut since.

Change: a node records the longest wait that callers of a route state, and asks for one version over that time.

Both tests fail before (200, all events after the third from the other version) and pass after. Whether the report's cause is this one isn't known.

--- a/celerytrail/relay/enginerelay.py
+++ b/celerytrail/relay/enginerelay.py
@@ -5,6 +5,7 @@
 import random
 from dataclasses import dataclass, field
 
+from ..clock import Clock
 from ..metrics import Metrics
 from ..policies.backups import BackupPolicy
 from ..policies.decodetimes import DecodeTimes
@@ -89,6 +90,8 @@
         Breaks ties, and generates run ids.
     metrics : Metrics
         Counts streams that are taken up.
+    clock : Clock
+        Dates what callers state.
     """
 
     def __init__(
@@ -108,6 +111,7 @@
         policies: EnginePolicies,
         rng: random.Random,
         metrics: Metrics,
+        clock: Clock,
     ) -> None:
         registry, gate, answers = endpoints.registry, endpoints.gate, endpoints.answers
         self.starts = StartChecks(
@@ -165,5 +169,5 @@
             rng=rng,
         )
         self.resumptions = Resumptions(
-            broker=origins, registry=registry, metrics=metrics
+            broker=origins, registry=registry, metrics=metrics, clock=clock
         )
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -277,6 +277,7 @@
             policies=self._policies,
             rng=self._rng,
             metrics=self._metrics,
+            clock=self._clock,
         )
         self.generations = relay.generations
         self._resumptions = relay.resumptions
--- a/celerytrail/relay/resumption.py
+++ b/celerytrail/relay/resumption.py
@@ -6,8 +6,10 @@
 
 from result import Err, Ok, Result
 
+from ..clock import Clock
 from ..metrics import Metrics
 from ..model import RequestMetadata, Route, RouteKind
+from ..policies.callerwaits import CallerWaits
 from ..policies.streamorigins import stream_key
 from ..policies.versionbinding import UNBOUND, VersionBinding
 from .originbroker import OriginBroker
@@ -49,14 +51,23 @@
         Lists the endpoints.
     metrics : Metrics
         Counts streams that are taken up, by what was known of them.
+    clock : Clock
+        Dates what callers state.
     """
 
     def __init__(
-        self, *, broker: OriginBroker, registry: Registry, metrics: Metrics
+        self,
+        *,
+        broker: OriginBroker,
+        registry: Registry,
+        metrics: Metrics,
+        clock: Clock,
     ) -> None:
         self._broker = broker
         self._registry = registry
         self._metrics = metrics
+        self._clock = clock
+        self._waits = CallerWaits()
 
     async def resolve(
         self,
@@ -78,7 +89,11 @@
         service : str
             The service that it would begin at.
         """
-        if route.kind is not RouteKind.STREAM or not facts.is_resumption:
+        if route.kind is not RouteKind.STREAM:
+            return Ok(Resumption(service=service))
+        if facts.budget_seconds is not None:
+            self._waits.record(route.name, facts.budget_seconds, self._clock.boottime())
+        if not facts.is_resumption:
             return Ok(Resumption(service=service))
         resolved = await self._resolve(facts, route, organisation)
         outcome = (
@@ -93,10 +108,13 @@
         self, facts: RequestMetadata, route: Route, organisation: str | None
     ) -> Result[Resumption, CannotResume]:
         names = [share.service for share in route.shares]
+        # The caller states what is left of its time, and the stream may have begun
+        # before that; the route's time may have been longer then.
+        waits = self._waits.longest(route.name, self._clock.boottime())
         found = await self._broker.find(
             stream_key(organisation, facts.resumed_attempt or ""),
             names[0] if len(names) == 1 else "",
-            max(route.timeout_seconds, facts.budget_seconds or 0.0),
+            max(route.timeout_seconds, waits),
         )
         if isinstance(found, Err):
             may_elsewhere = found.err_value.may_be_known
--- a/tests/test_relay_resumption.py
+++ b/tests/test_relay_resumption.py
@@ -220,6 +220,63 @@
         run_desk(steps, "v1", "v2")
 
 
+class TestAllNodesKilled:
+    async def replace_all(self, desk: Desk) -> None:
+        """Kill all nodes and start them again; another version takes over."""
+        former = desk.rig.all_engines[0]
+        for node in range(3):
+            await desk.rig.restart_node(node)
+        await desk.rig.crash(former)
+        await desk.rig.add_engine("v2")
+
+    def test_a_long_waiting_callers_stream_does_not_go_on_at_another_version(self):
+        """Guards against an answer joined from two versions after a kill of all nodes.
+
+        The caller's time is longer than the route's, and little of it is left.
+        """
+
+        async def steps(desk: Desk) -> None:
+            await desk.send(x_time_budget_ms="39000")
+            attempt = f"r{desk.n_sent}"
+            await self.replace_all(desk)
+            await asyncio.sleep(5.0)
+            for node in range(3):
+                assert (await desk.send(node, x_time_budget_ms="39000")).status == 200
+            await asyncio.sleep(25.0)
+            for node in range(3):
+                res = await desk.send(
+                    node, last_event_id="2", resumes=attempt, x_time_budget_ms="8000"
+                )
+                assert res.status == 421
+                assert error_type(res) == ORIGIN_UNKNOWN
+
+        run_desk(steps, "v1")
+
+    def test_a_shorter_timeout_does_not_shorten_what_must_be_known(self):
+        """Guards against the same when the route's timeout is cut before the kill."""
+
+        async def steps(desk: Desk) -> None:
+            await desk.send()
+            attempt = f"r{desk.n_sent}"
+            cfg = config(3, tenants=TENANTS)
+            for entry in cfg["routes"]:
+                entry["timeout-ms"] = 1_500
+            desk.rig.fleet.store.put("op", "config", cfg)
+            await self.replace_all(desk)
+            await asyncio.sleep(2.0)
+            for node in range(3):
+                assert (await desk.send(node)).status == 200
+            await asyncio.sleep(1.0)
+            for node in range(3):
+                res = await desk.send(
+                    node, last_event_id="2", resumes=attempt, x_time_budget_ms="2000"
+                )
+                assert res.status == 421
+                assert error_type(res) == ORIGIN_UNKNOWN
+
+        run_desk(steps, "v1")
+
+
 class TestMessages:
     """Nodes of the last release run beside those of this one while it is rolled out."""
 
