Let no bytes of another program end the task that reads them

Cause: decoders listed the exceptions that bytes may raise, and the list lacked RecursionError. It passed through the sink and the mirror and ended the task that follows the table.

Change: decoders of rows, configurations, reports, copies, pages of the store, and other nodes' rows, requests and updates are contained in one place: any error becomes a described Err. An unreadable row is counted, and logged once for each value instead of at each heartbeat.

--- a/celerytrail/platform/operatorconfig.py
+++ b/celerytrail/platform/operatorconfig.py
@@ -5,8 +5,9 @@
 from typing import Annotated
 
 import msgspec
-from result import Err, Ok, Result
+from result import Ok, Result
 
+from ..decoding import contained
 from ..model import (
     CallerBounds,
     EngineProfile,
@@ -99,13 +100,10 @@
     tenants: list[_Tenant] | None = None
 
 
+@contained
 def decode_config(value: bytes) -> Result[RelayConfig, str]:
     """Decode one version of the configuration."""
-    try:
-        raw = msgspec.json.decode(value, type=_Document)
-        return Ok(_config(raw))
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
-        return Err(str(exc))
+    return Ok(_config(msgspec.json.decode(value, type=_Document)))
 
 
 def _config(raw: _Document) -> RelayConfig:
--- a/celerytrail/platform/registrations.py
+++ b/celerytrail/platform/registrations.py
@@ -5,8 +5,9 @@
 from typing import Annotated, Literal
 
 import msgspec
-from result import Err, Ok, Result
+from result import Ok, Result
 
+from ..decoding import contained
 from ..model import EndpointState, Registration
 from ..types import Address
 
@@ -29,13 +30,11 @@
     born: int = 0
 
 
+@contained
 def decode_registration(endpoint: str, value: bytes) -> Result[Registration, str]:
     """Decode one row; an invalid row registers no endpoint."""
-    try:
-        raw = msgspec.json.decode(value, type=_Row)
-        address = Address.parse(raw.address)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
-        return Err(str(exc))
+    raw = msgspec.json.decode(value, type=_Row)
+    address = Address.parse(raw.address)
     is_ready = raw.state == "ready"
     return Ok(
         Registration(
--- a/celerytrail/platform/storewire.py
+++ b/celerytrail/platform/storewire.py
@@ -12,8 +12,9 @@
 from urllib.parse import quote, urlencode
 
 import msgspec
-from result import Err, Ok, Result
+from result import Ok, Result
 
+from ..decoding import contained
 from ..http.messages import Response
 from ..rowsource import Changes, Row
 
@@ -39,15 +40,6 @@
 # A row for each block on prompts, written by the nodes.
 PROMPT_BLOCKS_TABLE = "prompt-blocks"
 
-_DECODE_ERRORS = (
-    msgspec.DecodeError,
-    UnicodeDecodeError,
-    KeyError,
-    TypeError,
-    ValueError,
-    AttributeError,
-)
-
 
 def range_path(
     table: str, *, start: str = "", end: str | None = None, limit: int | None = None
@@ -103,32 +95,26 @@
     return msgspec.json.encode(changes)
 
 
+@contained
 def decode_page(res: Response) -> Result[tuple[Changes, bool], str]:
     """Decode a page of rows, and whether more follow."""
-    try:
-        raw = msgspec.json.decode(res.body)
-        rows = tuple(_decode_row(row) for row in raw["rows"])
-        changes = Changes(rows=rows, version=int(raw["ver"]))
-        return Ok((changes, bool(raw.get("has-more"))))
-    except _DECODE_ERRORS as exc:
-        return Err(f"the answer can't be read: {exc!r}")
+    raw = msgspec.json.decode(res.body)
+    rows = tuple(_decode_row(row) for row in raw["rows"])
+    changes = Changes(rows=rows, version=int(raw["ver"]))
+    return Ok((changes, bool(raw.get("has-more"))))
 
 
+@contained
 def decode_conflict(res: Response) -> Result[tuple[Row, ...], str]:
     """Decode the current state of the rows that a refused transaction checked."""
-    try:
-        raw = msgspec.json.decode(res.body)
-        return Ok(tuple(_decode_row(row) for row in raw["rows"]))
-    except _DECODE_ERRORS as exc:
-        return Err(f"the answer can't be read: {exc!r}")
+    raw = msgspec.json.decode(res.body)
+    return Ok(tuple(_decode_row(row) for row in raw["rows"]))
 
 
+@contained
 def decode_version(res: Response) -> Result[int, str]:
     """Decode the version that a transaction gave to the rows that it wrote."""
-    try:
-        return Ok(int(msgspec.json.decode(res.body)["ver"]))
-    except _DECODE_ERRORS as exc:
-        return Err(f"the answer can't be read: {exc!r}")
+    return Ok(int(msgspec.json.decode(res.body)["ver"]))
 
 
 def _row_id(table: str, key: str) -> dict[str, str]:
--- a/celerytrail/platform/wire.py
+++ b/celerytrail/platform/wire.py
@@ -12,6 +12,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from ..decoding import contained
 from ..http.messages import Request
 from ..model import EndpointStatements, EngineReport, LoadHeader, RequestMetadata
 from ..types import Address
@@ -308,12 +309,10 @@
     born: int | None = None
 
 
+@contained
 def decode_report(body: bytes) -> Result[EngineReport, str]:
     """Decode an engine's report of its load."""
-    try:
-        raw = msgspec.json.decode(body, type=_Report)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        return Err(str(exc))
+    raw = msgspec.json.decode(body, type=_Report)
     leaves = raw.leaves_in_ms
     return Ok(
         EngineReport(
@@ -333,24 +332,12 @@
     return msgspec.json.encode({"id": attempt_id, "to": str(target), "last": is_last})
 
 
+@contained
 def decode_completed_move(body: bytes) -> Result[CompletedMove, str]:
     """Decode the answer to a completed move."""
-    try:
-        raw = msgspec.json.decode(body)
-        return Ok(
-            CompletedMove(
-                handle=str(raw["handle"]), n_events=int(raw.get("created", 0))
-            )
-        )
-    except (
-        msgspec.DecodeError,
-        UnicodeDecodeError,
-        KeyError,
-        TypeError,
-        ValueError,
-        AttributeError,
-    ) as exc:
-        return Err(repr(exc))
+    raw = msgspec.json.decode(body)
+    handle, n_events = str(raw["handle"]), int(raw.get("created", 0))
+    return Ok(CompletedMove(handle=handle, n_events=n_events))
 
 
 def free_copy_path(handle: str) -> str:
--- a/celerytrail/relay/crashes/blockstore.py
+++ b/celerytrail/relay/crashes/blockstore.py
@@ -11,6 +11,7 @@
 from eliot import log_message
 from result import Err
 
+from ...decoding import decode_json
 from ...platform import storewire
 from ...policies.blockedprompts import BLOCK_SECONDS, Block, BlockedPrompts, BlockKey
 from ...rowsource import Row, RowSource
@@ -137,11 +138,12 @@
     def _apply_row(self, row: Row) -> None:
         if row.value is None:
             return
-        try:
-            entry = msgspec.json.decode(row.value, type=BlockRow)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            log_message("relay:prompt:unreadable", row=row.key, problem=str(exc))
+        decoded = decode_json(row.value, BlockRow)
+        if isinstance(decoded, Err):
+            problem = decoded.err_value
+            log_message("relay:prompt:unreadable", row=row.key, problem=problem)
             return
+        entry = decoded.ok_value
         block = Block(
             service=entry.service,
             parts=frozenset(entry.parts),
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -186,6 +186,7 @@
                 clock=self._clock,
                 decode=decode_registration,
                 on_leaving_row=self._announce_leaving_row,
+                metrics=self._metrics,
             ),
             clock=self._clock,
             rng=self._rng,
--- a/celerytrail/relay/peerrequests.py
+++ b/celerytrail/relay/peerrequests.py
@@ -5,8 +5,9 @@
 from typing import TypeVar
 
 import msgspec
-from result import Err, Ok, Result
+from result import Err, Result
 
+from ..decoding import decode_json
 from ..http.client import HttpClient
 from ..http.messages import Request
 from ..http.routes import send_error
@@ -63,18 +64,16 @@
         res = answered.ok_value
         if res.status != 200:
             return Err(f"status {res.status}")
-        try:
-            return Ok(msgspec.json.decode(res.body, type=answer_type))
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            return Err(str(exc))
+        return decode_json(res.body, answer_type)
 
     async def decode(self, req: Request, res: Responder, kind: type[S]) -> S | None:
         """Decode a signed message of another node, or refuse it."""
         if not self._keys.accepts(req):
             await refuse_signature(res, self._metrics)
             return None
-        try:
-            return msgspec.json.decode(req.body, type=kind)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            await send_error(res, 400, "bad_request", place="body", message=str(exc))
+        decoded = decode_json(req.body, kind)
+        if isinstance(decoded, Err):
+            problem = decoded.err_value
+            await send_error(res, 400, "bad_request", place="body", message=problem)
             return None
+        return decoded.ok_value
--- a/celerytrail/relay/peerupdates.py
+++ b/celerytrail/relay/peerupdates.py
@@ -10,7 +10,9 @@
 
 import msgspec
 from eliot import log_message
+from result import Err, Ok, Result
 
+from ..decoding import contained
 from ..http.network import Network
 from ..model import EngineReport, LoadHeader, Registration
 from ..nodes.gossip import DATAGRAM_HEADER_BYTES
@@ -164,6 +166,9 @@
     returning: list[ReturningEntry] = []
 
 
+_UPDATE_DECODER = msgspec.msgpack.Decoder(NodeUpdate)
+
+
 class PeerUpdates(asyncio.DatagramProtocol):
     """Sends this node's updates to the other nodes, and applies theirs.
 
@@ -255,7 +260,6 @@
         # By engine, when a report with unexplained load was last announced.
         self._announced_reports: dict[str, float] = {}
         self._transport: asyncio.DatagramTransport | None = None
-        self._decoder = msgspec.msgpack.Decoder(NodeUpdate)
         self.n_sent = 0
         self.n_sent_bytes = 0
 
@@ -434,11 +438,12 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Apply another node's update."""
-        try:
-            update = self._decoder.decode(data)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            log_message("relay:sharing:unreadable", peer=addr[0], problem=str(exc))
+        decoded = _decode_update(data)
+        if isinstance(decoded, Err):
+            problem = decoded.err_value
+            log_message("relay:sharing:unreadable", peer=addr[0], problem=problem)
             return
+        update = decoded.ok_value
         if update.node == self._node:
             return
         now = self._now()
@@ -633,3 +638,8 @@
         waiting_since=now - entry.waited_ms / 1_000,
         returns_at=now + entry.returns_ms / 1_000,
     )
+
+
+@contained
+def _decode_update(data: bytes) -> Result[NodeUpdate, str]:
+    return Ok(_UPDATE_DECODER.decode(data))
--- a/celerytrail/relay/rowsmessages.py
+++ b/celerytrail/relay/rowsmessages.py
@@ -9,7 +9,9 @@
 import zlib
 
 import msgspec
+from result import Ok, Result
 
+from ..decoding import contained
 from ..http.messages import Request
 from ..rowsource import Changes, Row
 
@@ -20,8 +22,6 @@
 COMPRESSION_LEVEL = 1
 MAX_CACHED_ROWS = 64
 
-DECODE_ERRORS = (msgspec.DecodeError, UnicodeDecodeError, zlib.error)
-
 
 class RowsRequest(msgspec.Struct, forbid_unknown_fields=True):
     """Request for the rows of a table.
@@ -59,15 +59,11 @@
     n_hops: int = 0
 
 
-def decode_rows(answer: RowsAnswer) -> tuple[Row, ...]:
-    """Return the rows of an answer.
-
-    Raises
-    ------
-    zlib.error
-        If a compressed value can't be decompressed.
-    """
-    return tuple(
+@contained
+def decode_rows(body: bytes) -> Result[tuple[RowsAnswer, tuple[Row, ...]], str]:
+    """Decode an answer and its rows, which may be compressed."""
+    answer = msgspec.json.decode(body, type=RowsAnswer)
+    rows = tuple(
         Row(
             key=row.key,
             value=(
@@ -79,6 +75,7 @@
         )
         for row in answer.rows
     )
+    return Ok((answer, rows))
 
 
 class RowsEncoder:
--- a/celerytrail/relay/sharedrows.py
+++ b/celerytrail/relay/sharedrows.py
@@ -16,6 +16,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from ..decoding import decode_json
 from ..http.client import HttpClient, Progress
 from ..http.messages import Request
 from ..http.routes import Params, Router, send_error
@@ -35,7 +36,6 @@
 from ..types import Address
 from .rowsmessages import (
     ACCEPT_HEADERS,
-    DECODE_ERRORS,
     ROWS_PATH,
     RowsAnswer,
     RowsEncoder,
@@ -247,11 +247,10 @@
         res = answered.ok_value
         if res.status != 200:
             return Err(StoreUnavailable(reason=f"status {res.status}"))
-        try:
-            answer = msgspec.json.decode(res.body, type=RowsAnswer)
-            rows = decode_rows(answer)
-        except DECODE_ERRORS as exc:
-            return Err(StoreUnavailable(reason=f"can't be read: {exc}"))
+        decoded = decode_rows(res.body)
+        if isinstance(decoded, Err):
+            return Err(StoreUnavailable(reason=f"can't be read: {decoded.err_value}"))
+        answer, rows = decoded.ok_value
         if answer.is_history_gone:
             return Err(HistoryTruncated())
         if answer.age_seconds > self._tables[table].bound().useful_seconds:
@@ -291,11 +290,12 @@
         if not self._keys.accepts(req):
             await refuse_signature(res, self._metrics)
             return
-        try:
-            request = msgspec.json.decode(req.body, type=RowsRequest)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-            await send_error(res, 400, "bad_question", place="body", message=str(exc))
+        decoded = decode_json(req.body, RowsRequest)
+        if isinstance(decoded, Err):
+            problem = decoded.err_value
+            await send_error(res, 400, "bad_question", place="body", message=problem)
             return
+        request = decoded.ok_value
         table = self._tables.get(request.table)
         found: Changes | HistoryTruncated | None = None
         if table is not None and request.after is None:
--- a/celerytrail/relay/tablesinks.py
+++ b/celerytrail/relay/tablesinks.py
@@ -9,7 +9,9 @@
 from result import Err, Result
 
 from ..clock import Clock
+from ..metrics import Metrics
 from ..model import EndpointState, Registration, RelayConfig
+from ..platform.storewire import REGISTRATION_TABLE
 from ..policies.coldlimits import ColdEndpoints
 from ..policies.versionhistory import VersionHistory
 from ..rowsource import Row
@@ -178,6 +180,8 @@
     on_leaving_row : callable
         Called with an endpoint before a changed row is applied that is the first to
         say that it leaves.
+    metrics : Metrics
+        Counts rows that can't be decoded.
     """
 
     def __init__(
@@ -189,6 +193,7 @@
         clock: Clock,
         decode: RegistrationDecoder,
         on_leaving_row: Callable[[Registration], None],
+        metrics: Metrics,
     ) -> None:
         self._registry = registry
         self._cold = cold
@@ -196,6 +201,9 @@
         self._clock = clock
         self._decode = decode
         self._on_leaving_row = on_leaving_row
+        self._metrics = metrics
+        # By key, a hash of the last value that couldn't be decoded.
+        self._unreadable: dict[str, int] = {}
 
     def replace(self, rows: Sequence[Row], *, is_after_outage: bool) -> None:
         """Replace the whole table."""
@@ -226,19 +234,26 @@
         for reg in regs:
             self._versions.record(reg.service, reg.version, now)
 
+    def _record_unreadable(self, endpoint: str, value: bytes, problem: str) -> None:
+        """Count and log a row once, however often it is read."""
+        digest = hash(value)
+        if self._unreadable.get(endpoint) == digest:
+            return
+        self._unreadable[endpoint] = digest
+        self._metrics.count("unreadable_rows", table=REGISTRATION_TABLE)
+        log_message("relay:registration:unreadable", endpoint=endpoint, problem=problem)
+
     def _decode_row(self, row: Row) -> Registration | None:
         if row.value is None:
+            self._unreadable.pop(row.key, None)
             return None
         decoded = self._decode(row.key, row.value)
         if isinstance(decoded, Err):
             # A row may be torn or written by another program. It is ignored, and the
             # other rows are applied.
-            log_message(
-                "relay:registration:unreadable",
-                endpoint=row.key,
-                problem=decoded.err_value,
-            )
+            self._record_unreadable(row.key, row.value, decoded.err_value)
             return None
+        self._unreadable.pop(row.key, None)
         reg = decoded.ok_value
         if reg.cold_seconds > 0:
             now = asyncio.get_running_loop().time()
--- a/celerytrail/relay/tunnelserver.py
+++ b/celerytrail/relay/tunnelserver.py
@@ -7,7 +7,9 @@
 
 import msgspec
 from eliot import log_message
+from result import Err, Ok, Result
 
+from ..decoding import contained
 from ..http.messages import Request
 from ..http.network import Network
 from ..http.routes import Params, Router, send_error
@@ -129,12 +131,12 @@
         if not self._keys.accepts(req):
             await refuse_signature(res, self._metrics)
             return
-        try:
-            asked = msgspec.json.decode(req.body, type=TunnelRequest)
-            address = Address.parse(asked.endpoint)
-        except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
-            await send_error(res, 400, "bad_request", place="body", message=str(exc))
+        decoded = _decode_address(req.body)
+        if isinstance(decoded, Err):
+            problem = decoded.err_value
+            await send_error(res, 400, "bad_request", place="body", message=problem)
             return
+        address = decoded.ok_value
         reason = self._refusal(address)
         if reason is not None:
             await self._refuse(res, address, reason)
@@ -198,3 +200,9 @@
         log_message("relay:tunnel:refused", address=str(address), reason=reason)
         res.is_closing = True
         await res.send_json(503, {"error": {"type": reason}}, {"x-reason": reason})
+
+
+@contained
+def _decode_address(body: bytes) -> Result[Address, str]:
+    asked = msgspec.json.decode(body, type=TunnelRequest)
+    return Ok(Address.parse(asked.endpoint))
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from celerytrail.clock import ManualClock, SystemClock
+from celerytrail.metrics import Metrics
 from celerytrail.model import (
     EndpointState,
     EngineReport,
@@ -702,6 +703,7 @@
             clock=CLOCK,
             decode=decode_registration,
             on_leaving_row=lambda reg: announced.append(reg.endpoint),
+            metrics=Metrics(process="vm-1"),
         )
         for row in rows:
             sink.change([row], is_after_outage=False)
