Start tasks that end unexpectedly again

Change: a Supervisor starts the node's endless tasks (tables, updates, waiting requests, engines, limits, paths, crashes, housekeeping, joining, the settings file). Starting again loses least: the connections that the process serves go on, and a stop would take all nodes at once where all read the same row. The readiness answer names the tasks that are paused; its status doesn't depend on them, for that reason.

--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -144,6 +144,7 @@
     "membership_changes": "Changes of other nodes' states, by state.",
     "orders": "Orders sent to engines, by outcome.",
     "request_tokens": "Requests for tokens of limited endpoints, by outcome.",
+    "ended_tasks": "Tasks that ended though they should run on, by name.",
     "unreadable_rows": "Rows that can't be decoded, by table.",
     "resumptions": "Streams that callers take up, by what was known of them.",
     "waiting_decisions": "Decisions on waiting requests, by decision and reason.",
--- a/celerytrail/nodes/nodes.py
+++ b/celerytrail/nodes/nodes.py
@@ -13,6 +13,7 @@
 from ..http.network import Network
 from ..http.routes import Router
 from ..metrics import Metrics
+from ..supervision import Supervisor
 from ..types import Address
 from .events import (
     EndpointLeaving,
@@ -118,6 +119,7 @@
         # cost more than the rest of the decision.
         self._live: dict[str | None, tuple[Member, ...]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._supervisor = Supervisor(metrics=metrics)
         self._on_version: list[VersionCallback] = []
         self._on_leaving: list[LeavingCallback] = []
         self._on_change: list[ChangeCallback] = []
@@ -131,7 +133,7 @@
     async def start(self) -> None:
         """Listen for datagrams and start to join the other nodes."""
         await self.gossip.start(self.me.peer)
-        self._start_task(self._join())
+        self._supervisor.start("join", self._join)
 
     async def leave(self) -> float:
         """Announce that this node is leaving.
@@ -155,6 +157,7 @@
 
     async def stop(self) -> None:
         """Announce that this node has stopped, and stop."""
+        await self._supervisor.close()
         for task in list(self._tasks):
             task.cancel()
         if self._tasks:
--- a/celerytrail/relay/addresses.py
+++ b/celerytrail/relay/addresses.py
@@ -94,14 +94,23 @@
     ----------
     is_ready : callable
         Returns whether callers should be sent to this node.
+    paused_tasks : callable
+        Returns the names of tasks that have ended unexpectedly and will start again.
     """
 
-    def __init__(self, *, is_ready: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        *,
+        is_ready: Callable[[], bool],
+        paused_tasks: Callable[[], list[str]],
+    ) -> None:
         self._is_ready = is_ready
+        self._paused_tasks = paused_tasks
 
     async def handle(self, req: Request, res: Responder) -> None:
         """Answer one check."""
         if req.path != wire.READINESS_PATH:
             await res.send(404)
             return
-        await res.send(200 if self._is_ready() else 503)
+        status = 200 if self._is_ready() else 503
+        await res.send_json(status, {"paused_tasks": self._paused_tasks()})
--- a/celerytrail/relay/daemon.py
+++ b/celerytrail/relay/daemon.py
@@ -67,9 +67,8 @@
         loop.add_signal_handler(signal_number, stop_requested.set)
     loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
     await node.start()
-    watcher = loop.create_task(_watch_file(node, path))
+    node.supervisor.start("settings file", lambda: _watch_file(node, path))
     await stop_requested.wait()
-    watcher.cancel()
     await node.stop()
     # A task that still waits for a silent peer must not delay the exit.
     os._exit(0)
--- a/celerytrail/relay/endpointlimits.py
+++ b/celerytrail/relay/endpointlimits.py
@@ -89,7 +89,9 @@
 
     async def run(self) -> None:
         """Announce the limits of owned endpoints periodically, until cancelled."""
-        await asyncio.gather(self.tokens.run(), self.places.run())
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.tokens.run())
+            group.create_task(self.places.run())
 
     def seconds_until_open(self, endpoint: str) -> float:
         """Return the time until a request to an endpoint may be admitted."""
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -5,7 +5,7 @@
 import asyncio
 import functools
 import random
-from collections.abc import Coroutine, Sequence
+from collections.abc import Sequence
 
 from eliot import log_message
 
@@ -31,6 +31,7 @@
 from ..policies.retrybudget import SharedRetryBudget
 from ..policies.versionhistory import VersionHistory
 from ..rowsource import RowSource
+from ..supervision import Supervisor
 from ..types import Address
 from .addresses import DirectoryHandler, ReadinessHandler
 from .crashes.broker import CrashBroker
@@ -95,7 +96,8 @@
         self._rng = rng or random.Random()
         self._clock = clock or SystemClock()
         self._metrics = Metrics(process=cfg.node)
-        self._tasks: list[asyncio.Task[None]] = []
+        self.supervisor = Supervisor(metrics=self._metrics)
+        self._entering: asyncio.Task[None] | None = None
         self.is_stopping = False
         # When the process will be killed, in loop time; None until it is asked to stop.
         self._killed_at: float | None = None
@@ -334,7 +336,10 @@
             callers=handler,
             peers=self._make_router(),
             directory=directory,
-            readiness=ReadinessHandler(is_ready=lambda: self.is_ready),
+            readiness=ReadinessHandler(
+                is_ready=lambda: self.is_ready,
+                paused_tasks=lambda: self.supervisor.paused,
+            ),
         )
 
     def _make_router(self) -> Router:
@@ -382,16 +387,18 @@
         await self.peer_updates.start(
             self._network, Address(host=cfg.callers.host, port=cfg.peer_ports[0])
         )
-        for watch in self._tables.watches:
-            self._run(watch.run())
-        self._run(self.peer_updates.run())
-        self._run(self.waiting_room.run())
-        self._run(self._engine_watch.run())
-        self._run(self._limits.run())
-        self._run(self.access.run())
-        self._run(self.crashes.run())
-        self._run(self._run_housekeeping())
-        self._run(self._peers.enter_store())
+        for number, watch in enumerate(self._tables.watches):
+            self.supervisor.start(f"table {number}", watch.run)
+        self.supervisor.start("updates", self.peer_updates.run)
+        self.supervisor.start("waiting", self.waiting_room.run)
+        self.supervisor.start("engines", self._engine_watch.run)
+        self.supervisor.start("limits", self._limits.run)
+        self.supervisor.start("paths", self.access.run)
+        self.supervisor.start("crashes", self.crashes.run)
+        self.supervisor.start("housekeeping", self._run_housekeeping)
+        self._entering = asyncio.get_running_loop().create_task(
+            self._peers.enter_store()
+        )
         log_message("relay:node:started", node=self.node_id, callers=str(cfg.callers))
 
     async def stop(self) -> None:
@@ -408,8 +415,7 @@
         await self._servers.drain(loop.time() + STOP_ACCEPT_SECONDS)
         await self.access.tunnels.stop(self._killed_at - STOP_MARGIN_SECONDS)
         await self._peers.node_rows.leave()
-        for task in self._tasks:
-            task.cancel()
+        self.supervisor.cancel()
         await self.nodes.stop()
         self.peer_updates.close()
         self.crashes.close()
@@ -418,9 +424,10 @@
     async def close(self) -> None:
         """Stop at once, aborting what is in progress; for tests."""
         await self._servers.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.wait(self._tasks)
+        await self.supervisor.close()
+        if self._entering is not None:
+            self._entering.cancel()
+            await asyncio.wait({self._entering})
         await self.nodes.stop()
         self.peer_updates.close()
         self.access.close()
@@ -463,9 +470,6 @@
 
     # Internals.
 
-    def _run(self, work: Coroutine[object, object, None]) -> None:
-        self._tasks.append(asyncio.get_running_loop().create_task(work))
-
     def _find_service(self, name: str) -> Service | None:
         cfg = self.configs.cfg
         return cfg.services.get(name) if cfg else None
