Use an endpoint again once its row is back

Cause: a registry recorded the start of an endpoint whose row vanished among those that had said that they leave, and nothing undid that. Nodes announce to one another only what endpoints say, so that an absence isn't passed on.

Change: what an endpoint says (its row, an answer, its report, a later start) is for good; what the absence of its row shows ends when the row is back with the same start and a later heartbeat. An earlier heartbeat may have been on its way to the store while the endpoint left, so it doesn't count; where a node follows another one, which passes on heartbeats only with a change, the last heartbeat that it knows may be an earlier one. An endpoint that returns isn't paced as one that has just started.

--- a/celerytrail/model.py
+++ b/celerytrail/model.py
@@ -240,6 +240,8 @@
         Unix milliseconds of its start; differs between processes.
     version : str
         The version of its software; empty if its row isn't the one of this start.
+    sequence : int
+        The number of its heartbeat, which grows; not part of what is compared.
     """
 
     endpoint: str
@@ -251,6 +253,7 @@
     cold_seconds: float = 0.0
     started_at: int = 0
     version: str = ""
+    sequence: int = field(default=0, compare=False)
 
     @property
     def incarnation(self) -> Incarnation:
--- a/celerytrail/platform/registrations.py
+++ b/celerytrail/platform/registrations.py
@@ -28,6 +28,8 @@
     cold_remaining_ms: float = 0.0
     # Unix time of the start in milliseconds; a new value means a new process.
     born: int = 0
+    # Grows with each heartbeat of this start.
+    sequence: int = 0
 
 
 @contained
@@ -47,5 +49,6 @@
             cold_seconds=raw.cold_remaining_ms * MS,
             started_at=raw.born,
             version=raw.version,
+            sequence=raw.sequence,
         )
     )
--- a/celerytrail/relay/registry.py
+++ b/celerytrail/relay/registry.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from eliot import log_message
+
 from ..model import EndpointState, Incarnation, Registration
 from ..policies.evacuations import Evacuations
 from ..policies.versionbinding import UNBOUND, VersionBinding
@@ -14,6 +16,8 @@
 # used if its service has no other, in seconds. Rows that lapsed only because of the
 # outage are back within two seconds of the store's return.
 LAPSE_GRACE_SECONDS = 2.0
+# How long it is remembered which heartbeat an absent row had last, in seconds.
+ABSENCE_SECONDS = 3_600.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -22,13 +26,26 @@
     expires_at: float
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Absence:
+    """A row that vanished: its last heartbeat, and when that is forgotten."""
+
+    sequence: int
+    forget_at: float
+
+
 class Registry:
     """Holds the registrations of endpoints by id.
 
+    An endpoint leaves if it says so, and for good if it does. One whose row vanished
+    counts as leaving until its row is back with a later heartbeat of the same start: an
+    earlier one may have been on its way to the store.
+
     Parameters
     ----------
     on_leaving : callable
-        Called once for each incarnation of an endpoint that leaves or is removed.
+        Called once for each incarnation of an endpoint that leaves, and for each time
+        that its row is removed.
     on_started : callable or None
         Called with an endpoint that has a new row or a new start, and with whether it
         had a row before. Not called for the first rows that a node reads.
@@ -46,7 +63,8 @@
         self._evacuations = evacuations or Evacuations()
         self._known: dict[str, Registration] = {}
         self._lapsed: dict[str, _Lapsed] = {}
-        self._announced_leaving: set[Incarnation] = set()
+        self._said_leaving: set[Incarnation] = set()
+        self._absent: dict[Incarnation, _Absence] = {}
         # By service, cached as it is read for each request.
         self._accepting: dict[str, list[Registration]] = {}
         self._on_leaving = on_leaving
@@ -62,9 +80,11 @@
             self._set_leaving(former)
         self._known[reg.endpoint] = reg
         lapsed = self._lapsed.pop(reg.endpoint, None)
-        self._accepting.clear()
+        self._invalidate()
         seen = former or (lapsed.reg if lapsed is not None else None)
-        if seen is None or seen.started_at != reg.started_at:
+        if reg.incarnation in self._absent:
+            self._record_returned(reg)
+        elif seen is None or seen.started_at != reg.started_at:
             self._record_started(reg, was_known=seen is not None)
         if reg.state is EndpointState.LEAVING:
             self._set_leaving(reg)
@@ -74,13 +94,13 @@
         former = self._known.pop(endpoint, None)
         if former is None:
             return
-        self._accepting.clear()
+        self._invalidate()
         if may_be_lapse and former.state is EndpointState.READY:
             self._lapsed[endpoint] = _Lapsed(
                 reg=former, expires_at=now + LAPSE_GRACE_SECONDS
             )
             return
-        self._set_leaving(former)
+        self._set_absent(former, now)
 
     def replace(
         self, regs: Iterable[Registration], now: float, *, may_be_lapse: bool
@@ -109,7 +129,7 @@
         bool
             Whether this is news.
         """
-        is_news = reg.incarnation not in self._announced_leaving
+        is_news = reg.incarnation not in self._said_leaving
         self._set_leaving(reg)
         return is_news
 
@@ -121,15 +141,17 @@
         if reg is not None and started_at in (None, reg.started_at):
             self._set_leaving(reg)
         elif started_at is not None:
-            self._announced_leaving.add((endpoint, started_at))
+            self._said_leaving.add((endpoint, started_at))
 
     def expire(self, now: float) -> None:
         """Remove lapsed endpoints whose rows were not restored in time."""
+        for incarnation, absence in list(self._absent.items()):
+            if now >= absence.forget_at:
+                del self._absent[incarnation]
         for endpoint, lapsed in list(self._lapsed.items()):
             if now >= lapsed.expires_at:
                 del self._lapsed[endpoint]
-                self._accepting.clear()
-                self._set_leaving(lapsed.reg)
+                self._set_absent(lapsed.reg, now)
 
     def is_usable(self, reg: Registration) -> bool:
         """Return whether the endpoint may get new work."""
@@ -143,8 +165,8 @@
         return not self._is_leaving(known)
 
     def is_leaving(self, reg: Registration) -> bool:
-        """Return whether the endpoint announced that it leaves, or was removed."""
-        return reg.incarnation in self._announced_leaving
+        """Return whether the endpoint said that it leaves, or its row is gone."""
+        return reg.incarnation in self._said_leaving or reg.incarnation in self._absent
 
     def usable_endpoints(
         self, service: str, binding: VersionBinding = UNBOUND
@@ -241,8 +263,34 @@
             return True
         return self.is_leaving(reg)
 
+    def _record_returned(self, reg: Registration) -> None:
+        """End an endpoint's absence, unless its row is of an earlier heartbeat."""
+        if reg.sequence > self._absent[reg.incarnation].sequence:
+            del self._absent[reg.incarnation]
+            log_message("relay:endpoint:returned", endpoint=reg.endpoint)
+
+    def _invalidate(self) -> None:
+        """Forget what was derived from the rows."""
+        self._accepting.clear()
+
     def _set_leaving(self, reg: Registration) -> None:
-        if reg.incarnation not in self._announced_leaving:
-            self._announced_leaving.add(reg.incarnation)
-            self._accepting.clear()
+        """Record that an endpoint leaves, for good."""
+        if reg.incarnation in self._said_leaving:
+            return
+        is_news = not self.is_leaving(reg)
+        self._said_leaving.add(reg.incarnation)
+        self._invalidate()
+        if is_news:
+            self._on_leaving(reg)
+
+    def _set_absent(self, reg: Registration, now: float) -> None:
+        """Record that an endpoint's row is gone, until it is back."""
+        is_news = not self.is_leaving(reg)
+        former = self._absent.get(reg.incarnation)
+        last = max(reg.sequence, former.sequence) if former else reg.sequence
+        self._absent[reg.incarnation] = _Absence(
+            sequence=last, forget_at=now + ABSENCE_SECONDS
+        )
+        self._invalidate()
+        if is_news:
             self._on_leaving(reg)
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -551,6 +551,54 @@
         assert not registry.is_usable(previous)
         assert len(registry.usable_endpoints("models")) == 1
 
+    def test_an_endpoint_whose_row_is_back_is_used_again(self):
+        """Guards against workers that are never used again after one lapse."""
+        registry, departed = self.make()
+        for sequence in (1, 5, 9):
+            registry.put(registration("e1", started_at=7, sequence=sequence))
+            assert len(registry.usable_endpoints("models")) == 1
+            registry.remove("e1", 0.0, may_be_lapse=False)
+            assert registry.usable_endpoints("models") == []
+        assert departed == ["e1"] * 3
+
+    def test_an_earlier_heartbeat_does_not_bring_an_endpoint_back(self):
+        """Guards against work for one that left while a heartbeat was on its way."""
+        registry, _ = self.make()
+        registry.put(registration("e1", started_at=7, sequence=5))
+        registry.remove("e1", 0.0, may_be_lapse=False)
+        for sequence in (4, 5):
+            registry.put(registration("e1", started_at=7, sequence=sequence))
+            assert registry.usable_endpoints("models") == []
+            registry.remove("e1", 0.0, may_be_lapse=False)
+        registry.put(registration("e1", started_at=7, sequence=5))
+        assert registry.usable_endpoints("models") == []
+        registry.put(registration("e1", started_at=7, sequence=6))
+        assert len(registry.usable_endpoints("models")) == 1
+
+    def test_what_an_endpoint_said_is_not_undone_by_its_row(self):
+        """Guards against work for an endpoint that leaves and whose row flaps."""
+        for says in ("row", "answer", "peer"):
+            registry, _ = self.make()
+            reg = registration("e1", started_at=7, sequence=1)
+            registry.put(reg)
+            if says == "row":
+                registry.put(replace(reg, state=EndpointState.LEAVING))
+            elif says == "answer":
+                registry.record_leaving(reg)
+            else:
+                registry.record_leaving_at_peer("e1", 7)
+            registry.remove("e1", 0.0, may_be_lapse=False)
+            registry.put(replace(reg, sequence=2))
+            assert registry.usable_endpoints("models") == []
+
+    def test_a_lapsed_endpoint_is_used_again_once_its_row_is_back(self):
+        registry, _ = self.make()
+        registry.put(registration("e1", started_at=7, sequence=1))
+        registry.remove("e1", 10.0, may_be_lapse=True)
+        registry.expire(10.0 + LAPSE_GRACE_SECONDS)
+        registry.put(registration("e1", started_at=7, sequence=2))
+        assert len(registry.usable_endpoints("models")) == 1
+
     def test_a_row_of_an_older_incarnation_is_ignored(self):
         registry, departed = self.make()
         registry.put(registration("e1", started_at=2))
