Leave alone a row whose address belongs to a later start

Change: an endpoint whose address has a row of a later start gets no new work while that row is there, and an address stands for its latest start.

Clocks of VMs differ and jump, so that a present start may look earlier; then the row of the former one hides it until that row goes, after 3.6 s with the users' heartbeat.

--- a/celerytrail/relay/registry.py
+++ b/celerytrail/relay/registry.py
@@ -67,6 +67,8 @@
         self._absent: dict[Incarnation, _Absence] = {}
         # By service, cached as it is read for each request.
         self._accepting: dict[str, list[Registration]] = {}
+        # By address, the latest start that has a row; cached in the same way.
+        self._latest_starts: dict[Address, int] | None = None
         self._on_leaving = on_leaving
         self._on_started = on_started
         self._has_read = False
@@ -162,7 +164,7 @@
         known = self._known.get(reg.endpoint)
         if known is None or known.started_at != reg.started_at:
             return False
-        return not self._is_leaving(known)
+        return self._may_get_work(known)
 
     def is_leaving(self, reg: Registration) -> bool:
         """Return whether the endpoint said that it leaves, or its row is gone."""
@@ -215,14 +217,14 @@
         found = [
             reg
             for reg in self._known.values()
-            if reg.service == service and not self._is_leaving(reg)
+            if reg.service == service and self._may_get_work(reg)
         ]
         if found:
             return found
         return [
             lapsed.reg
             for lapsed in self._lapsed.values()
-            if lapsed.reg.service == service and not self._is_leaving(lapsed.reg)
+            if lapsed.reg.service == service and self._may_get_work(lapsed.reg)
         ]
 
     def leaving_endpoints(self, service: str, version: str) -> list[str]:
@@ -240,12 +242,15 @@
         return self._known.get(endpoint)
 
     def find_address(self, address: Address) -> Registration | None:
-        """Return the registration of the endpoint at an address, if there is one."""
-        regs = (reg for reg in self._known.values() if reg.address == address)
-        lapsed = (
-            one.reg for one in self._lapsed.values() if one.reg.address == address
-        )
-        return next(regs, None) or next(lapsed, None)
+        """Return the registration of the endpoint at an address, if there is one.
+
+        If several have it, the one that started last is there.
+        """
+        regs = [reg for reg in self._known.values() if reg.address == address]
+        if not regs:
+            lapsed = [one.reg for one in self._lapsed.values()]
+            regs = [reg for reg in lapsed if reg.address == address]
+        return max(regs, key=lambda reg: reg.started_at, default=None)
 
     def has(self, endpoint: str) -> bool:
         """Return whether an endpoint has a row, or had one before an outage."""
@@ -263,6 +268,21 @@
             return True
         return self.is_leaving(reg)
 
+    def _may_get_work(self, reg: Registration) -> bool:
+        return not self._is_leaving(reg) and not self._is_superseded(reg)
+
+    def _is_superseded(self, reg: Registration) -> bool:
+        """Return whether a later start has the endpoint's address, so that it is gone.
+
+        A row remains for a while after its endpoint, and addresses are used again.
+        """
+        if self._latest_starts is None:
+            self._latest_starts = {}
+            for known in self._known.values():
+                latest = self._latest_starts.get(known.address, known.started_at)
+                self._latest_starts[known.address] = max(latest, known.started_at)
+        return self._latest_starts.get(reg.address, 0) > reg.started_at
+
     def _record_returned(self, reg: Registration) -> None:
         """End an endpoint's absence, unless its row is of an earlier heartbeat."""
         if reg.sequence > self._absent[reg.incarnation].sequence:
@@ -272,6 +292,7 @@
     def _invalidate(self) -> None:
         """Forget what was derived from the rows."""
         self._accepting.clear()
+        self._latest_starts = None
 
     def _set_leaving(self, reg: Registration) -> None:
         """Record that an endpoint leaves, for good."""
--- a/chores/soak.py
+++ b/chores/soak.py
@@ -201,7 +201,8 @@
 
     async def _add(self, worker: Worker, address: Address | None) -> None:
         worker.late_answers = LateAnswers(rng=self._rng, share=LATE_SHARE)
-        worker.born = len(self._workers) + 1
+        # Clocks differ: half of the starts aren't later than the former ones by theirs.
+        worker.born = 1 + self._rng.randrange(2) * len(self._workers)
         await worker.start(address)
         self._present.append(worker)
         self._workers.append(worker)
--- a/tests/test_relay_decisions.py
+++ b/tests/test_relay_decisions.py
@@ -599,6 +599,29 @@
         registry.put(registration("e1", started_at=7, sequence=2))
         assert len(registry.usable_endpoints("models")) == 1
 
+    def test_a_row_at_the_address_of_a_later_start_is_not_used(self):
+        """Guards against attempts at an endpoint that another one has replaced."""
+        registry, _ = self.make()
+        registry.put(registration("former", started_at=1))
+        registry.put(registration("present", started_at=2))
+        found = [reg.endpoint for reg in registry.usable_endpoints("models")]
+        assert found == ["present"]
+        registry.remove("present", 0.0, may_be_lapse=False)
+        assert [reg.endpoint for reg in registry.usable_endpoints("models")] == [
+            "former"
+        ]
+
+    def test_an_address_belongs_to_the_later_start(self):
+        """Guards against statements that are recorded of an endpoint that is gone."""
+        registry, _ = self.make()
+        former = registration("former", started_at=1)
+        present = registration("present", started_at=2)
+        for regs in ((former, present), (present, former)):
+            registry, _ = self.make()
+            for reg in regs:
+                registry.put(reg)
+            assert registry.find_address(former.address) == present
+
     def test_a_row_of_an_older_incarnation_is_ignored(self):
         registry, departed = self.make()
         registry.put(registration("e1", started_at=2))
