--- a/celerytrail/http/messages.py
+++ b/celerytrail/http/messages.py
@@ -44,6 +44,8 @@
         The path without its query, still percent-encoded.
     query : str
         The part after the question mark; may be empty.
+    has_query : bool
+        Whether there is a question mark; the part after it may be empty.
     headers : Mapping
         Names in lower case to values; repeated headers joined by a comma.
     body : bytes
@@ -57,6 +59,7 @@
     method: str
     path: str
     query: str = ""
+    has_query: bool = False
     headers: Mapping[str, str] = field(default_factory=dict)
     body: bytes = b""
     peer: str = ""
--- a/celerytrail/http/server.py
+++ b/celerytrail/http/server.py
@@ -324,11 +324,12 @@
                     f"the body is over {self._limits.max_body_bytes} bytes"
                 )
         target = head.target.decode("ascii", "replace")
-        path, _, query = target.partition("?")
+        path, question_mark, query = target.partition("?")
         return Request(
             method=head.method.decode("ascii", "replace"),
             path=path,
             query=query,
+            has_query=bool(question_mark),
             headers=headers,
             body=bytes(body),
             peer=conn.peer,
--- a/celerytrail/relay/exchange.py
+++ b/celerytrail/relay/exchange.py
@@ -106,7 +106,7 @@
     def target(self) -> str:
         """Return the path with its query, as the caller sent it."""
         req = self.req
-        return f"{req.path}?{req.query}" if req.query else req.path
+        return f"{req.path}?{req.query}" if req.has_query else req.path
 
     def may_send(self) -> bool:
         """Return whether the request may be sent; checked right before the first byte.
--- /dev/null
+++ b/tests/test_relay_odd_requests.py
@@ -0,0 +1,28 @@
+"""Requests that are proper, though few callers send such."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.relayrig import Rig
+
+
+@pytest.fixture
+async def desk():
+    rig = Rig()
+    await rig.start()
+    worker = await rig.add_plain_worker("d1")
+    await rig.add_node()
+    yield rig, worker
+    await rig.close()
+
+
+class TestQueries:
+    @pytest.mark.parametrize("query", ["", "?", "?a=1", "?a=1?"])
+    async def test_a_query_is_passed_on_as_it_came(self, desk, query):
+        """Guards against a path that reaches the endpoint changed (UNASKED)."""
+        rig, worker = desk
+        assert (await rig.request(f"/file/1{query}")).status == 200
+        req = worker.seen[-1].req
+        found = req.path + ("?" + req.query if req.has_query else "")
+        assert found == f"/file/1{query}"
