--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -577,7 +577,11 @@
             all_headers.append((self._id_header, request_id))
         conn.n_exchanges += 1
         conn.carried.add(request_id)
-        conn.send(h11.Request(method=method, target=path, headers=all_headers))
+        encoded = [
+            (name.encode("ascii"), value.encode("latin-1"))
+            for name, value in all_headers
+        ]
+        conn.send(h11.Request(method=method, target=path, headers=encoded))
         if body:
             conn.send(h11.Data(data=body))
         conn.send(h11.EndOfMessage())
--- a/tests/test_relay_odd_requests.py
+++ b/tests/test_relay_odd_requests.py
@@ -17,6 +17,15 @@
     await rig.close()
 
 
+class TestHeaders:
+    async def test_a_value_outside_ascii_is_passed_on(self, desk):
+        """Guards against a 500 of our own for a header that we don't read."""
+        rig, worker = desk
+        headers = rig.headers(**{"x-note": "caf\xe9"})
+        assert (await rig.request("/file/1", headers=headers)).status == 200
+        assert worker.seen[-1].req.headers["x-note"] == "caf\xe9"
+
+
 class TestQueries:
     @pytest.mark.parametrize("query", ["", "?", "?a=1", "?a=1?"])
     async def test_a_query_is_passed_on_as_it_came(self, desk, query):
