--- a/celerytrail/platform/wire.py
+++ b/celerytrail/platform/wire.py
@@ -396,4 +396,4 @@
 
 def _count(text: str) -> int:
     text = text.strip()
-    return int(text) if text.isdigit() and len(text) < 10 else 0
+    return int(text) if text.isascii() and text.isdigit() and len(text) < 10 else 0
--- a/celerytrail/relay/events.py
+++ b/celerytrail/relay/events.py
@@ -13,6 +13,10 @@
 MAX_EVENT_BYTES = 128 * 1024
 
 
+# Longer ids aren't numbers of events.
+MAX_NUMBER_DIGITS = 18
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StreamEvent:
     """One complete event as received, and its id if it has one.
@@ -27,9 +31,10 @@
     @property
     def number(self) -> int | None:
         """Return the id as a number, or None if it isn't one."""
-        if self.event_id is None or not self.event_id.isdigit():
+        text = self.event_id
+        if text is None or not text.isascii() or not text.isdigit():
             return None
-        return int(self.event_id)
+        return int(text) if len(text) <= MAX_NUMBER_DIGITS else None
 
 
 class EventSplitter:
