--- a/bench/streamorigins.py
+++ b/bench/streamorigins.py
@@ -15,7 +15,7 @@
 from celerytrail.nodes.gossip import DATAGRAM_HEADER_BYTES
 from celerytrail.policies.rendezvous import rank
 from celerytrail.policies.streamorigins import StreamOrigin, StreamOrigins, stream_key
-from celerytrail.relay.peerupdates import NodeUpdate, OriginEntry
+from celerytrail.relay.updatemessages import NodeUpdate, OriginEntry
 
 SECONDS = 30.0
 WARM_UP_SECONDS = 8.0
--- a/bench/waitingorder.py
+++ b/bench/waitingorder.py
@@ -41,7 +41,7 @@
     find_turn,
     repeat_seconds,
 )
-from celerytrail.relay.peerupdates import NodeUpdate, ReturningEntry, WaitingEntry
+from celerytrail.relay.updatemessages import NodeUpdate, ReturningEntry, WaitingEntry
 from celerytrail.types import Address
 
 SECONDS = 16.0
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -46,11 +46,12 @@
 from .handler import RelayHandler
 from .nodepeers import NodePeers
 from .originbroker import OriginBroker
-from .peerupdates import OriginEntry, PeerUpdates
+from .peerupdates import PeerUpdates
 from .plainrelay import PlainRelay
 from .servers import NodeServers
 from .status import RelayStatus
 from .tablesinks import ConfigSink, EvacuationSink, RegistrationSink, SinkGroup
+from .updatemessages import OriginEntry
 from .waitingroom import WaitingRoom
 
 HOUSEKEEPING_SECONDS = 0.25
--- a/celerytrail/relay/originbroker.py
+++ b/celerytrail/relay/originbroker.py
@@ -19,8 +19,8 @@
 from ..policies.versionhistory import VersionHistory
 from .nodeorder import NodeOrder
 from .peerrequests import PeerRequests
-from .peerupdates import OriginEntry
 from .registry import Registry
+from .updatemessages import OriginEntry
 
 ORIGIN_PATH = "/peer/v1/stream-origin"
 # Nodes that hold the origin of a stream beside the one that relays it.
--- a/celerytrail/relay/peerupdates.py
+++ b/celerytrail/relay/peerupdates.py
@@ -10,13 +10,11 @@
 
 import msgspec
 from eliot import log_message
-from result import Err, Ok, Result
+from result import Err
 
-from ..decoding import contained
 from ..http.network import Network
 from ..model import EngineReport, LoadHeader, Registration
 from ..nodes.gossip import DATAGRAM_HEADER_BYTES
-from ..platform.wire import MAX_LOAD_COUNT, MAX_LOAD_PERCENT
 from ..policies.decodetimes import DecodeTimes
 from ..policies.engineloads import REPORT_EXPIRY_SECONDS, EngineLoads, Run
 from ..policies.runlistschedule import MIN_LIST_PERIOD_SECONDS, RunListSchedule
@@ -24,6 +22,23 @@
 from ..policies.waiting import Returning, Waiting
 from ..types import Address
 from .crashes.news import CrashNews
+from .updatemessages import (
+    LimitEntry,
+    LoadEntry,
+    NodeUpdate,
+    OriginEntry,
+    ReportEntry,
+    decode_update,
+    header_from,
+    limit_from,
+    report_from,
+    returning_entry,
+    returning_from,
+    run_entry,
+    run_from,
+    waiting_entry,
+    waiting_from,
+)
 
 # Largest relative deviation of the time to the next run list from its period, so
 # that nodes that started together don't send at the same moments.
@@ -39,136 +54,6 @@
 SHORT_RUN_TOKENS = 24
 
 
-class RunEntry(msgspec.Struct, array_like=True, frozen=True):
-    """A run as sent between nodes."""
-
-    run_id: str
-    endpoint: str
-    n_prompt_tokens: int
-    n_expected_tokens: int
-    backup: str
-    is_prefilling: bool
-    n_generated_tokens: int = 0
-    is_moving: bool = False
-    organisation: str = ""
-    priority: int = 0
-
-
-class ReportEntry(msgspec.Struct, array_like=True, frozen=True):
-    """An engine's load report as sent between nodes."""
-
-    endpoint: str
-    n_queued: int
-    n_running: int
-    n_used_tokens: int
-    n_memory_tokens: int
-
-
-class LimitEntry(msgspec.Struct, array_like=True, frozen=True):
-    """An endpoint's limit as sent between nodes, which have no clock in common.
-
-    The ages, in seconds, are those of the request and of the answer that stated it.
-    """
-
-    endpoint: str
-    requests_per_second: float | None
-    sent_seconds_ago: float
-    heard_seconds_ago: float
-
-
-class OriginEntry(msgspec.Struct, array_like=True, frozen=True):
-    """What began a stream as told to its owners, and for how many seconds it holds."""
-
-    key: bytes
-    service: str
-    version: str
-    seconds: float
-
-
-class LoadEntry(msgspec.Struct, array_like=True, frozen=True):
-    """What an endpoint states of its load and speed, as sent between nodes.
-
-    ``is_sample`` says that the value was due by time and not chosen as a change.
-    """
-
-    endpoint: str
-    n_running: int
-    n_waiting: int
-    n_slots: int
-    slowness: float
-    is_sample: bool
-
-
-class WaitingEntry(msgspec.Struct, array_like=True, frozen=True):
-    """A request that waits for an engine, as sent between nodes.
-
-    Times are in milliseconds from the sending. ``by_age_ms`` is None unless it has been
-    passed over.
-    """
-
-    request_id: str
-    service: str
-    organisation: str
-    priority: int
-    waited_ms: int
-    target_ms: int
-    gives_up_ms: int
-    n_tokens: int
-    n_prefill_tokens: int
-    n_remaining_tokens: int
-    by_age_ms: int | None = None
-    return_key: bytes = b""
-
-
-class ReturningEntry(msgspec.Struct, array_like=True, frozen=True):
-    """A refused caller that is expected to return, as sent between nodes."""
-
-    key: bytes
-    waited_ms: int
-    returns_ms: int
-
-
-class NodeUpdate(msgspec.Struct, array_like=True, frozen=True):
-    """One node's update: its runs, and events at engines and endpoints.
-
-    ``is_complete`` says that ``runs`` are all runs of the sender. ``ended`` holds run
-    ids, ``leaving`` endpoints that are about to leave, ``retried`` services at which
-    the sender made a retry, and ``aborted`` endpoints that aborted its requests.
-    ``period_seconds`` is the time to the sender's next run list. ``limits`` are limits
-    that endpoints state for all nodes together. ``cut_off`` are all services that the
-    sender is cut off from, None if it says nothing of them. ``brittle`` are endpoints
-    that fall over, with the refusals per second that they bear. ``leaving_starts``
-    are the starts of the endpoints in ``leaving``; earlier versions don't send them.
-    ``origins`` are those of streams that the receiver owns. ``prompts`` are news of
-    prompts that crash engines. ``stated_loads`` are loads that plain endpoints have
-    just stated to the sender. ``waiting`` are requests that wait for an engine; their
-    ids are in ``ended``, or among ``runs``, once they don't. ``returning`` are callers
-    that the sender refused.
-    """
-
-    node: str
-    is_complete: bool = False
-    runs: list[RunEntry] = []
-    ended: list[str] = []
-    leaving: list[str] = []
-    retried: list[str] = []
-    reports: list[ReportEntry] = []
-    aborted: list[str] = []
-    period_seconds: float = MIN_LIST_PERIOD_SECONDS
-    limits: list[LimitEntry] = []
-    cut_off: list[str] | None = None
-    brittle: list[LimitEntry] = []
-    leaving_starts: list[int] = []
-    origins: list[OriginEntry] = []
-    prompts: CrashNews | None = None
-    stated_loads: list[LoadEntry] = []
-    waiting: list[WaitingEntry] = []
-    returning: list[ReturningEntry] = []
-
-
-_UPDATE_DECODER = msgspec.msgpack.Decoder(NodeUpdate)
-
-
 class PeerUpdates(asyncio.DatagramProtocol):
     """Sends this node's updates to the other nodes, and applies theirs.
 
@@ -322,7 +207,7 @@
     def announce_waiting(self, requests: Sequence[Waiting], ended: list[str]) -> None:
         """Announce requests that wait for an engine, and the ids of some that don't."""
         now = self._now()
-        entries = [_waiting_entry(waiting, now) for waiting in requests]
+        entries = [waiting_entry(waiting, now) for waiting in requests]
         for start in range(0, max(1, len(entries)), MAX_WAITING_PER_DATAGRAM):
             part = entries[start : start + MAX_WAITING_PER_DATAGRAM]
             self._send(NodeUpdate(node=self._node, waiting=part, ended=ended))
@@ -331,11 +216,7 @@
     def announce_returning(self, returning: Returning) -> None:
         """Announce a caller that this node refused and expects to return."""
         now = self._now()
-        entry = ReturningEntry(
-            key=returning.key,
-            waited_ms=_milliseconds(now - returning.waiting_since),
-            returns_ms=_milliseconds(returning.returns_at - now),
-        )
+        entry = returning_entry(returning, now)
         self._send(NodeUpdate(node=self._node, returning=[entry]))
 
     def announce_leaving(self, reg: Registration) -> None:
@@ -438,7 +319,7 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Apply another node's update."""
-        decoded = _decode_update(data)
+        decoded = decode_update(data)
         if isinstance(decoded, Err):
             problem = decoded.err_value
             log_message("relay:sharing:unreadable", peer=addr[0], problem=problem)
@@ -447,7 +328,7 @@
         if update.node == self._node:
             return
         now = self._now()
-        runs = [_run_from(entry) for entry in update.runs]
+        runs = [run_from(entry) for entry in update.runs]
         for run in runs:
             self._decode_times.record_progress(run, now)
             self._on_run(run)
@@ -465,28 +346,28 @@
             self._loads.remove_run(update.node, run_id, now)
             self._decode_times.forget(run_id)
         for waiting in update.waiting:
-            self._on_waiting(update.node, _waiting_from(waiting, now))
+            self._on_waiting(update.node, waiting_from(waiting, now))
         for returning in update.returning:
-            self._on_returning(_returning_from(returning, now))
+            self._on_returning(returning_from(returning, now))
         starts = itertools.chain(update.leaving_starts, itertools.repeat(None))
         for endpoint, started_at in zip(update.leaving, starts, strict=False):
             self._on_leaving(endpoint, started_at)
         for report in update.reports:
-            self._loads.record_report(report.endpoint, _report_from(report), now)
+            self._loads.record_report(report.endpoint, report_from(report), now)
         for service in update.retried:
             self._on_retried(service)
         for endpoint in update.aborted:
             self._on_aborted(endpoint, update.node)
         for entry in update.limits:
-            self._on_limit(_limit_from(entry, now))
+            self._on_limit(limit_from(entry, now))
         for entry in update.brittle:
-            self._on_brittle(_limit_from(entry, now))
+            self._on_brittle(limit_from(entry, now))
         for origin in update.origins:
             self._on_origin(origin)
         if update.prompts is not None:
             self._on_crash_news(update.prompts)
         for stated in update.stated_loads:
-            header = _header_from(stated)
+            header = header_from(stated)
             if header is not None:
                 self._on_load(stated.endpoint, header, stated.is_sample)
         if update.cut_off is not None:
@@ -496,7 +377,7 @@
         return NodeUpdate(
             node=self._node,
             is_complete=is_complete,
-            runs=[_run_entry(run) for run in runs],
+            runs=[run_entry(run) for run in runs],
             period_seconds=round(self._period_seconds, 2),
         )
 
@@ -525,121 +406,3 @@
     @staticmethod
     def _now() -> float:
         return asyncio.get_running_loop().time()
-
-
-def _run_entry(run: Run) -> RunEntry:
-    return RunEntry(
-        run_id=run.run_id,
-        endpoint=run.endpoint,
-        n_prompt_tokens=run.n_prompt_tokens,
-        n_expected_tokens=run.n_expected_tokens,
-        backup=run.backup,
-        is_prefilling=run.is_prefilling,
-        n_generated_tokens=run.n_generated_tokens,
-        is_moving=run.is_moving,
-        organisation=run.organisation,
-        priority=run.priority,
-    )
-
-
-def _report_from(entry: ReportEntry) -> EngineReport:
-    return EngineReport(
-        n_queued=entry.n_queued,
-        n_running=entry.n_running,
-        n_used_tokens=entry.n_used_tokens,
-        n_memory_tokens=entry.n_memory_tokens,
-    )
-
-
-def _limit_from(entry: LimitEntry, now: float) -> LimitStatement:
-    return LimitStatement(
-        endpoint=entry.endpoint,
-        requests_per_second=entry.requests_per_second,
-        sent_at=now - entry.sent_seconds_ago,
-        heard_at=now - entry.heard_seconds_ago,
-    )
-
-
-def _header_from(entry: LoadEntry) -> LoadHeader | None:
-    """Return the stated load, or None if no endpoint's header may state it."""
-    counts = (entry.n_running, entry.n_waiting, entry.n_slots)
-    if not all(0 <= n <= MAX_LOAD_COUNT for n in counts) or entry.n_slots == 0:
-        return None
-    if not 0 < entry.slowness <= MAX_LOAD_PERCENT / 100:
-        return None
-    return LoadHeader(
-        n_running=entry.n_running,
-        n_waiting=entry.n_waiting,
-        n_slots=entry.n_slots,
-        slowness=entry.slowness,
-    )
-
-
-def _run_from(entry: RunEntry) -> Run:
-    return Run(
-        run_id=entry.run_id,
-        endpoint=entry.endpoint,
-        n_prompt_tokens=entry.n_prompt_tokens,
-        n_expected_tokens=entry.n_expected_tokens,
-        backup=entry.backup,
-        is_prefilling=entry.is_prefilling,
-        n_generated_tokens=entry.n_generated_tokens,
-        is_moving=entry.is_moving,
-        organisation=entry.organisation,
-        priority=entry.priority,
-    )
-
-
-def _milliseconds(seconds: float) -> int:
-    return round(1_000 * seconds)
-
-
-def _waiting_entry(waiting: Waiting, now: float) -> WaitingEntry:
-    has_age = waiting.by_age_at < math.inf
-    return WaitingEntry(
-        request_id=waiting.request_id,
-        service=waiting.service,
-        organisation=waiting.organisation,
-        priority=waiting.priority,
-        waited_ms=_milliseconds(now - waiting.waiting_since),
-        target_ms=_milliseconds(waiting.target_at - now),
-        gives_up_ms=_milliseconds(waiting.gives_up_at - now),
-        n_tokens=waiting.n_tokens,
-        n_prefill_tokens=waiting.n_prefill_tokens,
-        n_remaining_tokens=waiting.n_remaining_tokens,
-        by_age_ms=_milliseconds(waiting.by_age_at - now) if has_age else None,
-        return_key=waiting.return_key,
-    )
-
-
-def _waiting_from(entry: WaitingEntry, now: float) -> Waiting:
-    by_age_at = math.inf
-    if entry.by_age_ms is not None:
-        by_age_at = now + entry.by_age_ms / 1_000
-    return Waiting(
-        request_id=entry.request_id,
-        service=entry.service,
-        organisation=entry.organisation,
-        priority=entry.priority,
-        waiting_since=now - entry.waited_ms / 1_000,
-        target_at=now + entry.target_ms / 1_000,
-        gives_up_at=now + entry.gives_up_ms / 1_000,
-        n_tokens=entry.n_tokens,
-        n_prefill_tokens=entry.n_prefill_tokens,
-        n_remaining_tokens=entry.n_remaining_tokens,
-        by_age_at=by_age_at,
-        return_key=entry.return_key,
-    )
-
-
-def _returning_from(entry: ReturningEntry, now: float) -> Returning:
-    return Returning(
-        key=entry.key,
-        waiting_since=now - entry.waited_ms / 1_000,
-        returns_at=now + entry.returns_ms / 1_000,
-    )
-
-
-@contained
-def _decode_update(data: bytes) -> Result[NodeUpdate, str]:
-    return Ok(_UPDATE_DECODER.decode(data))
--- a/tests/test_foreign_bytes.py
+++ b/tests/test_foreign_bytes.py
@@ -14,8 +14,8 @@
 from celerytrail.platform import storewire, wire
 from celerytrail.platform.operatorconfig import decode_config
 from celerytrail.platform.registrations import decode_registration
-from celerytrail.relay.peerupdates import NodeUpdate, _decode_update
 from celerytrail.relay.rowsmessages import decode_rows
+from celerytrail.relay.updatemessages import NodeUpdate, decode_update
 from standins.worker import worker_row
 from tests.fuzzseeds import seeds
 from tests.relayrig import Rig, config, local, wait_until
@@ -43,7 +43,7 @@
     "conflict": lambda data: storewire.decode_conflict(response(data)),
     "version": lambda data: storewire.decode_version(response(data)),
     "peer rows": decode_rows,
-    "peer update": _decode_update,
+    "peer update": decode_update,
 }
 VALUES: list[object] = [
     None, True, -1, 2**63, 1e308, "", "x" * 300, [], {}, [[]], {"a": {}}, "127.0.0.1:x"
--- a/tests/test_relay_crash_broker.py
+++ b/tests/test_relay_crash_broker.py
@@ -14,7 +14,7 @@
 from celerytrail.policies.crashsuspects import Crash, LostRun
 from celerytrail.relay.crashes.broker import BlockOrder, CrashBroker
 from celerytrail.relay.crashes.news import CrashNews
-from celerytrail.relay.peerupdates import NodeUpdate
+from celerytrail.relay.updatemessages import NodeUpdate
 from celerytrail.status import PROMPT_BLOCKS_PATH, STATUS_PATH
 from tests.limitrig import now
 from tests.relayrig import HOST, KEY
--- a/tests/test_relay_resumption.py
+++ b/tests/test_relay_resumption.py
@@ -10,8 +10,8 @@
 
 from celerytrail.http.messages import Response
 from celerytrail.nodes.signing import PeerKeys
-from celerytrail.relay.peerupdates import NodeUpdate, OriginEntry, RunEntry
 from celerytrail.relay.resumption import ORIGIN_UNKNOWN, VERSION_GONE
+from celerytrail.relay.updatemessages import NodeUpdate, OriginEntry, RunEntry
 from celerytrail.settings import SigningKey
 from celerytrail.status import STATUS_PATH
 from standins.modelworker import request_body
--- a/tests/test_relay_sharing.py
+++ b/tests/test_relay_sharing.py
@@ -36,14 +36,13 @@
     MANY_PEERS,
     MAX_RUNS_PER_DATAGRAM,
     SHORT_RUN_TOKENS,
-    NodeUpdate,
     PeerUpdates,
-    _run_entry,
 )
 from celerytrail.relay.registry import Registry
 from celerytrail.relay.tablemirror import MAX_CHANGES, TableMirror
 from celerytrail.relay.tablesinks import RegistrationSink
 from celerytrail.relay.tablewatch import OUTAGE_SECONDS, TableSink, TableWatch
+from celerytrail.relay.updatemessages import NodeUpdate, run_entry
 from celerytrail.rowsource import (
     Changes,
     HistoryTruncated,
@@ -571,7 +570,7 @@
         # would look empty.
         receiver, loads, _ = self.make()
         for run_id in ("r1", "r2"):
-            entry = msgspec.structs.replace(_run_entry(self.run()), run_id=run_id)
+            entry = msgspec.structs.replace(run_entry(self.run()), run_id=run_id)
             update = NodeUpdate(node="other", runs=[entry], period_seconds=3.0)
             receiver.datagram_received(msgspec.msgpack.encode(update), ("10.0.0.1", 1))
         now = asyncio.get_running_loop().time()
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -36,13 +36,8 @@
 )
 from celerytrail.relay.engineplacer import EnginePlacer
 from celerytrail.relay.liverun import LiveRun
-from celerytrail.relay.peerupdates import (
-    MAX_WAITING_PER_DATAGRAM,
-    NodeUpdate,
-    PeerUpdates,
-    RunEntry,
-    WaitingEntry,
-)
+from celerytrail.relay.peerupdates import MAX_WAITING_PER_DATAGRAM, PeerUpdates
+from celerytrail.relay.updatemessages import NodeUpdate, RunEntry, WaitingEntry
 from celerytrail.relay.waitingroom import WaitingRoom
 from celerytrail.types import Address
 
