--- a/tests/test_relay_vanished_rows.py
+++ b/tests/test_relay_vanished_rows.py
@@ -45,6 +45,24 @@
 
         run_engine_fleet(n_nodes, test)
 
+    def test_rows_that_come_back_after_a_restart_of_all_nodes_are_used(self):
+        """Guards against an absence that outlives the nodes that saw it."""
+
+        async def test(rig: EngineFleet) -> None:
+            engine, other = [await rig.add_engine() for _ in range(2)]
+            await asyncio.sleep(3.0)
+            rig.fleet.store.drop("servers", engine.worker_id)
+            await asyncio.sleep(2.0)
+            for number in range(12):
+                await rig.restart_node(number)
+            await asyncio.sleep(2.0)
+            row = engine.row("models", slots=24, sequence=2)
+            rig.fleet.store.put("servers", engine.worker_id, row)
+            await asyncio.sleep(SECONDS_BACK)
+            assert (n_listing(rig, engine), n_listing(rig, other)) == (12, 12)
+
+        run_engine_fleet(12, test)
+
     @pytest.mark.parametrize("n_nodes", SIZES)
     def test_an_engine_that_leaves_stays_away_though_its_row_flaps(self, n_nodes):
         """Guards against requests to a leaving endpoint (DRAIN)."""
