Announce crashes and blocks once more

Each news is sent three times to each node, and a node that loses all of them, 2.7% at this loss, has to hear it from one of those that pass blocks on to two others a second.

Change: a fourth announcement after one second. Crashes are rare, so that it costs little.

--- a/celerytrail/relay/crashes/broker.py
+++ b/celerytrail/relay/crashes/broker.py
@@ -44,7 +44,7 @@
 )
 
 # Pauses before a crash or a block is announced again, in seconds: datagrams get lost.
-REPEAT_SECONDS = (0.2, 0.5)
+REPEAT_SECONDS = (0.2, 0.5, 1.0)
 # Pause before requests are compared that ran at a crashed endpoint, in seconds: each
 # node reports those that it lost.
 REPORTS_SECONDS = 0.03
