Send callers without chunks no part of an answer

What callers saw: a caller that speaks HTTP/1.0 got a part of a stream as a whole answer when its engine ended, its time was over or the node was killed.

Cause: a streamed answer has chunks, and h11 leaves them out for HTTP/1.0. Only the close of the connection ended such a body, and a close that follows a failure is the same as one that follows the last event.

Ruled out: a reset in place of an orderly close, as a killed process closes in order too.

Change: a body has a length or chunks, or it doesn't begin. The Responder holds a streamed answer for such a caller and sends it at its end, with its length; one that can't be completed is answered 502 or 504. What is held is bounded like the bodies that are read (4 MiB each, 16 MiB together), by one class for both.

--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -18,15 +18,11 @@
 
 from ..exceptions import ConnectionClosedError, PeerError
 from ..types import Address
+from .bodymemory import MAX_BODY_BYTES, BodyMemory, HeldBody
 from .messages import JSON_TYPE, REQUEST_ID_HEADER, Connection, Response, header_map
 from .network import Network, SystemNetwork
 from .pool import IDLE_SECONDS, MAX_IDLE_PER_ADDRESS, ConnectionPool
 
-MAX_RESPONSE_BYTES = 4 * 1024 * 1024
-# Bodies that one client holds at most while it reads them, without the first bytes of
-# each: small answers are read however large others grow.
-MAX_HELD_BYTES = 16 * 1024 * 1024
-FREE_BODY_BYTES = 64 * 1024
 # Informational answers before the final one.
 MAX_INFORMATIONAL = 16
 # A timeout that passes later than this after its time shows that the process stood
@@ -83,32 +79,6 @@
         return max(deadline, min(now + self.seconds, self.deadline))
 
 
-class BodyMemory:
-    """Bounds the memory of all bodies that are being read at the same time.
-
-    Parameters
-    ----------
-    n_max_bytes : int
-        Bytes of all bodies together, without the first `FREE_BODY_BYTES` of each.
-    """
-
-    def __init__(self, *, n_max_bytes: int = MAX_HELD_BYTES) -> None:
-        self._n_max_bytes = n_max_bytes
-        self.n_held_bytes = 0
-
-    def resize(self, n_before: int, n_after: int) -> bool:
-        """Record a body's new size in bytes, unless there is no memory for it."""
-        n_more = _n_counted(n_after) - _n_counted(n_before)
-        if n_more > 0 and self.n_held_bytes + n_more > self._n_max_bytes:
-            return False
-        self.n_held_bytes += n_more
-        return True
-
-
-def _n_counted(n_bytes: int) -> int:
-    return max(0, n_bytes - FREE_BODY_BYTES)
-
-
 class Stream:
     """Reads the body of an answer and returns its connection to the pool.
 
@@ -178,43 +148,38 @@
         deadline: float | None = None,
         *,
         progress: Progress | None = None,
-        n_max_bytes: int = MAX_RESPONSE_BYTES,
+        n_max_bytes: int = MAX_BODY_BYTES,
     ) -> Result[bytes, RequestLost]:
         """Return the remaining body; ``progress`` extends the deadline.
 
         A larger body than ``n_max_bytes`` is abandoned, and so is one for which the
         client has no memory.
         """
-        body = bytearray()
+        body = HeldBody(memory=self._client.memory, n_max_bytes=n_max_bytes)
         try:
-            return await self._read_into(body, deadline, progress, n_max_bytes)
+            return await self._read_into(body, deadline, progress)
         finally:
-            self._client.memory.resize(len(body), 0)
+            body.release()
 
     async def _read_into(
         self,
-        body: bytearray,
+        body: HeldBody,
         deadline: float | None,
         progress: Progress | None,
-        n_max_bytes: int,
     ) -> Result[bytes, RequestLost]:
         loop = asyncio.get_running_loop()
         while True:
             match await self.next_chunk(deadline):
                 case Ok(None):
-                    return Ok(bytes(body))
+                    return Ok(body.content())
                 case Ok(chunk):
                     assert chunk is not None
                 case Err(lost):
                     return Err(lost)
-            n_bytes = len(body) + len(chunk)
-            if n_bytes > n_max_bytes:
-                self.close()
-                return Err(RequestLost(reason="too_large"))
-            if not self._client.memory.resize(len(body), n_bytes):
+            added = body.add(chunk)
+            if isinstance(added, Err):
                 self.close()
-                return Err(RequestLost(reason="no_memory"))
-            body += chunk
+                return Err(RequestLost(reason=added.err_value))
             if progress is not None and deadline is not None:
                 deadline = progress.extend(deadline, loop.time())
 
--- a/celerytrail/http/messages.py
+++ b/celerytrail/http/messages.py
@@ -277,6 +277,12 @@
         if data and self.transport is not None and not self.is_lost:
             self.transport.write(data)
 
+    @property
+    def reads_chunks(self) -> bool:
+        """Return whether the peer knows the chunked transfer coding (HTTP/1.1)."""
+        version = self.h11.their_http_version
+        return version is None or version >= b"1.1"
+
     @property
     def is_idle(self) -> bool:
         """Return whether no byte of a next message has arrived."""
--- a/celerytrail/http/server.py
+++ b/celerytrail/http/server.py
@@ -10,9 +10,11 @@
 import h11
 import msgspec
 from eliot import log_message
+from result import Err
 
 from ..exceptions import PeerError
 from ..types import Address
+from .bodymemory import BodyMemory, HeldBody
 from .messages import (
     JSON_TYPE,
     MAX_HEAD_BYTES,
@@ -49,18 +51,34 @@
 class Responder:
     """Sends the answer to one request: whole with `send`, or streamed in pieces.
 
+    A caller that can't read chunks gets a streamed answer at its end, with its length:
+    without either, only the close of the connection would end it, and a part of it
+    would look whole.
+
     Parameters
     ----------
     conn : Connection
         The connection to answer on.
     limits : ServerLimits
         The limits of the connection.
+    memory : BodyMemory or None
+        Bounds what is held of answers that are sent at their end.
     """
 
-    def __init__(self, *, conn: Connection, limits: ServerLimits) -> None:
+    def __init__(
+        self,
+        *,
+        conn: Connection,
+        limits: ServerLimits,
+        memory: BodyMemory | None = None,
+    ) -> None:
         self._conn = conn
         self._limits = limits
+        self._memory = memory or BodyMemory()
+        self._held: _HeldAnswer | None = None
         self.status: int | None = None
+        # Whether any byte of the answer was sent; until then another one may be.
+        self.has_begun = False
         self.is_closing = False
 
     @property
@@ -91,7 +109,13 @@
         await self.send(status, msgspec.json.encode(value), all_headers)
 
     def start(self, status: int, headers: Mapping[str, str]) -> None:
-        """Send the head; a body without a length is sent in chunks."""
+        """Send the head; a body without a length is sent in chunks, or held."""
+        self.release()
+        self.status = status
+        if "content-length" not in headers and not self._conn.reads_chunks:
+            body = HeldBody(memory=self._memory)
+            self._held = _HeldAnswer(status=status, headers=headers, body=body)
+            return
         sent = dict(headers)
         if self._conn.request_id is not None:
             # The exchange's id is echoed so that the caller can check it.
@@ -100,7 +124,7 @@
             sent["connection"] = "close"
         if "content-length" not in sent:
             sent["transfer-encoding"] = "chunked"
-        self.status = status
+        self.has_begun = True
         self._conn.send(h11.Response(status_code=status, headers=header_list(sent)))
 
     async def write(self, data: bytes) -> None:
@@ -109,21 +133,38 @@
         Raises
         ------
         PeerError
-            When the caller has disconnected or read nothing for ``write_seconds``.
+            When the caller has disconnected or read nothing for ``write_seconds``, or
+            when there is no memory to hold the piece.
         """
+        if self._held is not None:
+            added = self._held.body.add(data)
+            if isinstance(added, Err):
+                raise PeerError(f"the answer can't be held: {added.err_value}")
+            return
         self._conn.send(h11.Data(data=data))
         if self._conn.must_drain:
             await self._drain()
 
     async def finish(self) -> None:
-        """Send the end of a streamed body."""
+        """Send the end of a streamed body, and all that was held of it."""
+        if self._held is not None:
+            held = self._held
+            await self.send(held.status, held.body.content(), held.headers)
+            return
         self._conn.send(h11.EndOfMessage())
         await self._drain()
 
     def abort(self) -> None:
         """Abort the connection, so that a partial answer can't look complete."""
+        self.release()
         self._conn.abort()
 
+    def release(self) -> None:
+        """Drop what is held of the answer."""
+        if self._held is not None:
+            self._held.body.release()
+            self._held = None
+
     def switch_protocols(self, headers: Mapping[str, str]) -> asyncio.Transport:
         """Accept the caller's upgrade, and return the connection's transport.
 
@@ -132,6 +173,7 @@
         transport = self._conn.transport
         assert transport is not None
         self.status = 101
+        self.has_begun = True
         self._conn.send(
             h11.InformationalResponse(status_code=101, headers=header_list(headers))
         )
@@ -146,6 +188,15 @@
             raise PeerError("the caller read nothing within the write timeout") from exc
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _HeldAnswer:
+    """An answer that is sent at its end."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: HeldBody
+
+
 class Handler(abc.ABC):
     """Answers requests."""
 
@@ -165,6 +216,8 @@
         Limits of each connection and on their number.
     network : Network or None
         Accepts the connections; TCP of this machine by default.
+    memory : BodyMemory or None
+        Bounds the bodies that are held; servers and clients may share it.
     """
 
     def __init__(
@@ -173,9 +226,11 @@
         handler: Handler,
         limits: ServerLimits | None = None,
         network: Network | None = None,
+        memory: BodyMemory | None = None,
     ) -> None:
         self._handler = handler
         self._limits = limits or ServerLimits()
+        self._memory = memory or BodyMemory()
         self._network = network or SystemNetwork()
         self._listener: Listener | None = None
         self._tasks: dict[asyncio.Task[None], Connection] = {}
@@ -267,7 +322,7 @@
         if req is None:
             return False
         self._busy.add(conn)
-        res = Responder(conn=conn, limits=self._limits)
+        res = Responder(conn=conn, limits=self._limits, memory=self._memory)
         res.is_closing = self._is_draining or self.is_retiring
         try:
             await self._handler.handle(req, res)
@@ -277,11 +332,12 @@
             # A bug in a handler must neither stop the process nor leave the caller
             # waiting: it gets a 500, or an aborted stream if the head has been sent.
             log_message("http:server:handler_failed", path=req.path, problem=repr(exc))
-            if res.status is not None:
+            if res.has_begun:
                 conn.abort()
                 return False
             await res.send_json(500, {"error": {"type": "internal"}})
         finally:
+            res.release()
             self._busy.discard(conn)
         if self._is_draining or self.is_retiring or conn.is_lost:
             return False
--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -21,7 +21,13 @@
 from .endpointanswers import MAX_REFUSAL_BYTES, EndpointAnswers
 from .endpointgate import ENDPOINT_LIMITED, Admission, EndpointGate, reason_of
 from .endpointpaces import EndpointPaces
-from .exchange import CallerDisconnectedError, Exchange, refuse, seconds_until
+from .exchange import (
+    CallerDisconnectedError,
+    Exchange,
+    failure_status,
+    refuse,
+    seconds_until,
+)
 from .outcomes import (
     BROKEN_OFF,
     CONNECT_REFUSED,
@@ -177,7 +183,7 @@
                     retry_after=seconds_until(retry_at, BUSY_RETRY_SECONDS),
                 )
             case Failed(reason=reason):
-                status = 504 if reason in ("timeout", "stalled") else 502
+                status = failure_status(reason)
                 ex.log("failed", reason=reason, status=status)
                 await refuse(ex.res, status, reason, attempt_id=attempt)
 
--- a/celerytrail/relay/endpointaccess.py
+++ b/celerytrail/relay/endpointaccess.py
@@ -8,7 +8,8 @@
 
 from eliot import log_message
 
-from ..http.client import BodyMemory, HttpClient
+from ..http.bodymemory import BodyMemory
+from ..http.client import HttpClient
 from ..http.network import Network
 from ..http.routes import Router
 from ..metrics import Metrics
--- a/celerytrail/relay/exchange.py
+++ b/celerytrail/relay/exchange.py
@@ -186,6 +186,19 @@
     await res.send_json(status, {"error": {"type": reason}}, headers)
 
 
+async def break_off(res: Responder, reason: str, *, attempt_id: str) -> None:
+    """End an answer that can't be completed, as an error if nothing of it was sent."""
+    if res.has_begun or res.is_lost:
+        res.abort()
+        return
+    await refuse(res, failure_status(reason), reason, attempt_id=attempt_id)
+
+
+def failure_status(reason: str) -> int:
+    """Return the status of a request that may have run and has no answer."""
+    return 504 if reason in ("timeout", "stalled") else 502
+
+
 def seconds_until(retry_at: float | None, default: float) -> float:
     """Return the Retry-After for a loop time, or a default if it isn't known."""
     if retry_at is None:
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -27,7 +27,14 @@
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
 from .events import EventSplitter, StreamEvent
-from .exchange import CallerDisconnectedError, Exchange, refuse, seconds_until
+from .exchange import (
+    CallerDisconnectedError,
+    Exchange,
+    break_off,
+    failure_status,
+    refuse,
+    seconds_until,
+)
 from .liverun import UNKNOWN_START, Copied, LiveRun, Switched
 from .originbroker import OriginBroker
 from .outcomes import (
@@ -127,10 +134,8 @@
         except CallerDisconnectedError:
             ex.log("caller_gone", n_events=live.n_events)
         except PeerError as exc:
-            # The answer has begun and can't be completed; aborting marks it as
-            # incomplete.
-            ex.res.abort()
             ex.log("caller_lost", problem=str(exc), n_events=live.n_events)
+            await break_off(ex.res, BROKEN_OFF, attempt_id=facts.attempt_id)
         finally:
             self._live.discard(live)
             if not live.pauses.is_empty:
@@ -212,7 +217,7 @@
                 retry_after=retry_after,
             )
             return
-        status = 504 if outcome.reason in ("timeout", "stalled") else 502
+        status = failure_status(outcome.reason)
         ex.log("failed", reason=outcome.reason, status=status)
         await refuse(ex.res, status, outcome.reason, attempt_id=attempt)
 
@@ -325,7 +330,7 @@
             resumed = await self._resume(live, reason)
             if resumed is None or resumed.status != 200:
                 ex.log("cut", reason=reason, n_events=live.n_events)
-                ex.res.abort()
+                await break_off(ex.res, reason, attempt_id=ex.facts.attempt_id)
                 return
             live.stream = resumed
         live.is_complete = True
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -9,13 +9,8 @@
 from result import Err
 
 import celerytrail.http.client as client_module
-from celerytrail.http.client import (
-    FREE_BODY_BYTES,
-    BodyMemory,
-    HttpClient,
-    NotSent,
-    RequestLost,
-)
+from celerytrail.http.bodymemory import FREE_BODY_BYTES, BodyMemory
+from celerytrail.http.client import HttpClient, NotSent, RequestLost
 from celerytrail.http.messages import Request
 from celerytrail.http.network import SystemNetwork
 from celerytrail.http.server import Handler, HttpServer, Responder, ServerLimits
@@ -195,6 +190,61 @@
         assert answer.ok_value.body == b"fine"
 
 
+async def exchange_raw(address: Address, request: bytes) -> bytes:
+    """Send raw bytes, and return all that comes until the connection ends."""
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    writer.write(request)
+    try:
+        return await reader.read()
+    finally:
+        writer.close()
+
+
+class TestOldCallers:
+    """Callers that speak HTTP/1.0, which knows no chunks."""
+
+    REQUEST = b"POST /%b HTTP/1.0\r\ncontent-length: %d\r\n\r\n%b"
+
+    async def ask(self, address, path: bytes, body: bytes = b"") -> bytes:
+        return await exchange_raw(address, self.REQUEST % (path, len(body), body))
+
+    async def test_a_streamed_answer_has_its_length(self, echo):
+        _, address, _, _ = echo
+        answer = await self.ask(address, b"stream", b"pieces")
+        head, _, body = answer.partition(b"\r\n\r\n")
+        assert b"content-length: 6" in head
+        assert b"chunked" not in head
+        assert body == b"pieces"
+
+    async def test_nothing_is_sent_of_an_answer_that_is_cut(self, echo):
+        """Guards against a part that ends with its connection, as a whole one does."""
+        _, address, _, _ = echo
+        assert await self.ask(address, b"cut") == b""
+
+    async def test_an_answer_that_cannot_be_held_fails(self, echo):
+        """Guards against memory that grows with each such answer."""
+        _, address, _, server = echo
+        server._memory = BodyMemory(n_max_bytes=0)
+        server.set_limits(ServerLimits(max_body_bytes=2 * FREE_BODY_BYTES))
+        assert b" 200 " in await self.ask(address, b"stream", b"x" * 1_000)
+        assert await self.ask(address, b"stream", b"x" * (FREE_BODY_BYTES + 1)) == b""
+        assert server._memory.n_held_bytes == 0
+
+    async def test_a_failing_handler_answers_500(self, echo):
+        """Guards against an answer of two heads after one was held."""
+        _, address, handler, _ = echo
+
+        async def fail(req, res):
+            res.start(200, {})
+            await res.write(b"part")
+            raise ValueError("a fault of the handler")
+
+        handler.handle = fail
+        answer = await self.ask(address, b"stream")
+        assert answer.startswith(b"HTTP/1.1 500 ")
+        assert b"part" not in answer
+
+
 class TestDrain:
     async def test_drain_waits_for_the_answer_in_progress(self, echo):
         """The server is drained while an answer is in progress. The caller still gets
