Tell tasks that may return from those that run on

What operators saw: on three idle nodes 13 of the 20 to 22 log lines of each in 40 s were `task:ended` for `join`, which had done its work; the counter of ended tasks grew all the time. A real end is drowned, and the log grew with time.

Cause: the supervisor knew endless tasks only. `join` returns once it knows another node, and was started again every five seconds for ever.

Evidence: the lines say `problem=returned`; no change of membership came with them, so that lost neighbours are ruled out.

Change: `start_job` runs a function until it returns, and again after an error only; `join`, entering the store (which nothing watched) and reading the blocks of the store are jobs of the process's one supervisor. Of ends in a row the 1st, 2nd, 4th, 8th, ... are logged, with their number.

--- a/celerytrail/nodes/nodes.py
+++ b/celerytrail/nodes/nodes.py
@@ -13,7 +13,7 @@
 from ..http.network import Network
 from ..http.routes import Router
 from ..metrics import Metrics
-from ..supervision import Supervisor
+from ..supervision import BackgroundTasks, Supervisor
 from ..types import Address
 from .events import (
     EndpointLeaving,
@@ -67,6 +67,8 @@
         How long callers may use an answer that names this node's address.
     network : Network or None
         Sends and receives the datagrams; the system's network by default.
+    supervisor : Supervisor or None
+        Runs what joins the other nodes; one of its own by default.
     """
 
     def __init__(
@@ -82,6 +84,7 @@
         timing: Timing | None = None,
         answer_seconds: float = 30.0,
         network: Network | None = None,
+        supervisor: Supervisor | None = None,
     ) -> None:
         timing = timing or Timing()
         self._clock = clock
@@ -118,8 +121,9 @@
         # Cached as it is read for each request; sorting 330 members each time would
         # cost more than the rest of the decision.
         self._live: dict[str | None, tuple[Member, ...]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._supervisor = Supervisor(metrics=metrics)
+        self._exchanges = BackgroundTasks()
+        self._supervisor = supervisor or Supervisor(metrics=metrics)
+        self._join_task: asyncio.Task[None] | None = None
         self._on_version: list[VersionCallback] = []
         self._on_leaving: list[LeavingCallback] = []
         self._on_change: list[ChangeCallback] = []
@@ -133,7 +137,7 @@
     async def start(self) -> None:
         """Listen for datagrams and start to join the other nodes."""
         await self.gossip.start(self.me.peer)
-        self._supervisor.start("join", self._join)
+        self._join_task = self._supervisor.start_job("join", self._join)
 
     async def leave(self) -> float:
         """Announce that this node is leaving.
@@ -157,11 +161,10 @@
 
     async def stop(self) -> None:
         """Announce that this node has stopped, and stop."""
-        await self._supervisor.close()
-        for task in list(self._tasks):
-            task.cancel()
-        if self._tasks:
-            await asyncio.wait(list(self._tasks))
+        if self._join_task is not None:
+            self._join_task.cancel()
+            await asyncio.wait([self._join_task])
+        await self._exchanges.aclose()
         self._membership.depart()
         self.gossip.stop()
 
@@ -281,13 +284,6 @@
         await self._exchanger.exchange(address)
         self.gossip.flush()
 
-    def _start_task(self, coroutine: object) -> None:
-        task: asyncio.Task[None] = asyncio.get_running_loop().create_task(
-            coroutine  # type: ignore[arg-type]
-        )
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     def _on_event(self, event: Event) -> None:
         match event:
             case MemberChanged(member=member, is_refuted=is_refuted):
@@ -302,7 +298,7 @@
                 for on_leaving in self._on_leaving:
                     on_leaving(endpoint, at)
             case ExchangeNeeded(peer=peer):
-                self._start_task(self._exchange(peer))
+                self._exchanges.spawn(self._exchange(peer))
             case UpdateRejected(sender=sender, problem=problem, detail=detail):
                 self._metrics.count("bad_input", peer="node", problem=problem)
                 log_message(
--- a/celerytrail/relay/crashes/broker.py
+++ b/celerytrail/relay/crashes/broker.py
@@ -4,9 +4,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine, Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
-from typing import Any
 
 import msgspec
 from eliot import log_message
@@ -27,6 +26,7 @@
 from ...policies.crashsuspects import Crash, CrashSuspects, LostRun, Part, parts_of
 from ...rowsource import RowSource
 from ...status import PROMPT_BLOCKS_PATH
+from ...supervision import BackgroundTasks
 from ..nodeorder import NodeOrder
 from ..peerrequests import PeerRequests
 from .blockstore import BlockStore
@@ -138,7 +138,7 @@
         self._told_until: dict[Part, float] = {}
         # By request, the tasks that find out why runs of it were lost.
         self._checks: dict[RequestKey, set[asyncio.Task[None]]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks()
 
     def add_routes(self, router: Router) -> None:
         """Add the route for operators' orders."""
@@ -229,9 +229,12 @@
         self._announce_block(block)
         return block
 
+    async def read_store(self) -> None:
+        """Read the blocks that the store has, as soon as it answers."""
+        await self._store.read()
+
     async def run(self) -> None:
-        """Read the blocks that the store has, and pass them on, until cancelled."""
-        self._start(self._store.read())
+        """Pass on the blocks that are known, until cancelled."""
         while True:
             await asyncio.sleep(PASS_ON_SECONDS * self._rng.uniform(0.8, 1.2))
             self._pass_on()
@@ -239,8 +242,7 @@
 
     def close(self) -> None:
         """Cancel what is in progress."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.close()
 
     async def _on_order(self, req: Request, res: Responder, _: Params) -> None:
         order = await self._peer_requests.decode(req, res, BlockOrder)
@@ -460,7 +462,7 @@
             return
         missing, ended = self._store.missing(), self._store.ended(_now())
         if missing or ended:
-            self._writing = self._start(self._store.update(missing, ended))
+            self._writing = self._tasks.spawn(self._store.update(missing, ended))
 
     # Tasks.
 
@@ -469,12 +471,6 @@
         for seconds in delays:
             loop.call_later(seconds, action)
 
-    def _start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
 
 def _part(key: RequestKey) -> Part:
     """Return a request's marked digest in place of a part."""
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -98,7 +98,6 @@
         self._clock = clock or SystemClock()
         self._metrics = Metrics(process=cfg.node)
         self.supervisor = Supervisor(metrics=self._metrics)
-        self._entering: asyncio.Task[None] | None = None
         self.is_stopping = False
         # When the process will be killed, in loop time; None until it is asked to stop.
         self._killed_at: float | None = None
@@ -118,6 +117,7 @@
             clock=self._clock,
             rng=self._rng,
             metrics=self._metrics,
+            supervisor=self.supervisor,
         )
         self.nodes = peers.nodes
         self.rows = peers.rows
@@ -397,9 +397,8 @@
         self.supervisor.start("paths", self.access.run)
         self.supervisor.start("crashes", self.crashes.run)
         self.supervisor.start("housekeeping", self._run_housekeeping)
-        self._entering = asyncio.get_running_loop().create_task(
-            self._peers.enter_store()
-        )
+        self.supervisor.start_job("blocks", self.crashes.read_store)
+        self.supervisor.start_job("entering", self._peers.enter_store)
         log_message("relay:node:started", node=self.node_id, callers=str(cfg.callers))
 
     async def stop(self) -> None:
@@ -426,9 +425,6 @@
         """Stop at once, aborting what is in progress; for tests."""
         await self._servers.close()
         await self.supervisor.close()
-        if self._entering is not None:
-            self._entering.cancel()
-            await asyncio.wait({self._entering})
         await self.nodes.stop()
         self.peer_updates.close()
         self.access.close()
--- a/celerytrail/relay/nodepeers.py
+++ b/celerytrail/relay/nodepeers.py
@@ -15,6 +15,7 @@
 from ..platform.noderows import NodeRows
 from ..platform.nodesettings import RelaySettings
 from ..rowsource import RowSource
+from ..supervision import Supervisor
 from ..types import Address
 from .nodeorder import NodeOrder
 from .peerrequests import PeerRequests
@@ -43,6 +44,8 @@
         Source of jitter.
     metrics : Metrics
         Counts what is received and sent.
+    supervisor : Supervisor
+        Runs what joins the other nodes.
     """
 
     def __init__(
@@ -55,6 +58,7 @@
         clock: Clock,
         rng: random.Random,
         metrics: Metrics,
+        supervisor: Supervisor,
     ) -> None:
         assert cfg.callers is not None and cfg.peers is not None
         assert cfg.store is not None
@@ -83,6 +87,7 @@
             seeds=cfg.seeds,
             answer_seconds=cfg.max_address_seconds,
             network=network,
+            supervisor=supervisor,
         )
         self.node_order = NodeOrder(nodes=self.nodes, clock=clock)
         self.requests = PeerRequests(
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -4,11 +4,18 @@
 
 import asyncio
 
+import eliot
 import pytest
 
 from celerytrail.http.client import HttpClient
 from celerytrail.metrics import Metrics
-from celerytrail.supervision import MAX_PAUSE_SECONDS, Supervisor
+from celerytrail.platform import storewire
+from celerytrail.platform.noderows import NodeRows
+from celerytrail.supervision import (
+    MAX_PAUSE_SECONDS,
+    BackgroundTasks,
+    Supervisor,
+)
 from tests.relayrig import Rig, wait_until
 
 
@@ -29,6 +36,17 @@
         await asyncio.sleep(1e6)
 
 
+@pytest.fixture
+def messages():
+    """Collect what is logged."""
+    logged: list[dict[str, object]] = []
+    eliot.add_destinations(logged.append)
+    # The first destination gets what was logged before it.
+    logged.clear()
+    yield logged
+    eliot.remove_destination(logged.append)
+
+
 class TestSupervisor:
     @pytest.mark.looptime
     @pytest.mark.parametrize("returns", [False, True])
@@ -54,6 +72,66 @@
         assert supervisor.paused == ["table"]
         await supervisor.close()
 
+    @pytest.mark.looptime
+    async def test_a_job_that_returns_is_no_alarm(self):
+        """Guards against expected ends that drown an unexpected one."""
+        metrics = Metrics(process="vm-1")
+        supervisor = Supervisor(metrics=metrics)
+        work = FailingWork(1, returns=True)
+        supervisor.start_job("join", work.run)
+        await asyncio.sleep(60.0)
+        assert len(work.begun_at) == 1
+        assert supervisor.paused == []
+        assert b"ended_tasks_total{" not in metrics.render()[0]
+        await supervisor.close()
+
+    @pytest.mark.looptime
+    async def test_a_job_that_fails_is_started_again(self):
+        """Guards against a job that never comes to its end."""
+        supervisor = Supervisor(metrics=Metrics(process="vm-1"))
+        work = FailingWork(3)
+        task = supervisor.start_job("join", work.run)
+        await asyncio.sleep(60.0)
+        assert len(work.begun_at) == 4
+        task.cancel()
+        await asyncio.wait([task])
+        assert supervisor.paused == []
+
+    @pytest.mark.looptime
+    async def test_repeated_ends_do_not_fill_the_log(self, messages):
+        """Guards against a log that grows with the time instead of the decisions."""
+        supervisor = Supervisor(metrics=Metrics(process="vm-1"))
+        work = FailingWork(10_000)
+        supervisor.start("table", work.run)
+        await asyncio.sleep(3_600.0)
+        logged = [one["n_ends"] for one in messages if one.get("task") == "table"]
+        assert len(work.begun_at) > 700
+        assert logged == [2**n for n in range(len(logged))]
+        assert len(logged) < 12
+        await supervisor.close()
+
+    @pytest.mark.looptime
+    async def test_a_cancelled_pause_is_forgotten(self):
+        supervisor = Supervisor(metrics=Metrics(process="vm-1"))
+        task = supervisor.start("poll", FailingWork(100).run)
+        await asyncio.sleep(20.0)
+        task.cancel()
+        await asyncio.wait([task])
+        assert supervisor.paused == []
+
+
+class TestBackgroundTasks:
+    async def test_an_error_is_logged(self, messages):
+        """Guards against an error that only the event loop sees."""
+        tasks = BackgroundTasks()
+
+        async def fail():
+            raise ZeroDivisionError("by zero")
+
+        await tasks.spawn(fail())
+        (logged,) = [one for one in messages if one["message_type"] == "task:failed"]
+        assert "ZeroDivisionError" in logged["problem"]
+
 
 class TestNode:
     async def test_an_error_in_a_sink_is_logged_and_the_table_followed_again(
@@ -88,3 +166,40 @@
             )
         finally:
             await rig.close()
+
+    async def test_idle_nodes_report_no_ended_task(self):
+        """Guards against a task that has joined the others and counts as ended."""
+        rig = Rig()
+        await rig.start()
+        try:
+            for number in (1, 2, 3):
+                await rig.add_node(f"vm-{number}")
+            await wait_until(
+                lambda: all(len(node.nodes.live()) == 3 for node in rig.nodes)
+            )
+            await asyncio.sleep(0.5)
+            for node in rig.nodes:
+                assert "ended_tasks_total{" not in await rig.metrics(node)
+                assert node.supervisor.paused == []
+        finally:
+            await rig.close()
+
+    async def test_entering_the_store_is_tried_again_after_an_error(self, monkeypatch):
+        """Guards against a node that never learns the others' addresses."""
+        rig = Rig()
+        await rig.start()
+        failures = iter([True, True])
+        enter = NodeRows.enter
+
+        async def fail_twice(self):
+            if next(failures, False):
+                raise RecursionError("too deep")
+            return await enter(self)
+
+        monkeypatch.setattr(NodeRows, "enter", fail_twice)
+        try:
+            node = await rig.add_node()
+            caller = str(node.cfg.callers)
+            await wait_until(lambda: caller in rig.store.keys(storewire.NODES_TABLE))
+        finally:
+            await rig.close()
