Supervise the loops of the own interface, and log errors of one-time tasks

What callers would see: an endpoint whose load and leaving are never read again after one odd report; a node that takes no later document after an error in one subscriber, while the other subscribers don't know the present one; outcomes that stay unwritten.

These loops had no supervisor.

Change: all loops of a process run under its one Supervisor: the configuration's two, the recorder, the pollers of endpoints and engines, limits, batches and the node's own five. One-time tasks that nobody awaits are BackgroundTasks, which keep a reference and log errors; six copies of that code are gone. An error of one subscriber of the configuration stops no other. Errors of moves that are discarded are logged.

Ruled out: futures that nobody resolves in the groups of store calls, calls of services and admissions; each is resolved after an error, or bounded by the request's time.

--- a/celerytrail/callers/api.py
+++ b/celerytrail/callers/api.py
@@ -21,6 +21,7 @@
 from ..metrics import Metrics
 from ..policies.grants import Admitter
 from ..policies.retries import RetryPolicy
+from ..supervision import BackgroundTasks
 from .answers import send_auth_error, send_findings
 from .auth import Authenticator
 from .cleanup import GenerationCleanup
@@ -28,7 +29,7 @@
 from .context import Context, read_deadline, read_request_id
 from .disconnects import RESUME_GRACE_SECONDS, DisconnectHandler
 from .generations import GenerationRoutes
-from .starting import BackgroundTasks, GenerationStarter
+from .starting import GenerationStarter
 from .tickets import TicketSigner
 
 RequestHandler = Callable[[Context, Responder, Params], Awaitable[None]]
--- a/celerytrail/callers/cleanup.py
+++ b/celerytrail/callers/cleanup.py
@@ -8,7 +8,7 @@
 from ..engines.streams import EngineStream, StreamLost
 from ..engines.wire import Finished
 from ..policies.grants import Admitter, GenerationEnd, Grant
-from .starting import BackgroundTasks
+from ..supervision import BackgroundTasks
 
 # Reasons of a lost stream after which the generation may still run, unread.
 CANCEL_REASONS = ("deadline", "too_large")
--- a/celerytrail/callers/disconnects.py
+++ b/celerytrail/callers/disconnects.py
@@ -17,7 +17,7 @@
 
 from ..engines.streams import EngineStream
 from ..policies.grants import Admitter, Grant
-from .starting import BackgroundTasks
+from ..supervision import BackgroundTasks
 
 RESUME_GRACE_SECONDS = 20.0
 N_MAX_PENDING_CANCELS = 2_000
--- a/celerytrail/callers/starting.py
+++ b/celerytrail/callers/starting.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import random
-from collections.abc import Coroutine, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from eliot import log_message
@@ -26,6 +26,7 @@
 from ..engines.wire import BadReply, EngineRefused, Finished, GenerateRequest, Tokens
 from ..policies.grants import AdmitRequest, Admitter, GenerationEnd, Grant
 from ..policies.retries import RetryPolicy
+from ..supervision import BackgroundTasks
 from ..types import Address, NotRun
 from .bodies import GenerationBody
 
@@ -126,24 +127,6 @@
 )
 
 
-class BackgroundTasks:
-    """Runs tasks that outlive the request that created them, such as cancels."""
-
-    def __init__(self) -> None:
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    def spawn(self, coro: Coroutine[object, object, object]) -> None:
-        """Run a coroutine as a task and log the exception that it raises, if any."""
-        task = asyncio.get_running_loop().create_task(_run_logged(coro))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    def close(self) -> None:
-        """Cancel all running tasks."""
-        for task in self._tasks:
-            task.cancel()
-
-
 class GenerationStarter:
     """Starts generations and opens streams.
 
@@ -418,10 +401,3 @@
         detail=not_run.detail,
         retry_after=not_run.retry_after or RETRY_AFTER_SECONDS,
     )
-
-
-async def _run_logged(coro: Coroutine[object, object, object]) -> None:
-    try:
-        await coro
-    except Exception as exc:
-        log_message("callers:background_failed", problem=repr(exc))
--- a/celerytrail/configuration/current.py
+++ b/celerytrail/configuration/current.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import traceback
 from collections.abc import Callable
 
 from eliot import log_message
@@ -40,7 +41,15 @@
         self._current = newer
         log_message("configuration:applied", version=newer.version)
         for subscriber in self._subscribers:
-            subscriber(newer)
+            try:
+                subscriber(newer)
+            except Exception:
+                # The document is in force: the other parts of the node must know it.
+                log_message(
+                    "configuration:subscriber_failed",
+                    version=newer.version,
+                    problem=traceback.format_exc(),
+                )
         return True
 
     def subscribe(self, subscriber: Subscriber) -> None:
--- a/celerytrail/configuration/sync.py
+++ b/celerytrail/configuration/sync.py
@@ -23,6 +23,7 @@
 from ..metrics import Metrics
 from ..platform.backoff import full_jitter
 from ..platform.table import Table
+from ..supervision import Supervisor
 from ..types import Address, Finding
 from .checks import findings_in_steps, findings_of_changes
 from .current import Configuration
@@ -79,6 +80,8 @@
         Jitter.
     metrics : Metrics
         Counts bad input.
+    supervisor : Supervisor or None
+        Runs the polling and the applying; one of its own by default.
     """
 
     def __init__(
@@ -93,7 +96,9 @@
         clock: Clock,
         rng: random.Random,
         metrics: Metrics,
+        supervisor: Supervisor | None = None,
     ) -> None:
+        self._supervisor = supervisor or Supervisor(metrics=metrics)
         self._configuration = configuration
         self._table = table
         self._fetcher = fetcher
@@ -123,10 +128,9 @@
 
     async def start(self) -> None:
         """Start the polling and applying tasks."""
-        loop = asyncio.get_running_loop()
         self._tasks = [
-            loop.create_task(self._poll_forever()),
-            loop.create_task(self._apply_forever()),
+            self._supervisor.start("configuration poll", self._poll_forever),
+            self._supervisor.start("configuration", self._apply_forever),
         ]
 
     async def stop(self) -> None:
--- a/celerytrail/node.py
+++ b/celerytrail/node.py
@@ -6,7 +6,6 @@
 import os
 import random
 import signal
-from collections.abc import Coroutine
 
 from eliot import log_message
 
@@ -26,6 +25,7 @@
 from .nodes.limited import LimitedAdmitter
 from .nodes.signing import PeerKeys
 from .settings import NodeSettings
+from .supervision import Supervisor
 from .types import Address
 from .vmwatch import VmWatch
 
@@ -61,6 +61,7 @@
         rng = rng or random.Random()
         network = network or SystemNetwork()
         configuration = Configuration()
+        metrics = Metrics(process=cfg.vm)
         node_id = f"{cfg.vm}-{rng.getrandbits(32):08x}"
         self.cfg = cfg
         self.context = wiring.NodeContext(
@@ -70,14 +71,14 @@
             rng=rng,
             network=network,
             client=HttpClient(process=node_id, network=network),
-            metrics=Metrics(process=cfg.vm),
+            metrics=metrics,
             configuration=configuration,
             authenticator=Authenticator(configuration=configuration),
             leaving=LeavingTracker(),
             keys=PeerKeys(keys=[key.secret for key in cfg.peer_keys]),
+            supervisor=Supervisor(metrics=metrics),
         )
         self.is_leaving = False
-        self._tasks: list[asyncio.Task[None]] = []
         self._caller_router = Router()
         self._peer_router = Router()
         self._caller_server = HttpServer(
@@ -122,11 +123,12 @@
         await self.admitter.start()
         await self.limits.start()
         self.services.directory.start()
-        self._start_task(self._register())
-        self._start_task(self._vm_watch.run())
-        self._start_task(wiring.reannounce_leaving(self.context, self.nodes))
-        self._start_task(self._reconciler.run())
-        self._start_task(self.services.sweeper.run())
+        supervisor = self.context.supervisor
+        supervisor.start_job("registration", self._register)
+        supervisor.start("VM list", self._vm_watch.run)
+        supervisor.start("leaving endpoints", self._reannounce_leaving)
+        supervisor.start("orders", self._reconciler.run)
+        supervisor.start("claims sweeper", self.services.sweeper.run)
         await self._caller_server.start(self.cfg.caller_listen)
         log_message(
             "node:started", node=self.context.node_id, callers=str(self.caller_address)
@@ -175,12 +177,9 @@
         await self.limits.stop()
         await self.admitter.stop()
         await self.homes.stop()
-        for task in self._tasks:
-            task.cancel()
-        if self._tasks:
-            await asyncio.wait(self._tasks)
         await self.sync.stop()
         await self.nodes.stop()
+        await self.context.supervisor.close()
 
     async def _register(self) -> None:
         """Write this node's row to the store and read the other nodes' addresses."""
@@ -193,8 +192,8 @@
             "n_records_waiting": self.services.recorder.n_pending,
         }
 
-    def _start_task(self, coroutine: Coroutine[object, object, None]) -> None:
-        self._tasks.append(asyncio.get_running_loop().create_task(coroutine))
+    async def _reannounce_leaving(self) -> None:
+        await wiring.reannounce_leaving(self.context, self.nodes)
 
     def _add_routes(self) -> None:
         for router in (self._caller_router, self._peer_router):
@@ -219,7 +218,12 @@
         is_ready = version > 0 and not self.is_leaving
         await res.send_json(
             200 if is_ready else 503,
-            {"ready": is_ready, "version": version, "leaving": self.is_leaving},
+            {
+                "ready": is_ready,
+                "version": version,
+                "leaving": self.is_leaving,
+                "paused_tasks": self.context.supervisor.paused,
+            },
         )
 
     async def _on_metrics(self, req: Request, res: Responder, params: Params) -> None:
--- a/celerytrail/nodes/admitters.py
+++ b/celerytrail/nodes/admitters.py
@@ -15,6 +15,7 @@
 from ..metrics import Metrics
 from ..policies.grants import AdmitRequest, Admitter, GenerationEnd, Grant
 from ..policies.rendezvous import rank
+from ..supervision import Supervisor
 from ..types import NotRun
 from .batches import AdmitOutcome, ProgressBatcher
 from .fallback import FallbackChooser
@@ -58,6 +59,8 @@
         Chooses an engine where no home can be reached.
     is_leaving : callable
         Returns whether the engine of a name is known to be leaving.
+    supervisor : Supervisor or None
+        Runs the sending of batches; one of its own by default.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         metrics: Metrics,
         fallback: FallbackChooser,
         is_leaving: IsLeaving = lambda engine: False,
+        supervisor: Supervisor | None = None,
     ) -> None:
         self._nodes = nodes
         self._homes = homes
@@ -91,6 +95,7 @@
             client=client,
             clock=clock,
             on_reports=fallback.on_reports,
+            supervisor=supervisor or Supervisor(metrics=metrics),
         )
         self._change_events: set[asyncio.Event] = set()
         nodes.on_change(self._on_nodes_change)
--- a/celerytrail/nodes/batches.py
+++ b/celerytrail/nodes/batches.py
@@ -14,6 +14,7 @@
 from ..http.client import HttpClient
 from ..policies.grants import AdmitRequest, GenerationEnd, Grant
 from ..policies.loadreports import EngineReport
+from ..supervision import Supervisor
 from ..types import Address
 from .homes import Homes
 from .homewire import (
@@ -96,6 +97,8 @@
         Monotonic time.
     on_reports : callable
         Called with the engines' reports and their ages in seconds.
+    supervisor : Supervisor
+        Runs the sending.
     """
 
     def __init__(
@@ -108,7 +111,9 @@
         client: HttpClient,
         clock: Clock,
         on_reports: Callable[[Sequence[EngineReport], Sequence[float]], None],
+        supervisor: Supervisor,
     ) -> None:
+        self._supervisor = supervisor
         self._nodes = nodes
         self._ranking = ranking
         self._homes = homes
@@ -123,7 +128,7 @@
 
     async def start(self) -> None:
         """Start sending batches."""
-        self._task = asyncio.get_running_loop().create_task(self._flush_periodically())
+        self._task = self._supervisor.start("batches", self._flush_periodically)
 
     async def stop(self) -> None:
         """Stop sending, after one last batch."""
--- a/celerytrail/nodes/homes.py
+++ b/celerytrail/nodes/homes.py
@@ -21,6 +21,7 @@
 from ..metrics import Metrics
 from ..policies.grants import AdmitRequest
 from ..policies.loadreports import TimestampedReport
+from ..supervision import Supervisor
 from .exchange import refuse_signature
 from .homewire import (
     ADMIT_PATH,
@@ -70,6 +71,8 @@
     on_leaving_change : callable
         Called with an engine's name and its time of leaving when it reports that it
         leaves, and with None instead of the time when it reports that it stays.
+    supervisor : Supervisor or None
+        Runs the polls of engines; one of its own by default.
     """
 
     def __init__(
@@ -84,7 +87,9 @@
         metrics: Metrics,
         is_leaving: IsLeaving = lambda engine: False,
         on_leaving_change: OnLeavingChange = lambda engine, at: None,
+        supervisor: Supervisor | None = None,
     ) -> None:
+        self._supervisor = supervisor or Supervisor(metrics=metrics)
         self._nodes = nodes
         self._keys = keys
         self._configuration = configuration
@@ -221,6 +226,7 @@
                 rng=self._rng,
                 metrics=self._metrics,
                 on_leaving_change=self._on_leaving_change,
+                supervisor=self._supervisor,
             )
             self._homes[pool.key] = home
             home.set_engines(self._engine_specs(pool))
--- a/celerytrail/nodes/limit_homes.py
+++ b/celerytrail/nodes/limit_homes.py
@@ -19,6 +19,7 @@
 from ..http.server import Responder
 from ..metrics import Metrics
 from ..policies.limits import Limit, LimitBorrower, LimitLender, Loan, LoanRequest
+from ..supervision import BackgroundTasks, Supervisor
 from ..types import NotRun
 from .exchange import refuse_signature
 from .homes import N_ELIGIBLE_HOMES
@@ -94,7 +95,9 @@
         client: HttpClient,
         clock: Clock,
         metrics: Metrics,
+        supervisor: Supervisor | None = None,
     ) -> None:
+        self._supervisor = supervisor or Supervisor(metrics=metrics)
         self._nodes = nodes
         self._keys = keys
         self._client = client
@@ -108,7 +111,7 @@
         self._is_ranking_stale = True
         nodes.on_change(self._on_nodes_change)
         self._task: asyncio.Task[None] | None = None
-        self._exchanges: set[asyncio.Task[None]] = set()
+        self._exchanges = BackgroundTasks()
         self._forget_at = 0.0
         self._apply_document(configuration.current)
         configuration.subscribe(self._apply_document)
@@ -119,15 +122,14 @@
 
     async def start(self) -> None:
         """Start borrowing."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task = self._supervisor.start("limits", self._run)
 
     async def stop(self) -> None:
         """Stop borrowing."""
-        tasks = [task for task in (self._task, *self._exchanges) if task is not None]
-        for task in tasks:
-            task.cancel()
-        if tasks:
-            await asyncio.wait(tasks)
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.wait([self._task])
+        await self._exchanges.aclose()
 
     def admit(self, organisation: str, n_tokens: float) -> NotRun | None:
         """Take a place and tokens for a generation or return the refusal, at once."""
@@ -206,11 +208,7 @@
             if home.node == self._nodes.me.node:
                 self._receive(self._make_loans(home.node, requests))
                 continue
-            task = asyncio.get_running_loop().create_task(
-                self._request_loans(home, requests)
-            )
-            self._exchanges.add(task)
-            task.add_done_callback(self._exchanges.discard)
+            self._exchanges.spawn(self._request_loans(home, requests))
 
     def _receive(self, loans: Sequence[Loan]) -> None:
         now = self._clock.monotonic()
--- a/celerytrail/nodes/poolhome.py
+++ b/celerytrail/nodes/poolhome.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 from collections.abc import Callable, Sequence
 from dataclasses import replace
@@ -17,6 +18,7 @@
 from ..policies.grants import AdmitRequest
 from ..policies.loadreports import EngineReport
 from ..policies.scheduler import Decision, Granted, PoolScheduler
+from ..supervision import Supervisor
 from ..types import Address
 from .homewire import AdmitAnswer, ProgressAnswer, ProgressBody
 from .pools import Pool
@@ -68,7 +70,9 @@
         rng: random.Random,
         metrics: Metrics,
         on_leaving_change: OnLeavingChange,
+        supervisor: Supervisor,
     ) -> None:
+        self._supervisor = supervisor
         self.pool = pool
         self._client = client
         self._clock = clock
@@ -92,10 +96,10 @@
             self._poll_tasks.pop(name).cancel()
             self._report_ages.pop(name, None)
             self._n_preemptions.pop(name, None)
-        loop = asyncio.get_running_loop()
         for name, spec in specs_by_name.items():
             if name not in self._poll_tasks:
-                self._poll_tasks[name] = loop.create_task(self._poll_engine(spec))
+                poll = functools.partial(self._poll_engine, spec)
+                self._poll_tasks[name] = self._supervisor.start("engine poll", poll)
         self._run_scheduler()
 
     async def admit(self, req: AdmitRequest) -> AdmitAnswer:
--- a/celerytrail/relay/enginewatch.py
+++ b/celerytrail/relay/enginewatch.py
@@ -11,6 +11,7 @@
 from ..model import Registration
 from ..nodes.nodes import Nodes
 from ..policies.rendezvous import RendezvousHomes
+from ..supervision import BackgroundTasks
 from .endpointgate import EndpointGate
 from .engineapi import EngineApi
 from .peerupdates import PeerUpdates
@@ -83,6 +84,7 @@
         self._on_leaving = on_leaving
         self._on_started = on_started
         self._pending: set[str] = set()
+        self._tasks = BackgroundTasks()
         self._homes = RendezvousHomes()
 
     async def run(self) -> None:
@@ -97,7 +99,7 @@
                 ):
                     continue
                 self._pending.add(reg.endpoint)
-                asyncio.ensure_future(self._read_report(reg))
+                self._tasks.spawn(self._read_report(reg))
             await asyncio.sleep(STALE_REPORT_SECONDS if is_stale else REPORT_SECONDS)
 
     def _homed_engines(self) -> list[Registration]:
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -35,7 +35,7 @@
     refuse,
     seconds_until,
 )
-from .liverun import UNKNOWN_START, Copied, LiveRun, Switched
+from .liverun import UNKNOWN_START, Copied, LiveRun, Move, Switched
 from .originbroker import OriginBroker
 from .outcomes import (
     BROKEN_OFF,
@@ -477,7 +477,7 @@
         )
         return opened.ok_value
 
-    async def _await_move(self, live: LiveRun) -> Copied | Switched | None:
+    async def _await_move(self, live: LiveRun) -> Move:
         """Wait for the run's move, if there is one, and return its outcome."""
         if live.move is None:
             return None
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -35,6 +35,10 @@
     stream: Stream
 
 
+# What became of a move: where the run's copy is, the run's new stream, or nothing.
+Move = Copied | Switched | None
+
+
 class LiveRun:
     """A generation in progress, with the state needed to move it to another engine.
 
@@ -74,7 +78,7 @@
         # True between the end of one stream and the start of the next.
         self.is_resuming = False
         self.is_complete = False
-        self.move: asyncio.Task[Copied | Switched | None] | None = None
+        self.move: asyncio.Task[Move] | None = None
         # Set once the current engine has sent an event.
         self.started = asyncio.Event()
         self._first_event_at = 0.0
--- a/celerytrail/relay/paths.py
+++ b/celerytrail/relay/paths.py
@@ -18,6 +18,7 @@
 from ..nodes.signing import PeerKeys
 from ..policies.peerchoice import PeerChoice
 from ..policies.reach import Reach
+from ..supervision import BackgroundTasks
 from ..types import Address
 from .endpointanswers import RelayedStatements
 from .tunnelserver import TUNNEL_PATH, TunnelRequest, decode_statements
@@ -108,7 +109,7 @@
         # When a connection on the own path was last refused.
         self._refused_at: dict[Address, float] = {}
         self._checks: dict[Address, asyncio.Task[None]] = {}
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = BackgroundTasks()
         # Whether idle connections may have to be closed.
         self.has_retired = False
 
@@ -123,12 +124,11 @@
                 if self._reach.is_retry_due(address, now)
             ]
             for address in due[:N_PROBED]:
-                self._start(self._probe(address))
+                self._tasks.spawn(self._probe(address))
 
     def close(self) -> None:
         """Cancel what is in progress."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.close()
 
     async def listen(
         self, factory: Callable[[], asyncio.Protocol], address: Address
@@ -166,7 +166,7 @@
         """Check the path to an endpoint from which an answer doesn't arrive."""
         if address in self._checks or self._is_fresh(address):
             return
-        task = self._start(self._check(address))
+        task = self._tasks.spawn(self._check(address))
         self._checks[address] = task
         task.add_done_callback(lambda _: self._checks.pop(address, None))
 
@@ -178,7 +178,7 @@
             if not self._reach.is_unreached(address):
                 action()
 
-        self._start(check())
+        self._tasks.spawn(check())
 
     # Internals.
 
@@ -364,12 +364,6 @@
         ]
         return max((conn.received_at for conn in conns), default=0.0)
 
-    def _start(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
 
 def _add_connection(
     conns: dict[Address, list[Connection]], address: Address, conn: Connection
--- a/celerytrail/relay/placebroker.py
+++ b/celerytrail/relay/placebroker.py
@@ -20,6 +20,7 @@
 from ..policies.brittleplaces import BrittlePlaces
 from ..policies.requesttokens import Decision
 from ..policies.statedlimits import LimitStatement, StatedLimits
+from ..supervision import BackgroundTasks
 from .nodeorder import NodeOrder
 from .peerrequests import PeerRequests
 
@@ -126,7 +127,7 @@
         # Endpoints of these that one request asks for again, while the others wait.
         self._probed: set[str] = set()
         self._numbers = itertools.count(1)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks()
 
     def add_routes(self, router: Router) -> None:
         """Add the routes at which other nodes ask for places and give them back."""
@@ -199,9 +200,7 @@
         if owner is None or owner.node == self._node:
             self._record_ended(ended)
             return
-        task = asyncio.ensure_future(self._tell_owner(owner, ended))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(self._tell_owner(owner, ended))
 
     # Asking.
 
--- a/celerytrail/relay/runmover.py
+++ b/celerytrail/relay/runmover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 from collections.abc import Collection, Coroutine, Iterable
 from typing import Any
 
@@ -13,10 +14,11 @@
 from ..platform import wire
 from ..policies import moving
 from ..policies.engineloads import EngineLoads
+from ..supervision import BackgroundTasks
 from .engineapi import CopyFailed, EngineApi
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
-from .liverun import Copied, LiveRun, Switched
+from .liverun import Copied, LiveRun, Move, Switched
 from .registry import Registry
 
 # Engines that may refuse a run before its move is abandoned.
@@ -79,7 +81,7 @@
         self._loads = loads
         self._placer = placer
         self._opener = opener
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks()
         # By endpoint, the loop time at which a leaving engine shuts down.
         self._leaves_at: dict[str, float] = {}
 
@@ -94,7 +96,7 @@
                 leaving.append(live)
         leaving.sort(key=lambda live: live.n_events, reverse=True)
         if leaving:
-            self._run_in_background(self._fetch_shutdown_time(reg))
+            self._tasks.spawn(self._fetch_shutdown_time(reg))
         for live in leaving:
             self._begin_move(live)
 
@@ -123,7 +125,7 @@
         if self._registry.is_leaving(live.reg):
             self._begin_move(live)
         elif live.backup is not None and live.silent_seconds > SILENCE_TIMEOUT_SECONDS:
-            live.move = asyncio.ensure_future(self._leave_silent_engine(live))
+            self._start_move(live, self._leave_silent_engine(live))
 
     def on_path_silent(self, reg: Registration, runs: Iterable[LiveRun]) -> None:
         """Take runs off the connections to an engine on which nothing arrives now.
@@ -137,9 +139,9 @@
             if live.is_resuming or not live.started.is_set():
                 continue
             if live.move is None or _has_failed(live.move):
-                live.move = asyncio.ensure_future(self._leave_silent_path(live))
+                self._start_move(live, self._leave_silent_path(live))
 
-    async def _leave_silent_path(self, live: LiveRun) -> Copied | Switched | None:
+    async def _leave_silent_path(self, live: LiveRun) -> Move:
         source, stream = live.reg, live.stream
         if live.backup is not None:
             live.ex.log("silent", endpoint=live.run.endpoint)
@@ -175,20 +177,19 @@
             return
         deadline = asyncio.get_running_loop().time() + FREE_TIMEOUT_SECONDS
         attempt = live.ex.facts.attempt_id
-        self._run_in_background(self._api.free_copy(backup.address, attempt, deadline))
+        self._tasks.spawn(self._api.free_copy(backup.address, attempt, deadline))
 
-    def _run_in_background(self, work: Coroutine[Any, Any, None]) -> None:
-        """Run a background task, and keep a reference that prevents its collection."""
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+    @staticmethod
+    def _start_move(live: LiveRun, work: Coroutine[Any, Any, Move]) -> None:
+        live.move = asyncio.ensure_future(work)
+        live.move.add_done_callback(functools.partial(_log_error, live))
 
     def _begin_move(self, live: LiveRun) -> None:
         """Begin to move a run off its engine, unless a move is in progress."""
         if live.move is None or _has_failed(live.move):
-            live.move = asyncio.ensure_future(self._move_off(live))
+            self._start_move(live, self._move_off(live))
 
-    async def _move_off(self, live: LiveRun) -> Copied | Switched | None:
+    async def _move_off(self, live: LiveRun) -> Move:
         """Move a run off a leaving engine, to its backup or by a copy."""
         source = live.reg
         await live.started.wait()
@@ -212,7 +213,7 @@
             self._placer.clear_backup(live)
         return await self._move_in_turn(live, source)
 
-    async def _leave_silent_engine(self, live: LiveRun) -> Copied | Switched | None:
+    async def _leave_silent_engine(self, live: LiveRun) -> Move:
         """Switch to the backup, if any, because the engine sends nothing."""
         if live.backup is None:
             return None
@@ -380,7 +381,7 @@
             # The earlier copy would occupy memory there for seconds.
             deadline = asyncio.get_running_loop().time() + FREE_TIMEOUT_SECONDS
             for engine in (source, target):
-                self._run_in_background(
+                self._tasks.spawn(
                     self._api.free_copy(engine.address, moved.handle, deadline)
                 )
         live.ex.log(
@@ -404,7 +405,13 @@
         return leaves_at - asyncio.get_running_loop().time()
 
 
-def _has_failed(move: asyncio.Task[Copied | Switched | None]) -> bool:
+def _log_error(live: LiveRun, move: asyncio.Task[Move]) -> None:
+    """Log the error that ended a move: nobody awaits one that is discarded."""
+    if not move.cancelled() and (exc := move.exception()) is not None:
+        live.ex.log("move_error", endpoint=live.run.endpoint, problem=repr(exc))
+
+
+def _has_failed(move: asyncio.Task[Move]) -> bool:
     if not move.done() or move.cancelled():
         return False
     return move.exception() is not None or move.result() is None
--- a/celerytrail/services/endpoints.py
+++ b/celerytrail/services/endpoints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
@@ -18,6 +19,7 @@
 from ..leaving import LeavingTracker
 from ..metrics import Metrics
 from ..policies.loadreports import EndpointReport
+from ..supervision import Supervisor
 from ..types import Address
 
 POLL_INTERVAL_SECONDS = 1.0
@@ -114,6 +116,8 @@
         This node's failure domain, whose endpoints are slightly preferred.
     metrics : Metrics or None
         Counts invalid reports.
+    supervisor : Supervisor or None
+        Runs the polls; one of its own by default.
     """
 
     def __init__(
@@ -126,7 +130,11 @@
         rng: random.Random,
         failure_domain: str = "",
         metrics: Metrics | None = None,
+        supervisor: Supervisor | None = None,
     ) -> None:
+        self._supervisor = supervisor or Supervisor(
+            metrics=metrics or Metrics(process="endpoints")
+        )
         self._leaving = leaving
         self._http = http
         self._clock = clock
@@ -224,10 +232,10 @@
         wanted = {view.spec for view in views}
         for spec in [spec for spec in self._pollers if spec not in wanted]:
             self._pollers.pop(spec).cancel()
-        loop = asyncio.get_running_loop()
         for view in views:
             if view.spec not in self._pollers:
-                self._pollers[view.spec] = loop.create_task(self._poll(view))
+                poll = functools.partial(self._poll, view)
+                self._pollers[view.spec] = self._supervisor.start("endpoint poll", poll)
 
     async def _poll(self, view: EndpointView) -> None:
         address = Address.parse(view.spec.address)
--- a/celerytrail/services/recorder.py
+++ b/celerytrail/services/recorder.py
@@ -9,7 +9,9 @@
 from eliot import log_message
 
 from ..clock import Clock
+from ..metrics import Metrics
 from ..platform.backoff import full_jitter
+from ..supervision import Supervisor
 from .claims import Claim
 from .claimstore import ClaimStore
 
@@ -44,6 +46,8 @@
         Adds jitter to the backoff.
     max_pending : int
         Limit of rows that wait to be written.
+    supervisor : Supervisor or None
+        Runs the background writes; one of its own by default.
     """
 
     def __init__(
@@ -53,7 +57,11 @@
         clock: Clock,
         rng: random.Random,
         max_pending: int = MAX_PENDING,
+        supervisor: Supervisor | None = None,
     ) -> None:
+        self._supervisor = supervisor or Supervisor(
+            metrics=Metrics(process="claims recorder")
+        )
         self._store = store
         self._clock = clock
         self._rng = rng
@@ -88,7 +96,7 @@
             return
         self._pending[key] = _Pending(final=final, version=version)
         if self._task is None or self._task.done():
-            self._task = asyncio.get_running_loop().create_task(self._run())
+            self._task = self._supervisor.start_job("claims recorder", self._run)
 
     async def drain(self, deadline: float) -> None:
         """Wait until all rows are written, at most until ``deadline`` (monotonic)."""
--- a/celerytrail/wiring.py
+++ b/celerytrail/wiring.py
@@ -52,6 +52,7 @@
 from .services.sweeper import ClaimSweeper
 from .settings import NodeSettings
 from .status import NodeStatus
+from .supervision import Supervisor
 
 MILLISECONDS_PER_SECOND = 1_000
 # How long a gossiped announcement that an endpoint leaves stays valid after its time;
@@ -78,6 +79,7 @@
     authenticator: Authenticator
     leaving: LeavingTracker
     keys: PeerKeys
+    supervisor: Supervisor
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -136,6 +138,7 @@
         seeds=cfg.seeds,
         answer_seconds=cfg.answer_seconds,
         network=context.network,
+        supervisor=context.supervisor,
     )
 
 
@@ -161,6 +164,7 @@
         clock=context.clock,
         rng=context.rng,
         metrics=context.metrics,
+        supervisor=context.supervisor,
     )
     nodes.on_version(
         lambda version, root, holder: sync.record_version(
@@ -225,6 +229,7 @@
         metrics=context.metrics,
         is_leaving=lambda name: leaving.is_leaving(name, clock.wall()),
         on_leaving_change=on_engine_leaving,
+        supervisor=context.supervisor,
     )
     leaving.subscribe(lambda fact: homes.refresh())
     return homes
@@ -239,6 +244,7 @@
         client=context.client,
         clock=context.clock,
         metrics=context.metrics,
+        supervisor=context.supervisor,
     )
 
 
@@ -284,6 +290,7 @@
         metrics=context.metrics,
         fallback=fallback,
         is_leaving=lambda name: context.leaving.is_leaving(name, context.clock.wall()),
+        supervisor=context.supervisor,
     )
 
 
@@ -336,9 +343,15 @@
         rng=context.rng,
         failure_domain=context.cfg.failure_domain,
         metrics=context.metrics,
+        supervisor=context.supervisor,
     )
     claims = ClaimStore(table=platform.table, clock=context.clock, rng=context.rng)
-    recorder = ClaimRecorder(store=claims, clock=context.clock, rng=context.rng)
+    recorder = ClaimRecorder(
+        store=claims,
+        clock=context.clock,
+        rng=context.rng,
+        supervisor=context.supervisor,
+    )
     calls = ServiceCalls(
         node_id=context.node_id,
         claims=claims,
