Bound the wait for an admission by its queue deadline

What callers would see: a request queued at its own node gets no answer, not even a refusal at its deadline, after an error in the scheduling of its pool.

Cause: the scheduler's timer resolves the futures of waiting requests. An error in its callback goes to the event loop's handler; no further timer is set.

Evidence: test_refused_though_scheduling_fails waits for ever before.

Change: a failed timer is logged and set again; a request that is undecided half a second after its queue deadline leaves the queue and is refused.

--- a/celerytrail/nodes/poolhome.py
+++ b/celerytrail/nodes/poolhome.py
@@ -5,6 +5,7 @@
 import asyncio
 import functools
 import random
+import traceback
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 
@@ -30,6 +31,10 @@
 # Upper bound of a report's age. A larger age means that the engine's clock is wrong,
 # not that its report is old.
 MAX_REPORT_AGE_SECONDS = 10.0
+# How long after its queue deadline a request still waits for a decision, and the pause
+# after scheduling has failed.
+DECISION_MARGIN_SECONDS = 0.5
+SCHEDULING_RETRY_SECONDS = 1.0
 
 # Takes an engine's name and when it leaves, or None when it reports that it stays.
 OnLeavingChange = Callable[[str, float | None], None]
@@ -103,7 +108,10 @@
         self._run_scheduler()
 
     async def admit(self, req: AdmitRequest) -> AdmitAnswer:
-        """Wait for a decision; cancelling this removes the request from the queue."""
+        """Wait for a decision; cancelling this removes the request from the queue.
+
+        Without a decision by the request's queue deadline, the answer is empty.
+        """
         now = self._clock.monotonic()
         self.used_at = now
         fut: asyncio.Future[AdmitAnswer] = asyncio.get_running_loop().create_future()
@@ -115,8 +123,14 @@
         self._pending[req.request_id] = fut
         self._resolve(self.scheduler.submit(req, now))
         self._set_timer()
+        wait_seconds = max(0.0, req.queue_deadline - now) + DECISION_MARGIN_SECONDS
         try:
-            return await fut
+            async with asyncio.timeout(wait_seconds):
+                return await fut
+        except TimeoutError:
+            log_message("homes:undecided", pool=self.pool.key, request=req.request_id)
+            self.scheduler.cancel(req.request_id, self._clock.monotonic())
+            return AdmitAnswer()
         except asyncio.CancelledError:
             if self._pending.get(req.request_id) is fut:
                 self.scheduler.cancel(req.request_id, self._clock.monotonic())
@@ -192,7 +206,21 @@
             return
         loop = asyncio.get_running_loop()
         delay_seconds = max(0.0, deadline - self._clock.monotonic())
-        self._timer = loop.call_later(delay_seconds, self._run_scheduler)
+        self._timer = loop.call_later(delay_seconds, self._on_timer)
+
+    def _on_timer(self) -> None:
+        try:
+            self._run_scheduler()
+        except Exception:
+            # Without another timer the requests in the queue would wait for the next
+            # event of the pool, which may not come.
+            log_message(
+                "homes:scheduling_failed",
+                pool=self.pool.key,
+                problem=traceback.format_exc(),
+            )
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_later(SCHEDULING_RETRY_SECONDS, self._on_timer)
 
     def _resolve(self, decisions: Sequence[Decision]) -> None:
         for decision in decisions:
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -94,6 +94,46 @@
         assert answer.err_value.retry_after is not None
         assert rig.clock.monotonic() - started_at < 2.3
 
+    @with_rig
+    async def test_refused_though_scheduling_fails(self, rig):
+        """Guards against a request that waits for a decision which nobody makes."""
+        rig.fill_engines()
+        await asyncio.sleep(2.0)
+        admitted = [
+            asyncio.ensure_future(
+                peer.admitter.admit(rig.request(f"q-{peer.name}", seconds=2.0))
+            )
+            for peer in (rig.first, rig.entry)
+        ]
+        await asyncio.sleep(0.5)
+
+        def fail(now):
+            raise ZeroDivisionError
+
+        rig.scheduler(rig.first).poll = fail
+        async with asyncio.timeout(5.0):
+            answers = await asyncio.gather(*admitted)
+        assert {answer.err_value.reason for answer in answers} == {"queue_deadline"}
+
+    @with_rig
+    async def test_a_request_is_decided_after_scheduling_failed(self, rig):
+        """Guards against a queue whose timer ended with an error."""
+        rig.fill_engines()
+        await asyncio.sleep(2.0)
+        admitted = asyncio.ensure_future(rig.first.admitter.admit(rig.request("q")))
+        await asyncio.sleep(0.5)
+        scheduler = rig.scheduler(rig.first)
+        poll, failures = scheduler.poll, iter([True] * 5)
+
+        def fail_at_first(now):
+            if next(failures, False):
+                raise ZeroDivisionError
+            return poll(now)
+
+        scheduler.poll = fail_at_first
+        rig.engines.used_tokens.clear()
+        assert (await admitted).ok_value.home == rig.first.name
+
     @with_rig
     async def test_home_clock_is_an_hour_ahead(self, rig):
         """One VM's clock is an hour ahead. A home that compared deadlines with it would
