Take in each endpoint's row by itself

What callers would see: requests at an endpoint that has said that it leaves, as long as another row makes the task that reads them end at each start.

Cause: one error in the handling of a row, after it was decoded, ended the handling of all; the task starts again at the same version and ends at the same row.

Evidence: test_a_leaving_endpoint_gets_no_work_beside_a_row_that_fails fails before.

Change: a row that can't be taken in names no endpoint to use, and an error in what is told of a row changes nothing for it; both are logged. Readiness doesn't depend on the age of registrations: a common error would take all nodes out of service at once.

--- a/celerytrail/relay/registry.py
+++ b/celerytrail/relay/registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import traceback
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
@@ -74,7 +75,18 @@
         self._has_read = False
 
     def put(self, reg: Registration) -> None:
-        """Add or update an endpoint's registration, unless a later start is known."""
+        """Add or update an endpoint's registration, unless a later start is known.
+
+        If that fails, the endpoint isn't used; the other rows are read on.
+        """
+        try:
+            self._put(reg)
+        except Exception:
+            self._known.pop(reg.endpoint, None)
+            self._invalidate()
+            _log_error(reg.endpoint)
+
+    def _put(self, reg: Registration) -> None:
         former = self._known.get(reg.endpoint)
         if former is not None and reg.started_at < former.started_at:
             return
@@ -119,7 +131,10 @@
         if self._on_started is None or not self._has_read:
             return
         if reg.state is EndpointState.READY:
-            self._on_started(reg, was_known)
+            try:
+                self._on_started(reg, was_known)
+            except Exception:
+                _log_error(reg.endpoint)
 
     def record_leaving(self, reg: Registration) -> bool:
         """Record that an endpoint stated in an answer or its report that it leaves.
@@ -302,7 +317,14 @@
         self._said_leaving.add(reg.incarnation)
         self._invalidate()
         if is_news:
+            self._notify_leaving(reg)
+
+    def _notify_leaving(self, reg: Registration) -> None:
+        try:
             self._on_leaving(reg)
+        except Exception:
+            # What an endpoint's row says holds, whatever fails in what is told of it.
+            _log_error(reg.endpoint)
 
     def _set_absent(self, reg: Registration, now: float) -> None:
         """Record that an endpoint's row is gone, until it is back."""
@@ -314,4 +336,10 @@
         )
         self._invalidate()
         if is_news:
-            self._on_leaving(reg)
+            self._notify_leaving(reg)
+
+
+def _log_error(endpoint: str) -> None:
+    log_message(
+        "relay:registry:failed", endpoint=endpoint, problem=traceback.format_exc()
+    )
