Give the last endpoint that is left more time to accept a connection

What callers saw: 503 (`connect_timeout`) after 0.25 s with seconds left, when the only endpoint with room accepted connections late; the known red on cold endpoints, beside load.

Cause: the connect timeout is there to try another endpoint; where the others are closed to the request, it was the reason for a refusal.

Evidence: with the answer in the assertion, 28 of 48 runs of the red test failed beside 40 busy processes, eight at a time, each with `connect_timeout`. Ruled out: refusals of the cold endpoint, and nodes that don't know one another.

Change: without another endpoint the slow ones are tried once more, for as long as a request waits for room (half of its target). Others are tried first, as before.

--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -31,6 +31,7 @@
 from .outcomes import (
     BROKEN_OFF,
     CONNECT_REFUSED,
+    CONNECT_TIMEOUT,
     UNREACHABLE_REASONS,
     Failed,
     NotExecuted,
@@ -42,8 +43,9 @@
 HEDGE_SHARE = 0.45
 # Connect timeout before another endpoint is tried, in seconds.
 CONNECT_SECONDS = 0.25
-# Share of the target for which a request waits for room within endpoints' limits, and
-# the longest wait for the next chance, in seconds.
+# Share of the target for which a request waits for room within endpoints' limits, or
+# for a connection if there is no other endpoint, and the longest wait for the next
+# chance, in seconds.
 WAIT_SHARE = 0.5
 MAX_POLL_SECONDS = 0.1
 # Endpoints that a request may be sent to while none has executed it.
@@ -71,7 +73,8 @@
 
     ``tried`` holds the endpoints, ``n_maybe_executed`` counts the ended attempts that
     an endpoint may have executed, ``n_sent`` those that an endpoint received, and
-    ``n_refused`` those whose connections were refused.
+    ``n_refused`` those whose connections were refused. ``slow`` holds the endpoints to
+    which connecting took too long, until they are tried once more as the last ones.
     """
 
     tried: set[str] = field(default_factory=set)
@@ -79,6 +82,8 @@
     n_maybe_executed: int = 0
     n_sent: int = 0
     n_refused: int = 0
+    slow: set[str] = field(default_factory=set)
+    are_slow_ones_left: bool = False
 
     @property
     def n_tried(self) -> int:
@@ -89,6 +94,14 @@
         """
         return len(self.tried) - self.n_refused
 
+    def try_slow_ones_again(self) -> bool:
+        """Allow the slow endpoints once more, and return whether there are any."""
+        if not self.slow or self.are_slow_ones_left:
+            return False
+        self.tried -= self.slow
+        self.are_slow_ones_left = True
+        return True
+
     def record(self, outcome: Outcome) -> None:
         """Count an attempt by its outcome."""
         self.n_refused += _is_refused(outcome)
@@ -193,14 +206,11 @@
         outcome: Outcome | None = None
         while attempts.n_tried < MAX_TRIED_ENDPOINTS:
             admission = await self._choose_endpoint(
-                ex, attempts.tried, is_repeat=attempts.n_sent > 0
+                ex, attempts, is_repeat=attempts.n_sent > 0
             )
             if admission is None:
                 break
-            attempts.tried.add(admission.reg.endpoint)
-            attempt = asyncio.ensure_future(self._attempt(ex, admission))
-            attempt.add_done_callback(functools.partial(self._on_ended, admission))
-            outcome = await attempt
+            outcome = await self._start_attempt(ex, attempts, admission)
             # Another endpoint may be tried only if this one states that it hasn't
             # executed the request, or if no byte of it was sent.
             if not isinstance(outcome, NotExecuted):
@@ -235,20 +245,37 @@
         ):
             return False
         is_repeat = attempts.n_sent > 0 or bool(attempts.pending)
-        admission = await self._choose_endpoint(ex, attempts.tried, is_repeat=is_repeat)
+        admission = await self._choose_endpoint(ex, attempts, is_repeat=is_repeat)
         if admission is None:
             return False
-        attempts.tried.add(admission.reg.endpoint)
-        attempt = asyncio.ensure_future(self._attempt(ex, admission))
-        attempt.add_done_callback(functools.partial(self._on_ended, admission))
-        attempts.pending.add(attempt)
+        attempts.pending.add(self._start_attempt(ex, attempts, admission))
         return True
 
-    def _on_ended(self, admission: Admission, attempt: asyncio.Task[Outcome]) -> None:
+    def _start_attempt(
+        self, ex: Exchange, attempts: _Attempts, admission: Admission
+    ) -> asyncio.Task[Outcome]:
+        attempts.tried.add(admission.reg.endpoint)
+        connect_seconds = CONNECT_SECONDS
+        if attempts.are_slow_ones_left:
+            seconds_left = WAIT_SHARE * ex.route.target_latency_seconds - ex.age_seconds
+            connect_seconds = max(CONNECT_SECONDS, seconds_left)
+        attempt = asyncio.ensure_future(self._attempt(ex, admission, connect_seconds))
+        ended = functools.partial(self._on_ended, attempts, admission)
+        attempt.add_done_callback(ended)
+        return attempt
+
+    def _on_ended(
+        self,
+        attempts: _Attempts,
+        admission: Admission,
+        attempt: asyncio.Task[Outcome],
+    ) -> None:
         """Give an attempt's admission back, also if it was cancelled at once."""
         outcome = None
         if not attempt.cancelled() and attempt.exception() is None:
             outcome = attempt.result()
+        if isinstance(outcome, NotExecuted) and outcome.reason == CONNECT_TIMEOUT:
+            attempts.slow.add(admission.reg.endpoint)
         is_refused = isinstance(outcome, NotExecuted) and outcome.was_sent
         self._gate.end(admission, is_refused=is_refused)
 
@@ -278,7 +305,7 @@
         return done
 
     async def _choose_endpoint(
-        self, ex: Exchange, tried: set[str], *, is_repeat: bool
+        self, ex: Exchange, attempts: _Attempts, *, is_repeat: bool
     ) -> Admission | None:
         """Choose the next endpoint for a request, within the retry budget.
 
@@ -295,8 +322,10 @@
             open_regs = [
                 reg for reg in usable if self._gate.is_open_for(reg, ex.home_regions)
             ]
-            reg = self._choose_paced(ex, open_regs, usable, tried)
-            if reg is None and await self._wait_for_room(ex, usable, tried):
+            reg = self._choose_paced(ex, open_regs, usable, attempts.tried)
+            if reg is None and await self._wait_for_room(ex, usable, attempts.tried):
+                continue
+            if reg is None and attempts.try_slow_ones_again():
                 continue
             if reg is None:
                 return None
@@ -366,7 +395,9 @@
             return None
         return asyncio.get_running_loop().time() + seconds
 
-    async def _attempt(self, ex: Exchange, admission: Admission) -> Outcome:
+    async def _attempt(
+        self, ex: Exchange, admission: Admission, connect_seconds: float
+    ) -> Outcome:
         reg = admission.reg
         began_at = asyncio.get_running_loop().time()
         inputs = self._choice.inputs(reg.endpoint, began_at)
@@ -375,7 +406,7 @@
         self.n_open += 1
         outcome: Outcome | None = None
         try:
-            outcome = await self._send(ex, admission)
+            outcome = await self._send(ex, admission, connect_seconds)
             if isinstance(outcome, Answered):
                 outcome = replace(outcome, inputs=inputs)
             return outcome
@@ -398,7 +429,9 @@
             else:
                 self._paces.record_answer(reg, ex.route.name, began_at, kind)
 
-    async def _send(self, ex: Exchange, admission: Admission) -> Outcome:
+    async def _send(
+        self, ex: Exchange, admission: Admission, connect_seconds: float
+    ) -> Outcome:
         reg = admission.reg
         if ex.seconds_left <= 0:
             return Failed(reason="timeout")
@@ -425,7 +458,7 @@
             body=ex.req.body,
             headers=wire.forward_headers(ex.req, facts),
             deadline=ex.loop_deadline,
-            connect_seconds=CONNECT_SECONDS,
+            connect_seconds=connect_seconds,
             max_idle=self._gate.max_idle_connections(reg),
             request_id=ex.facts.attempt_id,
             may_send=may_send,
--- a/celerytrail/relay/outcomes.py
+++ b/celerytrail/relay/outcomes.py
@@ -8,7 +8,8 @@
 BROKEN_OFF = "cut"
 # The client's reasons when it couldn't connect to an endpoint on any path.
 CONNECT_REFUSED = "connect_refused"
-UNREACHABLE_REASONS = (CONNECT_REFUSED, "connect_timeout")
+CONNECT_TIMEOUT = "connect_timeout"
+UNREACHABLE_REASONS = (CONNECT_REFUSED, CONNECT_TIMEOUT)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
