--- a/tests/latepeer.py
+++ b/tests/latepeer.py
@@ -15,6 +15,7 @@
 
     def __init__(self, answers: list[tuple[bytes, bytes]]) -> None:
         self._answers = iter(answers)
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> Address:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -22,14 +23,18 @@
         return Address(host="127.0.0.1", port=port)
 
     async def _serve(self, reader, writer):
+        self._tasks.add(asyncio.current_task())
         is_new = True
         while await reader.read(65_536):
             late, due = next(self._answers)
             writer.write(due if is_new else late + due)
             is_new = False
         writer.close()
+        await writer.wait_closed()
 
     async def close(self) -> None:
         """Close, once the client has closed its connections."""
         self._server.close()
-        await self._server.wait_closed()
+        # `Server.wait_closed` of Python 3.11 doesn't wait for its connections.
+        if self._tasks:
+            await asyncio.wait(self._tasks)
