Leave a transport alone once it has told of its end

What callers saw: a 500 of our own for large uploads to an endpoint that answers before it has read them.

Cause: `transport.abort` of asyncio raises AttributeError on a transport that was closed at the peer's end of data with bytes to send, and has sent them since. The client aborts its connection after a lost answer, and the error passed through the call.

Change: Connection.close and abort, and the ends of tunnels, do nothing after connection_lost.

--- a/celerytrail/http/messages.py
+++ b/celerytrail/http/messages.py
@@ -129,6 +129,7 @@
         self.is_lost = False
         self.is_eof = False
         self._is_closed_here = False
+        self._is_transport_closed = False
         # Whether it must not be used for another exchange.
         self.is_retired = False
         # Whether it waits for its next exchange, in a client's pool.
@@ -198,6 +199,7 @@
         # that end; asyncio reports it by `eof_received`, and no exception here also
         # after this process has closed the connection.
         self.is_eof = True
+        self._is_transport_closed = True
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
@@ -329,13 +331,15 @@
     def close(self) -> None:
         """Close once all written bytes have been sent."""
         self._is_closed_here = True
-        if self.transport is not None:
+        if self.transport is not None and not self._is_transport_closed:
             self.transport.close()
 
     def abort(self) -> None:
         """Close at once, dropping unsent bytes."""
         self._is_closed_here = True
-        if self.transport is not None:
+        # asyncio raises an error in `abort` if the transport was closed at the peer's
+        # end of data and had bytes to send then.
+        if self.transport is not None and not self._is_transport_closed:
             self.transport.abort()
 
     def _check_late(self, deadline: float) -> None:
--- a/celerytrail/http/tunnels.py
+++ b/celerytrail/http/tunnels.py
@@ -82,8 +82,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Write the bytes to the other end."""
-        if self._other is not None and self._other._transport is not None:
-            self._other._transport.write(data)
+        other = self._other
+        if other is not None and not other.closed.done() and other._transport:
+            other._transport.write(data)
 
     def eof_received(self) -> bool:
         """Close both ends behind what was received."""
@@ -110,7 +111,7 @@
 
     def abort(self) -> None:
         """Close this end at once."""
-        if self._transport is not None:
+        if self._transport is not None and not self.closed.done():
             self._transport.abort()
 
     def _close_other(self) -> None:
--- a/tests/test_relay_http.py
+++ b/tests/test_relay_http.py
@@ -98,6 +98,35 @@
         server.close()
 
 
+class TestAborting:
+    async def test_a_connection_that_ended_while_it_sent_can_be_aborted(self):
+        """Guards against a 500 when an endpoint answers before it has read a body."""
+        has_ended = asyncio.Event()
+
+        async def serve(reader, writer):
+            writer.write_eof()
+            await has_ended.wait()
+            while await reader.read(1 << 20):
+                pass
+            writer.close()
+            await writer.wait_closed()
+            is_served.set()
+
+        is_served = asyncio.Event()
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        address = Address(host="127.0.0.1", port=server.sockets[0].getsockname()[1])
+        conn = await SystemNetwork().connect(
+            lambda: Connection(role=h11.CLIENT), address
+        )
+        conn.transport.write(b"x" * (32 << 20))
+        await conn.lost
+        has_ended.set()
+        await is_served.wait()
+        conn.abort()
+        conn.close()
+        server.close()
+
+
 class TestClosedStreams:
     async def test_a_stream_closed_by_another_task_is_incomplete(self):
         # A run is moved to another engine while its reader is busy writing to its
