Bound all bytes of bodies that are held for callers by one memory

What callers saw: a node beyond its memory is killed, and all its callers lose their answers. Bodies of requests were bounded each, not together; answers that slow readers hadn't read weren't counted.

Change: one BodyMemory for callers' requests, answers that are read, delivered or held; a quarter of the process's memory, at least 16 MiB, and as much for the first 64 KiB of each body, which had no bound. A request without room is refused at once as not run (503 with Retry-After); an answer of known length waits for room in order until its deadline; what is there is delivered.

Ruled out: waiting for memory piece by piece, as two bodies would wait for each other.

--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -18,7 +18,7 @@
 
 from ..exceptions import ConnectionClosedError, PeerError
 from ..types import Address
-from .bodymemory import MAX_BODY_BYTES, BodyMemory, HeldBody
+from .bodymemory import FREE_BODY_BYTES, MAX_BODY_BYTES, BodyMemory, HeldBody
 from .messages import JSON_TYPE, REQUEST_ID_HEADER, Connection, Response, header_map
 from .network import Network, SystemNetwork
 from .pool import IDLE_SECONDS, MAX_IDLE_PER_ADDRESS, ConnectionPool
@@ -153,14 +153,31 @@
         """Return the remaining body; ``progress`` extends the deadline.
 
         A larger body than ``n_max_bytes`` is abandoned, and so is one for which the
-        client has no memory.
+        client has no memory by the deadline, or at once if its length isn't known.
         """
         body = HeldBody(memory=self._client.memory, n_max_bytes=n_max_bytes)
         try:
+            if not await self._reserve(body, n_max_bytes, deadline):
+                self.close()
+                return Err(RequestLost(reason="no_memory"))
             return await self._read_into(body, deadline, progress)
         finally:
             body.release()
 
+    async def _reserve(
+        self, body: HeldBody, n_max_bytes: int, deadline: float | None
+    ) -> bool:
+        """Wait for the memory of a large body whose length is known."""
+        length = self.headers.get("content-length", "")
+        n_bytes = min(int(length), n_max_bytes) if length.isdecimal() else 0
+        if n_bytes <= FREE_BODY_BYTES:
+            return True
+        try:
+            return await body.reserve(n_bytes, deadline)
+        except asyncio.CancelledError:
+            self.close()
+            raise
+
     async def _read_into(
         self,
         body: HeldBody,
--- a/celerytrail/http/server.py
+++ b/celerytrail/http/server.py
@@ -28,6 +28,8 @@
 
 # How long a refused connection stays open so that the caller can read the answer.
 LINGER_SECONDS = 1.0
+# Retry-After of a request for whose body there is no memory, in seconds.
+NO_MEMORY_RETRY_SECONDS = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -62,7 +64,7 @@
     limits : ServerLimits
         The limits of the connection.
     memory : BodyMemory or None
-        Bounds what is held of answers that are sent at their end.
+        Counts what is held of answers.
     """
 
     def __init__(
@@ -96,10 +98,14 @@
     ) -> None:
         """Send a whole answer."""
         self.start(status, {**(headers or {}), "content-length": str(len(body))})
-        if body:
-            self._conn.send(h11.Data(data=body))
-        self._conn.send(h11.EndOfMessage())
-        await self._drain()
+        self._memory.hold(len(body))
+        try:
+            if body:
+                self._conn.send(h11.Data(data=body))
+            self._conn.send(h11.EndOfMessage())
+            await self._drain()
+        finally:
+            self._memory.release(len(body))
 
     async def send_json(
         self, status: int, value: object, headers: Mapping[str, str] | None = None
@@ -314,9 +320,17 @@
 
     async def _serve_exchange(self, conn: Connection) -> bool:
         """Serve one exchange; return whether the connection can serve another."""
+        body = HeldBody(memory=self._memory, n_max_bytes=self._limits.max_body_bytes)
         try:
-            req = await self._read_request(conn)
+            return await self._serve_held(conn, body)
+        finally:
+            body.release()
+
+    async def _serve_held(self, conn: Connection, body: HeldBody) -> bool:
+        try:
+            req = await self._read_request(conn, body)
         except (PeerError, TimeoutError) as exc:
+            body.release()
             await self._refuse(conn, exc)
             return False
         if req is None:
@@ -343,7 +357,7 @@
             return False
         return conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE
 
-    async def _read_request(self, conn: Connection) -> Request | None:
+    async def _read_request(self, conn: Connection, body: HeldBody) -> Request | None:
         loop = asyncio.get_running_loop()
         if conn.h11.trailing_data == (b"", False):
             head_deadline = loop.time() + self._limits.idle_seconds
@@ -365,20 +379,25 @@
             raise _HeadTooLargeError(
                 f"the head is over {self._limits.max_head_bytes} bytes"
             )
+        length = headers.get("content-length", "0")
+        n_body_bytes = min(int(length), self._limits.max_body_bytes)
+        if not self._memory.has_room(n_body_bytes):
+            raise _NoMemoryError("too many bodies are held at present")
         if conn.h11.they_are_waiting_for_100_continue:
             conn.send(h11.InformationalResponse(status_code=100, headers=[]))
         body_deadline = loop.time() + self._limits.body_seconds
-        body = bytearray()
         while True:
             event = await conn.next_event(body_deadline)
             if isinstance(event, h11.EndOfMessage):
                 break
             assert isinstance(event, h11.Data)
-            body += event.data
-            if len(body) > self._limits.max_body_bytes:
+            added = body.add(bytes(event.data))
+            if added == Err("too_large"):
                 raise _BodyTooLargeError(
                     f"the body is over {self._limits.max_body_bytes} bytes"
                 )
+            if isinstance(added, Err):
+                raise _NoMemoryError("too many bodies are held at present")
         target = head.target.decode("ascii", "replace")
         path, question_mark, query = target.partition("?")
         return Request(
@@ -387,7 +406,7 @@
             query=query,
             has_query=bool(question_mark),
             headers=headers,
-            body=bytes(body),
+            body=body.content(),
             peer=conn.peer,
             raw_headers=list(head.headers),
         )
@@ -412,8 +431,12 @@
         """Answer a request that could not be read, if h11 still allows an answer."""
         if conn.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
+        headers = {}
         if isinstance(exc, TimeoutError):
             status, kind, problem = 408, "timeout", "the request came too slowly"
+        elif isinstance(exc, _NoMemoryError):
+            status, kind, problem = 503, "no_memory", str(exc)
+            headers = {"retry-after": f"{NO_MEMORY_RETRY_SECONDS:g}"}
         elif isinstance(exc, _BodyTooLargeError):
             status, kind, problem = 413, "too_large", str(exc)
         elif isinstance(exc, _HeadTooLargeError):
@@ -426,7 +449,7 @@
         res = Responder(conn=conn, limits=self._limits)
         res.is_closing = True
         error = {"type": kind, "place": "request", "message": problem}
-        await res.send_json(status, {"error": error})
+        await res.send_json(status, {"error": error}, headers)
         await conn.linger(asyncio.get_running_loop().time() + LINGER_SECONDS)
 
 
@@ -434,6 +457,10 @@
     """Raised when a body exceeds the limit."""
 
 
+class _NoMemoryError(PeerError):
+    """Raised when too many bytes of bodies are held."""
+
+
 class _HeadTooLargeError(PeerError):
     """Raised when a head exceeds the limit."""
 
--- a/celerytrail/relay/endpointaccess.py
+++ b/celerytrail/relay/endpointaccess.py
@@ -60,6 +60,8 @@
     choice : PeerChoice or None
         Chooses the nodes through which an endpoint is reached; those of this node's
         failure domain first by default.
+    memory : BodyMemory or None
+        Bounds the answers that are held.
     """
 
     def __init__(
@@ -76,6 +78,7 @@
         on_silent: Callable[[Registration], None],
         on_regained: Callable[[Registration], None],
         choice: PeerChoice | None = None,
+        memory: BodyMemory | None = None,
     ) -> None:
         self._nodes = nodes
         self._registry = registry
@@ -109,7 +112,7 @@
             statements_at=answers.statements_at,
             on_answer=answers.record_at,
         )
-        memory = BodyMemory()
+        memory = memory or BodyMemory()
         self.client = HttpClient(
             process=me.node,
             network=self.paths,
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -10,6 +10,7 @@
 from eliot import log_message
 
 from ..clock import Clock, SystemClock
+from ..http.bodymemory import MAX_HELD_BYTES, BodyMemory
 from ..http.network import Network, SystemNetwork
 from ..http.routes import Router
 from ..http.server import ServerLimits
@@ -55,6 +56,8 @@
 from .waitingroom import WaitingRoom
 
 HOUSEKEEPING_SECONDS = 0.25
+# Share of the process's memory for bodies, twice: for their first bytes and the rest.
+BODY_MEMORY_SHARE = 0.25
 # How long a stopping node still accepts new connections, in seconds: callers cache an
 # address answer for up to three times its lifetime.
 STOP_ACCEPT_SECONDS = 6.0
@@ -98,6 +101,11 @@
         self._clock = clock or SystemClock()
         self._metrics = Metrics(process=cfg.node)
         self.supervisor = Supervisor(metrics=self._metrics)
+        # Bodies of callers and of the answers to them.
+        n_body_bytes = max(MAX_HELD_BYTES, int(BODY_MEMORY_SHARE * cfg.memory_bytes))
+        self._memory = BodyMemory(
+            n_max_bytes=n_body_bytes, n_max_first_bytes=n_body_bytes
+        )
         self.is_stopping = False
         # When the process will be killed, in loop time; None until it is asked to stop.
         self._killed_at: float | None = None
@@ -251,6 +259,7 @@
             announce=self.peer_updates.announce_cut_off,
             on_silent=lambda reg: self.generations.on_path_silent(reg),
             on_regained=self._on_path_regained,
+            memory=self._memory,
         )
         self.origins = OriginBroker(
             node=self.node_id,
@@ -341,6 +350,7 @@
                 is_ready=lambda: self.is_ready,
                 paused_tasks=lambda: self.supervisor.paused,
             ),
+            memory=self._memory,
         )
 
     def _make_router(self) -> Router:
--- a/celerytrail/relay/servers.py
+++ b/celerytrail/relay/servers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from ..http.bodymemory import BodyMemory
 from ..http.network import Network
 from ..http.server import Handler, HttpServer, ServerLimits
 from ..platform.nodesettings import RelaySettings
@@ -23,6 +24,8 @@
         Accepts the connections.
     callers, peers, directory, readiness : Handler
         Answer the requests of callers, of other nodes, for addresses and for readiness.
+    memory : BodyMemory
+        Bounds the bodies that are held for callers.
     """
 
     def __init__(
@@ -34,8 +37,9 @@
         peers: Handler,
         directory: Handler,
         readiness: Handler,
+        memory: BodyMemory,
     ) -> None:
-        self.callers = HttpServer(handler=callers, network=network)
+        self.callers = HttpServer(handler=callers, network=network, memory=memory)
         self._listeners = [
             (HttpServer(handler=peers, network=network), cfg.peers),
             (self.callers, cfg.callers),
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -30,6 +30,10 @@
             res.start(200, {})
             await res.write(b"part")
             res.abort()
+        elif req.path == "/large":
+            res.start(200, {})
+            await res.write(b"x" * int(req.body))
+            await res.finish()
         elif req.path == "/slow":
             await self.release.wait()
             await res.send(200, req.body)
@@ -225,9 +229,9 @@
         """Guards against memory that grows with each such answer."""
         _, address, _, server = echo
         server._memory = BodyMemory(n_max_bytes=0)
-        server.set_limits(ServerLimits(max_body_bytes=2 * FREE_BODY_BYTES))
-        assert b" 200 " in await self.ask(address, b"stream", b"x" * 1_000)
-        assert await self.ask(address, b"stream", b"x" * (FREE_BODY_BYTES + 1)) == b""
+        assert b" 200 " in await self.ask(address, b"large", b"1000")
+        n_bytes = FREE_BODY_BYTES + 1
+        assert await self.ask(address, b"large", b"%d" % n_bytes) == b""
         assert server._memory.n_held_bytes == 0
 
     async def test_a_failing_handler_answers_500(self, echo):
@@ -283,3 +287,108 @@
             assert len(answer.ok_value.body) == 900
         assert client.memory.n_held_bytes == 0
         client.close()
+
+    async def test_small_bodies_together_are_bounded(self):
+        """Guards against many small bodies that fill the memory together."""
+        memory = BodyMemory(n_max_first_bytes=FREE_BODY_BYTES)
+        assert memory.resize(0, 1_000)
+        assert memory.has_room(FREE_BODY_BYTES - 1_000)
+        assert not memory.has_room(FREE_BODY_BYTES)
+        memory.release(1_000)
+        assert memory.has_room(FREE_BODY_BYTES)
+        assert memory.n_held_first_bytes == memory.n_held_bytes == 0
+
+    async def test_large_bodies_wait_for_memory_in_their_order(self):
+        """Guards against answers that are lost while others are being delivered."""
+        memory = BodyMemory(n_max_bytes=100_000)
+        n_bytes = FREE_BODY_BYTES + 80_000
+        memory.hold(n_bytes)
+        deadline = asyncio.get_running_loop().time() + 5.0
+        first = asyncio.ensure_future(memory.reserve(n_bytes, deadline))
+        second = asyncio.ensure_future(memory.reserve(FREE_BODY_BYTES + 1, deadline))
+        await asyncio.sleep(0.01)
+        # The second one would fit, and would keep the first one waiting for ever.
+        assert not first.done() and not second.done()
+        memory.release(n_bytes)
+        assert await first and await second
+        assert memory.n_held_bytes == 80_001
+
+    async def test_a_wait_for_memory_that_is_given_up_leaves_nothing_behind(self):
+        """Guards against memory that nobody gives back."""
+        memory = BodyMemory(n_max_bytes=100_000)
+        n_bytes = FREE_BODY_BYTES + 80_000
+        memory.hold(n_bytes)
+        loop = asyncio.get_running_loop()
+        assert not await memory.reserve(n_bytes, loop.time() + 0.01)
+        assert not await memory.reserve(n_bytes, None)
+        waiting = asyncio.ensure_future(memory.reserve(n_bytes, loop.time() + 5.0))
+        await asyncio.sleep(0.01)
+        memory.release(n_bytes)
+        waiting.cancel()
+        await asyncio.wait([waiting])
+        assert memory.n_held_bytes == memory.n_held_first_bytes == 0
+        assert await memory.reserve(n_bytes, None)
+
+
+class TestHeldBodies:
+    """Bodies of callers, and of the answers to them, share one memory."""
+
+    N_BODY_BYTES = 200_000
+
+    @pytest.fixture
+    async def held(self):
+        handler = EchoHandler()
+        memory = BodyMemory(n_max_bytes=2 * self.N_BODY_BYTES)
+        limits = ServerLimits(max_body_bytes=self.N_BODY_BYTES)
+        server = HttpServer(handler=handler, limits=limits, memory=memory)
+        address = await server.start(LOOPBACK)
+        client = HttpClient()
+        yield client, address, handler, memory
+        client.close()
+        await server.close()
+
+    async def test_a_body_without_memory_is_refused_as_not_run(self, held):
+        """Guards against bodies that are bounded each and fill the memory together."""
+        client, address, handler, memory = held
+        body = b"x" * self.N_BODY_BYTES
+        n_held = []
+
+        async def send():
+            return (await client.request(address, "POST", "/slow", body=body)).unwrap()
+
+        sent = [asyncio.ensure_future(send()) for _ in range(12)]
+        while sum(task.done() for task in sent) < 10:
+            await asyncio.sleep(0.01)
+            n_held.append(memory.n_held_bytes)
+        handler.release.set()
+        answers = await asyncio.gather(*sent)
+        refused = [res for res in answers if res.status == 503]
+        assert len(refused) >= 9
+        assert all(float(res.headers["retry-after"]) > 0 for res in refused)
+        assert all(res.body == body for res in answers if res.status == 200)
+        assert max(n_held) <= 2 * self.N_BODY_BYTES
+        assert memory.n_held_bytes == memory.n_held_first_bytes == 0
+
+    async def test_a_small_body_is_read_however_large_others_are(self, held):
+        client, address, _, memory = held
+        memory.hold(3 * self.N_BODY_BYTES)
+        answer = (await client.request(address, "POST", "/", body=b"small")).unwrap()
+        assert (answer.status, answer.body) == (200, b"small")
+
+    async def test_an_answer_counts_until_its_caller_has_read_it(self, held):
+        """Guards against slow readers whose answers nobody counts."""
+        _, address, handler, memory = held
+        n_bytes = 8 * 1024 * 1024
+
+        async def answer(req, res):
+            await res.send(200, b"x" * n_bytes)
+
+        handler.handle = answer
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        assert memory.n_held_bytes == n_bytes - FREE_BODY_BYTES
+        assert not memory.has_room(2 * FREE_BODY_BYTES)
+        writer.transport.abort()
+        while memory.n_held_bytes:
+            await asyncio.sleep(0.01)
