Read past late answers to earlier exchanges of a connection

Cause: any answer with another id ended the exchange.

Change: an answer that names an earlier exchange of its connection is read past, within the request's time, up to eight of them and 64 KiB each. h11 takes a second answer only to a request it knows, so the request's events are given to it again without their bytes. An answer that names anything else, or nothing, is an error as before; so is one that ends its connection.

--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -9,16 +9,18 @@
 import asyncio
 import itertools
 import re
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 import h11
 import msgspec
+from eliot import log_message
 from result import Err, Ok, Result
 
 from ..exceptions import ConnectionClosedError, PeerError
 from ..types import Address
 from .bodymemory import FREE_BODY_BYTES, MAX_BODY_BYTES, BodyMemory, HeldBody
+from .lateanswers import MAX_LATE_ANSWERS, read_past
 from .messages import JSON_TYPE, REQUEST_ID_HEADER, Connection, Response, header_map
 from .network import Network, SystemNetwork
 from .pool import IDLE_SECONDS, MAX_IDLE_PER_ADDRESS, ConnectionPool
@@ -385,11 +387,16 @@
         if may_send is not None and not may_send():
             self._pool.add(address, conn, max_idle=max_idle)
             return Err(NotSent(reason="withdrawn", detail=str(address)))
-        self._send_request(conn, address, method, path, body, headers or {}, request_id)
+        sent = _encode_request(
+            address, method, path, body, self._headers_with_id(headers, request_id)
+        )
+        conn.n_exchanges += 1
+        for part in sent:
+            conn.send(part)
         silence = self._start_silence_timer(address)
         try:
             await conn.drain(deadline)
-            event = await _read_final_head(conn, deadline)
+            event = await self._read_due_head(conn, sent, request_id, deadline)
         except TimeoutError:
             conn.abort()
             return Err(RequestLost(reason="timeout"))
@@ -407,8 +414,38 @@
         if not isinstance(event, h11.Response):
             conn.abort()
             return Err(RequestLost(reason="cut", detail="closed before its answer"))
+        conn.carried.add(request_id)
         return self._check_head(conn, address, event, request_id, max_idle)
 
+    async def _read_due_head(
+        self,
+        conn: Connection,
+        sent: Sequence[h11.Event],
+        request_id: str,
+        deadline: float | None,
+    ) -> h11.Event:
+        """Return the head of the answer, behind those to earlier exchanges.
+
+        A peer may send an answer once more where the next one is due. The id that it
+        echoes shows that.
+        """
+        event = await _read_final_head(conn, deadline)
+        for _ in range(MAX_LATE_ANSWERS):
+            named = self._answered_id(event)
+            if named is None or named == request_id or named not in conn.carried:
+                break
+            log_message("http:late_answer", peer=conn.peer, named=named)
+            if not await read_past(conn, sent, deadline):
+                break
+            event = await _read_final_head(conn, deadline)
+        return event
+
+    def _answered_id(self, event: h11.Event) -> str | None:
+        """Return the id of the exchange that an answer names, if any."""
+        if self._id_header is None or not isinstance(event, h11.Response):
+            return None
+        return header_map(list(event.headers)).get(self._id_header)
+
     def _start_silence_timer(self, address: Address) -> asyncio.TimerHandle | None:
         if self._on_silence is None:
             return None
@@ -540,33 +577,35 @@
         conn.number = self.n_connections_made
         return Ok(conn)
 
-    def _send_request(
-        self,
-        conn: Connection,
-        address: Address,
-        method: str,
-        path: str,
-        body: bytes,
-        headers: Mapping[str, str] | Pairs,
-        request_id: str,
-    ) -> None:
-        pairs = headers.items() if isinstance(headers, Mapping) else headers
-        all_headers = [("content-length", str(len(body))), *pairs]
-        names = {name.lower() for name, _ in all_headers}
-        if "host" not in names:
-            all_headers.insert(0, ("host", str(address)))
+    def _headers_with_id(
+        self, headers: Mapping[str, str] | Pairs | None, request_id: str
+    ) -> list[tuple[str, str]]:
+        """Return a request's headers with the one for its id."""
+        pairs = headers.items() if isinstance(headers, Mapping) else headers or ()
+        found = list(pairs)
+        names = {name.lower() for name, _ in found}
         if self._id_header and self._id_header not in names:
-            all_headers.append((self._id_header, request_id))
-        conn.n_exchanges += 1
-        conn.carried.add(request_id)
-        encoded = [
-            (name.encode("ascii"), value.encode("latin-1"))
-            for name, value in all_headers
-        ]
-        conn.send(h11.Request(method=method, target=path, headers=encoded))
-        if body:
-            conn.send(h11.Data(data=body))
-        conn.send(h11.EndOfMessage())
+            found.append((self._id_header, request_id))
+        return found
+
+
+def _encode_request(
+    address: Address,
+    method: str,
+    path: str,
+    body: bytes,
+    headers: list[tuple[str, str]],
+) -> tuple[h11.Event, ...]:
+    """Return the events of a request."""
+    all_headers = [("content-length", str(len(body))), *headers]
+    if "host" not in {name.lower() for name, _ in all_headers}:
+        all_headers.insert(0, ("host", str(address)))
+    encoded = [
+        (name.encode("ascii"), value.encode("latin-1")) for name, value in all_headers
+    ]
+    head = h11.Request(method=method, target=path, headers=encoded)
+    data = [h11.Data(data=body)] if body else []
+    return (head, *data, h11.EndOfMessage())
 
 
 def _lost(exc: PeerError) -> RequestLost:
