--- a/tests/test_relay_vanished_rows.py
+++ b/tests/test_relay_vanished_rows.py
@@ -15,6 +15,9 @@
 SIZES = [12, *fleet_sizes()]
 SECONDS_AWAY = 5.0
 SECONDS_BACK = 4.0
+# How much lower the served share may be once the rows are back.
+SHARE_SLACK = 0.02
+SERVED_SECONDS = 8.0
 
 
 def n_listing(rig: EngineFleet, engine: ModelWorker) -> int:
@@ -26,6 +29,14 @@
     )
 
 
+async def served_share(rig: EngineFleet, seed: int) -> float:
+    """Return the share of new streams that are served at their first try."""
+    callers = rig.callers(per_second=10.0, seed=seed, break_share=0.0)
+    await callers.run(SERVED_SECONDS)
+    first = [stream.tries[0] for stream in callers.streams]
+    return sum(one.status == 200 for one in first) / len(first)
+
+
 class TestRows:
     @pytest.mark.parametrize("n_nodes", SIZES)
     def test_engines_whose_rows_are_back_are_used_by_all_nodes(self, n_nodes):
@@ -45,6 +56,48 @@
 
         run_engine_fleet(n_nodes, test)
 
+    @pytest.mark.parametrize("n_nodes", SIZES)
+    def test_rows_that_only_some_nodes_see_vanish_are_used_by_all(self, n_nodes):
+        """Guards against an absence that one node saw and others didn't."""
+
+        async def test(rig: EngineFleet) -> None:
+            engines = [await rig.add_engine() for _ in range(3)]
+            await asyncio.sleep(3.0)
+            store = rig.fleet.store
+            for sequence in range(2, 8):
+                # Shorter than the time between two readings of most nodes.
+                for engine in engines:
+                    store.drop("servers", engine.worker_id)
+                await asyncio.sleep(0.05 * sequence)
+                for engine in engines:
+                    row = engine.row("models", slots=24, sequence=sequence)
+                    store.put("servers", engine.worker_id, row)
+                await asyncio.sleep(0.3)
+            await asyncio.sleep(SECONDS_BACK)
+            assert [n_listing(rig, engine) for engine in engines] == 3 * [n_nodes]
+
+        run_engine_fleet(n_nodes, test)
+
+    @pytest.mark.parametrize("n_nodes", SIZES)
+    def test_as_many_streams_are_served_as_before_the_rows_vanished(self, n_nodes):
+        """Guards against a service that is never whole again after a lapse."""
+
+        async def test(rig: EngineFleet) -> None:
+            engines = [await rig.add_engine() for _ in range(4)]
+            await asyncio.sleep(3.0)
+            before = await served_share(rig, 1)
+            for sequence, engine in enumerate(engines, start=2):
+                rig.fleet.store.drop("servers", engine.worker_id)
+                await asyncio.sleep(SECONDS_AWAY)
+                row = engine.row("models", slots=24, sequence=sequence)
+                rig.fleet.store.put("servers", engine.worker_id, row)
+            await asyncio.sleep(SECONDS_BACK)
+            after = await served_share(rig, 1)
+            assert before > 0.9
+            assert after >= before - SHARE_SLACK
+
+        run_engine_fleet(n_nodes, test)
+
     def test_rows_that_come_back_after_a_restart_of_all_nodes_are_used(self):
         """Guards against an absence that outlives the nodes that saw it."""
 
