--- a/chores/soak.py
+++ b/chores/soak.py
@@ -39,6 +39,8 @@
 N_EVENTS = N_TOKENS // int(str(ENGINE["stride"]))
 LATE_SHARE = 0.3
 UNFRAMED_SHARE = 0.4
+# One caller in so many speaks HTTP/1.0.
+OLD_CALLERS = 4
 # Interval between two disruptions, and between two restarts of endpoints, in seconds.
 DISRUPTION_SECONDS = 0.7
 RESTART_SECONDS = 1.0
@@ -334,7 +336,8 @@
     # Callers.
 
     async def _call_until(self, ends_at: float, number: int) -> None:
-        caller = SoakCaller(addresses=self._nodes.callers, first=number)
+        is_old = number % OLD_CALLERS == 0
+        caller = SoakCaller(addresses=self._nodes.callers, first=number, is_old=is_old)
         try:
             while asyncio.get_running_loop().time() < ends_at:
                 await self._call(caller)
@@ -362,6 +365,8 @@
             Call(kind=kind, attempt_id=attempt_id, body=body, answer=answer)
         )
         self._counts[f"{kind} {answer.status or 'closed'}"] += 1
+        if caller.is_old:
+            self._counts[f"HTTP/1.0 {answer.status or 'closed'}"] += 1
         if answer.status != 200:
             await asyncio.sleep(0.05)
 
--- a/chores/soakcaller.py
+++ b/chores/soakcaller.py
@@ -31,10 +31,19 @@
         The nodes; the next one is taken when a connection fails.
     first : int
         Which one it begins with.
+    is_old : bool
+        Whether it speaks HTTP/1.0, which knows no chunks.
     """
 
-    def __init__(self, *, addresses: Sequence[tuple[str, int]], first: int) -> None:
+    def __init__(
+        self,
+        *,
+        addresses: Sequence[tuple[str, int]],
+        first: int,
+        is_old: bool = False,
+    ) -> None:
         self._addresses = addresses
+        self.is_old = is_old
         self._next = first
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
@@ -96,11 +105,12 @@
     def _send(self, path: str, headers: Mapping[str, str], body: bytes) -> None:
         assert self._writer is not None
         fields = [*headers.items(), ("content-length", str(len(body)))]
-        for event in (
-            h11.Request(method="POST", target=path, headers=fields),
-            h11.Data(data=body),
-            h11.EndOfMessage(),
-        ):
+        head = h11.Request(method="POST", target=path, headers=fields)
+        sent = self._h11.send(head) or b""
+        if self.is_old:
+            sent = sent.replace(b" HTTP/1.1\r\n", b" HTTP/1.0\r\n", 1)
+        self._writer.write(sent)
+        for event in (h11.Data(data=body), h11.EndOfMessage()):
             self._writer.write(self._h11.send(event) or b"")
 
     async def _next_event(self) -> object:
