Split the placing of generations by what it decides

engineplacer.py (622 lines) found the engines that a run may get, estimated their loads, chose one, kept the order of waiting requests and announced the choice. It places and announces now (410 lines); enginecandidates.py has the engines and their loads, queueturns.py the positions of waiting requests. Methods are moved as they were, in the same order of draws. tests/test_waiting.py, test_relay_many_endpoints.py, test_relay_moving.py, test_relay_decisions.py and test_fleet.py pass.

--- a/celerytrail/relay/engineplacer.py
+++ b/celerytrail/relay/engineplacer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 from dataclasses import replace
 
@@ -14,29 +15,21 @@
 from ..policies.engineloads import EngineLoad, EngineLoads
 from ..policies.leavingversions import LeavingVersions
 from ..policies.movetargets import MoveTargets, OwnTargets
-from ..policies.pace import StartReason
 from ..policies.prefillrates import PrefillRates
-from ..policies.waiting import Returning, Waiting, return_key
 from .endpointgate import Admission, EndpointGate
 from .endpointpaces import EndpointPaces
+from .enginecandidates import EngineCandidates
 from .liverun import LiveRun
 from .peerupdates import PeerUpdates
+from .queueturns import QueueTurns
 from .registry import Registry
 from .waitingroom import WaitingRoom
 
 # Share of the target for which a generation waits for an engine with capacity; the rest
 # is for the prefill.
 WAIT_SHARE = 0.5
-# Engines that are compared for one choice. With hundreds of engines, comparing all of
-# them takes tens of milliseconds, and some of these are nearly as good as the best.
-MAX_COMPARED = 64
-# How long an engine is avoided after a failed connection, in seconds. A crashed
-# engine's registration expires after three of its heartbeats, about 3.6 s.
-AVOID_SECONDS = 2.0
 # Interval between two checks for capacity without a queue order, in seconds.
 POLL_SECONDS = 0.02
-# Largest share of its remaining time after which a refused caller returns.
-MAX_RETURN_SHARE = 1 / 3
 
 
 class EnginePlacer:
@@ -103,32 +96,40 @@
         self._registry = registry
         self._loads = loads
         self._sharing = peer_updates
-        self._decode_times = decode_times
         self._failure_domain = failure_domain
         self._rng = rng
         self._gate = gate
         self._placing = policy
-        self._rates = rates
-        self._speeds = speeds
-        self._waiting_room = waiting_room
         self._paces = paces
         self._backups = backups or SameDomainBackup()
         self._move_targets = move_targets or OwnTargets()
         self._uses_queue_order = uses_queue_order
-        # By endpoint, the loop time until which an unreachable engine is avoided.
-        self._avoid_until: dict[str, float] = {}
         self._leaving_versions = LeavingVersions()
+        self._candidates = EngineCandidates(
+            registry=registry,
+            loads=loads,
+            decode_times=decode_times,
+            rng=rng,
+            gate=gate,
+            rates=rates,
+            speeds=speeds,
+            paces=paces,
+        )
+        self._queue = QueueTurns(
+            waiting_room=waiting_room,
+            candidates=self._candidates,
+            peer_updates=peer_updates,
+            policy=policy,
+        )
 
     def record_unreachable(self, reg: Registration) -> None:
         """Avoid an engine for a while after a failed connection."""
-        now = asyncio.get_running_loop().time()
-        self._avoid_until = {
-            endpoint: until
-            for endpoint, until in self._avoid_until.items()
-            if until > now
-        }
-        self._avoid_until[reg.endpoint] = now + AVOID_SECONDS
-        self._paces.record_start(reg, StartReason.UNREACHABLE, now + AVOID_SECONDS)
+        self._candidates.record_unreachable(reg)
+
+    def record_refused(self, live: LiveRun, retry_after: float) -> None:
+        """Let a refused caller keep its position, if there are positions."""
+        if self._uses_queue_order:
+            self._queue.record_refused(live, retry_after)
 
     def record_leaving(self, reg: Registration) -> None:
         """Record that an engine leaves, and that its version may be leaving."""
@@ -143,16 +144,9 @@
         """Return whether an engine at which a run may continue doesn't leave."""
         return self._registry.has_accepting(live.ex.service, live.binding)
 
-    def seconds_until_open(self, live: LiveRun) -> float | None:
-        """Return the time until an engine may get a run.
-
-        None unless all engines for it are closed by their limits or pauses.
-        """
-        return self._gate.seconds_until_open(self._allowed(live))
-
     def return_at(self, live: LiveRun) -> float | None:
         """Return when a caller should return if all engines are closed now."""
-        seconds = self._gate.return_seconds(self._allowed(live))
+        seconds = self._gate.return_seconds(self._candidates.allowed(live))
         if seconds is None:
             return None
         return asyncio.get_running_loop().time() + seconds
@@ -164,82 +158,6 @@
             return None
         return found
 
-    def _allowed(self, live: LiveRun) -> list[Registration]:
-        return self._registry.usable_endpoints(live.ex.service, live.binding)
-
-    def _usable(
-        self, live: LiveRun, excluded: set[str], *, can_wait: bool
-    ) -> list[Registration]:
-        """Return the engines to choose from; avoided ones only if there are no others.
-
-        An engine that doesn't respond costs each request that tries it the connect
-        timeout of 0.25 s.
-        """
-        now = asyncio.get_running_loop().time()
-
-        def is_usable(reg: Registration) -> bool:
-            return reg.endpoint not in excluded and self._gate.is_open_for(
-                reg, live.ex.home_regions, can_wait=can_wait
-            )
-
-        regs = self._allowed(live)
-        drawn = regs
-        if len(regs) > MAX_COMPARED:
-            drawn = self._rng.sample(regs, MAX_COMPARED)
-        usable = list(filter(is_usable, drawn))
-        if not usable and drawn is not regs:
-            usable = list(filter(is_usable, regs))[:MAX_COMPARED]
-        reachable = [
-            reg for reg in usable if self._avoid_until.get(reg.endpoint, 0.0) <= now
-        ]
-        return reachable or usable
-
-    def _engine_loads(
-        self, live: LiveRun, excluded: set[str], *, can_wait: bool = False
-    ) -> list[EngineLoad]:
-        return self._loads_of(live, self._usable(live, excluded, can_wait=can_wait))
-
-    def _service_loads(self, live: LiveRun) -> list[EngineLoad]:
-        """Return the engines that other requests for a run's service may get."""
-        regs = [
-            reg
-            for reg in self._registry.usable_endpoints(live.ex.service)
-            if self._gate.is_open_for(reg, frozenset())
-        ]
-        if len(regs) > MAX_COMPARED:
-            regs = self._rng.sample(regs, MAX_COMPARED)
-        return self._loads_of(live, regs)
-
-    def _loads_of(self, live: LiveRun, regs: list[Registration]) -> list[EngineLoad]:
-        engine = live.engine
-        now = asyncio.get_running_loop().time()
-        idle_loads = [
-            EngineLoad(
-                reg=reg,
-                n_slots=engine.n_slots,
-                n_memory_tokens=engine.n_memory_tokens,
-                token_seconds=self._decode_times.token_seconds(reg.endpoint),
-                cold_seconds=self._gate.cold_seconds(reg),
-                prefill_rate=self._present_prefill_rate(live, reg, now),
-            )
-            for reg in regs
-        ]
-        return self._loads.estimate(idle_loads, now)
-
-    def _present_prefill_rate(
-        self, live: LiveRun, reg: Registration, now: float
-    ) -> float:
-        """Return the rate at which an engine reads a run's prompt if it begins now.
-
-        What is learned from first events holds its permanent speed already.
-        """
-        rate = self._prefill_rate(reg)
-        n_tokens = live.run.n_prompt_tokens
-        return self._speeds.present_rate(reg.endpoint, now, rate, n_tokens)
-
-    def _prefill_rate(self, reg: Registration) -> float:
-        return self._rates.rate(reg.endpoint, reg.service)
-
     def _demand(self, live: LiveRun) -> placing.Demand:
         run = live.run
         return placing.Demand(
@@ -263,7 +181,7 @@
         """
         if live.binding.version is None and not excluded:
             regs = [load.reg for load in loads]
-            held = self._gate.held_back(regs, self._allowed(live))
+            held = self._gate.held_back(regs, self._candidates.allowed(live))
             open_loads = [load for load in loads if load.reg.endpoint not in held]
             load = self._choose(live, open_loads, demand)
             if load is not None or not held:
@@ -343,7 +261,7 @@
             outcome = "placed" if reg is not None else "refused"
             return reg
         finally:
-            self._waiting_room.leave(live.run.run_id, outcome)
+            self._queue.leave(live, outcome)
 
     async def _place(
         self,
@@ -361,11 +279,14 @@
             until = loop.time() + WAIT_SHARE * target
         wait_deadline = min(until, ex.loop_deadline)
         while True:
-            loads = self._engine_loads(live, excluded)
+            loads = self._candidates.engine_loads(live, excluded)
             demand = self._placing_demand(live, prefill_deadline - loop.time())
             load, usable = self._choose_paced(live, loads, demand, excluded)
             if load is not None and is_ordered:
-                load = self._choose_in_turn(live, excluded, loads, demand, load, usable)
+                choose = functools.partial(self._choose, live, demand=demand)
+                load = self._queue.choose(
+                    live, excluded, loads, demand, load, usable, choose
+                )
             if load is not None:
                 ex.observe("relay_wait")
                 self._record_placement(live, load.reg, loads, demand)
@@ -381,142 +302,14 @@
                 ex.log("no_room", n_engines=len(loads), obstacles=obstacles)
                 return None
             if is_ordered:
-                self._enter(live, loads, demand)
-                await self._waiting_room.wait_for_change()
+                self._queue.enter(live, loads, demand)
+                await self._queue.wait_for_change()
             else:
                 await asyncio.sleep(POLL_SECONDS)
 
-    def _choose_in_turn(
-        self,
-        live: LiveRun,
-        excluded: set[str],
-        loads: list[EngineLoad],
-        demand: placing.Demand,
-        load: EngineLoad,
-        usable: list[EngineLoad],
-    ) -> EngineLoad | None:
-        """Return the engine that a run may take now, None if others come first.
-
-        ``load`` is the engine that it would take if no other request waited, and
-        ``usable`` those that it may get. The requests ahead may get any of ``loads``:
-        at their own nodes the pace may hold back others.
-        """
-        room = self._waiting_room
-        if live.waiting is None and room.is_free(live.ex.service):
-            return load
-        own = self._waiting(live)
-        service_loads = loads
-        if excluded or live.ex.home_regions:
-            service_loads = self._service_loads(live)
-        endpoints = {one.reg.endpoint for one in usable}
-        if all(one.reg.endpoint != load.reg.endpoint for one in service_loads):
-            # Only engines were left that have just started or recovered.
-            service_loads = [*service_loads, load]
-
-        def choose(left: list[EngineLoad]) -> EngineLoad | None:
-            own_loads = [one for one in left if one.reg.endpoint in endpoints]
-            return self._choose(live, own_loads, demand)
-
-        decision = room.find_turn(own, demand, service_loads, self._placing, choose)
-        turn = decision.turn
-        if turn.load is None:
-            return None
-        room.record_overtaken(decision)
-        now = asyncio.get_running_loop().time()
-        live.ex.log(
-            "queue_turn",
-            endpoint=turn.load.reg.endpoint,
-            n_waiting=decision.n_waiting,
-            n_ahead=turn.n_ahead,
-            n_assigned=len(turn.assigned),
-            overtaken=dict(decision.overtaken),
-            waited=round(now - own.waiting_since, 3),
-            information_age=round(now - decision.oldest_update, 3),
-        )
-        return turn.load
-
-    def _enter(
-        self, live: LiveRun, loads: list[EngineLoad], demand: placing.Demand
-    ) -> None:
-        """Announce that a run waits, unless the other nodes know it."""
-        own = self._waiting(live)
-        if live.run.endpoint:
-            # Its engine didn't admit it; it would be counted there while it waits.
-            self._sharing.announce_end(live.run.run_id)
-            live.run = replace(live.run, endpoint="")
-        if not self._waiting_room.enter(own):
-            return
-        now = asyncio.get_running_loop().time()
-        live.ex.log(
-            "queued",
-            priority=own.priority,
-            organisation=live.ex.organisation,
-            waited=round(now - own.waiting_since, 3),
-            has_returned=bool(own.return_key),
-            n_waiting=self._waiting_room.n_waiting(live.ex.service),
-            n_engines=len(loads),
-            obstacles=placing.count_obstacles(loads, demand),
-        )
-
-    def _waiting(self, live: LiveRun) -> Waiting:
-        """Return what the other nodes are told of a run that waits."""
-        if live.waiting is None:
-            ex, run = live.ex, live.run
-            now = asyncio.get_running_loop().time()
-            key = self._return_key(live)
-            returned = self._waiting_room.take_returned(key)
-            since = now - ex.age_seconds
-            if returned is not None:
-                since = min(since, returned.waiting_since)
-            live.waiting = Waiting(
-                request_id=run.run_id,
-                service=ex.service,
-                organisation=run.organisation,
-                priority=ex.priority,
-                waiting_since=since,
-                target_at=since + ex.route.target_latency_seconds,
-                gives_up_at=ex.loop_deadline,
-                n_tokens=run.n_tokens,
-                n_prefill_tokens=run.n_prompt_tokens,
-                n_remaining_tokens=run.n_remaining_tokens,
-                return_key=key if returned is not None else b"",
-            )
-        return live.waiting
-
-    @staticmethod
-    def _return_key(live: LiveRun) -> bytes:
-        ex = live.ex
-        return return_key(ex.organisation, ex.route.name, ex.prompt)
-
-    def record_refused(self, live: LiveRun, retry_after: float) -> None:
-        """Let a refused caller keep its position if it returns.
-
-        Callers return once, and only if they wait for a part of their remaining time.
-        Without a queue order there are no positions.
-        """
-        if not self._uses_queue_order:
-            return
-        ex = live.ex
-        seconds_left = ex.gives_up_at - ex.clock.boottime()
-        has_returned = live.waiting is not None and bool(live.waiting.return_key)
-        is_new = live.binding.version is None and not live.n_runs
-        if not is_new or has_returned or retry_after > MAX_RETURN_SHARE * seconds_left:
-            return
-        now = asyncio.get_running_loop().time()
-        since = now - ex.age_seconds
-        if live.waiting is not None:
-            since = live.waiting.waiting_since
-        self._waiting_room.remember_refused(
-            Returning(
-                key=self._return_key(live),
-                waiting_since=since,
-                returns_at=now + retry_after,
-            )
-        )
-
     def _opens_after(self, live: LiveRun, deadline: float) -> bool:
         """Return whether the limits of engines keep them closed past a deadline."""
-        seconds = self.seconds_until_open(live)
+        seconds = self._candidates.seconds_until_open(live)
         if seconds is None:
             return False
         return asyncio.get_running_loop().time() + seconds >= deadline
@@ -553,17 +346,12 @@
             if run.run_id != live.run.run_id
         ]
         is_needed = moving.needs_backup(live.run, others, live.engine)
-        loads = self._unlimited(
+        loads = self._candidates.unlimited(
             [load for load in loads if live.binding.allows(load.reg, copied_from=reg)]
         )
         copy = self._backups.choose(loads, demand, reg, self._rng, is_needed=is_needed)
         return copy.reg if copy is not None else None
 
-    def _unlimited(self, loads: list[EngineLoad]) -> list[EngineLoad]:
-        """Return the engines without a limit, at which any run may continue, if any."""
-        unlimited = [load for load in loads if not self._gate.is_limited(load.reg)]
-        return unlimited or loads
-
     def announce(
         self, live: LiveRun, *, is_prefilling: bool, is_moving: bool = False
     ) -> None:
@@ -605,10 +393,10 @@
             memory_share=placing.MOVE_SHARE,
             cross_domain_cost=placing.CROSS_DOMAIN_MOVE_COST,
         )
-        loads = self._unlimited(
+        loads = self._candidates.unlimited(
             [
                 load
-                for load in self._engine_loads(live, excluded, can_wait=True)
+                for load in self._candidates.engine_loads(live, excluded, can_wait=True)
                 if live.binding.allows(load.reg, copied_from=source)
             ]
         )
--- a/tests/test_relay_many_endpoints.py
+++ b/tests/test_relay_many_endpoints.py
@@ -9,7 +9,7 @@
 from celerytrail.clock import ManualClock
 from celerytrail.policies.placing import LeastCostPlacement
 from celerytrail.policies.versionbinding import UNBOUND
-from celerytrail.relay.engineplacer import MAX_COMPARED
+from celerytrail.relay.enginecandidates import MAX_COMPARED
 from celerytrail.relay.followedtables import RegistrationContent
 from celerytrail.relay.tablemirror import TableMirror
 from celerytrail.relay.tablewatch import TableSink
@@ -88,7 +88,7 @@
             ex = AnyExchange()
             binding = UNBOUND
 
-        usable = placer._usable(AnyRun(), excluded, can_wait=False)
+        usable = placer._candidates.usable(AnyRun(), excluded, can_wait=False)
         assert [reg.endpoint for reg in usable] == [f"e{N_ENGINES - 1}"]
         await rig.close()
 
