--- a/celerytrail/http/bodymemory.py
+++ b/celerytrail/http/bodymemory.py
@@ -46,6 +46,11 @@
         self.n_held_first_bytes = 0
         self._waiting: deque[_Waiter] = deque()
 
+    @property
+    def n_all_bytes(self) -> int:
+        """Return the bytes of all bodies."""
+        return self.n_held_bytes + self.n_held_first_bytes
+
     def has_room(self, n_bytes: int) -> bool:
         """Return whether a new body of so many bytes may be held now."""
         n_first = min(n_bytes, FREE_BODY_BYTES)
--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -161,6 +161,7 @@
     "suspected_requests": "Requests that ran at endpoints which crashed lately.",
     "brittle_endpoints": "Endpoints that fall over when they refuse too much.",
     "paused_endpoints": "Endpoints that want no requests from this node at present.",
+    "held_body_bytes": "Bytes of bodies that are held for callers, in both directions.",
     "paced_endpoints": "Endpoints with less than their full share, by reason.",
     "least_endpoint_share": "The least share of an endpoint; 1 if none is paced.",
     "endpoint_versions": "Endpoints with a row, by service and software version.",
--- a/celerytrail/relay/gauges.py
+++ b/celerytrail/relay/gauges.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable
 
+from ..http.bodymemory import BodyMemory
 from ..http.messages import Request
 from ..http.routes import Params, Router
 from ..http.server import Responder
@@ -49,6 +50,8 @@
         The updates that nodes send one another.
     waiting_room : WaitingRoom
         The requests that wait for engines.
+    memory : BodyMemory
+        The bodies that are held for callers.
     """
 
     def __init__(
@@ -65,7 +68,9 @@
         crashes: CrashBroker,
         peer_updates: PeerUpdates,
         waiting_room: WaitingRoom,
+        memory: BodyMemory,
     ) -> None:
+        self._memory = memory
         self._metrics = metrics
         self._config = config
         self._nodes = nodes
@@ -116,6 +121,7 @@
             "cut_off_services": len(access.cut_off_services),
             "cut_off_nodes": access.cut_off_nodes.n_cut_off(now),
             "open_tunnels": access.tunnels.n_open,
+            "held_body_bytes": self._memory.n_all_bytes,
             "streams": self._generations.n_live,
             "known_streams": len(self._origins.origins),
             "blocked_prompts": len(self._crashes.blocked.in_force(now)),
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -384,6 +384,7 @@
             crashes=self.crashes,
             peer_updates=self.peer_updates,
             waiting_room=self.waiting_room,
+            memory=self._memory,
         ).add_routes(router)
         return router
 
