Copy a run whose backup leaves together with its engine

Cause: a move waits until the backup has been built up, and took the run's backup after that wait; it may have been given up by then (AttributeError). The error went on to the request.

Change: the wait and the switch are on the same backup. A move that ends by an error has no outcome, and the run may go on in another way; cancelling the run still cancels it.

Before and after: the new test of tests/test_relay_moving.py fails before.

--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -478,11 +478,22 @@
         return opened.ok_value
 
     async def _await_move(self, live: LiveRun) -> Move:
-        """Wait for the run's move, if there is one, and return its outcome."""
+        """Wait for the run's move, if there is one, and return its outcome.
+
+        A move that ends by an error has no outcome; the run may still go on in another
+        way.
+        """
         if live.move is None:
             return None
         move, live.move = live.move, None
-        return await move
+        try:
+            await asyncio.wait({move})
+        except asyncio.CancelledError:
+            move.cancel()
+            raise
+        if move.cancelled() or move.exception() is not None:
+            return None
+        return move.result()
 
     def _on_moved(self, live: LiveRun, reg: Registration) -> None:
         """Record that a run continues at another engine.
--- a/celerytrail/relay/runmover.py
+++ b/celerytrail/relay/runmover.py
@@ -194,14 +194,18 @@
         source = live.reg
         await live.started.wait()
         for _ in range(MAX_SWITCH_TRIES):
-            if live.backup is None or not self._registry.is_usable(live.backup):
+            backup = live.backup
+            if backup is None or not self._registry.is_usable(backup):
                 break
-            if self._opener.is_paused(live.backup):
+            if self._opener.is_paused(backup):
                 break
             # A backup is built up while the run progresses; right after the first event
             # there is none yet.
             await asyncio.sleep(BACKUP_READY_SECONDS - live.age_seconds)
-            switched = await self._switch_to_backup(live, live.backup)
+            if live.backup != backup:
+                # It was given up meanwhile.
+                continue
+            switched = await self._switch_to_backup(live, backup)
             if switched is not None:
                 return switched
             await asyncio.sleep(SWITCH_PAUSE_SECONDS)
--- a/tests/test_relay_moving.py
+++ b/tests/test_relay_moving.py
@@ -103,6 +103,26 @@
         assert split_events((await pending).body) == expected_events(6)
         assert len(second.seen) == 1
 
+    async def test_a_run_is_copied_when_its_backup_leaves_before_it_is_used(self, rig):
+        """Guards against a stream that is cut because two engines leave together."""
+        engines = {name: await rig.add_engine(name) for name in ("e1", "e2", "e3")}
+        node = await rig.add_node()
+        await wait_until(lambda: len(node.registry.usable_endpoints("models")) == 3)
+        pending = asyncio.ensure_future(rig.request("/draft/1"))
+        await wait_until(lambda: any(engine.running for engine in engines.values()))
+        first = next(name for name, engine in engines.items() if engine.running)
+        await engines[first].tick()
+        (live,) = node.generations._live
+        backup = live.backup.endpoint
+        (third,) = engines.keys() - {first, backup}
+        for name in (first, backup):
+            node.registry.record_leaving(node.registry.find(name))
+            # Within the time that a backup gets to be built up.
+            await asyncio.sleep(0.05)
+        await wait_until(lambda: engines[third].running)
+        await engines[third].tick(6)
+        assert split_events((await pending).body) == expected_events(6)
+
     async def test_a_run_is_moved_again_when_its_target_leaves_too(self, rig):
         # Two engines leave one after the other. The second one announces it while a run
         # is being moved to it from the first. The run wasn't checked again, and its
