Log how streams end, and the orders to stop their runs

Nothing that was written told the three hypotheses apart: not how the body ended, not whether its run was told to stop, not what the engine had made.

Change: each order to stop a run is recorded with the run before it is sent, with its outcome (relay/stoporders.py); 'answered' has is_framed and by_orders, 'cut' has by_orders, 'copied' n_created, 'move_failed' was_sent; the counter relay_streams_ended_by_close sums them up. No decision uses them yet.

--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -96,6 +96,7 @@
         status: int,
         headers: Mapping[str, str],
         max_idle: int,
+        is_framed: bool = True,
     ) -> None:
         self._client = client
         self._address = address
@@ -105,6 +106,8 @@
         self._is_abandoned = False
         self.status = status
         self.headers = headers
+        # Whether the body states its own end; another one ends with its connection.
+        self.is_framed = is_framed
         # The connection of the answer, and its place among the answers there.
         self.connection = conn.number
         self.exchange = conn.n_exchanges
@@ -571,6 +574,7 @@
                 status=head.status_code,
                 headers=headers,
                 max_idle=max_idle,
+                is_framed=is_framed,
             )
         )
 
--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -118,6 +118,10 @@
 
 # Help texts of all metrics; using a name that is not declared here is a bug.
 COUNTERS = {
+    "relay_streams_ended_by_close": (
+        "Whole streams that ended with their connections, by what is known of the"
+        " orders to stop their runs."
+    ),
     "waits": "Generations that had to wait for an engine, by outcome.",
     "overtakings": "Earlier requests that placements passed over, by reason.",
     "unused_turns": "Requests that didn't take the capacity that this node left them.",
--- a/celerytrail/relay/engineapi.py
+++ b/celerytrail/relay/engineapi.py
@@ -9,10 +9,11 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
-from ..http.client import ClientError, HttpClient
+from ..http.client import ClientError, HttpClient, NotSent
 from ..http.messages import JSON_TYPE, Response
 from ..model import EngineReport, Registration
 from ..platform import wire
+from ..policies.runstops import OrderEffect, judge_order
 from ..types import Address
 
 REPORT_SECONDS = 0.5
@@ -26,12 +27,26 @@
     """A copy of a run failed.
 
     Where ``handle`` is set, the run was stopped nevertheless and can be resumed at its
-    own engine under that name.
+    own engine under that name. ``was_sent`` is false if the engine can't have got the
+    request.
     """
 
     reason: str
     status: int | None = None
     handle: str | None = None
+    was_sent: bool = True
+
+
+def effect_of(answered: Result[wire.CompletedMove, CopyFailed]) -> OrderEffect:
+    """Return what a request for a last copy did to its run."""
+    if isinstance(answered, Ok):
+        return OrderEffect.STOPPED
+    failed = answered.err_value
+    return judge_order(
+        status=failed.status,
+        has_copy=failed.handle is not None,
+        was_sent=failed.was_sent,
+    )
 
 
 class EngineApi:
@@ -80,7 +95,9 @@
         body = wire.encode_move(attempt_id, target, is_last)
         answered = await self._request(source, "POST", wire.MOVE_PATH, deadline, body)
         if isinstance(answered, Err):
-            return Err(CopyFailed(reason=answered.err_value.reason))
+            lost = answered.err_value
+            was_sent = not isinstance(lost, NotSent)
+            return Err(CopyFailed(reason=lost.reason, was_sent=was_sent))
         res = answered.ok_value
         moved = wire.decode_completed_move(res.body)
         if res.status != 200 or isinstance(moved, Err):
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -15,6 +15,7 @@
 from ..platform import wire
 from ..policies.engineloads import Run
 from ..policies.retrybudget import SharedRetryBudget
+from ..policies.runstops import StreamEnd
 from ..policies.streamorigins import StreamOrigin, stream_key
 from ..policies.waiting import organisation_tag
 from .crashes.watch import N_BEGUN_EVENTS
@@ -324,16 +325,24 @@
             elif isinstance(chunk, Ok) and splitter.is_empty:
                 break
             reason = _reason_of_break(chunk, splitter)
+            assert live.reg is not None
+            orders = live.stop_orders.judge_end(live.reg.address)
             live.stream.close()
             splitter.clear()
             self._record_lost(live, reason)
             resumed = await self._resume(live, reason)
             if resumed is None or resumed.status != 200:
-                ex.log("cut", reason=reason, n_events=live.n_events)
+                ex.log(
+                    "cut",
+                    reason=reason,
+                    n_events=live.n_events,
+                    by_orders=orders.value,
+                )
                 await break_off(ex.res, reason, attempt_id=ex.facts.attempt_id)
                 return
             live.stream = resumed
         live.is_complete = True
+        orders = self._end_by_orders(live)
         if live.n_events < N_BEGUN_EVENTS:
             self._on_begun(ex.prompt)
         self._on_whole(ex.prompt)
@@ -347,8 +356,21 @@
             n_events=live.n_events,
             n_runs=live.n_runs,
             longest_pause=round(live.longest_pause, 3),
+            is_framed=live.stream.is_framed,
+            by_orders=orders.value,
         )
 
+    def _end_by_orders(self, live: LiveRun) -> StreamEnd:
+        """Return what the orders to stop a run say of its stream's end, and count it.
+
+        It is counted for streams that end with their connections.
+        """
+        assert live.reg is not None and live.stream is not None
+        end = live.stop_orders.judge_end(live.reg.address)
+        if not live.stream.is_framed:
+            live.ex.metrics.count("relay_streams_ended_by_close", by_orders=end.value)
+        return end
+
     def _record_lost(self, live: LiveRun, reason: str) -> None:
         if live.reg is not None:
             self._opener.record_lost(live, live.reg, reason)
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -14,6 +14,7 @@
 from ..policies.waiting import Waiting
 from .endpointgate import Admission
 from .exchange import Exchange
+from .stoporders import StopOrders
 
 # The start of an engine that doesn't answer; no row has it.
 UNKNOWN_START = -1
@@ -107,6 +108,7 @@
         # Engines whose connections broke after they were sent it.
         self.broken_at: set[str] = set()
         self.move: asyncio.Task[Move] | None = None
+        self.stop_orders = StopOrders()
         # Set once the current engine has sent an event.
         self.started = asyncio.Event()
         self._first_event_at = 0.0
--- a/celerytrail/relay/runmover.py
+++ b/celerytrail/relay/runmover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import functools
 from collections.abc import Collection, Coroutine, Iterable
 from typing import Any
@@ -16,13 +17,14 @@
 from ..policies.engineloads import EngineLoads
 from ..supervision import BackgroundTasks
 from .backupswitch import BackupSwitch
-from .engineapi import CopyFailed, EngineApi
+from .engineapi import CopyFailed, EngineApi, effect_of
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
 from .liverun import Copied, LiveRun, Move, Prepared, Switched
 from .outcomes import Failed, NotExecuted
 from .registry import Registry
 from .runstops import RunStops
+from .stoporders import StopOrder
 
 # Engines that may refuse a run before its move is abandoned.
 MAX_REFUSALS = 3
@@ -376,13 +378,7 @@
         is_last = False
         while True:
             started_at = loop.time()
-            copied = await self._api.copy(
-                source.address,
-                live.ex.facts.attempt_id,
-                target.address,
-                is_last=is_last,
-                deadline=deadline,
-            )
+            copied = await self._copy(live, source, target, deadline, is_last=is_last)
             if isinstance(copied, Err):
                 return self._on_copy_failed(
                     live, source, target, copied.err_value, moved, is_last=is_last
@@ -397,6 +393,8 @@
                 target_version=target.version,
                 seconds=round(seconds, 4),
                 n_tokens=live.run.n_tokens,
+                n_created=moved.n_events,
+                n_events=live.n_events,
                 is_last=is_last,
             )
             if is_last:
@@ -418,6 +416,31 @@
                             live, source, target, failed, moved, is_last=False
                         )
 
+    async def _copy(
+        self,
+        live: LiveRun,
+        source: Registration,
+        target: Registration,
+        deadline: float,
+        *,
+        is_last: bool,
+    ) -> Result[wire.CompletedMove, CopyFailed]:
+        """Copy a run once; the last copy stops it."""
+        with contextlib.ExitStack() as stack:
+            order: StopOrder | None = None
+            if is_last:
+                order = stack.enter_context(live.stop_orders.giving(source.address))
+            copied = await self._api.copy(
+                source.address,
+                live.ex.facts.attempt_id,
+                target.address,
+                is_last=is_last,
+                deadline=deadline,
+            )
+            if order is not None:
+                order.settle(effect_of(copied))
+            return copied
+
     def _on_copy_failed(
         self,
         live: LiveRun,
@@ -445,6 +468,8 @@
             target=target.endpoint,
             reason=exc.reason,
             status=exc.status,
+            was_sent=exc.was_sent,
+            n_events=live.n_events,
             is_last=is_last,
         )
         if is_last and exc.handle is not None:
--- a/celerytrail/relay/runstops.py
+++ b/celerytrail/relay/runstops.py
@@ -13,7 +13,7 @@
 from ..platform import wire
 from ..policies.runstops import GIVE_UP_SECONDS, StopState, judge_stop, next_pause
 from ..supervision import BackgroundTasks
-from .engineapi import EngineApi
+from .engineapi import EngineApi, effect_of
 from .liverun import Copied, LiveRun
 from .outcomes import UNREACHABLE_REASONS
 
@@ -207,13 +207,12 @@
         """Ask an engine until it says that it doesn't work on a run."""
         loop = asyncio.get_running_loop()
         began_at = loop.time()
-        attempt_id = live.ex.facts.attempt_id
         stop = RunStop(state=StopState.UNKNOWN)
         while stop.state is StopState.UNKNOWN:
             await asyncio.sleep(delay_seconds)
             if loop.time() - began_at >= GIVE_UP_SECONDS:
                 break
-            stop, was_reached = await self._request(attempt_id, reg, target)
+            stop, was_reached = await self._request(live, reg, target)
             if not was_reached:
                 has_tried.set()
             delay_seconds = next_pause(delay_seconds)
@@ -227,16 +226,18 @@
         return stop
 
     async def _request(
-        self, attempt_id: str, reg: Registration, target: Registration
+        self, live: LiveRun, reg: Registration, target: Registration
     ) -> tuple[RunStop, bool]:
         """Return what an engine says of a run, and whether it was reached."""
-        answered = await self._api.copy(
-            reg.address,
-            attempt_id,
-            target.address,
-            is_last=True,
-            deadline=asyncio.get_running_loop().time() + REQUEST_SECONDS,
-        )
+        with live.stop_orders.giving(reg.address) as order:
+            answered = await self._api.copy(
+                reg.address,
+                live.ex.facts.attempt_id,
+                target.address,
+                is_last=True,
+                deadline=asyncio.get_running_loop().time() + REQUEST_SECONDS,
+            )
+            order.settle(effect_of(answered))
         if isinstance(answered, Err):
             failed = answered.err_value
             copy_at, handle = reg, failed.handle
--- a/tests/test_run_stops_ends.py
+++ b/tests/test_run_stops_ends.py
@@ -16,6 +16,7 @@
 from celerytrail.relay.engineapi import CopyFailed, EngineApi
 from celerytrail.relay.liverun import Prepared
 from celerytrail.relay.runstops import RunStops
+from celerytrail.relay.stoporders import StopOrders
 from scenarios.virtualtime import close_loop, new_loop
 from tests.relayrig import local
 
@@ -56,7 +57,7 @@
         observe_seconds=lambda *_: None,
     )
     engine = SimpleNamespace(can_move=True)
-    return SimpleNamespace(ex=ex, engine=engine, **more)
+    return SimpleNamespace(ex=ex, engine=engine, stop_orders=StopOrders(), **more)
 
 
 def reg(name, port):
