Show that streams which a last copy stopped are taken for whole

The stand-ins reset each unframed answer that wasn't whole, so no test of ours could see it; the page says that the stream of a stopped run is closed without its end. They close it now, at once or later, or reset it, and can lose the answer to the order that stopped the run, or the order.

Framed answers, resets and backups without delay hold.

--- a/standins/handoverfaults.py
+++ b/standins/handoverfaults.py
@@ -13,6 +13,14 @@
     WORKS_ON = "works on the run"
 
 
+class StopLoss(enum.Enum):
+    """What becomes of a request to stop a run whose answer is lost."""
+
+    RESET = "stops it, and resets the connection"
+    SILENT = "stops it, and never answers"
+    UNREAD = "resets the connection only"
+
+
 @dataclass(kw_only=True)
 class HandoverFaults:
     """Troubles of an engine around copies of runs.
@@ -31,6 +39,13 @@
         How long its answers to requests for copies take, in seconds.
     breaks_after : int or None
         Events of a run from the start after which it resets the connection.
+    stopped_seconds : float
+        How long it keeps the stream of a stopped run open, in seconds.
+    resets_stopped : bool
+        Whether it resets the stream of a stopped run; one without length and chunks is
+        closed otherwise.
+    stop_loss : StopLoss or None
+        What becomes of the first request to stop each run, if its answer is lost.
     """
 
     head_seconds: float = 0.0
@@ -39,3 +54,6 @@
     linger_seconds: float = 0.0
     move_seconds: float = 0.0
     breaks_after: int | None = None
+    stopped_seconds: float = 0.0
+    resets_stopped: bool = False
+    stop_loss: StopLoss | None = None
--- a/standins/modelworker.py
+++ b/standins/modelworker.py
@@ -18,7 +18,7 @@
 from celerytrail.types import Address
 
 from .enginemodel import EngineModel, EngineSpec, Job, Link
-from .handoverfaults import CopyReset, HandoverFaults
+from .handoverfaults import CopyReset, HandoverFaults, StopLoss
 from .places import Work
 from .unframed import UnframedResponder
 from .worker import Worker
@@ -46,6 +46,7 @@
     is_ended: bool = False
     is_cut: bool = False
     is_moving: bool = False
+    has_lost_stop: bool = False
     # Tokens of the run that each other engine holds, by the engine's address.
     n_copied: dict[str, int] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -349,6 +350,10 @@
         if stream.is_moving:
             await res.send(409, headers=self.leaving_headers)
             return
+        loss = self._draw_stop_loss(stream) if order["last"] else None
+        if loss is StopLoss.UNREAD:
+            res.abort()
+            return
         stream.is_moving = True
         handle = f"m{order['id']}"
         target = self._find_engine(order["to"])
@@ -366,6 +371,11 @@
         await asyncio.sleep(self.handover_faults.move_seconds)
         stream.is_moving = False
         stream.changed.set()
+        if loss is not None:
+            if loss is StopLoss.SILENT:
+                await asyncio.wait({res.lost})
+            res.abort()
+            return
         if not is_copied:
             body = {"handle": handle} if order["last"] else {}
             await res.send_json(503, body, self.leaving_headers)
@@ -376,6 +386,13 @@
         moved = {"handle": handle, "created": n_events}
         await res.send_json(200, moved, self.leaving_headers)
 
+    def _draw_stop_loss(self, stream: _Stream) -> StopLoss | None:
+        """Return whether the answer to a request that stops a run is lost."""
+        if stream.has_lost_stop:
+            return None
+        stream.has_lost_stop = True
+        return self.handover_faults.stop_loss
+
     def _hold_copy(self, name: str, job: Job) -> None:
         drop_at = asyncio.get_running_loop().time() + COPY_LIFETIME_SECONDS
         self._copies[name] = _Copy(job=job, n_tokens=job.n_tokens, drop_at=drop_at)
@@ -536,7 +553,10 @@
                 number += 1
             if stream.is_ended:
                 break
-            if stream.is_cut or res.is_lost:
+            if stream.is_cut and not res.is_lost:
+                await self._close_stopped(res)
+                return
+            if res.is_lost:
                 res.abort()
                 return
             stream.changed.clear()
@@ -545,6 +565,15 @@
             res.start(200, headers)
         await res.finish()
 
+    async def _close_stopped(self, res: Responder) -> None:
+        """Close the stream of a stopped run without its end."""
+        faults = self.handover_faults
+        await asyncio.wait({res.lost}, timeout=faults.stopped_seconds)
+        if faults.resets_stopped or not isinstance(res, UnframedResponder):
+            res.abort()
+            return
+        await res.finish()
+
     def _stream_headers(self, attempt_id: str) -> dict[str, str]:
         return {**self._headers(attempt_id), "content-type": "text/event-stream"}
 
--- /dev/null
+++ b/tests/test_relay_stopped_streams.py
@@ -0,0 +1,119 @@
+"""Streams without length and chunks, whose ends are the ends of their connections."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import pytest
+
+from standins.handoverfaults import HandoverFaults, StopLoss
+from standins.modelworker import AnswerEnds, ModelWorker
+from tests.relayrig import config
+from tests.sourcesrig import Fleet, run_fleet
+from tests.test_relay_one_place import Drafts
+
+LEAVE_SECONDS = 4.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Leave:
+    """How engines are set up of which one leaves.
+
+    ``all_go_on`` is whether the engines have what all drafts need to go on.
+    """
+
+    left: HandoverFaults = field(default_factory=HandoverFaults)
+    others: HandoverFaults = field(default_factory=HandoverFaults)
+    has_backups: bool = False
+    unframed_share: float = 1.0
+    is_full: bool = False
+
+
+LEAVES = {
+    "answered at once": Leave(),
+    "answered after 0.5 s": Leave(left=HandoverFaults(move_seconds=0.5)),
+    "answered after 2 s": Leave(left=HandoverFaults(move_seconds=2.0)),
+    "closed after 0.3 s": Leave(left=HandoverFaults(stopped_seconds=0.3)),
+    "closed behind the answer": Leave(
+        left=HandoverFaults(stopped_seconds=0.5, move_seconds=0.1)
+    ),
+    "reset": Leave(left=HandoverFaults(resets_stopped=True)),
+    "answer reset": Leave(left=HandoverFaults(stop_loss=StopLoss.RESET)),
+    "answer never sent": Leave(left=HandoverFaults(stop_loss=StopLoss.SILENT)),
+    "order reset": Leave(left=HandoverFaults(stop_loss=StopLoss.UNREAD)),
+    "no room for the last copy": Leave(is_full=True),
+    "framed": Leave(unframed_share=0.0),
+    "backups": Leave(has_backups=True),
+    "backups with late heads": Leave(
+        has_backups=True, others=HandoverFaults(head_seconds=1.0)
+    ),
+    "backups with late heads, answer reset": Leave(
+        has_backups=True,
+        others=HandoverFaults(head_seconds=1.0),
+        left=HandoverFaults(stop_loss=StopLoss.RESET),
+    ),
+    "backups with late heads, answer never sent": Leave(
+        has_backups=True,
+        others=HandoverFaults(head_seconds=0.4),
+        left=HandoverFaults(stop_loss=StopLoss.SILENT),
+    ),
+}
+
+
+def refuse_last_copies(engine: ModelWorker) -> None:
+    """Let an engine find no room at any other one once a run has stopped."""
+    copy = engine._copy
+
+    async def refuse(stream, target, name):
+        return not stream.is_cut and await copy(stream, target, name)
+
+    engine._copy = refuse
+
+
+def without_backups() -> list[dict[str, object]]:
+    models, desk = config()["services"]
+    return [{**models, "engine": {**models["engine"], "backups": False}}, desk]
+
+
+async def leave(fleet: Fleet, setup: Leave) -> Drafts:
+    """Let the busiest of three engines leave, and return what became of the drafts."""
+    if not setup.has_backups:
+        fleet.change(services=without_backups())
+    drafts = Drafts(fleet)
+    await drafts.start()
+    for engine in drafts.rig.engines.values():
+        engine.answer_ends = AnswerEnds(unframed_share=setup.unframed_share)
+    ended = await drafts.run()
+    left = drafts.busiest
+    for engine in drafts.rig.engines.values():
+        engine.handover_faults = setup.left if engine is left else setup.others
+    if setup.is_full:
+        refuse_last_copies(left)
+    await drafts.rig.leave(left, LEAVE_SECONDS)
+    await ended
+    return drafts
+
+
+def short_of(drafts: Drafts) -> list[str]:
+    """Return the whole answers that lack events."""
+    return [
+        f"{one.first_attempt}: {len(one.events)} of {one.n_events}"
+        for one in drafts.streams
+        if one.is_complete and len(one.events) != one.n_events
+    ]
+
+
+class TestLeavingEngines:
+    @pytest.mark.parametrize("n_nodes", [1, 3])
+    @pytest.mark.parametrize("name", LEAVES)
+    def test_a_stopped_stream_is_not_taken_for_a_whole_one(self, name, n_nodes):
+        """Guards against a part of an answer that its caller gets as the whole."""
+
+        async def test(fleet: Fleet) -> None:
+            drafts = await leave(fleet, LEAVES[name])
+            assert any(one.n_from_copies for one in drafts.places())
+            assert short_of(drafts) == []
+            assert drafts.at_two() == []
+            assert [one for one in drafts.streams if not one.is_complete] == []
+
+        run_fleet(1, test, n_nodes)
