Judge the end of an unframed stream by the orders to stop its run

Cause: the end of a body without length and chunks is the end of its connection, and an engine that is told to stop a run closes the run's stream. The reader took each such close for the end of the run; whoever orders a stop didn't tell it. Class: an end inferred from a close that one of us asked for.

Change: RunStops is the only one to order a stop, the last copy of a move included; it records each order with the run before it is sent. The reader of an unframed stream asks for the outcome: no order, or each refused (404, 409, not sent): the run has ended. Stopped: the run goes on from the last copy. Unknown (lost, cancelled, late): never whole; the engine is asked again, and the run goes on from the last copy, its backup or the copy that was made before the order, which is kept until then; else it is cut visibly. The outcome of a stop that nobody awaits is kept while the run is at that engine. An order that was forgotten as the run came back still counts. A stream that was told to stop isn't recorded as broken by its engine either.

--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -367,8 +367,9 @@
         if sending.reserved is None:
             sending.check = self._starts.begin(sending.admission.reg)
         sending.sent_at = asyncio.get_running_loop().time()
+        live = sending.live
+        live.stop_orders.begin_stream(sending.admission.reg.address)
         if sending.copied is None:
-            live = sending.live
             live.sent_at = sending.sent_at
             live.is_unanswered = True
             live.n_attempts += 1
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -57,8 +57,13 @@
 # Reason and Retry-After, in seconds, when all engines are in evacuated domains.
 EVACUATED = "evacuated"
 EVACUATED_RETRY_SECONDS = 2.0
-# Reason for which a stream is given up: its engine sends bytes that are no events.
+# Reasons for which a stream doesn't go on: its engine sends bytes that are no events,
+# or was told to stop the run.
 NO_EVENTS = "no_events"
+STOPPED = "stopped"
+# How long the end of a stream waits for the answers to orders to stop its run, in
+# seconds. Without them the run goes on from a copy.
+END_SECONDS = 1.5
 
 
 class Generations:
@@ -146,7 +151,7 @@
             if live.stream is not None:
                 live.stream.close()
             self._opener.end(live)
-            self._run_mover.discard_move(live)
+            self._run_mover.end(live)
             if not live.is_complete and live.reg is not None:
                 self._run_mover.free_backup(live, live.reg)
             if live.run.endpoint:
@@ -322,11 +327,12 @@
                     await self._relay_event(live, event)
                 if not splitter.is_overlong:
                     continue
-            elif isinstance(chunk, Ok) and splitter.is_empty:
+            is_end = isinstance(chunk, Ok) and chunk.ok_value is None
+            if is_end and splitter.is_empty and await self._has_ended(live):
                 break
-            reason = _reason_of_break(chunk, splitter)
             assert live.reg is not None
             orders = live.stop_orders.judge_end(live.reg.address)
+            reason = _reason_of_break(chunk, splitter, orders)
             live.stream.close()
             splitter.clear()
             self._record_lost(live, reason)
@@ -360,6 +366,23 @@
             by_orders=orders.value,
         )
 
+    async def _has_ended(self, live: LiveRun) -> bool:
+        """Return whether a run has ended whose stream its engine has closed in order.
+
+        Where a body ends with its connection, a run that was told to stop looks the
+        same.
+        """
+        assert live.reg is not None and live.stream is not None
+        if live.stream.is_framed:
+            return True
+        seconds = min(END_SECONDS, live.ex.seconds_left)
+        try:
+            async with asyncio.timeout(seconds):
+                end = await live.stop_orders.await_end(live.reg.address)
+        except TimeoutError:
+            return False
+        return end is StreamEnd.ENDED
+
     def _end_by_orders(self, live: LiveRun) -> StreamEnd:
         """Return what the orders to stop a run say of its stream's end, and count it.
 
@@ -463,10 +486,8 @@
             self._on_moved(live, moved.reg)
             return moved.stream
         copied = moved
-        has_backup = live.backup is not None and live.backup != live.reg
-        if copied is None and has_backup:
-            assert previous_reg is not None
-            copied = await self._run_mover.stop_and_copy(live, previous_reg)
+        if copied is None and previous_reg is not None:
+            copied = await self._run_mover.find_copy(live, previous_reg)
         left = [previous_reg] if previous_reg is not None else []
         if copied is not None:
             self._on_moved(live, copied.reg)
@@ -537,9 +558,13 @@
 
 
 def _reason_of_break(
-    chunk: Result[bytes | None, RequestLost], splitter: EventSplitter
+    chunk: Result[bytes | None, RequestLost],
+    splitter: EventSplitter,
+    orders: StreamEnd,
 ) -> str:
     """Return why a stream doesn't go on at its engine."""
+    if orders is not StreamEnd.ENDED:
+        return STOPPED
     if isinstance(chunk, Err):
         return chunk.err_value.reason
     # A stream may end properly by its framing and yet inside an event.
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -43,12 +43,14 @@
 class Copied:
     """A run's memory was copied: from which engine, where to, and the copy's name.
 
-    ``prepared`` is set if the engine that has the copy was prepared for the run.
+    ``handle`` is its name at the engines, if they have given it one, and ``prepared``
+    is set if the engine that has the copy was prepared for the run.
     """
 
     source: Registration
     reg: Registration
     name: str
+    handle: str = ""
     prepared: Prepared | None = None
 
 
@@ -105,10 +107,14 @@
         # True between the end of one stream and the start of the next.
         self.is_resuming = False
         self.is_complete = False
+        # Set once nobody needs it any more.
+        self.is_over = False
         # Engines whose connections broke after they were sent it.
         self.broken_at: set[str] = set()
         self.move: asyncio.Task[Move] | None = None
         self.stop_orders = StopOrders()
+        # A copy made while the run went on, before it was told to stop.
+        self.partial_copy: Copied | None = None
         # Set once the current engine has sent an event.
         self.started = asyncio.Event()
         self._first_event_at = 0.0
--- /dev/null
+++ b/celerytrail/relay/runcopies.py
@@ -0,0 +1,280 @@
+"""Copies runs to other engines, in steps of which the last one stops them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+
+from result import Err, Ok, Result
+
+from ..model import Registration
+from ..platform import wire
+from ..policies import moving
+from ..policies.runstops import StreamEnd
+from ..supervision import BackgroundTasks
+from .engineapi import CopyFailed, EngineApi
+from .engineopener import EngineOpener
+from .liverun import Copied, LiveRun, Prepared
+from .outcomes import NotExecuted
+from .runstops import RunStop, RunStops
+
+# Timeout for freeing a copy, in seconds.
+FREE_TIMEOUT_SECONDS = 0.5
+# How long a run waits for its last copy, in seconds; it can go on from an earlier one.
+LAST_COPY_SECONDS = 2.0
+# How long a run whose stream has ended waits until it is known what stopped it, in
+# seconds.
+SETTLE_SECONDS = 0.3
+# Why a run wasn't stopped: its engine doesn't know it, or hasn't answered.
+UNKNOWN_RUN = "unknown_run"
+UNSETTLED = "unsettled"
+
+Preparing = asyncio.Task[Result[Prepared, NotExecuted]]
+
+
+class RunCopies:
+    """Copies runs to other engines before they go on there.
+
+    Parameters
+    ----------
+    api : EngineApi
+        Requests the copies that don't stop a run.
+    opener : EngineOpener
+        Prepares the target engines.
+    stops : RunStops
+        Requests the last copies, which stop the runs.
+    stopping : StopPolicy
+        Decides when a run is stopped for its last copy.
+    remaining_seconds : callable
+        Returns the time until a leaving engine shuts down, None if unknown.
+    """
+
+    def __init__(
+        self,
+        *,
+        api: EngineApi,
+        opener: EngineOpener,
+        stops: RunStops,
+        stopping: moving.StopPolicy,
+        remaining_seconds: Callable[[Registration], float | None],
+    ) -> None:
+        self._api = api
+        self._opener = opener
+        self._stops = stops
+        self._stopping = stopping
+        self._remaining_seconds = remaining_seconds
+        self._tasks = BackgroundTasks()
+
+    async def copy_and_stop(
+        self,
+        live: LiveRun,
+        source: Registration,
+        target: Registration,
+        deadline: float,
+    ) -> Result[Copied, CopyFailed]:
+        """Copy a run while it continues, then stop it and copy the rest.
+
+        It is stopped only once the target is prepared for it.
+
+        Parameters
+        ----------
+        live : LiveRun
+            The run.
+        source, target : Registration
+            The engine that works on it, and the one that gets the copies.
+        deadline : float
+            Loop time by which all copies must be done.
+        """
+        preparing = asyncio.ensure_future(self._opener.prepare(live, target))
+        copied: Result[Copied, CopyFailed] | None = None
+        try:
+            copied = await self._copy_in_steps(
+                live, source, target, deadline, preparing
+            )
+            return copied
+        finally:
+            is_used = isinstance(copied, Ok) and copied.ok_value.prepared is not None
+            if not is_used:
+                preparing.cancel()
+                preparing.add_done_callback(self._discard_prepared)
+
+    async def find_copy(
+        self, live: LiveRun, source: Registration, target: Registration | None
+    ) -> Copied | None:
+        """Return the copy to go on from of a run that may have been stopped.
+
+        Parameters
+        ----------
+        live : LiveRun
+            The run, whose stream has ended.
+        source : Registration
+            The engine that worked on it.
+        target : Registration or None
+            The engine for a last copy, None without one.
+
+        Returns
+        -------
+        Copied or None
+            None if it wasn't stopped, or nothing of it is known to exist.
+        """
+        if live.stop_orders.judge_end(source.address) is StreamEnd.ENDED:
+            return None
+        partial = live.partial_copy
+        target = partial.reg if partial is not None else target
+        stop: RunStop | None = None
+        if target is not None:
+            stop = await self._stops.settle(live, source, target, SETTLE_SECONDS)
+        if stop is not None and stop.copied is not None:
+            return stop.copied
+        # Whether the run ended or was stopped by an order whose answer was lost, this
+        # is a part of it.
+        return partial
+
+    def free_partial(self, live: LiveRun) -> None:
+        """Free the copy that a run left at an engine where it doesn't go on."""
+        partial, live.partial_copy = live.partial_copy, None
+        if partial is not None:
+            self._free(partial.source, partial.reg, partial.handle)
+
+    def _discard_prepared(self, preparing: Preparing) -> None:
+        if preparing.cancelled() or preparing.exception() is not None:
+            return
+        prepared = preparing.result()
+        if isinstance(prepared, Ok):
+            self._opener.discard_prepared(prepared.ok_value)
+
+    async def _copy_in_steps(
+        self,
+        live: LiveRun,
+        source: Registration,
+        target: Registration,
+        deadline: float,
+        preparing: Preparing,
+    ) -> Result[Copied, CopyFailed]:
+        loop = asyncio.get_running_loop()
+        moved: wire.CompletedMove | None = None
+        n_copies = 0
+        while True:
+            started_at = loop.time()
+            copied = await self._api.copy(
+                source.address,
+                live.ex.facts.attempt_id,
+                target.address,
+                is_last=False,
+                deadline=deadline,
+            )
+            if isinstance(copied, Err):
+                failed = copied.err_value
+                return self._on_copy_failed(live, source, target, failed, moved)
+            moved = copied.ok_value
+            seconds = loop.time() - started_at
+            _log_copied(live, source, target, seconds, moved.n_events, is_last=False)
+            n_copies += 1
+            if not self._stopping.should_stop(
+                n_copies, seconds, self._remaining_seconds(source)
+            ):
+                continue
+            prepared = await preparing
+            if isinstance(prepared, Err):
+                failed = CopyFailed(reason=prepared.err_value.reason, status=503)
+                return self._on_copy_failed(live, source, target, failed, moved)
+            live.partial_copy = Copied(
+                source=source,
+                reg=target,
+                name=wire.copy_name(source.address, moved.handle),
+                handle=moved.handle,
+                prepared=prepared.ok_value,
+            )
+            return await self._take_last_copy(live, live.partial_copy, deadline)
+
+    async def _take_last_copy(
+        self, live: LiveRun, partial: Copied, deadline: float
+    ) -> Result[Copied, CopyFailed]:
+        """Stop a run, and return the copy to go on from."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        source, target = partial.source, partial.reg
+        seconds = min(deadline - started_at, LAST_COPY_SECONDS)
+        stop = await self._stops.settle(live, source, target, seconds)
+        if stop is not None and stop.copied is not None:
+            live.partial_copy = None
+            seconds = loop.time() - started_at
+            _log_copied(live, source, target, seconds, stop.n_created, is_last=True)
+            is_at_target = stop.copied.reg.endpoint == target.endpoint
+            if not is_at_target:
+                return Ok(stop.copied)
+            return Ok(replace(stop.copied, prepared=partial.prepared))
+        reason = UNSETTLED if stop is None else UNKNOWN_RUN
+        _log_failed(live, source, target, CopyFailed(reason=reason), is_last=True)
+        if live.stop_orders.judge_end(source.address) is StreamEnd.ENDED:
+            self.free_partial(live)
+            return Err(CopyFailed(reason=reason))
+        if stop is None:
+            live.partial_copy = replace(partial, prepared=None)
+            return Err(CopyFailed(reason=reason))
+        live.partial_copy = None
+        return Ok(partial)
+
+    def _on_copy_failed(
+        self,
+        live: LiveRun,
+        source: Registration,
+        target: Registration,
+        failed: CopyFailed,
+        moved: wire.CompletedMove | None,
+    ) -> Err[CopyFailed]:
+        """Free an incomplete copy, which would occupy memory for seconds."""
+        if moved is not None:
+            self._free(source, target, moved.handle)
+        _log_failed(live, source, target, failed, is_last=False)
+        return Err(failed)
+
+    def _free(self, source: Registration, target: Registration, handle: str) -> None:
+        deadline = asyncio.get_running_loop().time() + FREE_TIMEOUT_SECONDS
+        for engine in (source, target):
+            self._tasks.spawn(self._api.free_copy(engine.address, handle, deadline))
+
+
+def _log_copied(
+    live: LiveRun,
+    source: Registration,
+    target: Registration,
+    seconds: float,
+    n_created: int | None,
+    *,
+    is_last: bool,
+) -> None:
+    live.ex.log(
+        "copied",
+        endpoint=source.endpoint,
+        version=source.version,
+        target=target.endpoint,
+        target_version=target.version,
+        seconds=round(seconds, 4),
+        n_tokens=live.run.n_tokens,
+        n_created=n_created,
+        n_events=live.n_events,
+        is_last=is_last,
+    )
+
+
+def _log_failed(
+    live: LiveRun,
+    source: Registration,
+    target: Registration,
+    failed: CopyFailed,
+    *,
+    is_last: bool,
+) -> None:
+    live.ex.log(
+        "move_failed",
+        endpoint=source.endpoint,
+        target=target.endpoint,
+        reason=failed.reason,
+        status=failed.status,
+        was_sent=failed.was_sent,
+        n_events=live.n_events,
+        by_orders=live.stop_orders.judge_end(source.address).value,
+        is_last=is_last,
+    )
--- a/celerytrail/relay/runmover.py
+++ b/celerytrail/relay/runmover.py
@@ -3,28 +3,27 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import functools
 from collections.abc import Collection, Coroutine, Iterable
 from typing import Any
 
 from eliot import log_message
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from ..model import Registration
-from ..platform import wire
 from ..policies import moving
 from ..policies.engineloads import EngineLoads
+from ..policies.runstops import StreamEnd
 from ..supervision import BackgroundTasks
 from .backupswitch import BackupSwitch
-from .engineapi import CopyFailed, EngineApi, effect_of
+from .engineapi import EngineApi
 from .engineopener import EngineOpener
 from .engineplacer import EnginePlacer
-from .liverun import Copied, LiveRun, Move, Prepared, Switched
+from .liverun import Copied, LiveRun, Move, Switched
 from .outcomes import Failed, NotExecuted
 from .registry import Registry
+from .runcopies import RunCopies
 from .runstops import RunStops
-from .stoporders import StopOrder
 
 # Engines that may refuse a run before its move is abandoned.
 MAX_REFUSALS = 3
@@ -40,8 +39,6 @@
 REPORT_LAG_SECONDS = 0.55
 # Timeout for reading a leaving engine's shutdown time, in seconds.
 REPORT_TIMEOUT_SECONDS = 0.3
-# Timeout for freeing a copy, in seconds.
-FREE_TIMEOUT_SECONDS = 0.5
 # Attempts to switch to a backup that isn't usable yet, and the pause between them, in
 # seconds.
 MAX_SWITCH_TRIES = 3
@@ -88,7 +85,13 @@
         self._switch = BackupSwitch(
             opener=opener, stops=stops, choose_target=placer.choose_move_target
         )
-        self._stopping = stopping or moving.StopAfterQuick()
+        self._copies = RunCopies(
+            api=api,
+            opener=opener,
+            stops=stops,
+            stopping=stopping or moving.StopAfterQuick(),
+            remaining_seconds=self._remaining_seconds,
+        )
         self._registry = registry
         self._loads = loads
         self._placer = placer
@@ -169,9 +172,15 @@
             stream.close()
         return copied
 
-    async def stop_and_copy(self, live: LiveRun, source: Registration) -> Copied:
-        """Stop a run whose connection broke, and return the copy to go on from."""
-        return await self._switch.stop_and_copy(live, source)
+    async def find_copy(self, live: LiveRun, source: Registration) -> Copied | None:
+        """Return the copy to go on from of a run whose stream has ended, if any.
+
+        One that has a backup is stopped first: its engine may work on it.
+        """
+        if live.backup is not None and live.backup != live.reg:
+            return await self._switch.stop_and_copy(live, source)
+        target = self._placer.choose_move_target(live, source, {source.endpoint})
+        return await self._copies.find_copy(live, source, target)
 
     def stop_before_repeat(self, live: LiveRun, source: Registration) -> None:
         """Stop a run at its engine that is about to begin again at another one."""
@@ -183,8 +192,14 @@
         """Return the engines that a run has left and at which it may still be."""
         return self._stops.unsettled(live)
 
-    def discard_move(self, live: LiveRun) -> None:
-        """Discard a move that is no longer needed."""
+    def end(self, live: LiveRun) -> None:
+        """Discard what a run that is over would go on from."""
+        live.is_over = True
+        self._stops.end_run(live)
+        self._copies.free_partial(live)
+        self._discard_move(live)
+
+    def _discard_move(self, live: LiveRun) -> None:
         move = live.move
         if move is None:
             return
@@ -240,6 +255,9 @@
             await asyncio.sleep(SWITCH_PAUSE_SECONDS)
         if live.reg != source or source is None or not live.engine.can_move:
             return None
+        if live.stop_orders.judge_end(source.address) is not StreamEnd.ENDED:
+            # It may have been stopped, and its backup is what is left of it.
+            return None
         if live.backup is not None:
             # The other nodes count only runs without a backup when they order moves on
             # the link.
@@ -292,7 +310,7 @@
             # the run arrives.
             live.backup = target
             self._placer.announce(live, is_prefilling=False, is_moving=True)
-            copied = await self._copy_and_stop(live, source, target, deadline)
+            copied = await self._copies.copy_and_stop(live, source, target, deadline)
             if isinstance(copied, Ok):
                 return copied.ok_value
             live.backup = None
@@ -330,153 +348,6 @@
             seconds=answered.ok_value.leaves_in_seconds,
         )
 
-    async def _copy_and_stop(
-        self,
-        live: LiveRun,
-        source: Registration,
-        target: Registration,
-        deadline: float,
-    ) -> Result[Copied, CopyFailed]:
-        """Copy a run while it continues, then stop it and copy the rest.
-
-        It is stopped only once the target is prepared for it.
-        """
-        preparing = asyncio.ensure_future(self._opener.prepare(live, target))
-        copied: Result[Copied, CopyFailed] | None = None
-        try:
-            copied = await self._copy_in_steps(
-                live, source, target, deadline, preparing
-            )
-            return copied
-        finally:
-            is_used = isinstance(copied, Ok) and copied.ok_value.prepared is not None
-            if not is_used:
-                preparing.cancel()
-                preparing.add_done_callback(self._discard_prepared)
-
-    def _discard_prepared(
-        self, preparing: asyncio.Task[Result[Prepared, NotExecuted]]
-    ) -> None:
-        if preparing.cancelled() or preparing.exception() is not None:
-            return
-        prepared = preparing.result()
-        if isinstance(prepared, Ok):
-            self._opener.discard_prepared(prepared.ok_value)
-
-    async def _copy_in_steps(
-        self,
-        live: LiveRun,
-        source: Registration,
-        target: Registration,
-        deadline: float,
-        preparing: asyncio.Task[Result[Prepared, NotExecuted]],
-    ) -> Result[Copied, CopyFailed]:
-        moved: wire.CompletedMove | None = None
-        prepared: Prepared | None = None
-        loop = asyncio.get_running_loop()
-        n_copies = 0
-        is_last = False
-        while True:
-            started_at = loop.time()
-            copied = await self._copy(live, source, target, deadline, is_last=is_last)
-            if isinstance(copied, Err):
-                return self._on_copy_failed(
-                    live, source, target, copied.err_value, moved, is_last=is_last
-                )
-            moved = copied.ok_value
-            seconds = loop.time() - started_at
-            live.ex.log(
-                "copied",
-                endpoint=source.endpoint,
-                version=source.version,
-                target=target.endpoint,
-                target_version=target.version,
-                seconds=round(seconds, 4),
-                n_tokens=live.run.n_tokens,
-                n_created=moved.n_events,
-                n_events=live.n_events,
-                is_last=is_last,
-            )
-            if is_last:
-                name = wire.copy_name(source.address, moved.handle)
-                return Ok(
-                    Copied(source=source, reg=target, name=name, prepared=prepared)
-                )
-            n_copies += 1
-            is_last = self._stopping.should_stop(
-                n_copies, seconds, self._remaining_seconds(source)
-            )
-            if is_last:
-                match await preparing:
-                    case Ok(found):
-                        prepared = found
-                    case Err(unprepared):
-                        failed = CopyFailed(reason=unprepared.reason, status=503)
-                        return self._on_copy_failed(
-                            live, source, target, failed, moved, is_last=False
-                        )
-
-    async def _copy(
-        self,
-        live: LiveRun,
-        source: Registration,
-        target: Registration,
-        deadline: float,
-        *,
-        is_last: bool,
-    ) -> Result[wire.CompletedMove, CopyFailed]:
-        """Copy a run once; the last copy stops it."""
-        with contextlib.ExitStack() as stack:
-            order: StopOrder | None = None
-            if is_last:
-                order = stack.enter_context(live.stop_orders.giving(source.address))
-            copied = await self._api.copy(
-                source.address,
-                live.ex.facts.attempt_id,
-                target.address,
-                is_last=is_last,
-                deadline=deadline,
-            )
-            if order is not None:
-                order.settle(effect_of(copied))
-            return copied
-
-    def _on_copy_failed(
-        self,
-        live: LiveRun,
-        source: Registration,
-        target: Registration,
-        exc: CopyFailed,
-        moved: wire.CompletedMove | None,
-        *,
-        is_last: bool,
-    ) -> Result[Copied, CopyFailed]:
-        """Free an incomplete copy; a run that was stopped resumes at its own engine.
-
-        That may keep the run's memory under the handle of the earlier copy.
-        """
-        if moved is not None and exc.handle is None:
-            # The earlier copy would occupy memory there for seconds.
-            deadline = asyncio.get_running_loop().time() + FREE_TIMEOUT_SECONDS
-            for engine in (source, target):
-                self._tasks.spawn(
-                    self._api.free_copy(engine.address, moved.handle, deadline)
-                )
-        live.ex.log(
-            "move_failed",
-            endpoint=source.endpoint,
-            target=target.endpoint,
-            reason=exc.reason,
-            status=exc.status,
-            was_sent=exc.was_sent,
-            n_events=live.n_events,
-            is_last=is_last,
-        )
-        if is_last and exc.handle is not None:
-            name = wire.copy_name(source.address, exc.handle)
-            return Ok(Copied(source=source, reg=source, name=name))
-        return Err(exc)
-
     def _remaining_seconds(self, reg: Registration) -> float | None:
         """Return the time until a leaving engine shuts down, None if unknown."""
         leaves_at = self._leaves_at.get(reg.endpoint)
--- a/celerytrail/relay/runstops.py
+++ b/celerytrail/relay/runstops.py
@@ -31,12 +31,12 @@
     """What became of a run at an engine that it has left.
 
     ``copied`` is the copy of it that the engine made when it stopped, if it did, and
-    ``handle`` the engine's name for that.
+    ``n_created`` the events that the engine had made by then, if it says so.
     """
 
     state: StopState
     copied: Copied | None = None
-    handle: str = ""
+    n_created: int | None = None
 
 
 @dataclass(kw_only=True, slots=True)
@@ -44,12 +44,16 @@
     """A run that an engine is being asked to stop.
 
     ``has_tried`` is set once the engine has answered, or wasn't reached. The copy that
-    it makes is freed unless ``is_claimed``.
+    it makes is freed unless ``is_claimed``. A run that ``goes_on`` there is in no
+    further request.
     """
 
+    live: LiveRun
+    reg: Registration
     task: asyncio.Task[RunStop] | None = None
     has_tried: asyncio.Event = field(default_factory=asyncio.Event)
     is_claimed: bool = False
+    goes_on: bool = False
 
 
 class RunStops:
@@ -67,8 +71,10 @@
     def __init__(self, *, api: EngineApi) -> None:
         self._api = api
         self._tasks = BackgroundTasks()
-        # By attempt and endpoint.
+        # By attempt and endpoint, and the copies that nobody has awaited of runs that
+        # are still there.
         self._stoppings: dict[tuple[str, str], _Stopping] = {}
+        self._kept: dict[tuple[str, str], RunStop] = {}
 
     def unsettled(self, live: LiveRun) -> set[str]:
         """Return the engines that a run has left and at which it may still be."""
@@ -115,6 +121,9 @@
             None if the engine hasn't stopped it in time, or can't be reached; it is
             asked further then. The caller owns the copy, see `free`.
         """
+        kept = self._kept.pop((live.ex.facts.attempt_id, reg.endpoint), None)
+        if kept is not None:
+            return kept
         stopping = self._begin(live, reg, target, 0.0)
         if stopping is None or stopping.task is None:
             return None
@@ -132,22 +141,30 @@
             if found is None:
                 stopping.is_claimed = False
                 if stopping.task.done():
-                    self._free_unclaimed(stopping.task)
+                    self._keep_or_free(stopping, stopping.task)
 
     def forget(self, live: LiveRun, reg: Registration) -> None:
-        """Ask an engine no more, since a run goes on there."""
-        stopping = self._stoppings.pop(
-            (live.ex.facts.attempt_id, reg.endpoint), _Stopping()
-        )
-        if stopping.task is not None:
-            stopping.task.cancel()
+        """Ask an engine no more, since a run goes on there.
+
+        A request that is under way may still stop it.
+        """
+        key = (live.ex.facts.attempt_id, reg.endpoint)
+        stopping = self._stoppings.pop(key, None)
+        if stopping is not None:
+            stopping.goes_on = True
+
+    def end_run(self, live: LiveRun) -> None:
+        """Free the copies of a run that is over."""
+        attempt_id = live.ex.facts.attempt_id
+        for key in [key for key in self._kept if key[0] == attempt_id]:
+            self.free(self._kept.pop(key))
 
     def free(self, stop: RunStop) -> None:
         """Free the copy that came with a stop."""
         if stop.copied is not None:
-            address = stop.copied.source.address
+            address, handle = stop.copied.source.address, stop.copied.handle
             deadline = asyncio.get_running_loop().time() + FREE_TIMEOUT_SECONDS
-            self._tasks.spawn(self._api.free_copy(address, stop.handle, deadline))
+            self._tasks.spawn(self._api.free_copy(address, handle, deadline))
 
     def free_backup(self, live: LiveRun, reg: Registration) -> None:
         """Free the growing copy of a run that has stopped and doesn't use it."""
@@ -167,9 +184,9 @@
         key = (live.ex.facts.attempt_id, reg.endpoint)
         stopping = self._stoppings.get(key)
         if stopping is None:
-            stopping = _Stopping()
+            stopping = _Stopping(live=live, reg=reg)
             self._stoppings[key] = stopping
-            asking = self._ask(live, reg, target, delay_seconds, stopping.has_tried)
+            asking = self._ask(stopping, target, delay_seconds)
             stopping.task = asyncio.ensure_future(asking)
             ended = functools.partial(self._on_ended, key, stopping)
             stopping.task.add_done_callback(ended)
@@ -190,31 +207,37 @@
                 problem=repr(exc),
             )
         if not stopping.is_claimed:
-            self._free_unclaimed(task)
+            self._keep_or_free(stopping, task)
 
-    def _free_unclaimed(self, task: asyncio.Task[RunStop]) -> None:
-        if not task.cancelled() and task.exception() is None:
-            self.free(task.result())
+    def _keep_or_free(self, stopping: _Stopping, task: asyncio.Task[RunStop]) -> None:
+        """Keep the copy of a run that hasn't left its engine, and free that of others.
+
+        Its stream is about to end, or has ended.
+        """
+        if task.cancelled() or task.exception() is not None:
+            return
+        live, stop = stopping.live, task.result()
+        is_there = live.reg is not None and live.reg.endpoint == stopping.reg.endpoint
+        if stop.copied is None or live.is_over or not is_there:
+            self.free(stop)
+            return
+        self._kept[live.ex.facts.attempt_id, stopping.reg.endpoint] = stop
 
     async def _ask(
-        self,
-        live: LiveRun,
-        reg: Registration,
-        target: Registration,
-        delay_seconds: float,
-        has_tried: asyncio.Event,
+        self, stopping: _Stopping, target: Registration, delay_seconds: float
     ) -> RunStop:
         """Ask an engine until it says that it doesn't work on a run."""
         loop = asyncio.get_running_loop()
+        live, reg = stopping.live, stopping.reg
         began_at = loop.time()
         stop = RunStop(state=StopState.UNKNOWN)
         while stop.state is StopState.UNKNOWN:
             await asyncio.sleep(delay_seconds)
-            if loop.time() - began_at >= GIVE_UP_SECONDS:
+            if stopping.goes_on or loop.time() - began_at >= GIVE_UP_SECONDS:
                 break
             stop, was_reached = await self._request(live, reg, target)
             if not was_reached:
-                has_tried.set()
+                stopping.has_tried.set()
             delay_seconds = next_pause(delay_seconds)
         live.ex.log(
             "stopped",
@@ -240,14 +263,15 @@
             order.settle(effect_of(answered))
         if isinstance(answered, Err):
             failed = answered.err_value
-            copy_at, handle = reg, failed.handle
+            copy_at, handle, n_created = reg, failed.handle, None
             state = judge_stop(status=failed.status, has_copy=handle is not None)
             if handle is None:
                 was_reached = failed.reason not in UNREACHABLE_REASONS
                 return RunStop(state=state), was_reached
         else:
             copy_at, handle = target, answered.ok_value.handle
+            n_created = answered.ok_value.n_events
             state = StopState.STOPPED
         name = wire.copy_name(reg.address, handle)
-        copied = Copied(source=reg, reg=copy_at, name=name)
-        return RunStop(state=state, copied=copied, handle=handle), True
+        copied = Copied(source=reg, reg=copy_at, name=name, handle=handle)
+        return RunStop(state=state, copied=copied, n_created=n_created), True
--- a/standins/handoverfaults.py
+++ b/standins/handoverfaults.py
@@ -39,6 +39,8 @@
         How long its answers to requests for copies take, in seconds.
     breaks_after : int or None
         Events of a run from the start after which it resets the connection.
+    stop_seconds : float
+        How long its answers to requests that stop runs take besides, in seconds.
     stopped_seconds : float
         How long it keeps the stream of a stopped run open, in seconds.
     resets_stopped : bool
@@ -54,6 +56,7 @@
     linger_seconds: float = 0.0
     move_seconds: float = 0.0
     breaks_after: int | None = None
+    stop_seconds: float = 0.0
     stopped_seconds: float = 0.0
     resets_stopped: bool = False
     stop_loss: StopLoss | None = None
--- a/standins/modelworker.py
+++ b/standins/modelworker.py
@@ -368,7 +368,9 @@
         is_copied = target is not None and await self._copy(
             stream, target, f"{self.address}/{handle}"
         )
-        await asyncio.sleep(self.handover_faults.move_seconds)
+        faults = self.handover_faults
+        stop_seconds = faults.stop_seconds if order["last"] else 0.0
+        await asyncio.sleep(faults.move_seconds + stop_seconds)
         stream.is_moving = False
         stream.changed.set()
         if loss is not None:
--- a/tests/test_relay_stopped_streams.py
+++ b/tests/test_relay_stopped_streams.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass, field
 
+import msgspec
 import pytest
 
 from standins.handoverfaults import HandoverFaults, StopLoss
@@ -17,30 +19,32 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Leave:
-    """How engines are set up of which one leaves.
-
-    ``all_go_on`` is whether the engines have what all drafts need to go on.
-    """
+    """How engines are set up of which one leaves, and when it does."""
 
     left: HandoverFaults = field(default_factory=HandoverFaults)
     others: HandoverFaults = field(default_factory=HandoverFaults)
     has_backups: bool = False
     unframed_share: float = 1.0
     is_full: bool = False
+    # How late the engine that leaves reads orders to stop runs, and when it leaves.
+    read_seconds: float = 0.0
+    leave_seconds: float = LEAVE_SECONDS
 
 
 LEAVES = {
     "answered at once": Leave(),
-    "answered after 0.5 s": Leave(left=HandoverFaults(move_seconds=0.5)),
-    "answered after 2 s": Leave(left=HandoverFaults(move_seconds=2.0)),
+    "answered after 0.5 s": Leave(left=HandoverFaults(stop_seconds=0.5)),
+    "answered after 2 s": Leave(left=HandoverFaults(stop_seconds=2.0)),
     "closed after 0.3 s": Leave(left=HandoverFaults(stopped_seconds=0.3)),
     "closed behind the answer": Leave(
-        left=HandoverFaults(stopped_seconds=0.5, move_seconds=0.1)
+        left=HandoverFaults(stopped_seconds=0.5, stop_seconds=0.1)
     ),
     "reset": Leave(left=HandoverFaults(resets_stopped=True)),
     "answer reset": Leave(left=HandoverFaults(stop_loss=StopLoss.RESET)),
     "answer never sent": Leave(left=HandoverFaults(stop_loss=StopLoss.SILENT)),
     "order reset": Leave(left=HandoverFaults(stop_loss=StopLoss.UNREAD)),
+    "order read after 0.5 s": Leave(read_seconds=0.5),
+    "order read after it was given up": Leave(read_seconds=4.5, leave_seconds=8.0),
     "no room for the last copy": Leave(is_full=True),
     "framed": Leave(unframed_share=0.0),
     "backups": Leave(has_backups=True),
@@ -61,15 +65,32 @@
 
 
 def refuse_last_copies(engine: ModelWorker) -> None:
-    """Let an engine find no room at any other one once a run has stopped."""
+    """Let an engine find no room for the first last copy of each run."""
     copy = engine._copy
+    refused: set[str] = set()
 
     async def refuse(stream, target, name):
-        return not stream.is_cut and await copy(stream, target, name)
+        attempt_id = stream.job.attempt_id
+        if stream.is_cut and attempt_id not in refused:
+            refused.add(attempt_id)
+            return False
+        return await copy(stream, target, name)
 
     engine._copy = refuse
 
 
+def read_late(engine: ModelWorker, seconds: float) -> None:
+    """Let an engine read orders to stop runs late."""
+    move = engine._move
+
+    async def read(req, res):
+        if msgspec.json.decode(req.body)["last"]:
+            await asyncio.sleep(seconds)
+        await move(req, res)
+
+    engine._move = read
+
+
 def without_backups() -> list[dict[str, object]]:
     models, desk = config()["services"]
     return [{**models, "engine": {**models["engine"], "backups": False}}, desk]
@@ -89,7 +110,8 @@
         engine.handover_faults = setup.left if engine is left else setup.others
     if setup.is_full:
         refuse_last_copies(left)
-    await drafts.rig.leave(left, LEAVE_SECONDS)
+    read_late(left, setup.read_seconds)
+    await drafts.rig.leave(left, setup.leave_seconds)
     await ended
     return drafts
 
@@ -117,3 +139,55 @@
             assert [one for one in drafts.streams if not one.is_complete] == []
 
         run_fleet(1, test, n_nodes)
+
+
+class TestRunsThatEnd:
+    @pytest.mark.parametrize("seed", range(1, 9))
+    @pytest.mark.parametrize("has_backups", [False, True])
+    def test_a_run_that_ends_beside_an_order_is_whole(self, has_backups, seed):
+        """Guards against whole answers that are cut for an order that came too late."""
+
+        async def test(fleet: Fleet) -> None:
+            if not has_backups:
+                fleet.change(services=without_backups())
+            drafts = Drafts(fleet)
+            await drafts.start()
+            for engine in drafts.rig.engines.values():
+                engine.answer_ends = AnswerEnds(unframed_share=1.0)
+            callers = drafts.rig.callers(
+                per_second=20.0, seed=seed, routes=("draft",), n_mean_events=20.0
+            )
+            drafts.streams = callers.streams
+            ended = asyncio.ensure_future(callers.run(1.5))
+            await asyncio.sleep(1.0 + 0.05 * seed)
+            left = drafts.busiest
+            if seed % 2:
+                left.handover_faults = HandoverFaults(stop_seconds=0.3)
+            await drafts.rig.leave(left, LEAVE_SECONDS)
+            await ended
+            assert short_of(drafts) == []
+            assert [one for one in drafts.streams if not one.is_complete] == []
+
+        run_fleet(seed, test, 1)
+
+    def test_a_stream_that_nobody_stops_costs_no_request(self):
+        """Guards against questions to engines at the end of each stream."""
+
+        async def test(fleet: Fleet) -> None:
+            drafts = Drafts(fleet)
+            await drafts.start()
+            n_moves = 0
+
+            async def count(req, res):
+                nonlocal n_moves
+                n_moves += 1
+                await res.send(404)
+
+            for engine in drafts.rig.engines.values():
+                engine.answer_ends = AnswerEnds(unframed_share=1.0)
+                engine._move = count
+            await (await drafts.run())
+            assert all(one.is_complete for one in drafts.streams)
+            assert n_moves == 0
+
+        run_fleet(1, test, 1)
--- a/tests/test_run_stops_ends.py
+++ b/tests/test_run_stops_ends.py
@@ -43,7 +43,7 @@
 
 
 def copied(handle="m1"):
-    return Ok(SimpleNamespace(handle=handle))
+    return Ok(SimpleNamespace(handle=handle, n_events=0))
 
 
 def refused(status):
@@ -57,7 +57,8 @@
         observe_seconds=lambda *_: None,
     )
     engine = SimpleNamespace(can_move=True)
-    return SimpleNamespace(ex=ex, engine=engine, stop_orders=StopOrders(), **more)
+    state = {"stop_orders": StopOrders(), "reg": None, "is_over": False}
+    return SimpleNamespace(ex=ex, engine=engine, **{**state, **more})
 
 
 def reg(name, port):
