--- a/tests/test_relay_one_place.py
+++ b/tests/test_relay_one_place.py
@@ -56,6 +56,8 @@
     def __init__(self, fleet: Fleet) -> None:
         self.rig = EngineFleet(fleet)
         self.streams: list[HeldStream] = []
+        # To which callers go; all by default.
+        self.nodes: list[int] | None = None
 
     async def start(self, n_engines: int = 3) -> None:
         """Start engines, and wait until all nodes know them."""
@@ -65,8 +67,12 @@
 
     async def run(self, n_drafts: int = N_DRAFTS) -> asyncio.Future[None]:
         """Begin drafts, and return once they have events."""
+        nodes = self.nodes
         callers = self.rig.callers(
-            per_second=40.0, routes=("draft",), n_mean_events=150.0
+            per_second=40.0,
+            routes=("draft",),
+            n_mean_events=150.0,
+            nodes=None if nodes is None else lambda: nodes,
         )
         self.streams = callers.streams
         ended = asyncio.ensure_future(callers.run(n_drafts / 40.0))
--- a/tests/test_relay_stopped_streams.py
+++ b/tests/test_relay_stopped_streams.py
@@ -96,12 +96,22 @@
     return [{**models, "engine": {**models["engine"], "backups": False}}, desk]
 
 
-async def leave(fleet: Fleet, setup: Leave) -> Drafts:
-    """Let the busiest of three engines leave, and return what became of the drafts."""
+async def leave(fleet: Fleet, setup: Leave, *, are_paths_cut: bool = False) -> Drafts:
+    """Let the busiest of three engines leave, and return what became of the drafts.
+
+    ``are_paths_cut`` cuts the first node, to which all callers go then, off from them.
+    """
     if not setup.has_backups:
         fleet.change(services=without_backups())
     drafts = Drafts(fleet)
     await drafts.start()
+    if are_paths_cut:
+        for name in drafts.rig.engines:
+            fleet.wires.cut("vm-0", name)
+            fleet.wires.cut(name, "vm-0")
+        # The node finds out which paths are lost.
+        await asyncio.sleep(6.0)
+        drafts.nodes = [0]
     for engine in drafts.rig.engines.values():
         engine.answer_ends = AnswerEnds(unframed_share=setup.unframed_share)
     ended = await drafts.run()
@@ -140,6 +150,37 @@
 
         run_fleet(1, test, n_nodes)
 
+    @pytest.mark.parametrize("name", ["answered at once", "answer reset"])
+    def test_so_it_is_over_a_node_in_the_middle(self, name):
+        """Guards against a tunnel that passes a stop on as the end of an answer."""
+
+        async def test(fleet: Fleet) -> None:
+            drafts = await leave(fleet, LEAVES[name], are_paths_cut=True)
+            machines = {
+                work.machine
+                for engine in drafts.rig.all_engines
+                for work in engine.work_log.works
+            }
+            assert machines == {"vm-1"}
+            assert any(one.n_from_copies for one in drafts.places())
+            assert short_of(drafts) == []
+            assert [one for one in drafts.streams if not one.is_complete] == []
+
+        run_fleet(1, test, 2)
+
+    @pytest.mark.parametrize("n_nodes", [2, 119])
+    def test_so_it_is_at_any_size(self, n_nodes):
+        """Guards against an order of one node that another one reads as an end."""
+
+        async def test(fleet: Fleet) -> None:
+            drafts = await leave(fleet, LEAVES["answered at once"])
+            assert any(one.n_from_copies for one in drafts.places())
+            assert short_of(drafts) == []
+            assert drafts.at_two() == []
+            assert [one for one in drafts.streams if not one.is_complete] == []
+
+        run_fleet(1, test, n_nodes)
+
 
 class TestRunsThatEnd:
     @pytest.mark.parametrize("seed", range(1, 9))
