Show copies that late stops leave behind, and pauses of lost answers

What callers saw: with an order whose answer is lost, a draft pauses for 2.36 s; callers give a stream up after a gap of 2 s. Engines hold copies of runs that go on at their backups.

RunStops.settle gives up after 1 s; the answer comes at 1.4 s, while the reader still waits for its move, so live.reg is the engine that was left and _keep_or_free keeps the copy. The switch succeeds at 2 s and nobody frees what was kept until the run is over: 4 copies are held 3.5 s after the notice.

The stand-in frees a copy at both ends when its source is asked to, as its page says; it freed only its own. No logic is changed.

--- a/standins/modelworker.py
+++ b/standins/modelworker.py
@@ -185,6 +185,8 @@
         # The paths of the requests that it runs, by attempt.
         self._paths: dict[str, str] = {}
         self._copies: dict[str, _Copy] = {}
+        # By name, the addresses of the engines that have got copies of own runs.
+        self._copied_to: dict[str, set[str]] = {}
         self._reports: deque[tuple[float, dict[str, object]]] = deque(maxlen=20)
         self._has_work = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
@@ -336,6 +338,7 @@
         if target.is_closed or self.is_closed:
             return False
         stream.n_copied[str(target.address)] = n_tokens
+        self._copied_to.setdefault(name, set()).add(str(target.address))
         target._copies[name] = _Copy(
             job=job, n_tokens=n_tokens, drop_at=loop.time() + COPY_LIFETIME_SECONDS
         )
@@ -401,10 +404,17 @@
         self.model.copies[name] = job.n_tokens
 
     async def _free_copy(self, req: Request, res: Responder) -> None:
+        """Free a copy; the source of one frees it at its target as well."""
         handle = req.path.rpartition("/")[2]
         names = [name for name in self._copies if name.endswith(f"/{handle}")]
         for name in names:
             self._drop_copy(name)
+        own_name = f"{self.address}/{handle}"
+        for address in self._copied_to.pop(own_name, ()):
+            target = self._find_engine(address)
+            if target is not None and own_name in target._copies:
+                target._drop_copy(own_name)
+                names.append(own_name)
         await res.send(200 if names else 404, headers=self.leaving_headers)
 
     # Requests.
