Show copies that are left by callers who go, and by refused last copies

What engines saw: copies of runs that nobody goes on from, until they expire.

Evidence, on; each test fails, with nothing freed: - RunMover._discard_move discards what a finished move has prepared, but not its copy: the caller left between the end of the move and its stream's. - RunCopies._copy_in_steps is cancelled while it knows the handle of an earlier copy, which is only in a local variable. - BackupSwitch._hand_over is cancelled in _stop_backup: nobody awaits settling any more, which has claimed the copy of the engine that was left. The try that handles a cancellation ends before. - A last copy is refused with 503 and a handle: _take_last_copy forgets the partial copy, which occupies memory and a slot at the target that has no room.

No logic is changed.

--- a/tests/test_relay_stopped_streams_review.py
+++ b/tests/test_relay_stopped_streams_review.py
@@ -3,11 +3,34 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 
+import pytest
+from result import Err, Ok
+
+from celerytrail.relay.backupswitch import BackupSwitch
+from celerytrail.relay.engineapi import CopyFailed
+from celerytrail.relay.liverun import Prepared
+from celerytrail.relay.outcomes import Failed
+from celerytrail.relay.runmover import RunMover
+from celerytrail.relay.runstops import RunStops
 from standins.handoverfaults import HandoverFaults, StopLoss
 from tests.sourcesrig import Fleet, run_fleet
 from tests.test_relay_one_place import Drafts
 from tests.test_relay_stopped_streams import Leave, leave
+from tests.test_run_stops_ends import (
+    SOURCE,
+    TARGET,
+    FakeApi,
+    FakeStream,
+    copied,
+    live_run,
+    refused,
+    reg,
+    run,
+)
+
+OTHER = reg("e2", 3)
 
 # Time without an event after which a caller may give a stream up, in seconds.
 MIN_GAP_SECONDS = 2.0
@@ -60,3 +83,123 @@
             assert max(pauses) < MIN_GAP_SECONDS
 
         run_fleet(1, test, 1)
+
+
+class FakeOpener:
+    """Prepares engines at once; their answers fail after a time."""
+
+    def __init__(self, seconds: float = 0.0) -> None:
+        self.seconds = seconds
+
+    async def prepare(self, live, reg):
+        return Ok(Prepared(admission=None, conn=None, is_tunnel=False))
+
+    def discard_prepared(self, prepared):
+        pass
+
+    async def open_prepared(self, live, copied, prepared):
+        await asyncio.sleep(self.seconds)
+        return Err(Failed(reason="timeout"))
+
+
+class StopAfterTwo:
+    """Stops runs after their second copy."""
+
+    def should_stop(self, n_copies, seconds, remaining_seconds):
+        return n_copies == 2
+
+
+def moved_run():
+    return live_run(
+        reg=SOURCE,
+        stream=FakeStream(),
+        n_events=3,
+        run=SimpleNamespace(n_tokens=9, endpoint="e0"),
+        partial_copy=None,
+        move=None,
+        broken_at=set(),
+    )
+
+
+def mover_of(api):
+    return RunMover(
+        api=api,
+        registry=None,
+        loads=None,
+        placer=SimpleNamespace(choose_move_target=None),
+        opener=FakeOpener(),
+        stops=RunStops(api=api),
+        stopping=StopAfterTwo(),
+    )
+
+
+async def move(mover, live):
+    """Move a run by copies, and return the one to go on from."""
+    deadline = asyncio.get_running_loop().time() + 4.0
+    moved = await mover._copies.copy_and_stop(live, SOURCE, TARGET, deadline)
+    return moved.unwrap()
+
+
+class TestRefusedLastCopies:
+    def test_the_earlier_copy_is_freed_at_its_target(self):
+        """Guards against copies that occupy engines which have no room."""
+
+        class Api(FakeApi):
+            async def free_copy(self, source, handle, deadline):
+                self.freed.append((str(source), handle))
+
+        async def steps():
+            kept = Err(CopyFailed(reason="refused", status=503, handle="m1"))
+            api = Api((0.2, copied()), (0.2, copied()), (0.2, kept))
+            mover, live = mover_of(api), moved_run()
+            moved = await move(mover, live)
+            assert moved.reg is SOURCE
+            live.reg = SOURCE
+            await asyncio.sleep(1.0)
+            live.is_complete = True
+            mover.end(live)
+            await asyncio.sleep(1.0)
+            return api.freed
+
+        assert (str(TARGET.address), "m1") in run(steps)
+
+
+class TestCallersWhoLeave:
+    @pytest.mark.parametrize("leave_seconds", [0.3, 0.5, 0.7])
+    def test_the_copy_of_a_run_that_is_moved_is_freed(self, leave_seconds):
+        """Guards against copies that occupy engines for callers who have gone."""
+
+        async def steps():
+            # Two copies while the run goes on, and the last one.
+            api = FakeApi((0.2, copied()), (0.2, copied()), (0.2, copied()))
+            mover, live = mover_of(api), moved_run()
+            live.move = asyncio.ensure_future(move(mover, live))
+            await asyncio.sleep(leave_seconds)
+            mover.end(live)
+            await asyncio.sleep(2.0)
+            return set(api.freed)
+
+        assert run(steps) == {"m1"}
+
+    @pytest.mark.parametrize("leave_seconds", [0.18, 0.22, 0.3, 0.5])
+    def test_the_copy_of_a_run_whose_backup_failed_is_freed(self, leave_seconds):
+        """Guards against copies that occupy engines for callers who have gone."""
+
+        async def steps():
+            # The engine that is left, and the backup.
+            api = FakeApi((0.4, copied()), *[(0.4, refused(404))] * 4)
+            stops = RunStops(api=api)
+            switch = BackupSwitch(
+                opener=FakeOpener(0.2), stops=stops, choose_target=lambda *_: OTHER
+            )
+            live = moved_run()
+            moving = asyncio.ensure_future(switch.switch(live, TARGET))
+            await asyncio.sleep(leave_seconds)
+            live.is_over = True
+            stops.end_run(live)
+            moving.cancel()
+            await asyncio.wait({moving})
+            await asyncio.sleep(2.0)
+            return set(api.freed)
+
+        assert "m1" in run(steps)
