Show whole answers that are cut for orders lost long before

What callers saw: all events of a draft, and a cut instead of its end.

Each order stays UNKNOWN for the rest of the run, which goes on to its own end; no order is given after 5 s. judge_end says UNKNOWN, the run goes on from its partial copy, and that has expired: 6 of 16 callers are cut with all their events.

Streams over another node, with two of three nodes cut from all engines, hold (3 cases); the tests with three nodes so far had no such path. No logic is changed.

--- a/tests/test_relay_stopped_streams_review.py
+++ b/tests/test_relay_stopped_streams_review.py
@@ -5,6 +5,7 @@
 import asyncio
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 from result import Err, Ok
 
@@ -14,10 +15,18 @@
 from celerytrail.relay.outcomes import Failed
 from celerytrail.relay.runmover import RunMover
 from celerytrail.relay.runstops import RunStops
+from standins import modelworker
 from standins.handoverfaults import HandoverFaults, StopLoss
+from standins.modelworker import AnswerEnds, ModelWorker
 from tests.sourcesrig import Fleet, run_fleet
 from tests.test_relay_one_place import Drafts
-from tests.test_relay_stopped_streams import Leave, leave
+from tests.test_relay_stopped_streams import (
+    LEAVES,
+    Leave,
+    leave,
+    short_of,
+    without_backups,
+)
 from tests.test_run_stops_ends import (
     SOURCE,
     TARGET,
@@ -203,3 +212,61 @@
             return set(api.freed)
 
         assert "m1" in run(steps)
+
+
+def reset_orders(engine: ModelWorker) -> None:
+    """Let an engine reset the connections of orders to stop runs, unread."""
+    move = engine._move
+
+    async def reset(req, res):
+        if msgspec.json.decode(req.body)["last"]:
+            res.abort()
+            return
+        await move(req, res)
+
+    engine._move = reset
+
+
+class TestOrdersWithoutEffect:
+    def test_a_run_that_goes_on_to_its_end_is_whole(self, monkeypatch):
+        """Guards against whole answers that are cut for orders lost long before."""
+        monkeypatch.setattr(modelworker, "COPY_LIFETIME_SECONDS", 2.0)
+
+        async def test(fleet: Fleet) -> None:
+            fleet.change(services=without_backups())
+            drafts = Drafts(fleet)
+            await drafts.start()
+            for engine in drafts.rig.engines.values():
+                engine.answer_ends = AnswerEnds(unframed_share=1.0)
+            ended = await drafts.run()
+            left = drafts.busiest
+            reset_orders(left)
+            await drafts.rig.leave(left, 14.0)
+            await ended
+            assert short_of(drafts) == []
+            assert [one for one in drafts.streams if not one.is_complete] == []
+
+        run_fleet(1, test, 1)
+
+
+class TestPathsOverNodes:
+    @pytest.mark.parametrize(
+        "name", ["answered at once", "answer reset", "answer never sent"]
+    )
+    def test_a_stopped_stream_is_not_taken_for_a_whole_one(self, name):
+        """Guards against a part of an answer that comes over another node."""
+
+        async def test(fleet: Fleet) -> None:
+            # Two of three nodes reach engines over the third only.
+            for number in range(2):
+                for engine in ("e0", "e1", "e2"):
+                    fleet.wires.cut(f"vm-{number}", engine)
+                    fleet.wires.cut(engine, f"vm-{number}")
+            drafts = await leave(fleet, LEAVES[name])
+            assert {one.tries[0].node for one in drafts.streams} == {0, 1, 2}
+            assert any(one.n_from_copies for one in drafts.places())
+            assert short_of(drafts) == []
+            assert drafts.at_two() == []
+            assert [one for one in drafts.streams if not one.is_complete] == []
+
+        run_fleet(1, test, 3)
