Show ends of whole answers that come after their callers have left

What callers saw: all events of a draft, and its end 2.32 s later; they give a stream up after a gap of 2 s.

The end waits for the order (END_SECONDS, 1.5), then for the rest of the move (LAST_COPY_SECONDS, 2.0 behind the order), then for find_copy (SETTLE_SECONDS, 0.3): three bounds, one behind the other, with none for the whole. No logic is changed.

--- a/tests/test_relay_stopped_streams_review.py
+++ b/tests/test_relay_stopped_streams_review.py
@@ -18,12 +18,14 @@
 from standins import modelworker
 from standins.handoverfaults import HandoverFaults, StopLoss
 from standins.modelworker import AnswerEnds, ModelWorker
+from tests.limitrig import now
 from tests.sourcesrig import Fleet, run_fleet
 from tests.test_relay_one_place import Drafts
 from tests.test_relay_stopped_streams import (
     LEAVES,
     Leave,
     leave,
+    read_late,
     short_of,
     without_backups,
 )
@@ -38,6 +40,7 @@
     reg,
     run,
 )
+from tests.versionrig import StreamCallers
 
 OTHER = reg("e2", 3)
 
@@ -55,6 +58,20 @@
     }
 
 
+def record_ends(callers: StreamCallers) -> list[float]:
+    """Return how long callers wait behind their last events, filled as they read."""
+    waits: list[float] = []
+    attempt = callers._try
+
+    async def read(rng, route, stream, *more):
+        result = await attempt(rng, route, stream, *more)
+        waits.append(now() - stream.events[-1].at if stream.events else 0.0)
+        return result
+
+    callers._try = read
+    return waits
+
+
 class TestCopiesOfLateStops:
     def test_the_copy_of_a_run_that_went_on_at_its_backup_is_freed(self):
         """Guards against copies that occupy engines while their runs go on."""
@@ -93,6 +110,33 @@
 
         run_fleet(1, test, 1)
 
+    @pytest.mark.parametrize("read_seconds", [0.5, 4.5])
+    def test_the_end_of_a_run_is_not_awaited_longer_than_callers_wait(
+        self, read_seconds
+    ):
+        """Guards against whole answers whose callers have left before their ends."""
+
+        async def test(fleet: Fleet) -> None:
+            fleet.change(services=without_backups())
+            drafts = Drafts(fleet)
+            await drafts.start()
+            for engine in drafts.rig.engines.values():
+                engine.answer_ends = AnswerEnds(unframed_share=1.0)
+            callers = drafts.rig.callers(
+                per_second=20.0, seed=1, routes=("draft",), n_mean_events=20.0
+            )
+            waits = record_ends(callers)
+            ended = asyncio.ensure_future(callers.run(1.5))
+            await asyncio.sleep(1.0)
+            left = drafts.busiest
+            read_late(left, read_seconds)
+            await drafts.rig.leave(left, 9.0)
+            await ended
+            assert short_of(callers) == []
+            assert max(waits) < MIN_GAP_SECONDS
+
+        run_fleet(1, test, 1)
+
 
 class FakeOpener:
     """Prepares engines at once; their answers fail after a time."""
