Bound the waits at a stopped stream, renew its copy, and free what it leaves

Engines held copies that nobody used: 4 of 6 behind late stops, and those of callers who left during a move or behind it.

Cause: three waits in a row; one copy for as long as the run may still go on; copies known to a local variable only, or kept for a run that had moved on.

Change: the move gives up as soon as its stream has ended, which waits 1 s for open orders; while a run may go on behind an order without an answer it is copied again; a copy that can't be used leaves time for the late last copy; the earlier copy is known to the run from the first one on, and freed when the run goes on elsewhere or is over, and so is a move that nobody uses. At an engine without room it is freed there only.

--- a/celerytrail/relay/backupswitch.py
+++ b/celerytrail/relay/backupswitch.py
@@ -175,7 +175,12 @@
         if isinstance(failure, Failed):
             # The backup may work on it all the same.
             live.broken_at.add(backup.endpoint)
-            await self._stop_backup(live, backup, source)
+            try:
+                await self._stop_backup(live, backup, source)
+            except asyncio.CancelledError:
+                if settling is not None:
+                    settling.add_done_callback(self._free)
+                raise
         stop = await settling if settling is not None else None
         if stop is not None and stop.copied is not None:
             return Ok(stop.copied)
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -63,7 +63,7 @@
 STOPPED = "stopped"
 # How long the end of a stream waits for the answers to orders to stop its run, in
 # seconds. Without them the run goes on from a copy.
-END_SECONDS = 1.5
+END_SECONDS = 1.0
 
 
 class Generations:
@@ -467,11 +467,11 @@
 
     async def _resume(self, live: LiveRun, reason: str) -> Stream | None:
         """Resume a run after its stream broke or was moved."""
-        live.is_resuming = True
+        live.resuming.set()
         try:
             return await self._open_next_stream(live, reason)
         finally:
-            live.is_resuming = False
+            live.resuming.clear()
 
     async def _open_next_stream(self, live: LiveRun, reason: str) -> Stream | None:
         """Open a stream at the next engine, from a copy where one exists.
@@ -489,7 +489,7 @@
         if copied is None and previous_reg is not None:
             copied = await self._run_mover.find_copy(live, previous_reg)
         left = [previous_reg] if previous_reg is not None else []
-        if copied is not None:
+        while copied is not None:
             self._on_moved(live, copied.reg)
             opened = await self._opener.open_copy(live, copied)
             if isinstance(opened, Ok):
@@ -502,6 +502,7 @@
                 return opened.ok_value
             ex.log("copy_unusable", reason=reason, endpoint=copied.reg.endpoint)
             left.append(copied.reg)
+            copied = await self._run_mover.find_later_copy(live, copied.source)
         n_attempts = max(live.n_runs, live.n_attempts)
         if not ex.route.is_resumable or n_attempts >= ex.route.max_attempts:
             return None
@@ -550,7 +551,7 @@
         moment; copying all of them again in full would keep the links busy until the
         engine has stopped, and the runs that still have to be moved would be lost.
         """
-        self._run_mover.free_backup(live, reg)
+        self._run_mover.leave(live, reg)
         live.backup = None
         live.reg = reg
         live.on_engine_changed()
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -104,8 +104,8 @@
         # answered yet; a run that continues from a copy counts as answered.
         self.sent_at = 0.0
         self.is_unanswered = False
-        # True between the end of one stream and the start of the next.
-        self.is_resuming = False
+        # Set between the end of one stream and the start of the next.
+        self.resuming = asyncio.Event()
         self.is_complete = False
         # Set once nobody needs it any more.
         self.is_over = False
@@ -122,6 +122,11 @@
         self.longest_pause = 0.0
         self.pauses = DurationCounts()
 
+    @property
+    def is_resuming(self) -> bool:
+        """Return whether its stream has ended, and the next one hasn't begun."""
+        return self.resuming.is_set()
+
     def bind(self) -> None:
         """Bind the run to its engine's version: its caller is about to get an event."""
         assert self.reg is not None
--- a/celerytrail/relay/runcopies.py
+++ b/celerytrail/relay/runcopies.py
@@ -22,7 +22,10 @@
 # Timeout for freeing a copy, in seconds.
 FREE_TIMEOUT_SECONDS = 0.5
 # How long a run waits for its last copy, in seconds; it can go on from an earlier one.
-LAST_COPY_SECONDS = 2.0
+LAST_COPY_SECONDS = 1.3
+# Pause before a run is copied again of which it isn't known whether it was stopped, in
+# seconds.
+RENEWAL_PAUSE_SECONDS = 0.2
 # How long a run whose stream has ended waits until it is known what stopped it, in
 # seconds.
 SETTLE_SECONDS = 0.3
@@ -100,7 +103,11 @@
                 preparing.add_done_callback(self._discard_prepared)
 
     async def find_copy(
-        self, live: LiveRun, source: Registration, target: Registration | None
+        self,
+        live: LiveRun,
+        source: Registration,
+        target: Registration | None,
+        seconds: float = SETTLE_SECONDS,
     ) -> Copied | None:
         """Return the copy to go on from of a run that may have been stopped.
 
@@ -112,30 +119,42 @@
             The engine that worked on it.
         target : Registration or None
             The engine for a last copy, None without one.
+        seconds : float
+            How long to wait for that copy.
 
         Returns
         -------
         Copied or None
             None if it wasn't stopped, or nothing of it is known to exist.
         """
-        if live.stop_orders.judge_end(source.address) is StreamEnd.ENDED:
-            return None
+        end = live.stop_orders.judge_end(source.address)
         partial = live.partial_copy
-        target = partial.reg if partial is not None else target
+        if end is StreamEnd.ENDED:
+            return None
         stop: RunStop | None = None
-        if target is not None:
-            stop = await self._stops.settle(live, source, target, SETTLE_SECONDS)
+        if partial is None or end is not StreamEnd.PENDING:
+            target = partial.reg if partial is not None else target
+            if target is not None:
+                stop = await self._stops.settle(live, source, target, seconds)
         if stop is not None and stop.copied is not None:
-            return stop.copied
+            return self._use(live, stop.copied)
         # Whether the run ended or was stopped by an order whose answer was lost, this
         # is a part of it.
+        live.partial_copy = None
         return partial
 
     def free_partial(self, live: LiveRun) -> None:
         """Free the copy that a run left at an engine where it doesn't go on."""
         partial, live.partial_copy = live.partial_copy, None
         if partial is not None:
-            self._free(partial.source, partial.reg, partial.handle)
+            self.free(partial)
+
+    def free(self, copied: Copied) -> None:
+        """Free a copy that nobody uses, at both engines."""
+        if copied.handle:
+            self._free_at(copied.source, copied.handle)
+            if copied.reg.endpoint != copied.source.endpoint:
+                self._free_at(copied.reg, copied.handle)
 
     def _discard_prepared(self, preparing: Preparing) -> None:
         if preparing.cancelled() or preparing.exception() is not None:
@@ -152,69 +171,115 @@
         deadline: float,
         preparing: Preparing,
     ) -> Result[Copied, CopyFailed]:
-        loop = asyncio.get_running_loop()
-        moved: wire.CompletedMove | None = None
         n_copies = 0
-        while True:
-            started_at = loop.time()
-            copied = await self._api.copy(
-                source.address,
-                live.ex.facts.attempt_id,
-                target.address,
-                is_last=False,
-                deadline=deadline,
-            )
+        is_quick = False
+        while not is_quick:
+            copied = await self._copy(live, source, target, deadline)
             if isinstance(copied, Err):
-                failed = copied.err_value
-                return self._on_copy_failed(live, source, target, failed, moved)
-            moved = copied.ok_value
-            seconds = loop.time() - started_at
-            _log_copied(live, source, target, seconds, moved.n_events, is_last=False)
+                return self._on_copy_failed(live, source, target, copied.err_value)
             n_copies += 1
-            if not self._stopping.should_stop(
-                n_copies, seconds, self._remaining_seconds(source)
-            ):
-                continue
-            prepared = await preparing
-            if isinstance(prepared, Err):
-                failed = CopyFailed(reason=prepared.err_value.reason, status=503)
-                return self._on_copy_failed(live, source, target, failed, moved)
-            live.partial_copy = Copied(
-                source=source,
-                reg=target,
-                name=wire.copy_name(source.address, moved.handle),
-                handle=moved.handle,
-                prepared=prepared.ok_value,
+            is_quick = self._stopping.should_stop(
+                n_copies, copied.ok_value, self._remaining_seconds(source)
             )
-            return await self._take_last_copy(live, live.partial_copy, deadline)
+        prepared = await preparing
+        if isinstance(prepared, Err):
+            failed = CopyFailed(reason=prepared.err_value.reason, status=503)
+            return self._on_copy_failed(live, source, target, failed)
+        return await self._stop(live, source, target, prepared.ok_value)
 
-    async def _take_last_copy(
-        self, live: LiveRun, partial: Copied, deadline: float
+    async def _copy(
+        self,
+        live: LiveRun,
+        source: Registration,
+        target: Registration,
+        deadline: float,
+    ) -> Result[float, CopyFailed]:
+        """Copy a run while it goes on, and return how long that took, in seconds."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        copied = await self._api.copy(
+            source.address,
+            live.ex.facts.attempt_id,
+            target.address,
+            is_last=False,
+            deadline=deadline,
+        )
+        if isinstance(copied, Err):
+            return Err(copied.err_value)
+        moved = copied.ok_value
+        seconds = loop.time() - started_at
+        _log_copied(live, source, target, seconds, moved.n_events, is_last=False)
+        live.partial_copy = Copied(
+            source=source,
+            reg=target,
+            name=wire.copy_name(source.address, moved.handle),
+            handle=moved.handle,
+        )
+        return Ok(seconds)
+
+    async def _stop(
+        self,
+        live: LiveRun,
+        source: Registration,
+        target: Registration,
+        prepared: Prepared,
     ) -> Result[Copied, CopyFailed]:
-        """Stop a run, and return the copy to go on from."""
+        """Stop a run, and return the copy to go on from.
+
+        As long as it isn't known whether the run was stopped, it is copied again: it
+        may go on, and engines drop copies after some seconds.
+        """
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        source, target = partial.source, partial.reg
-        seconds = min(deadline - started_at, LAST_COPY_SECONDS)
-        stop = await self._stops.settle(live, source, target, seconds)
+        stop = await self._settle(live, source, target)
+        while stop is None and not live.is_resuming:
+            await asyncio.sleep(RENEWAL_PAUSE_SECONDS)
+            renewed_by = loop.time() + LAST_COPY_SECONDS
+            if isinstance(await self._copy(live, source, target, renewed_by), Err):
+                break
+            stop = await self._settle(live, source, target)
         if stop is not None and stop.copied is not None:
-            live.partial_copy = None
             seconds = loop.time() - started_at
             _log_copied(live, source, target, seconds, stop.n_created, is_last=True)
-            is_at_target = stop.copied.reg.endpoint == target.endpoint
-            if not is_at_target:
-                return Ok(stop.copied)
-            return Ok(replace(stop.copied, prepared=partial.prepared))
-        reason = UNSETTLED if stop is None else UNKNOWN_RUN
-        _log_failed(live, source, target, CopyFailed(reason=reason), is_last=True)
+            copied = self._use(live, stop.copied)
+            if copied.reg.endpoint != target.endpoint:
+                return Ok(copied)
+            return Ok(replace(copied, prepared=prepared))
+        failed = CopyFailed(reason=UNSETTLED if stop is None else UNKNOWN_RUN)
+        _log_failed(live, source, target, failed, is_last=True)
         if live.stop_orders.judge_end(source.address) is StreamEnd.ENDED:
             self.free_partial(live)
-            return Err(CopyFailed(reason=reason))
-        if stop is None:
-            live.partial_copy = replace(partial, prepared=None)
-            return Err(CopyFailed(reason=reason))
+        partial = live.partial_copy
+        if stop is None or partial is None:
+            return Err(failed)
         live.partial_copy = None
-        return Ok(partial)
+        return Ok(replace(partial, prepared=prepared))
+
+    async def _settle(
+        self, live: LiveRun, source: Registration, target: Registration
+    ) -> RunStop | None:
+        """Stop a run, and wait for the outcome while its stream hasn't ended."""
+        settling = asyncio.ensure_future(
+            self._stops.settle(live, source, target, LAST_COPY_SECONDS)
+        )
+        resuming = asyncio.ensure_future(live.resuming.wait())
+        try:
+            await asyncio.wait(
+                {settling, resuming}, return_when=asyncio.FIRST_COMPLETED
+            )
+            return settling.result() if settling.done() else None
+        finally:
+            resuming.cancel()
+            settling.cancel()
+
+    def _use(self, live: LiveRun, copied: Copied) -> Copied:
+        """Return a last copy, with which the earlier one isn't needed any more."""
+        partial, live.partial_copy = live.partial_copy, None
+        if partial is not None and partial.reg.endpoint != copied.reg.endpoint:
+            # Freed at its source, it would go there as well, maybe with the run's
+            # memory.
+            self._free_at(partial.reg, partial.handle)
+        return copied
 
     def _on_copy_failed(
         self,
@@ -222,18 +287,15 @@
         source: Registration,
         target: Registration,
         failed: CopyFailed,
-        moved: wire.CompletedMove | None,
     ) -> Err[CopyFailed]:
         """Free an incomplete copy, which would occupy memory for seconds."""
-        if moved is not None:
-            self._free(source, target, moved.handle)
         _log_failed(live, source, target, failed, is_last=False)
+        self.free_partial(live)
         return Err(failed)
 
-    def _free(self, source: Registration, target: Registration, handle: str) -> None:
+    def _free_at(self, engine: Registration, handle: str) -> None:
         deadline = asyncio.get_running_loop().time() + FREE_TIMEOUT_SECONDS
-        for engine in (source, target):
-            self._tasks.spawn(self._api.free_copy(engine.address, handle, deadline))
+        self._tasks.spawn(self._api.free_copy(engine.address, handle, deadline))
 
 
 def _log_copied(
--- a/celerytrail/relay/runmover.py
+++ b/celerytrail/relay/runmover.py
@@ -34,6 +34,9 @@
 CLOSE_SECONDS = 0.1
 # Interval between two checks whether it is a run's turn to be moved, in seconds.
 TURN_POLL_SECONDS = 0.005
+# How long a last copy may still take if its run can't go on from another one, in
+# seconds.
+LATE_COPY_SECONDS = 2.0
 # Age of a run from which its backup is expected to be usable, in seconds: engines send
 # it several times a second, and 4,000 tokens take 0.2 s to 0.5 s over a link.
 BACKUP_READY_SECONDS = 0.3
@@ -194,10 +197,30 @@
         """Return the engines that a run has left and at which it may still be."""
         return self._stops.unsettled(live)
 
+    async def find_later_copy(
+        self, live: LiveRun, source: Registration
+    ) -> Copied | None:
+        """Return the last copy of a run that couldn't go on from another one, if any.
+
+        It may come late.
+        """
+        if live.stop_orders.judge_end(source.address) is not StreamEnd.PENDING:
+            return None
+        target = self._placer.choose_move_target(live, source, {source.endpoint})
+        return await self._copies.find_copy(
+            live, source, target, seconds=LATE_COPY_SECONDS
+        )
+
+    def leave(self, live: LiveRun, reg: Registration) -> None:
+        """Free what a run doesn't need that goes on at ``reg``."""
+        self.free_backup(live, reg)
+        self._stops.free_kept(live)
+        self._copies.free_partial(live)
+
     def end(self, live: LiveRun) -> None:
         """Discard what a run that is over would go on from."""
         live.is_over = True
-        self._stops.end_run(live)
+        self._stops.free_kept(live)
         self._copies.free_partial(live)
         self._discard_move(live)
 
@@ -211,8 +234,10 @@
             moved = move.result()
             if isinstance(moved, Switched):
                 moved.stream.close()
-            elif moved is not None and moved.prepared is not None:
-                self._opener.discard_prepared(moved.prepared)
+            elif moved is not None:
+                self._copies.free(moved)
+                if moved.prepared is not None:
+                    self._opener.discard_prepared(moved.prepared)
 
     def free_backup(self, live: LiveRun, reg: Registration) -> None:
         """Free the backup that a run no longer needs when it continues at ``reg``."""
--- a/celerytrail/relay/runstops.py
+++ b/celerytrail/relay/runstops.py
@@ -153,8 +153,8 @@
         if stopping is not None:
             stopping.goes_on = True
 
-    def end_run(self, live: LiveRun) -> None:
-        """Free the copies of a run that is over."""
+    def free_kept(self, live: LiveRun) -> None:
+        """Free the copies of a run that nobody has awaited."""
         attempt_id = live.ex.facts.attempt_id
         for key in [key for key in self._kept if key[0] == attempt_id]:
             self.free(self._kept.pop(key))
--- a/tests/test_relay_stopped_streams_review.py
+++ b/tests/test_relay_stopped_streams_review.py
@@ -169,6 +169,8 @@
         n_events=3,
         run=SimpleNamespace(n_tokens=9, endpoint="e0"),
         partial_copy=None,
+        resuming=asyncio.Event(),
+        is_resuming=False,
         move=None,
         broken_at=set(),
     )
@@ -249,7 +251,7 @@
             moving = asyncio.ensure_future(switch.switch(live, TARGET))
             await asyncio.sleep(leave_seconds)
             live.is_over = True
-            stops.end_run(live)
+            stops.free_kept(live)
             moving.cancel()
             await asyncio.wait({moving})
             await asyncio.sleep(2.0)
