--- a/tests/test_relay_stopped_streams_review.py
+++ b/tests/test_relay_stopped_streams_review.py
@@ -294,6 +294,35 @@
 
         run_fleet(1, test, 1)
 
+    @pytest.mark.parametrize("loss", [StopLoss.RESET, StopLoss.UNREAD])
+    def test_a_run_that_ends_at_the_next_start_of_its_engine_is_whole(self, loss):
+        """Guards against whole answers that are cut for orders to a former start."""
+
+        async def test(fleet: Fleet) -> None:
+            fleet.change(services=without_backups())
+            drafts = Drafts(fleet)
+            await drafts.start(2)
+            for engine in drafts.rig.engines.values():
+                engine.answer_ends = AnswerEnds(unframed_share=1.0)
+                engine.handover_faults = HandoverFaults(stop_loss=loss)
+            ended = await drafts.run()
+            first = drafts.busiest
+            first.leaving_at = now() + 2.0
+            drafts.rig.write_row(first, "draining")
+            await asyncio.sleep(2.6)
+            again = await drafts.rig.start_again(first, "v1")
+            again.answer_ends = AnswerEnds(unframed_share=1.0)
+            await asyncio.sleep(0.5)
+            (other,) = [one for one in drafts.rig.engines.values() if one is not again]
+            other.handover_faults = HandoverFaults()
+            await drafts.rig.leave(other, 4.0)
+            await ended
+            lasted = [one for one in drafts.streams if len(one.events) == one.n_events]
+            assert any(one.events[-1].sender.born == 2 for one in lasted)
+            assert [one for one in lasted if not one.is_complete] == []
+
+        run_fleet(1, test, 1)
+
 
 class TestPathsOverNodes:
     @pytest.mark.parametrize(
