Show that records of last copies tell what did not happen

What operators saw: 'copied' to an engine that has refused the copy, and 'move_failed' with was_sent for orders that weren't sent.

No logic is changed.

--- a/tests/test_relay_stopped_streams_review.py
+++ b/tests/test_relay_stopped_streams_review.py
@@ -219,6 +219,37 @@
         assert (str(TARGET.address), "m1") in run(steps)
 
 
+class TestLogs:
+    """What is written of orders that didn't move their runs."""
+
+    @staticmethod
+    def logged(answer):
+        """Return the lines of a move whose last copy is answered so."""
+        lines = []
+
+        async def steps():
+            api = FakeApi((0.2, copied()), (0.2, copied()), *[(0.2, answer)] * 60)
+            mover, live = mover_of(api), moved_run()
+            live.ex.log = lambda kind, **more: lines.append({"kind": kind, **more})
+            deadline = asyncio.get_running_loop().time() + 4.0
+            await mover._copies.copy_and_stop(live, SOURCE, TARGET, deadline)
+
+        run(steps)
+        return [line for line in lines if line.get("is_last")]
+
+    def test_a_refused_last_copy_is_not_written_as_made(self):
+        """Guards against records of moves that tell of copies which don't exist."""
+        kept = Err(CopyFailed(reason="refused", status=503, handle="m1"))
+        (line,) = self.logged(kept)
+        assert (line["kind"], line["status"]) == ("move_failed", 503)
+
+    def test_an_order_that_was_not_sent_is_written_as_such(self):
+        """Guards against records that don't tell lost orders from unsent ones."""
+        unsent = Err(CopyFailed(reason="connect_refused", was_sent=False))
+        (line,) = self.logged(unsent)
+        assert (line["kind"], line["was_sent"]) == ("move_failed", False)
+
+
 class TestCallersWhoLeave:
     @pytest.mark.parametrize("leave_seconds", [0.3, 0.5, 0.7])
     def test_the_copy_of_a_run_that_is_moved_is_freed(self, leave_seconds):
