Tell starts of an engine apart in orders, and log what became of them

What operators saw: 'copied' to an engine that had refused the copy, and 'move_failed' with was_sent for orders that weren't sent.

Cause: orders were known by address only, so that an order to a former start counted for the next one, which knows nothing of it; the mover logged a failure of its own making in place of the engine's answer.

Change: an order concerns the start that it was given to, or any start if one isn't known or the order was still open when a stream began there. The outcome of a stop holds how it has failed, and the log has that.

--- a/celerytrail/relay/crashes/fates.py
+++ b/celerytrail/relay/crashes/fates.py
@@ -11,9 +11,9 @@
 from ...http.client import HttpClient
 from ...model import Registration
 from ..engineapi import EngineApi
-from ..liverun import UNKNOWN_START
 from ..outcomes import CONNECT_REFUSED
 from ..registry import Registry
+from ..stoporders import UNKNOWN_START
 
 # Timeout of one question to an endpoint, and the pause after one that failed, in
 # seconds.
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -368,7 +368,7 @@
             sending.check = self._starts.begin(sending.admission.reg)
         sending.sent_at = asyncio.get_running_loop().time()
         live = sending.live
-        live.stop_orders.begin_stream(sending.admission.reg.address)
+        live.stop_orders.begin_stream(sending.admission.reg)
         if sending.copied is None:
             live.sent_at = sending.sent_at
             live.is_unanswered = True
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -36,7 +36,7 @@
     refuse,
     seconds_until,
 )
-from .liverun import UNKNOWN_START, LiveRun, Move, Switched
+from .liverun import LiveRun, Move, Switched
 from .originbroker import OriginBroker
 from .outcomes import (
     BROKEN_OFF,
@@ -48,6 +48,7 @@
 from .peerupdates import PeerUpdates
 from .resumption import VERSION_GONE
 from .runmover import RunMover
+from .stoporders import UNKNOWN_START
 
 # Engines that may refuse a generation before it is refused to the caller.
 MAX_REFUSALS = 3
@@ -331,7 +332,7 @@
             if is_end and splitter.is_empty and await self._has_ended(live):
                 break
             assert live.reg is not None
-            orders = live.stop_orders.judge_end(live.reg.address)
+            orders = live.stop_orders.judge_end(live.reg)
             reason = _reason_of_break(chunk, splitter, orders)
             live.stream.close()
             splitter.clear()
@@ -378,7 +379,7 @@
         seconds = min(END_SECONDS, live.ex.seconds_left)
         try:
             async with asyncio.timeout(seconds):
-                end = await live.stop_orders.await_end(live.reg.address)
+                end = await live.stop_orders.await_end(live.reg)
         except TimeoutError:
             return False
         return end is StreamEnd.ENDED
@@ -389,7 +390,7 @@
         It is counted for streams that end with their connections.
         """
         assert live.reg is not None and live.stream is not None
-        end = live.stop_orders.judge_end(live.reg.address)
+        end = live.stop_orders.judge_end(live.reg)
         if not live.stream.is_framed:
             live.ex.metrics.count("relay_streams_ended_by_close", by_orders=end.value)
         return end
--- a/celerytrail/relay/liverun.py
+++ b/celerytrail/relay/liverun.py
@@ -14,10 +14,7 @@
 from ..policies.waiting import Waiting
 from .endpointgate import Admission
 from .exchange import Exchange
-from .stoporders import StopOrders
-
-# The start of an engine that doesn't answer; no row has it.
-UNKNOWN_START = -1
+from .stoporders import UNKNOWN_START, StopOrders
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/celerytrail/relay/runcopies.py
+++ b/celerytrail/relay/runcopies.py
@@ -29,8 +29,7 @@
 # How long a run whose stream has ended waits until it is known what stopped it, in
 # seconds.
 SETTLE_SECONDS = 0.3
-# Why a run wasn't stopped: its engine doesn't know it, or hasn't answered.
-UNKNOWN_RUN = "unknown_run"
+# Why there is no last copy of a run: its engine hasn't answered.
 UNSETTLED = "unsettled"
 
 Preparing = asyncio.Task[Result[Prepared, NotExecuted]]
@@ -127,7 +126,7 @@
         Copied or None
             None if it wasn't stopped, or nothing of it is known to exist.
         """
-        end = live.stop_orders.judge_end(source.address)
+        end = live.stop_orders.judge_end(source)
         partial = live.partial_copy
         if end is StreamEnd.ENDED:
             return None
@@ -238,23 +237,35 @@
             if isinstance(await self._copy(live, source, target, renewed_by), Err):
                 break
             stop = await self._settle(live, source, target)
-        if stop is not None and stop.copied is not None:
+        failed = self._failure(live, source, stop)
+        if failed is None:
+            n_created = stop.n_created if stop is not None else None
             seconds = loop.time() - started_at
-            _log_copied(live, source, target, seconds, stop.n_created, is_last=True)
+            _log_copied(live, source, target, seconds, n_created, is_last=True)
+        else:
+            _log_failed(live, source, target, failed, is_last=True)
+        if stop is not None and stop.copied is not None:
             copied = self._use(live, stop.copied)
             if copied.reg.endpoint != target.endpoint:
                 return Ok(copied)
             return Ok(replace(copied, prepared=prepared))
-        failed = CopyFailed(reason=UNSETTLED if stop is None else UNKNOWN_RUN)
-        _log_failed(live, source, target, failed, is_last=True)
-        if live.stop_orders.judge_end(source.address) is StreamEnd.ENDED:
+        if live.stop_orders.judge_end(source) is StreamEnd.ENDED:
             self.free_partial(live)
         partial = live.partial_copy
         if stop is None or partial is None:
-            return Err(failed)
+            return Err(CopyFailed(reason=UNSETTLED))
         live.partial_copy = None
         return Ok(replace(partial, prepared=prepared))
 
+    def _failure(
+        self, live: LiveRun, source: Registration, stop: RunStop | None
+    ) -> CopyFailed | None:
+        """Return how an order for a last copy has failed, None if it hasn't."""
+        if stop is not None:
+            return stop.failed
+        failed = self._stops.latest_failure(live, source)
+        return failed or CopyFailed(reason=UNSETTLED)
+
     async def _settle(
         self, live: LiveRun, source: Registration, target: Registration
     ) -> RunStop | None:
@@ -337,6 +348,6 @@
         status=failed.status,
         was_sent=failed.was_sent,
         n_events=live.n_events,
-        by_orders=live.stop_orders.judge_end(source.address).value,
+        by_orders=live.stop_orders.judge_end(source).value,
         is_last=is_last,
     )
--- a/celerytrail/relay/runmover.py
+++ b/celerytrail/relay/runmover.py
@@ -204,7 +204,7 @@
 
         It may come late.
         """
-        if live.stop_orders.judge_end(source.address) is not StreamEnd.PENDING:
+        if live.stop_orders.judge_end(source) is not StreamEnd.PENDING:
             return None
         target = self._placer.choose_move_target(live, source, {source.endpoint})
         return await self._copies.find_copy(
@@ -282,7 +282,7 @@
             await asyncio.sleep(SWITCH_PAUSE_SECONDS)
         if live.reg != source or source is None or not live.engine.can_move:
             return None
-        if live.stop_orders.judge_end(source.address) is not StreamEnd.ENDED:
+        if live.stop_orders.judge_end(source) is not StreamEnd.ENDED:
             # It may have been stopped, and its backup is what is left of it.
             return None
         if live.backup is not None:
--- a/celerytrail/relay/runstops.py
+++ b/celerytrail/relay/runstops.py
@@ -7,13 +7,13 @@
 from dataclasses import dataclass, field
 
 from eliot import log_message
-from result import Err
+from result import Ok
 
 from ..model import Registration
 from ..platform import wire
 from ..policies.runstops import GIVE_UP_SECONDS, StopState, judge_stop, next_pause
 from ..supervision import BackgroundTasks
-from .engineapi import EngineApi, effect_of
+from .engineapi import CopyFailed, EngineApi, effect_of
 from .liverun import Copied, LiveRun
 from .outcomes import UNREACHABLE_REASONS
 
@@ -30,13 +30,15 @@
 class RunStop:
     """What became of a run at an engine that it has left.
 
-    ``copied`` is the copy of it that the engine made when it stopped, if it did, and
-    ``n_created`` the events that the engine had made by then, if it says so.
+    ``copied`` is the copy of it that the engine made when it stopped, if it did,
+    ``n_created`` the events that the engine had made by then, if it says so, and
+    ``failed`` the answer of an engine that hasn't copied it to another one.
     """
 
     state: StopState
     copied: Copied | None = None
     n_created: int | None = None
+    failed: CopyFailed | None = None
 
 
 @dataclass(kw_only=True, slots=True)
@@ -54,6 +56,7 @@
     has_tried: asyncio.Event = field(default_factory=asyncio.Event)
     is_claimed: bool = False
     goes_on: bool = False
+    latest: RunStop | None = None
 
 
 class RunStops:
@@ -143,6 +146,13 @@
                 if stopping.task.done():
                     self._keep_or_free(stopping, stopping.task)
 
+    def latest_failure(self, live: LiveRun, reg: Registration) -> CopyFailed | None:
+        """Return how the latest request to stop a run at an engine has failed."""
+        stopping = self._stoppings.get((live.ex.facts.attempt_id, reg.endpoint))
+        if stopping is None or stopping.latest is None:
+            return None
+        return stopping.latest.failed
+
     def forget(self, live: LiveRun, reg: Registration) -> None:
         """Ask an engine no more, since a run goes on there.
 
@@ -236,6 +246,7 @@
             if stopping.goes_on or loop.time() - began_at >= GIVE_UP_SECONDS:
                 break
             stop, was_reached = await self._request(live, reg, target)
+            stopping.latest = stop
             if not was_reached:
                 stopping.has_tried.set()
             delay_seconds = next_pause(delay_seconds)
@@ -252,7 +263,7 @@
         self, live: LiveRun, reg: Registration, target: Registration
     ) -> tuple[RunStop, bool]:
         """Return what an engine says of a run, and whether it was reached."""
-        with live.stop_orders.giving(reg.address) as order:
+        with live.stop_orders.giving(reg) as order:
             answered = await self._api.copy(
                 reg.address,
                 live.ex.facts.attempt_id,
@@ -261,17 +272,18 @@
                 deadline=asyncio.get_running_loop().time() + REQUEST_SECONDS,
             )
             order.settle(effect_of(answered))
-        if isinstance(answered, Err):
-            failed = answered.err_value
-            copy_at, handle, n_created = reg, failed.handle, None
-            state = judge_stop(status=failed.status, has_copy=handle is not None)
-            if handle is None:
-                was_reached = failed.reason not in UNREACHABLE_REASONS
-                return RunStop(state=state), was_reached
-        else:
-            copy_at, handle = target, answered.ok_value.handle
-            n_created = answered.ok_value.n_events
+        if isinstance(answered, Ok):
+            moved = answered.ok_value
+            copied = _copy_of(reg, target, moved.handle)
             state = StopState.STOPPED
-        name = wire.copy_name(reg.address, handle)
-        copied = Copied(source=reg, reg=copy_at, name=name, handle=handle)
-        return RunStop(state=state, copied=copied, n_created=n_created), True
+            return RunStop(state=state, copied=copied, n_created=moved.n_events), True
+        failed = answered.err_value
+        state = judge_stop(status=failed.status, has_copy=failed.handle is not None)
+        kept = None if failed.handle is None else _copy_of(reg, reg, failed.handle)
+        was_reached = failed.reason not in UNREACHABLE_REASONS
+        return RunStop(state=state, copied=kept, failed=failed), was_reached
+
+
+def _copy_of(source: Registration, reg: Registration, handle: str) -> Copied:
+    name = wire.copy_name(source.address, handle)
+    return Copied(source=source, reg=reg, name=name, handle=handle)
--- a/tests/test_run_stops_ends.py
+++ b/tests/test_run_stops_ends.py
@@ -62,7 +62,9 @@
 
 
 def reg(name, port):
-    return SimpleNamespace(endpoint=name, address=local(port), version="v1")
+    return SimpleNamespace(
+        endpoint=name, address=local(port), version="v1", started_at=1
+    )
 
 
 SOURCE, TARGET = reg("e0", 1), reg("e1", 2)
--- a/tests/test_stop_orders.py
+++ b/tests/test_stop_orders.py
@@ -13,9 +13,8 @@
     judge_order,
 )
 from celerytrail.relay.stoporders import StopOrders
-from tests.relayrig import local
-
-ENGINE, OTHER = local(1), local(2)
+from tests.test_run_stops_ends import SOURCE as ENGINE
+from tests.test_run_stops_ends import TARGET as OTHER
 
 
 class TestJudgeOrder:
