Count each unframed end by its judgement, and test outcomes nobody awaits

What operators saw: relay_streams_ended_by_close counted whole streams only, which are all 'ended' since the fix, and a stalled stream or one that sends no events was logged as stopped while an order was open.

Change: the end is counted where it is judged; a stalled stream and one without events keep their reasons.

--- a/celerytrail/metrics.py
+++ b/celerytrail/metrics.py
@@ -119,7 +119,7 @@
 # Help texts of all metrics; using a name that is not declared here is a bug.
 COUNTERS = {
     "relay_streams_ended_by_close": (
-        "Whole streams that ended with their connections, by what is known of the"
+        "Streams that ended in order with their connections, by what is known of the"
         " orders to stop their runs."
     ),
     "waits": "Generations that had to wait for an engine, by outcome.",
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable, Collection
 from dataclasses import replace
@@ -349,7 +350,7 @@
                 return
             live.stream = resumed
         live.is_complete = True
-        orders = self._end_by_orders(live)
+        assert live.reg is not None
         if live.n_events < N_BEGUN_EVENTS:
             self._on_begun(ex.prompt)
         self._on_whole(ex.prompt)
@@ -364,7 +365,7 @@
             n_runs=live.n_runs,
             longest_pause=round(live.longest_pause, 3),
             is_framed=live.stream.is_framed,
-            by_orders=orders.value,
+            by_orders=live.stop_orders.judge_end(live.reg).value,
         )
 
     async def _has_ended(self, live: LiveRun) -> bool:
@@ -376,25 +377,13 @@
         assert live.reg is not None and live.stream is not None
         if live.stream.is_framed:
             return True
-        seconds = min(END_SECONDS, live.ex.seconds_left)
-        try:
-            async with asyncio.timeout(seconds):
+        end = StreamEnd.PENDING
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(min(END_SECONDS, live.ex.seconds_left)):
                 end = await live.stop_orders.await_end(live.reg)
-        except TimeoutError:
-            return False
+        live.ex.metrics.count("relay_streams_ended_by_close", by_orders=end.value)
         return end is StreamEnd.ENDED
 
-    def _end_by_orders(self, live: LiveRun) -> StreamEnd:
-        """Return what the orders to stop a run say of its stream's end, and count it.
-
-        It is counted for streams that end with their connections.
-        """
-        assert live.reg is not None and live.stream is not None
-        end = live.stop_orders.judge_end(live.reg)
-        if not live.stream.is_framed:
-            live.ex.metrics.count("relay_streams_ended_by_close", by_orders=end.value)
-        return end
-
     def _record_lost(self, live: LiveRun, reason: str) -> None:
         if live.reg is not None:
             self._opener.record_lost(live, live.reg, reason)
@@ -565,9 +554,9 @@
     orders: StreamEnd,
 ) -> str:
     """Return why a stream doesn't go on at its engine."""
-    if orders is not StreamEnd.ENDED:
-        return STOPPED
-    if isinstance(chunk, Err):
+    if isinstance(chunk, Err) and chunk.err_value.reason != BROKEN_OFF:
         return chunk.err_value.reason
+    if splitter.is_overlong:
+        return NO_EVENTS
     # A stream may end properly by its framing and yet inside an event.
-    return NO_EVENTS if splitter.is_overlong else BROKEN_OFF
+    return BROKEN_OFF if orders is StreamEnd.ENDED else STOPPED
--- a/tests/test_relay_stopped_streams_review.py
+++ b/tests/test_relay_stopped_streams_review.py
@@ -110,9 +110,12 @@
 
         run_fleet(1, test, 1)
 
-    @pytest.mark.parametrize("read_seconds", [0.5, 4.5])
+    @pytest.mark.parametrize(
+        ("read_seconds", "unframed_share", "max_seconds"),
+        [(0.5, 1.0, MIN_GAP_SECONDS), (4.5, 1.0, MIN_GAP_SECONDS), (4.5, 0.0, 0.1)],
+    )
     def test_the_end_of_a_run_is_not_awaited_longer_than_callers_wait(
-        self, read_seconds
+        self, read_seconds, unframed_share, max_seconds
     ):
         """Guards against whole answers whose callers have left before their ends."""
 
@@ -121,7 +124,7 @@
             drafts = Drafts(fleet)
             await drafts.start()
             for engine in drafts.rig.engines.values():
-                engine.answer_ends = AnswerEnds(unframed_share=1.0)
+                engine.answer_ends = AnswerEnds(unframed_share=unframed_share)
             callers = drafts.rig.callers(
                 per_second=20.0, seed=1, routes=("draft",), n_mean_events=20.0
             )
@@ -133,7 +136,7 @@
             await drafts.rig.leave(left, 9.0)
             await ended
             assert short_of(callers) == []
-            assert max(waits) < MIN_GAP_SECONDS
+            assert max(waits) < max_seconds
 
         run_fleet(1, test, 1)
 
--- a/tests/test_run_stops_ends.py
+++ b/tests/test_run_stops_ends.py
@@ -11,7 +11,7 @@
 
 from celerytrail.http.client import HttpClient
 from celerytrail.http.network import SystemNetwork
-from celerytrail.policies.runstops import StopState
+from celerytrail.policies.runstops import StopState, StreamEnd
 from celerytrail.relay.backupswitch import BackupSwitch
 from celerytrail.relay.engineapi import CopyFailed, EngineApi
 from celerytrail.relay.liverun import Prepared
@@ -78,6 +78,37 @@
         close_loop(loop)
 
 
+class TestOutcomesThatNobodyAwaits:
+    def test_the_copy_of_a_run_that_is_still_there_is_kept_for_it(self):
+        """Guards against a stop whose outcome comes late and that loses the run."""
+
+        async def steps():
+            api = FakeApi((0.5, copied()))
+            stops, live = RunStops(api=api), live_run(reg=SOURCE)
+            assert await stops.settle(live, SOURCE, TARGET, 0.2) is None
+            await asyncio.sleep(1.0)
+            stop = await stops.settle(live, SOURCE, TARGET, 0.2)
+            return stop.copied.handle, len(api.asked), api.freed
+
+        assert run(steps) == ("m1", 1, [])
+
+    def test_an_order_under_way_counts_for_a_run_that_has_come_back(self):
+        """Guards against a former stop that ends the run's next stream."""
+
+        async def steps():
+            api = FakeApi((0.5, refused(500)), (0.1, copied()))
+            stops, live = RunStops(api=api), live_run(reg=SOURCE)
+            stops.stop(live, SOURCE, TARGET)
+            await asyncio.sleep(0.2)
+            stops.forget(live, SOURCE)
+            live.stop_orders.begin_stream(SOURCE)
+            during = live.stop_orders.judge_end(SOURCE)
+            await asyncio.sleep(2.0)
+            return during, live.stop_orders.judge_end(SOURCE), len(api.asked)
+
+        assert run(steps) == (StreamEnd.PENDING, StreamEnd.UNKNOWN, 1)
+
+
 class TestFreedCopies:
     def test_a_copy_is_freed_whose_run_ends_while_it_is_awaited(self):
         """Guards against copies that are left by callers who go."""
