Break off unframed answers that end at their time limit

What callers saw (in tests; not in the users' record): a 200 with a part of an answer, as a whole one, when an endpoint stops at its time limit.

Cause: a request is sent on with the time that is left, and an endpoint stops work then. Where its answer has neither a length nor chunks, the close that we have asked for looks like the end of the body. The node's own timer should fire in the same millisecond; if the close is read first, or the process stood still meanwhile, the part was taken for whole and framed as such. A route's timeout is sent on too, so that the caller may still be waiting.

Evidence: 8 requests at an endpoint that sends a part and closes in order at the limit it was sent, 1.5 s; 5 plays a row. Parts taken for whole:

before after streams 1 of 40 0 of 40 streams, node suspended 40 of 40 0 of 40 calls, 200 15 of 40 0 of 40 calls, 200, suspended 40 of 40 0 of 40 calls, 404 5 of 40 0 of 40 calls, 404, suspended 40 of 40 0 of 40

7 of the 10 new tests failed on the code before; the awake case of streams passed in that run, and failed in an earlier one.

--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-from result import Err
+from result import Err, Ok
 
 from ..http.client import HttpClient, NotSent, RequestLost
 from ..http.messages import Response
@@ -32,6 +32,7 @@
     BROKEN_OFF,
     CONNECT_REFUSED,
     CONNECT_TIMEOUT,
+    TIMEOUT,
     UNREACHABLE_REASONS,
     Failed,
     NotExecuted,
@@ -472,6 +473,8 @@
             await stream.read(ex.loop_deadline, n_max_bytes=MAX_REFUSAL_BYTES)
             return NotExecuted(reason="endpoint_refused", was_sent=True)
         body = await stream.read(ex.loop_deadline)
+        if isinstance(body, Ok) and not ex.is_own_end(stream):
+            body = Err(RequestLost(reason=TIMEOUT))
         if isinstance(body, Err):
             lost: RequestLost = body.err_value
             _log_failed(ex, reg, lost.reason)
--- a/celerytrail/relay/exchange.py
+++ b/celerytrail/relay/exchange.py
@@ -10,6 +10,7 @@
 from eliot import log_message
 
 from ..clock import Clock
+from ..http.client import Stream
 from ..http.messages import Request
 from ..http.server import Responder
 from ..metrics import Metrics
@@ -21,6 +22,9 @@
 
 # The least Retry-After, in seconds.
 MIN_RETRY_SECONDS = 0.01
+# Margin of the time limit that endpoints are sent, in seconds: it is sent in whole
+# milliseconds, and measured by their own clocks.
+LIMIT_MARGIN_SECONDS = 0.01
 
 
 class CallerDisconnectedError(Exception):
@@ -124,6 +128,14 @@
         """
         return self.seconds_left > 0
 
+    def is_own_end(self, stream: Stream) -> bool:
+        """Return whether an answer that has just ended is whole.
+
+        An endpoint stops work at the time limit that it was sent. Where a body ends
+        with its connection, one that was stopped looks the same as a whole one.
+        """
+        return stream.is_framed or self.seconds_left > LIMIT_MARGIN_SECONDS
+
     async def run_while_connected(self, work: Coroutine[Any, Any, T]) -> T:
         """Await a coroutine, and cancel it as soon as the caller disconnects.
 
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -41,6 +41,7 @@
 from .outcomes import (
     BROKEN_OFF,
     CONNECT_REFUSED,
+    TIMEOUT,
     UNREACHABLE_REASONS,
     Failed,
     NotExecuted,
@@ -302,11 +303,15 @@
         """Send the caller an answer that isn't a stream of events."""
         ex = live.ex
         body = await stream.read(ex.loop_deadline)
+        if isinstance(body, Ok) and not ex.is_own_end(stream):
+            body = Err(RequestLost(reason=TIMEOUT))
         attempt = ex.facts.attempt_id
         if isinstance(body, Err):
-            self._record_lost(live, body.err_value.reason)
-            ex.log("failed", reason=body.err_value.reason)
-            await refuse(ex.res, 502, body.err_value.reason, attempt_id=attempt)
+            reason = body.err_value.reason
+            status = failure_status(reason)
+            self._record_lost(live, reason)
+            ex.log("failed", reason=reason, status=status)
+            await refuse(ex.res, status, reason, attempt_id=attempt)
             return
         if stream.status < 500:
             self._on_whole(ex.prompt)
@@ -328,6 +333,8 @@
                 if not splitter.is_overlong:
                     continue
             is_end = isinstance(chunk, Ok) and chunk.ok_value is None
+            if is_end and not ex.is_own_end(live.stream):
+                chunk, is_end = Err(RequestLost(reason=TIMEOUT)), False
             if is_end and splitter.is_empty and await self._has_ended(live):
                 break
             assert live.reg is not None
--- a/celerytrail/relay/outcomes.py
+++ b/celerytrail/relay/outcomes.py
@@ -6,6 +6,8 @@
 
 # The client's reason when an endpoint closed the connection before its answer's end.
 BROKEN_OFF = "cut"
+# The client's reason when a request's deadline has passed.
+TIMEOUT = "timeout"
 # The client's reasons when it couldn't connect to an endpoint on any path.
 CONNECT_REFUSED = "connect_refused"
 CONNECT_TIMEOUT = "connect_timeout"
