Refuse empty pages behind which more rows follow

What callers saw: nothing yet; found while looking for ends that are inferred. A page of rows without any row ended a table though it said that more follow: endpoints whose rows were on later pages counted as gone, and a row that was asked for by its key as absent.

Cause: reading a table stopped at a page without rows, whatever `has-more` said, and other readers of pages dropped `has-more`.

Evidence: the new test failed on the code before (an Ok with no rows).

Change: such a page can't be read, and is asked for again as other bad answers of the store are. A page without `has-more` is still the last one: the feed's pages have none.

--- a/celerytrail/platform/rows.py
+++ b/celerytrail/platform/rows.py
@@ -60,7 +60,7 @@
             rows += changes.rows
             # The feed from the first page's version repeats what changed between pages.
             version = changes.version if version is None else version
-            if not has_more or not changes.rows:
+            if not has_more:
                 return Ok(Changes(rows=tuple(rows), version=version))
             start = changes.rows[-1].key + "\0"
             deadline = min(last_deadline, max(deadline, loop.time() + PAGE_SECONDS))
--- a/celerytrail/platform/storewire.py
+++ b/celerytrail/platform/storewire.py
@@ -12,7 +12,7 @@
 from urllib.parse import quote, urlencode
 
 import msgspec
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from ..decoding import contained
 from ..http.messages import Response
@@ -100,8 +100,11 @@
     """Decode a page of rows, and whether more follow."""
     raw = msgspec.json.decode(res.body)
     rows = tuple(_decode_row(row) for row in raw["rows"])
+    has_more = bool(raw.get("has-more"))
+    if has_more and not rows:
+        return Err("an empty page behind which more rows follow")
     changes = Changes(rows=rows, version=int(raw["ver"]))
-    return Ok((changes, bool(raw.get("has-more"))))
+    return Ok((changes, has_more))
 
 
 @contained
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -24,6 +24,7 @@
     Transaction,
 )
 from celerytrail.platform.vms import StoreVmList, node_addresses
+from celerytrail.rowsource import StoreUnavailable
 from celerytrail.types import Address
 from standins.faults import Fault
 from standins.platform import PlatformStandin
@@ -39,6 +40,13 @@
         await res.send(200, b"<html>It works!</html>")
 
 
+class EmptyPages(Handler):
+    """Answers each read with an empty page behind which more rows follow."""
+
+    async def handle(self, req, res):
+        await res.send_json(200, {"rows": [], "ver": 7, "has-more": True})
+
+
 class BusyPlatform(Handler):
     """Turns calls away and asks for a pause."""
 
@@ -166,6 +174,19 @@
         rest = await table.scan("p/", after=first[-1].key, limit=2, deadline=soon())
         assert [row.key for row in (*first, *rest.ok_value)] == keys[:3]
 
+    async def test_an_empty_page_is_not_the_last_if_more_rows_follow(self):
+        """Guards against a table whose further rows are taken for gone."""
+        store = EmptyPages()
+        server = HttpServer(handler=store)
+        exchanger = make_client(await server.start(LOOPBACK))
+        scanned = await HttpTable(exchanger=exchanger).scan("p/", deadline=soon(1.0))
+        assert isinstance(scanned.err_value, Unavailable)
+        found = await HttpTable(exchanger=exchanger).read(["p/1"], soon(1.0))
+        assert isinstance(found.err_value, Unavailable)
+        read = await PlatformRows(exchanger=exchanger).read("servers", soon(1.0))
+        assert isinstance(read.err_value, StoreUnavailable)
+        await server.close()
+
     async def test_rate_limited_write_is_certainly_without_effect(self):
         """All nodes share the store's rate limit. A write beyond it is refused and
         reported as without effect.
