Scan on behind pages of the table that end early

What callers saw: nothing yet; found while looking for ends that are inferred. The console's list of claims to settle ended at a page that the store had cut at 1 MB, and the sweeper of claims began anew there: claims behind it were neither shown nor ever deleted.

Cause: a scan returned one page, and its callers take fewer rows than they asked for as the last ones. A page has up to 1 MB, so that fewer may come though more follow; `has-more`, which says so, was dropped. The stand-in of the store bounded pages by rows only.

Change: a scan reads on until it has all rows that were asked for, or the store says that no more follow. Scans of small rows cost one call, as before.

--- a/celerytrail/platform/table.py
+++ b/celerytrail/platform/table.py
@@ -181,31 +181,39 @@
         for read in await asyncio.gather(*reads):
             if isinstance(read, Err):
                 return Err(read.err_value)
-            rows_by_key.update((row.key, row) for row in read.ok_value)
+            rows, _ = read.ok_value
+            rows_by_key.update((row.key, row) for row in rows)
         return Ok(rows_by_key)
 
     async def scan(
         self, prefix: str, *, after: str = "", limit: int = 100, deadline: float
     ) -> Result[tuple[Row, ...], Unavailable]:
-        """Return rows in key order."""
+        """Return rows in key order, from as many pages as hold them."""
         start = max(prefix, after + "\0" if after else "")
-        return await self._range(
-            "scan",
-            start,
-            prefix + LAST_CHARACTER,
-            min(limit, storewire.MAX_ROWS),
-            deadline,
-        )
+        end = prefix + LAST_CHARACTER
+        limit = min(limit, storewire.MAX_ROWS)
+        rows: tuple[Row, ...] = ()
+        while True:
+            n_left = limit - len(rows)
+            page = await self._range("scan", start, end, n_left, deadline)
+            if isinstance(page, Err):
+                return Err(page.err_value)
+            found, has_more = page.ok_value
+            rows += found
+            # A page ends early if its rows are large.
+            if not has_more or len(rows) >= limit:
+                return Ok(rows)
+            start = rows[-1].key + "\0"
 
     async def _range(
         self, kind: str, start: str, end: str, limit: int, deadline: float
-    ) -> Result[tuple[Row, ...], Unavailable]:
+    ) -> Result[tuple[tuple[Row, ...], bool], Unavailable]:
+        """Return a page of rows, and whether more follow."""
         path = storewire.range_path(PRODUCT_TABLE, start=start, end=end, limit=limit)
         result = await self._exchanger.fetch(kind, "GET", path, deadline=deadline)
         if isinstance(result, Err):
             return Err(result.err_value)
-        page = storewire.decode_page(result.ok_value)
-        decoded = page.and_then(lambda found: _decode_rows(found[0].rows))
+        decoded = storewire.decode_page(result.ok_value).and_then(_decode_page)
         if isinstance(decoded, Ok):
             return Ok(decoded.ok_value)
         problem = decoded.err_value
@@ -213,6 +221,14 @@
         return Err(Unavailable(reason="bad_answer", detail=problem))
 
 
+@contained
+def _decode_page(
+    page: tuple[rowsource.Changes, bool],
+) -> Result[tuple[tuple[Row, ...], bool], str]:
+    changes, has_more = page
+    return Ok((tuple(map(_row, changes.rows)), has_more))
+
+
 @contained
 def _decode_rows(rows: Sequence[rowsource.Row]) -> Result[tuple[Row, ...], str]:
     return Ok(tuple(map(_row, rows)))
--- a/standins/rowstore.py
+++ b/standins/rowstore.py
@@ -23,6 +23,8 @@
 from .rowtable import RowId, RowTable, StoredRow
 
 MAX_ROWS = 500
+# Bytes of values in one response, unless its first row is larger.
+MAX_PAGE_BYTES = 1_000_000
 OBJECT_PATHS = ("/api/blob-put/", "/api/blob-get/")
 
 
@@ -113,8 +115,9 @@
         rows = visible.find(
             query.get("table", ""), query.get("from", ""), query.get("to"), limit
         )
-        answer = self._page(rows[:limit], visible.version)
-        await res.send_json(200, {**answer, "has-more": len(rows) > limit})
+        page = _first_page(rows[:limit])
+        answer = self._page(page, visible.version)
+        await res.send_json(200, {**answer, "has-more": len(rows) > len(page)})
 
     async def _answer_feed(self, res: Responder, query: dict[str, str]) -> None:
         table, after = query["table"], int(query["after"])
@@ -167,6 +170,16 @@
         return {"rows": [_to_wire(row) for row in rows], "ver": version, "now-ms": 0}
 
 
+def _first_page(rows: list[StoredRow]) -> list[StoredRow]:
+    """Return the first rows that fit into one response, one at least."""
+    n_bytes = 0
+    for number, row in enumerate(rows):
+        n_bytes += len(row.value or "")
+        if number and n_bytes > MAX_PAGE_BYTES:
+            return rows[:number]
+    return rows
+
+
 def _row_id(row: dict[str, Any]) -> RowId:
     return row["table"], row["key"]
 
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -174,6 +174,20 @@
         rest = await table.scan("p/", after=first[-1].key, limit=2, deadline=soon())
         assert [row.key for row in (*first, *rest.ok_value)] == keys[:3]
 
+    async def test_a_scan_goes_on_behind_a_page_that_is_full(self, platform):
+        """Guards against a page that ends short and is taken for the last one.
+
+        A page has up to 1 MB, whatever number of rows was asked for.
+        """
+        table = HttpTable(exchanger=platform[1])
+        keys = [f"p/{number}" for number in range(7)]
+        for key in keys:
+            put = Put(key=key, value="x" * 300_000)
+            await table.transact(Transaction(puts=(put,)), soon(5.0))
+        for limit in (3, 6, 7, 8):
+            scanned = await table.scan("p/", limit=limit, deadline=soon(5.0))
+            assert [row.key for row in scanned.ok_value] == keys[:limit]
+
     async def test_an_empty_page_is_not_the_last_if_more_rows_follow(self):
         """Guards against a table whose further rows are taken for gone."""
         store = EmptyPages()
