Test which ends of a generation's stream count

The own interface's engines end a generation by a line of its own. The tests show that nothing else does, on the own path and through another node: neither the framing's end, nor a close or a reset at any byte, nor the end of an answer that states no length. No fault was found here.

--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -13,6 +13,8 @@
 from result import Err, Ok
 
 from celerytrail.clock import SystemClock
+from celerytrail.engines.client import EngineClient
+from celerytrail.engines.wire import Finished, GenerateRequest
 from celerytrail.http.client import HttpClient
 from celerytrail.http.messages import Request
 from celerytrail.http.network import Network, SystemNetwork
@@ -284,6 +286,53 @@
         client.close()
 
 
+LINES = (
+    b'{"offset":0,"token":"a"}\n{"offset":1,"token":"b"}\n',
+    b'{"end":"stop","n_tokens":2}\n',
+)
+GENERATION = b"HTTP/1.1 200 OK\r\nx-generation-id: g\r\nx-engine-incarnation: i\r\n"
+
+
+def chunked(lines: tuple[bytes, ...]) -> bytes:
+    """Return an engine's answer in chunks, which its framing ends."""
+    chunks = b"".join(b"%x\r\n%b\r\n" % (len(line), line) for line in lines)
+    return GENERATION + b"transfer-encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+
+
+async def read_generation(peer: CuttingPeer, network: Network) -> Finished | str:
+    """Return the end of a generation, or why there is none."""
+    http = HttpClient(network=network, id_header=None)
+    client = EngineClient(http=http, clock=SystemClock())
+    req = GenerateRequest(generation_id="g", model="m", prompt="p", n_max_tokens=2)
+    opened = await client.generate(peer.address, req, deadline=deadline())
+    while isinstance(opened, Ok):
+        read = await opened.ok_value.next_lines(deadline())
+        if isinstance(read, Err):
+            return read.err_value.reason
+        if isinstance(read.ok_value[-1], Finished):
+            return read.ok_value[-1]
+    return opened.err_value.reason
+
+
+class TestGenerations:
+    async def test_only_its_end_line_ends_a_generation(self, peer, network):
+        """Guards against the framing's end, or a close, taken for the end."""
+        peer.data = chunked(LINES)
+        whole = await read_generation(peer, network)
+        assert isinstance(whole, Finished)
+        peer.data = chunked(LINES[:1])
+        assert await read_generation(peer, network) == "no_end"
+        line_end = chunked(LINES).index(LINES[1]) + len(LINES[1])
+        for part, linger in closes(chunked(LINES)[:line_end]):
+            peer.data, peer.linger = part, linger
+            assert isinstance(await read_generation(peer, network), str), part
+
+    async def test_an_engine_that_states_no_length_is_not_read(self, peer, network):
+        """Guards against ends that only a close could show."""
+        peer.data = GENERATION + b"\r\n" + b"".join(LINES)
+        assert await read_generation(peer, network) == "unframed"
+
+
 class TestPeers:
     async def test_rows_of_a_node_that_stop_at_any_byte_are_none(self, peer):
         """Guards against a table with a part of its rows."""
