Test the ends of tunnels that a node in the middle causes

An answer without a length is whole only if the end that the node in the middle stated follows it. The tests show that a node that dies while it writes that end, that closes either side itself, or that stops, leaves no answer that looks whole, and neither do bytes behind the end. No fault was found here. The tests fail on a copy in which any close of a tunnel is an end, and, for the node's own close to the endpoint, on one that passes its own close on as the endpoint's.

--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 from asyncio import StreamReader, StreamWriter
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -19,7 +19,14 @@
 from celerytrail.http.network import SystemNetwork
 from celerytrail.http.routes import Router
 from celerytrail.http.server import Handler, HttpServer, Responder
-from celerytrail.http.tunnels import END_PREFIX, TunnelRefusedError, open_tunnel
+from celerytrail.http.tunnels import (
+    END_PREFIX,
+    HOLD_SECONDS,
+    N_END_BYTES,
+    TunnelRefusedError,
+    new_end,
+    open_tunnel,
+)
 from celerytrail.metrics import Metrics
 from celerytrail.nodes.signing import PeerKeys
 from celerytrail.platform.wire import MAX_PAUSE_SECONDS
@@ -256,37 +263,89 @@
         assert 0 <= stated.pause_seconds <= MAX_PAUSE_SECONDS
 
 
+@contextlib.asynccontextmanager
+async def tunnel_of(stated: bytes, *writes: bytes) -> AsyncIterator[HttpClient]:
+    """Give a client of a node in the middle that writes some bytes and closes.
+
+    ``stated`` is what it adds to its answer to the request for a tunnel.
+    """
+    tasks = set()
+
+    async def serve(reader: StreamReader, writer: StreamWriter) -> None:
+        tasks.add(asyncio.current_task())
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(
+            b"HTTP/1.1 101 Switching\r\nconnection: upgrade\r\n"
+            b"upgrade: celerytrail-tunnel\r\n" + stated + b"\r\n"
+        )
+        await writer.drain()
+        for data in writes:
+            await asyncio.sleep(2.5 * HOLD_SECONDS)
+            writer.write(data)
+        writer.close()
+        with contextlib.suppress(ConnectionError):
+            await writer.wait_closed()
+
+    server = await asyncio.start_server(serve, LOOPBACK.host, 0)
+    port = server.sockets[0].getsockname()[1]
+    network = ThroughPeer(Address(host=LOOPBACK.host, port=port))
+    client = HttpClient(network=network, id_header=None, allows_unframed=True)
+    yield client
+    client.close()
+    server.close()
+    await asyncio.wait(tasks)
+
+
 class TestEnds:
     @pytest.mark.parametrize("end", [None, "", "ff", "not hexadecimal", "ff" * 17])
     async def test_a_tunnel_without_a_sound_end_is_not_used(self, end):
         """Guards against any close of a tunnel that counts as an answer's end."""
-        tasks = set()
-
-        async def serve(reader, writer):
-            tasks.add(asyncio.current_task())
-            await reader.readuntil(b"\r\n\r\n")
-            stated = b"" if end is None else b"x-tunnel-end: %s\r\n" % end.encode()
-            writer.write(
-                b"HTTP/1.1 101 Switching\r\nconnection: upgrade\r\n"
-                b"upgrade: celerytrail-tunnel\r\n" + stated + b"\r\n"
-            )
-            await writer.drain()
-            await asyncio.sleep(0.05)
-            writer.write(b"HTTP/1.1 200 OK\r\n\r\npart")
-            writer.close()
-            with contextlib.suppress(ConnectionError):
-                await writer.wait_closed()
-
-        server = await asyncio.start_server(serve, LOOPBACK.host, 0)
-        port = server.sockets[0].getsockname()[1]
-        network = ThroughPeer(Address(host=LOOPBACK.host, port=port))
-        client = HttpClient(network=network, id_header=None, allows_unframed=True)
-        answered = await client.request(LOOPBACK, "GET", "/", deadline=None)
-        client.close()
-        server.close()
-        await asyncio.wait(tasks)
+        stated = b"" if end is None else b"x-tunnel-end: %s\r\n" % end.encode()
+        async with tunnel_of(stated, b"HTTP/1.1 200 OK\r\n\r\npart") as client:
+            answered = await client.request(LOOPBACK, "GET", "/", deadline=None)
         assert isinstance(answered.err_value, NotSent)
 
+    @pytest.mark.parametrize("is_split", [False, True])
+    @pytest.mark.parametrize("n_bytes", [0, 1, 8, N_END_BYTES - 1])
+    async def test_an_answer_whose_end_is_cut_is_not_whole(self, n_bytes, is_split):
+        """Guards against a node that dies while it writes an answer's end."""
+        end = new_end()
+        stated = b"x-tunnel-end: %s\r\n" % end.hex().encode()
+        answer = b"HTTP/1.1 200 OK\r\n\r\npart"
+        writes = [answer, end[:n_bytes]] if is_split else [answer + end[:n_bytes]]
+        async with tunnel_of(stated, *writes) as client:
+            answered = await client.request(LOOPBACK, "GET", "/", deadline=None)
+        assert isinstance(answered.err_value, RequestLost)
+
+    async def test_an_answer_behind_its_end_is_not_whole(self):
+        """Guards against bytes that belong to no answer and are dropped."""
+        end = new_end()
+        stated = b"x-tunnel-end: %s\r\n" % end.hex().encode()
+        answer = b"HTTP/1.1 200 OK\r\n\r\npart" + end + b"x"
+        async with tunnel_of(stated, answer) as client:
+            answered = await client.request(LOOPBACK, "GET", "/", deadline=None)
+        assert isinstance(answered.err_value, RequestLost)
+
+    @pytest.mark.parametrize("closes", ["node", "to_endpoint", "to_caller"])
+    async def test_what_the_node_in_the_middle_closes_itself_is_not_whole(
+        self, rig, closes
+    ):
+        """Guards against an end of the node's own that is passed on as the endpoint's.
+
+        A stopping node closes its tunnels at the end of its grace.
+        """
+        reading = asyncio.ensure_future(rig.get("/parts"))
+        await wait_until(lambda: rig.handler.n_waiting == 1)
+        (conn,) = rig.middle._tasks.values()
+        pipe = conn.transport.get_protocol()
+        if closes == "node":
+            await rig.middle.close()
+        elif closes == "to_endpoint":
+            pipe._other._transport.close()
+        else:
+            pipe._transport.close()
+        assert isinstance((await reading).err_value, RequestLost)
+
 
 class TestRefusals:
     async def refusal(self, rig) -> str:
