Test that no part of a node's answer looks whole

Whatever ends a handler in the middle of an answer, callers of HTTP/1.0 and 1.1 can tell it from a whole one, with chunks, a length or neither: a return without an end, a lost peer, a fault, no memory, a cancel, an abort and a stop of the server.

--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -9,6 +9,7 @@
 from result import Err
 
 import celerytrail.http.client as client_module
+from celerytrail.exceptions import PeerError
 from celerytrail.http.bodymemory import FREE_BODY_BYTES, BodyMemory
 from celerytrail.http.client import HttpClient, NotSent, RequestLost
 from celerytrail.http.messages import Request
@@ -249,6 +250,89 @@
         assert b"part" not in answer
 
 
+class PartHandler(Handler):
+    """Sends a part of an answer, and leaves its end to what ``end`` does."""
+
+    def __init__(self, headers, end):
+        self.headers = headers
+        self.end = end
+
+    async def handle(self, req: Request, res: Responder) -> None:
+        res.start(200, self.headers)
+        await res.write(b"part")
+        # What was written is sent before the end.
+        await asyncio.sleep(0.01)
+        await self.end(res)
+
+
+async def leave(res):
+    """Return without an end."""
+
+
+async def lose_peer(res):
+    raise PeerError("the endpoint is gone")
+
+
+async def fail(res):
+    raise ValueError("a fault of the handler")
+
+
+async def run_out_of_memory(res):
+    raise MemoryError
+
+
+async def cancel(res):
+    task = asyncio.current_task()
+    assert task is not None
+    task.cancel()
+    await asyncio.sleep(1.0)
+
+
+async def abort(res):
+    res.abort()
+
+
+async def wait_long(res):
+    await asyncio.sleep(60.0)
+
+
+class TestEnds:
+    """Answers whose end this process causes before they are whole."""
+
+    @pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+    @pytest.mark.parametrize("headers", [{}, {"content-length": "8"}])
+    @pytest.mark.parametrize(
+        "end", [leave, lose_peer, fail, run_out_of_memory, cancel, abort, wait_long]
+    )
+    async def test_no_part_of_an_answer_looks_whole(self, version, headers, end):
+        """Guards against an end of this process that a caller takes for its answer's.
+
+        A handler that waits is ended by a stop of the server.
+        """
+        server = HttpServer(handler=PartHandler(headers, end))
+        address = await server.start(LOOPBACK)
+        request = b"GET / HTTP/%b\r\nhost: h\r\n\r\n" % version
+        reading = asyncio.create_task(exchange_raw(address, request))
+        if end is wait_long:
+            while not server.n_busy:
+                await asyncio.sleep(0.001)
+            await asyncio.sleep(0.02)
+            await server.close()
+        try:
+            received = await reading
+        except ConnectionResetError:
+            received = b""
+        head, _, body = received.partition(b"\r\n\r\n")
+        if b" 200 " in head and b"chunked" in head:
+            assert b"0\r\n\r\n" not in body
+        elif b" 200 " in head:
+            assert b"content-length: 8" in head
+            assert len(body) < 8
+        else:
+            assert b"part" not in received
+        await server.close()
+
+
 class TestDrain:
     async def test_drain_waits_for_the_answer_in_progress(self, echo):
         """The server is drained while an answer is in progress. The caller still gets
