Let old callers leave in the test of callers that leave

The test cancelled the callers' tasks, which left their connections open: the engines ended the runs themselves at the callers' time limit, 15.0 s later, and the test passed whatever the node did.

The callers close their connections now, and the runs have to end before their time limit.

--- a/tests/test_relay_old_callers.py
+++ b/tests/test_relay_old_callers.py
@@ -53,10 +53,12 @@
     lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
     writer.write(f"POST {path} HTTP/1.0\r\n{lines}\r\n".encode())
     received = b""
-    with contextlib.suppress(ConnectionError):
-        while data := await reader.read(65_536):
-            received += data
-    writer.close()
+    try:
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65_536):
+                received += data
+    finally:
+        writer.close()
     head, _, body = received.partition(b"\r\n\r\n")
     first, *rest = head.decode("latin-1").split("\r\n")
     status = int(first.split()[1]) if first else 0
@@ -139,7 +141,10 @@
         tasks = await start_streams(rig, "/draft/x")
         for task in tasks:
             task.cancel()
-        await wait_until(lambda: not any(engine.running for engine in rig.workers))
+        # The engines would end the runs themselves at the caller's time limit.
+        await wait_until(
+            lambda: not any(engine.running for engine in rig.workers), seconds=10.0
+        )
 
 
 class TestPlainAnswers:
