--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -24,6 +24,7 @@
     Transaction,
 )
 from celerytrail.platform.vms import StoreVmList, node_addresses
+from celerytrail.rowsource import StoreUnavailable
 from celerytrail.types import Address
 from standins.faults import Fault
 from standins.platform import PlatformStandin
@@ -39,6 +40,13 @@
         await res.send(200, b"<html>It works!</html>")
 
 
+class EmptyPages(Handler):
+    """Answers each read with an empty page behind which more rows follow."""
+
+    async def handle(self, req, res):
+        await res.send_json(200, {"rows": [], "ver": 7, "has-more": True})
+
+
 class BusyPlatform(Handler):
     """Turns calls away and asks for a pause."""
 
@@ -166,6 +174,33 @@
         rest = await table.scan("p/", after=first[-1].key, limit=2, deadline=soon())
         assert [row.key for row in (*first, *rest.ok_value)] == keys[:3]
 
+    async def test_a_scan_goes_on_behind_a_page_that_is_full(self, platform):
+        """Guards against a page that ends short and is taken for the last one.
+
+        A page has up to 1 MB, whatever number of rows was asked for.
+        """
+        table = HttpTable(exchanger=platform[1])
+        keys = [f"p/{number}" for number in range(7)]
+        for key in keys:
+            put = Put(key=key, value="x" * 300_000)
+            await table.transact(Transaction(puts=(put,)), soon(5.0))
+        for limit in (3, 6, 7, 8):
+            scanned = await table.scan("p/", limit=limit, deadline=soon(5.0))
+            assert [row.key for row in scanned.ok_value] == keys[:limit]
+
+    async def test_an_empty_page_is_not_the_last_if_more_rows_follow(self):
+        """Guards against a table whose further rows are taken for gone."""
+        store = EmptyPages()
+        server = HttpServer(handler=store)
+        exchanger = make_client(await server.start(LOOPBACK))
+        scanned = await HttpTable(exchanger=exchanger).scan("p/", deadline=soon(1.0))
+        assert isinstance(scanned.err_value, Unavailable)
+        found = await HttpTable(exchanger=exchanger).read(["p/1"], soon(1.0))
+        assert isinstance(found.err_value, Unavailable)
+        read = await PlatformRows(exchanger=exchanger).read("servers", soon(1.0))
+        assert isinstance(read.err_value, StoreUnavailable)
+        await server.close()
+
     async def test_rate_limited_write_is_certainly_without_effect(self):
         """All nodes share the store's rate limit. A write beyond it is refused and
         reported as without effect.
