Bound engines' answers to a node's own requests

What callers saw: nothing yet; 24 of 24 drafts were served beside three engines whose reports have no end. But the node read them without pause, at the cost of its link and processor, and a report over another node crossed both links.

Cause: an answer to a node's own request might have a body of 4 MiB, as one to a caller, and chunk extensions of any size, which h11 skips and nobody counted. A report that was too long, broken off or undecodable was asked for again at once, by each check of a start by itself.

The bounds in the tests come from what such an answer can hold.

Change: a report has up to 512 KiB (32 runs with ids as long as a head), any other answer of an engine to the node 16 KiB. A stated length above the bound is refused at the head. The bytes of an answer, its framing included, are at most twice its bound and a head; this holds for all bodies that are read as a whole. An engine whose reports can't be used is asked by one request at a time, behind pauses that grow from 0.02 to 2 s; a good report ends that. Silence, a refused connection and a reset without bytes pause nothing, and the first retry of a start check (0.03 s) is as before, so a sound engine or a crash is noticed as soon as before.

--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -21,7 +21,14 @@
 from ..types import Address
 from .bodymemory import FREE_BODY_BYTES, MAX_BODY_BYTES, BodyMemory, HeldBody
 from .lateanswers import MAX_LATE_ANSWERS, read_past
-from .messages import JSON_TYPE, REQUEST_ID_HEADER, Connection, Response, header_map
+from .messages import (
+    JSON_TYPE,
+    MAX_HEAD_BYTES,
+    REQUEST_ID_HEADER,
+    Connection,
+    Response,
+    header_map,
+)
 from .network import Network, SystemNetwork
 from .pool import IDLE_SECONDS, MAX_IDLE_PER_ADDRESS, ConnectionPool
 
@@ -32,6 +39,9 @@
 STALL_SECONDS = 0.05
 # How long a connection may still take after such a timeout, in seconds.
 GRACE_SECONDS = 0.1
+# Bytes of an answer for each byte that its body may have. Chunk extensions, which h11
+# skips, are part of no body; chunks of eight bytes or more take less than this.
+MAX_FRAMING_FACTOR = 2
 # Share of the peer's keep-alive timeout after which an idle connection is dropped. A
 # peer may close slightly early, and a request must not cross with the close.
 IDLE_SHARE = 0.7
@@ -49,10 +59,14 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RequestLost:
-    """Reports that no complete answer arrived; the peer may have run the request."""
+    """Reports that no complete answer arrived; the peer may have run the request.
+
+    ``is_bad_answer`` says that the peer sent bytes, but not an answer within its bound.
+    """
 
     reason: str
     detail: str = ""
+    is_bad_answer: bool = False
 
 
 ClientError = NotSent | RequestLost
@@ -104,6 +118,7 @@
         self._max_idle = max_idle
         self._is_ended = False
         self._is_abandoned = False
+        self._n_bytes_before = conn.n_received_bytes
         self.status = status
         self.headers = headers
         # Whether the body states its own end; another one ends with its connection.
@@ -132,14 +147,14 @@
             event = await self._conn.next_event(deadline)
         except TimeoutError:
             self.close()
-            return Err(RequestLost(reason="stalled"))
+            return Err(RequestLost(reason="stalled", is_bad_answer=True))
         except asyncio.CancelledError:
             self.close()
             raise
         except PeerError as exc:
             # A truncated answer is an error, not a short answer.
             self.close()
-            return Err(_lost(exc))
+            return Err(_lost(exc, has_begun=True))
         if isinstance(event, h11.Data):
             return Ok(bytes(event.data))
         self._is_ended = True
@@ -160,25 +175,33 @@
         A larger body than ``n_max_bytes`` is abandoned, and so is one for which the
         client has no memory by the deadline, or at once if its length isn't known.
         """
+        if self._length > n_max_bytes:
+            return Err(self._abandon("too_large"))
         body = HeldBody(memory=self._client.memory, n_max_bytes=n_max_bytes)
         try:
-            if not await self._reserve(body, n_max_bytes, deadline):
-                self.close()
-                return Err(RequestLost(reason="no_memory"))
-            return await self._read_into(body, deadline, progress)
+            if not await self._reserve(body, deadline):
+                return Err(self._abandon("no_memory"))
+            n_most_bytes = MAX_FRAMING_FACTOR * n_max_bytes + MAX_HEAD_BYTES
+            return await self._read_into(body, deadline, progress, n_most_bytes)
         finally:
             body.release()
 
-    async def _reserve(
-        self, body: HeldBody, n_max_bytes: int, deadline: float | None
-    ) -> bool:
-        """Wait for the memory of a large body whose length is known."""
+    @property
+    def _length(self) -> int:
+        """Return the length that the head states, in bytes; 0 if it states none."""
         length = self.headers.get("content-length", "")
-        n_bytes = min(int(length), n_max_bytes) if length.isdecimal() else 0
-        if n_bytes <= FREE_BODY_BYTES:
+        return int(length) if length.isdecimal() else 0
+
+    def _abandon(self, reason: str) -> RequestLost:
+        self.close()
+        return RequestLost(reason=reason, is_bad_answer=reason == "too_large")
+
+    async def _reserve(self, body: HeldBody, deadline: float | None) -> bool:
+        """Wait for the memory of a large body whose length is known."""
+        if self._length <= FREE_BODY_BYTES:
             return True
         try:
-            return await body.reserve(n_bytes, deadline)
+            return await body.reserve(self._length, deadline)
         except asyncio.CancelledError:
             self.close()
             raise
@@ -188,6 +211,7 @@
         body: HeldBody,
         deadline: float | None,
         progress: Progress | None,
+        n_most_bytes: int,
     ) -> Result[bytes, RequestLost]:
         loop = asyncio.get_running_loop()
         while True:
@@ -200,8 +224,9 @@
                     return Err(lost)
             added = body.add(chunk)
             if isinstance(added, Err):
-                self.close()
-                return Err(RequestLost(reason=added.err_value))
+                return Err(self._abandon(added.err_value))
+            if self._conn.n_received_bytes - self._n_bytes_before > n_most_bytes:
+                return Err(self._abandon("too_large"))
             if progress is not None and deadline is not None:
                 deadline = progress.extend(deadline, loop.time())
 
@@ -277,10 +302,12 @@
         deadline: float | None = None,
         fresh: bool = False,
         progress: Progress | None = None,
+        n_max_bytes: int = MAX_BODY_BYTES,
     ) -> Result[Response, ClientError]:
         """Send a request and read the whole answer; see `open` for the parameters.
 
-        ``progress`` lets the answer's body exceed the deadline.
+        ``progress`` lets the answer's body exceed the deadline. An answer with a larger
+        body than ``n_max_bytes`` is abandoned.
         """
         opened = await self.open(
             address,
@@ -294,7 +321,10 @@
         if isinstance(opened, Err):
             return Err(opened.err_value)
         stream = opened.ok_value
-        match await stream.read(deadline, progress=progress):
+        body_read = await stream.read(
+            deadline, progress=progress, n_max_bytes=n_max_bytes
+        )
+        match body_read:
             case Ok(content):
                 return Ok(
                     Response(status=stream.status, headers=stream.headers, body=content)
@@ -399,6 +429,7 @@
             address, method, path, body, self._headers_with_id(found, request_id)
         )
         conn.n_exchanges += 1
+        n_bytes_before = conn.n_received_bytes
         for part in sent:
             conn.send(part)
         silence = self._start_silence_timer(address)
@@ -407,10 +438,12 @@
             event = await self._read_due_head(conn, sent, request_id, deadline)
         except TimeoutError:
             conn.abort()
-            return Err(RequestLost(reason="timeout"))
+            has_begun = conn.n_received_bytes > n_bytes_before
+            return Err(RequestLost(reason="timeout", is_bad_answer=has_begun))
         except PeerError as exc:
             conn.abort()
-            return Err(_lost(exc))
+            has_begun = conn.n_received_bytes > n_bytes_before
+            return Err(_lost(exc, has_begun=has_begun))
         except BaseException:
             # The answer to a cancelled exchange may still arrive; if the connection
             # were pooled, the next request on it would receive that answer.
@@ -558,13 +591,21 @@
         if self._id_header and headers.get(self._id_header) != request_id:
             conn.abort()
             return Err(
-                RequestLost(reason="crossed", detail="the answer has another id")
+                RequestLost(
+                    reason="crossed",
+                    detail="the answer has another id",
+                    is_bad_answer=True,
+                )
             )
         is_framed = "content-length" in headers or "transfer-encoding" in headers
         if not is_framed and not self._allows_unframed:
             conn.abort()
             return Err(
-                RequestLost(reason="unframed", detail="the answer has no length")
+                RequestLost(
+                    reason="unframed",
+                    detail="the answer has no length",
+                    is_bad_answer=True,
+                )
             )
         return Ok(
             Stream(
@@ -645,10 +686,14 @@
     return (head, *data, h11.EndOfMessage())
 
 
-def _lost(exc: PeerError) -> RequestLost:
+def _lost(exc: PeerError, *, has_begun: bool) -> RequestLost:
     """Return whether the peer broke off an answer, or this process did."""
     is_own = isinstance(exc, ConnectionClosedError)
-    return RequestLost(reason="abandoned" if is_own else "cut", detail=str(exc))
+    return RequestLost(
+        reason="abandoned" if is_own else "cut",
+        detail=str(exc),
+        is_bad_answer=has_begun and not is_own,
+    )
 
 
 async def _read_final_head(conn: Connection, deadline: float | None) -> h11.Event:
--- a/celerytrail/http/messages.py
+++ b/celerytrail/http/messages.py
@@ -140,6 +140,7 @@
         self.carried = CarriedIds()
         # Loop time at which bytes last arrived, or the connection was made.
         self.received_at = 0.0
+        self.n_received_bytes = 0
         self._n_unread = 0
         self._read_waiter: asyncio.Future[None] | None = None
         self._write_waiter: asyncio.Future[None] | None = None
@@ -171,6 +172,7 @@
     def data_received(self, data: bytes) -> None:
         """Pass bytes to h11 and wake the reading task."""
         self.received_at = self._loop.time()
+        self.n_received_bytes += len(data)
         if self._is_discarding:
             return
         if self.is_pooled:
--- a/celerytrail/relay/engineapi.py
+++ b/celerytrail/relay/engineapi.py
@@ -9,14 +9,22 @@
 from eliot import log_message
 from result import Err, Ok, Result
 
-from ..http.client import ClientError, HttpClient, NotSent
-from ..http.messages import JSON_TYPE, Response
+from ..http.client import ClientError, HttpClient, NotSent, RequestLost
+from ..http.messages import JSON_TYPE, MAX_HEAD_BYTES, Response
 from ..model import EngineReport, Registration
 from ..platform import wire
+from ..policies.reportpauses import ReportPauses
 from ..policies.runstops import OrderEffect, judge_order
 from ..types import Address
 
 REPORT_SECONDS = 0.5
+# A report lists an engine's runs by the ids that callers chose, and an id may be nearly
+# as long as a head.
+MAX_REPORT_BYTES = 32 * MAX_HEAD_BYTES
+# Other answers name a copy of a run at most.
+MAX_ANSWER_BYTES = 16 * 1024
+# Why an engine wasn't asked for a report.
+REPORTS_PAUSED = "reports_paused"
 
 # Called with an engine's address, the head of its answer, and when it was asked.
 AnswerRecorder = Callable[[Address, int, Mapping[str, str], float], None]
@@ -64,6 +72,7 @@
     def __init__(self, *, client: HttpClient, on_answer: AnswerRecorder) -> None:
         self._client = client
         self._on_answer = on_answer
+        self._pauses = ReportPauses()
         self.n_reports = 0
 
     def close_retired(self) -> None:
@@ -73,14 +82,36 @@
     async def report(
         self, reg: Registration, deadline: float
     ) -> Result[EngineReport, str]:
-        """Read an engine's load report."""
+        """Read an engine's load report, unless its last ones couldn't be used."""
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
+        if not self._pauses.begin(reg.incarnation, asked_at):
+            return Err(REPORTS_PAUSED)
+        is_good: bool | None = None
+        try:
+            is_good, report = await self._read_report(reg, deadline)
+            return report
+        finally:
+            self._pauses.end(
+                reg.incarnation, asked_at=asked_at, now=loop.time(), is_good=is_good
+            )
+
+    async def _read_report(
+        self, reg: Registration, deadline: float
+    ) -> tuple[bool | None, Result[EngineReport, str]]:
+        """Return a report, and whether the answer can be used; None without one."""
         self.n_reports += 1
-        answered = await self._request(reg.address, "GET", wire.REPORT_PATH, deadline)
+        answered = await self._request(
+            reg.address, "GET", wire.REPORT_PATH, deadline, n_max_bytes=MAX_REPORT_BYTES
+        )
         if isinstance(answered, Err):
-            return Err(answered.err_value.reason)
+            failed = answered.err_value
+            is_bad = isinstance(failed, RequestLost) and failed.is_bad_answer
+            return False if is_bad else None, Err(failed.reason)
         if answered.ok_value.status != 200:
-            return Err(f"status {answered.ok_value.status}")
-        return wire.decode_report(answered.ok_value.body)
+            return None, Err(f"status {answered.ok_value.status}")
+        report = wire.decode_report(answered.ok_value.body)
+        return isinstance(report, Ok), report
 
     async def copy(
         self,
@@ -121,11 +152,19 @@
         path: str,
         deadline: float,
         body: bytes = b"",
+        *,
+        n_max_bytes: int = MAX_ANSWER_BYTES,
     ) -> Result[Response, ClientError]:
         sent_at = asyncio.get_running_loop().time()
         headers = {"content-type": JSON_TYPE} if body else None
         answered = await self._client.request(
-            address, method, path, body=body, headers=headers, deadline=deadline
+            address,
+            method,
+            path,
+            body=body,
+            headers=headers,
+            deadline=deadline,
+            n_max_bytes=n_max_bytes,
         )
         if isinstance(answered, Ok):
             res = answered.ok_value
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import itertools
+from collections.abc import Iterable
 from dataclasses import dataclass
 
+from celerytrail.exceptions import PeerError
+from celerytrail.http.messages import Connection, Request
 from celerytrail.http.network import Listener, Network
+from celerytrail.http.server import Responder
 from celerytrail.types import Address
 
-from .worker import SEAL_HEADER, worker_row
+from .worker import SEAL_HEADER, Worker, worker_row
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -23,11 +29,19 @@
         Sent again and again until the connection is closed.
     pause : float
         Time between two of these, in seconds; 0 writes as fast as the peer reads.
+    n_times : int or None
+        How often they are sent before the connection is cut; without end by default.
     """
 
     first: bytes = b""
     again: bytes
     pause: float = 0.0
+    n_times: int | None = None
+
+    @property
+    def rounds(self) -> Iterable[int]:
+        """Return the numbers of the times that it is sent."""
+        return itertools.count() if self.n_times is None else range(self.n_times)
 
 
 def answer_head(status: int, *fields: str) -> bytes:
@@ -132,10 +146,11 @@
         fields = dict(line.lower().split(": ", 1) for line in lines if ": " in line)
         attempt = fields.get("x-attempt-id", "")
         self._write(sends.first.replace(b"ATTEMPT", attempt.encode()))
-        while True:
+        for _ in sends.rounds:
             await self._may_write.wait()
             self._write(sends.again)
             await asyncio.sleep(sends.pause)
+        self.stop()
 
     def _write(self, data: bytes) -> None:
         assert self._transport is not None
@@ -144,3 +159,49 @@
         n_bytes = sum(conn.n_sent_bytes for conn in worker.open)
         worker.n_most_bytes = max(worker.n_most_bytes, n_bytes)
         self._transport.write(data)
+
+
+class EndlessControl:
+    """Answers a worker's control requests without end, as long as it is on.
+
+    Parameters
+    ----------
+    sends : EndlessBytes
+        What it sends.
+    path : str
+        Start of the paths of these requests.
+    """
+
+    def __init__(self, *, sends: EndlessBytes, path: str) -> None:
+        self.sends = sends
+        self.is_on = True
+        self.n_asked = 0
+        self.n_sent_bytes = 0
+        self._path = path
+
+    def attach(self, worker: Worker) -> None:
+        """Let a worker's control requests be answered so."""
+        answer_other = worker._answer_other
+
+        async def answer(req: Request, res: Responder) -> bool:
+            if not self.is_on or not req.path.startswith(self._path):
+                return await answer_other(req, res)
+            self.n_asked += 1
+            await self._send(res._conn)
+            return True
+
+        worker._answer_other = answer  # type: ignore[method-assign]
+
+    async def _send(self, conn: Connection) -> None:
+        self._write(conn, self.sends.first)
+        with contextlib.suppress(PeerError):
+            for _ in self.sends.rounds:
+                self._write(conn, self.sends.again)
+                await asyncio.sleep(self.sends.pause)
+                await conn.drain()
+        conn.abort()
+
+    def _write(self, conn: Connection, data: bytes) -> None:
+        assert conn.transport is not None
+        self.n_sent_bytes += len(data)
+        conn.transport.write(data)
