Don't wait for answers of the store that come byte by byte

What callers saw: after a store that had answered with single bytes without end was sound again, 503 `configuration_unsure` for up to 9.7 s more; a node has 2 s to learn a new configuration then.

Cause: an answer that may be large outlives its deadline while it arrives, by 0.6 s for each chunk, up to 10 s, whatever the chunk's size. One byte each 20 ms so kept a node at a faulty answer, and it asked for no other.

Change: only parts of 1 KiB extend the deadline.

The other endless answers of the store were bounded already: a node reads up to 4 MiB of each, and asks 2.5 to 5 times in a second.

--- a/celerytrail/http/client.py
+++ b/celerytrail/http/client.py
@@ -37,6 +37,9 @@
 # A timeout that passes later than this after its time shows that the process stood
 # still, in seconds.
 STALL_SECONDS = 0.05
+# Bytes by which the body of an answer makes progress: single bytes now and then come on
+# no link that is only slow.
+MIN_PROGRESS_BYTES = 1_024
 # How long a connection may still take after such a timeout, in seconds.
 GRACE_SECONDS = 0.1
 # Bytes of an answer for each byte that its body may have. Chunk extensions, which h11
@@ -82,7 +85,7 @@
     Parameters
     ----------
     seconds : float
-        Longest pause between two chunks of the body.
+        Longest time between two parts of the body of `MIN_PROGRESS_BYTES`.
     deadline : float
         Loop time by which the whole body must have arrived.
     """
@@ -91,7 +94,7 @@
     deadline: float
 
     def extend(self, deadline: float, now: float) -> float:
-        """Return the deadline of the next chunk after one that has just arrived."""
+        """Return the deadline of the next part after one that has just arrived."""
         return max(deadline, min(now + self.seconds, self.deadline))
 
 
@@ -214,6 +217,7 @@
         n_most_bytes: int,
     ) -> Result[bytes, RequestLost]:
         loop = asyncio.get_running_loop()
+        n_new_bytes = 0
         while True:
             match await self.next_chunk(deadline):
                 case Ok(None):
@@ -227,6 +231,10 @@
                 return Err(self._abandon(added.err_value))
             if self._conn.n_received_bytes - self._n_bytes_before > n_most_bytes:
                 return Err(self._abandon("too_large"))
+            n_new_bytes += len(chunk)
+            if n_new_bytes < MIN_PROGRESS_BYTES:
+                continue
+            n_new_bytes = 0
             if progress is not None and deadline is not None:
                 deadline = progress.extend(deadline, loop.time())
 
