Make no connections for other nodes once a node is asked to stop

Callers of a node that has lost the path to endpoints got a 502 for a call that ran: the node in the middle had been asked to stop, and was killed while it carried the call.

Cause: a stopping node refused tunnels only after it had drained its own callers, 6 s after the SIGTERM at the earliest. The others learn of the stop some tenths of a second late, and asked it until then.

Change: it refuses them from the SIGTERM on. The other nodes then ask the next one, or refuse the call as not run.

test_no_call_goes_through_a_node_that_was_asked_to_stop failed before with (502, 1) == (200, 1) for a call of 8.5 s in 8 s of grace; now all six are served through the third node.

test_a_node_in_the_middle_stops took the first node with an open tunnel for the one that carries the call. That tunnel may be one that checks the path, and the call's own, made after the SIGTERM, now goes elsewhere and is served: the test failed with (200, 1) == (502, 1). It now expects the 502 where the call arrived from the stopped node and a 200 elsewhere, and that at least one call did go through the stopped node. It passes on the former code too.

--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -424,6 +424,7 @@
             n_busy=self._servers.callers.n_busy,
         )
         self.nodes.set_serving(False)
+        self.access.tunnels.retire()
         await self._servers.drain(loop.time() + STOP_ACCEPT_SECONDS)
         await self.access.tunnels.stop(self._killed_at - STOP_MARGIN_SECONDS)
         await self._peers.node_rows.leave()
--- a/celerytrail/relay/tunnelserver.py
+++ b/celerytrail/relay/tunnelserver.py
@@ -122,9 +122,13 @@
         """Add the route that other nodes call."""
         router.add("POST", TUNNEL_PATH, self._on_request)
 
+    def retire(self) -> None:
+        """Make no more connections: they would be cut when this process is killed."""
+        self._is_stopping = True
+
     async def stop(self, deadline: float) -> None:
         """Make no more connections, and wait until the present ones are closed."""
-        self._is_stopping = True
+        self.retire()
         loop = asyncio.get_running_loop()
         while self.n_open and loop.time() < deadline:  # noqa: ASYNC110
             await asyncio.sleep(STOP_POLL_SECONDS)
