Refuse calls that a stopping node can't end before its kill

Callers saw connections end without an answer at the end of a planned stop, in calm: calls that came late in the grace were sent to endpoints and cut at the kill, among them calls that may run once.

Cause: only generations were compared with the time of the kill, and only on arrival. Calls never were; nor was a retry at another endpoint, the end of a wait for room, or the last byte of a slow upload.

Change: relay/shutdown holds the time of the kill and says which work can end before. It is asked once a request has been read, at each choice of an endpoint, and in Exchange.may_send right before the first byte, for calls and generations. What can't end gets a 503 "stopping" at once, with the Retry-After for another node. 0.1 s before the kill, what has no answer gets a 504, which promises nothing, and a draft that was sent to no engine a 503. Streams that have begun go on. Nothing changes while a node isn't stopping.

The two older tests of TestStopping set the time of the kill by a private attribute; they now call Shutdown.begin.

--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -24,6 +24,7 @@
 from .exchange import (
     CallerDisconnectedError,
     Exchange,
+    NodeStoppedError,
     failure_status,
     refuse,
     seconds_until,
@@ -37,6 +38,7 @@
     NotExecuted,
 )
 from .registry import Registry
+from .shutdown import STOPPED, STOPPING, Shutdown
 
 # Share of the target after which a repeatable request is also sent to a second
 # endpoint. Most answers take a sixth of the target, so the rest suffices for a second.
@@ -133,6 +135,8 @@
         Told how endpoints answer.
     watch : CrashWatch
         Finds out why an endpoint broke off an answer.
+    shutdown : Shutdown
+        Which requests can end before this process is killed.
     on_begun, on_whole : callable
         Called with the prompt of a request that was answered.
     """
@@ -148,6 +152,7 @@
         answers: EndpointAnswers,
         paces: EndpointPaces,
         watch: CrashWatch,
+        shutdown: Shutdown,
         on_begun: Callable[[Prompt], None],
         on_whole: Callable[[Prompt], None],
     ) -> None:
@@ -159,6 +164,7 @@
         self._answers = answers
         self._paces = paces
         self._watch = watch
+        self._shutdown = shutdown
         self._on_begun = on_begun
         self._on_whole = on_whole
         self.n_open = 0
@@ -167,14 +173,19 @@
         """Answer a request with the answer of an endpoint of its service."""
         now = asyncio.get_running_loop().time()
         self._budget.record_request(ex.service, now)
+        is_repeatable = ex.route.kind is RouteKind.IDEMPOTENT
+        send = self._send_repeatable if is_repeatable else self._send_unrepeatable
+        outcome: Outcome
         try:
-            if ex.route.kind is RouteKind.IDEMPOTENT:
-                outcome = await ex.run_while_connected(self._send_repeatable(ex))
-            else:
-                outcome = await ex.run_while_connected(self._send_unrepeatable(ex))
+            with self._shutdown.watch() as stopped:
+                outcome = await ex.run_while_connected(send(ex), stopped)
         except CallerDisconnectedError:
             ex.log("caller_gone")
             return
+        except NodeStoppedError:
+            outcome = Failed(reason=STOPPED)
+        if isinstance(outcome, NotExecuted) and not ex.can_end():
+            outcome = NotExecuted(reason=STOPPING)
         await self._send_answer(ex, outcome)
 
     async def _send_answer(self, ex: Exchange, outcome: Outcome) -> None:
@@ -187,13 +198,13 @@
                 await ex.res.send(res.status, res.body, headers)
             case NotExecuted(reason=reason, retry_at=retry_at):
                 ex.log("refused", reason=reason)
-                retry_at = retry_at or self._return_at(ex)
+                if reason == STOPPING:
+                    retry_after = self._shutdown.retry_seconds
+                else:
+                    retry_at = retry_at or self._return_at(ex)
+                    retry_after = seconds_until(retry_at, BUSY_RETRY_SECONDS)
                 await refuse(
-                    ex.res,
-                    503,
-                    reason,
-                    attempt_id=attempt,
-                    retry_after=seconds_until(retry_at, BUSY_RETRY_SECONDS),
+                    ex.res, 503, reason, attempt_id=attempt, retry_after=retry_after
                 )
             case Failed(reason=reason):
                 status = failure_status(reason)
@@ -316,7 +327,7 @@
         loop = asyncio.get_running_loop()
         admission = None
         while admission is None:
-            if self._gate.find_block(ex.prompt) is not None:
+            if self._gate.find_block(ex.prompt) is not None or not ex.can_end():
                 return None
             usable = self._registry.usable_endpoints(ex.service, ex.binding)
             open_regs = [
@@ -403,6 +414,8 @@
         inputs = self._choice.inputs(reg.endpoint, began_at)
         self._choice.begin(reg.endpoint, began_at)
         self._paces.begin(reg, began_at)
+        times = self._shutdown.answer_times
+        times.begin(ex.service, ex.route.name, began_at)
         self.n_open += 1
         outcome: Outcome | None = None
         try:
@@ -423,6 +436,7 @@
                 is_answered=is_answered,
                 is_refused=isinstance(outcome, NotExecuted) and outcome.was_sent,
             )
+            times.end(ex.service, ex.route.name, began_at, now, is_answered=is_answered)
             kind = _answer_kind(outcome)
             if kind is None:
                 self._paces.end(reg, began_at)
--- a/celerytrail/relay/engineopener.py
+++ b/celerytrail/relay/engineopener.py
@@ -379,8 +379,12 @@
     def _find_obstacle(self, sending: _Sending) -> str | None:
         """Return why a run may not be sent now; empty if its own request forbids it."""
         live, admission, copied = sending.live, sending.admission, sending.copied
-        may_send = live.ex.may_send if copied is None else live.ex.can_continue
-        if not may_send():
+        if copied is None:
+            n_made_tokens = live.n_events * live.engine.n_event_tokens
+            may_send = live.ex.may_send(n_made_tokens)
+        else:
+            may_send = live.ex.can_continue()
+        if not may_send:
             return ""
         source = copied.source if copied is not None else None
         if not live.binding.allows(admission.reg, copied_from=source):
--- a/celerytrail/relay/enginerelay.py
+++ b/celerytrail/relay/enginerelay.py
@@ -29,6 +29,7 @@
 from .resumption import Resumptions
 from .runmover import RunMover
 from .runstops import RunStops
+from .shutdown import Shutdown
 from .startchecks import StartChecks
 from .waitingroom import WaitingRoom
 
@@ -81,6 +82,8 @@
         Bounds repeated requests.
     origins : OriginBroker
         What began the streams that callers may take up.
+    shutdown : Shutdown
+        Which generations can end before this process is killed.
     crashes : CrashBroker
         Told of crashes and answers.
     waiting_room : WaitingRoom
@@ -107,6 +110,7 @@
         rates: PrefillRates,
         budget: SharedRetryBudget,
         origins: OriginBroker,
+        shutdown: Shutdown,
         crashes: CrashBroker,
         waiting_room: WaitingRoom,
         policies: EnginePolicies,
@@ -166,6 +170,7 @@
             peer_updates=peer_updates,
             budget=budget,
             origins=origins,
+            shutdown=shutdown,
             on_begun=crashes.record_begun,
             on_whole=crashes.record_whole,
             rng=rng,
--- a/celerytrail/relay/exchange.py
+++ b/celerytrail/relay/exchange.py
@@ -16,9 +16,12 @@
 from ..model import Prompt, RequestMetadata, Route
 from ..platform import wire
 from ..policies.versionbinding import UNBOUND, VersionBinding
+from .shutdown import STOPPED
 
 T = TypeVar("T")
 
+# Reasons for which a request that may have run has no answer: the time ended.
+TIMED_OUT_REASONS = ("timeout", "stalled", STOPPED)
 # The least Retry-After, in seconds.
 MIN_RETRY_SECONDS = 0.01
 
@@ -27,6 +30,10 @@
     """The caller has disconnected; its request needs no further work."""
 
 
+class NodeStoppedError(Exception):
+    """The process is about to be killed, and nothing of the answer was sent."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Exchange:
     """A request that matches a route and has a valid key.
@@ -55,6 +62,9 @@
         The software version at which it must run, if it takes up a stream.
     is_allowed : callable
         Returns whether its route and key allow it to be sent on at this moment.
+    ends_before_kill : callable
+        Returns whether it ends before this process is killed if it is sent on now,
+        given how many tokens of its answer its caller has.
     metrics : Metrics
         Counts its events.
     clock : Clock
@@ -72,6 +82,7 @@
     deadline: float
     gives_up_at: float
     is_allowed: Callable[[], bool]
+    ends_before_kill: Callable[[int], bool]
     metrics: Metrics
     clock: Clock
     home_regions: frozenset[str] = frozenset()
@@ -108,13 +119,23 @@
         req = self.req
         return f"{req.path}?{req.query}" if req.has_query else req.path
 
-    def may_send(self) -> bool:
+    def can_end(self, n_made_tokens: int = 0) -> bool:
+        """Return whether it ends before this process is killed if it is sent on now.
+
+        ``n_made_tokens`` is how many tokens of its answer its caller has.
+        """
+        return self.ends_before_kill(n_made_tokens)
+
+    def may_send(self, n_made_tokens: int = 0) -> bool:
         """Return whether the request may be sent; checked right before the first byte.
 
         The process may have been suspended between the decision and the first byte; the
-        key may have been revoked or the deadline passed meanwhile.
+        key may have been revoked or the deadline passed meanwhile. The process may have
+        been asked to stop.
         """
-        return self.is_allowed() and self.seconds_left > 0
+        if not self.is_allowed() or self.seconds_left <= 0:
+            return False
+        return self.can_end(n_made_tokens)
 
     def can_continue(self) -> bool:
         """Return whether a run that an engine has begun may continue at another one.
@@ -124,18 +145,27 @@
         """
         return self.seconds_left > 0
 
-    async def run_while_connected(self, work: Coroutine[Any, Any, T]) -> T:
+    async def run_while_connected(
+        self, work: Coroutine[Any, Any, T], stopped: asyncio.Future[None]
+    ) -> T:
         """Await a coroutine, and cancel it as soon as the caller disconnects.
 
+        It is also cancelled if nothing of the answer was sent when ``stopped`` is done.
+
         Raises
         ------
         CallerDisconnectedError
             If the caller disconnects first.
+        NodeStoppedError
+            If the process is about to be killed.
         """
         task = asyncio.ensure_future(work)
-        waiting: list[asyncio.Future[Any]] = [task, self.res.lost]
+        waiting: list[asyncio.Future[Any]] = [task, self.res.lost, stopped]
         try:
             await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+            if stopped.done() and self.res.has_begun:
+                waiting.remove(stopped)
+                await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
         except asyncio.CancelledError:
             task.cancel()
             raise
@@ -143,7 +173,9 @@
             return task.result()
         task.cancel()
         await asyncio.wait({task})
-        raise CallerDisconnectedError
+        if self.res.is_lost:
+            raise CallerDisconnectedError
+        raise NodeStoppedError
 
     def observe(self, name: str) -> None:
         """Add the time since the request's arrival to a histogram."""
@@ -196,7 +228,7 @@
 
 def failure_status(reason: str) -> int:
     """Return the status of a request that may have run and has no answer."""
-    return 504 if reason in ("timeout", "stalled") else 502
+    return 504 if reason in TIMED_OUT_REASONS else 502
 
 
 def seconds_until(retry_at: float | None, default: float) -> float:
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -31,6 +31,7 @@
 from .exchange import (
     CallerDisconnectedError,
     Exchange,
+    NodeStoppedError,
     break_off,
     failure_status,
     refuse,
@@ -48,6 +49,8 @@
 from .peerupdates import PeerUpdates
 from .resumption import VERSION_GONE
 from .runmover import RunMover
+from .shutdown import STOPPED as NODE_STOPPED
+from .shutdown import STOPPING, Shutdown
 
 # Engines that may refuse a generation before it is refused to the caller.
 MAX_REFUSALS = 3
@@ -83,6 +86,8 @@
         Bounds repeated requests.
     origins : OriginBroker
         Told what begins streams that callers may take up.
+    shutdown : Shutdown
+        Which generations can end before this process is killed.
     on_begun, on_whole : callable
         Called with a prompt once an engine has evidently begun its answer, and once it
         was answered to its end.
@@ -99,11 +104,13 @@
         peer_updates: PeerUpdates,
         budget: SharedRetryBudget,
         origins: OriginBroker,
+        shutdown: Shutdown,
         on_begun: Callable[[Prompt], None],
         on_whole: Callable[[Prompt], None],
         rng: random.Random,
     ) -> None:
         self._origins = origins
+        self._shutdown = shutdown
         self._on_begun = on_begun
         self._on_whole = on_whole
         self._placer = placer
@@ -136,9 +143,16 @@
         live = LiveRun(ex=ex, engine=engine, run=run)
         self._live.add(live)
         try:
-            await ex.run_while_connected(self._run_generation(live))
+            with self._shutdown.watch() as stopped:
+                await ex.run_while_connected(self._run_generation(live), stopped)
         except CallerDisconnectedError:
             ex.log("caller_gone", n_events=live.n_events)
+        except NodeStoppedError:
+            was_sent = live.n_attempts > 0
+            outcome = Failed(reason=NODE_STOPPED)
+            await self._refuse_unstarted(
+                live, outcome if was_sent else NotExecuted(reason=STOPPING)
+            )
         except PeerError as exc:
             ex.log("caller_lost", problem=str(exc), n_events=live.n_events)
             await break_off(ex.res, BROKEN_OFF, attempt_id=facts.attempt_id)
@@ -205,15 +219,18 @@
         ex = live.ex
         attempt = ex.facts.attempt_id
         if isinstance(outcome, NotExecuted):
+            if outcome.reason != VERSION_GONE and not ex.can_end():
+                outcome = NotExecuted(reason=STOPPING)
             ex.log("refused", reason=outcome.reason, bound_to=live.binding.version)
             if outcome.reason == VERSION_GONE:
                 await refuse(ex.res, 421, VERSION_GONE, attempt_id=attempt)
                 return
-            retry_after = (
-                EVACUATED_RETRY_SECONDS
-                if outcome.reason == EVACUATED
-                else seconds_until(outcome.retry_at, FULL_RETRY_SECONDS)
-            )
+            if outcome.reason == STOPPING:
+                retry_after = self._shutdown.retry_seconds
+            elif outcome.reason == EVACUATED:
+                retry_after = EVACUATED_RETRY_SECONDS
+            else:
+                retry_after = seconds_until(outcome.retry_at, FULL_RETRY_SECONDS)
             self._placer.record_refused(live, retry_after)
             await refuse(
                 ex.res,
--- a/celerytrail/relay/handler.py
+++ b/celerytrail/relay/handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 from collections.abc import Callable
 
@@ -18,20 +19,13 @@
 from ..policies.blockedprompts import BLOCK_SECONDS, BlockedPrompts
 from ..policies.freshness import Freshness
 from ..policies.homes import allowed_regions
-from ..policies.stopping import can_finish
 from .calls import PlainCalls
 from .endpointgate import reason_of
 from .exchange import Exchange, refuse, seconds_until
 from .generations import Generations
 from .resumption import CannotResume, Resumptions
+from .shutdown import STOPPING, Shutdown
 
-# Retry-After when other nodes serve, in seconds: the caller can try another address at
-# once.
-OTHER_NODE_RETRY_SECONDS = 0.1
-# Retry-After when no other node serves, in seconds: the store is then unavailable to
-# all nodes, and outages last seconds. With a short value callers used up their tries
-# during the outage, and a third of their requests were refused on the last try.
-OUTAGE_RETRY_SECONDS = 2.0
 # The least urgent priority that engines accept.
 MAX_PRIORITY = 9
 # Time budget of a request whose caller states none, in seconds.
@@ -56,11 +50,8 @@
         The requests that no endpoint gets.
     resumptions : Resumptions
         Finds where streams may be taken up.
-    has_others : callable
-        Returns whether another node serves callers.
-    killed_at : callable
-        Returns the loop time at which this node will be killed, None unless it is
-        stopping.
+    shutdown : Shutdown
+        Which requests can end before this process is killed.
     clock : Clock
         Timestamps arrivals and deadlines.
     rng : random.Random
@@ -78,8 +69,7 @@
         generations: Generations,
         resumptions: Resumptions,
         blocked: BlockedPrompts,
-        has_others: Callable[[], bool],
-        killed_at: Callable[[], float | None],
+        shutdown: Shutdown,
         clock: Clock,
         rng: random.Random,
         metrics: Metrics,
@@ -90,8 +80,7 @@
         self._generations = generations
         self._resumptions = resumptions
         self._blocked = blocked
-        self._has_others = has_others
-        self._killed_at = killed_at
+        self._shutdown = shutdown
         self._clock = clock
         self._rng = rng
         self._metrics = metrics
@@ -132,6 +121,16 @@
         budget = facts.budget_seconds
         if budget is None:
             budget = DEFAULT_BUDGET_SECONDS
+        deadline = arrived_at + min(budget, route.timeout_seconds)
+        service = cfg.services.get(resumption.service)
+        engine = service.engine if service is not None else None
+        ends_before_kill: Callable[[int], bool]
+        if engine is None:
+            ends_before_kill = self._make_call_check(
+                resumption.service, route, deadline
+            )
+        else:
+            ends_before_kill = functools.partial(self._shutdown.can_generate, facts)
         ex = Exchange(
             req=req,
             res=res,
@@ -141,9 +140,10 @@
             organisation=organisation,
             priority=_priority(route, key_holder),
             arrived_at=arrived_at,
-            deadline=arrived_at + min(budget, route.timeout_seconds),
+            deadline=deadline,
             gives_up_at=arrived_at + budget,
             is_allowed=self._make_allowed_check(route, facts),
+            ends_before_kill=ends_before_kill,
             metrics=self._metrics,
             clock=self._clock,
             home_regions=allowed_regions(route, key_holder),
@@ -159,14 +159,11 @@
             )
         if await self._refuse_blocked(ex):
             return
-        service = cfg.services.get(ex.service)
-        if service is not None and service.engine is not None:
-            if self._is_killed_before_end(facts):
-                await self._refuse(
-                    res, facts, 503, "stopping", can_retry_elsewhere=True
-                )
-                return
-            await self._generations.relay(ex, service.engine)
+        if not ex.can_end():
+            await self._refuse(res, facts, 503, STOPPING, can_retry_elsewhere=True)
+            return
+        if engine is not None:
+            await self._generations.relay(ex, engine)
         else:
             await self._calls.relay(ex)
 
@@ -187,11 +184,16 @@
         )
         return True
 
-    def _is_killed_before_end(self, facts: RequestMetadata) -> bool:
-        killed_at = self._killed_at()
-        if killed_at is None:
-            return False
-        return not can_finish(facts, asyncio.get_running_loop().time(), killed_at)
+    def _make_call_check(
+        self, service: str, route: Route, deadline: float
+    ) -> Callable[[int], bool]:
+        """Return a function that checks whether a call ends before the kill."""
+
+        def ends_before_kill(n_made_tokens: int) -> bool:
+            seconds_left = deadline - self._clock.boottime()
+            return self._shutdown.can_call(service, route, seconds_left)
+
+        return ends_before_kill
 
     def _make_allowed_check(
         self, route: Route, facts: RequestMetadata
@@ -260,11 +262,7 @@
             knowledge_age=self._freshness.age_seconds,
             knowledge_source=self._freshness.source or "store",
         )
-        retry_after = None
-        if can_retry_elsewhere:
-            retry_after = (
-                OTHER_NODE_RETRY_SECONDS if self._has_others() else OUTAGE_RETRY_SECONDS
-            )
+        retry_after = self._shutdown.retry_seconds if can_retry_elsewhere else None
         await refuse(
             res,
             status,
--- a/celerytrail/relay/node.py
+++ b/celerytrail/relay/node.py
@@ -50,6 +50,7 @@
 from .peerupdates import PeerUpdates
 from .plainrelay import PlainRelay
 from .servers import NodeServers
+from .shutdown import Shutdown
 from .status import RelayStatus
 from .tablesinks import ConfigSink, EvacuationSink, RegistrationSink, SinkGroup
 from .updatemessages import OriginEntry
@@ -107,8 +108,7 @@
             n_max_bytes=n_body_bytes, n_max_first_bytes=n_body_bytes
         )
         self.is_stopping = False
-        # When the process will be killed, in loop time; None until it is asked to stop.
-        self._killed_at: float | None = None
+        self.shutdown = Shutdown(has_others=self._has_others)
         self._was_ready = False
         self.node_id = f"{cfg.node}-{self._rng.getrandbits(32):08x}"
         self._freshness = Freshness(
@@ -286,6 +286,7 @@
             rates=self._prefill_rates,
             budget=self._budget,
             origins=self.origins,
+            shutdown=self.shutdown,
             crashes=self.crashes,
             waiting_room=self.waiting_room,
             policies=self._policies,
@@ -301,6 +302,7 @@
             access=self.access,
             budget=self._budget,
             crashes=self.crashes,
+            shutdown=self.shutdown,
             announce_abort=self._announce_abort,
             rng=self._rng,
             metrics=self._metrics,
@@ -327,10 +329,7 @@
             generations=self.generations,
             resumptions=self._resumptions,
             blocked=self.crashes.blocked,
-            has_others=lambda: any(
-                member.node != self.node_id for member in self.nodes.live()
-            ),
-            killed_at=lambda: self._killed_at,
+            shutdown=self.shutdown,
             clock=self._clock,
             rng=self._rng,
             metrics=self._metrics,
@@ -417,7 +416,8 @@
         """Close idle connections, let answers in progress end, and leave."""
         loop = asyncio.get_running_loop()
         self.is_stopping = True
-        self._killed_at = loop.time() + self.cfg.grace_seconds
+        killed_at = loop.time() + self.cfg.grace_seconds
+        self.shutdown.begin(killed_at)
         log_message(
             "relay:node:stopping",
             node=self.node_id,
@@ -426,7 +426,7 @@
         self.nodes.set_serving(False)
         self.access.tunnels.retire()
         await self._servers.drain(loop.time() + STOP_ACCEPT_SECONDS)
-        await self.access.tunnels.stop(self._killed_at - STOP_MARGIN_SECONDS)
+        await self.access.tunnels.stop(killed_at - STOP_MARGIN_SECONDS)
         await self._peers.node_rows.leave()
         self.supervisor.cancel()
         await self.nodes.stop()
@@ -480,6 +480,10 @@
 
     # Internals.
 
+    def _has_others(self) -> bool:
+        """Return whether another node serves callers."""
+        return any(member.node != self.node_id for member in self.nodes.live())
+
     def _find_service(self, name: str) -> Service | None:
         cfg = self.configs.cfg
         return cfg.services.get(name) if cfg else None
@@ -583,6 +587,7 @@
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             now = asyncio.get_running_loop().time()
             self._endpoint_state.expire(now)
+            self.shutdown.expire(self.configs.cfg)
             self.access.update(now)
             self.loads.expire(now, self.node_id)
             self.waiting_room.expire(now)
--- a/celerytrail/relay/plainrelay.py
+++ b/celerytrail/relay/plainrelay.py
@@ -14,6 +14,7 @@
 from .crashes.watch import CrashWatch
 from .endpointaccess import EndpointAccess
 from .endpointstate import EndpointState
+from .shutdown import Shutdown
 
 
 class PlainRelay:
@@ -31,6 +32,8 @@
         Bounds repeated requests.
     crashes : CrashBroker
         Told of crashes and answers.
+    shutdown : Shutdown
+        Which requests can end before this process is killed.
     announce_abort : callable
         Announces an endpoint that broke off an answer to the other nodes.
     rng : random.Random
@@ -47,6 +50,7 @@
         access: EndpointAccess,
         budget: SharedRetryBudget,
         crashes: CrashBroker,
+        shutdown: Shutdown,
         announce_abort: Callable[[str], None],
         rng: random.Random,
         metrics: Metrics,
@@ -74,6 +78,7 @@
             answers=endpoints.answers,
             paces=endpoints.paces,
             watch=watch,
+            shutdown=shutdown,
             on_begun=crashes.record_begun,
             on_whole=crashes.record_whole,
         )
--- a/tests/test_relay_node.py
+++ b/tests/test_relay_node.py
@@ -11,7 +11,11 @@
 
 from celerytrail.http.client import HttpClient
 from celerytrail.policies.endpointchoice import ANNOUNCE_SECONDS
-from celerytrail.relay.handler import OTHER_NODE_RETRY_SECONDS, OUTAGE_RETRY_SECONDS
+from celerytrail.relay.shutdown import (
+    OTHER_NODE_RETRY_SECONDS,
+    OUTAGE_RETRY_SECONDS,
+)
+from celerytrail.relay.tunnelserver import STOPPING
 from celerytrail.rowsource import RowSource, StoreUnavailable
 from standins.worker import EngineWorker, WorkerFaults
 from tests.relayrig import (
@@ -357,7 +361,7 @@
         node = await rig.add_node()
         other = await rig.add_node("vm-2")
         await wait_until(lambda: len(node.nodes.live()) == 2)
-        node._killed_at = asyncio.get_running_loop().time() + 4.0
+        node.shutdown.begin(asyncio.get_running_loop().time() + 4.0)
         headers = rig.headers(**{"x-token-count": "3000,900"})
         refused = await rig.request("/draft/1", node=node, headers=headers)
         assert refused.status == 503
@@ -375,13 +379,65 @@
         # If it were refused, its caller would lose a try for nothing.
         engine = await rig.add_engine("e1")
         node = await rig.add_node()
-        node._killed_at = asyncio.get_running_loop().time() + 6.0
+        node.shutdown.begin(asyncio.get_running_loop().time() + 6.0)
         headers = rig.headers(**{"x-token-count": "2200,16"})
         pending = asyncio.ensure_future(rig.request("/draft/1", headers=headers))
         await wait_until(lambda: engine.running)
         await engine.tick(6)
         assert split_events((await pending).body) == expected_events(6)
 
+    async def test_a_draft_without_a_head_gets_an_answer_before_the_kill(self, rig):
+        """Guards against a connection that ends without an answer at the kill."""
+        engine = await rig.add_engine("e1")
+        engine.faults = WorkerFaults(is_mute=True)
+        node = await rig.add_node()
+        pending = asyncio.ensure_future(rig.request("/draft/1"))
+        await wait_until(lambda: engine.seen)
+        node.shutdown.begin(asyncio.get_running_loop().time() + 0.3)
+        res = await pending
+        assert (res.status, error_type(res)) == (504, "node_stopped")
+
+    async def test_a_draft_that_waits_for_room_is_refused_as_not_run(self, rig):
+        """Guards against a caller that can't repeat what has not run."""
+        node = await rig.add_node()
+        engine = await rig.add_engine("e1")
+        await wait_until(lambda: node.registry.has("e1"))
+        headers = rig.headers(**{"x-token-count": "20000,5000"})
+        first = asyncio.ensure_future(rig.request("/draft/1", headers=headers))
+        await wait_until(lambda: engine.seen)
+        headers = rig.headers(**{"x-token-count": "20000,5000"})
+        waiting = asyncio.ensure_future(rig.request("/draft/2", headers=headers))
+        await asyncio.sleep(0.2)
+        node.shutdown.begin(asyncio.get_running_loop().time() + 0.3)
+        res = await waiting
+        assert (res.status, error_type(res)) == (503, "stopping")
+        assert len(engine.seen) == 1
+        first.cancel()
+
+    async def test_a_stream_goes_on_until_the_kill(self, rig):
+        """Guards against streams that are given up before they are cut."""
+        engine = await rig.add_engine("e1")
+        node = await rig.add_node()
+        pending = asyncio.ensure_future(rig.request("/draft/1"))
+        await wait_until(lambda: engine.running)
+        await engine.tick(1)
+        killed_at = asyncio.get_running_loop().time() + 0.3
+        await wait_until(lambda: any(live.n_events for live in node.generations._live))
+        node.shutdown.begin(killed_at)
+        await wait_until(lambda: asyncio.get_running_loop().time() >= killed_at)
+        await engine.tick(5)
+        assert split_events((await pending).body) == expected_events(6)
+
+    async def test_a_stopping_node_makes_no_connections_for_others(self, rig):
+        """Guards against another node's call that is cut together with this one."""
+        await rig.add_plain_worker("d1")
+        node = await rig.add_node()
+        stopping = asyncio.ensure_future(node.stop())
+        await asyncio.sleep(0)
+        worker = rig.workers[0]
+        assert node.access.tunnels._refusal(worker.address) == STOPPING
+        stopping.cancel()
+
 
 class TestMetrics:
     async def test_requests_are_counted_by_outcome(self, rig):
