Play unframed answers and troubles of stops at random

Cause: the random plays of drafts had framed answers only, always backups, and engines that did what an order to stop a run says at once.

Change: a seed draws which engines answer without length and chunks (none, some, all) and whether there are backups. New troubles: answers to stops that are lost or late, stopped streams that are closed late, reset, lack their newest events or end inside one, orders read late, no room for last copies. Streams that engines sent to their ends and that came cut while nothing happened to the path count as broken.

--- a/standins/handoverfaults.py
+++ b/standins/handoverfaults.py
@@ -48,6 +48,16 @@
         closed otherwise.
     stop_loss : StopLoss or None
         What becomes of the first request to stop each run, if its answer is lost.
+    read_seconds : float
+        How late it reads requests that stop runs, in seconds; a run whose connection
+        has closed is stopped at once.
+    refuses_last : bool
+        Whether there is no room for the first last copy of each run.
+    n_unsent_events : int
+        Newest events of a run that its stream lacks, until the run ends; a stopped one
+        never sends them.
+    tears_stopped : bool
+        Whether the stream of a stopped run ends inside an event that it lacks.
     """
 
     head_seconds: float = 0.0
@@ -60,3 +70,7 @@
     stopped_seconds: float = 0.0
     resets_stopped: bool = False
     stop_loss: StopLoss | None = None
+    read_seconds: float = 0.0
+    refuses_last: bool = False
+    n_unsent_events: int = 0
+    tears_stopped: bool = False
--- a/standins/handovertroubles.py
+++ b/standins/handovertroubles.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 from typing import Any
 
-from .handoverfaults import CopyReset, HandoverFaults
+from .handoverfaults import CopyReset, HandoverFaults, StopLoss
 from .modelworker import ModelWorker
 
 Trouble = Callable[[ModelWorker, random.Random], None]
@@ -38,6 +38,16 @@
     "lingers": _change(linger_seconds=lambda rng: rng.uniform(0.5, 5.0)),
     "slow copies": _change(move_seconds=lambda rng: rng.uniform(0.3, 2.0)),
     "breaks": _change(breaks_after=lambda rng: rng.randrange(40)),
+    "lost answers to stops": _change(stop_loss=lambda rng: rng.choice([*StopLoss])),
+    "late answers to stops": _change(stop_seconds=lambda rng: rng.uniform(0.1, 5.0)),
+    "late closes": _change(stopped_seconds=lambda rng: rng.uniform(0.1, 3.0)),
+    "resets of stopped": _change(resets_stopped=lambda rng: True),
+    "late reads of stops": _change(read_seconds=lambda rng: rng.uniform(0.05, 4.5)),
+    "no room for last copies": _change(refuses_last=lambda rng: True),
+    "unsent events": _change(
+        n_unsent_events=lambda rng: rng.randint(1, 8),
+        tears_stopped=lambda rng: rng.random() < 0.5,
+    ),
 }
 
 
--- a/standins/modelworker.py
+++ b/standins/modelworker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -47,9 +48,12 @@
     is_cut: bool = False
     is_moving: bool = False
     has_lost_stop: bool = False
+    has_refused_last: bool = False
     # Tokens of the run that each other engine holds, by the engine's address.
     n_copied: dict[str, int] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
+    # Set once it is worked on without a connection.
+    lingers: asyncio.Event = field(default_factory=asyncio.Event)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -180,6 +184,9 @@
         self.slow_factor = 1.0
         # Attempts whose streams were closed inside an event.
         self.torn: list[str] = []
+        # Works whose streams were sent to their ends, and works that it stopped.
+        self.ended: list[Work] = []
+        self.stopped: list[Work] = []
         self._find_engine = find_engine
         self._streams: dict[str, _Stream] = {}
         # The paths of the requests that it runs, by attempt.
@@ -344,6 +351,9 @@
     async def _move(self, req: Request, res: Responder) -> None:
         order = msgspec.json.decode(req.body)
         stream = self._streams.get(order["id"])
+        if order["last"] and stream is not None:
+            await self._read_late(stream)
+            stream = self._streams.get(order["id"])
         if stream is None:
             await res.send(404, headers=self.leaving_headers)
             return
@@ -357,11 +367,14 @@
         stream.is_moving = True
         handle = f"m{order['id']}"
         target = self._find_engine(order["to"])
+        if order["last"] and self._refuses_last(stream):
+            target = None
         job = stream.job
         if order["last"]:
             # The run stops at this engine, and its stream is cut before its end.
             self.model.withdraw(job)
             self.work_log.end(stream.work)
+            self.stopped.append(stream.work)
             self._hold_copy(f"{self.address}/{handle}", job)
             stream.is_cut = True
             stream.changed.set()
@@ -388,6 +401,12 @@
         moved = {"handle": handle, "created": n_events}
         await res.send_json(200, moved, self.leaving_headers)
 
+    async def _read_late(self, stream: _Stream) -> None:
+        """Wait before a request to stop a run is read."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.handover_faults.read_seconds):
+                await stream.lingers.wait()
+
     def _draw_stop_loss(self, stream: _Stream) -> StopLoss | None:
         """Return whether the answer to a request that stops a run is lost."""
         if stream.has_lost_stop:
@@ -395,6 +414,12 @@
         stream.has_lost_stop = True
         return self.handover_faults.stop_loss
 
+    def _refuses_last(self, stream: _Stream) -> bool:
+        """Return whether there is no room for the last copy of a run."""
+        is_first = not stream.has_refused_last
+        stream.has_refused_last = True
+        return is_first and self.handover_faults.refuses_last
+
     def _hold_copy(self, name: str, job: Job) -> None:
         drop_at = asyncio.get_running_loop().time() + COPY_LIFETIME_SECONDS
         self._copies[name] = _Copy(job=job, n_tokens=job.n_tokens, drop_at=drop_at)
@@ -458,6 +483,9 @@
 
     async def _answer(self, res: Responder, stream: _Stream, first_event: int) -> None:
         """Answer a run with its events, after the troubles of one from a copy."""
+        ends = self.answer_ends
+        if ends is not None and ends.rng.random() < ends.unframed_share:
+            res = UnframedResponder(res=res)
         faults = self.handover_faults
         if stream.work.copy is not None:
             if faults.copy_reset is not None:
@@ -474,6 +502,7 @@
     @staticmethod
     async def _linger(stream: _Stream, seconds: float) -> None:
         """Work on a run without a connection, until it ends or is stopped."""
+        stream.lingers.set()
         try:
             async with asyncio.timeout(seconds if seconds < float("inf") else None):
                 while not stream.is_ended and not stream.is_cut:
@@ -526,18 +555,16 @@
         attempt_id = stream.job.attempt_id
         headers = self._stream_headers(attempt_id)
         ends = self.answer_ends
-        is_unframed = ends is not None and ends.rng.random() < ends.unframed_share
-        if is_unframed:
-            res = UnframedResponder(res=res)
-        breaks_at = self.handover_faults.breaks_after
+        faults = self.handover_faults
+        breaks_at = faults.breaks_after
         tears_at = -1
-        if ends is not None and is_unframed and not first_event:
+        if ends is not None and isinstance(res, UnframedResponder) and not first_event:
             tears_at = ends.draw_tear()
         # The headers are sent with the first event: a waiting request hasn't started.
         is_begun = res.has_begun
         number = first_event
         while True:
-            while number < stream.n_events:
+            while number < self._n_sendable(stream):
                 if stream.work.copy is None and number == breaks_at:
                     res.abort()
                     await asyncio.wait({res.lost})
@@ -556,6 +583,9 @@
             if stream.is_ended:
                 break
             if stream.is_cut and not res.is_lost:
+                if is_begun and number < stream.n_events and faults.tears_stopped:
+                    data = event(attempt_id, number, self._signature)
+                    await res.write(data[: len(data) // 2])
                 await self._close_stopped(res)
                 return
             if res.is_lost:
@@ -565,8 +595,16 @@
             await self._await_change(stream, res)
         if not is_begun:
             res.start(200, headers)
+        if not res.is_lost:
+            self.ended.append(stream.work)
         await res.finish()
 
+    def _n_sendable(self, stream: _Stream) -> int:
+        """Return how many events of a run its stream may have by now."""
+        if stream.is_ended:
+            return stream.n_events
+        return stream.n_events - self.handover_faults.n_unsent_events
+
     async def _close_stopped(self, res: Responder) -> None:
         """Close the stream of a stopped run without its end."""
         faults = self.handover_faults
--- a/standins/unframed.py
+++ b/standins/unframed.py
@@ -33,6 +33,7 @@
     def start(self, status: int, headers: Mapping[str, str]) -> None:
         """Send the head."""
         self.status = status
+        self.has_begun = True
         self._set_linger(RESET)
         fields = {**headers, "connection": "close"}
         lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
--- a/tests/placesrig.py
+++ b/tests/placesrig.py
@@ -9,15 +9,17 @@
 import asyncio
 import random
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from standins.handovertroubles import TROUBLES, draw_troubles
-from standins.modelworker import ModelWorker
+from standins.modelworker import AnswerEnds, ModelWorker
 from standins.places import Places, Span, Work, find_places
 from standins.reach import Reach
 from tests.limitrig import CONTACT_SECONDS, now
+from tests.relayrig import config
 from tests.versionrig import (
+    PATIENCE_SECONDS,
     EngineFleet,
     HeldStream,
     StreamCallers,
@@ -36,6 +38,10 @@
 N_MEAN_EVENTS = 90.0
 # Works that outlive their streams go on for so long before they are reckoned.
 REST_SECONDS = 2.0
+# Share of the answers that end with their connections, at each engine of a seed.
+UNFRAMED_SHARES = ((0.0,), (1.0,), (0.0, 0.5, 1.0))
+# How long a node has to pass a stream's end on; nothing may happen to it meanwhile.
+PASS_SECONDS = 0.5
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -50,6 +56,10 @@
         Names of the troubles that engines may have.
     trouble_share : float
         Share of the troubles that each engine has; they change if it is below 1.
+    unframed_shares : tuple of float
+        One of these is the share of an engine's answers without length and chunks.
+    has_backups : bool
+        Whether engines keep backups of runs; runs that have none are moved.
     """
 
     n_nodes: int
@@ -57,6 +67,8 @@
     n_zones: int
     troubles: tuple[str, ...]
     trouble_share: float
+    unframed_shares: tuple[float, ...] = (0.0,)
+    has_backups: bool = True
 
     @classmethod
     def draw(cls, rng: random.Random) -> Plan:
@@ -72,6 +84,8 @@
             n_zones=rng.randint(1, 3),
             troubles=troubles,
             trouble_share=share,
+            unframed_shares=rng.choice(UNFRAMED_SHARES),
+            has_backups=rng.random() < 0.5,
         )
 
 
@@ -85,6 +99,10 @@
         Drafts whose callers stayed, and those that came whole or were cut.
     n_moved : int
         Drafts that went on from copies.
+    n_short : int
+        Answers that came as whole ones and lack events.
+    n_stopped : int
+        Runs that engines were told to stop.
     worst_pause : float
         Longest pause between two events of a draft, in seconds.
     """
@@ -93,6 +111,8 @@
     n_whole: int
     n_cut: int
     n_moved: int
+    n_short: int
+    n_stopped: int
     worst_pause: float
 
 
@@ -110,11 +130,15 @@
         where = "all" if plan.trouble_share == 1.0 else "some"
         trouble = f"{plan.troubles[0]} at {where}" if plan.troubles else "none"
         trouble = "together" if len(plan.troubles) > 1 else trouble
+        backups = "backups" if plan.has_backups else "no backups"
+        unframed = "/".join(str(share) for share in plan.unframed_shares)
         return (
             f"{plan.n_nodes} nodes, {plan.n_engines} engines, {plan.n_zones} zones, "
-            f"{trouble}: {len(self.broken)} broken, overlap {self.worst_overlap:.2f} s;"
-            f" drafts {price.n_drafts}, whole {price.n_whole}, cut {price.n_cut},"
-            f" moved {price.n_moved}, worst pause {price.worst_pause:.2f} s"
+            f"{backups}, unframed {unframed}, {trouble}: {len(self.broken)} broken, "
+            f"overlap {self.worst_overlap:.2f} s;"
+            f" drafts {price.n_drafts}, whole {price.n_whole}, short {price.n_short},"
+            f" cut {price.n_cut}, moved {price.n_moved}, stopped {price.n_stopped},"
+            f" worst pause {price.worst_pause:.2f} s"
         )
 
 
@@ -126,10 +150,14 @@
     plan: Plan
     rng: random.Random
     reach: Reach = field(default_factory=Reach)
+    # Times at which a node's connections to an engine were reset.
+    resets: Reach = field(default_factory=Reach)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def start(self) -> None:
         """Start the engines, with their troubles."""
+        if not self.plan.has_backups:
+            self.rig.fleet.change(services=without_backups())
         for _ in range(self.plan.n_engines):
             await self._add_engine()
 
@@ -176,6 +204,9 @@
 
     def _draw_troubles(self, engine: ModelWorker) -> None:
         plan = self.plan
+        if engine.answer_ends is None:
+            share = self.rng.choice(plan.unframed_shares)
+            engine.answer_ends = AnswerEnds(unframed_share=share, rng=self.rng)
         draw_troubles(engine, self.rng, plan.troubles, plan.trouble_share)
 
     async def _change_troubles(self) -> None:
@@ -265,6 +296,7 @@
         link = self._path()
         if link is not None:
             self.rig.fleet.wires.reset(*link)
+            self.resets.add(*link, (now(), now()))
 
     def _path(self) -> tuple[str, str] | None:
         engine = self._engine()
@@ -326,6 +358,13 @@
             self.reach.find(f"vm-{number}", "", CONTACT_SECONDS)
 
 
+def without_backups() -> list[dict[str, object]]:
+    """Return the services of a configuration whose engines keep no backups."""
+    models, *others = config()["services"]
+    engine = {**models["engine"], "backups": False}
+    return [{**models, "engine": engine}, *others]
+
+
 def play(seed: int) -> PlayResult:
     """Play one seed, and return what it has shown."""
     rng = random.Random(f"places {seed}")
@@ -351,7 +390,10 @@
         await faults.end()
         await sending
         await asyncio.sleep(REST_SECONDS)
-        results.append(reckon(plan, rig, callers, faults.reach))
+        result = reckon(plan, rig, callers, faults.reach)
+        reaches = (faults.reach, faults.resets)
+        cut = broken_ends(callers.streams, rig.all_engines, reaches)
+        results.append(replace(result, broken=result.broken + cut))
 
     run_engine_fleet(plan.n_nodes, steps, seed)
     return results[0]
@@ -383,10 +425,46 @@
         plan=plan,
         broken=broken_places(found) + broken_contents(callers.streams, rig.all_engines),
         worst_overlap=max((one.overlap_seconds for one in found), default=0.0),
-        price=price_of(drafts, found),
+        price=price_of(drafts, found, rig.all_engines),
     )
 
 
+def broken_ends(
+    streams: Iterable[HeldStream],
+    engines: Iterable[ModelWorker],
+    reaches: Iterable[Reach],
+) -> list[str]:
+    """Return streams that engines sent to their ends, and that came cut.
+
+    Their nodes were in touch with the engines around the ends, and had passed events
+    of these engines on; a stream from a copy isn't taken before its engine's version is
+    known. Their callers waited.
+    """
+    ended = {work.attempt_id: work for one in engines for work in one.ended}
+    broken = []
+    for stream in streams:
+        last = stream.tries[-1]
+        work = ended.get(last.attempt_id)
+        if work is None or stream.is_complete or stream.has_left or not last.n_events:
+            continue
+        if stream.events[-1].sender.endpoint != work.endpoint:
+            continue
+        since = work.ended_at - PASS_SECONDS
+        until = work.ended_at + PASS_SECONDS
+        is_late = until > stream.tries[0].sent_at + PATIENCE_SECONDS
+        is_disturbed = any(
+            begun < until and over > since
+            for reach in reaches
+            for begun, over in reach.spans([f"vm-{last.node}"], work.endpoint)
+        )
+        if not is_late and not is_disturbed:
+            broken.append(
+                f"{last.attempt_id} was cut after {len(stream.events)} of "
+                f"{stream.n_events} events, and {work.endpoint} sent its end"
+            )
+    return broken
+
+
 def broken_places(found: Iterable[Places]) -> list[str]:
     """Return drafts that two engines worked on for too long, or that began twice."""
     broken = []
@@ -400,7 +478,11 @@
     return broken
 
 
-def price_of(drafts: Iterable[HeldStream], found: Iterable[Places]) -> Price:
+def price_of(
+    drafts: Iterable[HeldStream],
+    found: Iterable[Places],
+    engines: Iterable[ModelWorker],
+) -> Price:
     """Return what the callers of drafts got who stayed."""
     stayed = [stream for stream in drafts if not stream.has_left]
     n_whole = sum(stream.is_complete for stream in stayed)
@@ -414,5 +496,9 @@
         n_whole=n_whole,
         n_cut=sum(bool(stream.events) and not stream.is_complete for stream in stayed),
         n_moved=sum(one.n_from_copies > 0 for one in found),
+        n_short=sum(
+            one.is_complete and len(one.events) < one.n_events for one in stayed
+        ),
+        n_stopped=sum(len(engine.stopped) for engine in engines),
         worst_pause=max(pauses, default=0.0),
     )
--- a/tests/test_relay_stopped_streams.py
+++ b/tests/test_relay_stopped_streams.py
@@ -46,6 +46,15 @@
     "order read after 0.5 s": Leave(read_seconds=0.5),
     "order read after it was given up": Leave(read_seconds=4.5, leave_seconds=8.0),
     "no room for the last copy": Leave(is_full=True),
+    "events unsent": Leave(left=HandoverFaults(n_unsent_events=5)),
+    "closed inside an event": Leave(
+        left=HandoverFaults(n_unsent_events=5, tears_stopped=True)
+    ),
+    "closed inside an event, answer reset": Leave(
+        left=HandoverFaults(
+            n_unsent_events=5, tears_stopped=True, stop_loss=StopLoss.RESET
+        )
+    ),
     "framed": Leave(unframed_share=0.0),
     "backups": Leave(has_backups=True),
     "backups with late heads": Leave(
