Soak engines with and without backups, and check the ends of streams

Change: each seed draws whether engines keep backups, each engine which share of its answers ends with the connection; the new troubles of stops come with the others. A stream that its only engine sent to its end, and that came cut while node and engine were in touch, is broken (LOST). The engines' work shows how many runs were told to stop.

--- a/chores/soak.py
+++ b/chores/soak.py
@@ -17,7 +17,7 @@
 import subprocess
 import sys
 import tempfile
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import asdict, dataclass
 from pathlib import Path
@@ -41,12 +41,16 @@
 N_PLAIN = 6
 N_ENGINES = 6
 N_EVENT_TOKENS = int(str(ENGINE["stride"]))
+# How long a node has to pass a stream's end on; nothing may happen to it meanwhile, in
+# seconds.
+PASS_SECONDS = 1.0
 # Lengths of answers by kind of request; the long ones last several seconds.
 N_TOKENS = {"draft": 120, "long": 600, "check": 120}
 # Until when a node that was away isn't in touch, in seconds.
 CONTACT_SECONDS = float(str(BOUNDS["contact-ms"])) / 1_000
 LATE_SHARE = 0.3
-UNFRAMED_SHARE = 0.4
+# One of these is the share of an engine's answers that end with their connections.
+UNFRAMED_SHARES = (0.0, 0.5, 1.0)
 # Share of the engines with troubles around copies, and of all troubles that they have.
 TROUBLED_SHARE = 0.5
 TROUBLE_SHARE = 0.25
@@ -172,6 +176,7 @@
         self, *, seed: int, n_nodes: int = 3, n_callers: int = 12, seconds: float = 20.0
     ) -> None:
         self._rng = random.Random(seed)
+        self._has_backups = self._rng.random() < 0.5
         self._n_nodes = n_nodes
         self._n_callers = n_callers
         self._seconds = seconds
@@ -236,7 +241,7 @@
             network=SystemNetwork(),
         )
         engine.answer_ends = AnswerEnds(
-            unframed_share=UNFRAMED_SHARE, torn_share=0.0, rng=self._rng
+            unframed_share=self._rng.choice(UNFRAMED_SHARES), rng=self._rng
         )
         if self._rng.random() < TROUBLED_SHARE:
             draw_troubles(engine, self._rng, TROUBLES, TROUBLE_SHARE)
@@ -337,6 +342,7 @@
 
         streaming = {"session-affinity": True, "gap-target-ms": 180}
         once = {**streaming, "resumable": False}
+        engine = {**ENGINE, "backups": self._has_backups}
         return {
             "version": self._version,
             "routes": [
@@ -347,7 +353,7 @@
                 route("check", "streaming", "models", resumable=True, **streaming),
             ],
             "services": [
-                {"name": "models", "health-path": "/health", "engine": ENGINE},
+                {"name": "models", "health-path": "/health", "engine": engine},
                 {"name": "desk", "health-path": "/health"},
             ],
             "tenants": [{"name": "org", "api-keys": [KEY]}],
@@ -528,6 +534,7 @@
         for worker in self._workers:
             if isinstance(worker, ModelWorker):
                 runs.update(worker.prefilled_ids)
+                self._counts["runs stopped"] += len(worker.stopped)
             else:
                 runs.update(worker.ran)
             assert worker.late_answers is not None
@@ -543,7 +550,38 @@
             problem = self._problem_of(call)
             if problem:
                 broken.append(f"{problem} {call.kind} {call.attempt_id}")
-        return broken
+        return broken + self._find_cut_ends()
+
+    def _find_cut_ends(self) -> list[str]:
+        """Return streams that engines sent to their ends, and that came cut."""
+        works: defaultdict[str, list[Work]] = defaultdict(list)
+        ended: set[str] = set()
+        for worker in self._workers:
+            if isinstance(worker, ModelWorker):
+                ended.update(work.attempt_id for work in worker.ended)
+                for work in worker.work_log.works:
+                    works[work.attempt_id].append(work)
+        cut = []
+        for call in self._calls:
+            # A stream that goes on at another engine isn't taken before that engine's
+            # version is known.
+            if call.attempt_id not in ended or len(works[call.attempt_id]) > 1:
+                continue
+            if not call.answer.body:
+                continue
+            (work,) = works[call.attempt_id]
+            spans = self._reach.spans([call.host], work.endpoint)
+            if call.answer.is_complete or any(
+                since < work.ended_at + PASS_SECONDS
+                and until > work.ended_at - PASS_SECONDS
+                for since, until in spans
+            ):
+                continue
+            cut.append(
+                f"LOST {call.kind} {call.attempt_id}: cut, and {work.endpoint} sent its"
+                f" end, through {call.host}"
+            )
+        return cut
 
     @staticmethod
     def _problem_of(call: Call) -> str:
