Go on from a last copy before the stopped stream is closed

What callers saw: a pause, until the engine closed the stream of a run that it had been told to stop; a late or lost close held the draft up to the engine's exit.

Cause: a run that a move had stopped went on only when the reader of the source's stream met its end, though the answer to the order had named the copy. Moves off a silent path close the stream; moves off a leaving engine didn't.

Change: the move closes the source's stream once it has a copy to go on from. Events that were under way come from the copy.

--- a/celerytrail/relay/runmover.py
+++ b/celerytrail/relay/runmover.py
@@ -277,7 +277,11 @@
         await self._await_turn(live, source)
         if live.reg != source:
             return None
-        return await self._copy_to_engine(live, source)
+        copied = await self._copy_to_engine(live, source)
+        if copied is not None and live.reg == source and live.stream is not None:
+            # The engine may close the stopped stream late, or its close may be lost.
+            live.stream.close()
+        return copied
 
     async def _await_turn(self, live: LiveRun, source: Registration) -> None:
         """Wait until the moves ahead of this one are done or skipped."""
--- a/tests/test_relay_stopped_streams.py
+++ b/tests/test_relay_stopped_streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from dataclasses import dataclass, field
 
 import msgspec
@@ -13,6 +14,7 @@
 from tests.relayrig import config
 from tests.sourcesrig import Fleet, run_fleet
 from tests.test_relay_one_place import Drafts
+from tests.versionrig import STEP_SECONDS
 
 LEAVE_SECONDS = 4.0
 
@@ -191,6 +193,37 @@
         run_fleet(1, test, n_nodes)
 
 
+class TestOpenStreams:
+    @pytest.mark.parametrize("n_nodes", [1, 3])
+    @pytest.mark.parametrize("unframed_share", [0.0, 1.0])
+    def test_a_stopped_run_goes_on_before_its_stream_is_closed(
+        self, unframed_share, n_nodes
+    ):
+        """Guards against callers that wait until an engine closes a stopped stream."""
+
+        def worst_pause(stopped_seconds: float) -> float:
+            pauses: list[float] = []
+            setup = Leave(
+                left=HandoverFaults(stopped_seconds=stopped_seconds),
+                unframed_share=unframed_share,
+            )
+
+            async def test(fleet: Fleet) -> None:
+                drafts = await leave(fleet, setup)
+                assert short_of(drafts) == []
+                assert [one for one in drafts.streams if not one.is_complete] == []
+                pauses.extend(
+                    after.at - before.at
+                    for one in drafts.streams
+                    for before, after in itertools.pairwise(one.events)
+                )
+
+            run_fleet(1, test, n_nodes)
+            return max(pauses)
+
+        assert worst_pause(LEAVE_SECONDS) <= worst_pause(0.0) + STEP_SECONDS
+
+
 class TestRunsThatEnd:
     @pytest.mark.parametrize("seed", range(1, 9))
     @pytest.mark.parametrize("has_backups", [False, True])
