Take a handle for a stop only in answers that state one

A failed answer (500, 502, 404 or any other status) whose body names a handle counted as a run that was stopped and can go on from there.

--- a/celerytrail/relay/engineapi.py
+++ b/celerytrail/relay/engineapi.py
@@ -18,6 +18,9 @@
 from ..types import Address
 
 REPORT_SECONDS = 0.5
+# Status of an engine that has stopped a run and keeps its memory, as there was no room
+# for the copy.
+KEPT_STATUS = 503
 # A report lists an engine's runs by the ids that callers chose, and an id may be nearly
 # as long as a head.
 MAX_REPORT_BYTES = 32 * MAX_HEAD_BYTES
@@ -132,7 +135,9 @@
         res = answered.ok_value
         moved = wire.decode_completed_move(res.body)
         if res.status != 200 or isinstance(moved, Err):
-            handle = None if isinstance(moved, Err) else moved.ok_value.handle
+            handle = None
+            if res.status == KEPT_STATUS and isinstance(moved, Ok):
+                handle = moved.ok_value.handle
             return Err(CopyFailed(reason="refused", status=res.status, handle=handle))
         return Ok(moved.ok_value)
 
