--- a/celerytrail/relay/calls.py
+++ b/celerytrail/relay/calls.py
@@ -487,7 +487,7 @@
             await stream.read(ex.loop_deadline, n_max_bytes=MAX_REFUSAL_BYTES)
             return NotExecuted(reason="endpoint_refused", was_sent=True)
         body = await stream.read(ex.loop_deadline)
-        if isinstance(body, Ok) and not ex.is_own_end(stream):
+        if isinstance(body, Ok) and not ex.has_ended_in_time(stream):
             body = Err(RequestLost(reason=TIMEOUT))
         if isinstance(body, Err):
             lost: RequestLost = body.err_value
--- a/celerytrail/relay/exchange.py
+++ b/celerytrail/relay/exchange.py
@@ -149,7 +149,7 @@
         """
         return self.seconds_left > 0
 
-    def is_own_end(self, stream: Stream) -> bool:
+    def has_ended_in_time(self, stream: Stream) -> bool:
         """Return whether an answer that has just ended is whole.
 
         An endpoint stops work at the time limit that it was sent. Where a body ends
--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import random
 from collections.abc import Callable, Collection
 from dataclasses import replace
@@ -16,7 +15,6 @@
 from ..platform import wire
 from ..policies.engineloads import Run
 from ..policies.retrybudget import SharedRetryBudget
-from ..policies.runstops import StreamEnd
 from ..policies.streamorigins import StreamOrigin, stream_key
 from ..policies.waiting import organisation_tag
 from .crashes.watch import N_BEGUN_EVENTS
@@ -54,6 +52,7 @@
 from .shutdown import STOPPED as NODE_STOPPED
 from .shutdown import STOPPING, Shutdown
 from .stoporders import UNKNOWN_START
+from .streamends import find_break
 
 # Engines that may refuse a generation before it is refused to the caller.
 MAX_REFUSALS = 3
@@ -63,13 +62,6 @@
 # Reason and Retry-After, in seconds, when all engines are in evacuated domains.
 EVACUATED = "evacuated"
 EVACUATED_RETRY_SECONDS = 2.0
-# Reasons for which a stream doesn't go on: its engine sends bytes that are no events,
-# or was told to stop the run.
-NO_EVENTS = "no_events"
-STOPPED = "stopped"
-# How long the end of a stream waits for the answers to orders to stop its run, in
-# seconds. Without them the run goes on from a copy.
-END_SECONDS = 1.0
 
 
 class Generations:
@@ -322,7 +314,7 @@
         """Send the caller an answer that isn't a stream of events."""
         ex = live.ex
         body = await stream.read(ex.loop_deadline)
-        if isinstance(body, Ok) and not ex.is_own_end(stream):
+        if isinstance(body, Ok) and not ex.has_ended_in_time(stream):
             body = Err(RequestLost(reason=TIMEOUT))
         attempt = ex.facts.attempt_id
         if isinstance(body, Err):
@@ -351,14 +343,11 @@
                     await self._relay_event(live, event)
                 if not splitter.is_overlong:
                     continue
-            is_end = isinstance(chunk, Ok) and chunk.ok_value is None
-            if is_end and not ex.is_own_end(live.stream):
-                chunk, is_end = Err(RequestLost(reason=TIMEOUT)), False
-            if is_end and splitter.is_empty and await self._has_ended(live):
+            reason = await find_break(live, chunk, splitter)
+            if reason is None:
                 break
             assert live.reg is not None
-            orders = live.stop_orders.judge_end(live.reg)
-            reason = _reason_of_break(chunk, splitter, orders)
+            by_orders = live.stop_orders.judge_end(live.reg)
             live.stream.close()
             splitter.clear()
             self._record_lost(live, reason)
@@ -368,7 +357,7 @@
                     "cut",
                     reason=reason,
                     n_events=live.n_events,
-                    by_orders=orders.value,
+                    by_orders=by_orders.value,
                 )
                 await break_off(ex.res, reason, attempt_id=ex.facts.attempt_id)
                 return
@@ -392,22 +381,6 @@
             by_orders=live.stop_orders.judge_end(live.reg).value,
         )
 
-    async def _has_ended(self, live: LiveRun) -> bool:
-        """Return whether a run has ended whose stream its engine has closed in order.
-
-        Where a body ends with its connection, a run that was told to stop looks the
-        same.
-        """
-        assert live.reg is not None and live.stream is not None
-        if live.stream.is_framed:
-            return True
-        end = StreamEnd.PENDING
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(min(END_SECONDS, live.ex.seconds_left)):
-                end = await live.stop_orders.await_end(live.reg)
-        live.ex.metrics.count("relay_streams_ended_by_close", by_orders=end.value)
-        return end is StreamEnd.ENDED
-
     def _record_lost(self, live: LiveRun, reason: str) -> None:
         if live.reg is not None:
             self._opener.record_lost(live, live.reg, reason)
@@ -570,17 +543,3 @@
         live.reg = reg
         live.on_engine_changed()
         self._placer.announce(live, is_prefilling=False)
-
-
-def _reason_of_break(
-    chunk: Result[bytes | None, RequestLost],
-    splitter: EventSplitter,
-    orders: StreamEnd,
-) -> str:
-    """Return why a stream doesn't go on at its engine."""
-    if isinstance(chunk, Err) and chunk.err_value.reason != BROKEN_OFF:
-        return chunk.err_value.reason
-    if splitter.is_overlong:
-        return NO_EVENTS
-    # A stream may end properly by its framing and yet inside an event.
-    return BROKEN_OFF if orders is StreamEnd.ENDED else STOPPED
