--- a/celerytrail/relay/runstops.py
+++ b/celerytrail/relay/runstops.py
@@ -1,4 +1,4 @@
-"""Stops runs at engines that they have left."""
+"""Stops runs at engines that they leave or have left."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RunStop:
-    """What became of a run at an engine that it has left.
+    """What became of a run at an engine that was told to stop it.
 
     ``copied`` is the copy of it that the engine made when it stopped, if it did,
     ``n_created`` the events that the engine had made by then, if it says so, and
@@ -46,8 +46,8 @@
     """A run that an engine is being asked to stop.
 
     ``has_tried`` is set once the engine has answered, or wasn't reached. The copy that
-    it makes is freed unless ``is_claimed``. A run that ``goes_on`` there is in no
-    further request.
+    it makes is freed unless ``is_claimed``. It isn't asked again once the run
+    ``goes_on`` there. ``latest`` is its latest answer.
     """
 
     live: LiveRun
@@ -62,6 +62,9 @@
 class RunStops:
     """Makes sure that engines don't work on runs that have left them.
 
+    Nothing else orders engines to stop a run, so that each such order is recorded with
+    the run before it is sent.
+
     A run doesn't go on at an engine that is being asked to stop it: the request would
     stop it there once more.
 
@@ -220,9 +223,9 @@
             self._keep_or_free(stopping, task)
 
     def _keep_or_free(self, stopping: _Stopping, task: asyncio.Task[RunStop]) -> None:
-        """Keep the copy of a run that hasn't left its engine, and free that of others.
+        """Keep the copy of a run that hasn't left its engine, or free it.
 
-        Its stream is about to end, or has ended.
+        The run's stream is about to end, or has ended.
         """
         if task.cancelled() or task.exception() is not None:
             return
