Let a test of control requests wait between its reports

The test asks a plain endpoint for three reports and counts the tunnels. It waits a second between them now, and asks for the same three tunnels.

--- a/tests/test_relay_one_sending.py
+++ b/tests/test_relay_one_sending.py
@@ -349,6 +349,8 @@
             before = sum(fabric.n_connects[f"vm-{n}", worker.worker_id] for n in (1, 2))
             for _ in range(3):
                 await api.report(reg, now() + 1.0)
+                # Not an engine's, its answer pauses the next request.
+                await asyncio.sleep(1.0)
             after = sum(fabric.n_connects[f"vm-{n}", worker.worker_id] for n in (1, 2))
             assert after - before >= 3
 
