Let broken streams wait for open orders, and keep the copy that is used

What callers saw: drafts cut behind a move.

Change: a broken stream waits for open orders, as one that has ended does (1 s at most; none without orders). The copy of a late stop is kept while its run is being resumed at the same engine, and freed once it goes on. The stand-in refuses a copy that isn't complete yet.

--- a/celerytrail/relay/generations.py
+++ b/celerytrail/relay/generations.py
@@ -480,6 +480,7 @@
             self._on_moved(live, copied.reg)
             opened = await self._opener.open_copy(live, copied)
             if isinstance(opened, Ok):
+                self._run_mover.free_kept(live)
                 ex.log(
                     "resumed",
                     reason=reason,
--- a/celerytrail/relay/runmover.py
+++ b/celerytrail/relay/runmover.py
@@ -202,13 +202,18 @@
 
         It may come late.
         """
-        if live.stop_orders.judge_end(source) is not StreamEnd.PENDING:
+        is_open = live.stop_orders.judge_end(source) is StreamEnd.PENDING
+        if not is_open and not self._stops.has_kept(live, source):
             return None
         target = self._placer.choose_move_target(live, source, {source.endpoint})
         return await self._copies.find_copy(
             live, source, target, seconds=LATE_COPY_SECONDS
         )
 
+    def free_kept(self, live: LiveRun) -> None:
+        """Free the last copies of a run that goes on without them."""
+        self._stops.free_kept(live)
+
     def leave(self, live: LiveRun, reg: Registration) -> None:
         """Free what a run doesn't need that goes on at ``reg``."""
         self.free_backup(live, reg)
--- a/celerytrail/relay/runstops.py
+++ b/celerytrail/relay/runstops.py
@@ -166,6 +166,10 @@
         if stopping is not None:
             stopping.goes_on = True
 
+    def has_kept(self, live: LiveRun, reg: Registration) -> bool:
+        """Return whether a run has been stopped with a copy that nobody has awaited."""
+        return (live.ex.facts.attempt_id, reg.endpoint) in self._kept
+
     def free_kept(self, live: LiveRun) -> None:
         """Free the copies of a run that nobody has awaited."""
         attempt_id = live.ex.facts.attempt_id
@@ -225,13 +229,18 @@
     def _keep_or_free(self, stopping: _Stopping, task: asyncio.Task[RunStop]) -> None:
         """Keep the copy of a run that hasn't left its engine, or free it.
 
-        The run's stream is about to end, or has ended.
+        The run's stream is about to end, or the run is being resumed from an earlier
+        copy at the same engine, which may have the same name.
         """
         if task.cancelled() or task.exception() is not None:
             return
         live, stop = stopping.live, task.result()
-        is_there = live.reg is not None and live.reg.endpoint == stopping.reg.endpoint
-        if stop.copied is None or live.is_over or not is_there:
+        if stop.copied is None:
+            return
+        engines = {stopping.reg.endpoint}
+        if live.is_resuming:
+            engines.add(stop.copied.reg.endpoint)
+        if live.is_over or live.reg is None or live.reg.endpoint not in engines:
             self.free(stop)
             return
         self._kept[live.ex.facts.attempt_id, stopping.reg.endpoint] = stop
--- a/celerytrail/relay/streamends.py
+++ b/celerytrail/relay/streamends.py
@@ -37,32 +37,34 @@
     splitter : EventSplitter
         Holds what was read of an event.
     """
-    assert live.reg is not None and live.stream is not None
+    assert live.stream is not None
     if isinstance(chunk, Err) and chunk.err_value.reason != BROKEN_OFF:
         return chunk.err_value.reason
     if splitter.is_overlong:
         return NO_EVENTS
-    if not isinstance(chunk, Err):
-        if not live.ex.has_ended_in_time(live.stream):
-            return TIMEOUT
-        # A stream may end properly by its framing and yet inside an event.
-        if splitter.is_empty and await _has_ended(live):
+    # A stream may end properly by its framing and yet inside an event.
+    is_end = not isinstance(chunk, Err) and splitter.is_empty
+    if is_end and live.stream.is_framed:
+        return None
+    if not isinstance(chunk, Err) and not live.ex.has_ended_in_time(live.stream):
+        return TIMEOUT
+    end = await _await_orders(live)
+    if is_end:
+        live.ex.metrics.count("relay_streams_ended_by_close", by_orders=end.value)
+        if end is StreamEnd.ENDED:
             return None
-    is_stopped = live.stop_orders.judge_end(live.reg) is not StreamEnd.ENDED
-    return STOPPED if is_stopped else BROKEN_OFF
+    return BROKEN_OFF if end is StreamEnd.ENDED else STOPPED
 
 
-async def _has_ended(live: LiveRun) -> bool:
-    """Return whether a run has ended whose stream its engine has closed in order.
+async def _await_orders(live: LiveRun) -> StreamEnd:
+    """Return what orders to stop a run say of its stream, which has ended or broken.
 
-    Where a body ends with its connection, a run that was told to stop looks the same.
+    A stream that is stopped breaks, or ends in order where its body ends with its
+    connection. The answer that names the copy to go on from comes a little later.
     """
-    assert live.reg is not None and live.stream is not None
-    if live.stream.is_framed:
-        return True
+    assert live.reg is not None
     end = StreamEnd.PENDING
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(min(END_SECONDS, live.ex.seconds_left)):
             end = await live.stop_orders.await_end(live.reg)
-    live.ex.metrics.count("relay_streams_ended_by_close", by_orders=end.value)
-    return end is StreamEnd.ENDED
+    return end
--- a/standins/modelworker.py
+++ b/standins/modelworker.py
@@ -192,6 +192,8 @@
         # The paths of the requests that it runs, by attempt.
         self._paths: dict[str, str] = {}
         self._copies: dict[str, _Copy] = {}
+        # Names of the copies that aren't complete yet.
+        self.receiving: set[str] = set()
         # By name, the addresses of the engines that have got copies of own runs.
         self._copied_to: dict[str, set[str]] = {}
         self._reports: deque[tuple[float, dict[str, object]]] = deque(maxlen=20)
@@ -381,12 +383,17 @@
             self._hold_copy(f"{self.address}/{handle}", job)
             stream.is_cut = True
             stream.changed.set()
-        is_copied = target is not None and await self._copy(
-            stream, target, f"{self.address}/{handle}"
-        )
+        name = f"{self.address}/{handle}"
         faults = self.handover_faults
         stop_seconds = faults.stop_seconds if order["last"] else 0.0
-        await asyncio.sleep(faults.move_seconds + stop_seconds)
+        if target is not None:
+            target.receiving.add(name)
+        try:
+            is_copied = target is not None and await self._copy(stream, target, name)
+            await asyncio.sleep(faults.move_seconds + stop_seconds)
+        finally:
+            if target is not None:
+                target.receiving.discard(name)
         stream.is_moving = False
         stream.changed.set()
         if loss is not None:
@@ -544,7 +551,7 @@
 
     def _job_of_copy(self, name: str) -> Job | None:
         copy = self._copies.get(name)
-        if copy is None:
+        if copy is None or name in self.receiving:
             return None
         self._drop_copy(name)
         source_job = copy.job
--- a/tests/test_relay_stopped_streams.py
+++ b/tests/test_relay_stopped_streams.py
@@ -58,6 +58,15 @@
         )
     ),
     "framed": Leave(unframed_share=0.0),
+    "framed, answered after 0.02 s": Leave(
+        left=HandoverFaults(stop_seconds=0.02), unframed_share=0.0
+    ),
+    "framed, answered after 2 s": Leave(
+        left=HandoverFaults(stop_seconds=2.0), unframed_share=0.0
+    ),
+    "reset, answered after 0.02 s": Leave(
+        left=HandoverFaults(resets_stopped=True, stop_seconds=0.02)
+    ),
     "backups": Leave(has_backups=True),
     "backups with late heads": Leave(
         has_backups=True, others=HandoverFaults(head_seconds=1.0)
--- a/tests/test_run_stops_ends.py
+++ b/tests/test_run_stops_ends.py
@@ -57,7 +57,12 @@
         observe_seconds=lambda *_: None,
     )
     engine = SimpleNamespace(can_move=True)
-    state = {"stop_orders": StopOrders(), "reg": None, "is_over": False}
+    state = {
+        "stop_orders": StopOrders(),
+        "reg": None,
+        "is_over": False,
+        "is_resuming": False,
+    }
     return SimpleNamespace(ex=ex, engine=engine, **{**state, **more})
 
 
@@ -92,6 +97,22 @@
 
         assert run(steps) == ("m1", 1, [])
 
+    def test_the_name_of_a_copy_that_is_about_to_be_used_is_not_freed(self):
+        """Guards against a run that is refused where its earlier copy was freed."""
+
+        async def steps():
+            api = FakeApi((0.5, copied()))
+            stops, live = RunStops(api=api), live_run(reg=SOURCE)
+            assert await stops.settle(live, SOURCE, TARGET, 0.2) is None
+            live.reg, live.is_resuming = TARGET, True
+            await asyncio.sleep(1.0)
+            assert stops.has_kept(live, SOURCE) and not api.freed
+            stops.free_kept(live)
+            await asyncio.sleep(0.1)
+            return api.freed
+
+        assert run(steps) == ["m1"]
+
     def test_an_order_under_way_counts_for_a_run_that_has_come_back(self):
         """Guards against a former stop that ends the run's next stream."""
 
