--- a/celerytrail/relay/exchange.py
+++ b/celerytrail/relay/exchange.py
@@ -25,7 +25,7 @@
 TIMED_OUT_REASONS = ("timeout", "stalled", STOPPED)
 # The least Retry-After, in seconds.
 MIN_RETRY_SECONDS = 0.01
-# Margin of the time limit that endpoints are sent, in seconds: it is sent in whole
+# Margin of the deadline that endpoints are sent, in seconds: it is sent in whole
 # milliseconds, and measured by their own clocks.
 LIMIT_MARGIN_SECONDS = 0.01
 
@@ -152,7 +152,7 @@
     def has_ended_in_time(self, stream: Stream) -> bool:
         """Return whether an answer that has just ended is whole.
 
-        An endpoint stops work at the time limit that it was sent. Where a body ends
+        An endpoint stops work at the deadline that it was sent. Where a body ends
         with its connection, one that was stopped looks the same as a whole one.
         """
         return stream.is_framed or self.seconds_left > LIMIT_MARGIN_SECONDS
