--- a/review/rig2.py
+++ b/review/rig2.py
@@ -484,6 +484,18 @@
             await asyncio.sleep(0.1)
         raise CannotRunError(f"{node.name} isn't ready")
 
+    async def wait_started(self, node: Node) -> bool:
+        """Wait until a node is ready; return False if its process ends before."""
+        assert node.process is not None
+        ready = asyncio.create_task(self.wait_ready(node))
+        while not ready.done() and node.process.poll() is None:
+            await asyncio.wait({ready}, timeout=0.1)
+        if not ready.done():
+            ready.cancel()
+            return False
+        await ready
+        return True
+
     def new_attempt(self) -> str:
         """Return the id of a new attempt of a caller."""
         self._n_attempts += 1
